Add the design page and the thin path from caller to upstream

Cause: the repository was empty; nothing could be served, checked or measured.

Change: docs/design.md with requirements, modules, state, messages and failures. Scheduler and router are baselines behind the interfaces that later changes keep.

Conclusion: requests of both kinds are served end to end. Fairness, retries, at-most-once, recovery, membership and configuration changes are not there yet.

--- /dev/null
+++ b/packages/config/settings.cc
@@ -0,0 +1,61 @@
+#include "config/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+#include "config/json_reader.h"
+
+namespace savoryglade {
+namespace {
+
+constexpr std::int64_t kMostWorkerThreads = 64;
+constexpr std::array<std::string_view, 4> kLogLevels = {"debug", "info", "warning", "error"};
+
+void ReadPlatform(JsonObjectReader platform, Settings& settings) {
+  platform.AllowOnly({"kind", "address", "configuration_file"});
+  const std::string kind = platform.OptionalString("kind", "embedded");
+  if (kind != "embedded" && kind != "http") {
+    platform.Reject("kind", "\"" + kind + "\"", "\"embedded\" or \"http\"");
+  }
+  settings.platform_kind = kind == "http" ? PlatformKind::kHttp : PlatformKind::kEmbedded;
+  if (settings.platform_kind == PlatformKind::kHttp) {
+    settings.platform_address = platform.RequiredString("address");
+  }
+  settings.configuration_file = platform.OptionalString("configuration_file", "");
+}
+
+}  // namespace
+
+Result<Settings> ParseSettings(const std::string& text) {
+  const Result<boost::json::value> document = ParseJson(text);
+  if (!document) {
+    return tl::make_unexpected(document.error());
+  }
+  JsonFaults faults;
+  JsonObjectReader reader(*document, "", faults);
+  reader.AllowOnly({"daemon", "failure_domain", "callers_address", "administration_address",
+                    "worker_threads", "platform", "operator_key_file", "log_level"});
+  Settings settings;
+  settings.daemon = DaemonId(reader.OptionalString("daemon", settings.daemon.value()));
+  settings.failure_domain =
+      FailureDomainId(reader.OptionalString("failure_domain", settings.failure_domain.value()));
+  settings.callers_address = reader.OptionalString("callers_address", settings.callers_address);
+  settings.administration_address =
+      reader.OptionalString("administration_address", settings.administration_address);
+  settings.worker_threads = static_cast<int>(
+      reader.OptionalInteger("worker_threads", settings.worker_threads, 1, kMostWorkerThreads));
+  ReadPlatform(reader.OptionalObject("platform"), settings);
+  settings.operator_key_file = reader.OptionalString("operator_key_file", "");
+  settings.log_level = reader.OptionalString("log_level", settings.log_level);
+  if (std::find(kLogLevels.begin(), kLogLevels.end(), settings.log_level) == kLogLevels.end()) {
+    reader.Reject("log_level", "\"" + settings.log_level + "\"",
+                  "\"debug\", \"info\", \"warning\" or \"error\"");
+  }
+  if (!faults.empty()) {
+    return tl::make_unexpected(faults.ToError());
+  }
+  return settings;
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/config/settings.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "core/error.h"
+#include "core/strong_id.h"
+
+namespace savoryglade {
+
+// Where the daemon keeps what must last: in its own memory for a trial, or in the platform's
+// services.
+enum class PlatformKind { kEmbedded, kHttp };
+
+// Settings of one daemon, read once at start. Addresses are "IP:port"; port 0 lets the system
+// choose.
+struct Settings {
+  DaemonId daemon = DaemonId("daemon-1");
+  FailureDomainId failure_domain = FailureDomainId("local");
+  std::string callers_address = "127.0.0.1:8080";
+  std::string administration_address = "127.0.0.1:8081";
+  int worker_threads = 2;
+  PlatformKind platform_kind = PlatformKind::kEmbedded;
+  std::string platform_address;
+  // First configuration of the embedded platform.
+  std::string configuration_file;
+  // File with the key that operators send as bearer token. Required beyond loopback.
+  std::string operator_key_file;
+  std::string log_level = "info";
+
+  friend auto operator<=>(const Settings&, const Settings&) = default;
+};
+
+// Parses settings. The error lists every fault, one a line, with the path of the field.
+Result<Settings> ParseSettings(const std::string& text);
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/core/random.cc
@@ -0,0 +1,9 @@
+#include "core/random.h"
+
+#include <cmath>
+
+namespace savoryglade {
+
+double Random::Exponential(double mean) { return -mean * std::log1p(-Unit()); }
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/core/verdict.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "core/time.h"
+
+namespace savoryglade {
+
+// Whether a request has run at an upstream. kNotRun is a promise: it never ran and never will.
+enum class RunState : std::uint8_t { kNotRun, kMayHaveRun, kRan };
+
+// Returns "not_run", "may_have_run" or "ran".
+std::string_view ToString(RunState state);
+
+// Why a request was refused or ended without a whole answer. The names are part of the callers'
+// API.
+enum class Reason : std::uint8_t {
+  kNone,
+  kUnknownKey,
+  kUnknownService,
+  kMalformedRequest,
+  kRequestTooLarge,
+  kIdempotencyKeyRequired,
+  kIdempotencyKeyReused,
+  kQueueFull,
+  kAccountQueueFull,
+  kDeadlineUnreachable,
+  kDeadlineExceeded,
+  kNoUpstream,
+  kDraining,
+  kPlatformUnavailable,
+  kClaimedElsewhere,
+  kRequestCrashesUpstreams,
+  kRetryBudgetExhausted,
+  kUpstreamLost,
+  kUpstreamError,
+  kCallerGone,
+  kNotReady,
+  kTooManyConnections,
+  kCount,
+};
+
+// Returns the name of a reason in snake_case, e.g. "queue_full".
+std::string_view ToString(Reason reason);
+
+// Final outcome of a request that got no whole answer: what the caller may conclude, why, and when
+// it may come back. A retry_after of zero means that coming back does not help.
+struct Verdict {
+  RunState run_state = RunState::kNotRun;
+  Reason reason = Reason::kNone;
+  Duration retry_after = Duration::zero();
+
+  friend auto operator<=>(const Verdict&, const Verdict&) = default;
+};
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/daemon/dispatcher.cc
@@ -0,0 +1,128 @@
+#include "daemon/dispatcher.h"
+
+#include <boost/asio.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+// A coroutine that waits for its turn. The timer only serves to wake it on its own executor.
+struct Dispatcher::Waiter {
+  Waiter(const asio::any_io_executor& executor, RouteRequest route_request)
+      : timer(executor, TimePoint::max()), route(std::move(route_request)) {}
+
+  asio::steady_timer timer;
+  RouteRequest route;
+  std::optional<tl::expected<UpstreamConfig, Verdict>> result;
+};
+
+Dispatcher::Dispatcher(SchedulerOptions options, std::uint64_t seed, MetricRegistry& metrics)
+    : scheduler_(options),
+      table_(seed),
+      queue_wait_(metrics.GetTiming("savoryglade_queue_wait_seconds")) {}
+
+void Dispatcher::Configure(const Configuration& configuration) {
+  {
+    const std::lock_guard lock(table_mutex_);
+    table_.Configure(configuration, Now());
+    upstreams_.clear();
+    for (const UpstreamConfig& upstream : configuration.upstreams) {
+      upstreams_.emplace(upstream.name, upstream);
+    }
+  }
+  Pump();
+}
+
+asio::awaitable<tl::expected<UpstreamConfig, Verdict>> Dispatcher::Acquire(QueuedRequest request,
+                                                                           RouteRequest route) {
+  const auto waiter =
+      std::make_shared<Waiter>(co_await asio::this_coro::executor, std::move(route));
+  const TimePoint start = Now();
+  {
+    const std::lock_guard lock(scheduler_mutex_);
+    const auto queued = scheduler_.Enqueue(request, start);
+    if (!queued) {
+      co_return tl::make_unexpected(queued.error());
+    }
+    waiters_.emplace(request.ticket, waiter);
+  }
+  Pump();
+  while (!waiter->result) {
+    co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  queue_wait_.Record(Now() - start);
+  co_return *waiter->result;
+}
+
+void Dispatcher::Finish(Ticket ticket, const UpstreamId& upstream, const AttemptOutcome& outcome) {
+  const TimePoint now = Now();
+  {
+    const std::lock_guard lock(scheduler_mutex_);
+    scheduler_.Finish(ticket, ToSeconds(outcome.total), now);
+  }
+  {
+    const std::lock_guard lock(table_mutex_);
+    table_.OnFinish(upstream, outcome, now);
+  }
+  Pump();
+}
+
+void Dispatcher::OnFirstToken(const UpstreamId& upstream, Duration latency) {
+  const std::lock_guard lock(table_mutex_);
+  table_.OnFirstToken(upstream, latency, Now());
+}
+
+void Dispatcher::Tick() {
+  {
+    const std::lock_guard lock(scheduler_mutex_);
+    for (const ExpiredRequest& expired : scheduler_.Expire(Now())) {
+      Deliver(expired.ticket, tl::make_unexpected(expired.verdict));
+    }
+  }
+  Pump();
+}
+
+void Dispatcher::Pump() {
+  const TimePoint now = Now();
+  const std::lock_guard lock(scheduler_mutex_);
+  while (true) {
+    const std::lock_guard table_lock(table_mutex_);
+    const auto can_start = [&](const ServiceId& service) {
+      return table_.HasCapacity(service, now);
+    };
+    const std::optional<QueuedRequest> request = scheduler_.Next(can_start, now);
+    if (!request) {
+      return;
+    }
+    const auto chosen = table_.Select(waiters_.at(request->ticket)->route, now);
+    if (!chosen) {
+      Deliver(request->ticket,
+              tl::make_unexpected(Verdict{.reason = chosen.error(), .retry_after = Duration(1s)}));
+      continue;
+    }
+    Deliver(request->ticket, upstreams_.at(*chosen));
+  }
+}
+
+void Dispatcher::Deliver(Ticket ticket, tl::expected<UpstreamConfig, Verdict> result) {
+  const auto found = waiters_.find(ticket);
+  if (found == waiters_.end()) {
+    return;
+  }
+  const std::shared_ptr<Waiter> waiter = std::move(found->second);
+  waiters_.erase(found);
+  asio::post(waiter->timer.get_executor(), [waiter, result = std::move(result)] {
+    waiter->result = result;
+    waiter->timer.cancel();
+  });
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/daemon/savorygladed_main.cc
@@ -0,0 +1,90 @@
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <string>
+
+#include "config/settings.h"
+#include "daemon/daemon.h"
+#include "logging/logger.h"
+
+namespace {
+
+using savoryglade::Daemon;
+using savoryglade::Logger;
+using savoryglade::Result;
+using savoryglade::Settings;
+
+constexpr char kUsage[] = R"(savorygladed: daemon of one entry VM.
+
+Usage:
+  savorygladed [--settings=FILE]
+  savorygladed --check-settings=FILE
+  savorygladed --help
+  savorygladed --version
+
+Options:
+  --settings=FILE        JSON file with the settings; without it the embedded defaults apply.
+  --check-settings=FILE  Check a settings file, print all faults, and exit.
+  --help                 Show this text.
+  --version              Show the version.
+)";
+
+constexpr int kExitInvalidSettings = 2;
+
+Result<Settings> LoadSettings(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return tl::make_unexpected(
+        savoryglade::Error{.code = savoryglade::ErrorCode::kNotFound,
+                           .message = fmt::format("Can't read the settings file {}.", path)});
+  }
+  return savoryglade::ParseSettings(std::string(std::istreambuf_iterator<char>(file), {}));
+}
+
+int Run(const Settings& settings) {
+  const Logger log("main");
+  // Blocked before any thread starts, so that only sigwait below receives them.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  Daemon daemon(settings);
+  const Result<void> started = daemon.Start();
+  if (!started) {
+    log.Error(started.error().message);
+    return 1;
+  }
+  int signal = 0;
+  sigwait(&signals, &signal);
+  daemon.Drain();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto arguments =
+      docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "savorygladed " SAVORYGLADE_VERSION);
+  Settings settings;
+  const auto& check = arguments.at("--check-settings");
+  const auto& load = arguments.at("--settings");
+  if (check || load) {
+    const std::string path = check ? check.asString() : load.asString();
+    const Result<Settings> parsed = LoadSettings(path);
+    if (!parsed) {
+      fmt::print(stderr, "{}\n{}\n", path, parsed.error().message);
+      return kExitInvalidSettings;
+    }
+    if (check) {
+      fmt::print("{}: valid\n", path);
+      return 0;
+    }
+    settings = *parsed;
+  }
+  return Run(settings);
+}
--- /dev/null
+++ b/packages/logging/logger.cc
@@ -0,0 +1,82 @@
+#include "logging/logger.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdio>
+
+namespace savoryglade {
+namespace {
+
+std::atomic<LogLevel> minimum_level{LogLevel::kInfo};
+
+std::function<void(const std::string&)>& Sink() {
+  static std::function<void(const std::string&)> sink;
+  return sink;
+}
+
+std::string_view LevelName(LogLevel level) {
+  static constexpr std::array<std::string_view, 4> kNames = {"debug", "info", "warning", "error"};
+  return kNames.at(static_cast<std::size_t>(level));
+}
+
+void AppendValue(std::string& line, const std::string& value) {
+  if (!value.empty() && value.find_first_of(" \"\n\r=") == std::string::npos) {
+    line += value;
+    return;
+  }
+  line += '"';
+  for (const char c : value) {
+    if (c == '\n' || c == '\r') {
+      line += ' ';
+      continue;
+    }
+    if (c == '"') {
+      line += '\\';
+    }
+    line += c;
+  }
+  line += '"';
+}
+
+}  // namespace
+
+void Logger::Debug(std::string_view sentence, Fields fields) const {
+  Write(LogLevel::kDebug, sentence, fields);
+}
+
+void Logger::Info(std::string_view sentence, Fields fields) const {
+  Write(LogLevel::kInfo, sentence, fields);
+}
+
+void Logger::Warning(std::string_view sentence, Fields fields) const {
+  Write(LogLevel::kWarning, sentence, fields);
+}
+
+void Logger::Error(std::string_view sentence, Fields fields) const {
+  Write(LogLevel::kError, sentence, fields);
+}
+
+void Logger::SetLevel(LogLevel level) { minimum_level = level; }
+
+void Logger::SetSink(std::function<void(const std::string&)> sink) { Sink() = std::move(sink); }
+
+void Logger::Write(LogLevel level, std::string_view sentence, Fields fields) const {
+  if (level < minimum_level.load(std::memory_order_relaxed)) {
+    return;
+  }
+  std::string line = fmt::format("{} {}: {}", LevelName(level), part_, sentence);
+  for (const LogField& field : fields) {
+    line += ' ';
+    line += field.key;
+    line += '=';
+    AppendValue(line, field.value);
+  }
+  if (Sink()) {
+    Sink()(line);
+    return;
+  }
+  line += '\n';
+  std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/net/http_client.cc
@@ -0,0 +1,138 @@
+#include "net/http_client.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <utility>
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kReadSize = 8 * 1024;
+constexpr std::size_t kIdlePerEndpoint = 64;
+constexpr std::size_t kFetchBodyLimit = 16 * 1024 * 1024;
+
+Error MakeError(const char* action, const Endpoint& endpoint, beast::error_code error) {
+  return {.code = error == beast::error::timeout ? ErrorCode::kTimeout : ErrorCode::kUnavailable,
+          .message = fmt::format("{} {} failed: {}.", action, ToString(endpoint), error.message())};
+}
+
+}  // namespace
+
+asio::awaitable<Result<std::unique_ptr<HttpConnection>>> HttpConnection::Connect(
+    const Endpoint& endpoint, Duration timeout) {
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  beast::error_code parse_error;
+  const tcp::endpoint address(asio::ip::make_address(endpoint.address, parse_error), endpoint.port);
+  stream.expires_after(timeout);
+  const auto [error] = co_await stream.async_connect(address, kAwait);
+  if (error) {
+    co_return tl::make_unexpected(MakeError("Connecting to", endpoint, error));
+  }
+  stream.socket().set_option(tcp::no_delay(true));
+  stream.expires_never();
+  co_return std::make_unique<HttpConnection>(std::move(stream), endpoint);
+}
+
+asio::awaitable<Result<void>> HttpConnection::Send(const HttpRequest& request, Duration timeout) {
+  reusable_ = false;
+  stream_.expires_after(timeout);
+  const auto [error, size] = co_await http::async_write(stream_, request, kAwait);
+  stream_.expires_never();
+  if (error) {
+    co_return tl::make_unexpected(MakeError("Sending to", endpoint_, error));
+  }
+  co_return Result<void>();
+}
+
+asio::awaitable<Result<unsigned>> HttpConnection::ReadHeader(Duration timeout) {
+  parser_.emplace();
+  parser_->body_limit(boost::none);
+  stream_.expires_after(timeout);
+  const auto [error, size] = co_await http::async_read_header(stream_, buffer_, *parser_, kAwait);
+  stream_.expires_never();
+  if (error) {
+    co_return tl::make_unexpected(MakeError("Reading from", endpoint_, error));
+  }
+  co_return parser_->get().result_int();
+}
+
+asio::awaitable<Result<bool>> HttpConnection::ReadSome(std::string& text, Duration timeout) {
+  if (parser_->is_done()) {
+    reusable_ = parser_->keep_alive();
+    co_return false;
+  }
+  std::array<char, kReadSize> part;
+  parser_->get().body().data = part.data();
+  parser_->get().body().size = part.size();
+  parser_->get().body().more = true;
+  stream_.expires_after(timeout);
+  auto [error, size] = co_await http::async_read_some(stream_, buffer_, *parser_, kAwait);
+  stream_.expires_never();
+  if (error && error != http::error::need_buffer) {
+    co_return tl::make_unexpected(MakeError("Reading from", endpoint_, error));
+  }
+  text.append(part.data(), part.size() - parser_->get().body().size);
+  co_return true;
+}
+
+asio::awaitable<Result<HttpResponse>> HttpConnection::ReadResponse(std::size_t body_limit,
+                                                                   Duration timeout) {
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(body_limit);
+  stream_.expires_after(timeout);
+  const auto [error, size] = co_await http::async_read(stream_, buffer_, parser, kAwait);
+  stream_.expires_never();
+  if (error) {
+    co_return tl::make_unexpected(MakeError("Reading from", endpoint_, error));
+  }
+  reusable_ = parser.keep_alive();
+  co_return parser.release();
+}
+
+const http::fields& HttpConnection::response_header() const { return parser_->get().base(); }
+
+asio::awaitable<Result<std::unique_ptr<HttpConnection>>> ConnectionPool::Acquire(
+    const Endpoint& endpoint, Duration timeout) {
+  auto& idle = idle_[endpoint];
+  if (!idle.empty()) {
+    std::unique_ptr<HttpConnection> connection = std::move(idle.back());
+    idle.pop_back();
+    co_return connection;
+  }
+  co_return co_await HttpConnection::Connect(endpoint, timeout);
+}
+
+void ConnectionPool::Release(std::unique_ptr<HttpConnection> connection) {
+  auto& idle = idle_[connection->endpoint()];
+  if (connection->reusable() && idle.size() < kIdlePerEndpoint) {
+    idle.push_back(std::move(connection));
+  }
+}
+
+asio::awaitable<Result<HttpResponse>> FetchOnce(const Endpoint& endpoint, HttpRequest request,
+                                                Duration timeout) {
+  auto connection = co_await HttpConnection::Connect(endpoint, timeout);
+  if (!connection) {
+    co_return tl::make_unexpected(connection.error());
+  }
+  request.set(http::field::host, ToString(endpoint));
+  request.keep_alive(false);
+  request.prepare_payload();
+  const Result<void> sent = co_await (*connection)->Send(request, timeout);
+  if (!sent) {
+    co_return tl::make_unexpected(sent.error());
+  }
+  co_return co_await (*connection)->ReadResponse(kFetchBodyLimit, timeout);
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/net/sse_reader.cc
@@ -0,0 +1,49 @@
+#include "net/sse_reader.h"
+
+namespace savoryglade {
+namespace {
+
+constexpr std::string_view kDataPrefix = "data:";
+
+// Returns the data of one event, whose lines end with '\n'. Events of engines have one data line.
+std::optional<std::string_view> FindData(std::string_view event) {
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.substr(0, kDataPrefix.size()) == kDataPrefix) {
+      line.remove_prefix(kDataPrefix.size());
+      if (!line.empty() && line.front() == ' ') {
+        line.remove_prefix(1);
+      }
+      return line;
+    }
+    if (end == std::string_view::npos) {
+      break;
+    }
+    event.remove_prefix(end + 1);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<std::string_view> SseReader::Next() {
+  while (true) {
+    const std::size_t end = buffer_.find("\n\n", position_);
+    if (end == std::string::npos) {
+      return std::nullopt;
+    }
+    const std::string_view event = std::string_view(buffer_).substr(position_, end - position_);
+    position_ = end + 2;
+    if (const auto data = FindData(event)) {
+      return data;
+    }
+  }
+}
+
+void SseReader::Compact() {
+  buffer_.erase(0, position_);
+  position_ = 0;
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/net/worker_pool.cc
@@ -0,0 +1,31 @@
+#include "net/worker_pool.h"
+
+namespace savoryglade {
+
+WorkerPool::WorkerPool(std::size_t size) {
+  for (std::size_t i = 0; i < size; ++i) {
+    workers_.push_back(std::make_unique<Worker>());
+    Worker& worker = *workers_.back();
+    worker.thread = std::thread([&worker] { worker.context.run(); });
+  }
+}
+
+WorkerPool::~WorkerPool() { Stop(); }
+
+boost::asio::io_context& WorkerPool::Next() {
+  return workers_[next_.fetch_add(1, std::memory_order_relaxed) % workers_.size()]->context;
+}
+
+void WorkerPool::Stop() {
+  for (const auto& worker : workers_) {
+    worker->guard.reset();
+    worker->context.stop();
+  }
+  for (const auto& worker : workers_) {
+    if (worker->thread.joinable()) {
+      worker->thread.join();
+    }
+  }
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/tests/config/configuration_test.cc
@@ -0,0 +1,40 @@
+#include "config/configuration.h"
+
+#include <string>
+
+#include "gtest/gtest.h"
+
+namespace savoryglade {
+namespace {
+
+// Guards against a reader that stops at the first fault, so that an operator needs one try for
+// each.
+TEST(ConfigurationTest, ReportsAllFaultsWithTheirPaths) {
+  const auto parsed = ParseConfiguration(R"({"services": [{"nam": "a", "kind": "modle"}],
+    "client_accounts": [{"name": "x", "share": -1, "key_sha256": "00"}],
+    "upstreams": [{"name": "u", "service": "b", "failure_domain": "verona", "port": 70000}]})");
+  ASSERT_FALSE(parsed);
+  const std::string& message = parsed.error().message;
+  for (const char* part :
+       {"services[0].nam: found an unknown field, expected \"name\"", "services[0].name",
+        "services[0].kind", "client_accounts[0].share", "client_accounts[0].key_sha256",
+        "upstreams[0].port: found 70000", "upstreams[0].service: found \"b\""}) {
+    EXPECT_NE(message.find(part), std::string::npos) << part << "\nin\n" << message;
+  }
+}
+
+// Guards against fields that are read but not printed, which operators would lose on a round trip.
+TEST(ConfigurationTest, PrintedConfigurationParsesToTheSameValue) {
+  const auto parsed = ParseConfiguration(R"({"version": 7, "services": [
+    {"name": "orders", "kind": "plain", "path_prefix": "/orders", "deadline": "5s", "may_not_repeat": [
+      {"method": "POST", "path": "/orders/confirm", "identity_field": "delivery"}]}],
+    "upstreams": [{"name": "u", "service": "orders", "failure_domain": "verona", "port": 1,
+      "checks_fencing": true, "concurrency": 3, "price_per_hour": 0.25}]})");
+  ASSERT_TRUE(parsed) << parsed.error().message;
+  const auto again = ParseConfiguration(PrintConfiguration(*parsed));
+  ASSERT_TRUE(again) << again.error().message;
+  EXPECT_EQ(*parsed, *again);
+}
+
+}  // namespace
+}  // namespace savoryglade
