Add the operators' library, the commands of savoryctl and configuration diff

Cause: operators could only read the configuration and the counters; there was no typed way to change anything.

Change: OperatorClient with one call for each change, typed errors and retries after a conflict; savoryctl get, diff, apply, status, watch, explain, metrics, drain with distinct exit codes; DiffConfigurations names items and fields that differ. The daemon's side of changes, status, drain and explain is not there yet.

--- /dev/null
+++ b/packages/admin/commands.cc
@@ -0,0 +1,175 @@
+#include "admin/commands.h"
+
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+#include <fstream>
+#include <iterator>
+
+#include "config/configuration_diff.h"
+#include "config/json_reader.h"
+
+namespace savoryglade {
+namespace {
+
+namespace json = boost::json;
+
+using Print = Command::Print;
+
+struct CodeName {
+  ErrorCode code;
+  const char* name;
+  ExitCode exit;
+};
+
+constexpr CodeName kCodeNames[] = {
+    {ErrorCode::kInvalid, "invalid", kExitInvalid},
+    {ErrorCode::kConflict, "conflict", kExitConflict},
+    {ErrorCode::kUnavailable, "unreachable", kExitUnreachable},
+    {ErrorCode::kTimeout, "unreachable", kExitUnreachable},
+    {ErrorCode::kUnknownOutcome, "unknown_outcome", kExitUnknownOutcome},
+    {ErrorCode::kNotFound, "not_found", kExitFailed},
+    {ErrorCode::kDenied, "denied", kExitFailed},
+};
+
+const CodeName& NameOf(ErrorCode code) {
+  for (const CodeName& entry : kCodeNames) {
+    if (entry.code == code) {
+      return entry;
+    }
+  }
+  return kCodeNames[0];
+}
+
+Result<Configuration> ReadConfigurationFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return tl::make_unexpected(
+        Error{.code = ErrorCode::kInvalid, .message = fmt::format("Can't read {}.", path)});
+  }
+  return ParseConfiguration(std::string(std::istreambuf_iterator<char>(file), {}))
+      .map_error([&path](const Error& error) {
+        return Error{.code = error.code, .message = path + ":\n" + error.message};
+      });
+}
+
+// Returns the file's configuration. A file without a version is meant for the version in force.
+Result<Configuration> ReadForVersionInForce(const std::string& path, const Configuration& current) {
+  Result<Configuration> configuration = ReadConfigurationFile(path);
+  if (configuration && configuration->version == 0) {
+    configuration->version = current.version;
+  }
+  return configuration;
+}
+
+Result<int> RunGet(const OperatorClient& client, const CommandArguments& /*arguments*/,
+                   const Print& print) {
+  const Result<Configuration> configuration = client.GetConfiguration();
+  if (!configuration) {
+    return tl::make_unexpected(configuration.error());
+  }
+  print(PrintConfiguration(*configuration));
+  return kExitDone;
+}
+
+json::array ChangesToJson(const std::vector<ConfigurationChange>& changes) {
+  static constexpr const char* kKinds[] = {"added", "removed", "changed"};
+  json::array array;
+  for (const ConfigurationChange& change : changes) {
+    json::array fields(change.fields.begin(), change.fields.end());
+    array.emplace_back(json::object{{"kind", kKinds[static_cast<int>(change.kind)]},
+                                    {"item", change.item},
+                                    {"fields", std::move(fields)}});
+  }
+  return array;
+}
+
+// Exit code 1 tells scripts that there is a difference, like other diff commands.
+Result<int> RunDiff(const OperatorClient& client, const CommandArguments& arguments,
+                    const Print& print) {
+  const Result<Configuration> current = client.GetConfiguration();
+  if (!current) {
+    return tl::make_unexpected(current.error());
+  }
+  const Result<Configuration> wanted = ReadForVersionInForce(arguments.operand, *current);
+  if (!wanted) {
+    return tl::make_unexpected(wanted.error());
+  }
+  const std::vector<ConfigurationChange> changes = DiffConfigurations(*current, *wanted);
+  print(arguments.json ? PrintJson(ChangesToJson(changes)) : PrintChanges(changes));
+  return changes.empty() ? kExitDone : kExitFailed;
+}
+
+Result<int> RunApply(const OperatorClient& client, const CommandArguments& arguments,
+                     const Print& print) {
+  const Result<Configuration> current = client.GetConfiguration();
+  if (!current) {
+    return tl::make_unexpected(current.error());
+  }
+  const Result<Configuration> wanted = ReadForVersionInForce(arguments.operand, *current);
+  if (!wanted) {
+    return tl::make_unexpected(wanted.error());
+  }
+  const Result<Configuration> applied = client.Apply(*wanted);
+  if (!applied) {
+    return tl::make_unexpected(applied.error());
+  }
+  print(PrintConfiguration(*applied));
+  return kExitDone;
+}
+
+Result<int> PrintText(const Result<std::string>& text, const Print& print) {
+  if (!text) {
+    return tl::make_unexpected(text.error());
+  }
+  print(*text);
+  return kExitDone;
+}
+
+Result<int> RunStatus(const OperatorClient& client, const CommandArguments& /*arguments*/,
+                      const Print& print) {
+  return PrintText(client.GetStatus(), print);
+}
+
+Result<int> RunMetrics(const OperatorClient& client, const CommandArguments& /*arguments*/,
+                       const Print& print) {
+  return PrintText(client.GetMetrics(), print);
+}
+
+Result<int> RunExplain(const OperatorClient& client, const CommandArguments& arguments,
+                       const Print& print) {
+  return PrintText(client.Explain(RequestKey(arguments.operand)), print);
+}
+
+Result<int> RunDrain(const OperatorClient& client, const CommandArguments& arguments,
+                     const Print& print) {
+  const Result<void> drained = client.Drain();
+  if (!drained) {
+    return tl::make_unexpected(drained.error());
+  }
+  print(arguments.json ? "{\"draining\": true}\n" : "The daemon drains.\n");
+  return kExitDone;
+}
+
+}  // namespace
+
+const std::vector<Command>& Commands() {
+  static const std::vector<Command> kCommands = {
+      {"get", RunGet},         {"diff", RunDiff},       {"apply", RunApply}, {"status", RunStatus},
+      {"metrics", RunMetrics}, {"explain", RunExplain}, {"drain", RunDrain},
+  };
+  return kCommands;
+}
+
+ExitCode ExitCodeOf(ErrorCode code) { return NameOf(code).exit; }
+
+std::string PrintError(const Error& error, bool as_json) {
+  const char* name = NameOf(error.code).name;
+  if (as_json) {
+    return PrintJson(
+        json::object{{"error", json::object{{"kind", name}, {"message", error.message}}}});
+  }
+  return fmt::format("{}: {}\n", name, error.message);
+}
+
+}  // namespace savoryglade
--- a/packages/admin/savoryctl_main.cc
+++ b/packages/admin/savoryctl_main.cc
@@ -1,71 +1,126 @@
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 
-#include <boost/asio.hpp>
-#include <boost/beast/http.hpp>
+#include <chrono>
+#include <cstdint>
 #include <cstdlib>
-#include <optional>
 #include <string>
+#include <thread>
 
-#include "net/http_client.h"
+#include "admin/commands.h"
+#include "admin/operator_client.h"
 
 namespace {
 
-using savoryglade::Endpoint;
-using savoryglade::HttpRequest;
-using savoryglade::HttpResponse;
+using savoryglade::Command;
+using savoryglade::CommandArguments;
+using savoryglade::OperatorClient;
+using savoryglade::OperatorClientOptions;
 using savoryglade::Result;
 
 constexpr char kUsage[] = R"(savoryctl: operators' command of savoryglade.
 
 Usage:
-  savoryctl [--daemon=ADDRESS] get
-  savoryctl [--daemon=ADDRESS] metrics
+  savoryctl [options] get
+  savoryctl [options] diff <operand>
+  savoryctl [options] apply <operand>
+  savoryctl [options] status
+  savoryctl [options] watch [--count=N]
+  savoryctl [options] explain <operand>
+  savoryctl [options] metrics
+  savoryctl [options] drain
+  savoryctl version
   savoryctl --help
-  savoryctl --version
+
+Commands:
+  get             Print the configuration in force at the daemon.
+  diff FILE       Print how a configuration file differs from the one in force; exit code 1 if it does.
+  apply FILE      Replace the configuration, if the file's version is in force or the file has none.
+  status          Print the daemons, the versions in force there, and the upstreams.
+  watch           Print the status every two seconds.
+  explain KEY     Print the decisions on one request, by its Savoryglade-Request key.
+  metrics         Print the counters and timings.
+  drain           Let the daemon end what is in flight and stop.
 
 Options:
   --daemon=ADDRESS  Administration address of a daemon [default: 127.0.0.1:8081].
+  --json            Print errors and differences as JSON.
+  --count=N         Stop watching after so many times; 0 goes on [default: 0].
   --help            Show this text.
-  --version         Show the version.
 
 The operator key is taken from the environment variable SAVORYGLADE_OPERATOR_KEY.
+
+Exit codes:
+  0 done, 1 failed, 2 invalid, 3 conflict, 4 unreachable, 5 outcome unknown
+
+Examples:
+  savoryctl --daemon=10.0.1.5:8081 get > configuration.json
+  savoryctl --daemon=10.0.1.5:8081 diff configuration.json
+  savoryctl --daemon=10.0.1.5:8081 apply configuration.json
 )";
 
-constexpr int kExitInvalid = 2;
-constexpr int kExitUnreachable = 4;
-constexpr savoryglade::Duration kTimeout = std::chrono::seconds(5);
+constexpr std::chrono::seconds kWatchInterval(2);
+
+Result<OperatorClientOptions> ReadOptions(const std::string& address) {
+  const auto endpoint = savoryglade::ParseEndpoint(address);
+  if (!endpoint) {
+    return tl::make_unexpected(endpoint.error());
+  }
+  const char* key = std::getenv("SAVORYGLADE_OPERATOR_KEY");
+  return OperatorClientOptions{.daemon = *endpoint, .key = key == nullptr ? "" : key};
+}
+
+int RunOnce(const Command& command, const OperatorClient& client,
+            const CommandArguments& arguments) {
+  const Result<int> code = command.run(client, arguments, [](const std::string& text) {
+    fmt::print("{}", text);
+    std::fflush(stdout);
+  });
+  if (code) {
+    return *code;
+  }
+  fmt::print(stderr, "{}", savoryglade::PrintError(code.error(), arguments.json));
+  return savoryglade::ExitCodeOf(code.error().code);
+}
 
-Result<HttpResponse> Fetch(const Endpoint& endpoint, const std::string& target) {
-  HttpRequest request(boost::beast::http::verb::get, target, 11);
-  if (const char* key = std::getenv("SAVORYGLADE_OPERATOR_KEY")) {
-    request.set(boost::beast::http::field::authorization, fmt::format("Bearer {}", key));
+int Watch(const Command& status, const OperatorClient& client, const CommandArguments& arguments,
+          std::int64_t count) {
+  int code = 0;
+  for (std::int64_t i = 0; count == 0 || i < count; ++i) {
+    if (i > 0) {
+      std::this_thread::sleep_for(kWatchInterval);
+    }
+    code = RunOnce(status, client, arguments);
   }
-  boost::asio::io_context context;
-  std::optional<Result<HttpResponse>> response;
-  boost::asio::co_spawn(
-      context, savoryglade::FetchOnce(endpoint, std::move(request), kTimeout),
-      [&response](const std::exception_ptr&, Result<HttpResponse> r) { response = std::move(r); });
-  context.run();
-  return *response;
+  return code;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  const auto arguments =
-      docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "savoryctl " SAVORYGLADE_VERSION);
-  const Result<Endpoint> endpoint = savoryglade::ParseEndpoint(arguments.at("--daemon").asString());
-  if (!endpoint) {
-    fmt::print(stderr, "--daemon: {}\n", endpoint.error().message);
-    return kExitInvalid;
+  const auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc});
+  if (arguments.at("version").asBool()) {
+    fmt::print("savoryctl {}\n", SAVORYGLADE_VERSION);
+    return savoryglade::kExitDone;
+  }
+  const Result<OperatorClientOptions> options = ReadOptions(arguments.at("--daemon").asString());
+  if (!options) {
+    fmt::print(stderr, "--daemon: {}\n", options.error().message);
+    return savoryglade::kExitInvalid;
   }
-  const std::string target = arguments.at("get").asBool() ? "/v1/configuration" : "/metrics";
-  const Result<HttpResponse> response = Fetch(*endpoint, target);
-  if (!response) {
-    fmt::print(stderr, "{}\n", response.error().message);
-    return kExitUnreachable;
+  const OperatorClient client(*options);
+  const auto& operand = arguments.at("<operand>");
+  const CommandArguments command_arguments{.operand = operand ? operand.asString() : "",
+                                           .json = arguments.at("--json").asBool()};
+  const bool watch = arguments.at("watch").asBool();
+  for (const Command& command : savoryglade::Commands()) {
+    const std::string name = command.name;
+    if (watch && name == "status") {
+      return Watch(command, client, command_arguments, arguments.at("--count").asLong());
+    }
+    if (!watch && arguments.at(name).asBool()) {
+      return RunOnce(command, client, command_arguments);
+    }
   }
-  fmt::print("{}", response->body());
-  return response->result_int() == 200 ? 0 : 1;
+  return savoryglade::kExitInvalid;
 }
