--- a/cmake/SavorygladePackage.cmake
+++ b/cmake/SavorygladePackage.cmake
@@ -33,7 +33,10 @@
   target_include_directories(${name}_test PRIVATE ${CMAKE_SOURCE_DIR})
   target_compile_options(${name}_test PRIVATE ${SAVORYGLADE_WARNINGS})
   target_compile_definitions(${name}_test PRIVATE SAVORYGLADE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
-  target_link_libraries(${name}_test PRIVATE savoryglade_${name} ${ARG_DEPENDS} GTest::gtest GTest::gmock
+  if(TARGET savoryglade_${name})
+    target_link_libraries(${name}_test PRIVATE savoryglade_${name})
+  endif()
+  target_link_libraries(${name}_test PRIVATE ${ARG_DEPENDS} GTest::gtest GTest::gmock
                                              GTest::gtest_main)
   add_test(NAME ${name}_test COMMAND ${name}_test)
   set_tests_properties(${name}_test PROPERTIES TIMEOUT 300)
--- a/packages/logging/logger.cc
+++ b/packages/logging/logger.cc
@@ -4,6 +4,8 @@
 #include <cstddef>
 #include <cstdio>
 
+#include "logging/repeat_limiter.h"
+
 namespace savoryglade {
 namespace {
 
@@ -14,6 +16,11 @@
   return sink;
 }
 
+RepeatLimiter& Limiter() {
+  static RepeatLimiter limiter;
+  return limiter;
+}
+
 std::string_view LevelName(LogLevel level) {
   static constexpr std::array<std::string_view, 4> kNames = {"debug", "info", "warning", "error"};
   return kNames.at(static_cast<std::size_t>(level));
@@ -64,6 +71,10 @@
   if (level < minimum_level.load(std::memory_order_relaxed)) {
     return;
   }
+  const auto dropped = Limiter().Admit(part_, sentence, std::chrono::steady_clock::now());
+  if (!dropped) {
+    return;
+  }
   std::string line = fmt::format("{} {}: {}", LevelName(level), part_, sentence);
   for (const LogField& field : fields) {
     line += ' ';
@@ -71,6 +82,9 @@
     line += '=';
     AppendValue(line, field.value);
   }
+  if (*dropped > 0) {
+    line += fmt::format(" repeats_dropped={}", *dropped);
+  }
   if (Sink()) {
     Sink()(line);
     return;
