--- a/tests/config/configuration_test.cc
+++ b/tests/config/configuration_test.cc
@@ -1,5 +1,8 @@
 #include "config/configuration.h"
 
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <string>
 
 #include "gtest/gtest.h"
@@ -36,5 +39,21 @@
   EXPECT_EQ(*parsed, *again);
 }
 
+// Guards against examples that the documentation names and that the check refuses.
+TEST(ConfigurationTest, EveryExampleIsValid) {
+  int count = 0;
+  const std::string directory = std::string(SAVORYGLADE_SOURCE_DIR) + "/examples";
+  for (const auto& entry : std::filesystem::recursive_directory_iterator(directory)) {
+    if (entry.path().filename().string().find("configuration.json") == std::string::npos) {
+      continue;
+    }
+    std::ifstream file(entry.path(), std::ios::binary);
+    const auto parsed = ParseConfiguration(std::string(std::istreambuf_iterator<char>(file), {}));
+    EXPECT_TRUE(parsed) << entry.path() << ": " << parsed.error().message;
+    ++count;
+  }
+  EXPECT_GE(count, 3);
+}
+
 }  // namespace
 }  // namespace savoryglade
--- /dev/null
+++ b/tests/golden/session_world.cc
@@ -0,0 +1,230 @@
+#include "tests/golden/session_world.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "admin/operator_client.h"
+#include "config/account_keys.h"
+#include "config/json_reader.h"
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr Duration kCallTimeout = 20s;
+constexpr const char* kLoopback = "127.0.0.1";
+
+std::string ReplaceAll(std::string text, const std::string& from, const std::string& to) {
+  for (std::size_t at = text.find(from); at != std::string::npos;
+       at = text.find(from, at + to.size())) {
+    text.replace(at, from.size(), to);
+  }
+  return text;
+}
+
+// Headers of an answer that are part of the callers' interface.
+std::string PrintHeaders(const HttpResponse& response) {
+  std::string text;
+  for (const char* name : {"Savoryglade-Request", "Savoryglade-Verdict", "Savoryglade-Reason",
+                           "Savoryglade-Replayed", "Retry-After"}) {
+    const auto found = response.find(name);
+    if (found != response.end()) {
+      text += fmt::format("{}: {}\n", name, std::string(found->value()));
+    }
+  }
+  return text;
+}
+
+std::string PrintOutcome(const Result<Configuration>& result) {
+  if (!result) {
+    return "error: " + result.error().message + "\n";
+  }
+  return PrintConfiguration(*result);
+}
+
+}  // namespace
+
+SessionWorld::SessionWorld() = default;
+
+SessionWorld::~SessionWorld() {
+  for (auto& [name, daemon] : daemons_) {
+    daemon.reset();
+  }
+  upstream_workers_.Stop();
+}
+
+const std::map<std::string, SessionWorld::StepFunction>& SessionWorld::Steps() {
+  static const std::map<std::string, StepFunction> kSteps = {
+      {"engine", &SessionWorld::StartEngine}, {"plain", &SessionWorld::StartPlain},
+      {"daemon", &SessionWorld::StartDaemon}, {"drain", &SessionWorld::DrainDaemon},
+      {"call", &SessionWorld::Call},          {"configuration", &SessionWorld::Configuration},
+      {"operator", &SessionWorld::Operator},  {"counters", &SessionWorld::Counters},
+      {"runs", &SessionWorld::Runs},
+  };
+  return kSteps;
+}
+
+std::string SessionWorld::Run(const SessionStep& step) {
+  const auto found = Steps().find(step.Word(0));
+  if (found == Steps().end()) {
+    return fmt::format("unknown step \"{}\"\n", step.Word(0));
+  }
+  return Normalize((this->*found->second)(step));
+}
+
+std::string SessionWorld::StartEngine(const SessionStep& step) {
+  Upstream& upstream = upstreams_[step.Word(1)];
+  upstream.engine = std::make_unique<Engine>(EngineOptions{});
+  upstream.server = std::make_unique<HttpServer>(
+      upstream_workers_, HttpLimits{},
+      [engine = upstream.engine.get()](HttpExchange& e) { return engine->Handle(e); });
+  upstream.endpoint = *upstream.server->Listen({.address = kLoopback});
+  return "";
+}
+
+std::string SessionWorld::StartPlain(const SessionStep& step) {
+  Upstream& upstream = upstreams_[step.Word(1)];
+  upstream.plain = std::make_unique<PlainService>();
+  upstream.server = std::make_unique<HttpServer>(
+      upstream_workers_, HttpLimits{},
+      [plain = upstream.plain.get()](HttpExchange& e) { return plain->Handle(e); });
+  upstream.endpoint = *upstream.server->Listen({.address = kLoopback});
+  return "";
+}
+
+std::string SessionWorld::StartDaemon(const SessionStep& step) {
+  Settings settings;
+  settings.daemon = DaemonId(step.Word(1));
+  settings.failure_domain = FailureDomainId(step.Option("domain", "local"));
+  settings.callers_address = "127.0.0.1:0";
+  settings.administration_address = "127.0.0.1:0";
+  auto daemon = std::make_unique<Daemon>(settings);
+  const Result<void> started = daemon->Start();
+  if (!started) {
+    return "error: " + started.error().message + "\n";
+  }
+  daemons_[step.Word(1)] = std::move(daemon);
+  return "";
+}
+
+std::string SessionWorld::DrainDaemon(const SessionStep& step) {
+  DaemonOf(step).Drain();
+  return "drained\n";
+}
+
+Daemon& SessionWorld::DaemonOf(const SessionStep& step) {
+  const std::string name = step.Option("at");
+  const auto found = name.empty() ? daemons_.begin() : daemons_.find(name);
+  if (found == daemons_.end()) {
+    throw std::invalid_argument("There is no daemon for the step: " + step.source);
+  }
+  return *found->second;
+}
+
+Result<HttpResponse> SessionWorld::Exchange(const Endpoint& endpoint, HttpRequest request) {
+  asio::io_context context;
+  std::optional<Result<HttpResponse>> response;
+  asio::co_spawn(
+      context, FetchOnce(endpoint, std::move(request), kCallTimeout),
+      [&response](const std::exception_ptr&, Result<HttpResponse> r) { response = std::move(r); });
+  context.run();
+  return std::move(*response);
+}
+
+// call ACCOUNT-KEY METHOD PATH [key=IDEMPOTENCY-KEY] [resume=LAST-EVENT-ID] [at=DAEMON]
+std::string SessionWorld::Call(const SessionStep& step) {
+  HttpRequest request(http::string_to_verb(step.Word(2)), step.Word(3), 11);
+  request.set(http::field::authorization, "Bearer " + step.Word(1));
+  for (const auto& [option, header] :
+       {std::pair{"key", "Idempotency-Key"}, std::pair{"resume", "Last-Event-ID"}}) {
+    if (!step.Option(option).empty()) {
+      request.set(header, step.Option(option));
+    }
+  }
+  request.body() = Expand(step.body);
+  const Result<HttpResponse> response =
+      Exchange(DaemonOf(step).callers_endpoint(), std::move(request));
+  if (!response) {
+    return "no answer\n";
+  }
+  return fmt::format("{}\n{}{}\n", response->result_int(), PrintHeaders(*response),
+                     response->body());
+}
+
+std::string SessionWorld::Configuration(const SessionStep& step) {
+  OperatorClient client({.daemon = DaemonOf(step).administration_endpoint()});
+  return PrintOutcome(client.GetConfiguration());
+}
+
+// operator apply: replaces the configuration by the body through the operators' library.
+std::string SessionWorld::Operator(const SessionStep& step) {
+  OperatorClient client({.daemon = DaemonOf(step).administration_endpoint()});
+  const std::string command = step.Word(1);
+  if (command == "apply") {
+    const auto parsed = ParseConfiguration(Expand(step.body));
+    return parsed ? PrintOutcome(client.Apply(*parsed)) : "error: " + parsed.error().message + "\n";
+  }
+  if (command == "set-share") {
+    return PrintOutcome(client.SetShare(AccountId(step.Word(2)), std::stod(step.Word(3))));
+  }
+  if (command == "remove-upstream") {
+    return PrintOutcome(client.RemoveUpstream(UpstreamId(step.Word(2))));
+  }
+  return fmt::format("unknown operator step \"{}\"\n", command);
+}
+
+// counters [PREFIX...]: counters of the daemon whose names start with one of the prefixes.
+std::string SessionWorld::Counters(const SessionStep& step) {
+  OperatorClient client({.daemon = DaemonOf(step).administration_endpoint()});
+  const Result<std::string> metrics = client.GetMetrics();
+  std::istringstream lines(metrics ? *metrics : "error: " + metrics.error().message);
+  std::string text;
+  std::string line;
+  while (std::getline(lines, line)) {
+    for (std::size_t i = 1; i < step.words.size(); ++i) {
+      if (line.rfind(step.words[i], 0) == 0) {
+        text += line + "\n";
+        break;
+      }
+    }
+  }
+  return text;
+}
+
+// runs PLAIN-SERVICE: how many requests ran there.
+std::string SessionWorld::Runs(const SessionStep& step) {
+  return fmt::format("{}\n", upstreams_.at(step.Word(1)).plain->runs());
+}
+
+std::string SessionWorld::Expand(std::string text) const {
+  for (const auto& [name, upstream] : upstreams_) {
+    text =
+        ReplaceAll(std::move(text), "{port:" + name + "}", std::to_string(upstream.endpoint.port));
+  }
+  static constexpr std::string_view kKeyMark = "{key:";
+  for (std::size_t at = text.find(kKeyMark); at != std::string::npos; at = text.find(kKeyMark)) {
+    const std::size_t end = text.find('}', at);
+    const std::string key = text.substr(at + kKeyMark.size(), end - at - kKeyMark.size());
+    text.replace(at, end + 1 - at, Sha256Hex(key));
+  }
+  return text;
+}
+
+std::string SessionWorld::Normalize(std::string text) const {
+  for (const auto& [name, upstream] : upstreams_) {
+    const std::string port = std::to_string(upstream.endpoint.port);
+    text = ReplaceAll(std::move(text), "\"port\": " + port, "\"port\": {port:" + name + "}");
+    text = ReplaceAll(std::move(text), "127.0.0.1:" + port, "{address:" + name + "}");
+  }
+  return text;
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/tests/golden/session_world.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "daemon/daemon.h"
+#include "emulator/engine.h"
+#include "emulator/plain_service.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/worker_pool.h"
+#include "tests/golden/session_script.h"
+
+namespace savoryglade {
+
+// Runs the steps of a session against daemons and emulated upstreams inside the test process. Ports
+// are chosen by the system and replaced by names in the output, so equal sessions print equal text.
+class SessionWorld {
+ public:
+  SessionWorld();
+  ~SessionWorld();
+  SessionWorld(const SessionWorld&) = delete;
+  SessionWorld& operator=(const SessionWorld&) = delete;
+
+  // Runs one step and returns its output. Unknown steps are reported in the output.
+  std::string Run(const SessionStep& step);
+
+ private:
+  using StepFunction = std::string (SessionWorld::*)(const SessionStep&);
+
+  struct Upstream {
+    std::unique_ptr<HttpServer> server;
+    std::unique_ptr<Engine> engine;
+    std::unique_ptr<PlainService> plain;
+    Endpoint endpoint;
+  };
+
+  static const std::map<std::string, StepFunction>& Steps();
+
+  std::string StartEngine(const SessionStep& step);
+  std::string StartPlain(const SessionStep& step);
+  std::string StartDaemon(const SessionStep& step);
+  std::string DrainDaemon(const SessionStep& step);
+  std::string Call(const SessionStep& step);
+  std::string Configuration(const SessionStep& step);
+  std::string Operator(const SessionStep& step);
+  std::string Counters(const SessionStep& step);
+  std::string Runs(const SessionStep& step);
+
+  // Replaces "{port:NAME}" by the port of an upstream and "{key:TEXT}" by the SHA-256 of a key.
+  std::string Expand(std::string text) const;
+  // Replaces the ports of upstreams by "{port:NAME}".
+  std::string Normalize(std::string text) const;
+  Daemon& DaemonOf(const SessionStep& step);
+  Result<HttpResponse> Exchange(const Endpoint& endpoint, HttpRequest request);
+
+  WorkerPool upstream_workers_{2};
+  std::map<std::string, Upstream> upstreams_;
+  std::map<std::string, std::unique_ptr<Daemon>> daemons_;
+};
+
+}  // namespace savoryglade
