--- a/tests/golden/session_world.cc
+++ b/tests/golden/session_world.cc
@@ -5,13 +5,14 @@
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
+#include <fstream>
 #include <optional>
 #include <sstream>
 #include <utility>
 
 #include "admin/operator_client.h"
 #include "config/account_keys.h"
-#include "config/json_reader.h"
+#include "gtest/gtest.h"
 
 namespace savoryglade {
 namespace {
@@ -100,12 +101,18 @@
   return "";
 }
 
+// daemon NAME [domain=FAILURE-DOMAIN], with the first configuration as its body.
 std::string SessionWorld::StartDaemon(const SessionStep& step) {
   Settings settings;
   settings.daemon = DaemonId(step.Word(1));
   settings.failure_domain = FailureDomainId(step.Option("domain", "local"));
   settings.callers_address = "127.0.0.1:0";
   settings.administration_address = "127.0.0.1:0";
+  const std::string file = testing::TempDir() + "/" + step.Word(1) + "-configuration.json";
+  if (!step.body.empty()) {
+    std::ofstream(file, std::ios::binary) << Expand(step.body);
+    settings.configuration_file = file;
+  }
   auto daemon = std::make_unique<Daemon>(settings);
   const Result<void> started = daemon->Start();
   if (!started) {
