Build names in golden sessions without temporary strings

Cause: the linter refused the string concatenations in tests/golden/session_world.cc. Change: the names are formatted in one step.

--- a/tests/golden/session_world.cc
+++ b/tests/golden/session_world.cc
@@ -213,8 +213,8 @@
 
 std::string SessionWorld::Expand(std::string text) const {
   for (const auto& [name, upstream] : upstreams_) {
-    text =
-        ReplaceAll(std::move(text), "{port:" + name + "}", std::to_string(upstream.endpoint.port));
+    text = ReplaceAll(std::move(text), fmt::format("{{port:{}}}", name),
+                      std::to_string(upstream.endpoint.port));
   }
   static constexpr std::string_view kKeyMark = "{key:";
   for (std::size_t at = text.find(kKeyMark); at != std::string::npos; at = text.find(kKeyMark)) {
@@ -228,8 +228,10 @@
 std::string SessionWorld::Normalize(std::string text) const {
   for (const auto& [name, upstream] : upstreams_) {
     const std::string port = std::to_string(upstream.endpoint.port);
-    text = ReplaceAll(std::move(text), "\"port\": " + port, "\"port\": {port:" + name + "}");
-    text = ReplaceAll(std::move(text), "127.0.0.1:" + port, "{address:" + name + "}");
+    text = ReplaceAll(std::move(text), fmt::format("\"port\": {}", port),
+                      fmt::format("\"port\": {{port:{}}}", name));
+    text = ReplaceAll(std::move(text), fmt::format("{}:{}", kLoopback, port),
+                      fmt::format("{{address:{}}}", name));
   }
   return text;
 }
