Replace first come, first served by weighted fair queueing

Cause: one account that sends far more than its share takes the capacity of all others, and each daemon decides for itself.

Change: a start-time fair queue over client accounts for each service, charged at predicted and corrected to actual cost. A daemon that is cut off uses its equal part. Costs are predicted from size and history.

--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -4,29 +4,42 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "config/configuration.h"
 #include "core/strong_id.h"
 #include "core/time.h"
 #include "core/verdict.h"
+#include "scheduling/cost_predictor.h"
+#include "scheduling/fleet_usage.h"
+#include "scheduling/service_queue.h"
+#include "scheduling/usage_summary.h"
 #include "tl/expected.hpp"
 
 namespace savoryglade {
 
-// Number of one request inside one daemon, unique while the daemon runs.
-using Ticket = std::uint64_t;
-
 // One request that waits for an upstream. The cost is in seconds of one slot of an upstream.
 struct QueuedRequest {
   Ticket ticket = 0;
   AccountId account;
   ServiceId service;
+  // Estimate of the caller of Enqueue, or 0. The scheduler corrects it by the actual costs of
+  // earlier requests; Next returns the corrected value.
   double predicted_cost = 0;
   TimePoint enqueued;
   TimePoint deadline;
+  // Size of the body in bytes and the caller's limit on generated tokens, for the prediction.
+  std::size_t request_bytes = 0;
+  int max_tokens = 0;
+  // Set by the scheduler. Routing holds long work to LongSlotFraction of each upstream's slots.
+  WorkClass work_class = WorkClass::kShort;
+  // Set by the scheduler: 0 is the most urgent, 9 the least. Engines run lower values first.
+  int engine_priority = 0;
 
   friend auto operator<=>(const QueuedRequest&, const QueuedRequest&) = default;
 };
@@ -37,41 +50,146 @@
   Verdict verdict;
 };
 
-// Limits of the queue, in requests.
+// Limits and weights of the queue.
 struct SchedulerOptions {
+  // Limits in requests. They bound memory; the limits by predicted work refuse earlier.
   std::size_t queue_limit = 4096;
   std::size_t account_queue_limit = 1024;
+  // Longest predicted wait in the queue. A longer queue adds latency and no throughput, and takes
+  // longer to drain after an overload. Long work may wait cost_wait_factor times its own cost.
+  Duration max_wait = 2s;
+  double cost_wait_factor = 2;
+  // Ageing: a request precedes one that came up to this many times its cost difference earlier.
+  // Long work that has waited this many times its cost is overdue and may use the slots that are
+  // kept for short work, but for one.
+  double ageing = 0.25;
+  // Capacity of a service, in seconds of all its slots, by which an account's short work may
+  // precede another account's long work.
+  double short_slack_seconds = 0.25;
+  // Start of the daemon in milliseconds, for the usage summaries.
+  std::uint64_t incarnation = 1;
 };
 
-// Decides which waiting request runs next. Not safe to use from several threads: the daemon holds
-// its lock.
+// Decides which waiting request runs next, and which requests are admitted. Not safe to use from
+// several threads: the daemon holds its lock.
 class Scheduler {
  public:
   using CanStart = std::function<bool(const ServiceId&)>;
 
   explicit Scheduler(SchedulerOptions options) : options_(options) {}
 
+  // Takes the shares of the client accounts, and each service's slots as the sum over its
+  // upstreams.
+  void Configure(const Configuration& configuration);
+
+  // Takes the number of slots of a service at the upstreams in reach, for all daemons together.
+  void SetCapacity(const ServiceId& service, std::size_t slots);
+
+  // Takes the number of live daemons, this one included.
+  void OnView(std::size_t live_daemons);
+
   // Takes a request into the queue, or refuses it with a verdict that always says "not run".
   tl::expected<void, Verdict> Enqueue(const QueuedRequest& request, TimePoint now);
 
   // Removes and returns the next request whose service can start one now; nothing if there is none.
+  // Each request that is returned must be ended with Finish.
   std::optional<QueuedRequest> Next(const CanStart& can_start, TimePoint now);
 
   // Removes a waiting request. Returns false if it is not in the queue.
   bool Cancel(Ticket ticket);
 
   // Corrects the charge of a request that ran. The cost is in seconds of one slot of an upstream.
-  void Finish(Ticket ticket, double actual_cost, TimePoint now);
+  // The prediction learns from it unless the attempt failed.
+  void Finish(Ticket ticket, double actual_cost, TimePoint now, bool completed = true);
 
-  // Removes and returns the requests whose deadline has passed.
+  // Removes and returns the requests that can no longer end within their deadline.
   std::vector<ExpiredRequest> Expire(TimePoint now);
 
-  std::size_t size() const { return queue_.size(); }
+  // Returns this daemon's usage for the other daemons of its failure domain, every 500 ms.
+  UsageSummary Summary(TimePoint now);
+
+  // Returns the usage of all daemons of this failure domain for the other failure domains, every
+  // 2 s, if this daemon has the lowest live id.
+  UsageSummary DomainSummary(const FailureDomainId& domain, TimePoint now);
+
+  // Takes a summary of another daemon and charges what was served there.
+  void Merge(const DaemonId& from, const UsageSummary& summary, TimePoint now);
+
+  // Returns the number of a service's slots that this daemon may fill; nothing if it is not
+  // limited. The slots are divided by the demand of the accounts at each daemon; a daemon that
+  // hears from no other one uses its equal part.
+  std::optional<std::size_t> LocalLimit(const ServiceId& service, TimePoint now);
+
+  // Returns the part of each upstream's slots, in (0, 1], that long work may hold.
+  double LongSlotFraction(const ServiceId& service, TimePoint now);
+
+  std::size_t size() const { return queued_.size(); }
 
  private:
+  struct ServiceState {
+    ServiceId id;
+    ServiceQueue queue;
+    std::optional<std::size_t> capacity;
+    // Slots in use when the service last couldn't start a request, raised by each start since.
+    std::optional<std::size_t> observed_slots;
+    // First quartile of the predicted costs, as a running estimate; 0 before the first request.
+    double short_cost = 0;
+    // Short work that arrives, in slots, as an average that decays over kLoadWindow.
+    double short_load = 0;
+    TimePoint short_load_at;
+    std::optional<std::size_t> local_limit;
+    TimePoint local_limit_until;
+  };
+
+  struct Queued {
+    QueuedRequest request;
+    ServiceState* service = nullptr;
+    FairAccount* account = nullptr;
+    // Estimate that the predictor was given.
+    double prior = 0;
+    double rank = 0;
+    // After this instant the request can't end within its deadline.
+    TimePoint latest_start;
+  };
+
+  struct Running {
+    Queued queued;
+    TimePoint settle_at;
+  };
+
+  static ServiceQueue::Item ItemOf(const Queued& queued);
+  static CostQuery QueryOf(const Queued& queued);
+  ServiceState& Service(const ServiceId& id);
+  std::optional<double> Slots(ServiceState& service, TimePoint now);
+  std::size_t LongLimit(ServiceState& service, double slots, TimePoint now);
+  void DecayShortLoad(ServiceState& service, TimePoint now);
+  void LearnSize(ServiceState& service, double cost);
+  std::size_t ComputeLocalLimit(ServiceState& service);
+  std::optional<Ticket> PickFrom(ServiceState& service, const CanStart& can_start, TimePoint now);
+  std::optional<Verdict> Refusal(ServiceState& service, FairAccount& account, double cost,
+                                 WorkClass work_class, const QueuedRequest& request, TimePoint now);
+  Duration RetryAfter(const ServiceState& service, FairAccount& account, double cost, double excess,
+                      double slots, TimePoint now);
+  void RemoveQueued(Ticket ticket);
+  void CollectOverdue(TimePoint now);
+  void SettleAbandoned(TimePoint now);
+  void UpdateRemoteBacklog();
+  UsageSummary NewSummary(UsageScope scope, std::uint32_t& sequence);
+
   SchedulerOptions options_;
-  std::list<QueuedRequest> queue_;
-  std::map<AccountId, std::size_t> account_sizes_;
+  CostPredictor predictor_;
+  FleetUsage fleet_;
+  std::map<AccountId, double> shares_;
+  std::map<ServiceId, ServiceState> services_;
+  std::unordered_map<Ticket, Queued> queued_;
+  std::set<std::pair<TimePoint, Ticket>> by_latest_start_;
+  std::unordered_map<Ticket, Running> running_;
+  std::set<std::pair<TimePoint, Ticket>> by_settlement_;
+  std::vector<ExpiredRequest> overdue_;
+  // Cost served by the other daemons of this failure domain, by usage key.
+  std::unordered_map<std::uint32_t, double> domain_served_;
+  std::uint32_t daemon_sequence_ = 0;
+  std::uint32_t domain_sequence_ = 0;
 };
 
 }  // namespace savoryglade
--- /dev/null
+++ b/tests/scheduling/fairness_test.cc
@@ -0,0 +1,283 @@
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gtest/gtest.h"
+#include "scheduling/scheduler.h"
+
+namespace savoryglade {
+namespace {
+
+constexpr TimePoint kStart{};
+const ServiceId kService("assistant");
+const AccountId kDrivers("drivers");
+const AccountId kOffice("office");
+const DaemonId kPeer("peer");
+
+bool Always(const ServiceId& /*service*/) { return true; }
+
+Configuration TwoAccounts(double drivers_share, int slots) {
+  Configuration configuration;
+  configuration.services = {{.name = kService}};
+  configuration.accounts = {{.name = kDrivers, .share = drivers_share},
+                            {.name = kOffice, .share = 1}};
+  configuration.upstreams = {{.name = UpstreamId("u"), .service = kService, .concurrency = slots}};
+  return configuration;
+}
+
+// Queues requests of cost 1 and hands them out one at a time.
+class FairnessTest : public testing::Test {
+ protected:
+  FairnessTest() { scheduler_.Configure(TwoAccounts(1, 16)); }
+
+  void Queue(const AccountId& account, int count) {
+    for (int i = 0; i < count; ++i) {
+      ASSERT_TRUE(scheduler_.Enqueue({.ticket = ++last_ticket_,
+                                      .account = account,
+                                      .service = kService,
+                                      .predicted_cost = 1,
+                                      .enqueued = now_,
+                                      .deadline = now_ + 1h},
+                                     now_));
+    }
+  }
+
+  // Returns how many of the next requests belong to the account.
+  int Serve(int count, const AccountId& account, double actual_cost = 1) {
+    int of_account = 0;
+    for (int i = 0; i < count; ++i) {
+      const auto next = scheduler_.Next(Always, now_);
+      if (!next) {
+        break;
+      }
+      of_account += next->account == account ? 1 : 0;
+      scheduler_.Finish(next->ticket, actual_cost, now_, /*completed=*/false);
+    }
+    return of_account;
+  }
+
+  UsageSummary PeerSummary(std::uint32_t sequence, double drivers_served_seconds,
+                           std::uint16_t drivers_waiting = 1) const {
+    return {.incarnation = 7,
+            .sequence = sequence,
+            .accounts = {{.key = UsageKey(kDrivers, kService),
+                          .served_ms = static_cast<std::uint32_t>(drivers_served_seconds * 1000),
+                          .waiting = drivers_waiting}}};
+  }
+
+  // Admission is not the matter here.
+  Scheduler scheduler_{SchedulerOptions{.max_wait = 1h}};
+  TimePoint now_ = kStart + 1s;
+  Ticket last_ticket_ = 0;
+};
+
+// Guards against an account that sends many requests first and holds up all others.
+TEST_F(FairnessTest, FloodOfOneAccountDoesNotDelayTheOther) {
+  Queue(kDrivers, 500);
+  Queue(kOffice, 10);
+  EXPECT_EQ(Serve(20, kOffice), 10);
+}
+
+// Guards against shares of the configuration that have no effect.
+TEST_F(FairnessTest, SharesOfTheConfigurationSetTheRatio) {
+  scheduler_.Configure(TwoAccounts(3, 16));
+  Queue(kDrivers, 100);
+  Queue(kOffice, 100);
+  EXPECT_EQ(Serve(80, kDrivers), 60);
+}
+
+// Guards against an account that saves up credit while idle and then shuts out the others.
+TEST_F(FairnessTest, IdleAccountGetsNoCredit) {
+  Queue(kDrivers, 200);
+  Serve(100, kDrivers);
+  Queue(kOffice, 100);
+  EXPECT_EQ(Serve(40, kOffice), 20);
+}
+
+// Guards against capacity left idle because the account that is next has no requests, and against a
+// later penalty for having used it.
+TEST_F(FairnessTest, UnusedShareIsLentWithoutDebt) {
+  Queue(kDrivers, 100);
+  EXPECT_EQ(Serve(100, kDrivers), 100);
+  Queue(kDrivers, 20);
+  Queue(kOffice, 20);
+  EXPECT_EQ(Serve(20, kDrivers), 10);
+}
+
+// Guards against an account whose requests cost more than predicted and that gets more than its
+// share of time.
+TEST_F(FairnessTest, ChargeIsCorrectedToTheActualCost) {
+  Queue(kDrivers, 300);
+  Queue(kOffice, 300);
+  std::map<AccountId, double> cost;
+  for (int i = 0; i < 200; ++i) {
+    const auto next = scheduler_.Next(Always, now_);
+    ASSERT_TRUE(next);
+    const double actual = next->account == kDrivers ? 4 : 1;
+    cost[next->account] += actual;
+    scheduler_.Finish(next->ticket, actual, now_, /*completed=*/false);
+  }
+  EXPECT_NEAR(cost[kDrivers] / cost[kOffice], 1, 0.05);
+}
+
+// Guards against an account that gets its share once at each daemon.
+TEST_F(FairnessTest, AccountServedElsewhereWaitsHere) {
+  scheduler_.OnView(2);
+  scheduler_.Merge(kPeer, PeerSummary(1, 0), now_);
+  Queue(kDrivers, 50);
+  Queue(kOffice, 50);
+  scheduler_.Merge(kPeer, PeerSummary(2, 10), now_);
+  EXPECT_EQ(Serve(10, kDrivers), 0);
+  EXPECT_EQ(Serve(20, kDrivers), 10);
+}
+
+// Guards against a new account that precedes one served elsewhere for as long as that one was alone
+// in the fleet.
+TEST_F(FairnessTest, ShareLentElsewhereIsNoDebtHere) {
+  scheduler_.OnView(2);
+  scheduler_.Merge(kPeer, PeerSummary(1, 0), now_);
+  scheduler_.Merge(kPeer, PeerSummary(2, 100), now_);
+  Queue(kDrivers, 50);
+  Queue(kOffice, 50);
+  EXPECT_EQ(Serve(20, kDrivers), 10);
+}
+
+// Guards against a summary that is repeated or arrives late and is charged twice.
+TEST_F(FairnessTest, RepeatedAndLateSummariesAreIgnored) {
+  scheduler_.OnView(2);
+  Queue(kDrivers, 50);
+  Queue(kOffice, 50);
+  scheduler_.Merge(kPeer, PeerSummary(1, 0), now_);
+  scheduler_.Merge(kPeer, PeerSummary(3, 5), now_);
+  scheduler_.Merge(kPeer, PeerSummary(3, 5), now_);
+  scheduler_.Merge(kPeer, PeerSummary(2, 2), now_);
+  EXPECT_EQ(Serve(5, kDrivers), 0);
+  EXPECT_EQ(Serve(20, kDrivers), 10);
+}
+
+// Guards against a restarted daemon whose sums start at zero again and read as a huge difference.
+TEST_F(FairnessTest, RestartOfAPeerChargesNothing) {
+  scheduler_.OnView(2);
+  Queue(kDrivers, 50);
+  Queue(kOffice, 50);
+  scheduler_.Merge(kPeer, PeerSummary(5, 1000), now_);
+  UsageSummary restarted = PeerSummary(1, 3);
+  restarted.incarnation = 8;
+  scheduler_.Merge(kPeer, restarted, now_);
+  EXPECT_EQ(Serve(20, kDrivers), 10);
+}
+
+// Guards against an account that waits for minutes after a partition heals, because all that was
+// served on the other side is charged at once.
+TEST_F(FairnessTest, HealedPartitionChargesNothingForThePast) {
+  scheduler_.OnView(2);
+  scheduler_.Merge(kPeer, PeerSummary(1, 0), now_);
+  now_ += 60s;
+  Queue(kDrivers, 50);
+  Queue(kOffice, 50);
+  scheduler_.Merge(kPeer, PeerSummary(120, 600), now_);
+  EXPECT_EQ(Serve(20, kDrivers), 10);
+}
+
+// Guards against daemons that are cut off from each other and fill all slots several times over.
+TEST_F(FairnessTest, CutOffDaemonUsesItsSafeLocalPart) {
+  scheduler_.OnView(4);
+  // Its own view shrinks to itself when it is cut off.
+  scheduler_.OnView(1);
+  Queue(kDrivers, 50);
+  EXPECT_EQ(scheduler_.LocalLimit(kService, now_), 4U);
+  int started = 0;
+  while (scheduler_.Next(Always, now_)) {
+    ++started;
+  }
+  EXPECT_EQ(started, 4);
+}
+
+// Guards against a summary of a peer that went silent and that still counts as demand.
+TEST_F(FairnessTest, SummariesAgeOut) {
+  scheduler_.OnView(2);
+  Queue(kDrivers, 40);
+  scheduler_.Merge(kPeer, PeerSummary(1, 0, 40), now_);
+  const auto fresh = scheduler_.LocalLimit(kService, now_ + 1400ms);
+  EXPECT_EQ(fresh, scheduler_.LocalLimit(kService, now_));
+  // Alone, the daemon has half of the 16 slots.
+  EXPECT_EQ(scheduler_.LocalLimit(kService, now_ + 1500ms), 8U);
+}
+
+// Guards against daemons that hold slots for which they have no requests while others queue.
+TEST_F(FairnessTest, SlotsFollowTheDemandOverTheDaemons) {
+  scheduler_.OnView(2);
+  Queue(kDrivers, 90);
+  scheduler_.Merge(kPeer, PeerSummary(1, 0, 10), now_);
+  EXPECT_GE(*scheduler_.LocalLimit(kService, now_), 14U);
+}
+
+// Guards against the total of a failure domain that is counted twice after its sender changes.
+TEST_F(FairnessTest, NewSenderReplacesTheTotalOfItsDomain) {
+  scheduler_.OnView(3);
+  UsageSummary total = PeerSummary(1, 0, 100);
+  total.scope = UsageScope::kDomain;
+  total.domain = FailureDomainId("verona");
+  total.daemons = 2;
+  Queue(kDrivers, 50);
+  scheduler_.Merge(kPeer, total, now_);
+  const auto limit = scheduler_.LocalLimit(kService, now_ + 50ms);
+  total.incarnation = 9;
+  scheduler_.Merge(DaemonId("other"), total, now_);
+  EXPECT_EQ(scheduler_.LocalLimit(kService, now_ + 100ms), limit);
+}
+
+// Guards against a summary that lists accounts without a change and exceeds 8 KB/s.
+TEST_F(FairnessTest, SummaryHasOnlyWhatChanged) {
+  Queue(kDrivers, 2);
+  EXPECT_EQ(scheduler_.Summary(now_).accounts.size(), 1U);
+  EXPECT_TRUE(scheduler_.Summary(now_).accounts.empty());
+  Queue(kOffice, 1);
+  const UsageSummary summary = scheduler_.Summary(now_);
+  ASSERT_EQ(summary.accounts.size(), 1U);
+  EXPECT_EQ(summary.accounts[0].key, UsageKey(kOffice, kService));
+}
+
+// Guards against a summary that was lost and leaves its peers with a wrong demand for good.
+TEST_F(FairnessTest, CompleteSummaryIsSentEveryFourSeconds) {
+  Queue(kDrivers, 1);
+  int with_drivers = 0;
+  for (int i = 0; i < 16; ++i) {
+    with_drivers += scheduler_.Summary(now_).accounts.empty() ? 0 : 1;
+  }
+  EXPECT_EQ(with_drivers, 2);
+}
+
+// Guards against the total of a failure domain without what its other daemons served.
+TEST_F(FairnessTest, DomainTotalCoversAllItsDaemons) {
+  scheduler_.OnView(2);
+  scheduler_.Merge(kPeer, PeerSummary(1, 0), now_);
+  scheduler_.Merge(kPeer, PeerSummary(2, 10, 3), now_);
+  Queue(kDrivers, 2);
+  Serve(1, kDrivers);
+  const UsageSummary total = scheduler_.DomainSummary(FailureDomainId("verona"), now_);
+  ASSERT_EQ(total.accounts.size(), 1U);
+  EXPECT_EQ(total.daemons, 2);
+  EXPECT_EQ(total.accounts[0].served_ms, 11000U);
+  EXPECT_EQ(total.accounts[0].waiting, 4);
+}
+
+// Guards against requests that were never ended and count as running for good.
+TEST_F(FairnessTest, RequestWithoutFinishIsSettledAfterItsDeadline) {
+  scheduler_.OnView(4);
+  Queue(kDrivers, 5);
+  for (int i = 0; i < 4; ++i) {
+    ASSERT_TRUE(scheduler_.Next(Always, now_));
+  }
+  EXPECT_FALSE(scheduler_.Next(Always, now_));
+  now_ += 1h;
+  scheduler_.Expire(now_);
+  now_ += 61s;
+  scheduler_.Expire(now_);
+  Queue(kDrivers, 1);
+  EXPECT_TRUE(scheduler_.Next(Always, now_));
+}
+
+}  // namespace
+}  // namespace savoryglade
