Route by own load, stragglers, prefix affinity and adaptive limits

Cause: the upstream table was a baseline: least running of two random choices, a fixed concurrency limit, a constant pause after a failure, and no view of slowness, caches or notices beyond a flag.

Change: the table keeps its interface and is divided into small classes: LoadEstimate (own outstanding cost first, aged reports for work of other daemons only), StragglerDetector and UpstreamGroup (latency and age of unanswered work against the group's median, probes, hysteresis), HedgeBudget with HedgeTime, PrefixMap (two generations, gaps lower trust), ConcurrencyLimit (latency gradient, slow start) and Availability (numbered notices, doubling pauses, single probe). Attempts may carry a number; without one they are told apart by their time of dispatch, so the dispatcher compiles and works unchanged. Refusals are counted by cause. bench_routing measures stragglers and selection.

--- /dev/null
+++ b/bench/routing/measures.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace savoryglade {
+
+// Tail latency while 10% of the upstreams are stragglers, against round robin and least reported
+// load.
+void MeasureStragglers();
+
+// Time of one selection with 200 upstreams in one failure domain, on the real clock.
+void MeasureSelection();
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/routing/prefix_map.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "routing/route_types.h"
+
+namespace savoryglade {
+
+// Number of an upstream inside one table; never given twice.
+using UpstreamNumber = std::uint32_t;
+
+// How much of a prompt an upstream is believed to hold, and how far to trust that, in [0, 1].
+struct PrefixMatch {
+  std::size_t blocks = 0;
+  double trust = 0;
+
+  double trusted_blocks() const { return static_cast<double>(blocks) * trust; }
+};
+
+// Which upstreams hold which prompt blocks, learned from own dispatches and from cache events that
+// are late and have gaps. Memory is bounded: entries are kept in two generations, and when the
+// young one is full the old one is dropped. An entry that is used moves to the young generation.
+class PrefixMap {
+ public:
+  explicit PrefixMap(std::size_t max_entries) : generation_size_(max_entries / 2 + 1) {}
+
+  // Records that the upstream holds these blocks.
+  void Record(std::span<const std::uint64_t> hashes, UpstreamNumber upstream);
+
+  // Takes an event. Returns the number of events that were skipped before it.
+  std::uint64_t OnEvent(UpstreamNumber upstream, const CacheEvent& event);
+
+  // Forgets all blocks of an upstream and its event sequence, e.g. after it restarted.
+  void Clear(UpstreamNumber upstream);
+
+  // Trusts what is known of an upstream less until it is confirmed.
+  void Distrust(UpstreamNumber upstream);
+
+  // Returns the longest recorded prefix of the prompt at an upstream.
+  PrefixMatch Match(std::span<const std::uint64_t> hashes, UpstreamNumber upstream) const;
+
+  // Appends the upstreams that hold the longest recorded prefix of the prompt.
+  void FindHolders(std::span<const std::uint64_t> hashes,
+                   std::vector<UpstreamNumber>& upstreams) const;
+
+  // Returns the number of blocks that are recorded.
+  std::size_t size() const { return young_.size() + old_.size(); }
+
+ private:
+  // A block that more upstreams hold is so common that any choice finds it.
+  static constexpr std::size_t kMaxHolders = 8;
+
+  struct Holder {
+    UpstreamNumber upstream = 0;
+    std::uint32_t epoch = 0;
+    std::uint64_t sequence = 0;
+  };
+
+  struct Block {
+    std::array<Holder, kMaxHolders> holders;
+    std::uint8_t count = 0;
+    std::uint8_t next = 0;
+  };
+
+  // Each gap begins a new epoch; entries of earlier epochs are trusted less. Entries from before
+  // valid_from no longer count.
+  struct Source {
+    std::uint64_t sequence = 0;
+    std::uint32_t epoch = 0;
+    std::uint32_t valid_from = 0;
+  };
+
+  using Blocks = std::unordered_map<std::uint64_t, Block>;
+
+  const Block* Find(std::uint64_t hash) const;
+  Block& Touch(std::uint64_t hash);
+  const Holder* FindHolder(std::uint64_t hash, UpstreamNumber upstream) const;
+  void Evict(std::uint64_t hash, UpstreamNumber upstream, std::uint64_t sequence);
+  bool IsValid(const Holder& holder) const;
+  bool HasValidHolder(const Block& block) const;
+  Source& SourceOf(UpstreamNumber upstream);
+  double TrustOf(const Holder& holder) const;
+
+  std::size_t generation_size_;
+  Blocks young_;
+  Blocks old_;
+  std::vector<Source> sources_;
+};
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/routing/straggler_detector.cc
@@ -0,0 +1,104 @@
+#include "routing/straggler_detector.h"
+
+#include <algorithm>
+
+namespace savoryglade {
+namespace {
+
+constexpr double kSampleWeight = 0.4;
+// One slow answer is as likely a wrong prediction as a slow upstream.
+constexpr int kFewestSamples = 2;
+constexpr Duration kWindow = 5s;
+constexpr Duration kFirstProbe = 200ms;
+constexpr Duration kLongestProbeInterval = 2s;
+constexpr int kGoodProbes = 2;
+constexpr int kProbeOverdueFactor = 4;
+// The median of two upstreams can't tell which of them is slow.
+constexpr std::size_t kFewestUpstreams = 3;
+
+}  // namespace
+
+void LatencyWindow::Add(double value, TimePoint now) {
+  if (count_ == 0 || now - last_ > kWindow) {
+    value_ = value;
+    count_ = 1;
+  } else {
+    value_ += kSampleWeight * (value - value_);
+    ++count_;
+  }
+  last_ = now;
+}
+
+std::optional<double> LatencyWindow::Value(TimePoint now) const {
+  if (count_ < kFewestSamples || now - last_ > kWindow) {
+    return std::nullopt;
+  }
+  return value_;
+}
+
+void StragglerDetector::OnSample(LatencyKind kind, double value, TimePoint now) {
+  windows_.at(static_cast<std::size_t>(kind)).Add(value, now);
+}
+
+std::optional<double> StragglerDetector::Value(LatencyKind kind, TimePoint now) const {
+  return windows_.at(static_cast<std::size_t>(kind)).Value(now);
+}
+
+double StragglerDetector::Ratio(const GroupMedians& medians, TimePoint now) const {
+  double ratio = 0;
+  for (std::size_t kind = 0; kind < kLatencyKinds; ++kind) {
+    const std::optional<double> value = windows_.at(kind).Value(now);
+    if (value && medians.at(kind) > 0) {
+      ratio = std::max(ratio, *value / medians.at(kind));
+    }
+  }
+  return ratio;
+}
+
+void StragglerDetector::Leave(TimePoint now) {
+  if (left_) {
+    return;
+  }
+  left_ = true;
+  probe_running_ = false;
+  good_probes_ = 0;
+  probe_interval_ = kFirstProbe;
+  next_probe_ = now + probe_interval_;
+}
+
+bool StragglerDetector::ProbeDue(TimePoint now) const {
+  return left_ && !probe_running_ && now >= next_probe_;
+}
+
+bool StragglerDetector::ProbeOverdue(TimePoint now) const {
+  return ProbeDue(now) && now - next_probe_ >= kProbeOverdueFactor * probe_interval_;
+}
+
+bool StragglerDetector::OnProbeEnd(double ratio, TimePoint now) {
+  probe_running_ = false;
+  if (ratio > kReturnRatio) {
+    good_probes_ = 0;
+    probe_interval_ = std::min<Duration>(probe_interval_ * 8 / 5, kLongestProbeInterval);
+    next_probe_ = now + probe_interval_;
+    return false;
+  }
+  ++good_probes_;
+  next_probe_ = now;
+  if (good_probes_ < kGoodProbes) {
+    return false;
+  }
+  left_ = false;
+  windows_ = {};
+  return true;
+}
+
+double MedianOf(std::vector<double>& values) {
+  if (values.size() < kFewestUpstreams) {
+    return 0;
+  }
+  const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/routing/upstream_group.cc
@@ -0,0 +1,116 @@
+#include "routing/upstream_group.h"
+
+#include <algorithm>
+
+namespace savoryglade {
+namespace {
+
+constexpr Duration kMedianInterval = 100ms;
+constexpr double kTypicalCostWeight = 0.02;
+// Of the upstreams of a group, at most one in this number is left as a straggler; if more are slow,
+// the load is the cause and leaving them makes it worse.
+constexpr std::size_t kGroupPerStraggler = 3;
+
+}  // namespace
+
+void UpstreamGroup::OnDispatch(double cost) {
+  typical_cost_ += kTypicalCostWeight * (cost - typical_cost_);
+}
+
+void UpstreamGroup::Refresh(TimePoint now) {
+  if (medians_at_ != TimePoint::min() && now - medians_at_ < kMedianInterval) {
+    return;
+  }
+  medians_at_ = now;
+  for (std::size_t kind = 0; kind < kLatencyKinds; ++kind) {
+    values_.clear();
+    for (const UpstreamEntry* entry : entries_) {
+      if (const auto value = entry->straggler.Value(static_cast<LatencyKind>(kind), now)) {
+        values_.push_back(*value);
+      }
+    }
+    // Without recent values the last median is still the best guess.
+    if (const double median = MedianOf(values_); median > 0) {
+      medians_.at(kind) = median;
+    }
+  }
+}
+
+std::optional<double> UpstreamGroup::UsualAnswer(const RunningAttempt& attempt) const {
+  const double median = judged_median();
+  if (median <= 0) {
+    return std::nullopt;
+  }
+  return median * (streams_ ? attempt.expected_first_token : attempt.expected_total);
+}
+
+bool UpstreamGroup::Leave(UpstreamEntry& entry, TimePoint now, RoutingCounters& counters) {
+  if (entry.straggler.left()) {
+    return true;
+  }
+  const auto left = static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(),
+                    [](const UpstreamEntry* other) { return other->straggler.left(); }));
+  if ((left + 1) * kGroupPerStraggler > entries_.size()) {
+    return false;
+  }
+  entry.straggler.Leave(now);
+  counters.Add(RoutingCount::kStragglersLeft);
+  return true;
+}
+
+bool UpstreamGroup::CheckOverdue(UpstreamEntry& entry, TimePoint now, RoutingCounters& counters) {
+  if (entry.straggler.left()) {
+    return true;
+  }
+  const double median = judged_median();
+  if (median <= 0) {
+    return false;
+  }
+  int evidence = 0;
+  for (const UpstreamEntry::Waiting& waiting : entry.waiting) {
+    const double usual =
+        median * (streams_ ? waiting.expected_first_token : waiting.expected_total);
+    const double ratio = ToSeconds(now - waiting.dispatched) / usual;
+    evidence += ratio >= StragglerDetector::kSureRatio ? 2 : 0;
+    evidence += ratio >= StragglerDetector::kLeaveRatio ? 1 : 0;
+  }
+  return evidence >= 2 && Leave(entry, now, counters);
+}
+
+bool UpstreamGroup::Sample(UpstreamEntry& entry, LatencyKind kind, double value, bool probe,
+                           TimePoint now, RoutingCounters& counters) {
+  if (!entry.straggler.left()) {
+    entry.straggler.OnSample(kind, value, now);
+    if (entry.straggler.Ratio(medians_, now) >= StragglerDetector::kLeaveRatio) {
+      Leave(entry, now, counters);
+    }
+    return false;
+  }
+  // Attempts from before the upstream was left say nothing about its state now.
+  const double median = judged_median();
+  if (!probe || kind != judged_kind() || median <= 0) {
+    return false;
+  }
+  if (entry.straggler.OnProbeEnd(value / median, now)) {
+    counters.Add(RoutingCount::kStragglersReturned);
+    entry.limit.Restart();
+  }
+  return true;
+}
+
+bool UpstreamGroup::SampleUnanswered(UpstreamEntry& entry, const RunningAttempt& attempt,
+                                     TimePoint now, RoutingCounters& counters) {
+  const std::optional<double> usual = UsualAnswer(attempt);
+  if (!usual) {
+    return false;
+  }
+  // The answer would have taken longer still, so the age counts only when it was late already.
+  const double age = ToSeconds(now - attempt.dispatched);
+  const double late =
+      *usual * (attempt.probe ? StragglerDetector::kReturnRatio : StragglerDetector::kLeaveRatio);
+  return age >= late &&
+         Sample(entry, judged_kind(), age / *usual * judged_median(), attempt.probe, now, counters);
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/routing/upstream_group.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "core/time.h"
+#include "routing/attempt_book.h"
+#include "routing/routing_counters.h"
+#include "routing/straggler_detector.h"
+#include "routing/upstream_entry.h"
+
+namespace savoryglade {
+
+// The upstreams of one service with the latencies that they are compared by. Requests of a group
+// that streams are judged by their first token, others by their total latency.
+class UpstreamGroup {
+ public:
+  // Removes all upstreams and keeps the latencies.
+  void ClearEntries() { entries_.clear(); }
+
+  // Adds an upstream.
+  void Add(UpstreamEntry* entry) { entries_.push_back(entry); }
+
+  const std::vector<UpstreamEntry*>& entries() const { return entries_; }
+
+  // Counts a dispatched request.
+  void OnDispatch(double cost);
+
+  // Returns true if the cost is low enough for a probe.
+  bool IsCheap(double cost) const { return cost <= typical_cost_; }
+
+  // Learns that an upstream of the group sent a first token.
+  void OnFirstToken() { streams_ = true; }
+  bool streams() const { return streams_; }
+
+  // Recomputes the medians if they are old.
+  void Refresh(TimePoint now);
+
+  // Returns the time in seconds after which the answer to an attempt is usually there; nothing
+  // while the usual latency is unknown.
+  std::optional<double> UsualAnswer(const RunningAttempt& attempt) const;
+
+  // Leaves the upstream as a straggler if its unanswered work shows that it is one. Returns true if
+  // it is left.
+  bool CheckOverdue(UpstreamEntry& entry, TimePoint now, RoutingCounters& counters);
+
+  // Learns a normalised latency. Returns true if it decided a probe.
+  bool Sample(UpstreamEntry& entry, LatencyKind kind, double value, bool probe, TimePoint now,
+              RoutingCounters& counters);
+
+  // Learns that an attempt was ended before its answer. Returns true if that decided a probe.
+  bool SampleUnanswered(UpstreamEntry& entry, const RunningAttempt& attempt, TimePoint now,
+                        RoutingCounters& counters);
+
+ private:
+  LatencyKind judged_kind() const {
+    return streams_ ? LatencyKind::kFirstToken : LatencyKind::kTotal;
+  }
+  double judged_median() const { return medians_.at(static_cast<std::size_t>(judged_kind())); }
+  bool Leave(UpstreamEntry& entry, TimePoint now, RoutingCounters& counters);
+
+  std::vector<UpstreamEntry*> entries_;
+  GroupMedians medians_{};
+  TimePoint medians_at_ = TimePoint::min();
+  double typical_cost_ = 0;
+  bool streams_ = false;
+  std::vector<double> values_;
+};
+
+}  // namespace savoryglade
--- a/packages/routing/upstream_table.h
+++ b/packages/routing/upstream_table.h
@@ -1,8 +1,10 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <optional>
+#include <span>
 #include <vector>
 
 #include "config/configuration.h"
@@ -10,59 +12,50 @@
 #include "core/strong_id.h"
 #include "core/time.h"
 #include "core/verdict.h"
+#include "routing/attempt_book.h"
+#include "routing/hedge_budget.h"
+#include "routing/prefix_map.h"
+#include "routing/route_types.h"
+#include "routing/routing_counters.h"
+#include "routing/upstream_entry.h"
+#include "routing/upstream_group.h"
 #include "tl/expected.hpp"
 
 namespace savoryglade {
 
-// What the router needs to know of a request. Prefix hashes name the blocks of its prompt from the
-// start, each hash covering all blocks before it; they are empty for plain services.
-struct RouteRequest {
-  ServiceId service;
-  double predicted_cost = 0;
-  std::vector<std::uint64_t> prefix_hashes;
-  // Upstreams that this request must not go to, usually those that it has already tried.
-  std::vector<UpstreamId> excluded;
-};
-
-// How an attempt at an upstream ended.
-enum class AttemptResult { kCompleted, kConnectFailed, kLost, kTimedOut, kCancelled, kRefused };
-
-// Measured facts of one attempt. Times count from its dispatch; first_token is zero for plain
-// services.
-struct AttemptOutcome {
-  AttemptResult result = AttemptResult::kCompleted;
-  Duration first_token = Duration::zero();
-  Duration total = Duration::zero();
-  int tokens = 0;
-};
-
-// What an upstream last said of its load. The report lags by seconds.
-struct LoadReport {
-  int running = 0;
-  int waiting = 0;
-  double kv_used_fraction = 0;
-
-  friend auto operator<=>(const LoadReport&, const LoadReport&) = default;
-};
-
 // Chooses the upstream of each attempt and keeps what this daemon knows of each upstream. Not safe
 // to use from several threads: the daemon holds its lock.
 class UpstreamTable {
  public:
-  explicit UpstreamTable(std::uint64_t seed) : random_(seed) {}
+  explicit UpstreamTable(std::uint64_t seed, RoutingOptions options = {});
 
-  // Takes the upstreams of a new configuration; those that stay keep what was learned of them.
+  // Takes the upstreams of a new configuration; those that stay keep what was learned of them. An
+  // upstream whose address or VM changed is a new one.
   void Configure(const Configuration& configuration, TimePoint now);
 
+  // Sets the part of each concurrency limit that this daemon may use, in (0, 1]. At least one
+  // request is always allowed.
+  void SetLimitShare(double share);
+
   // Returns true if an upstream of the service can take one more request now.
   bool HasCapacity(const ServiceId& service, TimePoint now) const;
 
   // Chooses an upstream and reserves a slot on it until OnFinish. The error is kNoUpstream if no
-  // upstream of the service takes work.
+  // upstream of the service takes work, and kRetryBudgetExhausted if a hedge is not allowed; the
+  // counters say more.
   tl::expected<UpstreamId, Reason> Select(const RouteRequest& request, TimePoint now);
 
+  // Returns when a running attempt should be hedged: an instant that has come means now, by a
+  // Select with hedge_of set; a later instant means to ask again then. Nothing is returned if the
+  // attempt must not or need not be hedged.
+  std::optional<TimePoint> HedgeTime(AttemptId attempt, TimePoint now);
+
   // Records the latency of a first token, in time from dispatch.
-  void OnFirstToken(const UpstreamId& upstream, Duration latency, TimePoint now);
+  void OnFirstToken(const UpstreamId& upstream, Duration latency, TimePoint now,
+                    AttemptId attempt = 0);
+
+  // Records how many tokens of an attempt have arrived so far. To be called now and then.
+  void OnProgress(AttemptId attempt, int tokens, TimePoint now);
 
   // Frees the slot of an attempt and learns from its outcome.
   void OnFinish(const UpstreamId& upstream, const AttemptOutcome& outcome, TimePoint now);
@@ -70,23 +63,73 @@
   // Takes a load report.
   void OnLoadReport(const UpstreamId& upstream, const LoadReport& report, TimePoint now);
 
+  // Takes an event of an engine's prefix cache.
+  void OnCacheEvent(const UpstreamId& upstream, const CacheEvent& event, TimePoint now);
+
   // Gives no new work to an upstream that leaves. A notice that is withdrawn has leaving set to
-  // false.
+  // false. Notices that are repeated, out of order or for an unknown upstream have no effect.
+  void OnNotice(const UpstreamId& upstream, const LeaveNotice& notice, TimePoint now);
   void OnNotice(const UpstreamId& upstream, bool leaving, TimePoint now);
 
+  // Returns true while the upstream is left as a straggler.
+  bool IsStraggler(const UpstreamId& upstream) const;
+
+  // Returns the concurrency limit of an upstream for this daemon, or zero if it is unknown.
+  int LimitOf(const UpstreamId& upstream) const;
+
+  // Returns the counters.
+  const RoutingCounters& counters() const { return counters_; }
+
  private:
-  struct Entry {
-    UpstreamConfig config;
-    int running = 0;
-    bool leaving = false;
-    LoadReport report;
-    TimePoint unusable_until;
+  using Entry = UpstreamEntry;
+  using Group = UpstreamGroup;
+
+  // Upstreams that one Select may choose from. Kept between calls to save allocations.
+  struct Usable {
+    std::vector<Entry*> local;
+    std::vector<Entry*> remote;
+    std::vector<Entry*> candidates;
+    std::vector<UpstreamNumber> holders;
+    Entry* probe = nullptr;
+    RoutingCount refusal = RoutingCount::kRefusedUnknownService;
   };
 
-  static bool CanTake(const Entry& entry, TimePoint now);
+  int SlotsOf(const Entry& entry) const;
+  bool HasSlot(const Entry& entry) const { return entry.load.running() < SlotsOf(entry); }
+  bool MayProbe(const Entry& entry, const Group& group, const RouteRequest& request,
+                TimePoint now) const;
+  void FindUsable(const Group& group, const RouteRequest& request, const Entry* hedged,
+                  TimePoint now);
+  void FindCandidates(const RouteRequest& request);
+  Entry* ChooseCandidate(Group& group, const RouteRequest& request, TimePoint now);
+  double Score(const Entry& entry, const RouteRequest& request, TimePoint now) const;
+  double UncachedPromptCost(const Entry& entry, const RouteRequest& request) const;
+  void Start(Entry& entry, Group& group, const RouteRequest& request, bool probe, TimePoint now);
+  void SettleHedge(const RunningAttempt& attempt, AttemptId id, AttemptResult result,
+                   TimePoint now);
+  void LearnFailure(Entry& entry, AttemptResult result, TimePoint now);
+  void LearnCompletion(Entry& entry, Group& group, const AttemptOutcome& outcome,
+                       RunningAttempt& attempt, TimePoint now);
+  // Returns the number of an attempt. An attempt without one is found by its time of dispatch.
+  AttemptId Resolve(const UpstreamId& upstream, AttemptId attempt, TimePoint dispatched) const;
+  static void StopWaiting(Entry& entry, AttemptId attempt);
+  Entry* Find(const UpstreamId& upstream) const;
+  Entry* Find(UpstreamNumber number) const;
+  Group& GroupOf(const Entry& entry) { return groups_.at(entry.config.service); }
 
   Random random_;
-  std::map<UpstreamId, Entry> entries_;
+  RoutingOptions options_;
+  double limit_share_ = 1;
+  std::map<UpstreamId, std::unique_ptr<Entry>> entries_;
+  std::vector<Entry*> by_number_;
+  std::map<ServiceId, Group> groups_;
+  AttemptBook attempts_;
+  // Numbers for attempts that the caller gave none; callers' numbers stay below.
+  AttemptId next_unnumbered_ = AttemptId{1} << 63;
+  PrefixMap prefixes_;
+  HedgeBudget hedge_budget_;
+  RoutingCounters counters_;
+  Usable usable_;
 };
 
 }  // namespace savoryglade
--- /dev/null
+++ b/tests/routing/prefix_map_test.cc
@@ -0,0 +1,114 @@
+#include "routing/prefix_map.h"
+
+#include <cstdint>
+#include <vector>
+
+#include "gtest/gtest.h"
+
+namespace savoryglade {
+namespace {
+
+using Kind = CacheEvent::Kind;
+using Hashes = std::vector<std::uint64_t>;
+
+std::vector<std::uint64_t> Prompt(std::uint64_t first, std::size_t blocks) {
+  std::vector<std::uint64_t> hashes;
+  for (std::size_t i = 0; i < blocks; ++i) {
+    hashes.push_back(first + i);
+  }
+  return hashes;
+}
+
+// Guards against an affinity that ignores how much of a prompt matches.
+TEST(PrefixMapTest, MatchIsTheLongestRecordedPrefix) {
+  PrefixMap map(1000);
+  const auto prompt = Prompt(100, 37);
+  for (std::size_t held = 0; held <= prompt.size(); ++held) {
+    const auto upstream = static_cast<UpstreamNumber>(held);
+    map.Record(std::span(prompt).first(held), upstream);
+    EXPECT_EQ(map.Match(prompt, upstream).blocks, held);
+  }
+}
+
+// Guards against work sent to an upstream for blocks that it has evicted.
+TEST(PrefixMapTest, EvictedBlocksNoLongerMatch) {
+  PrefixMap map(1000);
+  const auto prompt = Prompt(100, 10);
+  map.OnEvent(1, {.sequence = 1, .kind = Kind::kStored, .hashes = prompt});
+  map.OnEvent(1, {.sequence = 2, .kind = Kind::kEvicted, .hashes = {108, 109}});
+  EXPECT_EQ(map.Match(prompt, 1).blocks, 8U);
+}
+
+// Guards against entries that are trusted in full although an eviction may have been missed.
+TEST(PrefixMapTest, EntriesAreTrustedLessAfterAGapUntilConfirmed) {
+  PrefixMap map(1000);
+  const auto prompt = Prompt(100, 10);
+  const auto other = Prompt(500, 10);
+  map.OnEvent(1, {.sequence = 1, .kind = Kind::kStored, .hashes = prompt});
+  map.OnEvent(2, {.sequence = 1, .kind = Kind::kStored, .hashes = prompt});
+  EXPECT_DOUBLE_EQ(map.Match(prompt, 1).trust, 1);
+  EXPECT_EQ(map.OnEvent(1, {.sequence = 4, .kind = Kind::kStored, .hashes = other}), 2U);
+  EXPECT_LT(map.Match(prompt, 1).trust, 1);
+  EXPECT_DOUBLE_EQ(map.Match(other, 1).trust, 1);
+  EXPECT_DOUBLE_EQ(map.Match(prompt, 2).trust, 1);
+  map.Record(prompt, 1);
+  EXPECT_DOUBLE_EQ(map.Match(prompt, 1).trust, 1);
+}
+
+// Guards against a late stored event that brings back a block whose eviction is already known.
+TEST(PrefixMapTest, LateStoredEventDoesNotUndoAnEviction) {
+  PrefixMap map(1000);
+  map.OnEvent(1, {.sequence = 1, .kind = Kind::kStored, .hashes = {7}});
+  map.OnEvent(1, {.sequence = 3, .kind = Kind::kEvicted, .hashes = {7}});
+  map.OnEvent(1, {.sequence = 2, .kind = Kind::kStored, .hashes = {7}});
+  EXPECT_EQ(map.Match(Hashes{7}, 1).blocks, 0U);
+}
+
+// Guards against a late eviction that removes a block which was stored again after it.
+TEST(PrefixMapTest, LateEvictionDoesNotRemoveANewerEntry) {
+  PrefixMap map(1000);
+  map.OnEvent(1, {.sequence = 1, .kind = Kind::kStored, .hashes = {7}});
+  map.OnEvent(1, {.sequence = 3, .kind = Kind::kStored, .hashes = {7}});
+  map.OnEvent(1, {.sequence = 2, .kind = Kind::kEvicted, .hashes = {7}});
+  EXPECT_EQ(map.Match(Hashes{7}, 1).blocks, 1U);
+}
+
+// Guards against events that are ignored for good after an engine restarted and counts anew.
+TEST(PrefixMapTest, RestartedEngineBeginsANewSequence) {
+  PrefixMap map(1000);
+  map.OnEvent(1, {.sequence = 50000, .kind = Kind::kStored, .hashes = {7}});
+  map.OnEvent(1, {.sequence = 1, .kind = Kind::kStored, .hashes = {8}});
+  EXPECT_EQ(map.Match(Hashes{7}, 1).blocks, 0U);
+  EXPECT_EQ(map.Match(Hashes{8}, 1).blocks, 1U);
+  EXPECT_EQ(map.OnEvent(1, {.sequence = 2, .kind = Kind::kStored, .hashes = {9}}), 0U);
+  map.OnEvent(1, {.sequence = 3, .kind = Kind::kCleared, .hashes = {}});
+  EXPECT_EQ(map.Match(Hashes{8}, 1).blocks, 0U);
+}
+
+// Guards against a map that grows with every prompt ever seen.
+TEST(PrefixMapTest, MemoryIsBoundedAndRecentEntriesStay) {
+  PrefixMap map(1000);
+  const auto hot = Prompt(1, 20);
+  for (std::uint64_t i = 1; i <= 1000; ++i) {
+    map.Record(Prompt(i * 1000, 20), 1);
+    map.Record(hot, 2);
+    EXPECT_LE(map.size(), 1002U);
+  }
+  EXPECT_EQ(map.Match(hot, 2).blocks, 20U);
+  EXPECT_EQ(map.Match(Prompt(1000, 20), 1).blocks, 0U);
+}
+
+// Guards against holders that have died hiding the shallower entries of live ones.
+TEST(PrefixMapTest, HoldersOfAClearedUpstreamAreNotFound) {
+  PrefixMap map(1000);
+  const auto prompt = Prompt(1, 10);
+  map.Record(prompt, 1);
+  map.Record(std::span(prompt).first(4), 2);
+  map.Clear(1);
+  std::vector<UpstreamNumber> holders;
+  map.FindHolders(prompt, holders);
+  EXPECT_EQ(holders, std::vector<UpstreamNumber>{2});
+}
+
+}  // namespace
+}  // namespace savoryglade
--- /dev/null
+++ b/tests/routing/straggler_detector_test.cc
@@ -0,0 +1,85 @@
+#include "routing/straggler_detector.h"
+
+#include "gtest/gtest.h"
+
+namespace savoryglade {
+namespace {
+
+const TimePoint kStart{};
+constexpr GroupMedians kMedians = {1, 1, 1};
+
+// Guards against one mispredicted request taking an upstream out of use.
+TEST(StragglerDetectorTest, OneMispredictedAnswerIsNoEvidence) {
+  StragglerDetector fresh;
+  fresh.OnSample(LatencyKind::kTotal, 20, kStart);
+  EXPECT_LT(fresh.Ratio(kMedians, kStart), StragglerDetector::kLeaveRatio);
+  StragglerDetector known;
+  for (int i = 0; i < 10; ++i) {
+    known.OnSample(LatencyKind::kTotal, 1, kStart);
+  }
+  known.OnSample(LatencyKind::kTotal, StragglerDetector::kSureRatio, kStart);
+  EXPECT_LT(known.Ratio(kMedians, kStart), StragglerDetector::kLeaveRatio);
+}
+
+// Guards against a straggler that hides behind many good answers from before.
+TEST(StragglerDetectorTest, FewSlowAnswersOutweighManyGoodOnes) {
+  StragglerDetector detector;
+  for (int i = 0; i < 1000; ++i) {
+    detector.OnSample(LatencyKind::kFirstToken, 1, kStart);
+  }
+  detector.OnSample(LatencyKind::kFirstToken, 10, kStart + 1s);
+  EXPECT_GE(detector.Ratio(kMedians, kStart + 1s), StragglerDetector::kLeaveRatio);
+}
+
+// Guards against latencies of the past that count after the upstream was idle.
+TEST(StragglerDetectorTest, OldAnswersNoLongerCount) {
+  StragglerDetector detector;
+  detector.OnSample(LatencyKind::kTotal, 10, kStart);
+  detector.OnSample(LatencyKind::kTotal, 10, kStart);
+  EXPECT_GE(detector.Ratio(kMedians, kStart), StragglerDetector::kLeaveRatio);
+  EXPECT_DOUBLE_EQ(detector.Ratio(kMedians, kStart + 10s), 0);
+}
+
+// Guards against an upstream that flaps in and out of use at the threshold.
+TEST(StragglerDetectorTest, ReturnNeedsConsecutiveProbesClearlyBelowTheThreshold) {
+  StragglerDetector detector;
+  detector.Leave(kStart);
+  const TimePoint now = kStart + 10s;
+  EXPECT_FALSE(detector.OnProbeEnd(1, now));
+  EXPECT_FALSE(detector.OnProbeEnd(2.5, now));
+  EXPECT_FALSE(detector.OnProbeEnd(1, now));
+  EXPECT_TRUE(detector.left());
+  EXPECT_TRUE(detector.OnProbeEnd(1, now));
+  EXPECT_FALSE(detector.left());
+}
+
+// Guards against several requests at once probing a straggler.
+TEST(StragglerDetectorTest, ProbesAreSingleAndSpacedFurtherApartEachTime) {
+  StragglerDetector detector;
+  detector.Leave(kStart);
+  EXPECT_FALSE(detector.ProbeDue(kStart));
+  TimePoint now = kStart;
+  Duration previous{};
+  for (int i = 0; i < 4; ++i) {
+    const TimePoint begin = now;
+    while (!detector.ProbeDue(now)) {
+      now += 1ms;
+    }
+    EXPECT_GT(now - begin, previous);
+    previous = now - begin;
+    detector.OnProbeStart();
+    EXPECT_FALSE(detector.ProbeDue(now + 100s));
+    detector.OnProbeEnd(10, now);
+  }
+}
+
+// Guards against a verdict from a group that is too small to have a usual latency.
+TEST(StragglerDetectorTest, MedianOfTwoUpstreamsIsUnknown) {
+  std::vector<double> two = {1, 10};
+  EXPECT_DOUBLE_EQ(MedianOf(two), 0);
+  std::vector<double> three = {10, 1, 2};
+  EXPECT_DOUBLE_EQ(MedianOf(three), 2);
+}
+
+}  // namespace
+}  // namespace savoryglade
--- a/tests/routing/upstream_table_test.cc
+++ b/tests/routing/upstream_table_test.cc
@@ -1,5 +1,8 @@
 #include "routing/upstream_table.h"
 
+#include <set>
+#include <string>
+
 #include "gtest/gtest.h"
 
 namespace savoryglade {
@@ -29,5 +32,299 @@
   EXPECT_FALSE(table.HasCapacity(ServiceId("assistant"), now));
 }
 
+const ServiceId kService("assistant");
+const TimePoint kStart{};
+
+UpstreamConfig MakeUpstream(const std::string& name, const std::string& domain = "brescia") {
+  UpstreamConfig upstream;
+  upstream.name = UpstreamId(name);
+  upstream.service = kService;
+  upstream.failure_domain = FailureDomainId(domain);
+  upstream.concurrency = 64;
+  return upstream;
+}
+
+Configuration MakeGroup(int size) {
+  Configuration configuration;
+  for (int i = 0; i < size; ++i) {
+    configuration.upstreams.push_back(MakeUpstream("u" + std::to_string(i)));
+  }
+  return configuration;
+}
+
+// Sends requests to a table one after another and answers them with a latency for each upstream.
+class Driver {
+ public:
+  explicit Driver(UpstreamTable& table) : table_(table) {}
+
+  AttemptId Dispatch(UpstreamId& upstream, bool repeatable = true, AttemptId hedge_of = 0) {
+    const AttemptId attempt = ++last_attempt_;
+    const auto chosen = table_.Select({.service = kService,
+                                       .predicted_cost = 0.1,
+                                       .attempt = attempt,
+                                       .repeatable = repeatable,
+                                       .hedge_of = hedge_of},
+                                      now);
+    upstream = chosen.value_or(UpstreamId());
+    return chosen ? attempt : 0;
+  }
+
+  void Complete(AttemptId attempt, const UpstreamId& upstream, Duration total) {
+    table_.OnFinish(upstream, {.total = total, .attempt = attempt}, now);
+  }
+
+  // Runs requests one at a time with usual latency and returns the upstreams that got one.
+  std::set<UpstreamId> RunUsual(int count) {
+    std::set<UpstreamId> used;
+    for (int i = 0; i < count; ++i) {
+      UpstreamId upstream;
+      const AttemptId attempt = Dispatch(upstream);
+      now += 10ms;
+      Complete(attempt, upstream, 100ms);
+      used.insert(upstream);
+    }
+    return used;
+  }
+
+  // Dispatches until an attempt lands on another upstream than those given and returns it.
+  AttemptId DispatchTo(const UpstreamId& wanted, bool repeatable = true) {
+    for (int i = 0; i < 1000; ++i) {
+      UpstreamId upstream;
+      const AttemptId attempt = Dispatch(upstream, repeatable);
+      if (upstream == wanted) {
+        return attempt;
+      }
+      Complete(attempt, upstream, 100ms);
+    }
+    ADD_FAILURE() << "no request went to " << wanted.value();
+    return 0;
+  }
+
+  TimePoint now = kStart + 1s;
+
+ private:
+  UpstreamTable& table_;
+  AttemptId last_attempt_ = 0;
+};
+
+// Guards against a late notice for an upstream that is gone taking its successor of the same name
+// out of use.
+TEST(UpstreamTableTest, NoticeForAGoneUpstreamDoesNotTouchItsSuccessor) {
+  UpstreamTable table(1);
+  Configuration configuration = MakeGroup(1);
+  table.Configure(configuration, kStart);
+  table.OnNotice(UpstreamId("u0"), {.leaving = true, .sequence = 3}, kStart);
+  table.Configure(Configuration{}, kStart);
+  table.OnNotice(UpstreamId("u0"), {.leaving = true, .sequence = 3}, kStart);
+  EXPECT_EQ(table.counters()[RoutingCount::kNoticesUnknownUpstream], 1U);
+  configuration.upstreams[0].vm = VmId("another");
+  table.Configure(configuration, kStart);
+  EXPECT_TRUE(table.HasCapacity(kService, kStart));
+}
+
+// Guards against refusals whose cause can't be told.
+TEST(UpstreamTableTest, EachRefusalIsCountedByItsCause) {
+  UpstreamTable table(1);
+  EXPECT_FALSE(table.Select({.service = kService}, kStart));
+  EXPECT_EQ(table.counters()[RoutingCount::kRefusedUnknownService], 1U);
+  table.Configure(MakeGroup(1), kStart);
+  EXPECT_FALSE(table.Select({.service = kService, .excluded = {UpstreamId("u0")}}, kStart));
+  EXPECT_EQ(table.counters()[RoutingCount::kRefusedExcluded], 1U);
+  while (table.Select({.service = kService}, kStart)) {
+  }
+  EXPECT_EQ(table.counters()[RoutingCount::kRefusedAtLimit], 1U);
+  table.OnNotice(UpstreamId("u0"), true, kStart);
+  EXPECT_FALSE(table.Select({.service = kService}, kStart));
+  EXPECT_EQ(table.counters()[RoutingCount::kRefusedLeaving], 1U);
+}
+
+// Guards against a failed upstream that gets a burst of requests at the end of its pause.
+TEST(UpstreamTableTest, FailedUpstreamGetsOneProbeAfterItsPause) {
+  UpstreamTable table(1);
+  table.Configure(MakeGroup(1), kStart);
+  Driver driver(table);
+  UpstreamId upstream;
+  AttemptId attempt = driver.Dispatch(upstream);
+  table.OnFinish(upstream, {.result = AttemptResult::kConnectFailed, .attempt = attempt},
+                 driver.now);
+  EXPECT_FALSE(table.HasCapacity(kService, driver.now));
+  driver.now += 1s;
+  EXPECT_TRUE(table.HasCapacity(kService, driver.now));
+  attempt = driver.Dispatch(upstream);
+  EXPECT_NE(attempt, 0U);
+  EXPECT_FALSE(table.HasCapacity(kService, driver.now));
+  driver.Complete(attempt, upstream, 100ms);
+  EXPECT_TRUE(table.HasCapacity(kService, driver.now));
+  EXPECT_EQ(table.LimitOf(UpstreamId("u0")), 5);
+}
+
+// Guards against a probe that ends without an answer and blocks the upstream for good.
+TEST(UpstreamTableTest, CancelledProbeAllowsAnotherOne) {
+  UpstreamTable table(1);
+  table.Configure(MakeGroup(1), kStart);
+  Driver driver(table);
+  UpstreamId upstream;
+  AttemptId attempt = driver.Dispatch(upstream);
+  table.OnFinish(upstream, {.result = AttemptResult::kLost, .attempt = attempt}, driver.now);
+  driver.now += 1s;
+  attempt = driver.Dispatch(upstream);
+  table.OnFinish(upstream, {.result = AttemptResult::kCancelled, .attempt = attempt}, driver.now);
+  EXPECT_NE(driver.Dispatch(upstream), 0U);
+}
+
+// Guards against a repeated end of an attempt that frees the slot of another one.
+TEST(UpstreamTableTest, RepeatedFinishFreesNoOtherSlot) {
+  UpstreamTable table(1);
+  Configuration configuration = MakeGroup(1);
+  configuration.upstreams[0].concurrency = 2;
+  table.Configure(configuration, kStart);
+  Driver driver(table);
+  UpstreamId upstream;
+  const AttemptId first = driver.Dispatch(upstream);
+  driver.Dispatch(upstream);
+  driver.Complete(first, upstream, 100ms);
+  driver.Complete(first, upstream, 100ms);
+  EXPECT_NE(driver.Dispatch(upstream), 0U);
+  EXPECT_FALSE(table.HasCapacity(kService, driver.now));
+}
+
+// Guards against a slot that is never freed because the caller gives attempts no numbers.
+TEST(UpstreamTableTest, AttemptsWithoutNumbersFreeTheirSlots) {
+  UpstreamTable table(1);
+  table.Configure(TwoUpstreams(), kStart);
+  for (int i = 0; i < 100; ++i) {
+    const auto chosen = table.Select({.service = kService}, kStart);
+    ASSERT_TRUE(chosen);
+    table.OnFirstToken(*chosen, 10ms, kStart + 10ms);
+    table.OnFinish(*chosen, {.first_token = 10ms, .total = 20ms, .tokens = 5}, kStart + 20ms);
+  }
+}
+
+// Guards against new work for a straggler, and against one that is never found again.
+TEST(UpstreamTableTest, StragglerGetsOnlyProbesUntilItRecovers) {
+  UpstreamTable table(1);
+  table.Configure(MakeGroup(6), kStart);
+  Driver driver(table);
+  EXPECT_EQ(driver.RunUsual(200).size(), 6U);
+  const UpstreamId slow("u2");
+  const AttemptId attempt = driver.DispatchTo(slow);
+  driver.now += 10ms;
+  driver.Complete(attempt, slow, 1500ms);
+  ASSERT_TRUE(table.IsStraggler(slow));
+  EXPECT_FALSE(driver.RunUsual(15).contains(slow));
+  driver.now += 1s;
+  driver.RunUsual(200);
+  EXPECT_FALSE(table.IsStraggler(slow));
+  EXPECT_EQ(table.counters()[RoutingCount::kStragglersReturned], 1U);
+  EXPECT_GE(table.counters()[RoutingCount::kProbes], 2U);
+}
+
+// Guards against a straggler that is noticed only when its slow answers arrive.
+TEST(UpstreamTableTest, StragglerIsFoundByTheAgeOfUnansweredWork) {
+  UpstreamTable table(1);
+  table.Configure(MakeGroup(6), kStart);
+  Driver driver(table);
+  driver.RunUsual(200);
+  const UpstreamId slow("u2");
+  driver.DispatchTo(slow);
+  driver.now += 800ms;
+  driver.RunUsual(100);
+  EXPECT_TRUE(table.IsStraggler(slow));
+}
+
+// Guards against all upstreams being left because all of them are slow at once.
+TEST(UpstreamTableTest, AtMostAThirdOfAGroupIsLeft) {
+  UpstreamTable table(1);
+  table.Configure(MakeGroup(6), kStart);
+  Driver driver(table);
+  driver.RunUsual(200);
+  for (int i = 0; i < 200; ++i) {
+    UpstreamId upstream;
+    const AttemptId attempt = driver.Dispatch(upstream);
+    driver.now += 1ms;
+    driver.Complete(attempt, upstream, 2s);
+    EXPECT_TRUE(table.HasCapacity(kService, driver.now));
+  }
+  EXPECT_LE(table.counters()[RoutingCount::kStragglersLeft], 2U);
+}
+
+// Guards against a second run of a request that may not repeat.
+TEST(UpstreamTableTest, RequestThatMayNotRepeatIsNeverHedged) {
+  UpstreamTable table(1);
+  table.Configure(MakeGroup(6), kStart);
+  Driver driver(table);
+  driver.RunUsual(400);
+  UpstreamId upstream;
+  const AttemptId attempt = driver.Dispatch(upstream, false);
+  driver.now += 10s;
+  EXPECT_FALSE(table.HedgeTime(attempt, driver.now));
+  UpstreamId other;
+  EXPECT_EQ(driver.Dispatch(other, true, attempt), 0U);
+}
+
+// Guards against a request that waits on a straggler until its slow end.
+TEST(UpstreamTableTest, RequestThatWaitsOnAStragglerIsHedgedOnceElsewhere) {
+  UpstreamTable table(1);
+  table.Configure(MakeGroup(6), kStart);
+  Driver driver(table);
+  driver.RunUsual(400);
+  UpstreamId slow;
+  const AttemptId attempt = driver.Dispatch(slow);
+  const auto early = table.HedgeTime(attempt, driver.now);
+  ASSERT_TRUE(early);
+  EXPECT_GT(*early, driver.now);
+  driver.now += 600ms;
+  const auto due = table.HedgeTime(attempt, driver.now);
+  ASSERT_TRUE(due);
+  EXPECT_LE(*due, driver.now);
+  UpstreamId other;
+  const AttemptId hedge = driver.Dispatch(other, true, attempt);
+  ASSERT_NE(hedge, 0U);
+  EXPECT_NE(other, slow);
+  EXPECT_FALSE(table.HedgeTime(attempt, driver.now));
+  EXPECT_FALSE(table.HedgeTime(hedge, driver.now + 10s));
+  UpstreamId third;
+  EXPECT_EQ(driver.Dispatch(third, true, attempt), 0U);
+}
+
+// Guards against work in far failure domains while the local one has room.
+TEST(UpstreamTableTest, LocalFailureDomainComesFirstUntilItIsBusy) {
+  UpstreamTable table(1, {.local_domain = FailureDomainId("brescia"),
+                          .latency = {{FailureDomainId("verona"), 20ms}}});
+  Configuration configuration;
+  for (int i = 0; i < 4; ++i) {
+    configuration.upstreams.push_back(MakeUpstream("local" + std::to_string(i)));
+    configuration.upstreams.push_back(MakeUpstream("remote" + std::to_string(i), "verona"));
+  }
+  table.Configure(configuration, kStart);
+  Driver driver(table);
+  for (const UpstreamId& upstream : driver.RunUsual(100)) {
+    EXPECT_EQ(upstream.value().substr(0, 5), "local");
+  }
+  std::set<UpstreamId> used;
+  for (int i = 0; i < 200; ++i) {
+    UpstreamId upstream;
+    driver.Dispatch(upstream);
+    used.insert(upstream);
+  }
+  EXPECT_TRUE(used.contains(UpstreamId("remote0")));
+}
+
+// Guards against a turn of a conversation that goes where nothing of it is cached.
+TEST(UpstreamTableTest, PromptGoesWhereItsPrefixIsCached) {
+  UpstreamTable table(1);
+  table.Configure(MakeGroup(20), kStart);
+  RouteRequest request{
+      .service = kService, .predicted_cost = 2, .prefix_hashes = {1, 2, 3, 4}, .prompt_cost = 1};
+  const auto first = table.Select(request, kStart);
+  ASSERT_TRUE(first);
+  table.OnFirstToken(*first, 1s, kStart + 1s);
+  table.OnFinish(*first, {.first_token = 1s, .total = 2s, .tokens = 50}, kStart + 2s);
+  request.prefix_hashes.push_back(5);
+  const auto second = table.Select(request, kStart + 3s);
+  ASSERT_TRUE(second);
+  EXPECT_EQ(*second, *first);
+}
+
 }  // namespace
 }  // namespace savoryglade
