--- /dev/null
+++ b/packages/membership/member.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/strong_id.h"
+
+namespace savoryglade::membership {
+
+enum class MemberState : std::uint8_t { kAlive, kSuspect, kDead };
+
+// Returns "alive", "suspect" or "dead".
+constexpr const char* ToString(MemberState state) {
+  return state == MemberState::kAlive ? "alive" : state == MemberState::kDead ? "dead" : "suspect";
+}
+
+// One daemon as this daemon sees it. The incarnation is its start time in ms, or higher after it
+// has been declared dead; 0 means that it has not been heard of since it was listed.
+struct Member {
+  DaemonId daemon;
+  FailureDomainId failure_domain;
+  std::uint64_t incarnation = 0;
+  MemberState state = MemberState::kSuspect;
+
+  friend bool operator==(const Member&, const Member&) = default;
+};
+
+// Daemon of the fleet by the platform's VM list or the settings.
+struct Peer {
+  DaemonId daemon;
+  FailureDomainId failure_domain;
+  std::string address;
+
+  friend bool operator==(const Peer&, const Peer&) = default;
+};
+
+// What one daemon tells another each second. See the message Heartbeat of the inner protocol.
+struct Heartbeat {
+  DaemonId daemon;
+  FailureDomainId failure_domain;
+  std::uint64_t incarnation = 0;
+  std::uint64_t known_incarnation = 0;
+  bool known_dead = false;
+  bool answer_wanted = false;
+  bool representative = false;
+  std::uint64_t view_sequence = 0;
+  std::uint64_t view_received = 0;
+  std::vector<Member> members;
+
+  friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
+};
+
+}  // namespace savoryglade::membership
--- /dev/null
+++ b/tests/membership/membership_test.cc
@@ -0,0 +1,179 @@
+#include "membership/membership.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/membership/fleet_model.h"
+
+namespace savoryglade::membership {
+namespace {
+
+MemberState StateOf(FleetModel& fleet, int observer, int daemon) {
+  const auto member = fleet.node(observer).Find(fleet.Name(daemon));
+  return member ? member->state : MemberState::kDead;
+}
+
+void ExpectAllAlive(FleetModel& fleet, int daemons) {
+  for (int i = 0; i < daemons; ++i) {
+    for (int j = 0; j < daemons; ++j) {
+      if (i != j) {
+        EXPECT_EQ(StateOf(fleet, i, j), MemberState::kAlive) << i << " sees " << j;
+      }
+    }
+  }
+}
+
+// Guards against daemons that know only their own failure domain.
+TEST(Membership, EveryDaemonLearnsOfAllOthers) {
+  FleetModel fleet({.domains = 4, .daemons = 12});
+  fleet.clock().RunUntil(TimePoint(5s));
+  ExpectAllAlive(fleet, 12);
+  EXPECT_TRUE(fleet.node(0).is_representative());
+  EXPECT_FALSE(fleet.node(4).is_representative());
+}
+
+// Guards against a failure that is found late, in the failure domain and beyond it.
+TEST(Membership, ACrashedDaemonIsDeadWithinFiveSecondsInItsFailureDomain) {
+  FleetModel fleet({.domains = 2, .daemons = 6});
+  fleet.clock().RunUntil(TimePoint(10s));
+  fleet.Stop(2);
+  fleet.clock().RunUntil(TimePoint(12s));
+  EXPECT_EQ(StateOf(fleet, 0, 2), MemberState::kAlive);
+  fleet.clock().RunUntil(TimePoint(15s));
+  EXPECT_EQ(StateOf(fleet, 0, 2), MemberState::kDead);
+  EXPECT_EQ(StateOf(fleet, 4, 2), MemberState::kDead);
+  fleet.clock().RunUntil(TimePoint(17s));
+  EXPECT_EQ(StateOf(fleet, 1, 2), MemberState::kDead);
+  EXPECT_EQ(StateOf(fleet, 5, 2), MemberState::kDead);
+}
+
+// Guards against a failure domain that is taken for lost when only its representative is.
+TEST(Membership, TheNextLowestIdTakesOverFromALostRepresentative) {
+  FleetModel fleet({.domains = 2, .daemons = 6});
+  fleet.clock().RunUntil(TimePoint(10s));
+  fleet.Observe([&fleet](int observer, const Change& change) {
+    if (change.member.state == MemberState::kDead) {
+      EXPECT_EQ(change.member.daemon, fleet.Name(0)) << observer;
+    }
+  });
+  fleet.Stop(0);
+  fleet.clock().RunUntil(TimePoint(30s));
+  EXPECT_TRUE(fleet.node(2).is_representative());
+  EXPECT_EQ(StateOf(fleet, 5, 0), MemberState::kDead);
+  EXPECT_EQ(StateOf(fleet, 5, 2), MemberState::kAlive);
+}
+
+// Guards against a restarted daemon at the same address that is refused or taken for the old one.
+TEST(Membership, ARestartedDaemonIsKnownByItsHigherIncarnation) {
+  FleetModel fleet({.domains = 2, .daemons = 4});
+  fleet.clock().RunUntil(TimePoint(10s));
+  fleet.Stop(2);
+  fleet.clock().RunUntil(TimePoint(11s));
+  fleet.Start(2);
+  fleet.clock().RunUntil(TimePoint(13s));
+  const auto member = fleet.node(0).Find(fleet.Name(2));
+  ASSERT_TRUE(member.has_value());
+  EXPECT_EQ(member->incarnation, 11001U);
+  EXPECT_EQ(member->state, MemberState::kAlive);
+  ExpectAllAlive(fleet, 4);
+}
+
+// Guards against a daemon that is ignored for good because its clock went back before the restart.
+TEST(Membership, ARestartedDaemonWithAClockThatWentBackIsAccepted) {
+  FleetModel fleet({.domains = 1, .daemons = 3});
+  fleet.clock().RunUntil(TimePoint(10s));
+  fleet.Stop(2);
+  fleet.clock().RunUntil(TimePoint(20s));
+  fleet.Start(2, 0);
+  fleet.clock().RunUntil(TimePoint(25s));
+  EXPECT_GT(fleet.node(2).incarnation(), 1U);
+  ExpectAllAlive(fleet, 3);
+}
+
+// Guards against a paused daemon that goes on in an incarnation that others have buried, and that
+// takes its own pause for the death of all others.
+TEST(Membership, APausedDaemonThatWasDeclaredDeadTakesAHigherIncarnation) {
+  FleetModel fleet({.domains = 2, .daemons = 6});
+  fleet.clock().RunUntil(TimePoint(10s));
+  const std::uint64_t before = fleet.node(2).incarnation();
+  fleet.Pause(2);
+  fleet.clock().RunUntil(TimePoint(20s));
+  EXPECT_EQ(StateOf(fleet, 0, 2), MemberState::kDead);
+  fleet.Observe([](int observer, const Change& change) {
+    EXPECT_NE(change.member.state, MemberState::kDead) << observer;
+  });
+  fleet.Resume(2);
+  fleet.clock().RunUntil(TimePoint(25s));
+  EXPECT_GT(fleet.node(2).incarnation(), before);
+  ExpectAllAlive(fleet, 6);
+}
+
+// Guards against failure domains that stay apart after a partition has healed.
+TEST(Membership, FailureDomainsFindEachOtherAgainAfterAPartition) {
+  FleetModel fleet({.domains = 3, .daemons = 9});
+  fleet.clock().RunUntil(TimePoint(10s));
+  fleet.Cut(0, 1, true);
+  fleet.clock().RunUntil(TimePoint(40s));
+  for (const int daemon : {1, 4, 7}) {
+    EXPECT_EQ(StateOf(fleet, 0, daemon), MemberState::kDead);
+    EXPECT_EQ(StateOf(fleet, 2, daemon), MemberState::kAlive);
+  }
+  fleet.Cut(0, 1, false);
+  fleet.clock().RunUntil(TimePoint(60s));
+  ExpectAllAlive(fleet, 9);
+}
+
+// Guards against a false detection by lost messages alone: five heartbeats in a row are lost.
+TEST(Membership, ASuspectIsAskedBeforeItIsDeclaredDead) {
+  const DaemonId peer("peer");
+  const FailureDomainId domain("verona");
+  Membership membership(DaemonId("self"), domain, 1, {}, TimePoint{});
+  membership.SetPeers({{.daemon = peer, .failure_domain = domain}}, TimePoint{});
+  membership.OnHeartbeat({.daemon = peer, .failure_domain = domain, .incarnation = 1}, TimePoint{});
+  int questions = 0;
+  for (Duration t = 0s; t < 4900ms; t += 50ms) {
+    membership.Tick(TimePoint(t));
+    for (const HeartbeatOrder& order : membership.TakeDueHeartbeats(TimePoint(t))) {
+      questions += order.answer_wanted ? 1 : 0;
+    }
+  }
+  EXPECT_GE(questions, 7);
+  EXPECT_EQ(membership.Find(peer)->state, MemberState::kSuspect);
+  membership.Tick(TimePoint(4900ms));
+  EXPECT_EQ(membership.Find(peer)->state, MemberState::kDead);
+}
+
+// Guards against views that are sent with every heartbeat, which would exceed 8 KB/s.
+TEST(Membership, AConfirmedViewIsNotSentAgain) {
+  FleetModel fleet({.domains = 4, .daemons = 16});
+  fleet.clock().RunUntil(TimePoint(10s));
+  const std::uint64_t before = fleet.heartbeats();
+  for (int i = 0; i < 16; ++i) {
+    for (int j = 0; j < 16; ++j) {
+      if (i != j) {
+        EXPECT_TRUE(fleet.node(i).MakeHeartbeat(fleet.Name(j), false).members.empty() ||
+                    !fleet.node(i).WantsLink(fleet.Name(j)));
+      }
+    }
+  }
+  fleet.clock().RunUntil(TimePoint(20s));
+  // 4 x 4 x 3 links in the failure domains and 4 x 3 between them, once a second.
+  EXPECT_LE(fleet.heartbeats() - before, 10U * 60U);
+}
+
+// Guards against a machine that leaves the VM list and is kept as dead for ever.
+TEST(Membership, ADeadDaemonThatIsNoLongerListedIsForgotten) {
+  const DaemonId peer("peer");
+  const FailureDomainId domain("verona");
+  Membership membership(DaemonId("self"), domain, 1, {}, TimePoint{});
+  membership.SetPeers({{.daemon = peer, .failure_domain = domain}}, TimePoint{});
+  membership.SetPeers({}, TimePoint(1s));
+  EXPECT_TRUE(membership.Find(peer).has_value());
+  for (Duration t = 1s; t < 6s; t += 50ms) {
+    membership.Tick(TimePoint(t));
+  }
+  membership.SetPeers({}, TimePoint(6s));
+  EXPECT_FALSE(membership.Find(peer).has_value());
+}
+
+}  // namespace
+}  // namespace savoryglade::membership
