--- /dev/null
+++ b/bench/fleet/bench_fleet.cc
@@ -0,0 +1,54 @@
+#include <fmt/format.h>
+
+#include <array>
+#include <cmath>
+#include <string_view>
+
+#include "bench/fleet/measures.h"
+
+namespace savoryglade::bench {
+namespace {
+
+struct Measure {
+  std::string_view name;
+  int (*run)();
+};
+
+constexpr std::array<Measure, 1> kMeasures = {{{"membership", RunMembership}}};
+
+std::string PrintNumber(double value) {
+  return std::isnan(value) ? "null" : fmt::format("{:.6g}", value);
+}
+
+}  // namespace
+
+void Print(const Figure& figure) {
+  fmt::print(
+      "{{\"measure\":\"{}\",\"case\":\"{}\",\"baseline\":{},\"ours\":{},\"unit\":\"{}\","
+      "\"seed\":\"{}\"}}\n",
+      figure.measure, figure.case_name, PrintNumber(figure.baseline), PrintNumber(figure.ours),
+      figure.unit, figure.seed);
+  std::fflush(stdout);
+}
+
+}  // namespace savoryglade::bench
+
+// Usage: bench_fleet --list | bench_fleet [MEASURE]
+int main(int argc, char** argv) {
+  const std::string_view argument = argc > 1 ? argv[1] : "";
+  int status = 0;
+  bool found = argument.empty() || argument == "--list";
+  for (const auto& measure : savoryglade::bench::kMeasures) {
+    if (argument == "--list") {
+      fmt::print("{}\n", measure.name);
+    } else if (argument.empty() || argument == measure.name) {
+      found = true;
+      status |= measure.run();
+    }
+  }
+  if (!found) {
+    fmt::print(stderr, "There is no measure \"{}\"; --list shows their names.\n", argument);
+    return 2;
+  }
+  return status;
+}
--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -35,7 +35,8 @@
   JsonFaults faults;
   JsonObjectReader reader(*document, "", faults);
   reader.AllowOnly({"daemon", "failure_domain", "callers_address", "administration_address",
-                    "worker_threads", "platform", "operator_key_file", "log_level"});
+                    "worker_threads", "platform", "operator_key_file", "peers_address", "peers",
+                    "fleet_key_file", "log_level"});
   Settings settings;
   settings.daemon = DaemonId(reader.OptionalString("daemon", settings.daemon.value()));
   settings.failure_domain =
@@ -47,6 +48,15 @@
       reader.OptionalInteger("worker_threads", settings.worker_threads, 1, kMostWorkerThreads));
   ReadPlatform(reader.OptionalObject("platform"), settings);
   settings.operator_key_file = reader.OptionalString("operator_key_file", "");
+  settings.peers_address = reader.OptionalString("peers_address", "");
+  settings.fleet_key_file = reader.OptionalString("fleet_key_file", "");
+  for (JsonObjectReader& peer : reader.OptionalObjects("peers")) {
+    peer.AllowOnly({"daemon", "failure_domain", "address"});
+    settings.peers.push_back(
+        {.daemon = DaemonId(peer.RequiredString("daemon")),
+         .failure_domain = FailureDomainId(peer.RequiredString("failure_domain")),
+         .address = peer.RequiredString("address")});
+  }
   settings.log_level = reader.OptionalString("log_level", settings.log_level);
   if (std::find(kLogLevels.begin(), kLogLevels.end(), settings.log_level) == kLogLevels.end()) {
     reader.Reject("log_level", "\"" + settings.log_level + "\"",
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "core/error.h"
 #include "core/strong_id.h"
@@ -13,6 +14,15 @@
 // services.
 enum class PlatformKind { kEmbedded, kHttp };
 
+// Another daemon of the fleet that is known before the platform's VM list has been read.
+struct PeerSettings {
+  DaemonId daemon;
+  FailureDomainId failure_domain;
+  std::string address;
+
+  friend auto operator<=>(const PeerSettings&, const PeerSettings&) = default;
+};
+
 // Settings of one daemon, read once at start. Addresses are "IP:port"; port 0 lets the system
 // choose.
 struct Settings {
@@ -27,6 +37,11 @@
   std::string configuration_file;
   // File with the key that operators send as bearer token. Required beyond loopback.
   std::string operator_key_file;
+  // Where the daemon listens for its peers; empty for a daemon without peers.
+  std::string peers_address;
+  std::vector<PeerSettings> peers;
+  // File with the key that all daemons of the fleet share. Required beyond loopback.
+  std::string fleet_key_file;
   std::string log_level = "info";
 
   friend auto operator<=>(const Settings&, const Settings&) = default;
--- /dev/null
+++ b/packages/daemon/platform_client.cc
@@ -0,0 +1,214 @@
+#include "daemon/platform_client.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <utility>
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using platform::CommitStatus;
+using platform::ReadResult;
+using platform::VmRecord;
+
+constexpr Duration kConnectTimeout = 1s;
+// A slow platform answers within seconds; a lost answer must not hold up the caller for longer.
+constexpr Duration kAnswerTimeout = 5s;
+constexpr std::size_t kLargestAnswer = 16 * 1024 * 1024;
+
+tl::unexpected<Error> Malformed(const char* target) {
+  return tl::make_unexpected(
+      Error{.code = ErrorCode::kUnavailable,
+            .message = fmt::format("The platform's answer to {} is malformed.", target)});
+}
+
+std::string Text(const json::object& object, const char* name) {
+  const json::value* value = object.if_contains(name);
+  return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+std::string PrintTransaction(const platform::Transaction& transaction) {
+  json::array conditions;
+  for (const auto& condition : transaction.conditions) {
+    conditions.emplace_back(json::object{{"key", condition.key}, {"version", condition.version}});
+  }
+  json::array writes;
+  for (const auto& write : transaction.writes) {
+    json::object object = {{"key", write.key}, {"value", nullptr}};
+    if (write.value) {
+      object["value"] = *write.value;
+    }
+    writes.emplace_back(std::move(object));
+  }
+  return json::serialize(
+      json::object{{"conditions", std::move(conditions)}, {"writes", std::move(writes)}});
+}
+
+// Spawns an operation whose result goes to a callback.
+template <typename T, typename Callback>
+void Spawn(asio::io_context& context, asio::awaitable<T> operation, Callback callback) {
+  asio::co_spawn(context, std::move(operation),
+                 [callback = std::move(callback)](const std::exception_ptr& failure, T result) {
+                   if (failure) {
+                     std::rethrow_exception(failure);
+                   }
+                   callback(std::move(result));
+                 });
+}
+
+}  // namespace
+
+PlatformClient::PlatformClient(asio::io_context& context, Endpoint endpoint,
+                               MetricRegistry& metrics)
+    : context_(context),
+      endpoint_(std::move(endpoint)),
+      reads_(metrics.GetCounter("savoryglade_table_reads_total")),
+      writes_(metrics.GetCounter("savoryglade_table_writes_total")),
+      failures_(metrics.GetCounter("savoryglade_platform_failures_total")) {}
+
+void PlatformClient::Read(const std::string& key, platform::ReadCallback callback) {
+  reads_.Add();
+  Spawn(context_, ReadRow(key), std::move(callback));
+}
+
+void PlatformClient::Commit(const platform::Transaction& transaction,
+                            platform::CommitCallback callback) {
+  writes_.Add();
+  Spawn(context_, CommitRows(PrintTransaction(transaction)), std::move(callback));
+}
+
+void PlatformClient::List(const FailureDomainId& failure_domain,
+                          std::function<void(Result<std::vector<VmRecord>>)> callback) {
+  Spawn(context_,
+        ListVms(json::serialize(json::object{{"failure_domain", failure_domain.value()}})),
+        std::move(callback));
+}
+
+asio::awaitable<Result<HttpResponse>> PlatformClient::Exchange(const char* target,
+                                                               std::string body) {
+  HttpRequest request(http::verb::post, target, 11);
+  request.set(http::field::host, endpoint_.address);
+  request.set(http::field::content_type, "application/json");
+  request.body() = std::move(body);
+  request.prepare_payload();
+  auto connection = co_await connections_.Acquire(endpoint_, kConnectTimeout);
+  if (!connection) {
+    failures_.Add();
+    co_return tl::make_unexpected(
+        Error{.code = ErrorCode::kUnavailable, .message = connection.error().message});
+  }
+  const Result<void> sent = co_await (*connection)->Send(request, kAnswerTimeout);
+  Result<HttpResponse> response =
+      sent ? co_await (*connection)->ReadResponse(kLargestAnswer, kAnswerTimeout)
+           : tl::make_unexpected(sent.error());
+  if (!response) {
+    failures_.Add();
+    co_return tl::make_unexpected(
+        Error{.code = ErrorCode::kTimeout, .message = response.error().message});
+  }
+  connections_.Release(std::move(*connection));
+  if (response->result_int() == 503) {
+    failures_.Add();
+    co_return tl::make_unexpected(
+        Error{.code = ErrorCode::kUnavailable, .message = "The platform is unavailable."});
+  }
+  co_return response;
+}
+
+asio::awaitable<ReadResult> PlatformClient::ReadRow(std::string key) {
+  std::string body = json::serialize(json::object{{"key", key}});
+  const Result<HttpResponse> response = co_await Exchange("/table/read", std::move(body));
+  if (!response) {
+    co_return tl::make_unexpected(response.error());
+  }
+  json::error_code error;
+  const json::value answer = json::parse(response->body(), error);
+  const json::object* object = error ? nullptr : answer.if_object();
+  const json::value* version = object == nullptr ? nullptr : object->if_contains("version");
+  if (response->result_int() != 200 || version == nullptr || !version->is_number()) {
+    co_return Malformed("a read");
+  }
+  co_return platform::Row{.value = Text(*object, "value"),
+                          .version = version->to_number<std::uint64_t>()};
+}
+
+asio::awaitable<CommitStatus> PlatformClient::CommitRows(std::string body) {
+  const Result<HttpResponse> response = co_await Exchange("/table/commit", std::move(body));
+  if (!response) {
+    co_return response.error().code == ErrorCode::kUnavailable ? CommitStatus::kUnavailable
+                                                               : CommitStatus::kUnknown;
+  }
+  switch (response->result_int()) {
+    case 200:
+      co_return CommitStatus::kCommitted;
+    case 409:
+      co_return CommitStatus::kConflict;
+    default:
+      co_return CommitStatus::kUnknown;
+  }
+}
+
+asio::awaitable<Result<std::vector<VmRecord>>> PlatformClient::ListVms(std::string body) {
+  const Result<HttpResponse> response = co_await Exchange("/vms/list", std::move(body));
+  if (!response) {
+    co_return tl::make_unexpected(response.error());
+  }
+  json::error_code error;
+  const json::value answer = json::parse(response->body(), error);
+  const json::object* object = error ? nullptr : answer.if_object();
+  const json::value* vms = object == nullptr ? nullptr : object->if_contains("vms");
+  if (response->result_int() != 200 || vms == nullptr || !vms->is_array()) {
+    co_return Malformed("a VM list");
+  }
+  std::vector<VmRecord> records;
+  for (const json::value& element : vms->get_array()) {
+    const json::object* vm = element.if_object();
+    if (vm == nullptr) {
+      co_return Malformed("a VM list");
+    }
+    const json::value* leaving = vm->if_contains("leaving");
+    records.push_back({.vm = VmId(Text(*vm, "vm")),
+                       .failure_domain = FailureDomainId(Text(*vm, "failure_domain")),
+                       .daemon = DaemonId(Text(*vm, "daemon")),
+                       .peers_address = Text(*vm, "peers_address"),
+                       .leaving = leaving != nullptr && leaving->is_bool() && leaving->get_bool()});
+  }
+  co_return records;
+}
+
+asio::awaitable<ReadResult> AwaitRead(platform::Table& table, std::string key) {
+  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(ReadResult)>(
+      [&table, &key](auto handler) {
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        table.Read(key, [shared](ReadResult result) { (*shared)(std::move(result)); });
+      },
+      asio::use_awaitable);
+}
+
+asio::awaitable<CommitStatus> AwaitCommit(platform::Table& table,
+                                          platform::Transaction transaction) {
+  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(CommitStatus)>(
+      [&table, &transaction](auto handler) {
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        table.Commit(transaction, [shared](CommitStatus status) { (*shared)(status); });
+      },
+      asio::use_awaitable);
+}
+
+asio::awaitable<Result<std::vector<VmRecord>>> AwaitList(platform::VmList& list,
+                                                         FailureDomainId failure_domain) {
+  using Records = Result<std::vector<VmRecord>>;
+  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(Records)>(
+      [&list, &failure_domain](auto handler) {
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        list.List(failure_domain, [shared](Records records) { (*shared)(std::move(records)); });
+      },
+      asio::use_awaitable);
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/daemon/platform_client.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "metrics/registry.h"
+#include "net/endpoint.h"
+#include "net/http_client.h"
+#include "platform/services.h"
+#include "platform/table.h"
+
+namespace savoryglade {
+
+// Table and VM list of the platform over HTTP and JSON. Callbacks run on the given context, which
+// must be stopped before the client is destroyed.
+class PlatformClient : public platform::Table, public platform::VmList {
+ public:
+  PlatformClient(boost::asio::io_context& context, Endpoint endpoint, MetricRegistry& metrics);
+
+  void Read(const std::string& key, platform::ReadCallback callback) override;
+  void Commit(const platform::Transaction& transaction, platform::CommitCallback callback) override;
+  void List(const FailureDomainId& failure_domain,
+            std::function<void(Result<std::vector<platform::VmRecord>>)> callback) override;
+
+ private:
+  // Sends a request. After an error with the code kUnavailable it was never handed over or was
+  // refused; after any other error it may have taken effect.
+  boost::asio::awaitable<Result<HttpResponse>> Exchange(const char* target, std::string body);
+  boost::asio::awaitable<platform::ReadResult> ReadRow(std::string key);
+  boost::asio::awaitable<platform::CommitStatus> CommitRows(std::string body);
+  boost::asio::awaitable<Result<std::vector<platform::VmRecord>>> ListVms(std::string body);
+
+  boost::asio::io_context& context_;
+  Endpoint endpoint_;
+  ConnectionPool connections_;
+  Counter& reads_;
+  Counter& writes_;
+  Counter& failures_;
+};
+
+// Awaits an operation of the platform. The callback must come on the executor of the coroutine.
+boost::asio::awaitable<platform::ReadResult> AwaitRead(platform::Table& table, std::string key);
+boost::asio::awaitable<platform::CommitStatus> AwaitCommit(platform::Table& table,
+                                                           platform::Transaction transaction);
+boost::asio::awaitable<Result<std::vector<platform::VmRecord>>> AwaitList(
+    platform::VmList& list, FailureDomainId failure_domain);
+
+}  // namespace savoryglade
--- a/packages/emulator/emulator_main.cc
+++ b/packages/emulator/emulator_main.cc
@@ -6,6 +6,7 @@
 
 #include "emulator/engine.h"
 #include "emulator/plain_service.h"
+#include "emulator/platform_service.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
 
@@ -18,13 +19,16 @@
 using savoryglade::HttpLimits;
 using savoryglade::HttpServer;
 using savoryglade::PlainService;
+using savoryglade::PlatformService;
 using savoryglade::WorkerPool;
 
-constexpr char kUsage[] = R"(savoryglade_standins: emulated upstreams for tests, demo and bench.
+constexpr char kUsage[] =
+    R"(savoryglade_standins: emulated upstreams and platform for tests, demo and bench.
 
 Usage:
   savoryglade_standins engine --listen=ADDRESS [--first-token-ms=MS] [--token-ms=MS]
   savoryglade_standins plain --listen=ADDRESS
+  savoryglade_standins platform --listen=ADDRESS
   savoryglade_standins --help
 
 Options:
@@ -67,6 +71,10 @@
     PlainService service;
     return Serve(listen, [&service](HttpExchange& exchange) { return service.Handle(exchange); });
   }
+  if (arguments.at("platform").asBool()) {
+    PlatformService service;
+    return Serve(listen, [&service](HttpExchange& exchange) { return service.Handle(exchange); });
+  }
   Engine engine(
       {.first_token = std::chrono::milliseconds(arguments.at("--first-token-ms").asLong()),
        .between_tokens = std::chrono::milliseconds(arguments.at("--token-ms").asLong())});
--- /dev/null
+++ b/packages/emulator/platform_service.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <mutex>
+
+#include "net/http_server.h"
+#include "platform/memory_platform.h"
+
+namespace savoryglade {
+
+// Emulated platform over HTTP and JSON: table, VM list, object store, and faults that can be
+// switched on. A request whose answer is lost is left without one until the client gives up.
+//
+//   GET  /table/row?key=K        {"version": 0 if there is no row, "value": text}
+//   POST /table/commit           {"conditions": [{"key", "version"}], "writes": [{"key", "value"}]}
+//                                200 committed, 409 conflict; a null value deletes
+//   GET  /vms[?failure_domain=F] {"vms": [{"vm", "failure_domain", "daemon", "peers_address",
+//   "leaving"}]} PUT  /vms, DELETE /vms/NAME  add or replace a VM, remove it PUT, GET /objects/KEY
+//   whole objects PUT  /faults                 {"outage", "lose_answers", "delay_ms"} GET  /counts
+//   {"table_reads", "table_writes", "vm_lists"}
+class PlatformService {
+ public:
+  // Answers one HTTP request.
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+
+  // Rows, VMs and counts behind the HTTP interface. Faults set here are not injected.
+  platform::MemoryPlatform& state() { return state_; }
+  // Injects faults into the answers from now on, for table, VM list and object store alike.
+  void SetFaults(const platform::Faults& faults);
+
+ private:
+  boost::asio::awaitable<void> Answer(HttpExchange& exchange, const platform::Faults& faults);
+
+  platform::Faults faults() const;
+
+  platform::MemoryPlatform state_;
+  mutable std::mutex mutex_;
+  platform::Faults faults_;
+  std::atomic<std::uint64_t> vm_lists_{0};
+};
+
+}  // namespace savoryglade
--- a/packages/membership/member.h
+++ b/packages/membership/member.h
@@ -22,6 +22,8 @@
   FailureDomainId failure_domain;
   std::uint64_t incarnation = 0;
   MemberState state = MemberState::kSuspect;
+  // Where it listens for peers; empty if unknown.
+  std::string address;
 
   friend bool operator==(const Member&, const Member&) = default;
 };
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -15,6 +15,7 @@
       last_tick_(now) {}
 
 void Membership::SetPeers(const std::vector<Peer>& peers, TimePoint now) {
+  now_ = std::max(now_, now);
   for (auto& [id, entry] : entries_) {
     entry.listed = false;
   }
@@ -22,20 +23,28 @@
     if (peer.daemon == daemon_) {
       continue;
     }
-    const auto [found, inserted] = entries_.try_emplace(peer.daemon);
-    Entry& entry = found->second;
-    entry.listed = true;
-    if (inserted) {
-      entry.member = {.daemon = peer.daemon, .failure_domain = peer.failure_domain};
-      entry.heard = now;
-      entry.sent = now - options_.heartbeat_interval;
-      domain_heard_.try_emplace(peer.failure_domain, now);
-    }
+    FindOrAdd(peer.daemon, peer.failure_domain).listed = true;
+    SetAddress(peer.daemon, peer.address);
   }
   for (auto it = entries_.begin(); it != entries_.end();) {
     const bool gone = !it->second.listed && it->second.member.state == MemberState::kDead;
     it = gone ? entries_.erase(it) : std::next(it);
   }
+  representatives_stale_ = true;
+}
+
+void Membership::SetAddress(const DaemonId& daemon, const std::string& address) {
+  if (daemon == daemon_) {
+    address_ = address;
+    ++own_view_;
+    return;
+  }
+  const auto found = entries_.find(daemon);
+  if (found == entries_.end() || address.empty() || found->second.member.address == address) {
+    return;
+  }
+  found->second.member.address = address;
+  ++(found->second.in_domain ? own_view_ : remote_view_);
 }
 
 void Membership::Update(Entry& entry, std::uint64_t incarnation, MemberState state) {
@@ -47,9 +56,10 @@
                        entry.member.state == MemberState::kDead;
   entry.member.incarnation = incarnation;
   entry.member.state = state;
+  representatives_stale_ = true;
   changes_.push_back({entry.member});
   if (matters) {
-    ++(InDomain(entry) ? own_view_ : remote_view_);
+    ++(entry.in_domain ? own_view_ : remote_view_);
   }
 }
 
@@ -70,15 +80,10 @@
     return false;
   }
   LearnOwnFate(heartbeat);
-  const auto [found, inserted] = entries_.try_emplace(heartbeat.daemon);
-  Entry& entry = found->second;
-  if (inserted) {
-    entry.member = {.daemon = heartbeat.daemon, .failure_domain = heartbeat.failure_domain};
-    entry.sent = now_ - options_.heartbeat_interval;
-  }
+  Entry& entry = FindOrAdd(heartbeat.daemon, heartbeat.failure_domain);
   const bool known_as_dead = entry.member.state == MemberState::kDead;
   if (heartbeat.incarnation < entry.member.incarnation ||
-      (heartbeat.incarnation == entry.member.incarnation && known_as_dead && !inserted)) {
+      (heartbeat.incarnation == entry.member.incarnation && known_as_dead)) {
     // Passed over: our answer tells it so, and it comes back in a higher incarnation.
     return true;
   }
@@ -102,7 +107,7 @@
 }
 
 void Membership::TakeView(const Entry& sender, const Heartbeat& heartbeat) {
-  const bool from_own_domain = InDomain(sender);
+  const bool from_own_domain = sender.in_domain;
   // A representative is nearer to the other failure domains than those for whom it speaks.
   if (from_own_domain && (is_representative() || !heartbeat.representative)) {
     return;
@@ -113,29 +118,51 @@
     if (!may_speak || member.daemon == daemon_ || member.daemon == sender.member.daemon) {
       continue;
     }
-    const auto [found, inserted] = entries_.try_emplace(member.daemon);
-    Entry& entry = found->second;
-    if (inserted) {
-      entry.member = {.daemon = member.daemon, .failure_domain = member.failure_domain};
-      entry.heard = now_;
-      entry.sent = now_ - options_.heartbeat_interval;
-    }
+    Entry& entry = FindOrAdd(member.daemon, member.failure_domain);
     if (member.incarnation >= entry.member.incarnation) {
+      SetAddress(member.daemon, member.address);
       Update(entry, member.incarnation, member.state);
     }
   }
 }
 
 std::optional<DaemonId> Membership::Representative(const FailureDomainId& failure_domain) const {
-  for (const auto& [id, entry] : entries_) {
-    if (failure_domain == failure_domain_ && daemon_ < id) {
-      break;
-    }
-    if (entry.member.failure_domain == failure_domain && entry.member.state != MemberState::kDead) {
-      return id;
+  if (representatives_stale_) {
+    representatives_stale_ = false;
+    representatives_.clear();
+    for (const auto& [id, entry] : entries_) {
+      if (entry.member.state != MemberState::kDead) {
+        representatives_.try_emplace(entry.member.failure_domain, id);
+      }
     }
+    const auto own = representatives_.try_emplace(failure_domain_, daemon_).first;
+    own->second = std::min(own->second, daemon_);
+    is_representative_ = own->second == daemon_;
+  }
+  const auto found = representatives_.find(failure_domain);
+  return found == representatives_.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool Membership::is_representative() const {
+  if (representatives_stale_) {
+    Representative(failure_domain_);
+  }
+  return is_representative_;
+}
+
+Membership::Entry& Membership::FindOrAdd(const DaemonId& daemon,
+                                         const FailureDomainId& failure_domain) {
+  const auto [found, inserted] = entries_.try_emplace(daemon);
+  Entry& entry = found->second;
+  if (inserted) {
+    entry.member = {.daemon = daemon, .failure_domain = failure_domain};
+    entry.in_domain = failure_domain == failure_domain_;
+    entry.heard = now_;
+    entry.sent = now_ - options_.heartbeat_interval;
+    domain_heard_.try_emplace(failure_domain, now_);
+    representatives_stale_ = true;
   }
-  return failure_domain == failure_domain_ ? std::optional(daemon_) : std::nullopt;
+  return entry;
 }
 
 void Membership::CreditPause(TimePoint now) {
@@ -192,7 +219,7 @@
   CreditPause(now);
   now_ = std::max(now_, now);
   for (auto& [id, entry] : entries_) {
-    if (InDomain(entry)) {
+    if (entry.in_domain) {
       TickDomain(entry);
     }
   }
@@ -215,7 +242,7 @@
   if (!representative && was_representative_) {
     // Views of this failure domain's representative were ignored until now.
     for (auto& [id, entry] : entries_) {
-      entry.view_received = InDomain(entry) ? 0 : entry.view_received;
+      entry.view_received = entry.in_domain ? 0 : entry.view_received;
     }
   }
   was_representative_ = representative;
@@ -228,7 +255,7 @@
 }
 
 bool Membership::WantsLink(const Entry& entry) const {
-  if (InDomain(entry)) {
+  if (entry.in_domain) {
     return true;
   }
   if (!is_representative()) {
@@ -248,20 +275,25 @@
 }
 
 std::uint64_t Membership::ViewFor(const Entry& entry) const {
-  if (!InDomain(entry)) {
+  if (!entry.in_domain) {
     return own_view_;
   }
+  if (!is_representative()) {
+    return 0;
+  }
   const bool has_view = std::any_of(entries_.begin(), entries_.end(), [this](const auto& item) {
-    return !InDomain(item.second) && item.second.member.incarnation != 0;
+    return !item.second.in_domain && item.second.member.incarnation != 0;
   });
-  return has_view && is_representative() ? remote_view_ : 0;
+  return has_view ? remote_view_ : 0;
 }
 
 std::vector<HeartbeatOrder> Membership::TakeDueHeartbeats(TimePoint now) {
   now_ = std::max(now_, now);
   std::vector<HeartbeatOrder> orders;
   for (auto& [id, entry] : entries_) {
-    if (!WantsLink(entry) && !ShouldAnswer(entry)) {
+    // The shortest interval comes first because it rules out most entries at little cost.
+    if (now_ - entry.sent < options_.probe_interval ||
+        (!WantsLink(entry) && !ShouldAnswer(entry))) {
       continue;
     }
     const bool silent =
@@ -299,7 +331,7 @@
   }
   for (const Member& member : Members()) {
     const bool own = member.failure_domain == failure_domain_;
-    if (own != InDomain(receiver) && member.incarnation != 0) {
+    if (own != receiver.in_domain && member.incarnation != 0) {
       heartbeat.members.push_back(member);
     }
   }
@@ -310,7 +342,8 @@
   std::vector<Member> members = {{.daemon = daemon_,
                                   .failure_domain = failure_domain_,
                                   .incarnation = incarnation_,
-                                  .state = MemberState::kAlive}};
+                                  .state = MemberState::kAlive,
+                                  .address = address_}};
   for (const auto& [id, entry] : entries_) {
     members.push_back(entry.member);
   }
@@ -327,7 +360,7 @@
 std::size_t Membership::LiveInDomain() const {
   return 1 + static_cast<std::size_t>(
                  std::count_if(entries_.begin(), entries_.end(), [this](const auto& item) {
-                   return InDomain(item.second) && item.second.member.state != MemberState::kDead;
+                   return item.second.in_domain && item.second.member.state != MemberState::kDead;
                  }));
 }
 
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/strong_id.h"
@@ -52,6 +53,9 @@
   // dead.
   void SetPeers(const std::vector<Peer>& peers, TimePoint now);
 
+  // Sets where a daemon listens for peers, this daemon included.
+  void SetAddress(const DaemonId& daemon, const std::string& address);
+
   // Takes a heartbeat in. Returns true if it asks for an answer. Changes are returned by the next
   // Tick.
   bool OnHeartbeat(const Heartbeat& heartbeat, TimePoint now);
@@ -71,7 +75,7 @@
 
   // Lowest id of a failure domain that is not dead; this daemon counts as alive.
   std::optional<DaemonId> Representative(const FailureDomainId& failure_domain) const;
-  bool is_representative() const { return Representative(failure_domain_) == daemon_; }
+  bool is_representative() const;
 
   // All known members, this daemon included, in order of their ids.
   std::vector<Member> Members() const;
@@ -86,6 +90,7 @@
  private:
   struct Entry {
     Member member;
+    bool in_domain = false;
     bool listed = false;
     // Last heartbeat, or the time at which the daemon was listed.
     TimePoint heard;
@@ -96,7 +101,7 @@
     std::uint64_t view_confirmed = 0;
   };
 
-  bool InDomain(const Entry& entry) const { return entry.member.failure_domain == failure_domain_; }
+  Entry& FindOrAdd(const DaemonId& daemon, const FailureDomainId& failure_domain);
   bool WantsLink(const Entry& entry) const;
   bool ShouldAnswer(const Entry& entry) const;
   std::uint64_t ViewFor(const Entry& entry) const;
@@ -110,6 +115,7 @@
   DaemonId daemon_;
   FailureDomainId failure_domain_;
   std::uint64_t incarnation_;
+  std::string address_;
   MembershipOptions options_;
   TimePoint now_;
   TimePoint last_tick_;
@@ -121,6 +127,10 @@
   std::uint64_t own_view_ = 1;
   std::uint64_t remote_view_ = 1;
   std::vector<Change> changes_;
+  // Representative of each failure domain, found again when a member has changed.
+  mutable bool representatives_stale_ = true;
+  mutable bool is_representative_ = false;
+  mutable std::map<FailureDomainId, DaemonId> representatives_;
 };
 
 }  // namespace savoryglade::membership
--- a/packages/platform/memory_platform.cc
+++ b/packages/platform/memory_platform.cc
@@ -129,13 +129,16 @@
   vms_.erase(vm);
 }
 
-void MemoryPlatform::List(std::function<void(Result<std::vector<VmRecord>>)> callback) {
+void MemoryPlatform::List(const FailureDomainId& failure_domain,
+                          std::function<void(Result<std::vector<VmRecord>>)> callback) {
   Run<Result<std::vector<VmRecord>>>(
-      [this] {
+      [this, failure_domain] {
         const std::lock_guard lock(mutex_);
         std::vector<VmRecord> records;
         for (const auto& [id, record] : vms_) {
-          records.push_back(record);
+          if (failure_domain.empty() || record.failure_domain == failure_domain) {
+            records.push_back(record);
+          }
         }
         return Result<std::vector<VmRecord>>(std::move(records));
       },
--- a/packages/platform/memory_platform.h
+++ b/packages/platform/memory_platform.h
@@ -77,7 +77,8 @@
   void Put(const std::string& key, const std::string& object,
            std::function<void(Result<void>)> callback) override;
   void Get(const std::string& key, std::function<void(Result<std::string>)> callback) override;
-  void List(std::function<void(Result<std::vector<VmRecord>>)> callback) override;
+  void List(const FailureDomainId& failure_domain,
+            std::function<void(Result<std::vector<VmRecord>>)> callback) override;
   void ListOffers(std::function<void(Result<std::vector<VmOffer>>)> callback) override;
   void StartVm(const StartVmRequest& request, std::function<void(Result<VmId>)> callback) override;
   void StopVm(const VmId& vm, std::function<void(Result<void>)> callback) override;
--- a/packages/platform/services.h
+++ b/packages/platform/services.h
@@ -38,7 +38,9 @@
  public:
   virtual ~VmList() = default;
 
-  virtual void List(std::function<void(Result<std::vector<VmRecord>>)> callback) = 0;
+  // Lists the VMs of one failure domain, or of all if it is empty.
+  virtual void List(const FailureDomainId& failure_domain,
+                    std::function<void(Result<std::vector<VmRecord>>)> callback) = 0;
 };
 
 // Purchase of a VM. Two requests with the same token buy one VM.
