--- /dev/null
+++ b/packages/recovery/body_digest.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace savoryglade {
+
+// SHA-256 of a request body or of a stored answer. A collision would let one request answer for
+// another, so a cryptographic digest is used.
+using BodyDigest = std::array<std::uint8_t, 32>;
+
+// Returns the SHA-256 of the text.
+BodyDigest DigestOf(std::string_view text);
+
+}  // namespace savoryglade
--- /dev/null
+++ b/tests/recovery/claim_history.h
@@ -0,0 +1,460 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/event_queue.h"
+#include "core/random.h"
+#include "recovery/claim_committer.h"
+#include "recovery/claim_ledger.h"
+#include "tests/recovery/claim_fakes.h"
+
+namespace savoryglade {
+
+struct ClaimHistoryOptions {
+  std::uint64_t seed = 1;
+  int daemons = 3;
+  int requests = 3;
+  int max_sendings = 6;
+  double loss = 0.05;
+  double duplication = 0.05;
+  double crash = 0.3;
+  double pause = 0.5;
+  double outage = 0.4;
+  // Each process draws a nonce, so that it never answers for a predecessor with the same
+  // incarnation.
+  bool use_nonce = true;
+  // The caller says that the outcome of an earlier sending is unknown.
+  bool mark_resends = true;
+  // Messages take about a millisecond, callers are patient and upstreams run what they get.
+  bool calm = false;
+  bool keep_trace = false;
+};
+
+struct ClaimHistoryResult {
+  int requests = 0;
+  int run_twice = 0;
+  int false_not_run = 0;
+  int wrong_answers = 0;
+  int answered = 0;
+  int not_run = 0;
+  int may_have_run = 0;
+  int may_have_run_unrun = 0;
+  int no_outcome = 0;
+  int table_writes = 0;
+  // Ends with may_have_run by reason, for requests that did not run.
+  std::map<Reason, int> unrun_reasons;
+  std::vector<std::string> trace;
+};
+
+// One seeded history: callers, daemons with real ledgers and committers, a fake table and a fake
+// upstream that counts runs, on a network that loses, repeats, delays and reorders. Daemons crash,
+// restart and pause.
+class ClaimHistory {
+ public:
+  explicit ClaimHistory(const ClaimHistoryOptions& options)
+      : options_(options), random_(options.seed) {}
+
+  ClaimHistoryResult Run() {
+    for (int i = 0; i < options_.daemons; ++i) {
+      processes_.emplace_back();
+      Start(i, 1000 + i);
+      ScheduleFaults(i);
+    }
+    if (random_.Chance(options_.outage)) {
+      const Duration begin = RandomTime(10s);
+      outage_from_ = queue_.now() + begin;
+      outage_until_ = outage_from_ + RandomTime(8s);
+    }
+    for (int i = 0; i < options_.requests; ++i) {
+      callers_.push_back({.key = TestClaimKey("key-" + std::to_string(i))});
+      queue_.After(RandomTime(5s), [this, i] { Send(i); });
+    }
+    queue_.RunUntil(TimePoint{} + 300s);
+    return Judge();
+  }
+
+ private:
+  struct Process {
+    std::unique_ptr<ClaimLedger> ledger;
+    std::unique_ptr<ClaimCommitter> committer;
+    DaemonId name;
+    std::uint64_t incarnation = 0;
+    std::uint64_t generation = 0;
+    TimePoint paused_until;
+    Duration clock_offset = Duration::zero();
+    bool alive = false;
+    bool ticking = false;
+  };
+
+  struct SendingRecord {
+    bool ended = false;
+    bool said_not_run = false;
+    bool ran = false;
+  };
+
+  struct Caller {
+    ClaimKey key;
+    std::vector<SendingRecord> sendings;
+    bool finished = false;
+    std::optional<RunState> final_state;
+    Reason reason = Reason::kNone;
+    int runs = 0;
+  };
+
+  Duration RandomTime(Duration limit) { return FromSeconds(random_.Unit() * ToSeconds(limit)); }
+
+  // Network delay: usually about a millisecond, at times seconds.
+  Duration Delay() {
+    return !options_.calm && random_.Chance(0.1) ? RandomTime(8s)
+                                                 : 1ms + FromSeconds(random_.Exponential(0.005));
+  }
+
+  void Trace(std::string line) {
+    if (!options_.keep_trace) {
+      return;
+    }
+    trace_.push_back(std::to_string(queue_.now().time_since_epoch() / 1ms) +
+                     " ms: " + std::move(line));
+  }
+
+  // Delivers a message to a callback, with loss, duplication and reordering.
+  void Transmit(const std::function<void()>& deliver) {
+    const int copies = random_.Chance(options_.loss)          ? 0
+                       : random_.Chance(options_.duplication) ? 2
+                                                              : 1;
+    for (int i = 0; i < copies; ++i) {
+      queue_.After(Delay(), deliver);
+    }
+  }
+
+  // Runs a step in the process if it is still the same one, after its pause if it is paused.
+  void InProcess(int i, std::uint64_t generation, const std::function<void()>& step) {
+    const Process& process = processes_[i];
+    if (!process.alive || process.generation != generation) {
+      return;
+    }
+    if (queue_.now() < process.paused_until) {
+      queue_.At(process.paused_until, [=, this] { InProcess(i, generation, step); });
+      return;
+    }
+    step();
+    TickLater(i, generation);
+  }
+
+  // Sends a message to whichever process of the daemon lives when it arrives.
+  void ToDaemon(int i, const std::function<void()>& step) {
+    Transmit([=, this] { InProcess(i, processes_[i].generation, step); });
+  }
+
+  TimePoint Now(int i) const { return queue_.now() + processes_[i].clock_offset; }
+
+  void Start(int i, std::uint64_t incarnation) {
+    Process& process = processes_[i];
+    process.name = DaemonId("daemon-" + std::to_string(i));
+    process.incarnation = incarnation;
+    ++process.generation;
+    process.alive = true;
+    process.paused_until = queue_.now();
+    process.clock_offset = RandomTime(1000s);
+    const std::uint64_t nonce = options_.use_nonce ? random_.Next() : 0;
+    process.ledger = std::make_unique<ClaimLedger>(ClaimOwner{process.name, incarnation, nonce},
+                                                   ClaimLedgerOptions{});
+    process.committer = std::make_unique<ClaimCommitter>(ClaimCommitterOptions{});
+    process.ticking = false;
+  }
+
+  // Ticks while there is anything to wait for.
+  void TickLater(int i, std::uint64_t generation) {
+    Process& process = processes_[i];
+    if (process.ticking || (process.ledger->size() == 0 && process.committer->idle())) {
+      return;
+    }
+    process.ticking = true;
+    queue_.After(50ms, [=, this] {
+      InProcess(i, generation, [=, this] {
+        processes_[i].ticking = false;
+        Perform(i, processes_[i].ledger->Tick(Now(i)));
+        PassOn(i, processes_[i].committer->Expire(Now(i)));
+        if (const auto transaction = processes_[i].committer->Next(Now(i))) {
+          Commit(i, *transaction);
+        }
+      });
+    });
+  }
+
+  void ScheduleFaults(int i) {
+    if (random_.Chance(options_.crash)) {
+      queue_.After(RandomTime(15s), [this, i] {
+        processes_[i].alive = false;
+        Trace(processes_[i].name.value() + " crashes");
+        for (std::size_t c = 0; c < callers_.size(); ++c) {
+          LoseConnection(static_cast<int>(c));
+        }
+        queue_.After(RandomTime(10s), [this, i] {
+          // A clock that was set back can give the incarnation of the predecessor again.
+          const std::uint64_t step = random_.Chance(0.5) ? 0 : 1;
+          Start(i, processes_[i].incarnation + step);
+          Trace(processes_[i].name.value() + " restarts");
+        });
+      });
+    }
+    for (int n = 0; n < 2; ++n) {
+      if (random_.Chance(options_.pause)) {
+        queue_.After(RandomTime(15s), [this, i] {
+          processes_[i].paused_until = queue_.now() + RandomTime(8s);
+          Trace(processes_[i].name.value() + " pauses");
+        });
+      }
+    }
+  }
+
+  bool TableDown() const { return queue_.now() >= outage_from_ && queue_.now() < outage_until_; }
+
+  void Commit(int i, const ClaimTransaction& transaction) {
+    const std::uint64_t generation = processes_[i].generation;
+    const auto answer = [=, this](TableStatus status, const std::set<ClaimKey>& conflicts) {
+      Transmit([=, this] {
+        InProcess(i, generation, [=, this] {
+          PassOn(i, processes_[i].committer->OnResult(transaction.id, status, conflicts));
+        });
+      });
+    };
+    Transmit([=, this] {
+      if (TableDown()) {
+        // An outage answers some requests with an error and the others not at all.
+        if (random_.Chance(0.5)) {
+          answer(TableStatus::kUnavailable, {});
+        }
+        return;
+      }
+      ++result_.table_writes;
+      const std::set<ClaimKey> conflicts = table_.Apply(transaction.writes);
+      answer(conflicts.empty() ? TableStatus::kCommitted : TableStatus::kConflict, conflicts);
+    });
+  }
+
+  void PassOn(int committer, const std::vector<ClaimWriteResult>& results) {
+    for (const ClaimWriteResult& result : results) {
+      const int i = IndexOf(result.daemon);
+      const auto step = [=, this] {
+        Perform(i, processes_[i].ledger->OnWriteResult(result.id, result.status, Now(i)));
+      };
+      if (i == committer) {
+        step();
+      } else {
+        const std::uint64_t generation = processes_[i].generation;
+        Transmit([=, this] { InProcess(i, generation, step); });
+      }
+    }
+  }
+
+  int IndexOf(const DaemonId& daemon) const {
+    for (std::size_t i = 0; i < processes_.size(); ++i) {
+      if (processes_[i].name == daemon) {
+        return static_cast<int>(i);
+      }
+    }
+    return 0;
+  }
+
+  void Perform(int i, const ClaimActions& actions) {
+    const std::uint64_t generation = processes_[i].generation;
+    if (!actions.writes.empty()) {
+      int committer = 0;
+      while (!processes_[committer].alive) {
+        ++committer;
+      }
+      if (committer == i || random_.Chance(0.2)) {
+        PassOn(i, processes_[i].committer->Submit(processes_[i].name, actions.writes));
+      } else {
+        ToDaemon(committer, [=, this, writes = actions.writes, name = processes_[i].name] {
+          PassOn(committer, processes_[committer].committer->Submit(name, writes));
+        });
+      }
+    }
+    for (const ClaimRead& read : actions.reads) {
+      Transmit([=, this] {
+        const bool down = TableDown();
+        const std::optional<ClaimRow> row = table_.Read(read.key);
+        Transmit([=, this] {
+          InProcess(i, generation, [=, this] {
+            const TableStatus status = down ? TableStatus::kUnavailable : TableStatus::kCommitted;
+            Perform(i, processes_[i].ledger->OnReadResult(read.id, status, row, Now(i)));
+          });
+        });
+      });
+    }
+    for (const ClaimQuery& query : actions.queries) {
+      const int owner = IndexOf(query.token.owner.daemon);
+      ToDaemon(owner,
+               [=, this] { Perform(owner, processes_[owner].ledger->OnQuery(query, Now(owner))); });
+    }
+    for (const ClaimReply& reply : actions.replies) {
+      const int asker = IndexOf(reply.asker);
+      ToDaemon(asker,
+               [=, this] { Perform(asker, processes_[asker].ledger->OnReply(reply, Now(asker))); });
+    }
+    for (const ClaimTicket ticket : actions.ready) {
+      // Time in the queue of the daemon.
+      queue_.After(RandomTime(!options_.calm && random_.Chance(0.1) ? 7s : 100ms),
+                   [=, this] { InProcess(i, generation, [=, this] { Dispatch(i, ticket); }); });
+    }
+    for (const ClaimOutcome& outcome : actions.outcomes) {
+      OnOutcome(outcome);
+    }
+  }
+
+  void Dispatch(int i, ClaimTicket ticket) {
+    ClaimActions actions;
+    const bool granted = processes_[i].ledger->BeginDispatch(ticket, Now(i), &actions);
+    Perform(i, actions);
+    if (!granted) {
+      return;
+    }
+    Caller& caller = callers_[ticket / 100];
+    Trace(processes_[i].name.value() + " dispatches sending " + std::to_string(ticket));
+    const std::uint64_t generation = processes_[i].generation;
+    const auto tell = [=, this](const std::function<ClaimActions()>& call, Duration delay) {
+      queue_.After(delay,
+                   [=, this] { InProcess(i, generation, [=, this] { Perform(i, call()); }); });
+    };
+    const auto lost = [=, this] { return processes_[i].ledger->OnLost(ticket, Now(i)); };
+    if (random_.Chance(options_.loss)) {
+      tell(lost, Delay());
+      return;
+    }
+    // The process may pause between the mark and the first byte, and the bytes may be late in the
+    // network.
+    queue_.After(Delay(), [=, this, &caller] {
+      if (!options_.calm && random_.Chance(0.05)) {
+        tell([=, this] { return processes_[i].ledger->OnStatedNotRun(ticket, Now(i)); }, Delay());
+        return;
+      }
+      ++caller.runs;
+      caller.sendings[ticket % 100].ran = true;
+      Trace("upstream runs sending " + std::to_string(ticket));
+      if (random_.Chance(options_.loss)) {
+        tell(lost, Delay());
+        return;
+      }
+      const std::string body = "answer to " + caller.key.key.value();
+      tell([=, this] { return processes_[i].ledger->OnCompleted(ticket, 200, body, Now(i)); },
+           Delay());
+    });
+  }
+
+  void Send(int c) {
+    Caller& caller = callers_[c];
+    if (caller.finished ||
+        caller.sendings.size() >= static_cast<std::size_t>(options_.max_sendings)) {
+      return;
+    }
+    bool uncertain = false;
+    for (const SendingRecord& sending : caller.sendings) {
+      uncertain = uncertain || !sending.said_not_run;
+    }
+    const std::size_t number = caller.sendings.size();
+    const ClaimTicket ticket = static_cast<ClaimTicket>(c) * 100 + number;
+    caller.sendings.emplace_back();
+    const int i = static_cast<int>(random_.Below(processes_.size()));
+    const bool resend = uncertain && options_.mark_resends;
+    Trace("caller sends " + std::to_string(ticket) + " to " + processes_[i].name.value());
+    const ClaimRequest request{ticket, caller.key, DigestOf(caller.key.key.value()), resend};
+    queue_.After(Delay(), [=, this] {
+      InProcess(i, processes_[i].generation,
+                [=, this] { Perform(i, processes_[i].ledger->Begin(request, Now(i))); });
+    });
+    const bool impatient = !options_.calm && random_.Chance(0.3);
+    queue_.After(impatient ? RandomTime(2s) : 20s, [=, this] {
+      if (callers_[c].sendings.size() == number + 1 && !callers_[c].sendings[number].ended) {
+        if (random_.Chance(0.5)) {
+          InProcess(i, processes_[i].generation,
+                    [=, this] { Perform(i, processes_[i].ledger->Cancel(ticket, Now(i))); });
+        }
+        Send(c);
+      }
+    });
+  }
+
+  void LoseConnection(int c) {
+    queue_.After(Delay(), [this, c] {
+      if (!callers_[c].sendings.empty() && !callers_[c].sendings.back().ended) {
+        Send(c);
+      }
+    });
+  }
+
+  void OnOutcome(const ClaimOutcome& outcome) {
+    const int c = static_cast<int>(outcome.ticket / 100);
+    Caller& caller = callers_[c];
+    const std::size_t number = outcome.ticket % 100;
+    caller.sendings[number].ended = true;
+    if (const auto* answer = std::get_if<StoredAnswer>(&outcome.result)) {
+      Trace("sending " + std::to_string(outcome.ticket) + " is answered");
+      const bool right = caller.runs == 1 && answer->body == "answer to " + caller.key.key.value();
+      result_.wrong_answers += right ? 0 : 1;
+      caller.finished = true;
+      caller.final_state = RunState::kRan;
+      return;
+    }
+    const Verdict verdict = std::get<Verdict>(outcome.result);
+    Trace("sending " + std::to_string(outcome.ticket) + " ends: " +
+          std::string(ToString(verdict.run_state)) + " " + std::string(ToString(verdict.reason)));
+    caller.sendings[number].said_not_run = verdict.run_state == RunState::kNotRun;
+    if (number + 1 != caller.sendings.size() || caller.finished) {
+      return;
+    }
+    caller.final_state = verdict.run_state;
+    caller.reason = verdict.reason;
+    if (verdict.retry_after > Duration::zero()) {
+      queue_.After(verdict.retry_after, [this, c] { Send(c); });
+    }
+  }
+
+  ClaimHistoryResult Judge() {
+    for (const Caller& caller : callers_) {
+      ++result_.requests;
+      result_.run_twice += caller.runs > 1 ? 1 : 0;
+      for (std::size_t s = 0; s < caller.sendings.size(); ++s) {
+        bool ran = false;
+        for (std::size_t earlier = 0; earlier <= s; ++earlier) {
+          ran = ran || caller.sendings[earlier].ran;
+        }
+        result_.false_not_run += caller.sendings[s].said_not_run && ran ? 1 : 0;
+      }
+      const bool unknown = caller.final_state == RunState::kMayHaveRun;
+      result_.answered += caller.final_state == RunState::kRan ? 1 : 0;
+      result_.not_run += caller.final_state == RunState::kNotRun ? 1 : 0;
+      result_.may_have_run += unknown ? 1 : 0;
+      result_.may_have_run_unrun += unknown && caller.runs == 0 ? 1 : 0;
+      if (unknown && caller.runs == 0) {
+        ++result_.unrun_reasons[caller.reason];
+      }
+      result_.no_outcome += caller.final_state ? 0 : 1;
+    }
+    result_.trace = std::move(trace_);
+    return result_;
+  }
+
+  ClaimHistoryOptions options_;
+  Random random_;
+  EventQueue queue_;
+  FakeClaimTable table_;
+  std::vector<Process> processes_;
+  std::vector<Caller> callers_;
+  TimePoint outage_from_;
+  TimePoint outage_until_;
+  ClaimHistoryResult result_;
+  std::vector<std::string> trace_;
+};
+
+}  // namespace savoryglade
--- /dev/null
+++ b/tests/recovery/claim_history_test.cc
@@ -0,0 +1,42 @@
+#include "tests/recovery/claim_history.h"
+
+#include <cstdint>
+
+#include "gtest/gtest.h"
+
+namespace savoryglade {
+namespace {
+
+// Guards against a second run, a false "not run" or a wrong answer in histories with crashes, loss,
+// duplication, reordering, pauses and table outages. The bench runs 10,000 of them.
+TEST(ClaimHistoryTest, SeededHistoriesRunAtMostOnce) {
+  int answered = 0;
+  for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+    ClaimHistoryOptions options;
+    options.seed = seed;
+    const ClaimHistoryResult result = ClaimHistory(options).Run();
+    ASSERT_EQ(result.run_twice, 0) << "seed " << seed;
+    ASSERT_EQ(result.false_not_run, 0) << "seed " << seed;
+    ASSERT_EQ(result.wrong_answers, 0) << "seed " << seed;
+    answered += result.answered;
+  }
+  EXPECT_GT(answered, 0);
+}
+
+// Guards against a ledger that refuses more than it must: without faults every request is answered.
+TEST(ClaimHistoryTest, EveryRequestIsAnsweredWithoutFaults) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    const ClaimHistoryResult result = ClaimHistory({.seed = seed,
+                                                    .loss = 0,
+                                                    .duplication = 0,
+                                                    .crash = 0,
+                                                    .pause = 0,
+                                                    .outage = 0,
+                                                    .calm = true})
+                                          .Run();
+    ASSERT_EQ(result.answered, result.requests) << "seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace savoryglade
