Judge stragglers by running streams and charge hedges once

A hedge was charged a second time, at its full cost, when its winner ended, so the budget was empty and requests waited out the straggler. Hedges of streams set aside the cost of the whole generation although they end at the first token. And 6% of the requests were probes of stragglers whose running streams already showed that they were slow.

Change: a hedge is settled once, by the losing attempt; streams set aside prompt cost only. OnProgress feeds the time per token: a gap in the tokens of running streams marks a straggler, slow streams put off probes, and streams that are fast again end it without probes. Expected first tokens follow the prompt work only. CandidateFinder is split from the table. Select records only blocks that did not match; the rest is confirmed when the attempt ends.

--- a/bench/routing/stragglers.cc
+++ b/bench/routing/stragglers.cc
@@ -21,6 +21,9 @@
 constexpr Duration kReportInterval = 1s;
 constexpr double kSlowness = 10;
 constexpr double kMeanMoment = 3;
+// Tokens take this work each and reach the daemon in reads of so many.
+constexpr double kTokenWork = 0.02;
+constexpr int kTokensPerRead = 5;
 const ServiceId kService("service");
 
 enum class Policy { kRoundRobin, kLeastReported, kOurs };
@@ -116,6 +119,7 @@
     double prompt_work = 0;
     double work = 0;
     RouteRequest route;
+    std::size_t milestones = 1;
     bool counted = false;
     bool answered = false;
     std::vector<std::uint64_t> attempts;
@@ -233,11 +237,12 @@
     attempts_[attempt] = {.request = id, .upstream = upstream, .dispatched = events_.now()};
     std::vector<double> milestones;
     if (streams()) {
-      const double rest = request.work - request.prompt_work;
-      milestones = {request.prompt_work, request.prompt_work + rest / 4,
-                    request.prompt_work + rest / 2, request.prompt_work + rest * 3 / 4};
+      for (double at = request.prompt_work; at < request.work; at += kTokensPerRead * kTokenWork) {
+        milestones.push_back(at);
+      }
     }
     milestones.push_back(request.work);
+    request.milestones = milestones.size();
     upstreams_[upstream]->Submit(attempt, std::move(milestones));
     if (policy_ == Policy::kOurs && hedge_of == 0) {
       CheckHedge(attempt);
@@ -273,7 +278,7 @@
     Attempt& attempt = found->second;
     Request& request = requests_.at(attempt.request);
     const TimePoint now = events_.now();
-    const bool last = milestone == (streams() ? 4U : 0U);
+    const bool last = milestone + 1 == request.milestones;
     if (!request.answered) {
       request.answered = true;
       if (request.counted) {
@@ -282,13 +287,12 @@
       CancelOthers(request, id);
     }
     UpstreamTable& table = request.daemon->table;
-    // Tokens take 20 ms of work each.
-    const int tokens = static_cast<int>((request.work - request.prompt_work) * 50);
+    const int tokens = static_cast<int>((request.work - request.prompt_work) / kTokenWork);
     if (streams() && milestone == 0) {
       attempt.first_token = now - attempt.dispatched;
       table.OnFirstToken(names_[attempt.upstream], attempt.first_token, now, id);
     } else if (!last) {
-      table.OnProgress(id, tokens * static_cast<int>(milestone) / 4, now);
+      table.OnProgress(id, kTokensPerRead * static_cast<int>(milestone), now);
     }
     if (!last) {
       return;
--- a/packages/routing/attempt_book.h
+++ b/packages/routing/attempt_book.h
@@ -30,6 +30,7 @@
   // The other attempt of a hedged request, and the budget that is set aside for both.
   AttemptId partner = 0;
   double reserved = 0;
+  bool settled = false;
 };
 
 // The running attempts by number.
--- a/packages/routing/load_estimate.h
+++ b/packages/routing/load_estimate.h
@@ -37,6 +37,9 @@
   // Returns the estimated number of requests of other daemons, after ageing.
   double OthersRunning(TimePoint now) const;
 
+  // Returns the own prompt work that was dispatched and not yet answered, in seconds.
+  double pending_prompts() const { return prompt_cost_; }
+
   // Returns the predicted time in seconds until a request with this uncached prompt cost would get
   // its first token, given the number of slots.
   double PredictedWait(double prompt_cost, int slots, TimePoint now) const;
--- a/packages/routing/straggler_detector.cc
+++ b/packages/routing/straggler_detector.cc
@@ -60,7 +60,9 @@
     return;
   }
   left_ = true;
+  left_at_ = now;
   probe_running_ = false;
+  streams_were_slow_ = false;
   good_probes_ = 0;
   probe_interval_ = kFirstProbe;
   next_probe_ = now + probe_interval_;
@@ -74,6 +76,28 @@
   return ProbeDue(now) && now - next_probe_ >= kProbeOverdueFactor * probe_interval_;
 }
 
+bool StragglerDetector::OnStreamEvidence(double ratio, TimePoint since, TimePoint now) {
+  if (!left_) {
+    return false;
+  }
+  if (ratio > kReturnRatio) {
+    streams_were_slow_ = true;
+    good_probes_ = 0;
+    // The next tokens of the slow stream are due after about as long again, and tell as much.
+    next_probe_ =
+        std::max(next_probe_, now + std::max<Duration>(kFirstProbe, (now - since) * 3 / 2));
+    return false;
+  }
+  // Without slow tokens the upstream was left for another cause, which tokens say nothing about.
+  if (!streams_were_slow_ || since < left_at_) {
+    return false;
+  }
+  const bool probe_running = probe_running_;
+  const bool returned = OnProbeEnd(ratio, now);
+  probe_running_ = probe_running && !returned;
+  return returned;
+}
+
 bool StragglerDetector::OnProbeEnd(double ratio, TimePoint now) {
   probe_running_ = false;
   if (ratio > kReturnRatio) {
--- a/packages/routing/straggler_detector.h
+++ b/packages/routing/straggler_detector.h
@@ -70,6 +70,11 @@
   // Reserves the probe.
   void OnProbeStart() { probe_running_ = true; }
 
+  // Learns the ratio of a running stream's time per token to the median, over a span that began at
+  // the given instant. Streams that are still slow put off probes; streams that were slow and are
+  // no longer count as good probes. Returns true if the upstream came back.
+  bool OnStreamEvidence(double ratio, TimePoint since, TimePoint now);
+
   // Learns the ratio of a probe's latency to the median. Returns true if the upstream came back.
   bool OnProbeEnd(double ratio, TimePoint now);
 
@@ -77,6 +82,8 @@
   std::array<LatencyWindow, kLatencyKinds> windows_;
   bool left_ = false;
   bool probe_running_ = false;
+  bool streams_were_slow_ = false;
+  TimePoint left_at_{};
   int good_probes_ = 0;
   Duration probe_interval_{};
   TimePoint next_probe_{};
--- a/packages/routing/upstream_entry.h
+++ b/packages/routing/upstream_entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,12 @@
     double expected_total = 0;
   };
 
+  // Returns the number of requests that this daemon may run, given its share of the limit.
+  int SlotsFor(double limit_share) const {
+    return std::max(1, static_cast<int>(limit.limit() * limit_share));
+  }
+  bool HasSlot(double limit_share) const { return load.running() < SlotsFor(limit_share); }
+
   UpstreamConfig config;
   UpstreamNumber number;
   Availability availability;
@@ -40,6 +47,9 @@
   // deadline.
   TimePoint last_answer = TimePoint::min();
   std::vector<Waiting> waiting;
+  // Attempts between first and last token, and when a token of any of them last arrived.
+  int streaming = 0;
+  TimePoint last_token{};
   // Attempts that the caller gave no number.
   std::vector<AttemptId> unnumbered;
 };
--- a/packages/routing/upstream_group.cc
+++ b/packages/routing/upstream_group.cc
@@ -10,6 +10,9 @@
 // Of the upstreams of a group, at most one in this number is left as a straggler; if more are slow,
 // the load is the cause and leaving them makes it worse.
 constexpr std::size_t kGroupPerStraggler = 3;
+// Engines pause their streams for prompts of this length in seconds; such gaps are no sign of
+// slowness.
+constexpr double kShortestGap = 0.08;
 
 }  // namespace
 
@@ -59,6 +62,14 @@
   return true;
 }
 
+double UpstreamGroup::TokenGapRatio(const UpstreamEntry& entry, TimePoint now) const {
+  if (!reports_progress_ || entry.streaming == 0 || token_median() <= 0) {
+    return 0;
+  }
+  return ToSeconds(now - entry.last_token) /
+         std::max(kShortestGap, kTokensPerSample * token_median());
+}
+
 bool UpstreamGroup::CheckOverdue(UpstreamEntry& entry, TimePoint now, RoutingCounters& counters) {
   if (entry.straggler.left()) {
     return true;
@@ -75,7 +86,27 @@
     evidence += ratio >= StragglerDetector::kSureRatio ? 2 : 0;
     evidence += ratio >= StragglerDetector::kLeaveRatio ? 1 : 0;
   }
-  return evidence >= 2 && Leave(entry, now, counters);
+  const double gap = TokenGapRatio(entry, now);
+  evidence += gap >= StragglerDetector::kSureRatio ? 1 : 0;
+  evidence += gap >= StragglerDetector::kLeaveRatio ? std::min(entry.streaming, 2) : 0;
+  if (evidence < 2 || !Leave(entry, now, counters)) {
+    return false;
+  }
+  if (gap >= StragglerDetector::kLeaveRatio) {
+    entry.straggler.OnStreamEvidence(gap, now, now);
+  }
+  return true;
+}
+
+void UpstreamGroup::SampleStream(UpstreamEntry& entry, double seconds_per_token, TimePoint since,
+                                 TimePoint now, RoutingCounters& counters) {
+  Sample(entry, LatencyKind::kPerToken, seconds_per_token, false, now, counters);
+  if (token_median() <= 0 ||
+      !entry.straggler.OnStreamEvidence(seconds_per_token / token_median(), since, now)) {
+    return;
+  }
+  counters.Add(RoutingCount::kStragglersReturned);
+  entry.limit.Restart();
 }
 
 bool UpstreamGroup::Sample(UpstreamEntry& entry, LatencyKind kind, double value, bool probe,
--- a/packages/routing/upstream_group.h
+++ b/packages/routing/upstream_group.h
@@ -16,6 +16,9 @@
 // that streams are judged by their first token, others by their total latency.
 class UpstreamGroup {
  public:
+  // Tokens between two observations of a running stream.
+  static constexpr int kTokensPerSample = 4;
+
   // Removes all upstreams and keeps the latencies.
   void ClearEntries() { entries_.clear(); }
 
@@ -34,9 +37,18 @@
   void OnFirstToken() { streams_ = true; }
   bool streams() const { return streams_; }
 
+  // Learns that the tokens of running attempts are reported, so that their absence means something.
+  void OnProgress() { reports_progress_ = true; }
+
   // Recomputes the medians if they are old.
   void Refresh(TimePoint now);
 
+  // Returns the cost that a hedge of the attempt can waste at most. Streams are decided at the
+  // first token, so only prompt work is done twice.
+  double HedgeCost(const RunningAttempt& attempt) const {
+    return streams_ ? attempt.prompt_cost : attempt.cost;
+  }
+
   // Returns the time in seconds after which the answer to an attempt is usually there; nothing
   // while the usual latency is unknown.
   std::optional<double> UsualAnswer(const RunningAttempt& attempt) const;
@@ -45,6 +57,14 @@
   // it is left.
   bool CheckOverdue(UpstreamEntry& entry, TimePoint now, RoutingCounters& counters);
 
+  // Returns the time since the last token of any running stream of the upstream as a multiple of
+  // the usual time; zero without running streams.
+  double TokenGapRatio(const UpstreamEntry& entry, TimePoint now) const;
+
+  // Learns the time per token of a running stream over a span that began at the given instant.
+  void SampleStream(UpstreamEntry& entry, double seconds_per_token, TimePoint since, TimePoint now,
+                    RoutingCounters& counters);
+
   // Learns a normalised latency. Returns true if it decided a probe.
   bool Sample(UpstreamEntry& entry, LatencyKind kind, double value, bool probe, TimePoint now,
               RoutingCounters& counters);
@@ -58,6 +78,9 @@
     return streams_ ? LatencyKind::kFirstToken : LatencyKind::kTotal;
   }
   double judged_median() const { return medians_.at(static_cast<std::size_t>(judged_kind())); }
+  double token_median() const {
+    return medians_.at(static_cast<std::size_t>(LatencyKind::kPerToken));
+  }
   bool Leave(UpstreamEntry& entry, TimePoint now, RoutingCounters& counters);
 
   std::vector<UpstreamEntry*> entries_;
@@ -65,6 +88,7 @@
   TimePoint medians_at_ = TimePoint::min();
   double typical_cost_ = 0;
   bool streams_ = false;
+  bool reports_progress_ = false;
   std::vector<double> values_;
 };
 
--- a/packages/routing/upstream_table.cc
+++ b/packages/routing/upstream_table.cc
@@ -16,7 +16,6 @@
 // A request on an upstream that is already known as a straggler need not wait for as much proof.
 constexpr double kHedgeRatioAtStraggler = 1.5;
 constexpr std::size_t kMostHolders = 4;
-constexpr int kTokensPerSample = 8;
 constexpr double kDistrustBelow = 0.5;
 
 double ExpectedTotal(double cost) { return cost + kTotalFloor; }
@@ -26,9 +25,9 @@
                                  : request.predicted_cost * kAssumedPromptShare;
 }
 
-bool IsExcluded(const RouteRequest& request, const UpstreamId& name) {
-  return std::find(request.excluded.begin(), request.excluded.end(), name) !=
-         request.excluded.end();
+double UncachedPromptCost(const PrefixMatch& match, const RouteRequest& request) {
+  const double blocks = static_cast<double>(request.prefix_hashes.size());
+  return PromptCost(request) * (blocks > 0 ? 1 - match.trusted_blocks() / blocks : 1);
 }
 
 }  // namespace
@@ -90,10 +89,6 @@
 
 void UpstreamTable::SetLimitShare(double share) { limit_share_ = std::clamp(share, 0.0, 1.0); }
 
-int UpstreamTable::SlotsOf(const Entry& entry) const {
-  return std::max(1, static_cast<int>(entry.limit.limit() * limit_share_));
-}
-
 bool UpstreamTable::HasCapacity(const ServiceId& service, TimePoint now) const {
   const auto group = groups_.find(service);
   if (group == groups_.end()) {
@@ -103,95 +98,33 @@
       group->second.entries().begin(), group->second.entries().end(), [&](const Entry* entry) {
         const Availability::State state = entry->availability.StateAt(now);
         return (state == Availability::State::kUsable || state == Availability::State::kProbe) &&
-               !entry->straggler.left() && HasSlot(*entry);
+               !entry->straggler.left() && entry->HasSlot(limit_share_);
       });
 }
 
-bool UpstreamTable::MayProbe(const Entry& entry, const Group& group, const RouteRequest& request,
-                             TimePoint now) const {
-  // Cheap repeatable requests lose least by a probe that goes wrong.
-  return request.hedge_of == 0 && ((request.repeatable && group.IsCheap(request.predicted_cost)) ||
-                                   entry.straggler.ProbeOverdue(now));
-}
-
-void UpstreamTable::FindUsable(const Group& group, const RouteRequest& request, const Entry* hedged,
-                               TimePoint now) {
-  usable_.local.clear();
-  usable_.remote.clear();
-  usable_.probe = nullptr;
-  usable_.refusal = RoutingCount::kRefusedLeaving;
-  Entry* returning = nullptr;
-  // The cause closest to being usable is the one that is counted.
-  const auto refuse = [this](RoutingCount cause) {
-    constexpr std::array kOrder = {RoutingCount::kRefusedLeaving, RoutingCount::kRefusedPaused,
-                                   RoutingCount::kRefusedExcluded, RoutingCount::kRefusedStragglers,
-                                   RoutingCount::kRefusedAtLimit};
-    const auto rank = [&](RoutingCount count) {
-      return std::find(kOrder.begin(), kOrder.end(), count) - kOrder.begin();
-    };
-    if (rank(cause) > rank(usable_.refusal)) {
-      usable_.refusal = cause;
-    }
-  };
-  for (Entry* entry : group.entries()) {
-    const Availability::State state = entry->availability.StateAt(now);
-    if (state == Availability::State::kLeaving) {
-      continue;
-    }
-    if (state == Availability::State::kPaused) {
-      refuse(RoutingCount::kRefusedPaused);
-      continue;
-    }
-    if (entry == hedged || IsExcluded(request, entry->config.name)) {
-      refuse(RoutingCount::kRefusedExcluded);
-      continue;
-    }
-    if (!HasSlot(*entry)) {
-      refuse(RoutingCount::kRefusedAtLimit);
-      continue;
-    }
-    if (state == Availability::State::kProbe) {
-      returning = entry;
-      continue;
-    }
-    if (entry->straggler.left()) {
-      refuse(RoutingCount::kRefusedStragglers);
-      if (entry->straggler.ProbeDue(now) && MayProbe(*entry, group, request, now)) {
-        usable_.probe = entry;
-      }
-      continue;
-    }
-    (entry->local ? usable_.local : usable_.remote).push_back(entry);
-  }
-  const bool none = usable_.local.empty() && usable_.remote.empty();
-  if (returning != nullptr && (none || MayProbe(*returning, group, request, now))) {
-    usable_.probe = returning;
-  }
-}
-
 void UpstreamTable::FindCandidates(const RouteRequest& request) {
-  usable_.candidates.clear();
-  usable_.holders.clear();
+  candidates_.clear();
+  holders_.clear();
   const auto draw = [this](const std::vector<Entry*>& from, int count) {
     for (int i = 0; i < count && !from.empty(); ++i) {
-      usable_.candidates.push_back(from[random_.Below(from.size())]);
+      candidates_.push_back(from[random_.Below(from.size())]);
     }
   };
-  draw(usable_.local, 2);
-  draw(usable_.remote, usable_.local.empty() ? 2 : 1);
+  draw(finder_.local(), 2);
+  draw(finder_.remote(), finder_.local().empty() ? 2 : 1);
   if (request.prefix_hashes.empty()) {
     return;
   }
-  prefixes_.FindHolders(request.prefix_hashes, usable_.holders);
+  prefixes_.FindHolders(request.prefix_hashes, holders_);
   std::size_t added = 0;
-  for (const UpstreamNumber number : usable_.holders) {
+  for (const UpstreamNumber number : holders_) {
     Entry* entry = Find(number);
     if (entry == nullptr) {
       continue;
     }
-    const std::vector<Entry*>& list = entry->local ? usable_.local : usable_.remote;
+    const std::vector<Entry*>& list = entry->local ? finder_.local() : finder_.remote();
     if (std::find(list.begin(), list.end(), entry) != list.end()) {
-      usable_.candidates.push_back(entry);
+      candidates_.push_back(entry);
       if (++added == kMostHolders) {
         break;
       }
@@ -199,18 +132,10 @@
   }
 }
 
-double UpstreamTable::UncachedPromptCost(const Entry& entry, const RouteRequest& request) const {
-  const double cost = PromptCost(request);
-  if (request.prefix_hashes.empty()) {
-    return cost;
-  }
-  const PrefixMatch match = prefixes_.Match(request.prefix_hashes, entry.number);
-  return cost * (1 - match.trusted_blocks() / static_cast<double>(request.prefix_hashes.size()));
-}
-
 double UpstreamTable::Score(const Entry& entry, const RouteRequest& request, TimePoint now) const {
+  const PrefixMatch match = prefixes_.Match(request.prefix_hashes, entry.number);
   const double wait =
-      entry.load.PredictedWait(UncachedPromptCost(entry, request), entry.limit.limit(), now);
+      entry.load.PredictedWait(UncachedPromptCost(match, request), entry.limit.limit(), now);
   const double rest = std::max(0.0, request.predicted_cost - PromptCost(request));
   return (wait + rest) * entry.load.PaceAt(now) + 2 * entry.distance +
          entry.price_per_cost * request.predicted_cost;
@@ -221,7 +146,7 @@
   Entry* best = nullptr;
   double best_score = std::numeric_limits<double>::infinity();
   Entry* best_overdue = nullptr;
-  for (Entry* entry : usable_.candidates) {
+  for (Entry* entry : candidates_) {
     if (entry == best) {
       continue;
     }
@@ -238,7 +163,7 @@
   if (best != nullptr) {
     return best;
   }
-  for (const std::vector<Entry*>* list : {&usable_.local, &usable_.remote}) {
+  for (const std::vector<Entry*>* list : {&finder_.local(), &finder_.remote()}) {
     for (Entry* entry : *list) {
       if (!entry->straggler.left()) {
         return entry;
@@ -259,21 +184,21 @@
   if (request.hedge_of != 0) {
     const auto original = attempts_.find(request.hedge_of);
     if (original == attempts_.end() || request.attempt == 0 || original->second.partner != 0 ||
-        !original->second.repeatable || !hedge_budget_.Allows(request.predicted_cost)) {
+        !original->second.repeatable || !hedge_budget_.Allows(group.HedgeCost(original->second))) {
       counters_.Add(RoutingCount::kRefusedHedgeBudget);
       return tl::make_unexpected(Reason::kRetryBudgetExhausted);
     }
     hedged = Find(original->second.upstream);
   }
   group.Refresh(now);
-  FindUsable(group, request, hedged, now);
-  Entry* chosen = usable_.probe;
+  finder_.Find(group, request, hedged, limit_share_, now);
+  if (finder_.empty()) {
+    counters_.Add(finder_.refusal());
+    return tl::make_unexpected(Reason::kNoUpstream);
+  }
+  Entry* chosen = finder_.probe();
   const bool probe = chosen != nullptr;
   if (!probe) {
-    if (usable_.local.empty() && usable_.remote.empty()) {
-      counters_.Add(usable_.refusal);
-      return tl::make_unexpected(Reason::kNoUpstream);
-    }
     FindCandidates(request);
     chosen = ChooseCandidate(group, request, now);
   }
@@ -301,31 +226,34 @@
     id = next_unnumbered_++;
     entry.unnumbered.push_back(id);
   }
+  const PrefixMatch match = prefixes_.Match(request.prefix_hashes, entry.number);
   RunningAttempt attempt;
   attempt.upstream = entry.number;
   attempt.cost = request.predicted_cost;
-  attempt.prompt_cost = UncachedPromptCost(entry, request);
+  attempt.prompt_cost = UncachedPromptCost(match, request);
   attempt.expected_first_token =
-      entry.load.PredictedWait(attempt.prompt_cost, entry.limit.limit(), now) + kFirstTokenFloor;
+      entry.load.pending_prompts() + attempt.prompt_cost + kFirstTokenFloor;
   attempt.expected_total = ExpectedTotal(request.predicted_cost);
   attempt.dispatched = now;
   attempt.last_progress = now;
   attempt.repeatable = request.repeatable;
   attempt.probe = probe;
   attempt.hashes = request.prefix_hashes;
-  attempt.expected_blocks = prefixes_.Match(request.prefix_hashes, entry.number).blocks;
+  attempt.expected_blocks = match.blocks;
   if (request.hedge_of != 0) {
     counters_.Add(RoutingCount::kHedges);
-    hedge_budget_.Reserve(request.predicted_cost);
     RunningAttempt& original = attempts_.at(request.hedge_of);
+    const double reserved = group.HedgeCost(original);
+    hedge_budget_.Reserve(reserved);
     original.partner = request.attempt;
-    original.reserved = request.predicted_cost;
+    original.reserved = reserved;
     attempt.partner = request.hedge_of;
-    attempt.reserved = request.predicted_cost;
+    attempt.reserved = reserved;
   }
   entry.load.Start(attempt.cost, attempt.prompt_cost, now);
   entry.waiting.push_back({id, now, attempt.expected_first_token, attempt.expected_total});
-  prefixes_.Record(request.prefix_hashes, entry.number);
+  // The blocks that match are confirmed when the attempt ends; here they would cost time.
+  prefixes_.Record(std::span(request.prefix_hashes).subspan(match.blocks), entry.number);
   attempts_.insert_or_assign(id, std::move(attempt));
 }
 
@@ -350,7 +278,7 @@
   const TimePoint late = attempt.dispatched + FromSeconds(*usual * StragglerDetector::kLeaveRatio);
   const TimePoint due = left ? early : late;
   if (now >= due) {
-    if (hedge_budget_.Allows(attempt.cost)) {
+    if (hedge_budget_.Allows(group.HedgeCost(attempt))) {
       return now;
     }
     return now + std::max<Duration>(kHedgeRecheck, FromSeconds(*usual));
@@ -404,6 +332,8 @@
   entry->limit.OnProgress();
   attempt.first_token = true;
   attempt.last_progress = now;
+  ++entry->streaming;
+  entry->last_token = now;
   entry->load.FinishPrompt(attempt.prompt_cost);
   if (group.Sample(*entry, LatencyKind::kFirstToken,
                    ToSeconds(latency) / attempt.expected_first_token, attempt.probe, now,
@@ -418,20 +348,25 @@
     return;
   }
   RunningAttempt& attempt = found->second;
-  const int fresh = tokens - attempt.tokens;
   Entry* entry = Find(attempt.upstream);
-  if (fresh < kTokensPerSample || entry == nullptr) {
+  if (entry == nullptr || tokens <= attempt.tokens) {
+    return;
+  }
+  Group& group = GroupOf(*entry);
+  group.OnProgress();
+  entry->last_token = now;
+  if (tokens - attempt.tokens < Group::kTokensPerSample) {
     return;
   }
-  GroupOf(*entry).Sample(*entry, LatencyKind::kPerToken,
-                         ToSeconds(now - attempt.last_progress) / fresh, false, now, counters_);
+  group.SampleStream(*entry, ToSeconds(now - attempt.last_progress) / (tokens - attempt.tokens),
+                     attempt.last_progress, now, counters_);
   attempt.tokens = tokens;
   attempt.last_progress = now;
 }
 
 void UpstreamTable::SettleHedge(const RunningAttempt& attempt, AttemptId id, AttemptResult result,
                                 TimePoint now) {
-  if (attempt.partner == 0) {
+  if (attempt.partner == 0 || attempt.settled) {
     return;
   }
   const auto partner = attempts_.find(attempt.partner);
@@ -441,16 +376,17 @@
   }
   double wasted = attempt.cost;
   if (result != AttemptResult::kCompleted) {
-    // A straggler has done at most this part of the work, or it would not be one.
+    // A straggler has done at most this part of the work, or it would not be one; and before the
+    // first token, no more than the prompt.
     const Entry* entry = Find(attempt.upstream);
     const double slowness =
         entry != nullptr && entry->straggler.left() ? StragglerDetector::kLeaveRatio : 1;
-    wasted = std::min(attempt.cost, ToSeconds(now - attempt.dispatched) / slowness);
+    wasted = std::min(attempt.first_token ? attempt.cost : attempt.reserved,
+                      ToSeconds(now - attempt.dispatched) / slowness);
   }
   hedge_budget_.Settle(attempt.reserved, wasted);
   if (partner_runs) {
-    partner->second.partner = id;
-    partner->second.reserved = 0;
+    partner->second.settled = true;
   }
 }
 
@@ -473,10 +409,9 @@
   const double total = ToSeconds(outcome.total);
   const double ratio = total / attempt.expected_total;
   const int tokens = outcome.tokens - attempt.tokens;
-  if (group.streams() && tokens >= kTokensPerSample) {
-    const double first = attempt.tokens > 0 ? ToSeconds(attempt.last_progress - attempt.dispatched)
-                                            : ToSeconds(outcome.first_token);
-    group.Sample(entry, LatencyKind::kPerToken, (total - first) / tokens, false, now, counters_);
+  if (attempt.first_token && tokens >= Group::kTokensPerSample) {
+    group.SampleStream(entry, ToSeconds(now - attempt.last_progress) / tokens,
+                       attempt.last_progress, now, counters_);
   }
   if (!group.streams() &&
       group.Sample(entry, LatencyKind::kTotal, ratio, attempt.probe, now, counters_)) {
@@ -512,6 +447,7 @@
   StopWaiting(*entry, id);
   std::erase(entry->unnumbered, id);
   entry->load.Finish(attempt.cost, attempt.first_token ? 0 : attempt.prompt_cost, now);
+  entry->streaming -= attempt.first_token ? 1 : 0;
   if (attempt.probe) {
     entry->availability.OnProbeEnd();
   }
@@ -584,7 +520,7 @@
 
 int UpstreamTable::LimitOf(const UpstreamId& upstream) const {
   const Entry* entry = Find(upstream);
-  return entry == nullptr ? 0 : SlotsOf(*entry);
+  return entry == nullptr ? 0 : entry->SlotsFor(limit_share_);
 }
 
 UpstreamTable::Entry* UpstreamTable::Find(const UpstreamId& upstream) const {
--- a/packages/routing/upstream_table.h
+++ b/packages/routing/upstream_table.h
@@ -13,6 +13,7 @@
 #include "core/time.h"
 #include "core/verdict.h"
 #include "routing/attempt_book.h"
+#include "routing/candidate_finder.h"
 #include "routing/hedge_budget.h"
 #include "routing/prefix_map.h"
 #include "routing/route_types.h"
@@ -77,6 +78,9 @@
   // Returns the concurrency limit of an upstream for this daemon, or zero if it is unknown.
   int LimitOf(const UpstreamId& upstream) const;
 
+  // Returns the estimated work that hedges did twice, in seconds of one slot.
+  double hedge_waste() const { return hedge_budget_.wasted(); }
+
   // Returns the counters.
   const RoutingCounters& counters() const { return counters_; }
 
@@ -84,26 +88,9 @@
   using Entry = UpstreamEntry;
   using Group = UpstreamGroup;
 
-  // Upstreams that one Select may choose from. Kept between calls to save allocations.
-  struct Usable {
-    std::vector<Entry*> local;
-    std::vector<Entry*> remote;
-    std::vector<Entry*> candidates;
-    std::vector<UpstreamNumber> holders;
-    Entry* probe = nullptr;
-    RoutingCount refusal = RoutingCount::kRefusedUnknownService;
-  };
-
-  int SlotsOf(const Entry& entry) const;
-  bool HasSlot(const Entry& entry) const { return entry.load.running() < SlotsOf(entry); }
-  bool MayProbe(const Entry& entry, const Group& group, const RouteRequest& request,
-                TimePoint now) const;
-  void FindUsable(const Group& group, const RouteRequest& request, const Entry* hedged,
-                  TimePoint now);
   void FindCandidates(const RouteRequest& request);
   Entry* ChooseCandidate(Group& group, const RouteRequest& request, TimePoint now);
   double Score(const Entry& entry, const RouteRequest& request, TimePoint now) const;
-  double UncachedPromptCost(const Entry& entry, const RouteRequest& request) const;
   void Start(Entry& entry, Group& group, const RouteRequest& request, bool probe, TimePoint now);
   void SettleHedge(const RunningAttempt& attempt, AttemptId id, AttemptResult result,
                    TimePoint now);
@@ -129,7 +116,9 @@
   PrefixMap prefixes_;
   HedgeBudget hedge_budget_;
   RoutingCounters counters_;
-  Usable usable_;
+  CandidateFinder finder_;
+  std::vector<Entry*> candidates_;
+  std::vector<UpstreamNumber> holders_;
 };
 
 }  // namespace savoryglade
--- a/tests/routing/straggler_detector_test.cc
+++ b/tests/routing/straggler_detector_test.cc
@@ -81,5 +81,32 @@
   EXPECT_DOUBLE_EQ(MedianOf(three), 2);
 }
 
+// Guards against probes with callers' requests while running streams already show that the upstream
+// is still slow, and against waiting for probes when they show that it no longer is.
+TEST(StragglerDetectorTest, RunningStreamsTakeThePlaceOfProbes) {
+  StragglerDetector detector;
+  detector.Leave(kStart);
+  TimePoint now = kStart;
+  for (int i = 0; i < 20; ++i) {
+    now += 400ms;
+    EXPECT_FALSE(detector.OnStreamEvidence(10, now - 400ms, now));
+    EXPECT_FALSE(detector.ProbeDue(now + 300ms));
+  }
+  EXPECT_FALSE(detector.OnStreamEvidence(1, now - 40ms, now));
+  EXPECT_TRUE(detector.OnStreamEvidence(1, now - 40ms, now));
+  EXPECT_FALSE(detector.left());
+}
+
+// Guards against an upstream with a long prompt queue that comes back because its running streams,
+// which do not wait in that queue, are as fast as ever.
+TEST(StragglerDetectorTest, StreamsThatWereNeverSlowDoNotEndAStraggler) {
+  StragglerDetector detector;
+  detector.Leave(kStart);
+  for (int i = 1; i < 20; ++i) {
+    EXPECT_FALSE(detector.OnStreamEvidence(1, kStart + i * 100ms, kStart + i * 140ms));
+  }
+  EXPECT_TRUE(detector.left());
+}
+
 }  // namespace
 }  // namespace savoryglade
--- a/tests/routing/upstream_table_test.cc
+++ b/tests/routing/upstream_table_test.cc
@@ -2,6 +2,7 @@
 
 #include <set>
 #include <string>
+#include <vector>
 
 #include "gtest/gtest.h"
 
@@ -232,6 +233,45 @@
   EXPECT_TRUE(table.IsStraggler(slow));
 }
 
+// Guards against a silent upstream that gets work until its next first token is late, although all
+// its running streams have stopped.
+TEST(UpstreamTableTest, StragglerIsFoundByStreamsThatStop) {
+  UpstreamTable table(1);
+  table.Configure(MakeGroup(6), kStart);
+  Driver driver(table);
+  struct Stream {
+    AttemptId attempt = 0;
+    UpstreamId upstream;
+    int tokens = 0;
+  };
+  std::vector<Stream> streams(24);
+  for (Stream& stream : streams) {
+    stream.attempt = driver.Dispatch(stream.upstream);
+  }
+  driver.now += 50ms;
+  for (const Stream& stream : streams) {
+    table.OnFirstToken(stream.upstream, 50ms, driver.now, stream.attempt);
+  }
+  const UpstreamId slow = streams[0].upstream;
+  const auto advance = [&](int reads, bool slow_runs) {
+    for (int i = 0; i < reads; ++i) {
+      driver.now += 80ms;
+      for (Stream& stream : streams) {
+        if (slow_runs || stream.upstream != slow) {
+          stream.tokens += 4;
+          table.OnProgress(stream.attempt, stream.tokens, driver.now);
+        }
+      }
+      UpstreamId upstream;
+      driver.Complete(driver.Dispatch(upstream), upstream, 100ms);
+    }
+  };
+  advance(20, true);
+  ASSERT_FALSE(table.IsStraggler(slow));
+  advance(20, false);
+  EXPECT_TRUE(table.IsStraggler(slow));
+}
+
 // Guards against all upstreams being left because all of them are slow at once.
 TEST(UpstreamTableTest, AtMostAThirdOfAGroupIsLeft) {
   UpstreamTable table(1);
@@ -287,6 +327,28 @@
   EXPECT_EQ(driver.Dispatch(third, true, attempt), 0U);
 }
 
+// Guards against a hedge that is charged again when its winner ends, which used up the budget and
+// left later requests waiting on stragglers.
+TEST(UpstreamTableTest, HedgeIsChargedOnceForTheLosingAttempt) {
+  UpstreamTable table(1);
+  table.Configure(MakeGroup(6), kStart);
+  Driver driver(table);
+  driver.RunUsual(400);
+  UpstreamId slow;
+  const AttemptId attempt = driver.Dispatch(slow);
+  driver.now += 600ms;
+  UpstreamId other;
+  const AttemptId hedge = driver.Dispatch(other, true, attempt);
+  ASSERT_NE(hedge, 0U);
+  driver.now += 100ms;
+  table.OnFinish(slow, {.result = AttemptResult::kCancelled, .total = 700ms, .attempt = attempt},
+                 driver.now);
+  const double charged = table.hedge_waste();
+  EXPECT_LE(charged, 0.1);
+  driver.Complete(hedge, other, 100ms);
+  EXPECT_DOUBLE_EQ(table.hedge_waste(), charged);
+}
+
 // Guards against work in far failure domains while the local one has room.
 TEST(UpstreamTableTest, LocalFailureDomainComesFirstUntilItIsBusy) {
   UpstreamTable table(1, {.local_domain = FailureDomainId("brescia"),
