--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t kMostWorkerThreads = 64;
+constexpr std::int64_t kLargestHeader = 1024 * 1024;
+constexpr std::int64_t kLargestBody = 1024 * 1024 * 1024;
+constexpr std::int64_t kMostConnections = 1'000'000;
 constexpr std::array<std::string_view, 4> kLogLevels = {"debug", "info", "warning", "error"};
 
 void ReadPlatform(JsonObjectReader platform, Settings& settings) {
@@ -25,6 +28,17 @@
   settings.configuration_file = platform.OptionalString("configuration_file", "");
 }
 
+void ReadLimits(JsonObjectReader limits, CallerLimits& result) {
+  limits.AllowOnly({"header_size", "body_size", "connections", "read_timeout", "write_timeout"});
+  result.header_size =
+      limits.OptionalInteger("header_size", result.header_size, 1024, kLargestHeader);
+  result.body_size = limits.OptionalInteger("body_size", result.body_size, 1024, kLargestBody);
+  result.connections =
+      limits.OptionalInteger("connections", result.connections, 1, kMostConnections);
+  result.read_timeout = limits.OptionalDuration("read_timeout", result.read_timeout);
+  result.write_timeout = limits.OptionalDuration("write_timeout", result.write_timeout);
+}
+
 }  // namespace
 
 Result<Settings> ParseSettings(const std::string& text) {
@@ -35,7 +49,8 @@
   JsonFaults faults;
   JsonObjectReader reader(*document, "", faults);
   reader.AllowOnly({"daemon", "failure_domain", "callers_address", "administration_address",
-                    "worker_threads", "platform", "operator_key_file", "log_level"});
+                    "worker_threads", "platform", "operator_key_file", "log_level",
+                    "caller_limits"});
   Settings settings;
   settings.daemon = DaemonId(reader.OptionalString("daemon", settings.daemon.value()));
   settings.failure_domain =
@@ -46,6 +61,7 @@
   settings.worker_threads = static_cast<int>(
       reader.OptionalInteger("worker_threads", settings.worker_threads, 1, kMostWorkerThreads));
   ReadPlatform(reader.OptionalObject("platform"), settings);
+  ReadLimits(reader.OptionalObject("caller_limits"), settings.caller_limits);
   settings.operator_key_file = reader.OptionalString("operator_key_file", "");
   settings.log_level = reader.OptionalString("log_level", settings.log_level);
   if (std::find(kLogLevels.begin(), kLogLevels.end(), settings.log_level) == kLogLevels.end()) {
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -6,6 +6,7 @@
 
 #include "core/error.h"
 #include "core/strong_id.h"
+#include "core/time.h"
 
 namespace savoryglade {
 
@@ -13,6 +14,19 @@
 // services.
 enum class PlatformKind { kEmbedded, kHttp };
 
+// Limits of the listener for callers. Sizes are in bytes.
+struct CallerLimits {
+  std::int64_t header_size = 16 * 1024;
+  std::int64_t body_size = 4 * 1024 * 1024;
+  std::int64_t connections = 10'000;
+  // Longest time for a whole request to arrive.
+  Duration read_timeout = 10s;
+  // Longest time for one write to a slow reader.
+  Duration write_timeout = 30s;
+
+  friend auto operator<=>(const CallerLimits&, const CallerLimits&) = default;
+};
+
 // Settings of one daemon, read once at start. Addresses are "IP:port"; port 0 lets the system
 // choose.
 struct Settings {
@@ -28,6 +42,7 @@
   // File with the key that operators send as bearer token. Required beyond loopback.
   std::string operator_key_file;
   std::string log_level = "info";
+  CallerLimits caller_limits;
 
   friend auto operator<=>(const Settings&, const Settings&) = default;
 };
--- a/packages/daemon/caller_context.h
+++ b/packages/daemon/caller_context.h
@@ -6,19 +6,32 @@
 #include "config/configuration.h"
 #include "core/strong_id.h"
 #include "core/verdict.h"
+#include "daemon/active_requests.h"
+#include "daemon/claim_gate.h"
 #include "daemon/config_holder.h"
 #include "daemon/dispatcher.h"
+#include "daemon/path_metrics.h"
+#include "daemon/path_options.h"
+#include "daemon/retry_strategy.h"
+#include "daemon/stream_directory.h"
 #include "metrics/registry.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 
 namespace savoryglade {
 
-// What the handlers of callers' requests share.
+// What the handlers of callers' requests share. The connection pool is that of the worker.
 struct CallerServices {
   ConfigHolder& configuration;
   Dispatcher& dispatcher;
   MetricRegistry& metrics;
+  PathMetrics& path_metrics;
+  const PathOptions& options;
+  ConnectionPool& connections;
+  StreamDirectory& streams;
+  ClaimGate& claims;
+  RetryStrategy& retries;
+  ActiveRequests& active;
 };
 
 // One authenticated request.
@@ -27,6 +40,8 @@
   const AccountConfig& account;
   const ServiceConfig& service;
   RequestKey key;
+  // True if the caller sent the key, so that it can resume or resend the request.
+  bool has_caller_key = false;
 };
 
 // Answers a request that got no whole answer: status, Retry-After, the reason and the verdict in
--- /dev/null
+++ b/packages/daemon/chat_request.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace savoryglade {
+
+// What a caller asks of a model. The name and all contents are valid UTF-8.
+struct ChatRequest {
+  std::string model;
+  std::string prompt;
+  int max_tokens = 256;
+  bool stream = false;
+};
+
+// Parses the body of a chat completion; nothing if it is malformed.
+std::optional<ChatRequest> ParseChatRequest(const std::string& body);
+
+}  // namespace savoryglade
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -3,16 +3,16 @@
 #include <fmt/format.h>
 
 #include <boost/asio.hpp>
-#include <boost/json.hpp>
 #include <fstream>
 #include <iterator>
-#include <thread>
+#include <optional>
 #include <utility>
 
 #include "config/account_keys.h"
 #include "daemon/caller_context.h"
 #include "daemon/model_handler.h"
 #include "daemon/plain_handler.h"
+#include "daemon/request_identity.h"
 #include "logging/logger.h"
 
 namespace savoryglade {
@@ -22,9 +22,7 @@
 namespace http = boost::beast::http;
 
 constexpr Duration kTickInterval = 10ms;
-constexpr Duration kDrainPoll = 10ms;
 constexpr std::string_view kModelPath = "/v1/chat/completions";
-constexpr std::size_t kLongestIdempotencyKey = 256;
 
 const Logger kLog("daemon");
 
@@ -44,50 +42,69 @@
 
 // Finds the plain service with the longest path prefix that covers whole segments of the target.
 const ServiceConfig* FindPlainService(const Configuration& configuration, std::string_view target) {
-  const std::string_view path = target.substr(0, target.find('?'));
   const ServiceConfig* found = nullptr;
   for (const ServiceConfig& service : configuration.services) {
-    const std::string& prefix = service.path_prefix;
-    if (service.kind != ServiceKind::kPlain || path.substr(0, prefix.size()) != prefix) {
-      continue;
-    }
-    const bool whole =
-        path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/';
-    if (whole && (found == nullptr || prefix.size() > found->path_prefix.size())) {
+    if (service.kind == ServiceKind::kPlain && HasPathPrefix(target, service.path_prefix) &&
+        (found == nullptr || service.path_prefix.size() > found->path_prefix.size())) {
       found = &service;
     }
   }
   return found;
 }
 
-// Finds the model service that the body names. The handler parses the body in full.
-const ServiceConfig* FindModelService(const Configuration& configuration, const std::string& body) {
-  boost::json::error_code error;
-  const boost::json::value document = boost::json::parse(body, error);
-  const boost::json::object* object = error ? nullptr : document.if_object();
-  const boost::json::value* model = object == nullptr ? nullptr : object->if_contains("model");
-  if (model == nullptr || !model->is_string()) {
-    return nullptr;
-  }
-  const ServiceConfig* service =
-      configuration.FindService(ServiceId(std::string(model->get_string())));
+const ServiceConfig* FindModelService(const Configuration& configuration,
+                                      const std::string& model) {
+  const ServiceConfig* service = configuration.FindService(ServiceId(model));
   return service != nullptr && service->kind == ServiceKind::kModel ? service : nullptr;
 }
 
+HttpLimits MakeLimits(const CallerLimits& limits) {
+  return {.header_size = static_cast<std::size_t>(limits.header_size),
+          .body_size = static_cast<std::size_t>(limits.body_size),
+          .connections = static_cast<std::size_t>(limits.connections),
+          .read_timeout = limits.read_timeout,
+          .write_timeout = limits.write_timeout};
+}
+
+DaemonParts Complete(DaemonParts parts, std::uint64_t seed) {
+  if (!parts.streams) {
+    parts.streams = std::make_shared<MemoryStreamDirectory>();
+  }
+  if (!parts.claims) {
+    parts.claims = std::make_shared<MemoryClaimGate>();
+  }
+  if (!parts.retries) {
+    parts.retries = std::make_shared<BudgetedRetry>(seed);
+  }
+  return parts;
+}
+
 }  // namespace
 
-Daemon::Daemon(Settings settings)
+Daemon::Daemon(Settings settings, DaemonParts parts)
     : settings_(std::move(settings)),
+      path_metrics_(metrics_),
+      parts_(Complete(std::move(parts), std::hash<std::string>()(settings_.daemon.value()))),
       dispatcher_(SchedulerOptions{}, std::hash<std::string>()(settings_.daemon.value()), metrics_),
       pool_(static_cast<std::size_t>(settings_.worker_threads)),
-      callers_(pool_, HttpLimits{}, [this](HttpExchange& e) { return HandleCaller(e); }),
+      callers_(pool_, MakeLimits(settings_.caller_limits),
+               [this](HttpExchange& e) { return HandleCaller(e); }),
       administration_(pool_, HttpLimits{},
                       [this](HttpExchange& e) { return HandleAdministration(e); }) {
+  for (std::size_t i = 0; i < pool_.size(); ++i) {
+    connections_.push_back(
+        std::make_unique<ConnectionPool>(parts_.path.pool, path_metrics_.silent_connections));
+  }
   configuration_.Subscribe(
       [this](const ConfigHolder::Snapshot& snapshot) { dispatcher_.Configure(*snapshot); });
 }
 
-Daemon::~Daemon() { pool_.Stop(); }
+Daemon::~Daemon() {
+  pool_.Stop();
+  // What is waited on belongs to the contexts of the workers and must go before them.
+  dispatcher_.Clear();
+  active_.Clear();
+}
 
 Result<void> Daemon::Start() {
   const Result<Endpoint> callers = ParseEndpoint(settings_.callers_address);
@@ -132,6 +149,9 @@
   callers_endpoint_ = *callers_bound;
   administration_endpoint_ = *administration_bound;
   asio::co_spawn(pool_.context(0), TickLoop(), asio::detached);
+  for (std::size_t i = 0; i < pool_.size(); ++i) {
+    asio::co_spawn(pool_.context(i), connections_[i]->CheckLoop(), asio::detached);
+  }
   kLog.Info("Ready.", {{"daemon", settings_.daemon.value()},
                        {"failure_domain", settings_.failure_domain.value()},
                        {"callers", ToString(callers_endpoint_)},
@@ -140,12 +160,25 @@
   return {};
 }
 
-void Daemon::Drain() {
+void Daemon::BeginDrain() {
   draining_ = true;
   kLog.Info("Draining.", {{"in_flight", callers_.active_exchanges()}});
-  while (callers_.active_exchanges() > 0) {
-    std::this_thread::sleep_for(kDrainPoll);
-  }
+}
+
+void Daemon::LimitDrain(Duration limit) {
+  kLog.Info("The drain is limited.",
+            {{"in_flight", callers_.active_exchanges()}, {"seconds", ToSeconds(limit)}});
+  asio::co_spawn(
+      pool_.context(0),
+      [this, limit]() -> asio::awaitable<void> {
+        asio::steady_timer timer(co_await asio::this_coro::executor, limit);
+        co_await timer.async_wait(asio::use_awaitable);
+        active_.RaiseAll(InterruptCause::kDrainLimit);
+      },
+      asio::detached);
+}
+
+void Daemon::Stop() {
   callers_.StopAccepting();
   administration_.StopAccepting();
   pool_.Stop();
@@ -161,16 +194,25 @@
   }
 }
 
-RequestKey Daemon::MakeKey(const HttpExchange& exchange) {
-  const std::string_view key = exchange.Header("Idempotency-Key");
-  if (!key.empty() && key.size() <= kLongestIdempotencyKey) {
-    return RequestKey(std::string(key));
-  }
+RequestKey Daemon::MakeKey() {
   const auto start = std::chrono::system_clock::now().time_since_epoch().count();
   return RequestKey(
       fmt::format("{}-{:x}-{:x}", settings_.daemon.value(), start, next_key_.fetch_add(1)));
 }
 
+CallerServices Daemon::MakeServices() {
+  return {.configuration = configuration_,
+          .dispatcher = dispatcher_,
+          .metrics = metrics_,
+          .path_metrics = path_metrics_,
+          .options = parts_.path,
+          .connections = *connections_[WorkerPool::CurrentIndex()],
+          .streams = *parts_.streams,
+          .claims = *parts_.claims,
+          .retries = *parts_.retries,
+          .active = active_};
+}
+
 asio::awaitable<void> Daemon::HandleCaller(HttpExchange& exchange) {
   if (exchange.target() == "/healthz" || exchange.target() == "/readyz") {
     const bool ready = !draining_;
@@ -178,9 +220,12 @@
                               ready ? "ready\n" : "draining\n");
     co_return;
   }
-  const RequestKey key = MakeKey(exchange);
+  const std::string_view caller_key = exchange.Header("Idempotency-Key");
+  const bool has_caller_key = IsValidRequestKey(caller_key);
+  const RequestKey key = has_caller_key ? RequestKey(std::string(caller_key)) : MakeKey();
   if (draining_) {
     const Verdict verdict{.reason = Reason::kDraining, .retry_after = 1s};
+    exchange.CloseAfterResponse();
     co_await RespondWithVerdict(exchange, key, verdict, metrics_);
     co_return;
   }
@@ -191,22 +236,38 @@
     co_await RespondWithVerdict(exchange, key, verdict, metrics_);
     co_return;
   }
+  if (!caller_key.empty() && !has_caller_key) {
+    const Verdict verdict{.reason = Reason::kMalformedRequest};
+    co_await RespondWithVerdict(exchange, key, verdict, metrics_);
+    co_return;
+  }
+  std::optional<ChatRequest> chat;
   const bool is_model = exchange.target() == kModelPath;
-  const ServiceConfig* service = is_model
-                                     ? FindModelService(*configuration, exchange.request().body())
-                                     : FindPlainService(*configuration, exchange.target());
+  if (is_model) {
+    chat = ParseChatRequest(exchange.request().body());
+    if (!chat) {
+      const Verdict verdict{.reason = Reason::kMalformedRequest};
+      co_await RespondWithVerdict(exchange, key, verdict, metrics_);
+      co_return;
+    }
+  }
+  const ServiceConfig* service = is_model ? FindModelService(*configuration, chat->model)
+                                          : FindPlainService(*configuration, exchange.target());
   if (service == nullptr) {
     const Verdict verdict{.reason = Reason::kUnknownService};
     co_await RespondWithVerdict(exchange, key, verdict, metrics_);
     co_return;
   }
   metrics_.GetCounter("savoryglade_requests_total", {{"service", service->name.value()}}).Add();
-  const CallerRequest request{configuration, *account, *service, key};
-  const CallerServices services{configuration_, dispatcher_, metrics_};
+  CallerRequest request{.configuration = configuration,
+                        .account = *account,
+                        .service = *service,
+                        .key = key,
+                        .has_caller_key = has_caller_key};
   if (is_model) {
-    co_await HandleModelRequest(exchange, request, services);
+    co_await HandleModelRequest(exchange, std::move(request), std::move(*chat), MakeServices());
   } else {
-    co_await HandlePlainRequest(exchange, request, services);
+    co_await HandlePlainRequest(exchange, std::move(request), MakeServices());
   }
 }
 
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -1,12 +1,22 @@
 #pragma once
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "config/settings.h"
 #include "core/error.h"
+#include "daemon/active_requests.h"
+#include "daemon/caller_context.h"
+#include "daemon/claim_gate.h"
 #include "daemon/config_holder.h"
 #include "daemon/dispatcher.h"
+#include "daemon/path_metrics.h"
+#include "daemon/path_options.h"
+#include "daemon/retry_strategy.h"
+#include "daemon/stream_directory.h"
 #include "metrics/registry.h"
 #include "net/endpoint.h"
 #include "net/http_server.h"
@@ -14,10 +24,19 @@
 
 namespace savoryglade {
 
+// Parts of a daemon that others may provide. Those left null are made by the daemon, in memory.
+struct DaemonParts {
+  PathOptions path;
+  std::shared_ptr<StreamDirectory> streams;
+  std::shared_ptr<ClaimGate> claims;
+  std::shared_ptr<RetryStrategy> retries;
+};
+
 // The daemon of one entry VM: listeners for callers and operators over the shared tables.
 class Daemon {
  public:
-  explicit Daemon(Settings settings);
+  explicit Daemon(Settings settings, DaemonParts parts = {});
+  // Stops at once: connections are closed and requests in flight are cut off.
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
@@ -25,8 +44,20 @@
   // Starts listening. The error names what could not be read or opened.
   Result<void> Start();
 
-  // Stops taking work, waits until no request is in flight, then stops the workers.
-  void Drain();
+  // Stops taking work: the health answer turns to draining and new requests are refused.
+  void BeginDrain();
+
+  // Ends the requests that are still in flight after this time, streams with a resume event.
+  void LimitDrain(Duration limit);
+
+  // Returns true if no request is in flight.
+  bool drained() const { return callers_.active_exchanges() == 0; }
+
+  // Stops listening and the workers.
+  void Stop();
+
+  // Counters of this daemon.
+  MetricRegistry& metrics() { return metrics_; }
 
   // Endpoints in use; valid after Start.
   const Endpoint& callers_endpoint() const { return callers_endpoint_; }
@@ -37,11 +68,15 @@
   boost::asio::awaitable<void> HandleAdministration(HttpExchange& exchange);
   boost::asio::awaitable<void> TickLoop();
   bool OperatorKeyMatches(const HttpExchange& exchange) const;
-  RequestKey MakeKey(const HttpExchange& exchange);
+  RequestKey MakeKey();
+  CallerServices MakeServices();
 
   Settings settings_;
   std::string operator_key_;
   MetricRegistry metrics_;
+  PathMetrics path_metrics_;
+  DaemonParts parts_;
+  ActiveRequests active_;
   ConfigHolder configuration_;
   Dispatcher dispatcher_;
   std::atomic<bool> draining_{false};
@@ -49,6 +84,8 @@
   Endpoint callers_endpoint_;
   Endpoint administration_endpoint_;
   WorkerPool pool_;
+  // One for each worker.
+  std::vector<std::unique_ptr<ConnectionPool>> connections_;
   HttpServer callers_;
   HttpServer administration_;
 };
--- a/packages/daemon/dispatcher.cc
+++ b/packages/daemon/dispatcher.cc
@@ -62,6 +62,18 @@
   co_return *waiter->result;
 }
 
+void Dispatcher::Cancel(Ticket ticket, const Verdict& verdict) {
+  const std::lock_guard lock(scheduler_mutex_);
+  if (scheduler_.Cancel(ticket)) {
+    Deliver(ticket, tl::make_unexpected(verdict));
+  }
+}
+
+void Dispatcher::Clear() {
+  const std::lock_guard lock(scheduler_mutex_);
+  waiters_.clear();
+}
+
 void Dispatcher::Finish(Ticket ticket, const UpstreamId& upstream, const AttemptOutcome& outcome) {
   const TimePoint now = Now();
   {
--- a/packages/daemon/dispatcher.h
+++ b/packages/daemon/dispatcher.h
@@ -33,6 +33,12 @@
   boost::asio::awaitable<tl::expected<UpstreamConfig, Verdict>> Acquire(QueuedRequest request,
                                                                         RouteRequest route);
 
+  // Ends the wait of a request that still waits, with this verdict.
+  void Cancel(Ticket ticket, const Verdict& verdict);
+
+  // Forgets all waiting requests; to be called when the workers have stopped.
+  void Clear();
+
   // Gives the slot of an attempt back and charges its real cost, in seconds of one slot.
   void Finish(Ticket ticket, const UpstreamId& upstream, const AttemptOutcome& outcome);
 
--- /dev/null
+++ b/packages/daemon/model_attempt.cc
@@ -0,0 +1,254 @@
+#include "daemon/model_attempt.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <utility>
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace http = boost::beast::http;
+
+constexpr Duration kRetryAfter = 1s;
+constexpr Duration kCancelTimeout = 2s;
+// Time for the rest of a response after its final event, so that its connection can be used again.
+constexpr Duration kRestTimeout = 100ms;
+
+Endpoint EndpointOf(const UpstreamConfig& upstream) {
+  return {.address = upstream.address, .port = upstream.port};
+}
+
+HttpRequest MakePost(std::string_view path, std::string body, const Endpoint& endpoint) {
+  HttpRequest request(http::verb::post, boost::beast::string_view(path.data(), path.size()), 11);
+  request.set(http::field::host, ToString(endpoint));
+  request.set(http::field::content_type, "application/json");
+  request.body() = std::move(body);
+  request.prepare_payload();
+  return request;
+}
+
+bool StatesNotRun(const http::fields& header) {
+  const auto found = header.find("Savoryglade-Verdict");
+  return found != header.end() && found->value() == "not_run";
+}
+
+}  // namespace
+
+asio::awaitable<AttemptEnd> ModelAttempt::Generate() {
+  const std::string_view known = writer_.known_text();
+  first_position_ = known.empty() ? 0 : writer_.next_position();
+  next_position_ = first_position_;
+  std::string body =
+      fmt::format(R"({{"generation":"{}","prompt":{},"max_tokens":{},"seed":"{}","position":{},)"
+                  R"("known_text":"{}"}})",
+                  request_.digests.generation, json::serialize(json::string(request_.chat.prompt)),
+                  request_.chat.max_tokens, request_.digests.seed, first_position_, known);
+  co_return co_await Run("/generate", std::move(body));
+}
+
+asio::awaitable<AttemptEnd> ModelAttempt::Resume() {
+  first_position_ = writer_.next_position();
+  next_position_ = first_position_;
+  std::string body = fmt::format(R"({{"generation":"{}","position":{}}})",
+                                 request_.digests.generation, first_position_);
+  co_return co_await Run("/resume", std::move(body));
+}
+
+AttemptOutcome ModelAttempt::outcome() {
+  outcome_.total = std::chrono::steady_clock::now() - start_;
+  return outcome_;
+}
+
+Duration ModelAttempt::ReadTimeout() const {
+  const Duration left = request_.deadline - std::chrono::steady_clock::now();
+  return std::clamp(left, Duration(1ms), services_.options.silence_timeout);
+}
+
+AttemptEnd ModelAttempt::Fail(AttemptResult result, Reason reason, RunState state) {
+  if (interrupt_.raised()) {
+    outcome_.result = AttemptResult::kCancelled;
+    verdict_ = {.run_state = state, .reason = Reason::kDraining, .retry_after = kRetryAfter};
+    return AttemptEnd::kInterrupted;
+  }
+  outcome_.result = result;
+  verdict_ = {.run_state = state, .reason = reason, .retry_after = kRetryAfter};
+  return AttemptEnd::kFailed;
+}
+
+AttemptEnd ModelAttempt::FailRead(const Error& error) {
+  if (std::chrono::steady_clock::now() >= request_.deadline) {
+    return Fail(AttemptResult::kTimedOut, Reason::kDeadlineExceeded);
+  }
+  if (error.code == ErrorCode::kTimeout && !interrupt_.raised()) {
+    services_.path_metrics.silent_upstreams.Add();
+  }
+  return Fail(AttemptResult::kLost, Reason::kUpstreamLost);
+}
+
+asio::awaitable<AttemptEnd> ModelAttempt::Run(std::string_view path, std::string body) {
+  const Endpoint endpoint = EndpointOf(upstream_);
+  HttpRequest request = MakePost(path, std::move(body), endpoint);
+  auto connection =
+      co_await services_.connections.Acquire(endpoint, services_.options.connect_timeout);
+  if (!connection) {
+    co_return Fail(AttemptResult::kConnectFailed, Reason::kUpstreamLost, RunState::kNotRun);
+  }
+  if (interrupt_.raised()) {
+    co_return Fail(AttemptResult::kCancelled, Reason::kDraining, RunState::kNotRun);
+  }
+  AttemptEnd end = AttemptEnd::kFailed;
+  {
+    const InterruptScope scope(interrupt_, [&connection] { (*connection)->Close(); });
+    end = co_await Exchange(**connection, std::move(request));
+  }
+  if (end == AttemptEnd::kComplete) {
+    co_await ReadRest(**connection);
+    services_.connections.Release(std::move(*connection));
+  }
+  co_return end;
+}
+
+asio::awaitable<AttemptEnd> ModelAttempt::Exchange(HttpConnection& connection,
+                                                   HttpRequest request) {
+  const auto sent = co_await connection.Send(request, services_.options.send_timeout);
+  // Not needed while the answer runs; a prompt may be large.
+  request = HttpRequest();
+  if (!sent) {
+    co_return FailRead(sent.error());
+  }
+  const auto status = co_await connection.ReadHeader(ReadTimeout());
+  if (!status) {
+    co_return FailRead(status.error());
+  }
+  if (*status == 404) {
+    Fail(AttemptResult::kRefused, Reason::kUpstreamError, RunState::kNotRun);
+    co_return AttemptEnd::kUnknownGeneration;
+  }
+  if (*status != 200) {
+    co_return StatesNotRun(connection.response_header())
+        ? Fail(AttemptResult::kRefused, Reason::kUpstreamError, RunState::kNotRun)
+        : Fail(AttemptResult::kLost, Reason::kUpstreamError);
+  }
+  co_return co_await Relay(connection);
+}
+
+asio::awaitable<AttemptEnd> ModelAttempt::Relay(HttpConnection& connection) {
+  while (true) {
+    reader_.Compact();
+    const Result<bool> more = co_await connection.ReadSome(reader_.buffer(), ReadTimeout());
+    if (!more) {
+      co_return FailRead(more.error());
+    }
+    if (!*more) {
+      co_return Fail(AttemptResult::kLost, Reason::kUpstreamLost);
+    }
+    if (!TakeEvents()) {
+      co_return Fail(AttemptResult::kLost, Reason::kUpstreamError);
+    }
+    const bool written = done_ ? co_await writer_.Finish() : co_await writer_.Flush();
+    if (!written) {
+      outcome_.result = AttemptResult::kCancelled;
+      interrupt_.Raise(InterruptCause::kCallerGone);
+      co_return AttemptEnd::kInterrupted;
+    }
+    if (done_) {
+      co_return AttemptEnd::kComplete;
+    }
+    if (std::chrono::steady_clock::now() >= request_.deadline) {
+      co_return Fail(AttemptResult::kTimedOut, Reason::kDeadlineExceeded);
+    }
+  }
+}
+
+// Reads the end of the response after its final event; further events are counted as late.
+asio::awaitable<void> ModelAttempt::ReadRest(HttpConnection& connection) {
+  while (true) {
+    reader_.Compact();
+    const Result<bool> more = co_await connection.ReadSome(reader_.buffer(), kRestTimeout);
+    if (!more || !*more) {
+      co_return;
+    }
+    while (reader_.Next()) {
+      services_.path_metrics.late_events.Add();
+    }
+  }
+}
+
+// Takes all whole events that have arrived. Returns false if the stream can't go on.
+bool ModelAttempt::TakeEvents() {
+  const std::int64_t before = writer_.next_position();
+  while (const auto data = reader_.Next()) {
+    if (!Accept(*data)) {
+      break;
+    }
+  }
+  const std::int64_t relayed = writer_.next_position() - before;
+  outcome_.tokens += static_cast<int>(relayed);
+  services_.path_metrics.tokens_relayed.Add(static_cast<std::uint64_t>(relayed));
+  return !gap_;
+}
+
+// Takes one event if it is the next of this request, else counts why not. Returns false at the end
+// of the answer and at a gap.
+bool ModelAttempt::Accept(std::string_view data) {
+  PathMetrics& metrics = services_.path_metrics;
+  const std::optional<EngineEvent> event = parser_.Parse(data);
+  if (!event) {
+    metrics.malformed_events.Add();
+    return true;
+  }
+  if (event->generation != request_.digests.generation) {
+    metrics.crossed_events.Add();
+    return true;
+  }
+  if (event->position < next_position_) {
+    (event->position < first_position_ ? metrics.late_events : metrics.duplicate_events).Add();
+    return true;
+  }
+  if (event->position > next_position_) {
+    metrics.event_gaps.Add();
+    gap_ = true;
+    return false;
+  }
+  if (event->done) {
+    metrics.tokens_cached.Add(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(event->cached_tokens, 0)));
+    // An answer that ends before what the caller already has is not the same answer.
+    gap_ = next_position_ < writer_.next_position();
+    done_ = !gap_;
+    return false;
+  }
+  if (outcome_.first_token == Duration::zero()) {
+    outcome_.first_token = std::chrono::steady_clock::now() - start_;
+    services_.dispatcher.OnFirstToken(upstream_.name, outcome_.first_token);
+  }
+  if (next_position_ == writer_.next_position()) {
+    writer_.Add(event->token);
+  } else {
+    metrics.tokens_recomputed.Add();
+  }
+  ++next_position_;
+  return true;
+}
+
+void CancelGeneration(const CallerServices& services, const UpstreamConfig& upstream,
+                      const std::string& generation, const asio::any_io_executor& executor) {
+  const Endpoint endpoint = EndpointOf(upstream);
+  HttpRequest request =
+      MakePost("/cancel", fmt::format(R"({{"generation":"{}"}})", generation), endpoint);
+  services.path_metrics.cancelled_generations.Add();
+  asio::co_spawn(
+      executor,
+      [endpoint, request = std::move(request)]() mutable -> asio::awaitable<void> {
+        co_await FetchOnce(endpoint, std::move(request), kCancelTimeout);
+      },
+      asio::detached);
+}
+
+}  // namespace savoryglade
--- a/packages/daemon/model_handler.cc
+++ b/packages/daemon/model_handler.cc
@@ -1,323 +1,262 @@
 #include "daemon/model_handler.h"
 
-#include <fmt/format.h>
-
+#include <algorithm>
 #include <boost/asio.hpp>
-#include <boost/json.hpp>
 #include <memory>
 #include <optional>
 #include <utility>
+#include <vector>
 
-#include "config/account_keys.h"
-#include "net/http_client.h"
-#include "net/sse_reader.h"
+#include "core/prefix_hash.h"
+#include "daemon/answer_writer.h"
+#include "daemon/model_attempt.h"
+#include "daemon/request_identity.h"
+#include "net/peer_watch.h"
 
 namespace savoryglade {
 namespace {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
-namespace http = boost::beast::http;
 
-constexpr Duration kConnectTimeout = 1s;
-constexpr Duration kSendTimeout = 5s;
-// An engine that sends nothing for this long is taken for lost.
-constexpr Duration kSilenceTimeout = 10s;
-constexpr int kDefaultMaxTokens = 256;
 constexpr double kSecondsPerToken = 0.02;
+constexpr Duration kRetryAfter = 1s;
 
-// What a caller asks of a model.
-struct ChatRequest {
-  std::string model;
-  std::string prompt;
-  int max_tokens = kDefaultMaxTokens;
-  bool stream = false;
-};
+TimePoint Now() { return std::chrono::steady_clock::now(); }
 
-// One event of an engine's stream.
-struct EngineEvent {
-  std::string generation;
-  std::int64_t position = 0;
-  std::string token;
-  bool done = false;
-};
+// Carries one request through its attempts.
+class ModelSession {
+ public:
+  ModelSession(HttpExchange& exchange, const CallerRequest& request, const ChatRequest& chat,
+               const RequestDigests& digests, std::int64_t first_position,
+               const CallerServices& services)
+      : exchange_(exchange),
+        request_(request),
+        chat_(chat),
+        digests_(digests),
+        services_(services),
+        deadline_(Now() + request.service.deadline),
+        model_request_{.chat = chat, .digests = digests, .deadline = deadline_},
+        writer_(exchange, request.key, chat, first_position),
+        interrupt_(std::make_shared<Interrupt>()) {}
 
-std::optional<ChatRequest> ParseChatRequest(const std::string& body) {
-  json::error_code error;
-  const json::value document = json::parse(body, error);
-  if (error || !document.is_object()) {
-    return std::nullopt;
-  }
-  const json::object& object = document.get_object();
-  const json::value* model = object.if_contains("model");
-  const json::value* messages = object.if_contains("messages");
-  if (model == nullptr || !model->is_string() || messages == nullptr || !messages->is_array()) {
-    return std::nullopt;
-  }
-  ChatRequest request{.model = std::string(model->get_string())};
-  for (const json::value& message : messages->get_array()) {
-    const json::object* fields = message.if_object();
-    const json::value* content = fields == nullptr ? nullptr : fields->if_contains("content");
-    if (content == nullptr || !content->is_string()) {
-      return std::nullopt;
+  asio::awaitable<void> Run() {
+    const auto executor = co_await asio::this_coro::executor;
+    const ActiveRequests::Registration registration(services_.active, executor, interrupt_);
+    PeerWatch watch(exchange_.stream());
+    watch.OnGone([interrupt = interrupt_] { interrupt->Raise(InterruptCause::kCallerGone); });
+    services_.retries.OnRequest(request_.account.name, request_.service.name);
+    bool finished = false;
+    if (request_.has_caller_key) {
+      finished = co_await TryResume();
     }
-    request.prompt += std::string_view(content->get_string());
-    request.prompt += '\n';
-  }
-  if (const json::value* limit = object.if_contains("max_tokens")) {
-    if (!limit->is_int64() || limit->get_int64() < 1 || limit->get_int64() > 1'000'000) {
-      return std::nullopt;
+    while (!finished) {
+      finished = co_await TryOnce();
     }
-    request.max_tokens = static_cast<int>(limit->get_int64());
   }
-  if (const json::value* stream = object.if_contains("stream")) {
-    request.stream = stream->is_bool() && stream->get_bool();
-  }
-  return request;
-}
-
-std::optional<EngineEvent> ParseEngineEvent(std::string_view data) {
-  json::error_code error;
-  const json::value document = json::parse(json::string_view(data.data(), data.size()), error);
-  const json::object* object = error ? nullptr : document.if_object();
-  if (object == nullptr) {
-    return std::nullopt;
-  }
-  const json::value* generation = object->if_contains("generation");
-  const json::value* position = object->if_contains("position");
-  if (generation == nullptr || !generation->is_string() || position == nullptr ||
-      !position->is_int64()) {
-    return std::nullopt;
-  }
-  EngineEvent event{.generation = std::string(generation->get_string()),
-                    .position = position->get_int64()};
-  if (const json::value* token = object->if_contains("token"); token != nullptr) {
-    event.token = token->is_string() ? std::string(token->get_string()) : "";
-  }
-  event.done = object->contains("done");
-  return event;
-}
-
-// Delivers the tokens of one answer to its caller.
-class AnswerWriter {
- public:
-  AnswerWriter(HttpExchange& exchange, const RequestKey& key, const ChatRequest& chat)
-      : exchange_(exchange), key_(key), chat_(chat) {}
-
-  bool started() const { return started_; }
 
-  // Adds a token to the pending output.
-  void Add(const EngineEvent& event) {
-    if (!chat_.stream) {
-      text_ += event.token;
-      return;
+ private:
+  // Takes up the stream that this or another daemon has started for the same request. Returns true
+  // if the request has been answered.
+  asio::awaitable<bool> TryResume() {
+    const std::optional<StreamRecord> record = co_await services_.streams.Find(digests_.key);
+    if (!record) {
+      co_return false;
     }
-    // "created" is zero so that an answer resumed through another daemon is equal byte for byte.
-    text_ += fmt::format(
-        "id: {0}:{1}\ndata: {{\"id\":\"{0}\",\"object\":\"chat.completion.chunk\",\"created\":0,"
-        "\"model\":{2},\"choices\":[{{\"index\":0,\"delta\":{{\"content\":{3}}},"
-        "\"finish_reason\":null}}]}}\n\n",
-        key_.value(), event.position, json::serialize(json::string(chat_.model)),
-        json::serialize(json::string(event.token)));
-  }
-
-  // Sends what is pending. Returns false if the caller is gone.
-  asio::awaitable<bool> Flush() {
-    if (!chat_.stream || text_.empty()) {
+    if (record->body_digest != digests_.body) {
+      co_await Refuse({.reason = Reason::kIdempotencyKeyReused});
       co_return true;
     }
-    if (!started_) {
-      started_ = true;
-      HttpHeaders headers = ContentType("text/event-stream");
-      headers.emplace_back("Cache-Control", "no-store");
-      headers.emplace_back("Savoryglade-Request", key_.value());
-      if (!co_await exchange_.StartStream(200, std::move(headers))) {
-        co_return false;
-      }
+    const UpstreamConfig* upstream = request_.configuration->FindUpstream(record->upstream);
+    if (upstream == nullptr || upstream->service != request_.service.name) {
+      co_return false;
     }
-    const bool written = co_await exchange_.WriteChunk(text_);
-    text_.clear();
-    co_return written;
+    ModelAttempt attempt(services_, *upstream, model_request_, writer_, *interrupt_);
+    const AttemptEnd end = co_await attempt.Resume();
+    if (attempt.outcome().tokens > 0 || end == AttemptEnd::kComplete) {
+      services_.path_metrics.resumed_streams.Add();
+    }
+    co_return co_await TakeEnd(end, attempt.verdict(), *upstream, false);
   }
 
-  // Ends a whole answer.
-  asio::awaitable<void> Finish() {
-    if (chat_.stream) {
-      text_ += "data: [DONE]\n\n";
-      if (co_await Flush()) {
-        co_await exchange_.EndStream();
+  // Runs one attempt at an upstream of the scheduler's and router's choice. Returns true if the
+  // request has been answered.
+  asio::awaitable<bool> TryOnce() {
+    const Ticket ticket = services_.dispatcher.NewTicket();
+    const auto upstream = co_await AcquireUpstream(ticket);
+    if (interrupt_->raised()) {
+      if (upstream) {
+        services_.dispatcher.Finish(ticket, upstream->name, {.result = AttemptResult::kCancelled});
       }
-      co_return;
+      services_.path_metrics.callers_gone_queued.Add(
+          interrupt_->cause() == InterruptCause::kCallerGone ? 1 : 0);
+      co_await AnswerInterrupted(
+          {.run_state = state_, .reason = Reason::kDraining, .retry_after = kRetryAfter});
+      co_return true;
+    }
+    if (!upstream) {
+      if (upstream.error().reason == Reason::kNoUpstream && !tried_.empty()) {
+        // All others are in use or unusable, so those that failed may be tried again.
+        tried_.clear();
+        co_return co_await PrepareRetry(last_verdict_);
+      }
+      Verdict verdict = upstream.error();
+      verdict.run_state = state_;
+      co_await Refuse(verdict);
+      co_return true;
     }
-    json::object message = {{"role", "assistant"}, {"content", text_}};
-    json::object choice = {
-        {"index", 0}, {"message", std::move(message)}, {"finish_reason", "stop"}};
-    const json::object answer = {{"id", key_.value()},
-                                 {"object", "chat.completion"},
-                                 {"created", 0},
-                                 {"model", chat_.model},
-                                 {"choices", json::array{std::move(choice)}}};
-    HttpHeaders headers = ContentType("application/json");
-    headers.emplace_back("Savoryglade-Request", key_.value());
-    headers.emplace_back("Savoryglade-Verdict", "ran");
-    co_await exchange_.Respond(200, std::move(headers), json::serialize(answer));
+    services_.streams.Put({.key_digest = digests_.key,
+                           .body_digest = digests_.body,
+                           .upstream = upstream->name,
+                           .generation = digests_.generation});
+    ModelAttempt attempt(services_, *upstream, model_request_, writer_, *interrupt_);
+    const AttemptEnd end = co_await attempt.Generate();
+    services_.dispatcher.Finish(ticket, upstream->name, attempt.outcome());
+    tried_.push_back(upstream->name);
+    co_return co_await TakeEnd(end, attempt.verdict(), *upstream, true);
   }
 
- private:
-  HttpExchange& exchange_;
-  const RequestKey& key_;
-  const ChatRequest& chat_;
-  std::string text_;
-  bool started_ = false;
-};
-
-HttpRequest MakeGenerateRequest(const ChatRequest& chat, const RequestKey& key,
-                                const Endpoint& endpoint) {
-  // The seed follows from the key, so that a resent request gives the same answer.
-  const std::string seed = Sha256Hex(key.value()).substr(0, 15);
-  const json::object body = {{"generation", key.value()},
-                             {"prompt", chat.prompt},
-                             {"max_tokens", chat.max_tokens},
-                             {"seed", seed}};
-  HttpRequest request(http::verb::post, "/generate", 11);
-  request.set(http::field::host, ToString(endpoint));
-  request.set(http::field::content_type, "application/json");
-  request.body() = json::serialize(body);
-  request.prepare_payload();
-  return request;
-}
-
-// Runs one attempt at an upstream and relays its tokens. Returns nothing when the answer is whole
-// or the caller is gone, otherwise the verdict.
-class ModelAttempt {
- public:
-  ModelAttempt(const CallerServices& services, const UpstreamConfig& upstream, AnswerWriter& writer,
-               const RequestKey& key)
-      : services_(services), upstream_(upstream), writer_(writer), key_(key) {}
+  asio::awaitable<tl::expected<UpstreamConfig, Verdict>> AcquireUpstream(Ticket ticket) {
+    const QueuedRequest queued{.ticket = ticket,
+                               .account = request_.account.name,
+                               .service = request_.service.name,
+                               .predicted_cost = kSecondsPerToken * chat_.max_tokens,
+                               .enqueued = Now(),
+                               .deadline = deadline_};
+    RouteRequest route{.service = request_.service.name,
+                       .predicted_cost = queued.predicted_cost,
+                       .prefix_hashes = PrefixHashes(chat_.prompt),
+                       .excluded = tried_};
+    const InterruptScope scope(*interrupt_, [this, ticket] {
+      services_.dispatcher.Cancel(ticket, {.reason = Reason::kCallerGone});
+    });
+    co_return co_await services_.dispatcher.Acquire(queued, std::move(route));
+  }
 
-  asio::awaitable<std::optional<Verdict>> Run(const ChatRequest& chat) {
-    start_ = std::chrono::steady_clock::now();
-    const Endpoint endpoint{.address = upstream_.address, .port = upstream_.port};
-    auto connection = co_await HttpConnection::Connect(endpoint, kConnectTimeout);
-    if (!connection) {
-      outcome_.result = AttemptResult::kConnectFailed;
-      co_return Verdict{
-          .run_state = RunState::kNotRun, .reason = Reason::kUpstreamLost, .retry_after = 1s};
+  // Acts on the end of an attempt. Returns true if the request has been answered.
+  asio::awaitable<bool> TakeEnd(AttemptEnd end, const Verdict& verdict,
+                                const UpstreamConfig& upstream, bool counts) {
+    if (end == AttemptEnd::kComplete) {
+      services_.streams.Put({.key_digest = digests_.key,
+                             .body_digest = digests_.body,
+                             .upstream = upstream.name,
+                             .generation = digests_.generation,
+                             .ended = true});
+      co_return true;
     }
-    const auto sent =
-        co_await (*connection)->Send(MakeGenerateRequest(chat, key_, endpoint), kSendTimeout);
-    const auto status = sent ? co_await (*connection)->ReadHeader(kSilenceTimeout)
-                             : Result<unsigned>(tl::make_unexpected(sent.error()));
-    if (!status || *status != 200) {
-      outcome_.result = AttemptResult::kLost;
-      co_return Verdict{.run_state = RunState::kMayHaveRun,
-                        .reason = status ? Reason::kUpstreamError : Reason::kUpstreamLost,
-                        .retry_after = 1s};
+    if (verdict.run_state == RunState::kMayHaveRun) {
+      state_ = RunState::kMayHaveRun;
     }
-    co_return co_await Relay(**connection);
-  }
-
-  // Outcome for the router, with times from the start of the attempt to now.
-  AttemptOutcome outcome() {
-    outcome_.total = std::chrono::steady_clock::now() - start_;
-    return outcome_;
+    const auto executor = co_await asio::this_coro::executor;
+    if (end == AttemptEnd::kInterrupted) {
+      const bool gone = interrupt_->cause() == InterruptCause::kCallerGone;
+      services_.path_metrics.callers_gone_running.Add(gone ? 1 : 0);
+      // A caller that chose its key can resume, so the engine keeps its stream for a while.
+      if (gone && !request_.has_caller_key) {
+        CancelGeneration(services_, upstream, digests_.generation, executor);
+      }
+      co_await AnswerInterrupted(
+          {.run_state = state_, .reason = Reason::kDraining, .retry_after = kRetryAfter});
+      co_return true;
+    }
+    if (end == AttemptEnd::kUnknownGeneration && !counts) {
+      co_return false;
+    }
+    if (verdict.run_state == RunState::kMayHaveRun) {
+      CancelGeneration(services_, upstream, digests_.generation, executor);
+    }
+    if (verdict.reason == Reason::kDeadlineExceeded) {
+      co_await Refuse(verdict);
+      co_return true;
+    }
+    attempts_ += counts ? 1 : 0;
+    co_return !counts ? false : co_await PrepareRetry(verdict);
   }
 
- private:
-  asio::awaitable<std::optional<Verdict>> Relay(HttpConnection& connection) {
-    SseReader reader;
-    while (true) {
-      reader.Compact();
-      const Result<bool> more = co_await connection.ReadSome(reader.buffer(), kSilenceTimeout);
-      if (!more || !*more) {
-        outcome_.result = AttemptResult::kLost;
-        co_return Verdict{
-            .run_state = RunState::kMayHaveRun, .reason = Reason::kUpstreamLost, .retry_after = 1s};
-      }
-      bool done = false;
-      while (const auto data = reader.Next()) {
-        done = Accept(*data) || done;
-      }
-      if (done) {
-        co_await writer_.Finish();
-        co_return std::nullopt;
-      }
-      if (!co_await writer_.Flush()) {
-        outcome_.result = AttemptResult::kCancelled;
-        services_.metrics.GetCounter("savoryglade_callers_gone_total").Add();
-        co_return std::nullopt;
-      }
+  // Waits for the next attempt if the budget allows one, else answers. Returns true if the request
+  // has been answered.
+  asio::awaitable<bool> PrepareRetry(const Verdict& verdict) {
+    last_verdict_ = verdict;
+    const FailedAttempt failure{.account = request_.account.name,
+                                .service = request_.service.name,
+                                .verdict = verdict,
+                                .attempts = std::max(attempts_, 1),
+                                .deadline = deadline_};
+    const std::optional<Duration> delay = services_.retries.DelayBeforeRetry(failure, Now());
+    if (!delay) {
+      Verdict last = verdict;
+      last.run_state = state_;
+      co_await Refuse(last);
+      co_return true;
     }
+    services_.path_metrics.retries.Add();
+    services_.path_metrics.continued_streams.Add(writer_.next_position() > 0 ? 1 : 0);
+    asio::steady_timer timer(co_await asio::this_coro::executor, *delay);
+    const InterruptScope scope(*interrupt_, [&timer] { timer.cancel(); });
+    if (!interrupt_->raised()) {
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_return false;
   }
 
-  // Takes one event if it is the next of this request. Returns true at the end of the answer.
-  bool Accept(std::string_view data) {
-    const std::optional<EngineEvent> event = ParseEngineEvent(data);
-    if (!event || event->generation != key_.value() || event->position != next_position_) {
-      services_.metrics.GetCounter("savoryglade_events_dropped_total").Add();
-      return false;
+  // Answers a request that was ended from outside.
+  asio::awaitable<void> AnswerInterrupted(const Verdict& verdict) {
+    if (interrupt_->cause() == InterruptCause::kCallerGone) {
+      exchange_.Abort();
+      co_return;
     }
-    if (event->done) {
-      return true;
+    if (!writer_.started()) {
+      co_await Refuse(verdict);
+      co_return;
     }
-    if (next_position_ == 0) {
-      outcome_.first_token = std::chrono::steady_clock::now() - start_;
-      services_.dispatcher.OnFirstToken(upstream_.name, outcome_.first_token);
+    co_await services_.streams.Confirm(digests_.key);
+    services_.path_metrics.resume_events.Add();
+    co_await writer_.FinishWithResume();
+  }
+
+  // Answers a request that gets no whole answer.
+  asio::awaitable<void> Refuse(const Verdict& verdict) {
+    if (writer_.started()) {
+      services_.metrics
+          .GetCounter("savoryglade_streams_ended_early_total",
+                      {{"reason", std::string(ToString(verdict.reason))}})
+          .Add();
+      co_await writer_.FinishWithVerdict(verdict);
+      co_return;
     }
-    ++next_position_;
-    ++outcome_.tokens;
-    writer_.Add(*event);
-    return false;
+    co_await RespondWithVerdict(exchange_, request_.key, verdict, services_.metrics);
   }
 
+  HttpExchange& exchange_;
+  const CallerRequest& request_;
+  const ChatRequest& chat_;
+  const RequestDigests& digests_;
   const CallerServices& services_;
-  const UpstreamConfig& upstream_;
-  AnswerWriter& writer_;
-  const RequestKey& key_;
-  TimePoint start_;
-  std::int64_t next_position_ = 0;
-  AttemptOutcome outcome_;
+  const TimePoint deadline_;
+  const ModelRequest model_request_;
+  AnswerWriter writer_;
+  std::shared_ptr<Interrupt> interrupt_;
+  std::vector<UpstreamId> tried_;
+  int attempts_ = 0;
+  // The least that can be promised after all attempts so far.
+  RunState state_ = RunState::kNotRun;
+  Verdict last_verdict_;
 };
 
 }  // namespace
 
 asio::awaitable<void> HandleModelRequest(HttpExchange& exchange, CallerRequest request,
-                                         CallerServices services) {
-  const std::optional<ChatRequest> chat = ParseChatRequest(exchange.request().body());
-  if (!chat) {
+                                         ChatRequest chat, CallerServices services) {
+  const std::optional<std::int64_t> position =
+      chat.stream ? ParseResumePosition(exchange.Header("Last-Event-ID"), request.key) : 0;
+  if (!position) {
     const Verdict malformed{.reason = Reason::kMalformedRequest};
     co_await RespondWithVerdict(exchange, request.key, malformed, services.metrics);
     co_return;
   }
-  const TimePoint now = std::chrono::steady_clock::now();
-  const QueuedRequest queued{.ticket = services.dispatcher.NewTicket(),
-                             .account = request.account.name,
-                             .service = request.service.name,
-                             .predicted_cost = kSecondsPerToken * chat->max_tokens,
-                             .enqueued = now,
-                             .deadline = now + request.service.deadline};
-  const RouteRequest route{.service = request.service.name,
-                           .predicted_cost = queued.predicted_cost};
-  const auto upstream = co_await services.dispatcher.Acquire(queued, route);
-  if (!upstream) {
-    co_await RespondWithVerdict(exchange, request.key, upstream.error(), services.metrics);
-    co_return;
-  }
-  AnswerWriter writer(exchange, request.key, *chat);
-  ModelAttempt attempt(services, *upstream, writer, request.key);
-  const std::optional<Verdict> verdict = co_await attempt.Run(*chat);
-  const AttemptOutcome outcome = attempt.outcome();
-  services.dispatcher.Finish(queued.ticket, upstream->name, outcome);
-  services.metrics.GetCounter("savoryglade_tokens_relayed_total")
-      .Add(static_cast<std::uint64_t>(outcome.tokens));
-  if (!verdict) {
-    co_return;
-  }
-  if (writer.started()) {
-    exchange.Abort();
-    co_return;
-  }
-  co_await RespondWithVerdict(exchange, request.key, *verdict, services.metrics);
+  const RequestDigests digests =
+      MakeDigests(request.account.name, request.service.name, request.key, exchange.TakeBody());
+  ModelSession session(exchange, request, chat, digests, *position, services);
+  co_await session.Run();
 }
 
 }  // namespace savoryglade
--- a/packages/daemon/model_handler.h
+++ b/packages/daemon/model_handler.h
@@ -3,12 +3,15 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "daemon/caller_context.h"
+#include "daemon/chat_request.h"
 
 namespace savoryglade {
 
 // Answers a chat completion: queues it, runs it at a model engine and relays the tokens, as
-// server-sent events if the caller asks for a stream, else as one JSON answer.
+// server-sent events if the caller asks for a stream, else as one JSON answer. An attempt that
+// fails is continued at another engine, and a caller that comes back with Last-Event-ID gets the
+// rest of its answer.
 boost::asio::awaitable<void> HandleModelRequest(HttpExchange& exchange, CallerRequest request,
-                                                CallerServices services);
+                                                ChatRequest chat, CallerServices services);
 
 }  // namespace savoryglade
--- /dev/null
+++ b/packages/daemon/request_identity.cc
@@ -0,0 +1,99 @@
+#include "daemon/request_identity.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <charconv>
+
+#include "config/account_keys.h"
+
+namespace savoryglade {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t kLongestKey = 128;
+// 128 bits are enough against collisions.
+constexpr std::size_t kDigestLength = 32;
+constexpr std::size_t kSeedLength = 15;
+
+std::string Digest(std::string_view text) { return Sha256Hex(text).substr(0, kDigestLength); }
+
+}  // namespace
+
+bool IsValidRequestKey(std::string_view text) {
+  return !text.empty() && text.size() <= kLongestKey &&
+         std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c < '\x7f' && c != '"' && c != '\\'; });
+}
+
+std::optional<std::int64_t> ParseResumePosition(std::string_view last_event_id,
+                                                const RequestKey& key) {
+  if (last_event_id.empty()) {
+    return 0;
+  }
+  const std::string& name = key.value();
+  if (last_event_id.size() <= name.size() + 1 || last_event_id.substr(0, name.size()) != name ||
+      last_event_id[name.size()] != ':') {
+    return std::nullopt;
+  }
+  const std::string_view digits = last_event_id.substr(name.size() + 1);
+  std::int64_t position = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), position);
+  if (error != std::errc() || end != digits.data() + digits.size() || position < 0 ||
+      position == INT64_MAX) {
+    return std::nullopt;
+  }
+  return position + 1;
+}
+
+RequestDigests MakeDigests(const AccountId& account, const ServiceId& service,
+                           const RequestKey& key, std::string_view body) {
+  // The lengths keep different triples from giving the same text.
+  const std::string identity = fmt::format("{}:{}{}:{}{}", account.value().size(), account.value(),
+                                           service.value().size(), service.value(), key.value());
+  RequestDigests digests;
+  digests.key = Digest(identity);
+  digests.body = Digest(body);
+  digests.generation = Digest(digests.key + digests.body);
+  digests.seed = Sha256Hex(key.value()).substr(0, kSeedLength);
+  return digests;
+}
+
+bool HasPathPrefix(std::string_view target, std::string_view prefix) {
+  const std::string_view path = target.substr(0, target.find('?'));
+  if (prefix.empty() || path.substr(0, prefix.size()) != prefix) {
+    return false;
+  }
+  return path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/';
+}
+
+const MayNotRepeatRule* FindMayNotRepeatRule(const ServiceConfig& service, std::string_view method,
+                                             std::string_view target) {
+  for (const MayNotRepeatRule& rule : service.may_not_repeat) {
+    if (rule.method == method && HasPathPrefix(target, rule.path)) {
+      return &rule;
+    }
+  }
+  return nullptr;
+}
+
+std::string FindClaimKey(const MayNotRepeatRule& rule, std::string_view idempotency_key,
+                         const std::string& body) {
+  if (!rule.identity_field.empty()) {
+    json::error_code error;
+    const json::value document = json::parse(body, error);
+    const json::object* object = error ? nullptr : document.if_object();
+    const json::value* field =
+        object == nullptr ? nullptr : object->if_contains(rule.identity_field);
+    if (field != nullptr && (field->is_string() || field->is_number())) {
+      // The prefix keeps field values apart from keys of callers.
+      return rule.identity_field + "=" +
+             (field->is_string() ? std::string(field->get_string()) : json::serialize(*field));
+    }
+  }
+  return std::string(idempotency_key);
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/daemon/request_identity.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "config/configuration.h"
+#include "core/strong_id.h"
+
+namespace savoryglade {
+
+// Returns true if a text may be a request key: 1 to 128 visible ASCII characters without quotes and
+// backslashes, so that it can stand in headers, event ids and JSON as it is.
+bool IsValidRequestKey(std::string_view text);
+
+// Returns the position after the one that a Last-Event-ID header "<key>:<position>" names; zero if
+// the header is empty, nothing if it is malformed or belongs to another key.
+std::optional<std::int64_t> ParseResumePosition(std::string_view last_event_id,
+                                                const RequestKey& key);
+
+// Digests that identify a model request over resends and daemons.
+struct RequestDigests {
+  // Covers client account, service and key.
+  std::string key;
+  std::string body;
+  // Id of the generation at the engine. Covers the body too, so that an engine can never attach a
+  // request to the stream of another one.
+  std::string generation;
+  // Seed of the answer, which follows from the key so that a resent request gives the same answer.
+  std::string seed;
+};
+
+// Computes the digests of a request.
+RequestDigests MakeDigests(const AccountId& account, const ServiceId& service,
+                           const RequestKey& key, std::string_view body);
+
+// Returns the rule that makes a request of a plain service may-not-repeat, or nullptr. The target
+// is a path with an optional query.
+const MayNotRepeatRule* FindMayNotRepeatRule(const ServiceConfig& service, std::string_view method,
+                                             std::string_view target);
+
+// Returns the identity of a may-not-repeat request: the body field that the rule names, else the
+// caller's Idempotency-Key; empty if there is neither.
+std::string FindClaimKey(const MayNotRepeatRule& rule, std::string_view idempotency_key,
+                         const std::string& body);
+
+// Returns true if the path of a target starts with the prefix and a segment ends there.
+bool HasPathPrefix(std::string_view target, std::string_view prefix);
+
+}  // namespace savoryglade
--- a/packages/daemon/savorygladed_main.cc
+++ b/packages/daemon/savorygladed_main.cc
@@ -1,7 +1,9 @@
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 
+#include <chrono>
 #include <csignal>
+#include <ctime>
 #include <fstream>
 #include <iterator>
 #include <string>
@@ -33,6 +35,9 @@
 )";
 
 constexpr int kExitInvalidSettings = 2;
+// Section 10 of the design page: what a second signal leaves to the requests in flight.
+constexpr savoryglade::Duration kDrainLimit = std::chrono::seconds(30);
+constexpr timespec kDrainPoll{.tv_sec = 0, .tv_nsec = 10'000'000};
 
 Result<Settings> LoadSettings(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
@@ -61,7 +66,13 @@
   }
   int signal = 0;
   sigwait(&signals, &signal);
-  daemon.Drain();
+  daemon.BeginDrain();
+  while (!daemon.drained()) {
+    if (sigtimedwait(&signals, nullptr, &kDrainPoll) > 0) {
+      daemon.LimitDrain(kDrainLimit);
+    }
+  }
+  daemon.Stop();
   return 0;
 }
 
--- a/packages/emulator/engine.cc
+++ b/packages/emulator/engine.cc
@@ -2,12 +2,17 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
 #include <boost/json.hpp>
-#include <string_view>
+#include <charconv>
+#include <iterator>
+#include <optional>
+#include <utility>
 
-#include "core/random.h"
+#include "net/peer_watch.h"
 
 namespace savoryglade {
 namespace {
@@ -15,78 +20,470 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
-constexpr std::array<std::string_view, 16> kWords = {
-    "check",   "the",     "shutter", "blades", "for", "oil",  "then", "set",
-    "curtain", "tension", "to",      "spec",   "and", "test", "each", "speed"};
+// Most events in one write, so that one stream does not hold its worker for long.
+constexpr std::int64_t kEventsPerWrite = 64;
 
-// FNV-1a, which is stable over platforms, unlike std::hash.
-std::uint64_t Hash(std::string_view text, std::uint64_t hash = 14695981039346656037ULL) {
-  for (const char c : text) {
-    hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+struct FaultName {
+  std::string_view name;
+  EngineFault fault;
+};
+
+constexpr std::array kFaultNames = {
+    FaultName{"crash", EngineFault::kCrash},
+    FaultName{"stall", EngineFault::kStall},
+    FaultName{"silent_connections", EngineFault::kSilentConnections},
+    FaultName{"refuse", EngineFault::kRefuse},
+    FaultName{"repeat_events", EngineFault::kRepeatEvents},
+    FaultName{"cross_events", EngineFault::kCrossEvents},
+    FaultName{"late_events", EngineFault::kLateEvents},
+};
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+std::optional<json::object> ParseObject(const std::string& body) {
+  json::error_code error;
+  json::value document = json::parse(body, error);
+  if (error || !document.is_object()) {
+    return std::nullopt;
   }
-  return hash;
+  return std::move(document.get_object());
 }
 
-std::string StringField(const json::object& object, std::string_view name) {
+std::string Text(const json::object& object, std::string_view name) {
   const json::value* value = object.if_contains(json::string_view(name.data(), name.size()));
   return value != nullptr && value->is_string() ? std::string(value->get_string()) : "";
 }
 
-std::int64_t IntegerField(const json::object& object, std::string_view name) {
+std::int64_t Integer(const json::object& object, std::string_view name, std::int64_t fallback = 0) {
   const json::value* value = object.if_contains(json::string_view(name.data(), name.size()));
-  return value != nullptr && value->is_int64() ? value->get_int64() : 0;
+  return value != nullptr && value->is_int64() ? value->get_int64() : fallback;
+}
+
+asio::awaitable<void> RespondWithText(HttpExchange& exchange, unsigned status, std::string text) {
+  HttpHeaders headers = ContentType("text/plain");
+  co_await exchange.Respond(status, std::move(headers), std::move(text));
+}
+
+asio::awaitable<void> RespondWithJson(HttpExchange& exchange, const json::object& object) {
+  HttpHeaders headers = ContentType("application/json");
+  co_await exchange.Respond(200, std::move(headers), json::serialize(object));
+}
+
+void AppendEvent(std::string_view generation, std::int64_t position, std::string_view token,
+                 std::string& text) {
+  fmt::format_to(std::back_inserter(text),
+                 "data: {{\"generation\":\"{}\",\"position\":{},\"token\":\"{}\"}}\n\n", generation,
+                 position, token);
 }
 
 }  // namespace
 
+EngineFault ParseEngineFault(std::string_view name) {
+  for (const FaultName& entry : kFaultNames) {
+    if (entry.name == name) {
+      return entry.fault;
+    }
+  }
+  return EngineFault::kNone;
+}
+
+// Wakes a coroutine that waits for further tokens, on its own executor.
+struct Engine::Reader : GenerationReader, std::enable_shared_from_this<Engine::Reader> {
+  explicit Reader(const asio::any_io_executor& executor) : timer(executor) {}
+
+  void Wake() override {
+    asio::dispatch(timer.get_executor(), [self = shared_from_this()] { self->timer.cancel(); });
+  }
+
+  asio::steady_timer timer;
+};
+
+// What a stream does next.
+struct Engine::Batch {
+  std::string text;
+  std::int64_t position = 0;
+  bool done = false;
+  bool lost = false;
+  bool still = false;
+};
+
 std::string Engine::TokenAt(const std::string& prompt, const std::string& seed,
                             std::int64_t position) {
-  const std::uint64_t seed_hash = Hash(seed, Hash(prompt)) + static_cast<std::uint64_t>(position);
-  return fmt::format("{} ", kWords[Random(seed_hash).Below(kWords.size())]);
+  return std::string(EngineState::TokenAt(EngineState::TokenSeed(prompt, seed), position));
+}
+
+EngineCounts Engine::counts() const {
+  const std::lock_guard lock(mutex_);
+  return state_.counts();
+}
+
+void Engine::SetFault(EngineFault fault, std::int64_t at_position) {
+  const std::lock_guard lock(mutex_);
+  pending_fault_ = at_position < 0 ? EngineFault::kNone : fault;
+  pending_position_ = at_position;
+  if (at_position < 0) {
+    ShowFault(fault);
+  }
+}
+
+void Engine::ShowFault(EngineFault fault) {
+  pending_fault_ = EngineFault::kNone;
+  fault_ = fault;
+  if (fault == EngineFault::kCrash) {
+    ++epoch_;
+    state_.Reset();
+  }
+  if (fault == EngineFault::kSilentConnections) {
+    silent_connections_ = latest_connection_;
+  }
+}
+
+bool Engine::IsStill(const HttpExchange& exchange) const {
+  return fault_ == EngineFault::kStall || exchange.connection_id() <= silent_connections_;
 }
 
 asio::awaitable<void> Engine::Handle(HttpExchange& exchange) {
-  if (exchange.target() == "/generate") {
-    co_await Generate(exchange);
-    co_return;
+  bool crashed = false;
+  bool still = false;
+  {
+    const std::lock_guard lock(mutex_);
+    latest_connection_ = std::max(latest_connection_, exchange.connection_id());
+    crashed = fault_ == EngineFault::kCrash;
+    still = IsStill(exchange);
   }
-  if (exchange.target() == "/health") {
-    co_await exchange.Respond(200, ContentType("text/plain"), "ok\n");
+  if (exchange.target() == "/fault") {
+    co_await TakeFault(exchange);
+  } else if (crashed) {
+    exchange.Abort();
+  } else if (still) {
+    co_await StayStill(exchange);
+  } else {
+    co_await Route(exchange);
+  }
+}
+
+asio::awaitable<void> Engine::Route(HttpExchange& exchange) {
+  using Method = asio::awaitable<void> (Engine::*)(HttpExchange&);
+  struct Entry {
+    std::string_view path;
+    Method method;
+  };
+  static constexpr std::array kRoutes = {
+      Entry{"/generate", &Engine::Generate},
+      Entry{"/resume", &Engine::Resume},
+      Entry{"/cancel", &Engine::Cancel},
+      Entry{"/load", &Engine::Load},
+      Entry{"/cache_events", &Engine::CacheEvents},
+      Entry{"/orders", &Engine::Orders},
+      Entry{"/kv/export", &Engine::ExportCache},
+      Entry{"/kv/import", &Engine::ImportCache},
+  };
+  const std::string_view path = exchange.target().substr(0, exchange.target().find('?'));
+  for (const Entry& entry : kRoutes) {
+    if (entry.path == path) {
+      co_await (this->*entry.method)(exchange);
+      co_return;
+    }
+  }
+  const bool health = path == "/health";
+  co_await RespondWithText(exchange, health ? 200 : 404, health ? "ok\n" : "no such resource\n");
+}
+
+// Keeps a connection open without an answer until its peer closes it or the server stops.
+asio::awaitable<void> Engine::StayStill(HttpExchange& exchange) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, TimePoint::max());
+  PeerWatch watch(exchange.stream());
+  watch.OnGone([&timer] { timer.cancel(); });
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  exchange.Abort();
+}
+
+asio::awaitable<void> Engine::TakeFault(HttpExchange& exchange) {
+  const auto object = ParseObject(exchange.request().body());
+  if (!object) {
+    co_await RespondWithText(exchange, 400, "expected a JSON object\n");
     co_return;
   }
-  co_await exchange.Respond(404, ContentType("text/plain"), "no such resource\n");
+  SetFault(ParseEngineFault(Text(*object, "kind")), Integer(*object, "at_position", -1));
+  co_await RespondWithText(exchange, 200, "ok\n");
+}
+
+asio::awaitable<void> Engine::EnsureStepLoop() {
+  {
+    const std::lock_guard lock(mutex_);
+    if (stepping_) {
+      co_return;
+    }
+    stepping_ = true;
+  }
+  asio::co_spawn(co_await asio::this_coro::executor, StepLoop(), asio::detached);
+}
+
+asio::awaitable<void> Engine::StepLoop() {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  TimePoint next = Now();
+  while (true) {
+    next = std::max(next + options_.between_tokens, Now() - options_.between_tokens);
+    timer.expires_at(next);
+    co_await timer.async_wait(asio::use_awaitable);
+    const std::lock_guard lock(mutex_);
+    if (fault_ != EngineFault::kStall) {
+      state_.Step(Now());
+    }
+  }
 }
 
 asio::awaitable<void> Engine::Generate(HttpExchange& exchange) {
-  json::error_code error;
-  const json::value document = json::parse(exchange.request().body(), error);
-  const json::object* object = error ? nullptr : document.if_object();
-  if (object == nullptr) {
-    co_await exchange.Respond(400, ContentType("text/plain"), "expected a JSON object\n");
+  const auto object = ParseObject(exchange.request().body());
+  if (!object) {
+    co_await RespondWithText(exchange, 400, "expected a JSON object\n");
     co_return;
   }
-  const std::string generation = StringField(*object, "generation");
-  const std::string prompt = StringField(*object, "prompt");
-  const std::string seed = StringField(*object, "seed");
-  const std::int64_t count = IntegerField(*object, "max_tokens");
-  if (!co_await exchange.StartStream(200, ContentType("text/event-stream"))) {
+  GenerationRequest request{.id = Text(*object, "generation"),
+                            .prompt = Text(*object, "prompt"),
+                            .seed = Text(*object, "seed"),
+                            .known_text = Text(*object, "known_text"),
+                            .start_position = Integer(*object, "position"),
+                            .max_tokens = Integer(*object, "max_tokens"),
+                            .priority = Integer(*object, "priority")};
+  const std::int64_t position = request.start_position;
+  std::shared_ptr<Generation> generation;
+  {
+    const std::lock_guard lock(mutex_);
+    if (fault_ != EngineFault::kRefuse) {
+      generation = state_.Submit(std::move(request), Now());
+    }
+  }
+  if (!generation) {
+    HttpHeaders headers = ContentType("text/plain");
+    headers.emplace_back("Savoryglade-Verdict", "not_run");
+    co_await exchange.Respond(503, std::move(headers), "refused\n");
     co_return;
   }
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  for (std::int64_t position = 0; position < count; ++position) {
-    timer.expires_after(position == 0 ? options_.first_token : options_.between_tokens);
-    co_await timer.async_wait(asio::use_awaitable);
-    const json::object event = {{"generation", generation},
-                                {"position", position},
-                                {"token", TokenAt(prompt, seed, position)}};
-    if (!co_await exchange.WriteChunk(fmt::format("data: {}\n\n", json::serialize(event)))) {
-      co_return;
+  co_await EnsureStepLoop();
+  co_await Stream(exchange, std::move(generation), position);
+}
+
+asio::awaitable<void> Engine::Resume(HttpExchange& exchange) {
+  const auto object = ParseObject(exchange.request().body());
+  const std::int64_t position = object ? Integer(*object, "position") : 0;
+  std::shared_ptr<Generation> generation;
+  if (object) {
+    const std::lock_guard lock(mutex_);
+    generation = state_.Find(Text(*object, "generation"));
+    if (generation && (generation->cancelled || position < generation->request.start_position)) {
+      generation = nullptr;
+    }
+    state_.counts().resumed += generation ? 1 : 0;
+  }
+  if (!generation) {
+    co_await RespondWithText(exchange, 404, "no such generation\n");
+    co_return;
+  }
+  co_await EnsureStepLoop();
+  co_await Stream(exchange, std::move(generation), position);
+}
+
+void Engine::AppendToken(const Generation& generation, std::int64_t position,
+                         std::string& text) const {
+  const std::string_view token = EngineState::TokenAt(generation.token_seed, position);
+  const std::string& id = generation.request.id;
+  if (fault_ == EngineFault::kCrossEvents) {
+    AppendEvent("crossed", position, "crossed", text);
+  }
+  if (fault_ == EngineFault::kLateEvents) {
+    AppendEvent(id, position - 1, "late", text);
+  }
+  AppendEvent(id, position, token, text);
+  if (fault_ == EngineFault::kRepeatEvents) {
+    AppendEvent(id, position, token, text);
+  }
+}
+
+Engine::Batch Engine::TakeBatch(HttpExchange& exchange, Generation& generation, std::int64_t first,
+                                std::int64_t position) {
+  Batch batch{.position = position};
+  const std::lock_guard lock(mutex_);
+  batch.lost = generation.cancelled;
+  batch.still = IsStill(exchange);
+  if (batch.lost || batch.still) {
+    return batch;
+  }
+  std::int64_t end = std::min(generation.next, position + kEventsPerWrite);
+  const bool faulty = pending_fault_ != EngineFault::kNone && first < pending_position_;
+  if (faulty) {
+    end = std::min(end, pending_position_);
+  }
+  for (; batch.position < end; ++batch.position) {
+    AppendToken(generation, batch.position, batch.text);
+  }
+  if (faulty && position >= pending_position_) {
+    ShowFault(pending_fault_);
+    batch.lost = generation.cancelled;
+    batch.still = IsStill(exchange);
+    return batch;
+  }
+  if (generation.complete() && batch.position >= generation.next) {
+    batch.done = true;
+    fmt::format_to(std::back_inserter(batch.text),
+                   "data: {{\"generation\":\"{}\",\"position\":{},\"done\":true,"
+                   "\"prompt_tokens\":{},\"cached_tokens\":{}}}\n\n",
+                   generation.request.id, batch.position, generation.prompt_tokens,
+                   generation.cached_tokens);
+  }
+  return batch;
+}
+
+asio::awaitable<void> Engine::Stream(HttpExchange& exchange, std::shared_ptr<Generation> generation,
+                                     std::int64_t position) {
+  const std::int64_t first = position;
+  const auto reader = std::make_shared<Reader>(co_await asio::this_coro::executor);
+  {
+    const std::lock_guard lock(mutex_);
+    state_.AddReader(*generation, reader);
+  }
+  HttpHeaders headers = ContentType("text/event-stream");
+  bool open = co_await exchange.StartStream(200, std::move(headers));
+  while (open) {
+    const Batch batch = TakeBatch(exchange, *generation, first, position);
+    if (batch.lost) {
+      exchange.Abort();
+      break;
+    }
+    if (batch.still) {
+      co_await StayStill(exchange);
+      break;
     }
+    if (!batch.text.empty()) {
+      position = batch.position;
+      open = co_await exchange.WriteChunk(batch.text);
+      if (open && batch.done) {
+        co_await exchange.EndStream();
+        break;
+      }
+      continue;
+    }
+    reader->timer.expires_after(options_.keep_alive);
+    const auto [error] = co_await reader->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (!error) {
+      bool still = false;
+      {
+        const std::lock_guard lock(mutex_);
+        still = IsStill(exchange);
+      }
+      open = still || co_await exchange.WriteChunk(": keep-alive\n\n");
+    }
+  }
+  const std::lock_guard lock(mutex_);
+  state_.RemoveReader(*generation, Now());
+}
+
+asio::awaitable<void> Engine::Cancel(HttpExchange& exchange) {
+  const auto object = ParseObject(exchange.request().body());
+  bool cancelled = false;
+  if (object) {
+    const std::lock_guard lock(mutex_);
+    cancelled = state_.Cancel(Text(*object, "generation"));
+  }
+  const json::object answer = {{"cancelled", cancelled}};
+  co_await RespondWithJson(exchange, answer);
+}
+
+asio::awaitable<void> Engine::Load(HttpExchange& exchange) {
+  std::string report;
+  {
+    const std::lock_guard lock(mutex_);
+    const TimePoint now = Now();
+    const double used = state_.cache().capacity() == 0
+                            ? 0
+                            : static_cast<double>(state_.cache().size()) /
+                                  static_cast<double>(state_.cache().capacity());
+    const std::string current =
+        json::serialize(json::object{{"running", state_.running()},
+                                     {"waiting", state_.waiting()},
+                                     {"kv_used_fraction", used},
+                                     {"generated_tokens", state_.counts().generated_tokens},
+                                     {"prefilled_tokens", state_.counts().prefilled_tokens}});
+    // A lagging report shows the state of the last time it was renewed.
+    const bool renew = load_report_.empty() || now - load_report_time_ >= options_.load_report_lag;
+    report = load_report_.empty() || options_.load_report_lag == Duration::zero() ? current
+                                                                                  : load_report_;
+    if (renew) {
+      load_report_ = current;
+      load_report_time_ = now;
+    }
+  }
+  HttpHeaders headers = ContentType("application/json");
+  co_await exchange.Respond(200, std::move(headers), std::move(report));
+}
+
+asio::awaitable<void> Engine::CacheEvents(HttpExchange& exchange) {
+  static constexpr std::string_view kAfter = "?after=";
+  std::uint64_t after = 0;
+  const std::string_view target = exchange.target();
+  if (const std::size_t at = target.find(kAfter); at != std::string_view::npos) {
+    std::from_chars(target.data() + at + kAfter.size(), target.data() + target.size(), after);
+  }
+  json::array events;
+  {
+    const std::lock_guard lock(mutex_);
+    const TimePoint until = Now() - options_.cache_event_lag;
+    for (const CacheEvent& event : state_.cache().EventsAfter(after, until)) {
+      events.emplace_back(json::object{{"sequence", event.sequence},
+                                       {"kind", event.stored ? "stored" : "removed"},
+                                       {"block", fmt::format("{:016x}", event.block)}});
+    }
+  }
+  const json::object answer = {{"events", std::move(events)}};
+  co_await RespondWithJson(exchange, answer);
+}
+
+asio::awaitable<void> Engine::Orders(HttpExchange& exchange) {
+  const auto object = ParseObject(exchange.request().body());
+  const bool valid = object && !Text(*object, "name").empty() && Integer(*object, "fencing") >= 0;
+  if (!valid) {
+    co_await RespondWithText(exchange, 400, "expected name, value and fencing\n");
+    co_return;
+  }
+  json::object answer;
+  bool accepted = false;
+  {
+    const std::lock_guard lock(mutex_);
+    accepted = state_.Order(Text(*object, "name"), Text(*object, "value"),
+                            static_cast<std::uint64_t>(Integer(*object, "fencing")));
+    answer["accepted"] = accepted;
+    answer["highest_fencing"] = state_.highest_fencing();
+    json::object in_force;
+    for (const auto& [name, value] : state_.orders()) {
+      in_force[name] = value;
+    }
+    answer["in_force"] = std::move(in_force);
+  }
+  HttpHeaders headers = ContentType("application/json");
+  co_await exchange.Respond(accepted ? 200 : 409, std::move(headers), json::serialize(answer));
+}
+
+asio::awaitable<void> Engine::ExportCache(HttpExchange& exchange) {
+  const auto object = ParseObject(exchange.request().body());
+  std::string blob;
+  if (object) {
+    const std::lock_guard lock(mutex_);
+    blob = state_.Export(Text(*object, "generation"));
+  }
+  HttpHeaders headers = ContentType("application/octet-stream");
+  co_await exchange.Respond(blob.empty() ? 404 : 200, std::move(headers), std::move(blob));
+}
+
+asio::awaitable<void> Engine::ImportCache(HttpExchange& exchange) {
+  bool imported = false;
+  {
+    const std::lock_guard lock(mutex_);
+    imported = state_.Import(exchange.request().body(), Now());
   }
-  const json::object end = {{"generation", generation}, {"position", count}, {"done", true}};
-  if (co_await exchange.WriteChunk(fmt::format("data: {}\n\n", json::serialize(end)))) {
-    co_await exchange.EndStream();
+  if (imported) {
+    co_await EnsureStepLoop();
   }
+  co_await RespondWithText(exchange, imported ? 200 : 400, imported ? "ok\n" : "invalid state\n");
 }
 
 }  // namespace savoryglade
--- a/packages/emulator/engine.h
+++ b/packages/emulator/engine.h
@@ -2,36 +2,98 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <memory>
+#include <mutex>
 #include <string>
+#include <string_view>
 
 #include "core/time.h"
+#include "emulator/engine_state.h"
 #include "net/http_server.h"
 
 namespace savoryglade {
 
-// Speed of an emulated engine.
-struct EngineOptions {
-  Duration first_token = 20ms;
-  Duration between_tokens = 5ms;
+// Faults that an emulated engine shows on command.
+enum class EngineFault {
+  kNone,
+  // All connections end, all state is lost, and new ones are closed without answer.
+  kCrash,
+  // Nothing is generated or answered, while connections stay open.
+  kStall,
+  // The connections opened so far become silent; new ones work.
+  kSilentConnections,
+  // New requests get 503 with the statement that they did not run.
+  kRefuse,
+  // Each event is sent twice.
+  kRepeatEvents,
+  // Each event is preceded by one of another generation.
+  kCrossEvents,
+  // Each event is preceded by one with an earlier position, also when resumed.
+  kLateEvents,
 };
 
+// Returns the fault of a name such as "silent_connections"; kNone if there is none of that name.
+EngineFault ParseEngineFault(std::string_view name);
+
 // Emulated model engine: generates words that depend only on prompt, seed and position, so that
-// every engine gives the same answer to the same request.
+// every engine gives the same answer to the same request. Safe to use from all workers.
 class Engine {
  public:
-  explicit Engine(EngineOptions options) : options_(options) {}
+  explicit Engine(EngineOptions options) : options_(options), state_(options) {}
 
   // Answers one HTTP request.
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
 
+  // Shows a fault from now on, or, with a position, once a stream that began before that position
+  // has delivered all tokens up to it. kNone ends a fault, so that a crashed engine starts again.
+  void SetFault(EngineFault fault, std::int64_t at_position = -1);
+
+  EngineCounts counts() const;
+
   // Returns the word at a position of an answer.
   static std::string TokenAt(const std::string& prompt, const std::string& seed,
                              std::int64_t position);
 
  private:
+  struct Reader;
+  struct Batch;
+
+  boost::asio::awaitable<void> Route(HttpExchange& exchange);
   boost::asio::awaitable<void> Generate(HttpExchange& exchange);
+  boost::asio::awaitable<void> Resume(HttpExchange& exchange);
+  boost::asio::awaitable<void> Cancel(HttpExchange& exchange);
+  boost::asio::awaitable<void> Load(HttpExchange& exchange);
+  boost::asio::awaitable<void> CacheEvents(HttpExchange& exchange);
+  boost::asio::awaitable<void> Orders(HttpExchange& exchange);
+  boost::asio::awaitable<void> ExportCache(HttpExchange& exchange);
+  boost::asio::awaitable<void> ImportCache(HttpExchange& exchange);
+  boost::asio::awaitable<void> TakeFault(HttpExchange& exchange);
+  boost::asio::awaitable<void> Stream(HttpExchange& exchange,
+                                      std::shared_ptr<Generation> generation,
+                                      std::int64_t position);
+  boost::asio::awaitable<void> StepLoop();
+  boost::asio::awaitable<void> StayStill(HttpExchange& exchange);
+  boost::asio::awaitable<void> EnsureStepLoop();
+
+  Batch TakeBatch(HttpExchange& exchange, Generation& generation, std::int64_t first,
+                  std::int64_t position);
+  void AppendToken(const Generation& generation, std::int64_t position, std::string& text) const;
+  void ShowFault(EngineFault fault);
+  bool IsStill(const HttpExchange& exchange) const;
 
-  EngineOptions options_;
+  const EngineOptions options_;
+  mutable std::mutex mutex_;
+  EngineState state_;
+  bool stepping_ = false;
+  EngineFault fault_ = EngineFault::kNone;
+  EngineFault pending_fault_ = EngineFault::kNone;
+  std::int64_t pending_position_ = -1;
+  std::uint64_t latest_connection_ = 0;
+  std::uint64_t silent_connections_ = 0;
+  // Changes with each crash; a handler of an earlier epoch ends its connection.
+  std::uint64_t epoch_ = 0;
+  std::string load_report_;
+  TimePoint load_report_time_;
 };
 
 }  // namespace savoryglade
--- a/packages/metrics/registry.cc
+++ b/packages/metrics/registry.cc
@@ -2,18 +2,24 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <cmath>
+#include <cstddef>
 
 namespace savoryglade {
 namespace {
 
 namespace acc = boost::accumulators;
 
+// The P-square estimate is far off until each of its markers has seen several samples, so the first
+// samples are kept and give exact quantiles.
+constexpr std::size_t kExactSamples = 128;
 constexpr std::array<double, 3> kProbabilities = {0.5, 0.95, 0.99};
 
 std::string RenderLabels(const MetricLabels& labels) {
@@ -61,6 +67,7 @@
       double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square_quantile>>;
 
   Set set{acc::extended_p_square_probabilities = kProbabilities};
+  std::vector<double> first;
 };
 
 Timing::Timing() : accumulators_(std::make_unique<Accumulators>()) {}
@@ -68,7 +75,11 @@
 
 void Timing::Record(Duration duration) {
   const std::lock_guard lock(mutex_);
-  accumulators_->set(ToSeconds(duration));
+  const double seconds = ToSeconds(duration);
+  accumulators_->set(seconds);
+  if (accumulators_->first.size() < kExactSamples) {
+    accumulators_->first.push_back(seconds);
+  }
 }
 
 std::uint64_t Timing::count() const {
@@ -83,9 +94,19 @@
 
 double Timing::QuantileSeconds(double probability) const {
   const std::lock_guard lock(mutex_);
-  if (acc::count(accumulators_->set) == 0) {
+  const std::size_t count = acc::count(accumulators_->set);
+  if (count == 0) {
     return 0;
   }
+  if (count <= kExactSamples) {
+    // Nearest rank: the smallest sample that at least this share of the samples does not exceed.
+    std::vector<double> sorted = accumulators_->first;
+    const auto rank = static_cast<std::size_t>(std::ceil(probability * static_cast<double>(count)));
+    const auto nth =
+        sorted.begin() + static_cast<std::ptrdiff_t>(std::clamp(rank, std::size_t{1}, count) - 1);
+    std::nth_element(sorted.begin(), nth, sorted.end());
+    return *nth;
+  }
   return acc::quantile(accumulators_->set, acc::quantile_probability = probability);
 }
 
--- a/packages/metrics/registry.h
+++ b/packages/metrics/registry.h
@@ -47,8 +47,8 @@
 
   std::uint64_t count() const;
   double sum_seconds() const;
-  // Estimates the quantile in seconds; only 0.5, 0.95 and 0.99 are kept. Zero when nothing was
-  // recorded.
+  // Returns the quantile in seconds: exact for up to 128 samples, then an estimate; only 0.5, 0.95
+  // and 0.99 are kept. Zero when nothing was recorded.
   double QuantileSeconds(double probability) const;
 
  private:
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -1,11 +1,13 @@
 #include "net/http_client.h"
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <utility>
 
 namespace savoryglade {
@@ -18,7 +20,7 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kReadSize = 8 * 1024;
-constexpr std::size_t kIdlePerEndpoint = 64;
+constexpr std::size_t kHealthBodyLimit = 4 * 1024;
 constexpr std::size_t kFetchBodyLimit = 16 * 1024 * 1024;
 
 Error MakeError(const char* action, const Endpoint& endpoint, beast::error_code error) {
@@ -101,22 +103,72 @@
 
 const http::fields& HttpConnection::response_header() const { return parser_->get().base(); }
 
+bool HttpConnection::IsQuiet() {
+  if (!stream_.socket().is_open() || buffer_.size() > 0) {
+    return false;
+  }
+  char byte = 0;
+  const auto size =
+      ::recv(stream_.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 asio::awaitable<Result<std::unique_ptr<HttpConnection>>> ConnectionPool::Acquire(
     const Endpoint& endpoint, Duration timeout) {
   auto& idle = idle_[endpoint];
-  if (!idle.empty()) {
-    std::unique_ptr<HttpConnection> connection = std::move(idle.back());
+  while (!idle.empty()) {
+    std::unique_ptr<HttpConnection> connection = std::move(idle.back().connection);
     idle.pop_back();
-    co_return connection;
+    // A connection that its peer has closed, or on which a late answer waits, is not used again.
+    if (connection->IsQuiet()) {
+      co_return connection;
+    }
   }
   co_return co_await HttpConnection::Connect(endpoint, timeout);
 }
 
 void ConnectionPool::Release(std::unique_ptr<HttpConnection> connection) {
   auto& idle = idle_[connection->endpoint()];
-  if (connection->reusable() && idle.size() < kIdlePerEndpoint) {
-    idle.push_back(std::move(connection));
+  if (connection->reusable() && idle.size() < options_.idle_per_endpoint) {
+    idle.push_back(
+        {.connection = std::move(connection), .since = std::chrono::steady_clock::now()});
+  }
+}
+
+asio::awaitable<void> ConnectionPool::CheckLoop() {
+  const auto executor = co_await asio::this_coro::executor;
+  asio::steady_timer timer(executor);
+  while (true) {
+    timer.expires_after(options_.health_interval);
+    co_await timer.async_wait(asio::use_awaitable);
+    const TimePoint limit = std::chrono::steady_clock::now() - options_.health_interval;
+    for (auto& [endpoint, idle] : idle_) {
+      for (IdleConnection& entry : idle) {
+        if (entry.since <= limit) {
+          asio::co_spawn(executor, Check(std::move(entry.connection)), asio::detached);
+        }
+      }
+      std::erase_if(idle, [](const IdleConnection& entry) { return entry.connection == nullptr; });
+    }
+  }
+}
+
+asio::awaitable<void> ConnectionPool::Check(std::unique_ptr<HttpConnection> connection) {
+  if (!connection->IsQuiet()) {
+    co_return;
+  }
+  HttpRequest request(http::verb::get, "/health", 11);
+  request.set(http::field::host, ToString(connection->endpoint()));
+  const Result<void> sent = co_await connection->Send(request, options_.health_timeout);
+  if (sent) {
+    const auto response =
+        co_await connection->ReadResponse(kHealthBodyLimit, options_.health_timeout);
+    if (response) {
+      Release(std::move(connection));
+      co_return;
+    }
   }
+  silent_connections_.Add();
 }
 
 asio::awaitable<Result<HttpResponse>> FetchOnce(const Endpoint& endpoint, HttpRequest request,
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -17,6 +17,7 @@
 
 #include "core/error.h"
 #include "core/time.h"
+#include "metrics/registry.h"
 #include "net/endpoint.h"
 #include "net/http_server.h"
 
@@ -50,6 +51,9 @@
   boost::asio::awaitable<Result<HttpResponse>> ReadResponse(std::size_t body_limit,
                                                             Duration timeout);
 
+  // Returns true if an idle connection is open and has no unread input.
+  bool IsQuiet();
+
   // Returns true if the last response allows the connection to be used again.
   bool reusable() const { return reusable_; }
   const Endpoint& endpoint() const { return endpoint_; }
@@ -68,9 +72,21 @@
   bool reusable_ = true;
 };
 
+// Limits of a connection pool.
+struct PoolOptions {
+  std::size_t idle_per_endpoint = 64;
+  // A connection that was idle for this long is checked with GET /health.
+  Duration health_interval = 2s;
+  // A connection that does not answer the check within this time is closed.
+  Duration health_timeout = 1s;
+};
+
 // Idle connections of one worker. Not safe to use from several threads.
 class ConnectionPool {
  public:
+  ConnectionPool(PoolOptions options, Counter& silent_connections)
+      : options_(options), silent_connections_(silent_connections) {}
+
   // Returns an idle connection to the endpoint, or a new one.
   boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> Acquire(const Endpoint& endpoint,
                                                                           Duration timeout);
@@ -78,8 +94,23 @@
   // Keeps a connection for later use if its last response allows that.
   void Release(std::unique_ptr<HttpConnection> connection);
 
+  // Checks idle connections until its context stops; to be run once on the worker of the pool.
+  boost::asio::awaitable<void> CheckLoop();
+
+  // Closes all idle connections.
+  void Clear() { idle_.clear(); }
+
  private:
-  std::map<Endpoint, std::vector<std::unique_ptr<HttpConnection>>> idle_;
+  struct IdleConnection {
+    std::unique_ptr<HttpConnection> connection;
+    TimePoint since;
+  };
+
+  boost::asio::awaitable<void> Check(std::unique_ptr<HttpConnection> connection);
+
+  PoolOptions options_;
+  Counter& silent_connections_;
+  std::map<Endpoint, std::vector<IdleConnection>> idle_;
 };
 
 // Sends one request on a connection of its own and reads the whole response.
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -2,10 +2,13 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <iterator>
 #include <optional>
+#include <string>
 
 #include "logging/logger.h"
 
@@ -20,6 +23,19 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+// Hexadecimal size and line end of a chunk.
+constexpr std::size_t kChunkHeaderSize = 20;
+// What a peer may still send after a refusal before its connection is closed. Closing with unread
+// input resets the connection, and the peer could lose the refusal.
+constexpr std::size_t kLingerBytes = 1024 * 1024;
+constexpr Duration kLingerTime = 1s;
+
+constexpr std::string_view kTooManyConnections =
+    "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
+    "Savoryglade-Verdict: not_run\r\nSavoryglade-Reason: too_many_connections\r\n"
+    "Retry-After: 1\r\nConnection: close\r\nContent-Length: 63\r\n\r\n"
+    R"({"error":{"reason":"too_many_connections","verdict":"not_run"}})";
+
 const Logger kLog("net");
 
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) { return beast::iequals(a, b); }
@@ -48,9 +64,13 @@
   return value.substr(kPrefix.size());
 }
 
-asio::awaitable<bool> HttpExchange::WriteRaw(std::string_view data) {
+asio::awaitable<bool> HttpExchange::WriteParts(std::string_view before, std::string_view data,
+                                               std::string_view after) {
+  const std::array<asio::const_buffer, 3> parts = {asio::buffer(before.data(), before.size()),
+                                                   asio::buffer(data.data(), data.size()),
+                                                   asio::buffer(after.data(), after.size())};
   stream_.expires_after(limits_.write_timeout);
-  const auto [error, size] = co_await asio::async_write(stream_, asio::buffer(data), kAwait);
+  const auto [error, size] = co_await asio::async_write(stream_, parts, kAwait);
   stream_.expires_never();
   if (error) {
     keep_alive_ = false;
@@ -77,7 +97,8 @@
   co_return !error;
 }
 
-asio::awaitable<bool> HttpExchange::StartStream(unsigned status, HttpHeaders headers) {
+asio::awaitable<bool> HttpExchange::StartStream(unsigned status, HttpHeaders headers,
+                                                std::string_view first_chunk) {
   http::response<http::empty_body> response(http::int_to_status(status), request_.version());
   for (const auto& [name, value] : headers) {
     response.set(name, value);
@@ -85,25 +106,30 @@
   response.keep_alive(request_.keep_alive() && keep_alive_);
   response.chunked(true);
   keep_alive_ = response.keep_alive();
-  http::response_serializer<http::empty_body> serializer(response);
-  stream_.expires_after(limits_.write_timeout);
-  const auto [error, size] = co_await http::async_write_header(stream_, serializer, kAwait);
-  stream_.expires_never();
-  if (error) {
-    keep_alive_ = false;
+  std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, std::string(response.reason()));
+  for (const auto& field : response) {
+    text.append(field.name_string()).append(": ").append(field.value()).append("\r\n");
   }
-  co_return !error;
+  text += "\r\n";
+  if (first_chunk.empty()) {
+    co_return co_await WriteParts(text, {}, {});
+  }
+  fmt::format_to(std::back_inserter(text), "{:x}\r\n", first_chunk.size());
+  co_return co_await WriteParts(text, first_chunk, "\r\n");
 }
 
 asio::awaitable<bool> HttpExchange::WriteChunk(std::string_view data) {
   if (data.empty()) {
     co_return true;
   }
-  const std::string chunk = fmt::format("{:x}\r\n{}\r\n", data.size(), data);
-  co_return co_await WriteRaw(chunk);
+  std::array<char, kChunkHeaderSize> header;
+  const auto end = fmt::format_to_n(header.data(), header.size(), "{:x}\r\n", data.size());
+  co_return co_await WriteParts({header.data(), end.size}, data, "\r\n");
 }
 
-asio::awaitable<bool> HttpExchange::EndStream() { co_return co_await WriteRaw("0\r\n\r\n"); }
+asio::awaitable<bool> HttpExchange::EndStream() {
+  co_return co_await WriteParts("0\r\n\r\n", {}, {});
+}
 
 void HttpExchange::Abort() {
   keep_alive_ = false;
@@ -125,8 +151,14 @@
         continue;
       }
       if (connections.load() >= limits.connections) {
-        kLog.Warning("Connection refused because too many are open.",
-                     {{"limit", limits.connections}});
+        // The send buffer of a new connection is empty, so this write does not block.
+        socket.non_blocking(true, error);
+        socket.write_some(asio::buffer(kTooManyConnections), error);
+        socket.shutdown(tcp::socket::shutdown_send, error);
+        if (refused.fetch_add(1) == 0) {
+          kLog.Warning("Connections are refused because too many are open.",
+                       {{"limit", limits.connections}});
+        }
         continue;
       }
       socket.set_option(tcp::no_delay(true));
@@ -137,12 +169,13 @@
     }
   }
 
-  // Answers a request that can't be parsed. Timeouts and closed connections get no answer.
+  // Answers a request that can't be parsed or was cut off. Timeouts and connections closed between
+  // requests get no answer.
   static asio::awaitable<void> RespondToBadRequest(beast::tcp_stream& stream,
                                                    const HttpLimits& limits,
                                                    beast::error_code error) {
     if (error.category() != make_error_code(http::error::bad_method).category() ||
-        error == http::error::end_of_stream || error == http::error::partial_message) {
+        error == http::error::end_of_stream) {
       co_return;
     }
     unsigned status = 400;
@@ -162,10 +195,28 @@
         fmt::format(R"({{"error":{{"reason":"{}","verdict":"not_run","message":"{}"}}}})", reason,
                     error.message());
     exchange.CloseAfterResponse();
-    co_await exchange.Respond(status, std::move(headers), std::move(body));
+    if (co_await exchange.Respond(status, std::move(headers), std::move(body))) {
+      co_await Linger(stream);
+    }
+  }
+
+  // Reads and drops what the peer still sends, within bounds.
+  static asio::awaitable<void> Linger(beast::tcp_stream& stream) {
+    beast::error_code ignored;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    std::string dropped(4096, '\0');
+    stream.expires_after(kLingerTime);
+    for (std::size_t total = 0; total < kLingerBytes;) {
+      const auto [error, size] = co_await stream.async_read_some(asio::buffer(dropped), kAwait);
+      if (error) {
+        break;
+      }
+      total += size;
+    }
   }
 
   static asio::awaitable<void> Serve(std::shared_ptr<State> state, beast::tcp_stream stream) {
+    const std::uint64_t connection_id = state->next_connection.fetch_add(1);
     beast::flat_buffer buffer;
     while (true) {
       std::optional<RequestParser> parser(std::in_place);
@@ -186,8 +237,11 @@
         co_await RespondToBadRequest(stream, state->limits, error);
         break;
       }
-      HttpExchange exchange(stream, parser->release(), state->limits);
+      HttpExchange exchange(stream, parser->release(), state->limits, connection_id);
       parser.reset();
+      if (buffer.size() == 0) {
+        buffer.shrink_to_fit();
+      }
       ++state->exchanges;
       try {
         co_await state->handler(exchange);
@@ -210,6 +264,8 @@
   std::optional<tcp::acceptor> acceptor;
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> exchanges{0};
+  std::atomic<std::size_t> refused{0};
+  std::atomic<std::uint64_t> next_connection{1};
 };
 
 HttpServer::HttpServer(WorkerPool& pool, HttpLimits limits, HttpHandler handler)
@@ -258,4 +314,6 @@
 
 std::size_t HttpServer::active_exchanges() const { return state_->exchanges.load(); }
 
+std::size_t HttpServer::refused_connections() const { return state_->refused.load(); }
+
 }  // namespace savoryglade
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -50,8 +50,12 @@
 // One request on a connection and the means to answer it. Used by one coroutine at a time.
 class HttpExchange {
  public:
-  HttpExchange(boost::beast::tcp_stream& stream, HttpRequest request, const HttpLimits& limits)
-      : stream_(stream), request_(std::move(request)), limits_(limits) {}
+  HttpExchange(boost::beast::tcp_stream& stream, HttpRequest request, const HttpLimits& limits,
+               std::uint64_t connection_id = 0)
+      : stream_(stream),
+        request_(std::move(request)),
+        limits_(limits),
+        connection_id_(connection_id) {}
 
   const HttpRequest& request() const { return request_; }
   // Path and query of the request.
@@ -63,8 +67,10 @@
 
   // Sends a whole answer. Returns false if the peer is gone.
   boost::asio::awaitable<bool> Respond(unsigned status, HttpHeaders headers, std::string body);
-  // Sends the header of a chunked answer. Returns false if the peer is gone.
-  boost::asio::awaitable<bool> StartStream(unsigned status, HttpHeaders headers);
+  // Sends the header of a chunked answer together with the first chunk, if that is not empty.
+  // Returns false if the peer is gone.
+  boost::asio::awaitable<bool> StartStream(unsigned status, HttpHeaders headers,
+                                           std::string_view first_chunk = {});
   // Sends one chunk; waits while the peer reads slowly. Returns false if the peer is gone.
   boost::asio::awaitable<bool> WriteChunk(std::string_view data);
   // Ends a chunked answer. Returns false if the peer is gone.
@@ -75,14 +81,20 @@
   void Abort();
 
   bool keep_alive() const { return keep_alive_; }
+  // Number of the connection, unique within its listener and rising in the order of acceptance.
+  std::uint64_t connection_id() const { return connection_id_; }
+  // Returns the body of the request and leaves it empty, so that a long answer does not hold it.
+  std::string TakeBody() { return std::move(request_.body()); }
   boost::beast::tcp_stream& stream() { return stream_; }
 
  private:
-  boost::asio::awaitable<bool> WriteRaw(std::string_view data);
+  boost::asio::awaitable<bool> WriteParts(std::string_view before, std::string_view data,
+                                          std::string_view after);
 
   boost::beast::tcp_stream& stream_;
   HttpRequest request_;
   const HttpLimits& limits_;
+  std::uint64_t connection_id_;
   bool keep_alive_ = true;
 };
 
@@ -107,6 +119,9 @@
   // Number of requests being answered now.
   std::size_t active_exchanges() const;
 
+  // Number of connections refused because too many were open.
+  std::size_t refused_connections() const;
+
  private:
   struct State;
 
--- /dev/null
+++ b/packages/net/peer_watch.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
+#include <memory>
+
+namespace savoryglade {
+
+// Learns that the peer of a connection has gone while nothing is read from it: it closed its side,
+// or the connection broke. The watch ends when the peer sends further data, which belongs to its
+// next request. Used on the worker of the connection only.
+class PeerWatch {
+ public:
+  // Starts to watch. The stream must outlive the watch.
+  explicit PeerWatch(boost::beast::tcp_stream& stream);
+  ~PeerWatch();
+  PeerWatch(const PeerWatch&) = delete;
+  PeerWatch& operator=(const PeerWatch&) = delete;
+
+  bool gone() const;
+
+  // Calls the function once when the peer goes, or at once if it has gone. Replaces the function
+  // of an earlier call; an empty one removes it.
+  void OnGone(std::function<void()> callback);
+
+ private:
+  struct State;
+
+  static void Wait(const std::shared_ptr<State>& state);
+
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace savoryglade
--- a/packages/net/worker_pool.cc
+++ b/packages/net/worker_pool.cc
@@ -1,12 +1,20 @@
 #include "net/worker_pool.h"
 
 namespace savoryglade {
+namespace {
+
+thread_local std::size_t current_index = 0;
+
+}  // namespace
 
 WorkerPool::WorkerPool(std::size_t size) {
   for (std::size_t i = 0; i < size; ++i) {
     workers_.push_back(std::make_unique<Worker>());
     Worker& worker = *workers_.back();
-    worker.thread = std::thread([&worker] { worker.context.run(); });
+    worker.thread = std::thread([&worker, i] {
+      current_index = i;
+      worker.context.run();
+    });
   }
 }
 
@@ -16,6 +24,8 @@
   return workers_[next_.fetch_add(1, std::memory_order_relaxed) % workers_.size()]->context;
 }
 
+std::size_t WorkerPool::CurrentIndex() { return current_index; }
+
 void WorkerPool::Stop() {
   for (const auto& worker : workers_) {
     worker->guard.reset();
--- a/packages/net/worker_pool.h
+++ b/packages/net/worker_pool.h
@@ -29,6 +29,9 @@
   // Returns the contexts in turn.
   boost::asio::io_context& Next();
 
+  // Returns the index of the worker that runs this thread. Must be called on a worker.
+  static std::size_t CurrentIndex();
+
   // Stops all workers and waits for their threads. May be called more than once.
   void Stop();
 
--- /dev/null
+++ b/tests/daemon/path_fixture.cc
@@ -0,0 +1,159 @@
+#include "tests/daemon/path_fixture.h"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdio>
+#include <fstream>
+#include <thread>
+#include <utility>
+
+#include "config/account_keys.h"
+#include "gtest/gtest.h"
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+std::size_t CountTokens(const std::string& body) {
+  std::size_t count = 0;
+  for (std::size_t at = body.find("\"content\""); at != std::string::npos;
+       at = body.find("\"content\"", at + 1)) {
+    // Only whole events count, as a caller takes them.
+    count += body.find("\n\n", at) != std::string::npos ? 1 : 0;
+  }
+  return count;
+}
+
+std::string PrintUpstreams(const DaemonSetup& setup) {
+  std::string text;
+  const auto add = [&](const Endpoint& endpoint, const char* service) {
+    text += fmt::format(
+        R"({}{{"name":"{}-{}","service":"{}","port":{},"failure_domain":"verona","concurrency":{}}})",
+        text.empty() ? "" : ",", service, endpoint.port, service, endpoint.port, setup.concurrency);
+  };
+  for (const Endpoint& endpoint : setup.engines) {
+    add(endpoint, "assistant");
+  }
+  for (const Endpoint& endpoint : setup.plain) {
+    add(endpoint, "orders");
+  }
+  return text;
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(const Endpoint& endpoint)
+    : socket_(context_), parser_(std::make_unique<Parser>()) {
+  parser_->body_limit(boost::none);
+  socket_.connect(tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port));
+}
+
+void CallerConnection::Send(std::string_view text) {
+  beast::error_code ignored;
+  asio::write(socket_, asio::buffer(text.data(), text.size()), ignored);
+}
+
+void CallerConnection::EndSending() { socket_.shutdown(tcp::socket::shutdown_send); }
+
+void CallerConnection::Close() { socket_.close(); }
+
+void CallerConnection::ReadUntil(const std::function<bool(const std::string&)>& condition) {
+  while (!ended_ && !parser_->is_done() && !condition(parser_->get().body())) {
+    beast::error_code error;
+    http::read_some(socket_, buffer_, *parser_, error);
+    ended_ = error.failed();
+  }
+}
+
+void CallerConnection::ReadTokens(std::size_t count) {
+  ReadUntil([count](const std::string& body) { return CountTokens(body) >= count; });
+}
+
+bool CallerConnection::ReadAll() {
+  ReadUntil([](const std::string&) { return false; });
+  return parser_->is_done();
+}
+
+std::string CallerConnection::Header(std::string_view name) const {
+  return std::string(parser_->get()[beast::string_view(name.data(), name.size())]);
+}
+
+EngineHost::EngineHost(EngineOptions options)
+    : engine(options),
+      server(pool, HttpLimits{},
+             [this](HttpExchange& exchange) { return engine.Handle(exchange); }),
+      endpoint(*server.Listen({.address = "127.0.0.1", .port = 0})) {}
+
+PlainHost::PlainHost()
+    : server(pool, HttpLimits{},
+             [this](HttpExchange& exchange) { return service.Handle(exchange); }),
+      endpoint(*server.Listen({.address = "127.0.0.1", .port = 0})) {}
+
+std::unique_ptr<Daemon> StartDaemon(DaemonSetup setup) {
+  static std::atomic<int> next_number{1};
+  const int number = next_number.fetch_add(1);
+  const std::string path =
+      fmt::format("{}savoryglade_path_{}_{}.json", testing::TempDir(), ::getpid(), number);
+  std::ofstream(path) << fmt::format(
+      R"({{"version":1,"services":[{{"name":"assistant","deadline":"{0}"}},
+          {{"name":"orders","kind":"plain","path_prefix":"/orders","deadline":"{0}",
+            "may_not_repeat":[{{"method":"POST","path":"/orders/confirmations"}}]}}],
+          "client_accounts":[{{"name":"drivers","key_sha256":"{1}"}}],
+          "upstreams":[{2}]}})",
+      setup.deadline, Sha256Hex("key"), PrintUpstreams(setup));
+  Settings settings;
+  settings.daemon = DaemonId(fmt::format("daemon-{}", number));
+  settings.callers_address = "127.0.0.1:0";
+  settings.administration_address = "127.0.0.1:0";
+  settings.configuration_file = path;
+  settings.caller_limits = setup.limits;
+  auto daemon = std::make_unique<Daemon>(settings, std::move(setup.parts));
+  const Result<void> started = daemon->Start();
+  std::remove(path.c_str());
+  EXPECT_TRUE(started) << (started ? "" : started.error().message);
+  return daemon;
+}
+
+std::string ChatCall(int tokens, std::string_view headers, bool stream) {
+  return PlainCall("POST", "/v1/chat/completions", headers,
+                   fmt::format(R"({{"model":"assistant","stream":{},"max_tokens":{},)"
+                               R"("messages":[{{"role":"user","content":"Check the shutter"}}]}})",
+                               stream, tokens));
+}
+
+std::string PlainCall(std::string_view method, std::string_view path, std::string_view headers,
+                      std::string_view body) {
+  return fmt::format(
+      "{} {} HTTP/1.1\r\nHost: savoryglade\r\nAuthorization: Bearer key\r\n{}Content-Length: "
+      "{}\r\n\r\n{}",
+      method, path, headers, body.size(), body);
+}
+
+std::string UndisturbedStream(int tokens, std::string_view headers) {
+  EngineHost engine;
+  const auto daemon = StartDaemon({.engines = {engine.endpoint}});
+  CallerConnection caller(daemon->callers_endpoint());
+  caller.Send(ChatCall(tokens, headers));
+  EXPECT_TRUE(caller.ReadAll());
+  EXPECT_EQ(caller.status(), 200U);
+  return caller.body();
+}
+
+void WaitFor(const std::function<bool()>& condition) {
+  const TimePoint limit = std::chrono::steady_clock::now() + 30s;
+  while (!condition()) {
+    ASSERT_LT(std::chrono::steady_clock::now(), limit) << "the condition never came true";
+    std::this_thread::yield();
+  }
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/tests/daemon/path_fixture.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "daemon/daemon.h"
+#include "emulator/engine.h"
+#include "emulator/plain_service.h"
+#include "net/endpoint.h"
+#include "net/http_server.h"
+#include "net/worker_pool.h"
+
+namespace savoryglade {
+
+// Blocking connection of a caller.
+class CallerConnection {
+ public:
+  explicit CallerConnection(const Endpoint& endpoint);
+
+  // Sends text as it is.
+  void Send(std::string_view text);
+  // Ends the sending direction only.
+  void EndSending();
+  void Close();
+
+  // Reads until the body so far satisfies the condition or the response ends.
+  void ReadUntil(const std::function<bool(const std::string&)>& condition);
+  // Reads until the body holds a number of tokens.
+  void ReadTokens(std::size_t count);
+  // Reads to the end of the response. Returns false if it was cut off.
+  bool ReadAll();
+
+  unsigned status() const { return parser_->get().result_int(); }
+  std::string Header(std::string_view name) const;
+  const std::string& body() const { return parser_->get().body(); }
+
+ private:
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::unique_ptr<Parser> parser_;
+  bool ended_ = false;
+};
+
+// Emulated engine behind a listener of its own.
+struct EngineHost {
+  explicit EngineHost(EngineOptions options = {.first_token = 1ms, .between_tokens = 1ms});
+  ~EngineHost() { pool.Stop(); }
+
+  Engine engine;
+  WorkerPool pool{1};
+  HttpServer server;
+  Endpoint endpoint;
+};
+
+// Emulated plain service behind a listener of its own.
+struct PlainHost {
+  PlainHost();
+  ~PlainHost() { pool.Stop(); }
+
+  PlainService service;
+  WorkerPool pool{1};
+  HttpServer server;
+  Endpoint endpoint;
+};
+
+// What a test configures of a daemon.
+struct DaemonSetup {
+  std::vector<Endpoint> engines;
+  std::vector<Endpoint> plain;
+  int concurrency = 8;
+  std::string deadline = "60s";
+  DaemonParts parts;
+  CallerLimits limits;
+};
+
+// Starts a daemon with the model service "assistant" and the plain service "orders", whose POST
+// /orders/confirmations may not be repeated.
+std::unique_ptr<Daemon> StartDaemon(DaemonSetup setup);
+
+// Returns a request for a streamed chat completion.
+std::string ChatCall(int tokens, std::string_view headers = {}, bool stream = true);
+
+// Returns a request of the plain service.
+std::string PlainCall(std::string_view method, std::string_view path, std::string_view headers = {},
+                      std::string_view body = {});
+
+// Returns the stream of a chat call through an undisturbed daemon and engine.
+std::string UndisturbedStream(int tokens, std::string_view headers);
+
+// Waits until a condition on another thread's work holds. Fails the test after 30 seconds.
+void WaitFor(const std::function<bool()>& condition);
+
+}  // namespace savoryglade
