--- a/tests/golden/session_world.cc
+++ b/tests/golden/session_world.cc
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <optional>
 #include <sstream>
+#include <thread>
 #include <utility>
 
 #include "admin/operator_client.h"
@@ -123,7 +124,12 @@
 }
 
 std::string SessionWorld::DrainDaemon(const SessionStep& step) {
-  DaemonOf(step).Drain();
+  Daemon& daemon = DaemonOf(step);
+  daemon.BeginDrain();
+  while (!daemon.drained()) {
+    std::this_thread::yield();
+  }
+  daemon.Stop();
   return "drained\n";
 }
 
