--- a/bench/recovery/measures.h
+++ b/bench/recovery/measures.h
@@ -22,5 +22,6 @@
 
 void MeasureAtMostOnce();
 void MeasureClaimInterleavings();
+void MeasureCrashingRequest();
 
 }  // namespace savoryglade
--- a/tests/recovery/claim_interleaving_test.cc
+++ b/tests/recovery/claim_interleaving_test.cc
@@ -28,6 +28,17 @@
   RecordProperty("states", std::to_string(enumeration.states()));
 }
 
+// Guards against a fault late in a takeover, which needs more steps: all orders without a fault, to
+// their end.
+TEST(ClaimInterleavingTest, NoOrderWithoutFaultsRunsTwice) {
+  ClaimEnumeration enumeration({.faults = 0, .time_steps = 1, .depth = 100});
+  enumeration.Run();
+  EXPECT_EQ(Join(enumeration.fault_trace()), "");
+  EXPECT_FALSE(enumeration.reached_depth());
+  EXPECT_TRUE(enumeration.saw_answer_after_takeover());
+  RecordProperty("states", std::to_string(enumeration.states()));
+}
+
 // The same with two faults of any kind and two steps of time, to 8 steps.
 TEST(ClaimInterleavingTest, NoOrderWithTwoFaultsRunsTwice) {
   ClaimEnumeration enumeration({.faults = 2, .time_steps = 2, .depth = 8});
