Keep claims in the platform's table

Cause: claims of may-not-repeat requests lived in one daemon, so a resend at another daemon ran the request again.

Change: ClaimService drives the claim ledger and the group commit with the results of the platform's table, the answers of other daemons and the clock. A claim carries the digest of its body; callers mark a resend with Savoryglade-Resend; an answer that was too large to keep gives "ran" with the new reason answer_not_kept instead of an empty answer.

--- a/packages/core/verdict.cc
+++ b/packages/core/verdict.cc
@@ -31,6 +31,7 @@
     "caller_gone",
     "not_ready",
     "too_many_connections",
+    "answer_not_kept",
 };
 
 }  // namespace
--- a/packages/core/verdict.h
+++ b/packages/core/verdict.h
@@ -40,6 +40,7 @@
   kCallerGone,
   kNotReady,
   kTooManyConnections,
+  kAnswerNotKept,
   kCount,
 };
 
--- a/packages/daemon/caller_context.cc
+++ b/packages/daemon/caller_context.cc
@@ -26,6 +26,7 @@
     ReasonStatus{Reason::kAccountQueueFull, 429},
     ReasonStatus{Reason::kDeadlineExceeded, 504},
     ReasonStatus{Reason::kClaimedElsewhere, 409},
+    ReasonStatus{Reason::kAnswerNotKept, 409},
     ReasonStatus{Reason::kRequestCrashesUpstreams, 422},
     ReasonStatus{Reason::kUpstreamLost, 502},
     ReasonStatus{Reason::kUpstreamError, 502},
--- a/packages/daemon/claim_gate.cc
+++ b/packages/daemon/claim_gate.cc
@@ -10,7 +10,8 @@
 
 }  // namespace
 
-boost::asio::awaitable<ClaimAnswer> MemoryClaimGate::Claim(ClaimIdentity identity, TimePoint now) {
+boost::asio::awaitable<ClaimAnswer> MemoryClaimGate::Claim(ClaimSending sending, TimePoint now) {
+  ClaimIdentity identity = std::move(sending.identity);
   const std::lock_guard lock(mutex_);
   ClaimAnswer answer;
   const auto found = entries_.find(identity);
@@ -18,8 +19,11 @@
     answer.kind = ClaimAnswer::Kind::kGranted;
     answer.token = next_token_++;
     open_.emplace(answer.token, identity);
-    entries_.emplace(std::move(identity),
-                     Entry{.token = answer.token, .dispatch_deadline = now + kDispatchDeadline});
+    entries_.emplace(std::move(identity), Entry{.token = answer.token,
+                                                .dispatch_deadline = now + kDispatchDeadline,
+                                                .body = sending.body});
+  } else if (found->second.body != sending.body) {
+    answer.verdict = {.reason = Reason::kIdempotencyKeyReused};
   } else if (found->second.done) {
     answer.kind = ClaimAnswer::Kind::kDone;
     answer.response = found->second.response;
@@ -32,7 +36,7 @@
   co_return answer;
 }
 
-bool MemoryClaimGate::BeginDispatch(ClaimToken token, TimePoint now) {
+bool MemoryClaimGate::BeginDispatch(ClaimTicket token, TimePoint now) {
   const std::lock_guard lock(mutex_);
   const auto found = open_.find(token);
   if (found == open_.end()) {
@@ -46,7 +50,7 @@
   return false;
 }
 
-void MemoryClaimGate::Release(ClaimToken token) {
+void MemoryClaimGate::Release(ClaimTicket token) {
   const std::lock_guard lock(mutex_);
   const auto found = open_.find(token);
   if (found != open_.end()) {
@@ -55,7 +59,7 @@
   }
 }
 
-void MemoryClaimGate::Complete(ClaimToken token, StoredResponse response) {
+void MemoryClaimGate::Complete(ClaimTicket token, StoredResponse response) {
   const std::lock_guard lock(mutex_);
   const auto found = open_.find(token);
   if (found != open_.end()) {
@@ -66,7 +70,7 @@
   }
 }
 
-void MemoryClaimGate::Abandon(ClaimToken token) {
+void MemoryClaimGate::Abandon(ClaimTicket token) {
   const std::lock_guard lock(mutex_);
   open_.erase(token);
 }
--- /dev/null
+++ b/packages/daemon/claim_service.cc
@@ -0,0 +1,344 @@
+#include "daemon/claim_service.h"
+
+#include <boost/asio.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "daemon/claim_row_codec.h"
+#include "daemon/platform_client.h"
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kTickInterval = 10ms;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+TableStatus ToTableStatus(platform::CommitStatus status) {
+  switch (status) {
+    case platform::CommitStatus::kCommitted:
+      return TableStatus::kCommitted;
+    case platform::CommitStatus::kConflict:
+      return TableStatus::kConflict;
+    case platform::CommitStatus::kUnavailable:
+      return TableStatus::kUnavailable;
+    case platform::CommitStatus::kUnknown:
+      break;
+  }
+  return TableStatus::kUnknown;
+}
+
+// The table keeps one text for a response: its content type on the first line, then the body.
+std::string JoinResponse(const StoredResponse& response) {
+  return response.content_type + "\n" + response.body;
+}
+
+ClaimAnswer ToAnswer(const ClaimOutcome& outcome) {
+  if (const auto* verdict = std::get_if<Verdict>(&outcome.result)) {
+    return {.kind = ClaimAnswer::Kind::kRefused, .verdict = *verdict};
+  }
+  const StoredAnswer& stored = std::get<StoredAnswer>(outcome.result);
+  const std::size_t end = stored.body.find('\n');
+  if (!stored.has_body || end == std::string::npos) {
+    return {.kind = ClaimAnswer::Kind::kRefused,
+            .verdict = {.run_state = RunState::kRan, .reason = Reason::kAnswerNotKept}};
+  }
+  return {.kind = ClaimAnswer::Kind::kDone,
+          .response = {.status = static_cast<unsigned>(stored.status),
+                       .content_type = stored.body.substr(0, end),
+                       .body = stored.body.substr(end + 1)}};
+}
+
+// A write finds its row as it expects it if the row is absent, or holds the expected claim.
+bool ConditionHolds(const ClaimWrite& write, const platform::Row& row) {
+  if (!write.expected) {
+    return !row.exists();
+  }
+  const Result<ClaimRow> claim = ParseClaimRow(row.value);
+  return row.exists() && claim && claim->state == ClaimState::kClaimed &&
+         claim->token == *write.expected;
+}
+
+}  // namespace
+
+// A coroutine that waits for the outcome of its sending. The timer only serves to wake it on its
+// own executor.
+struct ClaimService::Waiter {
+  explicit Waiter(const asio::any_io_executor& executor) : timer(executor, TimePoint::max()) {}
+
+  asio::steady_timer timer;
+  std::optional<ClaimAnswer> answer;
+};
+
+ClaimService::ClaimService(asio::io_context& context, platform::Table& table,
+                           ClaimServiceOptions options, MetricRegistry& metrics)
+    : context_(context),
+      table_(table),
+      owner_(options.owner),
+      ledger_(options.owner, options.ledger),
+      committer_(options.committer),
+      transactions_(metrics.GetCounter("savoryglade_claim_transactions_total")),
+      conflicts_(metrics.GetCounter("savoryglade_claim_conflicts_total")),
+      replays_(metrics.GetCounter("savoryglade_claim_replays_total")),
+      held_(metrics.GetGauge("savoryglade_claims_held")) {}
+
+ClaimService::~ClaimService() = default;
+
+void ClaimService::Start() { asio::co_spawn(context_, TickLoop(), asio::detached); }
+
+void ClaimService::Run(const std::function<ClaimActions(ClaimLedger&, TimePoint)>& call) {
+  ClaimActions actions;
+  {
+    const std::lock_guard lock(mutex_);
+    actions = call(ledger_, Now());
+    held_.Set(static_cast<std::int64_t>(ledger_.size()));
+  }
+  Execute(std::move(actions));
+}
+
+void ClaimService::Execute(ClaimActions actions) {
+  for (const ClaimTicket ticket : actions.ready) {
+    Deliver(ticket, {.kind = ClaimAnswer::Kind::kGranted, .token = ticket});
+  }
+  for (const ClaimOutcome& outcome : actions.outcomes) {
+    Deliver(outcome.ticket, ToAnswer(outcome));
+  }
+  if (actions.writes.empty() && actions.reads.empty() && actions.queries.empty() &&
+      actions.replies.empty()) {
+    return;
+  }
+  asio::post(context_, [this, actions = std::move(actions)] {
+    std::vector<ClaimWriteResult> refused;
+    {
+      const std::lock_guard lock(mutex_);
+      refused = committer_.Submit(owner_.daemon, actions.writes);
+    }
+    HandleWriteResults(refused);
+    for (const ClaimRead& read : actions.reads) {
+      asio::co_spawn(context_, ReadRow(read), asio::detached);
+    }
+    for (const ClaimQuery& query : actions.queries) {
+      if (peers_.send_query) {
+        peers_.send_query(query);
+      }
+    }
+    for (const ClaimReply& reply : actions.replies) {
+      if (peers_.send_reply) {
+        peers_.send_reply(reply);
+      }
+    }
+  });
+}
+
+void ClaimService::Deliver(ClaimTicket ticket, ClaimAnswer answer) {
+  std::shared_ptr<Waiter> waiter;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = waiters_.find(ticket);
+    if (found == waiters_.end()) {
+      return;
+    }
+    waiter = std::move(found->second);
+    waiters_.erase(found);
+  }
+  asio::post(waiter->timer.get_executor(), [waiter, answer = std::move(answer)] {
+    waiter->answer = answer;
+    waiter->timer.cancel();
+  });
+}
+
+asio::awaitable<ClaimAnswer> ClaimService::Claim(ClaimSending sending, TimePoint /*now*/) {
+  const auto waiter = std::make_shared<Waiter>(co_await asio::this_coro::executor);
+  ClaimRequest request{.key = {.account = sending.identity.account,
+                               .service = sending.identity.service,
+                               .key = RequestKey(sending.identity.key)},
+                       .body = sending.body,
+                       .resend = sending.resend};
+  {
+    const std::lock_guard lock(mutex_);
+    request.ticket = next_ticket_++;
+    waiters_.emplace(request.ticket, waiter);
+  }
+  Run([&request](ClaimLedger& ledger, TimePoint now) { return ledger.Begin(request, now); });
+  while (!waiter->answer) {
+    co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  if (waiter->answer->kind == ClaimAnswer::Kind::kDone) {
+    replays_.Add();
+  }
+  co_return *waiter->answer;
+}
+
+bool ClaimService::BeginDispatch(ClaimTicket token, TimePoint now) {
+  bool allowed = false;
+  ClaimActions actions;
+  {
+    const std::lock_guard lock(mutex_);
+    allowed = ledger_.BeginDispatch(token, now, &actions);
+    if (allowed) {
+      dispatched_.insert(token);
+    }
+  }
+  Execute(std::move(actions));
+  return allowed;
+}
+
+void ClaimService::Release(ClaimTicket token) {
+  bool dispatched = false;
+  {
+    const std::lock_guard lock(mutex_);
+    dispatched = dispatched_.erase(token) > 0;
+  }
+  Run([token, dispatched](ClaimLedger& ledger, TimePoint now) {
+    return dispatched ? ledger.OnStatedNotRun(token, now) : ledger.Cancel(token, now);
+  });
+}
+
+void ClaimService::Complete(ClaimTicket token, StoredResponse response) {
+  Run([&](ClaimLedger& ledger, TimePoint now) {
+    dispatched_.erase(token);
+    return ledger.OnCompleted(token, static_cast<int>(response.status), JoinResponse(response),
+                              now);
+  });
+}
+
+void ClaimService::Abandon(ClaimTicket token) {
+  Run([this, token](ClaimLedger& ledger, TimePoint now) {
+    dispatched_.erase(token);
+    return ledger.OnLost(token, now);
+  });
+}
+
+void ClaimService::OnQuery(const ClaimQuery& query) {
+  Run([&query](ClaimLedger& ledger, TimePoint now) { return ledger.OnQuery(query, now); });
+}
+
+void ClaimService::OnReply(const ClaimReply& reply) {
+  Run([&reply](ClaimLedger& ledger, TimePoint now) { return ledger.OnReply(reply, now); });
+}
+
+void ClaimService::OnDaemonGone(const DaemonId& daemon) {
+  Run([&daemon](ClaimLedger& ledger, TimePoint now) { return ledger.OnDaemonGone(daemon, now); });
+}
+
+void ClaimService::SetCommitInterval(Duration interval) {
+  const std::lock_guard lock(mutex_);
+  committer_.SetInterval(interval);
+}
+
+bool ClaimService::idle() const {
+  const std::lock_guard lock(mutex_);
+  return committer_.idle() && ledger_.size() == 0;
+}
+
+asio::awaitable<void> ClaimService::TickLoop() {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (true) {
+    timer.expires_after(kTickInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    Run([](ClaimLedger& ledger, TimePoint now) { return ledger.Tick(now); });
+    std::vector<ClaimWriteResult> expired;
+    std::optional<ClaimTransaction> transaction;
+    {
+      const std::lock_guard lock(mutex_);
+      expired = committer_.Expire(Now());
+      transaction = committer_.Next(Now());
+    }
+    HandleWriteResults(expired);
+    if (transaction) {
+      asio::co_spawn(context_, Commit(std::move(*transaction)), asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void> ClaimService::ReadRow(ClaimRead read) {
+  const platform::ReadResult row = co_await AwaitRead(table_, ClaimRowName(read.key));
+  TableStatus status = TableStatus::kUnavailable;
+  std::optional<ClaimRow> claim;
+  if (row) {
+    status = TableStatus::kCommitted;
+    if (row->exists()) {
+      const Result<ClaimRow> parsed = ParseClaimRow(row->value);
+      // A row that can't be read must not be taken for an absent one.
+      status = parsed ? TableStatus::kCommitted : TableStatus::kUnavailable;
+      claim = parsed ? std::optional<ClaimRow>(*parsed) : std::nullopt;
+    }
+  }
+  Run([&](ClaimLedger& ledger, TimePoint now) {
+    return ledger.OnReadResult(read.id, status, claim, now);
+  });
+}
+
+asio::awaitable<std::pair<platform::Transaction, std::set<ClaimKey>>> ClaimService::Prepare(
+    const ClaimTransaction& transaction, bool* readable) {
+  platform::Transaction rows;
+  std::set<ClaimKey> conflicts;
+  *readable = true;
+  for (const ClaimWrite& write : transaction.writes) {
+    const std::string name = ClaimRowName(write.key);
+    std::uint64_t version = 0;
+    // The table compares versions, so the row of an expected claim is read for its version. An
+    // insert needs no read.
+    if (write.expected) {
+      const platform::ReadResult row = co_await AwaitRead(table_, name);
+      if (!row) {
+        *readable = false;
+        break;
+      }
+      if (!ConditionHolds(write, *row)) {
+        conflicts.insert(write.key);
+      }
+      version = row->version;
+    }
+    rows.conditions.push_back({.key = name, .version = version});
+    platform::RowWrite row_write{.key = name};
+    if (write.row) {
+      row_write.value = PrintClaimRow(*write.row);
+    }
+    rows.writes.push_back(std::move(row_write));
+  }
+  co_return std::pair(std::move(rows), std::move(conflicts));
+}
+
+asio::awaitable<void> ClaimService::Commit(ClaimTransaction transaction) {
+  bool readable = false;
+  auto [rows, conflicts] = co_await Prepare(transaction, &readable);
+  TableStatus status = TableStatus::kUnavailable;
+  if (readable && conflicts.empty()) {
+    transactions_.Add();
+    status = ToTableStatus(co_await AwaitCommit(table_, rows));
+    if (status == TableStatus::kConflict) {
+      // The table does not say which condition failed.
+      for (const ClaimWrite& write : transaction.writes) {
+        const platform::ReadResult row = co_await AwaitRead(table_, ClaimRowName(write.key));
+        if (row && !ConditionHolds(write, *row)) {
+          conflicts.insert(write.key);
+        }
+      }
+    }
+  } else if (readable) {
+    status = TableStatus::kConflict;
+  }
+  if (status == TableStatus::kConflict) {
+    conflicts_.Add();
+  }
+  std::vector<ClaimWriteResult> results;
+  {
+    const std::lock_guard lock(mutex_);
+    results = committer_.OnResult(transaction.id, status, conflicts);
+  }
+  HandleWriteResults(results);
+}
+
+void ClaimService::HandleWriteResults(const std::vector<ClaimWriteResult>& results) {
+  for (const ClaimWriteResult& result : results) {
+    Run([&result](ClaimLedger& ledger, TimePoint now) {
+      return ledger.OnWriteResult(result.id, result.status, now);
+    });
+  }
+}
+
+}  // namespace savoryglade
--- a/packages/daemon/plain_handler.cc
+++ b/packages/daemon/plain_handler.cc
@@ -171,9 +171,12 @@
 
   // Claims a may-not-repeat request. Returns false if it has been answered instead.
   asio::awaitable<bool> Claim() {
-    ClaimIdentity identity{
-        .account = request_.account.name, .service = request_.service.name, .key = claim_key_};
-    ClaimAnswer answer = co_await services_.claims.Claim(std::move(identity), Now());
+    ClaimSending sending{.identity = {.account = request_.account.name,
+                                      .service = request_.service.name,
+                                      .key = claim_key_},
+                         .body = DigestOf(exchange_.request().body()),
+                         .resend = exchange_.Header("Savoryglade-Resend") == "true"};
+    ClaimAnswer answer = co_await services_.claims.Claim(std::move(sending), Now());
     if (answer.kind == ClaimAnswer::Kind::kGranted) {
       claim_ = answer.token;
       co_return true;
@@ -183,7 +186,8 @@
       co_return false;
     }
     HttpHeaders headers = {{"Savoryglade-Request", request_.key.value()},
-                           {"Savoryglade-Verdict", "ran"}};
+                           {"Savoryglade-Verdict", "ran"},
+                           {"Savoryglade-Replayed", "true"}};
     if (!answer.response.content_type.empty()) {
       headers.emplace_back("Content-Type", answer.response.content_type);
     }
@@ -342,7 +346,7 @@
   std::shared_ptr<Interrupt> interrupt_;
   HttpRequest upstream_request_;
   std::string claim_key_;
-  ClaimToken claim_ = 0;
+  ClaimTicket claim_ = 0;
   bool claim_is_void_ = false;
   bool may_have_run_ = false;
   int attempts_ = 0;
