--- a/bench/recovery/measures.h
+++ b/bench/recovery/measures.h
@@ -23,5 +23,6 @@
 void MeasureAtMostOnce();
 void MeasureClaimInterleavings();
 void MeasureCrashingRequest();
+void MeasureReclaim();
 
 }  // namespace savoryglade
