Link the daemons and carry operators' changes through the platform

Cause: daemons had no peers, and the configuration came from a file only. Change: peer links (framing, HMAC, heartbeats, dialling by the higher id), PeerNetwork (failure detector, pushes and fetches of the configuration as deltas), PlatformConfigService (polling, start rule, changes), AdministrationHandler (moved out of daemon.cc; PUT /v1/configuration with If-Match, GET /v1/status with optional waits), fleet measures with daemon processes. A daemon answers not_ready until it has the highest version of table and peers.

--- a/bench/fleet/bench_fleet.cc
+++ b/bench/fleet/bench_fleet.cc
@@ -14,7 +14,9 @@
   int (*run)();
 };
 
-constexpr std::array<Measure, 1> kMeasures = {{{"membership", RunMembership}}};
+constexpr std::array<Measure, 3> kMeasures = {{{"membership", RunMembership},
+                                               {"config-spread", RunConfigSpread},
+                                               {"control-cost", RunControlCost}}};
 
 std::string PrintNumber(double value) {
   return std::isnan(value) ? "null" : fmt::format("{:.6g}", value);
--- /dev/null
+++ b/bench/fleet/process_measures.cc
@@ -0,0 +1,187 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <thread>
+#include <vector>
+
+#include "bench/fleet/fleet_processes.h"
+#include "bench/fleet/measures.h"
+
+namespace savoryglade::bench {
+namespace {
+
+struct FleetSize {
+  int daemons;
+  int domains;
+};
+
+// The number of daemons and of failure domains rise apart, so that a slope over each can be told.
+constexpr std::array<FleetSize, 6> kSizes = {
+    {{8, 4}, {16, 4}, {32, 4}, {32, 16}, {64, 4}, {64, 28}}};
+constexpr int kChanges = 10;
+constexpr Duration kIdleTime = 10s;
+
+double Median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+std::string CaseName(const FleetSize& size, const std::string& what) {
+  return fmt::format("{} daemons, {} failure domains: {}", size.daemons, size.domains, what);
+}
+
+// Waits until all daemons see all others. Returns false if they don't within 30 s.
+bool Settle(FleetProcesses& fleet) {
+  const std::vector<double> seconds = fleet.WaitInAll(0, fleet.size());
+  return std::find(seconds.begin(), seconds.end(), -1.0) == seconds.end();
+}
+
+struct Cost {
+  double processor_percent = 0;
+  double megabytes = 0;
+  double bytes_per_second = 0;
+  double messages_per_second = 0;
+};
+
+Cost CostOf(const ProcessSample& before, const ProcessSample& after, double seconds) {
+  return {.processor_percent = 100 * (after.processor_seconds - before.processor_seconds) / seconds,
+          .megabytes = after.resident_megabytes,
+          .bytes_per_second = (after.peer_bytes_sent - before.peer_bytes_sent +
+                               after.peer_bytes_received - before.peer_bytes_received) /
+                              seconds,
+          .messages_per_second = (after.peer_messages_sent - before.peer_messages_sent +
+                                  after.peer_messages_received - before.peer_messages_received) /
+                                 seconds};
+}
+
+}  // namespace
+
+int RunConfigSpread() {
+  int status = 0;
+  double baseline = std::numeric_limits<double>::quiet_NaN();
+  for (const FleetSize& size : kSizes) {
+    FleetProcesses fleet(size.daemons, size.domains);
+    if (!Settle(fleet)) {
+      fmt::print(stderr, "{}\n", CaseName(size, "the daemons did not find each other in 30 s"));
+      return 1;
+    }
+    std::vector<double> slowest;
+    for (int change = 0; change < kChanges; ++change) {
+      // The time counts from before the change is sent, so it includes its way into the table.
+      unsigned accepted = 0;
+      std::vector<double> seconds;
+      std::thread waiting(
+          [&] { seconds = fleet.WaitInAll(static_cast<std::uint64_t>(change) + 1, 1); });
+      accepted = fleet.Put(change % size.daemons, static_cast<std::uint64_t>(change), 40);
+      waiting.join();
+      const bool all = std::find(seconds.begin(), seconds.end(), -1.0) == seconds.end();
+      if (accepted != 200 || !all) {
+        fmt::print(stderr, "{}\n",
+                   CaseName(size, fmt::format("change {} failed: status {}", change, accepted)));
+        status = 1;
+        break;
+      }
+      slowest.push_back(*std::max_element(seconds.begin(), seconds.end()));
+    }
+    if (slowest.empty()) {
+      continue;
+    }
+    const double median = Median(slowest);
+    const double worst = *std::max_element(slowest.begin(), slowest.end());
+    Print({"config-spread", CaseName(size, "until in force in all, median of 10 changes"), baseline,
+           median, "s", "none"});
+    Print({"config-spread", CaseName(size, "until in force in all, worst of 10 changes"), baseline,
+           worst, "s", "none"});
+    if (std::isnan(baseline)) {
+      baseline = median;
+    }
+  }
+  return status;
+}
+
+int RunControlCost() {
+  const double none = std::numeric_limits<double>::quiet_NaN();
+  std::array<double, 6> baseline;
+  baseline.fill(none);
+  for (const FleetSize& size : kSizes) {
+    FleetProcesses fleet(size.daemons, size.domains);
+    if (!Settle(fleet) || fleet.Put(0, 0, 40) != 200) {
+      fmt::print(stderr, "{}\n", CaseName(size, "the daemons did not find each other in 30 s"));
+      return 1;
+    }
+    fleet.WaitInAll(1, size.daemons);
+    std::vector<ProcessSample> before;
+    for (int i = 0; i < fleet.size(); ++i) {
+      before.push_back(fleet.Sample(i));
+    }
+    const platform::TableCounts counts_before = fleet.table_counts();
+    const auto begin = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(kIdleTime);
+    std::vector<ProcessSample> after;
+    for (int i = 0; i < fleet.size(); ++i) {
+      after.push_back(fleet.Sample(i));
+    }
+    const double seconds = ToSeconds(std::chrono::steady_clock::now() - begin);
+    const platform::TableCounts counts = fleet.table_counts();
+    std::vector<double> processor;
+    std::vector<double> memory;
+    std::vector<double> bytes;
+    std::vector<double> messages;
+    for (std::size_t i = 0; i < after.size(); ++i) {
+      const Cost cost = CostOf(before[i], after[i], seconds);
+      processor.push_back(cost.processor_percent);
+      memory.push_back(cost.megabytes);
+      bytes.push_back(cost.bytes_per_second);
+      messages.push_back(cost.messages_per_second);
+    }
+    // Daemons with the lowest ids represent their failure domains.
+    const auto representatives = static_cast<std::size_t>(size.domains);
+    const auto part = [&](const std::vector<double>& values, bool representative) {
+      return Median(representative
+                        ? std::vector<double>(values.begin(), values.begin() + size.domains)
+                        : std::vector<double>(values.begin() + size.domains, values.end()));
+    };
+    const bool has_others = after.size() > representatives;
+    for (const bool representative : {true, false}) {
+      if (!representative && !has_others) {
+        continue;
+      }
+      const std::string role = representative ? "representative, " : "other daemon, ";
+      Print({"control-cost", CaseName(size, role + "processor, median"), none,
+             part(processor, representative), "% of a core", "none"});
+      Print({"control-cost", CaseName(size, role + "resident memory, median"), none,
+             part(memory, representative), "MB", "none"});
+      Print({"control-cost", CaseName(size, role + "bytes sent and received, median"), none,
+             part(bytes, representative), "B/s", "none"});
+      Print({"control-cost", CaseName(size, role + "messages sent and received, median"), none,
+             part(messages, representative), "1/s", "none"});
+    }
+    const std::array<double, 6> worst = {
+        *std::max_element(processor.begin(), processor.end()),
+        *std::max_element(memory.begin(), memory.end()),
+        *std::max_element(bytes.begin(), bytes.end()),
+        *std::max_element(messages.begin(), messages.end()),
+        static_cast<double>(counts.reads - counts_before.reads) / seconds,
+        static_cast<double>(counts.writes - counts_before.writes) / seconds};
+    constexpr std::array<const char*, 6> kNames = {"processor, worst daemon",
+                                                   "resident memory, worst daemon",
+                                                   "bytes, worst daemon",
+                                                   "messages, worst daemon",
+                                                   "table reads of the whole fleet",
+                                                   "table writes of the whole fleet"};
+    constexpr std::array<const char*, 6> kUnits = {"% of a core", "MB", "B/s", "1/s", "1/s", "1/s"};
+    for (std::size_t i = 0; i < worst.size(); ++i) {
+      Print({"control-cost", CaseName(size, kNames.at(i)), baseline.at(i), worst.at(i),
+             kUnits.at(i), "none"});
+    }
+    if (std::isnan(baseline[0])) {
+      baseline = worst;
+    }
+  }
+  return 0;
+}
+
+}  // namespace savoryglade::bench
--- a/packages/config/configuration_delta.cc
+++ b/packages/config/configuration_delta.cc
@@ -36,7 +36,8 @@
     }
   }
   for (const std::string& name : changed) {
-    names.push_back(list + "." + name);
+    names.push_back(list);
+    names.back().append(".").append(name);
   }
 }
 
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <fstream>
 #include <iterator>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -19,7 +20,6 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 
 constexpr Duration kTickInterval = 10ms;
 constexpr Duration kDrainPoll = 10ms;
@@ -80,9 +80,11 @@
     : settings_(std::move(settings)),
       dispatcher_(SchedulerOptions{}, std::hash<std::string>()(settings_.daemon.value()), metrics_),
       pool_(static_cast<std::size_t>(settings_.worker_threads)),
+      platform_(pool_.context(0), settings_, metrics_, configuration_),
+      administration_handler_(platform_, configuration_, metrics_),
       callers_(pool_, HttpLimits{}, [this](HttpExchange& e) { return HandleCaller(e); }),
       administration_(pool_, HttpLimits{},
-                      [this](HttpExchange& e) { return HandleAdministration(e); }) {
+                      [this](HttpExchange& e) { return administration_handler_.Handle(e); }) {
   configuration_.Subscribe(
       [this](const ConfigHolder::Snapshot& snapshot) { dispatcher_.Configure(*snapshot); });
 }
@@ -100,9 +102,18 @@
     if (!key) {
       return tl::make_unexpected(key.error());
     }
-    operator_key_ = TrimRight(*key);
+    administration_handler_.SetOperatorKey(TrimRight(*key));
   }
-  if (operator_key_.empty() && !asio::ip::make_address(administration->address).is_loopback()) {
+  std::string fleet_key;
+  if (!settings_.fleet_key_file.empty()) {
+    const Result<std::string> key = ReadFile(settings_.fleet_key_file);
+    if (!key) {
+      return tl::make_unexpected(key.error());
+    }
+    fleet_key = TrimRight(*key);
+  }
+  if (!administration_handler_.has_operator_key() &&
+      !asio::ip::make_address(administration->address).is_loopback()) {
     return tl::make_unexpected(
         Error{.code = ErrorCode::kInvalid,
               .message = "administration_address is beyond loopback, so operator_key_file must "
@@ -111,6 +122,7 @@
   if (settings_.platform_kind == PlatformKind::kEmbedded) {
     kLog.Warning("The embedded platform keeps nothing: all state is lost when the daemon stops.");
   }
+  std::optional<Configuration> first;
   if (!settings_.configuration_file.empty()) {
     const Result<std::string> text = ReadFile(settings_.configuration_file);
     if (!text) {
@@ -121,8 +133,13 @@
       return tl::make_unexpected(configuration.error());
     }
     configuration->version = std::max<std::uint64_t>(configuration->version, 1);
-    configuration_.Offer(std::move(*configuration));
+    first = std::move(*configuration);
+  }
+  const Result<Endpoint> peers_bound = platform_.Start(std::move(first), fleet_key);
+  if (!peers_bound) {
+    return tl::make_unexpected(peers_bound.error());
   }
+  peers_endpoint_ = *peers_bound;
   const Result<Endpoint> callers_bound = callers_.Listen(*callers);
   const Result<Endpoint> administration_bound = administration_.Listen(*administration);
   if (!callers_bound || !administration_bound) {
@@ -132,11 +149,12 @@
   callers_endpoint_ = *callers_bound;
   administration_endpoint_ = *administration_bound;
   asio::co_spawn(pool_.context(0), TickLoop(), asio::detached);
-  kLog.Info("Ready.", {{"daemon", settings_.daemon.value()},
-                       {"failure_domain", settings_.failure_domain.value()},
-                       {"callers", ToString(callers_endpoint_)},
-                       {"administration", ToString(administration_endpoint_)},
-                       {"configuration", configuration_.Get()->version}});
+  kLog.Info("Listening.", {{"daemon", settings_.daemon.value()},
+                           {"failure_domain", settings_.failure_domain.value()},
+                           {"callers", ToString(callers_endpoint_)},
+                           {"administration", ToString(administration_endpoint_)},
+                           {"peers", ToString(peers_endpoint_)},
+                           {"configuration", configuration_.Get()->version}});
   return {};
 }
 
@@ -173,12 +191,17 @@
 
 asio::awaitable<void> Daemon::HandleCaller(HttpExchange& exchange) {
   if (exchange.target() == "/healthz" || exchange.target() == "/readyz") {
-    const bool ready = !draining_;
-    co_await exchange.Respond(ready ? 200 : 503, ContentType("text/plain"),
-                              ready ? "ready\n" : "draining\n");
+    const bool ready = !draining_ && platform_.ready();
+    const char* text = draining_ ? "draining\n" : ready ? "ready\n" : "starting\n";
+    co_await exchange.Respond(ready ? 200 : 503, ContentType("text/plain"), text);
     co_return;
   }
   const RequestKey key = MakeKey(exchange);
+  if (!platform_.ready()) {
+    const Verdict verdict{.reason = Reason::kNotReady, .retry_after = 1s};
+    co_await RespondWithVerdict(exchange, key, verdict, metrics_);
+    co_return;
+  }
   if (draining_) {
     const Verdict verdict{.reason = Reason::kDraining, .retry_after = 1s};
     co_await RespondWithVerdict(exchange, key, verdict, metrics_);
@@ -210,25 +233,4 @@
   }
 }
 
-bool Daemon::OperatorKeyMatches(const HttpExchange& exchange) const {
-  return operator_key_.empty() || EqualInConstantTime(operator_key_, exchange.BearerToken());
-}
-
-asio::awaitable<void> Daemon::HandleAdministration(HttpExchange& exchange) {
-  if (!OperatorKeyMatches(exchange)) {
-    co_await exchange.Respond(401, ContentType("text/plain"), "unknown operator key\n");
-    co_return;
-  }
-  if (exchange.target() == "/metrics") {
-    co_await exchange.Respond(200, ContentType("text/plain; version=0.0.4"), metrics_.RenderText());
-    co_return;
-  }
-  if (exchange.target() == "/v1/configuration" && exchange.request().method() == http::verb::get) {
-    co_await exchange.Respond(200, ContentType("application/json"),
-                              PrintConfiguration(*configuration_.Get()));
-    co_return;
-  }
-  co_await exchange.Respond(404, ContentType("text/plain"), "no such resource\n");
-}
-
 }  // namespace savoryglade
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -5,8 +5,10 @@
 
 #include "config/settings.h"
 #include "core/error.h"
+#include "daemon/administration_handler.h"
 #include "daemon/config_holder.h"
 #include "daemon/dispatcher.h"
+#include "daemon/platform_config_service.h"
 #include "metrics/registry.h"
 #include "net/endpoint.h"
 #include "net/http_server.h"
@@ -31,16 +33,14 @@
   // Endpoints in use; valid after Start.
   const Endpoint& callers_endpoint() const { return callers_endpoint_; }
   const Endpoint& administration_endpoint() const { return administration_endpoint_; }
+  const Endpoint& peers_endpoint() const { return peers_endpoint_; }
 
  private:
   boost::asio::awaitable<void> HandleCaller(HttpExchange& exchange);
-  boost::asio::awaitable<void> HandleAdministration(HttpExchange& exchange);
   boost::asio::awaitable<void> TickLoop();
-  bool OperatorKeyMatches(const HttpExchange& exchange) const;
   RequestKey MakeKey(const HttpExchange& exchange);
 
   Settings settings_;
-  std::string operator_key_;
   MetricRegistry metrics_;
   ConfigHolder configuration_;
   Dispatcher dispatcher_;
@@ -48,7 +48,10 @@
   std::atomic<std::uint64_t> next_key_{1};
   Endpoint callers_endpoint_;
   Endpoint administration_endpoint_;
+  Endpoint peers_endpoint_;
   WorkerPool pool_;
+  PlatformConfigService platform_;
+  AdministrationHandler administration_handler_;
   HttpServer callers_;
   HttpServer administration_;
 };
--- a/packages/daemon/platform_client.cc
+++ b/packages/daemon/platform_client.cc
@@ -103,9 +103,13 @@
         Error{.code = ErrorCode::kUnavailable, .message = connection.error().message});
   }
   const Result<void> sent = co_await (*connection)->Send(request, kAnswerTimeout);
-  Result<HttpResponse> response =
-      sent ? co_await (*connection)->ReadResponse(kLargestAnswer, kAnswerTimeout)
-           : tl::make_unexpected(sent.error());
+  // A conditional expression with co_await in it is miscompiled by g++ 12.
+  Result<HttpResponse> response = tl::make_unexpected(Error{});
+  if (sent) {
+    response = co_await (*connection)->ReadResponse(kLargestAnswer, kAnswerTimeout);
+  } else {
+    response = tl::make_unexpected(sent.error());
+  }
   if (!response) {
     failures_.Add();
     co_return tl::make_unexpected(
@@ -181,34 +185,46 @@
   co_return records;
 }
 
-asio::awaitable<ReadResult> AwaitRead(platform::Table& table, std::string key) {
-  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(ReadResult)>(
-      [&table, &key](auto handler) {
+namespace {
+
+// Awaits one callback. The result is posted, because the embedded platform calls back before the
+// operation has returned, and a coroutine must not be resumed while it is being suspended.
+template <typename T, typename Operation>
+asio::awaitable<T> AwaitCallback(Operation operation) {
+  const auto executor = co_await asio::this_coro::executor;
+  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(T)>(
+      [&operation, executor](auto handler) {
         auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-        table.Read(key, [shared](ReadResult result) { (*shared)(std::move(result)); });
+        operation([shared, executor](T result) {
+          asio::post(executor, [shared, result = std::move(result)]() mutable {
+            std::move (*shared)(std::move(result));
+          });
+        });
       },
       asio::use_awaitable);
 }
 
+}  // namespace
+
+asio::awaitable<ReadResult> AwaitRead(platform::Table& table, std::string key) {
+  auto operation = [&table, &key](auto callback) { table.Read(key, std::move(callback)); };
+  co_return co_await AwaitCallback<ReadResult>(std::move(operation));
+}
+
 asio::awaitable<CommitStatus> AwaitCommit(platform::Table& table,
                                           platform::Transaction transaction) {
-  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(CommitStatus)>(
-      [&table, &transaction](auto handler) {
-        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-        table.Commit(transaction, [shared](CommitStatus status) { (*shared)(status); });
-      },
-      asio::use_awaitable);
+  auto operation = [&table, &transaction](auto callback) {
+    table.Commit(transaction, std::move(callback));
+  };
+  co_return co_await AwaitCallback<CommitStatus>(std::move(operation));
 }
 
 asio::awaitable<Result<std::vector<VmRecord>>> AwaitList(platform::VmList& list,
                                                          FailureDomainId failure_domain) {
-  using Records = Result<std::vector<VmRecord>>;
-  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(Records)>(
-      [&list, &failure_domain](auto handler) {
-        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-        list.List(failure_domain, [shared](Records records) { (*shared)(std::move(records)); });
-      },
-      asio::use_awaitable);
+  auto operation = [&list, &failure_domain](auto callback) {
+    list.List(failure_domain, std::move(callback));
+  };
+  co_return co_await AwaitCallback<Result<std::vector<VmRecord>>>(std::move(operation));
 }
 
 }  // namespace savoryglade
--- /dev/null
+++ b/packages/daemon/platform_config_service.cc
@@ -0,0 +1,274 @@
+#include "daemon/platform_config_service.h"
+
+#include <fmt/format.h>
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <utility>
+
+#include "logging/logger.h"
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using membership::ConfigSource;
+using membership::Member;
+using membership::MemberState;
+
+// Polling of the version row by the representative of a failure domain, and by all others.
+constexpr Duration kRepresentativePoll = 1s;
+constexpr Duration kPoll = 10s;
+// The VM list of 350 daemons has about 40 KB, so only representatives read all of it, and rarely.
+constexpr Duration kWholeList = 30s;
+constexpr Duration kDomainList = 10s;
+constexpr Duration kRetry = 1s;
+constexpr Duration kCheckInterval = 250ms;
+constexpr Duration kWaitStep = 10ms;
+constexpr Duration kChangeDeadline = 10s;
+
+const Logger kLog("configuration");
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+asio::awaitable<void> Sleep(Duration duration) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(duration);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+}  // namespace
+
+PlatformConfigService::PlatformConfigService(asio::io_context& context, const Settings& settings,
+                                             MetricRegistry& metrics, ConfigHolder& holder)
+    : context_(context), settings_(settings), metrics_(metrics), holder_(holder) {}
+
+Result<Endpoint> PlatformConfigService::Start(std::optional<Configuration> first,
+                                              const std::string& fleet_key) {
+  if (!settings_.peers_address.empty()) {
+    const Result<Endpoint> peers = ParseEndpoint(settings_.peers_address);
+    if (peers && fleet_key.empty() && !asio::ip::make_address(peers->address).is_loopback()) {
+      return tl::make_unexpected(
+          Error{.code = ErrorCode::kInvalid,
+                .message = "peers_address is beyond loopback, so fleet_key_file must name a file "
+                           "with a key."});
+    }
+  }
+  network_ = std::make_unique<PeerNetwork>(
+      context_, settings_, fleet_key, metrics_,
+      [this](const PeerNetwork::Snapshot& snapshot) { holder_.Offer(*snapshot); });
+  if (settings_.platform_kind == PlatformKind::kEmbedded) {
+    embedded_ = std::make_unique<platform::MemoryPlatform>();
+    table_ = embedded_.get();
+    vm_list_ = embedded_.get();
+    if (first) {
+      const ConfigurationRow row = {.configuration =
+                                        std::make_shared<const Configuration>(std::move(*first))};
+      embedded_->Commit(
+          {.writes = {{kConfigurationRow, PrintConfigurationRow(row)},
+                      {kConfigurationVersionRow, fmt::to_string(row.configuration->version)}}},
+          [](platform::CommitStatus) {});
+      network_->Offer(row.configuration, ConfigSource::kTable);
+    }
+    network_->replica().OnTableVersion(network_->replica().version(), Now());
+    network_->UpdateReady(Now());
+  } else {
+    Result<Endpoint> endpoint = ParseEndpoint(settings_.platform_address);
+    if (!endpoint) {
+      return endpoint;
+    }
+    client_ = std::make_unique<PlatformClient>(context_, std::move(*endpoint), metrics_);
+    table_ = client_.get();
+    vm_list_ = client_.get();
+  }
+  Result<Endpoint> bound = network_->Start();
+  if (bound) {
+    asio::co_spawn(context_, PollLoop(), asio::detached);
+    asio::co_spawn(context_, ListLoop(), asio::detached);
+  }
+  return bound;
+}
+
+asio::awaitable<void> PlatformConfigService::Poll() {
+  const TimePoint asked = Now();
+  const platform::ReadResult version_row = co_await AwaitRead(*table_, kConfigurationVersionRow);
+  if (!version_row) {
+    network_->replica().OnTableUnavailable();
+    co_return;
+  }
+  const std::uint64_t version =
+      version_row->value.empty() ? 0 : std::strtoull(version_row->value.c_str(), nullptr, 10);
+  network_->replica().OnTableVersion(version, asked);
+  if (version <= network_->replica().version()) {
+    co_return;
+  }
+  const platform::ReadResult row = co_await AwaitRead(*table_, kConfigurationRow);
+  if (!row) {
+    co_return;
+  }
+  const Result<ConfigurationRow> parsed = ParseConfigurationRow(row->value);
+  if (!parsed) {
+    kLog.Error("The configuration in the table can't be read.",
+               {{"error", parsed.error().message}});
+    co_return;
+  }
+  network_->Offer(parsed->configuration, ConfigSource::kTable);
+}
+
+asio::awaitable<void> PlatformConfigService::PollLoop() {
+  while (true) {
+    const TimePoint begun = Now();
+    co_await Poll();
+    // A daemon that has just become the representative polls at once.
+    while (true) {
+      const bool often = network_->membership().is_representative() || !network_->ready();
+      const Duration left = (often ? kRepresentativePoll : kPoll) - (Now() - begun);
+      if (left <= Duration::zero()) {
+        break;
+      }
+      co_await Sleep(std::min(kCheckInterval, left));
+    }
+  }
+}
+
+asio::awaitable<void> PlatformConfigService::ListLoop() {
+  while (true) {
+    const TimePoint begun = Now();
+    const bool whole = network_->membership().is_representative();
+    // Named first, because g++ 12 destroys the temporaries of such an expression twice.
+    FailureDomainId listed = whole ? FailureDomainId() : settings_.failure_domain;
+    const auto records = co_await AwaitList(*vm_list_, std::move(listed));
+    if (records) {
+      std::vector<membership::Peer> peers;
+      for (const platform::VmRecord& record : *records) {
+        if (!record.daemon.empty() && !record.leaving) {
+          peers.push_back({.daemon = record.daemon,
+                           .failure_domain = record.failure_domain,
+                           .address = record.peers_address});
+        }
+      }
+      network_->SetListedPeers(peers);
+    }
+    while (true) {
+      const bool representative = network_->membership().is_representative();
+      const bool alone = network_->membership().Members().size() == 1;
+      const Duration interval =
+          !records || alone ? kRetry : (representative ? kWholeList : kDomainList);
+      const Duration left = interval - (Now() - begun);
+      if (left <= Duration::zero() || (representative && !whole)) {
+        break;
+      }
+      co_await Sleep(std::min(kCheckInterval, left));
+    }
+  }
+}
+
+asio::awaitable<ConfigChangeOutcome> PlatformConfigService::RunChange(ConfigChange change) {
+  ConfigChange::Step step = ConfigChange::Start();
+  while (true) {
+    if (std::holds_alternative<ConfigChange::ReadRow>(step)) {
+      const platform::ReadResult row = co_await AwaitRead(*table_, kConfigurationRow);
+      step = change.OnRead(row, Now());
+    } else if (const auto* commit = std::get_if<ConfigChange::CommitRows>(&step)) {
+      const platform::CommitStatus status = co_await AwaitCommit(*table_, commit->transaction);
+      step = change.OnCommit(status, Now());
+    } else if (const auto* wait = std::get_if<ConfigChange::Wait>(&step)) {
+      co_await Sleep(wait->duration);
+      step = ConfigChange::OnWaited();
+    } else {
+      break;
+    }
+  }
+  ConfigChangeOutcome outcome = std::get<ConfigChangeOutcome>(std::move(step));
+  if (outcome.current) {
+    network_->Offer(outcome.current, ConfigSource::kOperator);
+  }
+  co_return outcome;
+}
+
+asio::awaitable<ConfigChangeOutcome> PlatformConfigService::Change(Configuration wanted,
+                                                                   std::uint64_t expected_version,
+                                                                   std::string change_id) {
+  ConfigChange change(std::move(wanted), expected_version, std::move(change_id),
+                      Now() + kChangeDeadline);
+  co_return co_await asio::co_spawn(context_, RunChange(std::move(change)), asio::use_awaitable);
+}
+
+std::size_t PlatformConfigService::LiveMembers() {
+  const std::vector<Member> members = network_->membership().Members();
+  return static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(),
+                    [](const Member& member) { return member.state == MemberState::kAlive; }));
+}
+
+asio::awaitable<bool> PlatformConfigService::WaitFor(std::uint64_t version,
+                                                     std::size_t live_members, Duration timeout) {
+  const auto wait = [this, version, live_members, timeout]() -> asio::awaitable<bool> {
+    const TimePoint deadline = Now() + timeout;
+    while (network_->replica().version() < version || !network_->ready() ||
+           LiveMembers() < live_members) {
+      if (Now() >= deadline) {
+        co_return false;
+      }
+      co_await Sleep(kWaitStep);
+    }
+    co_return true;
+  };
+  co_return co_await asio::co_spawn(context_, wait(), asio::use_awaitable);
+}
+
+std::string PlatformConfigService::PrintStatus() {
+  membership::ConfigReplica& replica = network_->replica();
+  const auto staleness = replica.Staleness(Now());
+  json::object configuration = {{"version", replica.version()},
+                                {"source", membership::ToString(replica.source())},
+                                {"source_peer", replica.source_peer().value()},
+                                {"staleness_ms", nullptr}};
+  if (staleness) {
+    configuration["staleness_ms"] = *staleness / 1ms;
+  }
+  json::array members;
+  for (const Member& member : network_->membership().Members()) {
+    json::object entry = {{"daemon", member.daemon.value()},
+                          {"failure_domain", member.failure_domain.value()},
+                          {"state", membership::ToString(member.state)},
+                          {"incarnation", member.incarnation}};
+    const auto version = replica.peer_versions().find(member.daemon);
+    if (member.daemon == settings_.daemon) {
+      entry["configuration_version"] = replica.version();
+    } else if (version != replica.peer_versions().end()) {
+      entry["configuration_version"] = version->second;
+    }
+    members.emplace_back(std::move(entry));
+  }
+  return json::serialize(
+             json::object{{"daemon", settings_.daemon.value()},
+                          {"failure_domain", settings_.failure_domain.value()},
+                          {"incarnation", network_->membership().incarnation()},
+                          {"ready", network_->ready()},
+                          {"representative", network_->membership().is_representative()},
+                          {"links", network_->link_count()},
+                          {"configuration", std::move(configuration)},
+                          {"members", std::move(members)}}) +
+         "\n";
+}
+
+asio::awaitable<std::string> PlatformConfigService::Status() {
+  const auto print = [this]() -> asio::awaitable<std::string> { co_return PrintStatus(); };
+  co_return co_await asio::co_spawn(context_, print(), asio::use_awaitable);
+}
+
+std::string PlatformConfigService::MakeChangeId() {
+  std::array<unsigned char, 16> bytes{};
+  if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+    // A change id that is not unique could make a lost write look accepted.
+    std::terminate();
+  }
+  return fmt::format("{}-{:02x}", settings_.daemon.value(), fmt::join(bytes, ""));
+}
+
+}  // namespace savoryglade
--- a/packages/membership/config_replica.h
+++ b/packages/membership/config_replica.h
@@ -66,6 +66,8 @@
   std::uint64_t advertised_version() const { return ready_ ? version() : 0; }
   ConfigSource source() const { return source_; }
   const DaemonId& source_peer() const { return source_peer_; }
+  // Versions that connected peers have in force.
+  const std::map<DaemonId, std::uint64_t>& peer_versions() const { return peer_versions_; }
   // Time since the table last confirmed that no higher version existed; nothing if it never did.
   std::optional<Duration> Staleness(TimePoint now) const;
 
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -44,7 +44,8 @@
     return;
   }
   found->second.member.address = address;
-  ++(found->second.in_domain ? own_view_ : remote_view_);
+  ++whole_view_;
+  own_view_ += found->second.in_domain ? 1 : 0;
 }
 
 void Membership::Update(Entry& entry, std::uint64_t incarnation, MemberState state) {
@@ -59,7 +60,7 @@
   representatives_stale_ = true;
   changes_.push_back({entry.member});
   if (matters) {
-    ++(entry.in_domain ? own_view_ : remote_view_);
+    ++(entry.in_domain ? own_view_ : whole_view_);
   }
 }
 
@@ -113,6 +114,14 @@
     return;
   }
   for (const Member& member : heartbeat.members) {
+    if (from_own_domain && member.failure_domain == failure_domain_ && member.daemon != daemon_) {
+      // Whether it lives, this daemon finds out itself.
+      if (member.state != MemberState::kDead) {
+        FindOrAdd(member.daemon, member.failure_domain);
+        SetAddress(member.daemon, member.address);
+      }
+      continue;
+    }
     const bool may_speak = from_own_domain ? member.failure_domain != failure_domain_
                                            : member.failure_domain == sender.member.failure_domain;
     if (!may_speak || member.daemon == daemon_ || member.daemon == sender.member.daemon) {
@@ -161,6 +170,7 @@
     entry.sent = now_ - options_.heartbeat_interval;
     domain_heard_.try_emplace(failure_domain, now_);
     representatives_stale_ = true;
+    ++whole_view_;
   }
   return entry;
 }
@@ -237,7 +247,7 @@
   }
   if (representative && !was_representative_) {
     // Another representative's views may have been taken in between.
-    ++remote_view_;
+    ++whole_view_;
   }
   if (!representative && was_representative_) {
     // Views of this failure domain's representative were ignored until now.
@@ -281,10 +291,10 @@
   if (!is_representative()) {
     return 0;
   }
-  const bool has_view = std::any_of(entries_.begin(), entries_.end(), [this](const auto& item) {
-    return !item.second.in_domain && item.second.member.incarnation != 0;
+  const bool has_view = std::any_of(entries_.begin(), entries_.end(), [&entry](const auto& item) {
+    return &item.second != &entry && item.second.member.incarnation != 0;
   });
-  return has_view ? remote_view_ : 0;
+  return has_view ? whole_view_ : 0;
 }
 
 std::vector<HeartbeatOrder> Membership::TakeDueHeartbeats(TimePoint now) {
@@ -330,8 +340,9 @@
     return heartbeat;
   }
   for (const Member& member : Members()) {
-    const bool own = member.failure_domain == failure_domain_;
-    if (own != receiver.in_domain && member.incarnation != 0) {
+    const bool wanted = receiver.in_domain ? member.daemon != to && member.daemon != daemon_
+                                           : member.failure_domain == failure_domain_;
+    if (wanted && member.incarnation != 0) {
       heartbeat.members.push_back(member);
     }
   }
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -42,7 +42,9 @@
 
 // Failure detector of one daemon. Inside its failure domain it listens to every daemon. Between
 // failure domains only the representatives (lowest live ids) talk, and each tells the other, and
-// the daemons of its own failure domain, what it sees. Not safe to use from several threads.
+// the daemons of its own failure domain, what it sees. In its own failure domain it also says who
+// is there, because the platform's list lags and may be out of reach. Not safe to use from several
+// threads.
 class Membership {
  public:
   // The incarnation must be the start time in ms.
@@ -123,9 +125,9 @@
   std::map<DaemonId, Entry> entries_;
   // Last heartbeat of any daemon of another failure domain.
   std::map<FailureDomainId, TimePoint> domain_heard_;
-  // Numbers of the view of this failure domain and of the others.
+  // Numbers of the views for other failure domains (own members) and for this one (all members).
   std::uint64_t own_view_ = 1;
-  std::uint64_t remote_view_ = 1;
+  std::uint64_t whole_view_ = 1;
   std::vector<Change> changes_;
   // Representative of each failure domain, found again when a member has changed.
   mutable bool representatives_stale_ = true;
--- /dev/null
+++ b/tests/daemon/fleet_fixture.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/configuration.h"
+#include "daemon/daemon.h"
+#include "emulator/platform_service.h"
+#include "net/http_client.h"
+
+namespace savoryglade {
+
+// Platform stand-in and daemons of several failure domains in one process, linked over loopback.
+class FleetFixture {
+ public:
+  FleetFixture()
+      : platform_server_(platform_pool_, HttpLimits{},
+                         [this](HttpExchange& e) { return platform_.Handle(e); }) {
+    platform_endpoint_ = *platform_server_.Listen({.address = "127.0.0.1", .port = 0});
+  }
+
+  // The daemons' coroutines refer to the platform only by its address.
+  ~FleetFixture() {
+    daemons_.clear();
+    platform_pool_.Stop();
+  }
+
+  PlatformService& platform() { return platform_; }
+  Daemon& daemon(std::size_t i) { return *daemons_[i]; }
+  std::size_t size() const { return daemons_.size(); }
+
+  static std::string Name(std::size_t i) { return "daemon-" + std::to_string(i + 1); }
+  static std::string Domain(std::size_t i, std::size_t domains) {
+    return "domain-" + std::to_string(i % domains + 1);
+  }
+
+  // Starts daemons and lists them once all listen, so that none reads a list of only some.
+  void Start(std::size_t daemons, std::size_t domains, const platform::Faults& faults_after = {}) {
+    platform_.SetFaults({.outage = true});
+    for (std::size_t i = 0; i < daemons; ++i) {
+      Settings settings;
+      settings.daemon = DaemonId(Name(i));
+      settings.failure_domain = FailureDomainId(Domain(i, domains));
+      settings.callers_address = "127.0.0.1:0";
+      settings.administration_address = "127.0.0.1:0";
+      settings.peers_address = "127.0.0.1:0";
+      settings.worker_threads = 1;
+      settings.platform_kind = PlatformKind::kHttp;
+      settings.platform_address = ToString(platform_endpoint_);
+      daemons_.push_back(std::make_unique<Daemon>(settings));
+      const Result<void> started = daemons_.back()->Start();
+      if (!started) {
+        throw std::runtime_error(started.error().message);
+      }
+      platform_.state().PutVm({.vm = VmId(Name(i)),
+                               .failure_domain = settings.failure_domain,
+                               .daemon = settings.daemon,
+                               .peers_address = ToString(daemons_.back()->peers_endpoint())});
+    }
+    platform_.SetFaults(faults_after);
+  }
+
+  // Ends all daemons at once, without a drain.
+  void StopAll() { daemons_.clear(); }
+
+  // Sends a request to a daemon's administration API. Status 0 means that there was no answer.
+  std::pair<unsigned, boost::json::value> Call(std::size_t i, boost::beast::http::verb method,
+                                               const std::string& target,
+                                               const std::string& body = "",
+                                               const std::string& if_match = "") {
+    return Fetch(daemon(i).administration_endpoint(), method, target, body, if_match);
+  }
+
+  // Waits for a version and a number of live members at a daemon. Returns the status it answers.
+  std::pair<unsigned, boost::json::value> Wait(std::size_t i, std::uint64_t version,
+                                               std::size_t members) {
+    return Call(i, boost::beast::http::verb::get,
+                "/v1/status?wait_for_version=" + std::to_string(version) +
+                    "&wait_for_members=" + std::to_string(members));
+  }
+
+  // Sends a configuration with one upstream.
+  std::pair<unsigned, boost::json::value> Put(std::size_t i, std::uint64_t expected,
+                                              const std::string& upstream) {
+    return Call(i, boost::beast::http::verb::put, "/v1/configuration", Document(upstream),
+                std::to_string(expected));
+  }
+
+  static std::string Document(const std::string& upstream) {
+    Configuration configuration;
+    configuration.services.push_back({.name = ServiceId("assistant")});
+    configuration.upstreams.push_back({.name = UpstreamId(upstream),
+                                       .service = ServiceId("assistant"),
+                                       .address = "127.0.0.1",
+                                       .port = 1,
+                                       .vm = VmId(upstream),
+                                       .failure_domain = FailureDomainId("domain-1")});
+    return PrintConfiguration(configuration);
+  }
+
+  static std::pair<unsigned, boost::json::value> Fetch(const Endpoint& endpoint,
+                                                       boost::beast::http::verb method,
+                                                       const std::string& target,
+                                                       const std::string& body,
+                                                       const std::string& if_match) {
+    HttpRequest request(method, target, 11);
+    request.set(boost::beast::http::field::host, endpoint.address);
+    if (!if_match.empty()) {
+      request.set(boost::beast::http::field::if_match, if_match);
+    }
+    request.body() = body;
+    request.prepare_payload();
+    boost::asio::io_context context;
+    std::optional<Result<HttpResponse>> response;
+    boost::asio::co_spawn(context, FetchOnce(endpoint, std::move(request), 60s),
+                          [&response](const std::exception_ptr&, Result<HttpResponse> r) {
+                            response = std::move(r);
+                          });
+    context.run();
+    if (!*response) {
+      return {0, {}};
+    }
+    boost::json::error_code error;
+    boost::json::value value = boost::json::parse((*response)->body(), error);
+    return {(*response)->result_int(), std::move(value)};
+  }
+
+ private:
+  PlatformService platform_;
+  // One worker, because a connection on another one than that of the listener keeps the listener
+  // beyond the life of its context.
+  WorkerPool platform_pool_{1};
+  HttpServer platform_server_;
+  Endpoint platform_endpoint_;
+  std::vector<std::unique_ptr<Daemon>> daemons_;
+};
+
+}  // namespace savoryglade
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -160,6 +160,25 @@
   EXPECT_LE(fleet.heartbeats() - before, 10U * 60U);
 }
 
+// Guards against a daemon that no list names and that only the representative knows, for example
+// because it started while the platform was down.
+TEST(Membership, ADaemonLearnsOfItsNeighboursFromTheRepresentative) {
+  const FailureDomainId domain("verona");
+  Membership lowest(DaemonId("a"), domain, 1, {}, TimePoint{});
+  Membership late(DaemonId("c"), domain, 1, {}, TimePoint{});
+  lowest.SetPeers({{.daemon = DaemonId("b"), .failure_domain = domain, .address = "127.0.0.1:2"}},
+                  TimePoint{});
+  lowest.OnHeartbeat({.daemon = DaemonId("b"), .failure_domain = domain, .incarnation = 1},
+                     TimePoint{});
+  late.SetPeers({{.daemon = DaemonId("a"), .failure_domain = domain}}, TimePoint{});
+  lowest.OnHeartbeat(late.MakeHeartbeat(DaemonId("a"), false), TimePoint{});
+  late.OnHeartbeat(lowest.MakeHeartbeat(DaemonId("c"), false), TimePoint{});
+  ASSERT_TRUE(late.Find(DaemonId("b")).has_value());
+  EXPECT_EQ(late.Find(DaemonId("b"))->address, "127.0.0.1:2");
+  EXPECT_TRUE(late.WantsLink(DaemonId("b")));
+  EXPECT_EQ(late.Find(DaemonId("b"))->state, MemberState::kSuspect);
+}
+
 // Guards against a machine that leaves the VM list and is kept as dead for ever.
 TEST(Membership, ADeadDaemonThatIsNoLongerListedIsForgotten) {
   const DaemonId peer("peer");
