Keep suspicions out of the views for other daemons

A view that was sent while a member was suspected said so, and the end of the suspicion does not renew the view, so the others kept the member as suspect. Change: views call a suspect alive; only deaths and incarnations are told. The bench prints the status of a daemon that lags.

--- a/bench/fleet/fleet_processes.cc
+++ b/bench/fleet/fleet_processes.cc
@@ -216,4 +216,11 @@
   return sample;
 }
 
+std::string FleetProcesses::Status(int daemon) {
+  const Endpoint& endpoint = children_[static_cast<std::size_t>(daemon)].administration;
+  const Result<HttpResponse> response =
+      Fetch(endpoint, MakeRequest(endpoint, http::verb::get, "/v1/status"));
+  return response ? response->body() : response.error().message;
+}
+
 }  // namespace savoryglade::bench
--- a/bench/fleet/fleet_processes.h
+++ b/bench/fleet/fleet_processes.h
@@ -47,6 +47,9 @@
 
   ProcessSample Sample(int daemon);
 
+  // Status of a daemon as JSON, for the message about a measure that failed.
+  std::string Status(int daemon);
+
  private:
   struct Child {
     pid_t pid = -1;
--- a/bench/fleet/process_measures.cc
+++ b/bench/fleet/process_measures.cc
@@ -36,6 +36,12 @@
 // Waits until all daemons see all others. Returns false if they don't within 30 s.
 bool Settle(FleetProcesses& fleet) {
   const std::vector<double> seconds = fleet.WaitInAll(0, fleet.size());
+  for (std::size_t i = 0; i < seconds.size(); ++i) {
+    if (seconds[i] < 0) {
+      fmt::print(stderr, "Daemon {} does not see all others: {}\n", i,
+                 fleet.Status(static_cast<int>(i)));
+    }
+  }
   return std::find(seconds.begin(), seconds.end(), -1.0) == seconds.end();
 }
 
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -344,6 +344,10 @@
                                            : member.failure_domain == failure_domain_;
     if (wanted && member.incarnation != 0) {
       heartbeat.members.push_back(member);
+      // A suspicion and its end don't renew the view, so it must not be part of it.
+      if (member.state == MemberState::kSuspect) {
+        heartbeat.members.back().state = MemberState::kAlive;
+      }
     }
   }
   return heartbeat;
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -179,6 +179,26 @@
   EXPECT_EQ(late.Find(DaemonId("b"))->state, MemberState::kSuspect);
 }
 
+// Guards against a suspicion that other failure domains keep for ever, because its end is not told.
+TEST(Membership, ASuspicionIsNotToldToOthers) {
+  const FailureDomainId domain("verona");
+  const DaemonId peer("peer");
+  const DaemonId remote("remote");
+  Membership membership(DaemonId("a"), domain, 1, {}, TimePoint{});
+  membership.OnHeartbeat({.daemon = peer, .failure_domain = domain, .incarnation = 1}, TimePoint{});
+  membership.OnHeartbeat(
+      {.daemon = remote, .failure_domain = FailureDomainId("mantova"), .incarnation = 1},
+      TimePoint{});
+  membership.Tick(TimePoint(900ms));
+  membership.Tick(TimePoint(1800ms));
+  membership.Tick(TimePoint(2700ms));
+  membership.Tick(TimePoint(3500ms));
+  ASSERT_EQ(membership.Find(peer)->state, MemberState::kSuspect);
+  for (const Member& member : membership.MakeHeartbeat(remote, false).members) {
+    EXPECT_EQ(member.state, MemberState::kAlive) << member.daemon.value();
+  }
+}
+
 // Guards against a machine that leaves the VM list and is kept as dead for ever.
 TEST(Membership, ADeadDaemonThatIsNoLongerListedIsForgotten) {
   const DaemonId peer("peer");
