Use the table's claims, the retry policy and the fair queue in the daemon

Cause: the daemon still ran baselines: claims in its own memory, a retry rule of its own beside that of the recovery package (under the same type name, which is undefined behaviour), a scheduler without shares, and a scheduler slot that was never given back when no upstream could be chosen.

Change: ClaimService over the platform's table is the daemon's default; BudgetedRetry wraps RetryPolicy; the dispatcher passes the configuration to the scheduler, sizes and attempt numbers to scheduler and router, and whether an attempt completed; a request that finds no upstream gives its slot back.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -6,10 +6,12 @@
 #include <fstream>
 #include <iterator>
 #include <optional>
+#include <random>
 #include <utility>
 
 #include "config/account_keys.h"
 #include "daemon/caller_context.h"
+#include "daemon/claim_service.h"
 #include "daemon/model_handler.h"
 #include "daemon/plain_handler.h"
 #include "daemon/request_identity.h"
@@ -65,13 +67,16 @@
           .write_timeout = limits.write_timeout};
 }
 
+// Orders the starts of a daemon.
+std::uint64_t StartMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(now / 1ms);
+}
+
 DaemonParts Complete(DaemonParts parts, std::uint64_t seed) {
   if (!parts.streams) {
     parts.streams = std::make_shared<MemoryStreamDirectory>();
   }
-  if (!parts.claims) {
-    parts.claims = std::make_shared<MemoryClaimGate>();
-  }
   if (!parts.retries) {
     parts.retries = std::make_shared<BudgetedRetry>(seed);
   }
@@ -84,7 +89,8 @@
     : settings_(std::move(settings)),
       path_metrics_(metrics_),
       parts_(Complete(std::move(parts), std::hash<std::string>()(settings_.daemon.value()))),
-      dispatcher_(SchedulerOptions{}, std::hash<std::string>()(settings_.daemon.value()), metrics_),
+      dispatcher_({.incarnation = StartMilliseconds()}, {.local_domain = settings_.failure_domain},
+                  std::hash<std::string>()(settings_.daemon.value()), metrics_),
       pool_(static_cast<std::size_t>(settings_.worker_threads)),
       platform_(pool_.context(0), settings_, metrics_, configuration_),
       administration_handler_(platform_, configuration_, metrics_),
@@ -104,6 +110,7 @@
   pool_.Stop();
   // What is waited on belongs to the contexts of the workers and must go before them.
   dispatcher_.Clear();
+  parts_.claims.reset();
   active_.Clear();
 }
 
@@ -156,6 +163,9 @@
     return tl::make_unexpected(peers_bound.error());
   }
   peers_endpoint_ = *peers_bound;
+  if (!parts_.claims) {
+    parts_.claims = StartClaims();
+  }
   const Result<Endpoint> callers_bound = callers_.Listen(*callers);
   const Result<Endpoint> administration_bound = administration_.Listen(*administration);
   if (!callers_bound || !administration_bound) {
@@ -177,6 +187,19 @@
   return {};
 }
 
+std::shared_ptr<ClaimGate> Daemon::StartClaims() {
+  std::random_device random;
+  const std::uint64_t nonce = (std::uint64_t{random()} << 32) | random();
+  auto claims = std::make_shared<ClaimService>(
+      pool_.context(0), platform_.table(),
+      ClaimServiceOptions{.owner = {.daemon = settings_.daemon,
+                                    .incarnation = StartMilliseconds(),
+                                    .nonce = nonce}},
+      metrics_);
+  claims->Start();
+  return claims;
+}
+
 void Daemon::BeginDrain() {
   draining_ = true;
   kLog.Info("Draining.", {{"in_flight", callers_.active_exchanges()}});
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -69,6 +69,7 @@
  private:
   boost::asio::awaitable<void> HandleCaller(HttpExchange& exchange);
   boost::asio::awaitable<void> TickLoop();
+  std::shared_ptr<ClaimGate> StartClaims();
   RequestKey MakeKey();
   CallerServices MakeServices();
 
--- a/packages/daemon/dispatcher.cc
+++ b/packages/daemon/dispatcher.cc
@@ -24,12 +24,17 @@
   std::optional<tl::expected<UpstreamConfig, Verdict>> result;
 };
 
-Dispatcher::Dispatcher(SchedulerOptions options, std::uint64_t seed, MetricRegistry& metrics)
+Dispatcher::Dispatcher(SchedulerOptions options, const RoutingOptions& routing, std::uint64_t seed,
+                       MetricRegistry& metrics)
     : scheduler_(options),
-      table_(seed),
+      table_(seed, routing),
       queue_wait_(metrics.GetTiming("savoryglade_queue_wait_seconds")) {}
 
 void Dispatcher::Configure(const Configuration& configuration) {
+  {
+    const std::lock_guard lock(scheduler_mutex_);
+    scheduler_.Configure(configuration);
+  }
   {
     const std::lock_guard lock(table_mutex_);
     table_.Configure(configuration, Now());
@@ -78,7 +83,8 @@
   const TimePoint now = Now();
   {
     const std::lock_guard lock(scheduler_mutex_);
-    scheduler_.Finish(ticket, ToSeconds(outcome.total), now);
+    scheduler_.Finish(ticket, ToSeconds(outcome.total), now,
+                      outcome.result == AttemptResult::kCompleted);
   }
   {
     const std::lock_guard lock(table_mutex_);
@@ -92,6 +98,36 @@
   table_.OnFirstToken(upstream, latency, Now());
 }
 
+UsageSummary Dispatcher::Summary() {
+  const std::lock_guard lock(scheduler_mutex_);
+  return scheduler_.Summary(Now());
+}
+
+UsageSummary Dispatcher::DomainSummary(const FailureDomainId& domain) {
+  const std::lock_guard lock(scheduler_mutex_);
+  return scheduler_.DomainSummary(domain, Now());
+}
+
+void Dispatcher::Merge(const DaemonId& from, const UsageSummary& summary) {
+  const std::lock_guard lock(scheduler_mutex_);
+  scheduler_.Merge(from, summary, Now());
+}
+
+void Dispatcher::OnView(std::size_t live_daemons) {
+  const std::lock_guard lock(scheduler_mutex_);
+  scheduler_.OnView(live_daemons);
+}
+
+void Dispatcher::OnLoadReport(const UpstreamId& upstream, const LoadReport& report) {
+  const std::lock_guard lock(table_mutex_);
+  table_.OnLoadReport(upstream, report, Now());
+}
+
+void Dispatcher::OnCacheEvent(const UpstreamId& upstream, const CacheEvent& event) {
+  const std::lock_guard lock(table_mutex_);
+  table_.OnCacheEvent(upstream, event, Now());
+}
+
 void Dispatcher::Tick() {
   {
     const std::lock_guard lock(scheduler_mutex_);
@@ -116,6 +152,7 @@
     }
     const auto chosen = table_.Select(waiters_.at(request->ticket)->route, now);
     if (!chosen) {
+      scheduler_.Finish(request->ticket, 0, now, false);
       Deliver(request->ticket,
               tl::make_unexpected(Verdict{.reason = chosen.error(), .retry_after = Duration(1s)}));
       continue;
--- a/packages/daemon/dispatcher.h
+++ b/packages/daemon/dispatcher.h
@@ -20,7 +20,8 @@
 // for them. Safe to use from all workers. Lock order: scheduler, then upstream table.
 class Dispatcher {
  public:
-  Dispatcher(SchedulerOptions options, std::uint64_t seed, MetricRegistry& metrics);
+  Dispatcher(SchedulerOptions options, const RoutingOptions& routing, std::uint64_t seed,
+             MetricRegistry& metrics);
 
   // Takes over the upstreams of a configuration.
   void Configure(const Configuration& configuration);
@@ -45,6 +46,18 @@
   // Records the time from dispatch to the first token.
   void OnFirstToken(const UpstreamId& upstream, Duration latency);
 
+  // Usage of the client accounts here, and of the whole failure domain, for the other daemons.
+  UsageSummary Summary();
+  UsageSummary DomainSummary(const FailureDomainId& domain);
+  // Takes the usage of another daemon.
+  void Merge(const DaemonId& from, const UsageSummary& summary);
+  // Takes the number of live daemons of this failure domain, this one included.
+  void OnView(std::size_t live_daemons);
+
+  // Take what an upstream says of its load and of its prefix cache.
+  void OnLoadReport(const UpstreamId& upstream, const LoadReport& report);
+  void OnCacheEvent(const UpstreamId& upstream, const CacheEvent& event);
+
   // Removes requests whose deadline has passed; to be called every few milliseconds.
   void Tick();
 
--- a/packages/daemon/model_handler.cc
+++ b/packages/daemon/model_handler.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "core/prefix_hash.h"
@@ -118,11 +119,15 @@
                                .service = request_.service.name,
                                .predicted_cost = kSecondsPerToken * chat_.max_tokens,
                                .enqueued = Now(),
-                               .deadline = deadline_};
+                               .deadline = deadline_,
+                               .request_bytes = chat_.prompt.size(),
+                               .max_tokens = chat_.max_tokens};
     RouteRequest route{.service = request_.service.name,
                        .predicted_cost = queued.predicted_cost,
                        .prefix_hashes = PrefixHashes(chat_.prompt),
-                       .excluded = tried_};
+                       .excluded = tried_,
+                       .attempt = ticket,
+                       .repeatable = true};
     const InterruptScope scope(*interrupt_, [this, ticket] {
       services_.dispatcher.Cancel(ticket, {.reason = Reason::kCallerGone});
     });
@@ -175,19 +180,23 @@
     last_verdict_ = verdict;
     const FailedAttempt failure{.account = request_.account.name,
                                 .service = request_.service.name,
-                                .verdict = verdict,
+                                .run_state = verdict.run_state,
+                                .reason = verdict.reason,
+                                .dispatched = verdict.run_state != RunState::kNotRun,
+                                .repeatable = true,
                                 .attempts = std::max(attempts_, 1),
                                 .deadline = deadline_};
-    const std::optional<Duration> delay = services_.retries.DelayBeforeRetry(failure, Now());
-    if (!delay) {
-      Verdict last = verdict;
+    const RetryDecision decision = services_.retries.Decide(failure, Now());
+    const Retry* retry = std::get_if<Retry>(&decision);
+    if (retry == nullptr) {
+      Verdict last = std::get<GiveUp>(decision).verdict;
       last.run_state = state_;
       co_await Refuse(last);
       co_return true;
     }
     services_.path_metrics.retries.Add();
     services_.path_metrics.continued_streams.Add(writer_.next_position() > 0 ? 1 : 0);
-    asio::steady_timer timer(co_await asio::this_coro::executor, *delay);
+    asio::steady_timer timer(co_await asio::this_coro::executor, retry->delay);
     const InterruptScope scope(*interrupt_, [&timer] { timer.cancel(); });
     if (!interrupt_->raised()) {
       co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/packages/daemon/plain_handler.cc
+++ b/packages/daemon/plain_handler.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "daemon/request_identity.h"
@@ -271,16 +272,21 @@
     may_have_run_ = may_have_run_ || verdict.run_state == RunState::kMayHaveRun;
     const FailedAttempt failure{.account = request_.account.name,
                                 .service = request_.service.name,
-                                .verdict = verdict,
+                                .run_state = verdict.run_state,
+                                .reason = verdict.reason,
+                                .dispatched = verdict.run_state != RunState::kNotRun,
+                                .may_not_repeat = rule_ != nullptr,
+                                .repeatable = repeatable_,
                                 .attempts = attempts_,
                                 .deadline = deadline_};
-    const std::optional<Duration> delay = services_.retries.DelayBeforeRetry(failure, Now());
-    if (!delay) {
-      co_await End(verdict);
+    const RetryDecision decision = services_.retries.Decide(failure, Now());
+    const Retry* retry = std::get_if<Retry>(&decision);
+    if (retry == nullptr) {
+      co_await End(std::get<GiveUp>(decision).verdict);
       co_return true;
     }
     services_.path_metrics.retries.Add();
-    asio::steady_timer timer(co_await asio::this_coro::executor, *delay);
+    asio::steady_timer timer(co_await asio::this_coro::executor, retry->delay);
     const InterruptScope scope(*interrupt_, [&timer] { timer.cancel(); });
     if (!interrupt_->raised()) {
       co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/packages/daemon/platform_config_service.h
+++ b/packages/daemon/platform_config_service.h
@@ -48,6 +48,9 @@
   boost::asio::awaitable<bool> WaitFor(std::uint64_t version, std::size_t live_members,
                                        Duration timeout);
 
+  // The table in use; valid after Start.
+  platform::Table& table() { return *table_; }
+
   // Returns an id for a change that no other change has.
   std::string MakeChangeId();
 
--- a/packages/daemon/retry_strategy.cc
+++ b/packages/daemon/retry_strategy.cc
@@ -1,40 +1,29 @@
 #include "daemon/retry_strategy.h"
 
-#include <algorithm>
-
 namespace savoryglade {
 namespace {
 
-constexpr double kRetriesPerRequest = 0.1;
-// Lets rare requests be retried although a tenth of them is less than one.
+// An account with few requests must get through the loss of an upstream that runs several of them.
 constexpr double kFirstBudget = 10;
-constexpr double kLargestBudget = 100;
 constexpr int kMostAttempts = 4;
-constexpr Duration kFirstDelay = 10ms;
+constexpr Duration kFirstDelay = 20ms;
 
 }  // namespace
 
+BudgetedRetry::BudgetedRetry(std::uint64_t seed)
+    : policy_({.max_attempts = kMostAttempts,
+               .first_delay = kFirstDelay,
+               .budget = {.initial = kFirstBudget}},
+              Random(seed)) {}
+
 void BudgetedRetry::OnRequest(const AccountId& account, const ServiceId& service) {
   const std::lock_guard lock(mutex_);
-  double& budget = budgets_.try_emplace(Key(account, service), kFirstBudget).first->second;
-  budget = std::min(budget + kRetriesPerRequest, kLargestBudget);
+  policy_.OnRequest(account, service);
 }
 
-std::optional<Duration> BudgetedRetry::DelayBeforeRetry(const FailedAttempt& failure,
-                                                        TimePoint now) {
+RetryDecision BudgetedRetry::Decide(const FailedAttempt& failure, TimePoint now) {
   const std::lock_guard lock(mutex_);
-  double& budget =
-      budgets_.try_emplace(Key(failure.account, failure.service), kFirstBudget).first->second;
-  if (budget < 1 || failure.attempts >= kMostAttempts) {
-    return std::nullopt;
-  }
-  const Duration longest = kFirstDelay * (1 << failure.attempts);
-  const Duration delay = FromSeconds(ToSeconds(longest) * random_.Unit());
-  if (now + delay >= failure.deadline) {
-    return std::nullopt;
-  }
-  budget -= 1;
-  return delay;
+  return policy_.Decide(failure, now);
 }
 
 }  // namespace savoryglade
