Measure recomputed tokens and keep conversations where they are cached

Cause: a trace of turns that went elsewhere than to their cached prefix showed five faults. Noise of the pace, times the cost of a long answer, outweighed cached prompts. A search by halving stopped at holes that lost events leave. Events that only overtook each other counted as lost and cost trust. Long answers lowered the concurrency limit. Queues of other daemons' prompts made upstreams stragglers, which sent their conversations elsewhere.

Change: bench measure `recompute` with a fake engine (serial prompts, LRU cache, late and lost events) against random, pure hash and a router that knows all engines.

--- a/bench/routing/measures.h
+++ b/bench/routing/measures.h
@@ -6,6 +6,10 @@
 // load.
 void MeasureStragglers();
 
+// Recomputed prompt tokens and first-token latency, against random choice, hashing of the
+// conversation and a router that knows the state of every engine.
+void MeasureRecompute();
+
 // Time of one selection with 200 upstreams in one failure domain, on the real clock.
 void MeasureSelection();
 
--- a/bench/routing/routing_bench_main.cc
+++ b/bench/routing/routing_bench_main.cc
@@ -13,6 +13,7 @@
 };
 
 constexpr std::array kMeasures = {Measure{"stragglers", MeasureStragglers},
+                                  Measure{"recompute", MeasureRecompute},
                                   Measure{"selection", MeasureSelection}};
 
 int Run(int argc, char** argv) {
--- a/packages/routing/concurrency_limit.h
+++ b/packages/routing/concurrency_limit.h
@@ -12,6 +12,10 @@
   // Returns the limit in requests.
   int limit() const { return static_cast<int>(limit_); }
 
+  // Returns the number of requests that the upstream is believed to run without a queue. During
+  // slow start that is the maximum: a low limit is caution then, no sign of load.
+  int slots() const { return static_cast<int>(slow_start_ ? maximum_ : limit_); }
+
   // Returns true while the limit is still in its slow start.
   bool slow_start() const { return slow_start_; }
 
--- a/packages/routing/load_estimate.cc
+++ b/packages/routing/load_estimate.cc
@@ -13,6 +13,10 @@
 constexpr double kReportLifetime = 4.0;
 constexpr double kPaceWeight = 0.1;
 constexpr double kPaceLifetime = 10;
+// Smaller differences come from wrong predictions. Multiplied by the cost of a long generation,
+// they outweighed the whole prompt work that a cached prefix saves.
+constexpr double kPaceNoise = 1.25;
+constexpr double kUtilisationPower = 4;
 constexpr double kTypicalWeight = 0.05;
 constexpr double kLowestPace = 0.2;
 constexpr double kHighestPace = 20;
@@ -69,15 +73,20 @@
 }
 
 void LoadEstimate::OnLatency(double ratio, TimePoint now) {
-  pace_ = PaceAt(now);
+  pace_ = AgedPace(now);
   pace_ += kPaceWeight * (std::clamp(ratio, kLowestPace, kHighestPace) - pace_);
   pace_at_ = now;
 }
 
-double LoadEstimate::PaceAt(TimePoint now) const {
+double LoadEstimate::AgedPace(TimePoint now) const {
   return 1 + (pace_ - 1) * std::exp(-ToSeconds(now - pace_at_) / kPaceLifetime);
 }
 
+double LoadEstimate::PaceAt(TimePoint now) const {
+  const double pace = AgedPace(now);
+  return pace > kPaceNoise || pace < 1 / kPaceNoise ? pace : 1;
+}
+
 double LoadEstimate::OthersRunning(TimePoint now) const {
   if (others_running_ <= 0) {
     return 0;
@@ -91,9 +100,9 @@
   const double capacity = std::max(1, slots);
   const double utilisation = std::min(1.5, (running_ + others + 1) / capacity);
   const double slot_work = (cost_ + others * typical_cost_) / capacity;
-  // A slot is rarely waited for while most are free, so the slot term falls with the square of the
+  // A slot is rarely waited for while most are free, so the slot term falls steeply with the
   // utilisation. Prompts are computed one after another, so their work adds up in full.
-  return slot_work * utilisation * utilisation + prompt_cost_ +
+  return slot_work * std::pow(utilisation, kUtilisationPower) + prompt_cost_ +
          others_waiting_ * fade * typical_prompt_ + prompt_cost;
 }
 
--- a/packages/routing/load_estimate.h
+++ b/packages/routing/load_estimate.h
@@ -25,7 +25,7 @@
   // Takes a load report.
   void OnReport(const LoadReport& report, TimePoint now);
 
-  // Learns the observed total latency per second of predicted cost.
+  // Learns the observed latency of an attempt as a multiple of what is usual in the group.
   void OnLatency(double ratio, TimePoint now);
 
   // Returns the number of own attempts.
@@ -44,8 +44,8 @@
   // its first token, given the number of slots.
   double PredictedWait(double prompt_cost, int slots, TimePoint now) const;
 
-  // Returns the observed latency per second of predicted cost. It returns to 1 without recent
-  // observations, so that an upstream that was slow is tried again.
+  // Returns the latency as a multiple of what is usual in the group; 1 for small differences. It
+  // returns to 1 without recent observations, so that an upstream that was slow is tried again.
   double PaceAt(TimePoint now) const;
 
  private:
@@ -56,6 +56,7 @@
     int running = 0;
   };
 
+  double AgedPace(TimePoint now) const;
   int RunningAt(TimePoint when) const;
   void Remember(TimePoint now);
 
--- a/packages/routing/prefix_map.cc
+++ b/packages/routing/prefix_map.cc
@@ -8,13 +8,21 @@
 namespace {
 
 // A gap of one event hides the eviction of a few blocks among thousands, so one gap costs little
-// trust and repeated gaps add up.
-constexpr double kTrustAfterGap = 0.97;
-constexpr double kLowestTrust = 0.3;
+// trust and repeated gaps add up. At 0.97 and a loss of 5% of the events, a conversation lost its
+// affinity within seconds.
+constexpr double kTrustAfterGap = 0.995;
+constexpr double kLowestTrust = 0.5;
 // Events arrive late by seconds at most. A number that is further back comes from an engine that
 // restarted and counts from the start again.
 constexpr std::uint64_t kLargestReordering = 1000;
 
+// Events of an engine reach a daemon up to about two seconds late, each by itself.
+constexpr Duration kOvertakenFor = 3s;
+constexpr std::size_t kMostMissing = 256;
+constexpr std::size_t kRememberedEvictions = 512;
+// Of longer prompts, blocks before the last so many are looked up at intervals, to bound the time.
+constexpr std::size_t kLookedAtSingly = 64;
+
 }  // namespace
 
 PrefixMap::Source& PrefixMap::SourceOf(UpstreamNumber upstream) {
@@ -52,11 +60,6 @@
   return holder.upstream >= sources_.size() || holder.epoch >= sources_[holder.upstream].valid_from;
 }
 
-bool PrefixMap::HasValidHolder(const Block& block) const {
-  return std::any_of(block.holders.begin(), block.holders.begin() + block.count,
-                     [this](const Holder& holder) { return IsValid(holder); });
-}
-
 double PrefixMap::TrustOf(const Holder& holder) const {
   const std::uint32_t gaps = sources_[holder.upstream].epoch - holder.epoch;
   return gaps == 0 ? 1.0 : std::max(kLowestTrust, std::pow(kTrustAfterGap, gaps));
@@ -105,34 +108,85 @@
   }
 }
 
-std::uint64_t PrefixMap::OnEvent(UpstreamNumber upstream, const CacheEvent& event) {
+bool PrefixMap::TakeMissing(Source& source, std::uint64_t sequence) {
+  return std::erase_if(source.missing, [sequence](const Missing& missing) {
+           return missing.sequence == sequence;
+         }) > 0;
+}
+
+std::uint64_t PrefixMap::NoteSkipped(UpstreamNumber upstream, std::uint64_t sequence,
+                                     TimePoint now) {
+  Source& source = SourceOf(upstream);
+  const std::uint64_t skipped = sequence - source.sequence - 1;
+  if (skipped + source.missing.size() > kMostMissing) {
+    // So many are not just overtaken.
+    source.missing.clear();
+    Distrust(upstream);
+    return skipped;
+  }
+  for (std::uint64_t next = source.sequence + 1; next < sequence; ++next) {
+    source.missing.push_back({next, now});
+  }
+  return 0;
+}
+
+std::uint64_t PrefixMap::FindLost(UpstreamNumber upstream, TimePoint now) {
+  const std::size_t lost = std::erase_if(SourceOf(upstream).missing, [now](const Missing& missing) {
+    return now - missing.noticed > kOvertakenFor;
+  });
+  for (std::size_t i = 0; i < lost; ++i) {
+    Distrust(upstream);
+  }
+  return lost;
+}
+
+void PrefixMap::RecordLate(UpstreamNumber upstream, const CacheEvent& event) {
+  const std::deque<Eviction>& evictions = SourceOf(upstream).evictions;
+  std::vector<std::uint64_t> hashes = event.hashes;
+  std::erase_if(hashes, [&](std::uint64_t hash) {
+    return std::any_of(evictions.begin(), evictions.end(), [&](const Eviction& eviction) {
+      return eviction.hash == hash && eviction.sequence > event.sequence;
+    });
+  });
+  Record(hashes, upstream);
+}
+
+std::uint64_t PrefixMap::OnEvent(UpstreamNumber upstream, const CacheEvent& event, TimePoint now) {
   Source& source = SourceOf(upstream);
   if (event.sequence + kLargestReordering < source.sequence) {
     Clear(upstream);
   }
-  const bool first = source.sequence == 0;
-  const bool late = !first && event.sequence <= source.sequence;
-  const std::uint64_t skipped = first || late ? 0 : event.sequence - source.sequence - 1;
+  std::uint64_t lost = FindLost(upstream, now);
   if (event.kind == CacheEvent::Kind::kCleared) {
     Clear(upstream);
     source.sequence = event.sequence;
-    return skipped;
+    return lost;
   }
-  if (skipped > 0) {
-    Distrust(upstream);
+  const bool first = source.sequence == 0;
+  const bool late = !first && event.sequence <= source.sequence;
+  if (late && !TakeMissing(source, event.sequence)) {
+    return lost;  // A repetition, or too late.
   }
   if (!late) {
+    lost += first ? 0 : NoteSkipped(upstream, event.sequence, now);
     source.sequence = event.sequence;
   }
-  if (event.kind == CacheEvent::Kind::kEvicted) {
-    for (const std::uint64_t hash : event.hashes) {
-      Evict(hash, upstream, event.sequence);
+  if (event.kind == CacheEvent::Kind::kStored) {
+    if (late) {
+      RecordLate(upstream, event);
+    } else {
+      Record(event.hashes, upstream);
     }
-  } else if (!late) {
-    // A late report of a stored block may be older than its eviction, which is already applied.
-    Record(event.hashes, upstream);
+    return lost;
+  }
+  for (const std::uint64_t hash : event.hashes) {
+    Evict(hash, upstream, event.sequence);
+    source.evictions.push_back({event.sequence, hash});
+  }
+  while (source.evictions.size() > kRememberedEvictions) {
+    source.evictions.pop_front();
   }
-  return skipped;
+  return lost;
 }
 
 void PrefixMap::Clear(UpstreamNumber upstream) {
@@ -140,65 +194,56 @@
   ++source.epoch;
   source.valid_from = source.epoch;
   source.sequence = 0;
+  source.missing.clear();
+  source.evictions.clear();
 }
 
 void PrefixMap::Distrust(UpstreamNumber upstream) { ++SourceOf(upstream).epoch; }
 
-const PrefixMap::Holder* PrefixMap::FindHolder(std::uint64_t hash, UpstreamNumber upstream) const {
-  const Block* block = Find(hash);
-  if (block == nullptr) {
-    return nullptr;
+void PrefixMap::Look(std::span<const std::uint64_t> hashes, View& view) const {
+  view.known_ = 0;
+  view.found_.clear();
+  view.holders_.clear();
+  // A search by halving would be cheaper, but blocks whose event was lost are holes in the record.
+  std::size_t step = 1;
+  for (std::size_t blocks = hashes.size(); blocks > 0; blocks -= std::min(step, blocks)) {
+    if (hashes.size() - blocks >= kLookedAtSingly) {
+      step = 1 + hashes.size() / kLookedAtSingly;
+    }
+    const Block* block = Find(hashes[blocks - 1]);
+    if (block != nullptr) {
+      view.found_.push_back({blocks, block});
+    }
   }
-  for (std::uint8_t i = 0; i < block->count; ++i) {
-    if (block->holders[i].upstream == upstream && IsValid(block->holders[i])) {
-      return &block->holders[i];
+  for (const View::Found& found : view.found_) {
+    for (std::uint8_t i = 0; i < found.block->count; ++i) {
+      if (IsValid(found.block->holders[i])) {
+        view.holders_.push_back(found.block->holders[i].upstream);
+      }
+    }
+    if (!view.holders_.empty()) {
+      view.known_ = found.blocks;
+      return;
     }
   }
-  return nullptr;
 }
 
-PrefixMatch PrefixMap::Match(std::span<const std::uint64_t> hashes, UpstreamNumber upstream) const {
-  // A block is only useful after all blocks before it and engines evict from the end, so the
-  // blocks that an upstream holds are a prefix of the prompt and can be searched by halving.
-  std::size_t held = 0;
-  std::size_t missing = hashes.size() + 1;
-  double trust = 0;
-  while (held + 1 < missing) {
-    const std::size_t middle = held + (missing - held) / 2;
-    const Holder* holder = FindHolder(hashes[middle - 1], upstream);
-    if (holder != nullptr) {
-      held = middle;
-      trust = TrustOf(*holder);
-    } else {
-      missing = middle;
+PrefixMatch PrefixMap::Match(const View& view, UpstreamNumber upstream) const {
+  for (const View::Found& found : view.found_) {
+    for (std::uint8_t i = 0; i < found.block->count; ++i) {
+      const Holder& holder = found.block->holders[i];
+      if (holder.upstream == upstream && IsValid(holder)) {
+        return {.blocks = found.blocks, .trust = TrustOf(holder)};
+      }
     }
   }
-  return {.blocks = held, .trust = trust};
+  return {};
 }
 
-void PrefixMap::FindHolders(std::span<const std::uint64_t> hashes,
-                            std::vector<UpstreamNumber>& upstreams) const {
-  std::size_t known = 0;
-  std::size_t missing = hashes.size() + 1;
-  const Block* deepest = nullptr;
-  while (known + 1 < missing) {
-    const std::size_t middle = known + (missing - known) / 2;
-    const Block* block = Find(hashes[middle - 1]);
-    if (block != nullptr && HasValidHolder(*block)) {
-      known = middle;
-      deepest = block;
-    } else {
-      missing = middle;
-    }
-  }
-  if (deepest == nullptr) {
-    return;
-  }
-  for (std::uint8_t i = 0; i < deepest->count; ++i) {
-    if (IsValid(deepest->holders[i])) {
-      upstreams.push_back(deepest->holders[i].upstream);
-    }
-  }
+PrefixMatch PrefixMap::Match(std::span<const std::uint64_t> hashes, UpstreamNumber upstream) const {
+  View view;
+  Look(hashes, view);
+  return Match(view, upstream);
 }
 
 }  // namespace savoryglade
--- a/packages/routing/prefix_map.h
+++ b/packages/routing/prefix_map.h
@@ -3,10 +3,12 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <span>
 #include <unordered_map>
 #include <vector>
 
+#include "core/time.h"
 #include "routing/route_types.h"
 
 namespace savoryglade {
@@ -32,8 +34,9 @@
   // Records that the upstream holds these blocks.
   void Record(std::span<const std::uint64_t> hashes, UpstreamNumber upstream);
 
-  // Takes an event. Returns the number of events that were skipped before it.
-  std::uint64_t OnEvent(UpstreamNumber upstream, const CacheEvent& event);
+  // Takes an event. Events may overtake each other; one that is missing for some seconds after a
+  // later one is lost. Returns the number of events that were found lost by this call.
+  std::uint64_t OnEvent(UpstreamNumber upstream, const CacheEvent& event, TimePoint now);
 
   // Forgets all blocks of an upstream and its event sequence, e.g. after it restarted.
   void Clear(UpstreamNumber upstream);
@@ -41,13 +44,16 @@
   // Trusts what is known of an upstream less until it is confirmed.
   void Distrust(UpstreamNumber upstream);
 
+  // What is recorded of one prompt, from its end to its start. Holds until the map changes.
+  class View;
+
+  // Looks up the blocks of a prompt. The view is an argument so that its memory can be used again.
+  void Look(std::span<const std::uint64_t> hashes, View& view) const;
+
   // Returns the longest recorded prefix of the prompt at an upstream.
+  PrefixMatch Match(const View& view, UpstreamNumber upstream) const;
   PrefixMatch Match(std::span<const std::uint64_t> hashes, UpstreamNumber upstream) const;
 
-  // Appends the upstreams that hold the longest recorded prefix of the prompt.
-  void FindHolders(std::span<const std::uint64_t> hashes,
-                   std::vector<UpstreamNumber>& upstreams) const;
-
   // Returns the number of blocks that are recorded.
   std::size_t size() const { return young_.size() + old_.size(); }
 
@@ -67,22 +73,38 @@
     std::uint8_t next = 0;
   };
 
+  struct Missing {
+    std::uint64_t sequence = 0;
+    TimePoint noticed;
+  };
+
+  struct Eviction {
+    std::uint64_t sequence = 0;
+    std::uint64_t hash = 0;
+  };
+
   // Each gap begins a new epoch; entries of earlier epochs are trusted less. Entries from before
   // valid_from no longer count.
   struct Source {
     std::uint64_t sequence = 0;
     std::uint32_t epoch = 0;
     std::uint32_t valid_from = 0;
+    // Events that were overtaken, and the last evicted blocks, which an overtaken event must not
+    // bring back.
+    std::vector<Missing> missing;
+    std::deque<Eviction> evictions;
   };
 
   using Blocks = std::unordered_map<std::uint64_t, Block>;
 
   const Block* Find(std::uint64_t hash) const;
   Block& Touch(std::uint64_t hash);
-  const Holder* FindHolder(std::uint64_t hash, UpstreamNumber upstream) const;
   void Evict(std::uint64_t hash, UpstreamNumber upstream, std::uint64_t sequence);
   bool IsValid(const Holder& holder) const;
-  bool HasValidHolder(const Block& block) const;
+  static bool TakeMissing(Source& source, std::uint64_t sequence);
+  std::uint64_t NoteSkipped(UpstreamNumber upstream, std::uint64_t sequence, TimePoint now);
+  std::uint64_t FindLost(UpstreamNumber upstream, TimePoint now);
+  void RecordLate(UpstreamNumber upstream, const CacheEvent& event);
   Source& SourceOf(UpstreamNumber upstream);
   double TrustOf(const Holder& holder) const;
 
@@ -92,4 +114,25 @@
   std::vector<Source> sources_;
 };
 
+class PrefixMap::View {
+ public:
+  // Returns the number of blocks of the longest prefix that any upstream is recorded to hold.
+  std::size_t known() const { return known_; }
+
+  // The upstreams that hold it.
+  const std::vector<UpstreamNumber>& holders() const { return holders_; }
+
+ private:
+  friend class PrefixMap;
+
+  struct Found {
+    std::size_t blocks = 0;
+    const Block* block = nullptr;
+  };
+
+  std::size_t known_ = 0;
+  std::vector<Found> found_;
+  std::vector<UpstreamNumber> holders_;
+};
+
 }  // namespace savoryglade
--- a/packages/routing/straggler_detector.cc
+++ b/packages/routing/straggler_detector.cc
@@ -36,23 +36,24 @@
   return value_;
 }
 
-void StragglerDetector::OnSample(LatencyKind kind, double value, TimePoint now) {
-  windows_.at(static_cast<std::size_t>(kind)).Add(value, now);
+void StragglerDetector::OnSample(LatencyKind kind, double value, double ratio, TimePoint now) {
+  const auto index = static_cast<std::size_t>(kind);
+  values_.at(index).Add(value, now);
+  if (ratio > 0) {
+    ratios_.at(index).Add(ratio, now);
+  }
 }
 
 std::optional<double> StragglerDetector::Value(LatencyKind kind, TimePoint now) const {
-  return windows_.at(static_cast<std::size_t>(kind)).Value(now);
+  return values_.at(static_cast<std::size_t>(kind)).Value(now);
 }
 
-double StragglerDetector::Ratio(const GroupMedians& medians, TimePoint now) const {
-  double ratio = 0;
-  for (std::size_t kind = 0; kind < kLatencyKinds; ++kind) {
-    const std::optional<double> value = windows_.at(kind).Value(now);
-    if (value && medians.at(kind) > 0) {
-      ratio = std::max(ratio, *value / medians.at(kind));
-    }
+double StragglerDetector::Ratio(TimePoint now) const {
+  double largest = 0;
+  for (const LatencyWindow& ratio : ratios_) {
+    largest = std::max(largest, ratio.Value(now).value_or(0));
   }
-  return ratio;
+  return largest;
 }
 
 void StragglerDetector::Leave(TimePoint now) {
@@ -112,7 +113,8 @@
     return false;
   }
   left_ = false;
-  windows_ = {};
+  values_ = {};
+  ratios_ = {};
   return true;
 }
 
--- a/packages/routing/straggler_detector.h
+++ b/packages/routing/straggler_detector.h
@@ -46,14 +46,14 @@
   // Ratio below which a probe counts as good.
   static constexpr double kReturnRatio = 1.8;
 
-  // Adds a normalised latency.
-  void OnSample(LatencyKind kind, double value, TimePoint now);
+  // Adds a normalised latency and its ratio to what is usual; zero if that is not known.
+  void OnSample(LatencyKind kind, double value, double ratio, TimePoint now);
 
   // Returns the recent normalised latency of a kind.
   std::optional<double> Value(LatencyKind kind, TimePoint now) const;
 
-  // Returns the largest ratio of a recent latency to its median; zero without evidence.
-  double Ratio(const GroupMedians& medians, TimePoint now) const;
+  // Returns the largest recent ratio of any kind; zero without evidence.
+  double Ratio(TimePoint now) const;
 
   // Returns true while the upstream is left.
   bool left() const { return left_; }
@@ -79,7 +79,8 @@
   bool OnProbeEnd(double ratio, TimePoint now);
 
  private:
-  std::array<LatencyWindow, kLatencyKinds> windows_;
+  std::array<LatencyWindow, kLatencyKinds> values_;
+  std::array<LatencyWindow, kLatencyKinds> ratios_;
   bool left_ = false;
   bool probe_running_ = false;
   bool streams_were_slow_ = false;
--- a/packages/routing/upstream_group.cc
+++ b/packages/routing/upstream_group.cc
@@ -13,6 +13,10 @@
 // Engines pause their streams for prompts of this length in seconds; such gaps are no sign of
 // slowness.
 constexpr double kShortestGap = 0.08;
+// First tokens below this many seconds are not compared: prompts of other daemons ahead in the
+// queue make them late by as much, and upstreams that were left for it caused recomputed prompts
+// elsewhere.
+constexpr double kLeastFirstToken = 0.1;
 
 }  // namespace
 
@@ -39,12 +43,23 @@
   }
 }
 
+double UpstreamGroup::Usual(LatencyKind kind, double expected) const {
+  const double usual = medians_.at(static_cast<std::size_t>(kind)) * expected;
+  return kind == LatencyKind::kFirstToken && usual > 0 ? std::max(usual, kLeastFirstToken) : usual;
+}
+
 std::optional<double> UpstreamGroup::UsualAnswer(const RunningAttempt& attempt) const {
-  const double median = judged_median();
-  if (median <= 0) {
-    return std::nullopt;
+  const double usual =
+      Usual(judged_kind(), streams_ ? attempt.expected_first_token : attempt.expected_total);
+  return usual > 0 ? std::optional(usual) : std::nullopt;
+}
+
+double UpstreamGroup::Slowness(const RunningAttempt& attempt, double total, int tokens) const {
+  const std::optional<double> usual = UsualAnswer(attempt);
+  if (!usual || (streams_ && token_median() <= 0)) {
+    return total / attempt.expected_total;
   }
-  return median * (streams_ ? attempt.expected_first_token : attempt.expected_total);
+  return total / (*usual + (streams_ ? tokens * token_median() : 0));
 }
 
 bool UpstreamGroup::Leave(UpstreamEntry& entry, TimePoint now, RoutingCounters& counters) {
@@ -74,15 +89,11 @@
   if (entry.straggler.left()) {
     return true;
   }
-  const double median = judged_median();
-  if (median <= 0) {
-    return false;
-  }
   int evidence = 0;
   for (const UpstreamEntry::Waiting& waiting : entry.waiting) {
     const double usual =
-        median * (streams_ ? waiting.expected_first_token : waiting.expected_total);
-    const double ratio = ToSeconds(now - waiting.dispatched) / usual;
+        Usual(judged_kind(), streams_ ? waiting.expected_first_token : waiting.expected_total);
+    const double ratio = usual > 0 ? ToSeconds(now - waiting.dispatched) / usual : 0;
     evidence += ratio >= StragglerDetector::kSureRatio ? 2 : 0;
     evidence += ratio >= StragglerDetector::kLeaveRatio ? 1 : 0;
   }
@@ -100,7 +111,7 @@
 
 void UpstreamGroup::SampleStream(UpstreamEntry& entry, double seconds_per_token, TimePoint since,
                                  TimePoint now, RoutingCounters& counters) {
-  Sample(entry, LatencyKind::kPerToken, seconds_per_token, false, now, counters);
+  Sample(entry, LatencyKind::kPerToken, seconds_per_token, 1, false, now, counters);
   if (token_median() <= 0 ||
       !entry.straggler.OnStreamEvidence(seconds_per_token / token_median(), since, now)) {
     return;
@@ -109,21 +120,26 @@
   entry.limit.Restart();
 }
 
-bool UpstreamGroup::Sample(UpstreamEntry& entry, LatencyKind kind, double value, bool probe,
-                           TimePoint now, RoutingCounters& counters) {
+bool UpstreamGroup::Sample(UpstreamEntry& entry, LatencyKind kind, double seconds, double expected,
+                           bool probe, TimePoint now, RoutingCounters& counters) {
+  const double usual = Usual(kind, expected);
+  const double ratio = usual > 0 ? seconds / usual : 0;
   if (!entry.straggler.left()) {
-    entry.straggler.OnSample(kind, value, now);
-    if (entry.straggler.Ratio(medians_, now) >= StragglerDetector::kLeaveRatio) {
+    entry.straggler.OnSample(kind, seconds / expected, ratio, now);
+    const LatencyKind pace_kind = streams_ ? LatencyKind::kPerToken : LatencyKind::kTotal;
+    if (kind == pace_kind && ratio > 0) {
+      entry.load.OnLatency(ratio, now);
+    }
+    if (entry.straggler.Ratio(now) >= StragglerDetector::kLeaveRatio) {
       Leave(entry, now, counters);
     }
     return false;
   }
   // Attempts from before the upstream was left say nothing about its state now.
-  const double median = judged_median();
-  if (!probe || kind != judged_kind() || median <= 0) {
+  if (!probe || kind != judged_kind() || ratio <= 0) {
     return false;
   }
-  if (entry.straggler.OnProbeEnd(value / median, now)) {
+  if (entry.straggler.OnProbeEnd(ratio, now)) {
     counters.Add(RoutingCount::kStragglersReturned);
     entry.limit.Restart();
   }
@@ -140,8 +156,9 @@
   const double age = ToSeconds(now - attempt.dispatched);
   const double late =
       *usual * (attempt.probe ? StragglerDetector::kReturnRatio : StragglerDetector::kLeaveRatio);
-  return age >= late &&
-         Sample(entry, judged_kind(), age / *usual * judged_median(), attempt.probe, now, counters);
+  return age >= late && Sample(entry, judged_kind(), age,
+                               streams_ ? attempt.expected_first_token : attempt.expected_total,
+                               attempt.probe, now, counters);
 }
 
 }  // namespace savoryglade
--- a/packages/routing/upstream_group.h
+++ b/packages/routing/upstream_group.h
@@ -53,6 +53,11 @@
   // while the usual latency is unknown.
   std::optional<double> UsualAnswer(const RunningAttempt& attempt) const;
 
+  // Returns the total time of a completed attempt as a multiple of what its answer and the tokens
+  // that it really had usually take. The length of an answer is hard to predict, so the predicted
+  // cost is used only while nothing better is known.
+  double Slowness(const RunningAttempt& attempt, double total, int tokens) const;
+
   // Leaves the upstream as a straggler if its unanswered work shows that it is one. Returns true if
   // it is left.
   bool CheckOverdue(UpstreamEntry& entry, TimePoint now, RoutingCounters& counters);
@@ -65,9 +70,9 @@
   void SampleStream(UpstreamEntry& entry, double seconds_per_token, TimePoint since, TimePoint now,
                     RoutingCounters& counters);
 
-  // Learns a normalised latency. Returns true if it decided a probe.
-  bool Sample(UpstreamEntry& entry, LatencyKind kind, double value, bool probe, TimePoint now,
-              RoutingCounters& counters);
+  // Learns a latency beside what was expected, both in seconds. Returns true if it decided a probe.
+  bool Sample(UpstreamEntry& entry, LatencyKind kind, double seconds, double expected, bool probe,
+              TimePoint now, RoutingCounters& counters);
 
   // Learns that an attempt was ended before its answer. Returns true if that decided a probe.
   bool SampleUnanswered(UpstreamEntry& entry, const RunningAttempt& attempt, TimePoint now,
@@ -77,7 +82,8 @@
   LatencyKind judged_kind() const {
     return streams_ ? LatencyKind::kFirstToken : LatencyKind::kTotal;
   }
-  double judged_median() const { return medians_.at(static_cast<std::size_t>(judged_kind())); }
+  // Returns the usual time in seconds where so much was expected; zero while it is unknown.
+  double Usual(LatencyKind kind, double expected) const;
   double token_median() const {
     return medians_.at(static_cast<std::size_t>(LatencyKind::kPerToken));
   }
--- a/packages/routing/upstream_table.cc
+++ b/packages/routing/upstream_table.cc
@@ -1,6 +1,10 @@
 #include "routing/upstream_table.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -15,7 +19,11 @@
 constexpr Duration kHedgeRecheck = 50ms;
 // A request on an upstream that is already known as a straggler need not wait for as much proof.
 constexpr double kHedgeRatioAtStraggler = 1.5;
-constexpr std::size_t kMostHolders = 4;
+// A prefix that so many upstreams hold is a system prompt rather than one conversation.
+constexpr std::size_t kSharedHolders = 3;
+// Part of the unknown blocks that the home of a prompt is assumed to hold: enough to outweigh small
+// differences in load, not enough to outweigh a record.
+constexpr double kHomeConfidence = 0.5;
 constexpr double kDistrustBelow = 0.5;
 
 double ExpectedTotal(double cost) { return cost + kTotalFloor; }
@@ -30,6 +38,22 @@
   return PromptCost(request) * (blocks > 0 ? 1 - match.trusted_blocks() / blocks : 1);
 }
 
+// Returns the upstream with the highest hash together with the block; the same in each daemon as
+// long as the upstream can be used.
+UpstreamEntry* RendezvousHome(const std::vector<UpstreamEntry*>& entries, std::uint64_t block) {
+  UpstreamEntry* home = nullptr;
+  std::uint64_t highest = 0;
+  for (UpstreamEntry* entry : entries) {
+    const std::string& name = entry->config.name.value();
+    const std::uint64_t hash = XXH3_64bits_withSeed(name.data(), name.size(), block);
+    if (home == nullptr || hash > highest) {
+      home = entry;
+      highest = hash;
+    }
+  }
+  return home;
+}
+
 }  // namespace
 
 UpstreamTable::UpstreamTable(std::uint64_t seed, RoutingOptions options)
@@ -104,7 +128,7 @@
 
 void UpstreamTable::FindCandidates(const RouteRequest& request) {
   candidates_.clear();
-  holders_.clear();
+  home_ = nullptr;
   const auto draw = [this](const std::vector<Entry*>& from, int count) {
     for (int i = 0; i < count && !from.empty(); ++i) {
       candidates_.push_back(from[random_.Below(from.size())]);
@@ -115,27 +139,48 @@
   if (request.prefix_hashes.empty()) {
     return;
   }
-  prefixes_.FindHolders(request.prefix_hashes, holders_);
-  std::size_t added = 0;
-  for (const UpstreamNumber number : holders_) {
-    Entry* entry = Find(number);
+  const std::size_t known = view_.known();
+  const std::vector<UpstreamNumber>& holders = view_.holders();
+  const bool shared = known == 0 || holders.size() >= kSharedHolders;
+  // A fixed choice of the holders of a shared prefix would load the same upstreams in all daemons.
+  const std::size_t first = shared && !holders.empty() ? random_.Below(holders.size()) : 0;
+  const std::size_t last = shared ? std::min(first + 1, holders.size()) : holders.size();
+  for (std::size_t i = first; i < last; ++i) {
+    Entry* entry = Find(holders[i]);
     if (entry == nullptr) {
       continue;
     }
     const std::vector<Entry*>& list = entry->local ? finder_.local() : finder_.remote();
     if (std::find(list.begin(), list.end(), entry) != list.end()) {
       candidates_.push_back(entry);
-      if (++added == kMostHolders) {
-        break;
-      }
     }
   }
+  // Until the record shows where a prompt has been, all daemons agree on a home for it by its first
+  // block that is not shared. It makes up for lost events.
+  const std::vector<Entry*>& list = finder_.local().empty() ? finder_.remote() : finder_.local();
+  if (shared && known < request.prefix_hashes.size()) {
+    home_ = RendezvousHome(list, request.prefix_hashes[known]);
+    candidates_.push_back(home_);
+  }
+}
+
+PrefixMatch UpstreamTable::ExpectedMatch(const Entry& entry, const RouteRequest& request) const {
+  PrefixMatch match = prefixes_.Match(view_, entry.number);
+  if (&entry == home_) {
+    // The shared part is worth computing once more, because the rest of the conversation will find
+    // it here.
+    const std::size_t known = std::max(match.blocks, view_.known());
+    const double rest = static_cast<double>(request.prefix_hashes.size() - known);
+    match.blocks = known + static_cast<std::size_t>(std::ceil(rest * kHomeConfidence));
+    match.trust = 1;
+  }
+  return match;
 }
 
 double UpstreamTable::Score(const Entry& entry, const RouteRequest& request, TimePoint now) const {
-  const PrefixMatch match = prefixes_.Match(request.prefix_hashes, entry.number);
+  const PrefixMatch match = ExpectedMatch(entry, request);
   const double wait =
-      entry.load.PredictedWait(UncachedPromptCost(match, request), entry.limit.limit(), now);
+      entry.load.PredictedWait(UncachedPromptCost(match, request), entry.limit.slots(), now);
   const double rest = std::max(0.0, request.predicted_cost - PromptCost(request));
   return (wait + rest) * entry.load.PaceAt(now) + 2 * entry.distance +
          entry.price_per_cost * request.predicted_cost;
@@ -192,6 +237,7 @@
   }
   group.Refresh(now);
   finder_.Find(group, request, hedged, limit_share_, now);
+  prefixes_.Look(request.prefix_hashes, view_);
   if (finder_.empty()) {
     counters_.Add(finder_.refusal());
     return tl::make_unexpected(Reason::kNoUpstream);
@@ -226,7 +272,7 @@
     id = next_unnumbered_++;
     entry.unnumbered.push_back(id);
   }
-  const PrefixMatch match = prefixes_.Match(request.prefix_hashes, entry.number);
+  const PrefixMatch match = prefixes_.Match(view_, entry.number);
   RunningAttempt attempt;
   attempt.upstream = entry.number;
   attempt.cost = request.predicted_cost;
@@ -335,9 +381,8 @@
   ++entry->streaming;
   entry->last_token = now;
   entry->load.FinishPrompt(attempt.prompt_cost);
-  if (group.Sample(*entry, LatencyKind::kFirstToken,
-                   ToSeconds(latency) / attempt.expected_first_token, attempt.probe, now,
-                   counters_)) {
+  if (group.Sample(*entry, LatencyKind::kFirstToken, ToSeconds(latency),
+                   attempt.expected_first_token, attempt.probe, now, counters_)) {
     attempt.probe = false;
   }
 }
@@ -407,14 +452,13 @@
     entry.limit.Restart();
   }
   const double total = ToSeconds(outcome.total);
-  const double ratio = total / attempt.expected_total;
   const int tokens = outcome.tokens - attempt.tokens;
   if (attempt.first_token && tokens >= Group::kTokensPerSample) {
     group.SampleStream(entry, ToSeconds(now - attempt.last_progress) / tokens,
                        attempt.last_progress, now, counters_);
   }
-  if (!group.streams() &&
-      group.Sample(entry, LatencyKind::kTotal, ratio, attempt.probe, now, counters_)) {
+  if (!group.streams() && group.Sample(entry, LatencyKind::kTotal, total, attempt.expected_total,
+                                       attempt.probe, now, counters_)) {
     attempt.probe = false;
   }
   if (!attempt.hashes.empty()) {
@@ -425,8 +469,7 @@
     prefixes_.Record(attempt.hashes, entry.number);
   }
   if (!entry.straggler.left()) {
-    entry.load.OnLatency(ratio, now);
-    entry.limit.OnCompleted(ratio, entry.load.running());
+    entry.limit.OnCompleted(group.Slowness(attempt, total, outcome.tokens), entry.load.running());
   }
 }
 
@@ -492,9 +535,9 @@
 }
 
 void UpstreamTable::OnCacheEvent(const UpstreamId& upstream, const CacheEvent& event,
-                                 TimePoint /*now*/) {
+                                 TimePoint now) {
   if (const Entry* entry = Find(upstream)) {
-    counters_.Add(RoutingCount::kCacheEventsMissed, prefixes_.OnEvent(entry->number, event));
+    counters_.Add(RoutingCount::kCacheEventsMissed, prefixes_.OnEvent(entry->number, event, now));
   }
 }
 
--- a/packages/routing/upstream_table.h
+++ b/packages/routing/upstream_table.h
@@ -90,6 +90,7 @@
 
   void FindCandidates(const RouteRequest& request);
   Entry* ChooseCandidate(Group& group, const RouteRequest& request, TimePoint now);
+  PrefixMatch ExpectedMatch(const Entry& entry, const RouteRequest& request) const;
   double Score(const Entry& entry, const RouteRequest& request, TimePoint now) const;
   void Start(Entry& entry, Group& group, const RouteRequest& request, bool probe, TimePoint now);
   void SettleHedge(const RunningAttempt& attempt, AttemptId id, AttemptResult result,
@@ -118,7 +119,8 @@
   RoutingCounters counters_;
   CandidateFinder finder_;
   std::vector<Entry*> candidates_;
-  std::vector<UpstreamNumber> holders_;
+  PrefixMap::View view_;
+  Entry* home_ = nullptr;
 };
 
 }  // namespace savoryglade
