Drive the administration API from the operators' library

Cause: the library and the daemon had been written apart: the library sent the version in the document, the daemon asks for If-Match; a drain could only be asked for by a signal; an upstream made in code without address or VM was refused.

Change: the library sends If-Match, reads the configuration back after a change and passes on what a conflict names; POST /v1/drain; defaults for address and VM.

Conclusion: operators can set up a deployment through the library alone.

--- a/packages/admin/operator_client.cc
+++ b/packages/admin/operator_client.cc
@@ -39,15 +39,25 @@
   return ErrorCode::kUnknownOutcome;
 }
 
-// Returns the message of an error document, or the whole body if it has another shape.
+// Returns the message of an error document {"error", "changed"}, or the whole body if it has
+// another shape.
 std::string MessageOf(const std::string& body) {
   json::error_code error;
   const json::value document = json::parse(body, error);
   const json::object* object = error ? nullptr : document.if_object();
-  const json::value* detail = object == nullptr ? nullptr : object->if_contains("error");
-  const json::object* fields = detail == nullptr ? nullptr : detail->if_object();
-  const json::value* message = fields == nullptr ? nullptr : fields->if_contains("message");
-  return message != nullptr && message->is_string() ? std::string(message->get_string()) : body;
+  const json::value* message = object == nullptr ? nullptr : object->if_contains("error");
+  if (message == nullptr || !message->is_string()) {
+    return body;
+  }
+  std::string text(message->get_string());
+  const json::value* changed = object->if_contains("changed");
+  if (changed != nullptr && changed->is_array()) {
+    text += " Changed:";
+    for (const json::value& name : changed->get_array()) {
+      text += name.is_string() ? " " + std::string(name.get_string()) : "";
+    }
+  }
+  return text;
 }
 
 template <typename T>
@@ -96,12 +106,16 @@
 }  // namespace
 
 Result<std::string> OperatorClient::Exchange(const char* method, const std::string& target,
-                                             const std::string& body) const {
+                                             const std::string& body,
+                                             std::optional<std::uint64_t> version) const {
   HttpRequest request(http::string_to_verb(method), target, 11);
   if (!options_.key.empty()) {
     request.set(http::field::authorization, "Bearer " + options_.key);
   }
   request.set(http::field::content_type, "application/json");
+  if (version) {
+    request.set(http::field::if_match, fmt::format("\"{}\"", *version));
+  }
   request.body() = body;
   const bool is_read = request.method() == http::verb::get;
   boost::asio::io_context context;
@@ -126,11 +140,23 @@
 }
 
 Result<Configuration> OperatorClient::GetConfiguration() const {
-  return ParseAnswer(Exchange("GET", kConfigurationTarget, ""));
+  return ParseAnswer(Exchange("GET", kConfigurationTarget, "", std::nullopt));
 }
 
 Result<Configuration> OperatorClient::Apply(const Configuration& configuration) const {
-  return ParseAnswer(Exchange("PUT", kConfigurationTarget, PrintConfiguration(configuration)));
+  const Result<std::string> accepted = Exchange(
+      "PUT", kConfigurationTarget, PrintConfiguration(configuration), configuration.version);
+  if (!accepted) {
+    return tl::make_unexpected(accepted.error());
+  }
+  Result<Configuration> current = GetConfiguration();
+  if (!current) {
+    return tl::make_unexpected(
+        Error{.code = ErrorCode::kUnavailable,
+              .message = "The change was accepted, but the configuration can't be read: " +
+                         current.error().message});
+  }
+  return current;
 }
 
 Result<Configuration> OperatorClient::Change(const Edit& edit) const {
@@ -220,16 +246,20 @@
   });
 }
 
-Result<std::string> OperatorClient::GetStatus() const { return Exchange("GET", "/v1/status", ""); }
+Result<std::string> OperatorClient::GetStatus() const {
+  return Exchange("GET", "/v1/status", "", std::nullopt);
+}
 
-Result<std::string> OperatorClient::GetMetrics() const { return Exchange("GET", "/metrics", ""); }
+Result<std::string> OperatorClient::GetMetrics() const {
+  return Exchange("GET", "/metrics", "", std::nullopt);
+}
 
 Result<void> OperatorClient::Drain() const {
-  return Exchange("POST", "/v1/drain", "").map([](const std::string&) {});
+  return Exchange("POST", "/v1/drain", "", std::nullopt).map([](const std::string&) {});
 }
 
 Result<std::string> OperatorClient::Explain(const RequestKey& key) const {
-  return Exchange("GET", "/v1/requests/" + key.value(), "");
+  return Exchange("GET", "/v1/requests/" + key.value(), "", std::nullopt);
 }
 
 }  // namespace savoryglade
--- a/packages/admin/operator_client.h
+++ b/packages/admin/operator_client.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,8 +70,9 @@
 
   // Reads the configuration, edits it and applies it; again if another change came first.
   Result<Configuration> Change(const Edit& edit) const;
+  // The version, if there is one, is the one that a change started from.
   Result<std::string> Exchange(const char* method, const std::string& target,
-                               const std::string& body) const;
+                               const std::string& body, std::optional<std::uint64_t> version) const;
 
   OperatorClientOptions options_;
 };
--- a/packages/config/configuration.cc
+++ b/packages/config/configuration.cc
@@ -132,7 +132,7 @@
           {"service", upstream.service.value()},
           {"address", upstream.address},
           {"port", upstream.port},
-          {"vm", upstream.vm.value()},
+          {"vm", upstream.vm.empty() ? upstream.name.value() : upstream.vm.value()},
           {"failure_domain", upstream.failure_domain.value()},
           {"checks_fencing", upstream.checks_fencing},
           {"concurrency", upstream.concurrency},
--- a/packages/config/configuration.h
+++ b/packages/config/configuration.h
@@ -51,8 +51,9 @@
 struct UpstreamConfig {
   UpstreamId name;
   ServiceId service;
-  std::string address;
+  std::string address = "127.0.0.1";
   std::uint16_t port = 0;
+  // An upstream without a VM name of its own is printed with its own name.
   VmId vm;
   FailureDomainId failure_domain;
   bool checks_fencing = false;
--- a/packages/daemon/administration_handler.cc
+++ b/packages/daemon/administration_handler.cc
@@ -81,6 +81,9 @@
     co_await exchange.Respond(200, std::move(headers), PrintConfiguration(*snapshot));
   } else if (path == "/v1/configuration" && method == http::verb::put) {
     co_await PutConfiguration(exchange);
+  } else if (path == "/v1/drain" && method == http::verb::post && drain_) {
+    co_await exchange.Respond(200, ContentType("application/json"), "{\"draining\":true}\n");
+    drain_();
   } else if (path == "/v1/status" && method == http::verb::get) {
     co_await GetStatus(exchange, target.substr(std::min(target.size(), path.size() + 1)));
   } else {
--- a/packages/daemon/administration_handler.h
+++ b/packages/daemon/administration_handler.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <string>
+#include <utility>
 
 #include "daemon/config_holder.h"
 #include "daemon/platform_config_service.h"
@@ -15,6 +17,7 @@
 //   GET /metrics
 //   GET /v1/status[?wait_for_version=N&wait_for_members=M]  waits at most 30 s, then answers 504
 //   GET /v1/configuration       the document in force; ETag is its version
+//   POST /v1/drain              the daemon takes no new work and stops when nothing is in flight
 //   PUT /v1/configuration       If-Match: the version that the operator started from
 //       200 {"version"}                         accepted and durable
 //       400 {"error"}                           faults of the document, one a line
@@ -32,6 +35,9 @@
   void SetOperatorKey(std::string key) { operator_key_ = std::move(key); }
   bool has_operator_key() const { return !operator_key_.empty(); }
 
+  // Called when an operator asks the daemon to drain. To be set before the first request.
+  void SetDrainHandler(std::function<void()> handler) { drain_ = std::move(handler); }
+
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
 
  private:
@@ -42,6 +48,7 @@
   const ConfigHolder& configuration_;
   MetricRegistry& metrics_;
   std::string operator_key_;
+  std::function<void()> drain_;
 };
 
 }  // namespace savoryglade
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -102,6 +102,13 @@
     connections_.push_back(
         std::make_unique<ConnectionPool>(parts_.path.pool, path_metrics_.silent_connections));
   }
+  administration_handler_.SetDrainHandler([this] {
+    if (parts_.drain_requested) {
+      parts_.drain_requested();
+    } else {
+      BeginDrain();
+    }
+  });
   configuration_.Subscribe(
       [this](const ConfigHolder::Snapshot& snapshot) { dispatcher_.Configure(*snapshot); });
 }
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -32,6 +32,8 @@
   std::shared_ptr<StreamDirectory> streams;
   std::shared_ptr<ClaimGate> claims;
   std::shared_ptr<RetryStrategy> retries;
+  // Called when an operator asks the daemon to drain; without it the daemon only begins to drain.
+  std::function<void()> drain_requested;
 };
 
 // The daemon of one entry VM: listeners for callers and operators over the shared tables.
--- a/packages/daemon/savorygladed_main.cc
+++ b/packages/daemon/savorygladed_main.cc
@@ -1,5 +1,6 @@
 #include <docopt/docopt.h>
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <csignal>
@@ -7,6 +8,7 @@
 #include <fstream>
 #include <iterator>
 #include <string>
+#include <utility>
 
 #include "config/settings.h"
 #include "daemon/daemon.h"
@@ -58,7 +60,10 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  Daemon daemon(settings);
+  savoryglade::DaemonParts parts;
+  // The same path as a planned stop from outside.
+  parts.drain_requested = [] { kill(getpid(), SIGTERM); };
+  Daemon daemon(settings, std::move(parts));
   const Result<void> started = daemon.Start();
   if (!started) {
     log.Error(started.error().message);
