--- a/packages/daemon/peer_network.cc
+++ b/packages/daemon/peer_network.cc
@@ -300,8 +300,7 @@
 
 void PeerNetwork::Handle(const LinkPointer& link, const wire::MessageT& message) {
   if (message.body.type == wire::Body_Hello) {
-    // The heartbeat proves to the peer that we hold the fleet key.
-    SendHeartbeat(link, false);
+    SendFirstHeartbeat(link);
     return;
   }
   const auto found = links_.find(link->daemon());
@@ -327,7 +326,18 @@
 }
 
 void PeerNetwork::SendHeartbeat(const LinkPointer& link, bool answer_wanted) {
-  const Heartbeat heartbeat = membership_.MakeHeartbeat(link->daemon(), answer_wanted);
+  Send(link, membership_.MakeHeartbeat(link->daemon(), answer_wanted));
+}
+
+// Proves to the peer that we hold the fleet key. Until then the peer takes small frames only, so
+// the view of a large fleet has to wait for the next heartbeat.
+void PeerNetwork::SendFirstHeartbeat(const LinkPointer& link) {
+  Heartbeat heartbeat = membership_.MakeHeartbeat(link->daemon(), false);
+  heartbeat.members.clear();
+  Send(link, heartbeat);
+}
+
+void PeerNetwork::Send(const LinkPointer& link, const Heartbeat& heartbeat) {
   wire::HeartbeatT message;
   message.incarnation = heartbeat.incarnation;
   message.configuration_version = replica_.advertised_version();
--- a/packages/daemon/peer_network.h
+++ b/packages/daemon/peer_network.h
@@ -71,6 +71,8 @@
   void OnConfigPush(const LinkPointer& link, const wire::ConfigPushT& push);
   void OnConfigFetch(const LinkPointer& link, const wire::ConfigFetchT& fetch);
   void SendHeartbeat(const LinkPointer& link, bool answer_wanted);
+  void SendFirstHeartbeat(const LinkPointer& link);
+  void Send(const LinkPointer& link, const membership::Heartbeat& heartbeat);
   // Returns the configuration in force, as a delta if the known version is a recent one.
   wire::MessageT MakePush(std::uint64_t known_version);
   void SendPush(const LinkPointer& link, const wire::MessageT& push);
--- /dev/null
+++ b/tests/capacity/lease_test.cc
@@ -0,0 +1,174 @@
+#include "capacity/lease.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+#include "core/event_queue.h"
+#include "platform/memory_platform.h"
+
+namespace savoryglade::capacity {
+namespace {
+
+using platform::CommitStatus;
+using platform::MemoryPlatform;
+
+// Candidates for one lease on the virtual clock, with a platform that can fail.
+class LeaseTest : public testing::Test {
+ protected:
+  LeaseTest() {
+    for (const char* name : {"a", "b"}) {
+      leases_.push_back(std::make_unique<Lease>("verona", DaemonId(name), 1, LeaseOptions{}));
+      paused_.push_back(false);
+    }
+    Tick();
+  }
+
+  void Tick() {
+    int acting = 0;
+    for (std::size_t i = 0; i < leases_.size(); ++i) {
+      if (paused_[i]) {
+        continue;
+      }
+      Lease& lease = *leases_[i];
+      acting += lease.MayAct(clock_.now()) ? 1 : 0;
+      if (auto order = lease.Tick(clock_.now())) {
+        Run(lease, *order);
+      }
+    }
+    EXPECT_LE(acting, 1) << ToSeconds(clock_.now().time_since_epoch());
+    clock_.After(100ms, [this] { Tick(); });
+  }
+
+  void Run(Lease& lease, const Lease::Order& order) {
+    if (const auto* commit = std::get_if<Lease::CommitRow>(&order)) {
+      platform_.Commit(commit->transaction, [this, &lease](CommitStatus status) {
+        lease.OnCommit(status, clock_.now());
+      });
+      return;
+    }
+    platform_.Read("lease/verona", [this, &lease](const platform::ReadResult& row) {
+      lease.OnRead(row, clock_.now());
+    });
+  }
+
+  void RunFor(Duration duration) { clock_.RunUntil(clock_.now() + duration); }
+  bool Acts(std::size_t i) { return leases_[i]->MayAct(clock_.now()); }
+
+  EventQueue clock_;
+  MemoryPlatform platform_{[this](Duration d, auto f) { clock_.After(d, std::move(f)); }};
+  std::vector<std::unique_ptr<Lease>> leases_;
+  std::vector<bool> paused_;
+};
+
+TEST_F(LeaseTest, OneOfTwoCandidatesHoldsTheLeaseAndRenewsIt) {
+  RunFor(60s);
+  EXPECT_TRUE(Acts(0));
+  EXPECT_FALSE(Acts(1));
+  EXPECT_EQ(leases_[0]->fencing(), 1U);
+}
+
+// Guards against a holder that wakes after its lease has lapsed and acts on.
+TEST_F(LeaseTest, APausedHolderDoesNotActWhenItWakes) {
+  RunFor(20s);
+  paused_[0] = true;
+  RunFor(25s);
+  EXPECT_TRUE(Acts(1));
+  EXPECT_FALSE(Acts(0));
+  EXPECT_EQ(leases_[1]->fencing(), 2U);
+  paused_[0] = false;
+  RunFor(60s);
+  EXPECT_TRUE(Acts(1));
+  EXPECT_FALSE(Acts(0));
+}
+
+// Guards against a lease that is lost because the answer to one renewal was.
+TEST_F(LeaseTest, ALostAnswerToARenewalIsResolvedByReading) {
+  RunFor(20s);
+  platform_.SetFaults({.lose_answers = true});
+  RunFor(6s);
+  platform_.SetFaults({});
+  RunFor(30s);
+  EXPECT_TRUE(Acts(0));
+  EXPECT_EQ(leases_[0]->fencing(), 1U);
+}
+
+// Guards against a holder that goes on through an outage during which it can't renew.
+TEST_F(LeaseTest, AnOutageEndsTheLeaseAndThenItIsTakenAgain) {
+  RunFor(20s);
+  platform_.SetFaults({.outage = true});
+  RunFor(20s);
+  EXPECT_FALSE(Acts(0));
+  EXPECT_FALSE(Acts(1));
+  platform_.SetFaults({});
+  RunFor(30s);
+  EXPECT_TRUE(Acts(0) || Acts(1));
+}
+
+// Guards against a new holder that sends an order to an engine that ignores fencing numbers while
+// an order of the old holder is still under way.
+TEST_F(LeaseTest, ANewHolderWaitsForTheOldOrders) {
+  TimePoint first_act;
+  paused_[1] = true;
+  RunFor(5s);
+  paused_[1] = false;
+  paused_[0] = true;
+  while (!Acts(1)) {
+    RunFor(100ms);
+  }
+  first_act = clock_.now();
+  EXPECT_FALSE(leases_[1]->MayActUnfenced(first_act));
+  EXPECT_TRUE(leases_[1]->MayActUnfenced(first_act + LeaseOptions{}.order_timeout));
+}
+
+// Guards against a daemon that acts in an incarnation that others have declared dead.
+TEST_F(LeaseTest, AHigherIncarnationGivesUpTheLease) {
+  RunFor(20s);
+  leases_[0]->SetIncarnation(2);
+  EXPECT_FALSE(Acts(0));
+  RunFor(40s);
+  EXPECT_TRUE(Acts(0) || Acts(1));
+  EXPECT_EQ(leases_[0]->row().fencing, 2U);
+}
+
+// Guards against a deadline that counts from a later write than the one that took effect: the first
+// renewal takes effect while the holder is paused between its read and its second renewal.
+TEST_F(LeaseTest, TheDeadlineCountsFromTheWriteThatTookEffect) {
+  Lease lease("milan", DaemonId("a"), 1, {});
+  const TimePoint start{};
+  const auto row_of = [](const Lease::Order& order) {
+    return *std::get<Lease::CommitRow>(order).transaction.writes[0].value;
+  };
+  ASSERT_TRUE(std::holds_alternative<Lease::ReadRow>(*lease.Tick(start)));
+  lease.OnRead(platform::Row{}, start);
+  const std::string taken = row_of(*lease.Tick(start));
+  lease.OnCommit(CommitStatus::kCommitted, start);
+  lease.Tick(start + 5s);
+  lease.OnRead(platform::Row{.value = taken, .version = 1}, start + 5s);
+  const std::string first = row_of(*lease.Tick(start + 5s));
+  lease.OnCommit(CommitStatus::kUnknown, start + 7s);
+  lease.Tick(start + 7s);
+  lease.OnRead(platform::Row{.value = taken, .version = 1}, start + 7s);
+  const std::string second = row_of(*lease.Tick(start + 17s));
+  EXPECT_NE(first, second);
+  lease.OnCommit(CommitStatus::kConflict, start + 17s);
+  lease.Tick(start + 17s);
+  lease.OnRead(platform::Row{.value = first, .version = 2}, start + 17s);
+  EXPECT_FALSE(lease.MayAct(start + 17s));
+}
+
+// Guards against a holder whose name has a space, or a row that is cut off.
+TEST(LeaseRowTest, ThePrintedRowParsesToTheSameValue) {
+  const LeaseRow row = {.holder = DaemonId("daemon 1"),
+                        .incarnation = 5,
+                        .fencing = 6,
+                        .attempt = 7,
+                        .duration = 15s};
+  EXPECT_EQ(ParseLeaseRow(PrintLeaseRow(row)), row);
+  EXPECT_FALSE(ParseLeaseRow("5 6 7").has_value());
+  EXPECT_FALSE(ParseLeaseRow("").has_value());
+}
+
+}  // namespace
+}  // namespace savoryglade::capacity
--- a/tests/daemon/cluster_test.cc
+++ b/tests/daemon/cluster_test.cc
@@ -139,6 +139,95 @@
   EXPECT_EQ(VersionOf(fleet.Call(0, verb::get, "/v1/status").second), 0U);
 }
 
+// One end of a connection to a daemon, as a peer speaks.
+class PeerClient {
+ public:
+  PeerClient(const Endpoint& peers, const std::string& daemon, const std::string& domain,
+             std::uint8_t nonce)
+      : codec_("", wire::Side::kDialer, wire::Nonce{nonce}) {
+    socket_.connect({boost::asio::ip::make_address(peers.address), peers.port});
+    wire::HelloT hello;
+    hello.daemon = daemon;
+    hello.failure_domain = domain;
+    hello.incarnation = 1;
+    boost::asio::write(socket_, boost::asio::buffer(codec_.SealHello(hello)));
+    EXPECT_NE(Receive().body.AsHello(), nullptr);
+  }
+
+  void Send(const wire::HeartbeatT& heartbeat) {
+    boost::asio::write(socket_, boost::asio::buffer(*codec_.Seal(wire::MakeMessage(heartbeat))));
+  }
+
+  // Returns the next message, or an empty one if the connection ended or the frame is refused.
+  wire::MessageT Receive() {
+    while (true) {
+      Result<std::optional<wire::MessageT>> message = codec_.Next();
+      if (!message) {
+        ADD_FAILURE() << message.error().message;
+        return {};
+      }
+      if (*message) {
+        return std::move(**message);
+      }
+      std::string bytes(65536, '\0');
+      boost::system::error_code error;
+      bytes.resize(socket_.read_some(boost::asio::buffer(bytes), error));
+      if (error) {
+        ADD_FAILURE() << error.message();
+        return {};
+      }
+      codec_.Append(bytes);
+    }
+  }
+
+ private:
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::socket socket_{context_};
+  wire::ConnectionCodec codec_;
+};
+
+// Guards against a daemon that can't join a large fleet because the representative's first frame
+// carries the view of it, which is larger than a frame may be before authentication.
+TEST(Cluster, ADaemonJoinsAFleetWhoseViewIsLarge) {
+  FleetFixture fleet;
+  fleet.platform().state().PutVm({.vm = VmId("daemon-9"),
+                                  .failure_domain = FailureDomainId("domain-1"),
+                                  .daemon = DaemonId("daemon-9"),
+                                  .peers_address = "127.0.0.1:1"});
+  fleet.Start(1, 1);
+  // The fault needs a daemon that is listed before it connects.
+  while (fleet.Call(0, verb::get, "/v1/status").second.at("members").as_array().size() < 2) {
+  }
+  const Endpoint& peers = fleet.daemon(0).peers_endpoint();
+  PeerClient remote(peers, "remote", "domain-2", 1);
+  wire::HeartbeatT view;
+  view.incarnation = 1;
+  remote.Send(view);
+  view.representative = true;
+  view.view_sequence = 1;
+  for (int i = 0; i < 200; ++i) {
+    auto member = std::make_unique<wire::MemberT>();
+    member->daemon = "a-daemon-with-a-long-name-" + std::to_string(i);
+    member->failure_domain = "domain-2";
+    member->incarnation = 1;
+    view.members.push_back(std::move(member));
+  }
+  remote.Send(view);
+  ASSERT_EQ(fleet.Wait(0, 0, 202).first, 200U);
+  PeerClient joining(peers, "daemon-9", "domain-1", 2);
+  wire::MessageT message = joining.Receive();
+  ASSERT_NE(message.body.AsHeartbeat(), nullptr);
+  wire::HeartbeatT heartbeat;
+  heartbeat.incarnation = 1;
+  joining.Send(heartbeat);
+  // The view comes once the connection is authenticated in both directions.
+  while (message.body.AsHeartbeat() != nullptr && message.body.AsHeartbeat()->members.empty()) {
+    message = joining.Receive();
+  }
+  ASSERT_NE(message.body.AsHeartbeat(), nullptr);
+  EXPECT_EQ(message.body.AsHeartbeat()->members.size(), 201U);
+}
+
 // Guards against a stranger without the fleet key that becomes a member.
 TEST(Cluster, ADaemonWithAnotherKeyIsNoMember) {
   FleetFixture fleet;
--- /dev/null
+++ b/tests/daemon/fault_pairs_test.cc
@@ -0,0 +1,371 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "capacity/lease.h"
+#include "core/event_queue.h"
+#include "daemon/platform_config_change.h"
+#include "membership/config_replica.h"
+#include "platform/memory_platform.h"
+
+namespace savoryglade {
+namespace {
+
+using capacity::Lease;
+using capacity::LeaseOptions;
+using membership::ConfigReplica;
+using membership::ConfigSource;
+using platform::CommitStatus;
+using platform::MemoryPlatform;
+using platform::ReadResult;
+
+constexpr std::size_t kNodes = 3;
+constexpr Duration kTableLatency = 40ms;
+
+// Three daemons in as many failure domains with the objects that the daemon links, a platform with
+// faults and two operators, on the virtual clock. The invariants are checked at each step.
+class FaultModel {
+ public:
+  FaultModel() {
+    platform_.SetFaults({.delay = kTableLatency});
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      nodes_.push_back(std::make_unique<Node>(i));
+      TickNode(i);
+      PollTable(i);
+    }
+    Gossip();
+  }
+
+  EventQueue& clock() { return clock_; }
+  MemoryPlatform& platform() { return platform_; }
+  void Pause(std::size_t node, bool paused) {
+    nodes_[node]->paused = paused;
+    if (!paused) {
+      for (auto& event : std::exchange(nodes_[node]->held, {})) {
+        event();
+      }
+    }
+  }
+  void Cut(std::size_t a, std::size_t b, bool cut) { cut_[a][b] = cut_[b][a] = cut; }
+  // Cuts a failure domain off from the platform.
+  void CutPlatform(std::size_t node, bool cut) { nodes_[node]->no_platform = cut; }
+
+  std::size_t Holder() {
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      if (!nodes_[i]->paused && nodes_[i]->lease.MayAct(clock_.now())) {
+        return i;
+      }
+    }
+    return kNodes;
+  }
+
+  // An operator at a node changes the version that the node has in force.
+  void Change(std::size_t node) {
+    const std::uint64_t expected = nodes_[node]->replica.version();
+    Configuration wanted;
+    wanted.accounts.push_back({.name = AccountId("change-" + std::to_string(++last_change_)),
+                               .key_sha256 = std::string(64, '0')});
+    const std::string id = "id-" + std::to_string(last_change_);
+    auto change =
+        std::make_shared<ConfigChange>(std::move(wanted), expected, id, clock_.now() + 10s);
+    Run(node, change, ConfigChange::Start(), id);
+  }
+
+  // After all faults have ended: no accepted change is missing and all daemons have the newest.
+  void CheckEnd() {
+    const ConfigurationRow row = InTable();
+    for (const std::string& id : accepted_) {
+      EXPECT_TRUE(std::any_of(row.changes.begin(), row.changes.end(),
+                              [&id](const auto& change) { return change.change_id == id; }))
+          << "accepted change " << id << " is lost";
+    }
+    for (const std::string& id : not_applied_) {
+      EXPECT_FALSE(std::any_of(row.changes.begin(), row.changes.end(),
+                               [&id](const auto& change) { return change.change_id == id; }))
+          << "change " << id << " was called not applied";
+    }
+    for (const auto& node : nodes_) {
+      EXPECT_EQ(node->replica.version(), row.configuration->version);
+      EXPECT_TRUE(node->replica.ready());
+    }
+    EXPECT_LT(Holder(), kNodes) << "nobody holds the lease";
+    EXPECT_FALSE(accepted_.empty());
+  }
+
+ private:
+  struct Node {
+    explicit Node(std::size_t index)
+        : lease("capacity", DaemonId("daemon-" + std::to_string(index)), 1, LeaseOptions{}),
+          replica({}, TimePoint{}),
+          rate(0.95 + 0.05 * static_cast<double>(index)) {}
+
+    Lease lease;
+    ConfigReplica replica;
+    // Speed of its clock: 5% slow, right, 5% fast.
+    double rate;
+    bool paused = false;
+    bool no_platform = false;
+    std::uint64_t last_version = 0;
+    std::vector<std::function<void()>> held;
+  };
+
+  TimePoint LocalTime(const Node& node) const {
+    return TimePoint(FromSeconds(ToSeconds(clock_.now().time_since_epoch()) * node.rate));
+  }
+
+  // Runs an event at a node, or once its pause has ended.
+  void At(std::size_t i, std::function<void()> event) {
+    if (nodes_[i]->paused) {
+      nodes_[i]->held.push_back(std::move(event));
+    } else {
+      event();
+    }
+  }
+
+  void Read(std::size_t i, const std::string& key, const std::function<void(ReadResult)>& done) {
+    if (nodes_[i]->no_platform) {
+      clock_.After(1s, [this, i, done] {
+        At(i, [done] {
+          done(tl::make_unexpected(Error{.code = ErrorCode::kTimeout, .message = "cut off"}));
+        });
+      });
+      return;
+    }
+    platform_.Read(key, [this, i, done](const ReadResult& r) { At(i, [done, r] { done(r); }); });
+  }
+
+  void Commit(std::size_t i, const platform::Transaction& transaction,
+              const std::function<void(CommitStatus)>& done) {
+    if (nodes_[i]->no_platform) {
+      clock_.After(1s, [this, i, done] { At(i, [done] { done(CommitStatus::kUnavailable); }); });
+      return;
+    }
+    platform_.Commit(transaction,
+                     [this, i, done](CommitStatus s) { At(i, [done, s] { done(s); }); });
+  }
+
+  void TickNode(std::size_t i) {
+    clock_.After(100ms, [this, i] { At(i, [this, i] { TickNode(i); }); });
+    Node& node = *nodes_[i];
+    const TimePoint now = LocalTime(node);
+    node.replica.UpdateReady(now);
+    CheckInvariants();
+    const auto order = node.lease.Tick(now);
+    if (!order) {
+      return;
+    }
+    if (const auto* commit = std::get_if<Lease::CommitRow>(&*order)) {
+      Commit(i, commit->transaction,
+             [this, &node](CommitStatus status) { node.lease.OnCommit(status, LocalTime(node)); });
+    } else {
+      Read(i, "lease/capacity",
+           [this, &node](const ReadResult& row) { node.lease.OnRead(row, LocalTime(node)); });
+    }
+  }
+
+  void PollTable(std::size_t i) {
+    Read(i, kConfigurationRow, [this, i](const ReadResult& result) {
+      Node& node = *nodes_[i];
+      if (!result) {
+        node.replica.OnTableUnavailable();
+      } else {
+        const auto row = ParseConfigurationRow(result->value);
+        node.replica.OnTableVersion(row->configuration->version, LocalTime(node));
+        node.replica.Offer(row->configuration, ConfigSource::kTable, {}, LocalTime(node));
+      }
+      clock_.After(1s, [this, i] { At(i, [this, i] { PollTable(i); }); });
+    });
+  }
+
+  // Each second each daemon tells the others what it has, as heartbeats and fetches do.
+  void Gossip() {
+    for (std::size_t from = 0; from < kNodes; ++from) {
+      for (std::size_t to = 0; to < kNodes; ++to) {
+        if (from == to || cut_[from][to] || nodes_[from]->paused) {
+          continue;
+        }
+        clock_.After(1ms, [this, from, to, snapshot = nodes_[from]->replica.snapshot()] {
+          At(to, [this, from, to, snapshot] {
+            Node& node = *nodes_[to];
+            const DaemonId peer("daemon-" + std::to_string(from));
+            node.replica.OnPeerVersion(peer, snapshot->version);
+            node.replica.Offer(snapshot, ConfigSource::kPeer, peer, LocalTime(node));
+          });
+        });
+      }
+    }
+    clock_.After(1s, [this] { Gossip(); });
+  }
+
+  void Run(std::size_t i, const std::shared_ptr<ConfigChange>& change,
+           const ConfigChange::Step& step, const std::string& id) {
+    if (std::holds_alternative<ConfigChange::ReadRow>(step)) {
+      Read(i, kConfigurationRow, [=, this](const ReadResult& result) {
+        Run(i, change, change->OnRead(result, clock_.now()), id);
+      });
+    } else if (const auto* commit = std::get_if<ConfigChange::CommitRows>(&step)) {
+      Commit(i, commit->transaction, [=, this](CommitStatus status) {
+        Run(i, change, change->OnCommit(status, clock_.now()), id);
+      });
+    } else if (const auto* wait = std::get_if<ConfigChange::Wait>(&step)) {
+      clock_.After(wait->duration, [=, this] {
+        At(i, [=, this] { Run(i, change, ConfigChange::OnWaited(), id); });
+      });
+    } else {
+      const auto& outcome = std::get<ConfigChangeOutcome>(step);
+      if (outcome.current) {
+        nodes_[i]->replica.Offer(outcome.current, ConfigSource::kOperator, {},
+                                 LocalTime(*nodes_[i]));
+      }
+      if (outcome.kind == ConfigChangeOutcome::Kind::kAccepted) {
+        accepted_.push_back(id);
+        EXPECT_GE(VersionInTable(), outcome.version);
+      } else if (outcome.kind != ConfigChangeOutcome::Kind::kUnknown) {
+        not_applied_.push_back(id);
+      }
+    }
+  }
+
+  // Reads a row around the faults.
+  std::string ValueInTable(const std::string& key) {
+    const platform::Faults faults = platform_.faults();
+    platform_.SetFaults({});
+    std::string value;
+    platform_.Read(key, [&value](const ReadResult& result) { value = result->value; });
+    platform_.SetFaults(faults);
+    return value;
+  }
+
+  ConfigurationRow InTable() { return *ParseConfigurationRow(ValueInTable(kConfigurationRow)); }
+
+  std::uint64_t VersionInTable() {
+    const std::string value = ValueInTable(kConfigurationVersionRow);
+    return value.empty() ? 0 : std::stoull(value);
+  }
+
+  void CheckInvariants() {
+    int acting = 0;
+    for (const auto& node : nodes_) {
+      EXPECT_GE(node->replica.version(), node->last_version) << "a version fell";
+      node->last_version = node->replica.version();
+      // A paused daemon runs nothing, so it can't act either.
+      acting += !node->paused && node->lease.MayAct(LocalTime(*node)) ? 1 : 0;
+    }
+    EXPECT_LE(acting, 1) << "two holders at " << ToSeconds(clock_.now().time_since_epoch());
+    const std::uint64_t version = VersionInTable();
+    EXPECT_GE(version, table_version_) << "the table's version fell";
+    table_version_ = version;
+  }
+
+  EventQueue clock_;
+  MemoryPlatform platform_{[this](Duration d, auto f) { clock_.After(d, std::move(f)); }};
+  std::vector<std::unique_ptr<Node>> nodes_;
+  bool cut_[kNodes][kNodes] = {};
+  int last_change_ = 0;
+  std::uint64_t table_version_ = 0;
+  std::vector<std::string> accepted_;
+  std::vector<std::string> not_applied_;
+};
+
+struct Fault {
+  std::string name;
+  std::function<void(FaultModel&, bool begins)> set;
+};
+
+std::vector<Fault> AllFaults() {
+  // Platform faults that overlap are merged, so each changes its own field only.
+  const auto on_platform = [](void (*change)(platform::Faults&, bool)) {
+    return [change](FaultModel& model, bool begins) {
+      platform::Faults faults = model.platform().faults();
+      change(faults, begins);
+      model.platform().SetFaults(faults);
+    };
+  };
+  auto paused = std::make_shared<std::vector<std::size_t>>();
+  std::vector<Fault> faults = {
+      {"table outage", on_platform([](platform::Faults& f, bool on) { f.outage = on; })},
+      {"slow table",
+       on_platform([](platform::Faults& f, bool on) { f.delay = on ? 1500ms : kTableLatency; })},
+      {"lost answers", on_platform([](platform::Faults& f, bool on) { f.lose_answers = on; })},
+      {"paused holder",
+       [paused](FaultModel& model, bool begins) {
+         if (begins) {
+           paused->push_back(std::min(model.Holder(), kNodes - 1));
+           model.Pause(paused->back(), true);
+         } else {
+           model.Pause(paused->front(), false);
+           paused->erase(paused->begin());
+         }
+       }},
+      {"racing operators",
+       [](FaultModel& model, bool begins) {
+         if (begins) {
+           model.Change(0);
+           model.Change(1);
+           model.Change(2);
+         }
+       }},
+  };
+  for (std::size_t a = 0; a < kNodes; ++a) {
+    faults.push_back({"no platform for domain " + std::to_string(a),
+                      [a](FaultModel& model, bool begins) { model.CutPlatform(a, begins); }});
+    for (std::size_t b = a + 1; b < kNodes; ++b) {
+      faults.push_back({"partition " + std::to_string(a) + "-" + std::to_string(b),
+                        [a, b](FaultModel& model, bool begins) { model.Cut(a, b, begins); }});
+    }
+  }
+  return faults;
+}
+
+// Runs a pair of faults of 18 s each, the second after an offset, with a change each second.
+void RunPair(const Fault& first, const Fault* second, Duration offset) {
+  SCOPED_TRACE(first.name + " and " + (second ? second->name : "none") + " after " +
+               std::to_string(offset / 1ms) + " ms");
+  FaultModel model;
+  EventQueue& clock = model.clock();
+  for (int i = 0; i < 50; ++i) {
+    clock.At(TimePoint(1s * i + 350ms),
+             [&model, i] { model.Change(static_cast<std::size_t>(i) % kNodes); });
+  }
+  const Duration begin = 15s;
+  const Duration length = 18s;
+  // Changes whose read is answered just before a fault begins, and whose commit meets it.
+  clock.At(TimePoint(begin - kTableLatency), [&model] { model.Change(0); });
+  clock.At(TimePoint(begin + offset - kTableLatency), [&model] { model.Change(1); });
+  clock.At(TimePoint(begin), [&] { first.set(model, true); });
+  clock.At(TimePoint(begin + length), [&] { first.set(model, false); });
+  if (second) {
+    clock.At(TimePoint(begin + offset), [&] { second->set(model, true); });
+    clock.At(TimePoint(begin + offset + length), [&] { second->set(model, false); });
+  }
+  clock.RunUntil(TimePoint(90s));
+  model.CheckEnd();
+}
+
+// Guards against two holders that act, versions that fall and accepted changes that are lost under
+// one fault.
+TEST(FaultPairs, EachSingleFaultKeepsTheInvariants) {
+  for (const Fault& fault : AllFaults()) {
+    RunPair(fault, nullptr, 0s);
+  }
+}
+
+// The same under each ordered pair of faults, the same twice included, at the same time,
+// overlapping, and one after the other.
+TEST(FaultPairs, EachPairOfFaultsKeepsTheInvariants) {
+  const std::vector<Fault> faults = AllFaults();
+  for (const Fault& first : faults) {
+    for (const Fault& second : faults) {
+      for (const Duration offset : {Duration(0s), Duration(7300ms), Duration(18500ms)}) {
+        RunPair(first, &second, offset);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace savoryglade
