--- a/packages/daemon/chat_request.h
+++ b/packages/daemon/chat_request.h
@@ -16,4 +16,7 @@
 // Parses the body of a chat completion; nothing if it is malformed.
 std::optional<ChatRequest> ParseChatRequest(const std::string& body);
 
+// Returns the model that a malformed body names; empty if it names none.
+std::string FindModelName(const std::string& body);
+
 }  // namespace savoryglade
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <iterator>
 #include <optional>
+#include <thread>
 #include <utility>
 
 #include "config/account_keys.h"
@@ -22,6 +23,7 @@
 namespace http = boost::beast::http;
 
 constexpr Duration kTickInterval = 10ms;
+constexpr Duration kDrainPoll = 10ms;
 constexpr std::string_view kModelPath = "/v1/chat/completions";
 
 const Logger kLog("daemon");
@@ -185,6 +187,14 @@
   kLog.Info("Stopped.");
 }
 
+void Daemon::Drain() {
+  BeginDrain();
+  while (!drained()) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  Stop();
+}
+
 asio::awaitable<void> Daemon::TickLoop() {
   asio::steady_timer timer(co_await asio::this_coro::executor);
   while (true) {
@@ -241,24 +251,25 @@
     co_await RespondWithVerdict(exchange, key, verdict, metrics_);
     co_return;
   }
-  std::optional<ChatRequest> chat;
   const bool is_model = exchange.target() == kModelPath;
+  std::optional<ChatRequest> chat;
+  std::string model;
   if (is_model) {
     chat = ParseChatRequest(exchange.request().body());
-    if (!chat) {
-      const Verdict verdict{.reason = Reason::kMalformedRequest};
-      co_await RespondWithVerdict(exchange, key, verdict, metrics_);
-      co_return;
-    }
+    model = chat ? chat->model : FindModelName(exchange.request().body());
   }
-  const ServiceConfig* service = is_model ? FindModelService(*configuration, chat->model)
+  const ServiceConfig* service = is_model ? FindModelService(*configuration, model)
                                           : FindPlainService(*configuration, exchange.target());
-  if (service == nullptr) {
-    const Verdict verdict{.reason = Reason::kUnknownService};
+  if (service != nullptr) {
+    metrics_.GetCounter("savoryglade_requests_total", {{"service", service->name.value()}}).Add();
+  }
+  if (service == nullptr || (is_model && !chat)) {
+    const bool malformed = is_model && !chat && (service != nullptr || model.empty());
+    const Verdict verdict{.reason =
+                              malformed ? Reason::kMalformedRequest : Reason::kUnknownService};
     co_await RespondWithVerdict(exchange, key, verdict, metrics_);
     co_return;
   }
-  metrics_.GetCounter("savoryglade_requests_total", {{"service", service->name.value()}}).Add();
   CallerRequest request{.configuration = configuration,
                         .account = *account,
                         .service = *service,
--- a/packages/daemon/model_handler.cc
+++ b/packages/daemon/model_handler.cc
@@ -62,7 +62,7 @@
     if (!record) {
       co_return false;
     }
-    if (record->body_digest != digests_.body) {
+    if (record->content_digest != digests_.content) {
       co_await Refuse({.reason = Reason::kIdempotencyKeyReused});
       co_return true;
     }
@@ -105,7 +105,7 @@
       co_return true;
     }
     services_.streams.Put({.key_digest = digests_.key,
-                           .body_digest = digests_.body,
+                           .content_digest = digests_.content,
                            .upstream = upstream->name,
                            .generation = digests_.generation});
     ModelAttempt attempt(services_, *upstream, model_request_, writer_, *interrupt_);
@@ -137,7 +137,7 @@
                                 const UpstreamConfig& upstream, bool counts) {
     if (end == AttemptEnd::kComplete) {
       services_.streams.Put({.key_digest = digests_.key,
-                             .body_digest = digests_.body,
+                             .content_digest = digests_.content,
                              .upstream = upstream.name,
                              .generation = digests_.generation,
                              .ended = true});
@@ -254,7 +254,9 @@
     co_return;
   }
   const RequestDigests digests =
-      MakeDigests(request.account.name, request.service.name, request.key, exchange.TakeBody());
+      MakeDigests(request.account.name, request.service.name, request.key, chat);
+  // Its prompt is in the chat request; the rest is not needed while the answer runs.
+  exchange.TakeBody();
   ModelSession session(exchange, request, chat, digests, *position, services);
   co_await session.Run();
 }
--- a/packages/daemon/request_identity.cc
+++ b/packages/daemon/request_identity.cc
@@ -49,14 +49,14 @@
 }
 
 RequestDigests MakeDigests(const AccountId& account, const ServiceId& service,
-                           const RequestKey& key, std::string_view body) {
+                           const RequestKey& key, const ChatRequest& chat) {
   // The lengths keep different triples from giving the same text.
   const std::string identity = fmt::format("{}:{}{}:{}{}", account.value().size(), account.value(),
                                            service.value().size(), service.value(), key.value());
   RequestDigests digests;
   digests.key = Digest(identity);
-  digests.body = Digest(body);
-  digests.generation = Digest(digests.key + digests.body);
+  digests.content = Digest(fmt::format("{}:{}", chat.max_tokens, chat.prompt));
+  digests.generation = Digest(digests.key + digests.content);
   digests.seed = Sha256Hex(key.value()).substr(0, kSeedLength);
   return digests;
 }
--- a/packages/emulator/engine.cc
+++ b/packages/emulator/engine.cc
@@ -428,7 +428,7 @@
   {
     const std::lock_guard lock(mutex_);
     const TimePoint until = Now() - options_.cache_event_lag;
-    for (const CacheEvent& event : state_.cache().EventsAfter(after, until)) {
+    for (const CacheChange& event : state_.cache().EventsAfter(after, until)) {
       events.emplace_back(json::object{{"sequence", event.sequence},
                                        {"kind", event.stored ? "stored" : "removed"},
                                        {"block", fmt::format("{:016x}", event.block)}});
--- a/packages/emulator/prefix_cache.cc
+++ b/packages/emulator/prefix_cache.cc
@@ -33,9 +33,9 @@
   return cached;
 }
 
-std::vector<CacheEvent> PrefixCache::EventsAfter(std::uint64_t sequence, TimePoint until) const {
-  std::vector<CacheEvent> events;
-  for (const CacheEvent& event : events_) {
+std::vector<CacheChange> PrefixCache::EventsAfter(std::uint64_t sequence, TimePoint until) const {
+  std::vector<CacheChange> events;
+  for (const CacheChange& event : events_) {
     if (event.sequence > sequence && event.when <= until) {
       events.push_back(event);
     }
--- a/packages/emulator/prefix_cache.h
+++ b/packages/emulator/prefix_cache.h
@@ -13,7 +13,7 @@
 namespace savoryglade {
 
 // One change of a prefix cache. Sequence numbers have gaps where events were lost.
-struct CacheEvent {
+struct CacheChange {
   std::uint64_t sequence = 0;
   bool stored = true;
   std::uint64_t block = 0;
@@ -31,7 +31,7 @@
   std::size_t Use(const std::vector<std::uint64_t>& blocks, TimePoint now);
 
   // Returns the events after a sequence number that are no younger than the given instant.
-  std::vector<CacheEvent> EventsAfter(std::uint64_t sequence, TimePoint until) const;
+  std::vector<CacheChange> EventsAfter(std::uint64_t sequence, TimePoint until) const;
 
   std::size_t size() const { return order_.size(); }
   std::size_t capacity() const { return capacity_; }
@@ -46,7 +46,7 @@
   // Blocks by their last use, the latest first.
   std::list<std::uint64_t> order_;
   std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places_;
-  std::deque<CacheEvent> events_;
+  std::deque<CacheChange> events_;
   std::uint64_t next_sequence_ = 1;
 };
 
--- a/packages/routing/upstream_table.cc
+++ b/packages/routing/upstream_table.cc
@@ -1,84 +1,535 @@
 #include "routing/upstream_table.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace savoryglade {
 namespace {
 
-constexpr Duration kPauseAfterFailure = 1s;
+// Added to expected times, so that the overhead of very short work does not count as slowness.
+constexpr double kFirstTokenFloor = 0.03;
+constexpr double kTotalFloor = 0.005;
+// Share of a request's cost that its prompt is assumed to have when the caller does not say.
+constexpr double kAssumedPromptShare = 0.2;
+constexpr Duration kHedgeRecheck = 50ms;
+// A request on an upstream that is already known as a straggler need not wait for as much proof.
+constexpr double kHedgeRatioAtStraggler = 1.5;
+constexpr std::size_t kMostHolders = 4;
+constexpr double kDistrustBelow = 0.5;
+
+double ExpectedTotal(double cost) { return cost + kTotalFloor; }
+
+double PromptCost(const RouteRequest& request) {
+  return request.prompt_cost > 0 ? request.prompt_cost
+                                 : request.predicted_cost * kAssumedPromptShare;
+}
+
+double UncachedPromptCost(const PrefixMatch& match, const RouteRequest& request) {
+  const double blocks = static_cast<double>(request.prefix_hashes.size());
+  return PromptCost(request) * (blocks > 0 ? 1 - match.trusted_blocks() / blocks : 1);
+}
 
 }  // namespace
 
+UpstreamTable::UpstreamTable(std::uint64_t seed, RoutingOptions options)
+    : random_(seed), options_(std::move(options)), prefixes_(options_.prefix_entries) {}
+
 void UpstreamTable::Configure(const Configuration& configuration, TimePoint /*now*/) {
-  std::map<UpstreamId, Entry> entries;
+  std::map<UpstreamId, std::unique_ptr<Entry>> entries;
+  std::map<ServiceId, double> lowest_price;
   for (const UpstreamConfig& config : configuration.upstreams) {
+    std::unique_ptr<Entry> entry;
     const auto known = entries_.find(config.name);
-    Entry entry = known == entries_.end() ? Entry{} : known->second;
-    entry.config = config;
-    entries.emplace(config.name, std::move(entry));
+    if (known != entries_.end()) {
+      const UpstreamConfig& old = known->second->config;
+      if (old.address == config.address && old.port == config.port && old.vm == config.vm &&
+          old.service == config.service) {
+        entry = std::move(known->second);
+        entry->config = config;
+        entry->limit.SetMaximum(config.concurrency);
+      }
+    }
+    if (entry == nullptr) {
+      entry = std::make_unique<Entry>(config, static_cast<UpstreamNumber>(by_number_.size()));
+      by_number_.push_back(entry.get());
+    }
+    const auto price = lowest_price.try_emplace(config.service, config.price_per_hour).first;
+    price->second = std::min(price->second, config.price_per_hour);
+    entries.insert_or_assign(config.name, std::move(entry));
+  }
+  for (const auto& [name, entry] : entries_) {
+    if (entry != nullptr) {
+      by_number_[entry->number] = nullptr;
+      prefixes_.Clear(entry->number);
+    }
   }
   entries_ = std::move(entries);
+  std::map<ServiceId, Group> groups;
+  for (const auto& [name, entry] : entries_) {
+    const ServiceId& service = entry->config.service;
+    const auto [group, is_new] = groups.try_emplace(service);
+    const auto known = groups_.find(service);
+    if (is_new && known != groups_.end()) {
+      group->second = known->second;
+      group->second.ClearEntries();
+    }
+    group->second.Add(entry.get());
+    const FailureDomainId& domain = entry->config.failure_domain;
+    const auto latency = options_.latency.find(domain);
+    entry->local = options_.local_domain.empty() || domain == options_.local_domain;
+    entry->distance = entry->local                        ? 0
+                      : latency == options_.latency.end() ? ToSeconds(options_.default_latency)
+                                                          : ToSeconds(latency->second);
+    entry->price_per_cost =
+        options_.price_weight * (entry->config.price_per_hour - lowest_price.at(service));
+  }
+  groups_ = std::move(groups);
 }
 
-bool UpstreamTable::CanTake(const Entry& entry, TimePoint now) {
-  return !entry.leaving && entry.running < entry.config.concurrency && now >= entry.unusable_until;
-}
+void UpstreamTable::SetLimitShare(double share) { limit_share_ = std::clamp(share, 0.0, 1.0); }
 
 bool UpstreamTable::HasCapacity(const ServiceId& service, TimePoint now) const {
-  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
-    return item.second.config.service == service && CanTake(item.second, now);
-  });
+  const auto group = groups_.find(service);
+  if (group == groups_.end()) {
+    return false;
+  }
+  return std::any_of(
+      group->second.entries().begin(), group->second.entries().end(), [&](const Entry* entry) {
+        const Availability::State state = entry->availability.StateAt(now);
+        return (state == Availability::State::kUsable || state == Availability::State::kProbe) &&
+               !entry->straggler.left() && entry->HasSlot(limit_share_);
+      });
+}
+
+void UpstreamTable::FindCandidates(const RouteRequest& request) {
+  candidates_.clear();
+  holders_.clear();
+  const auto draw = [this](const std::vector<Entry*>& from, int count) {
+    for (int i = 0; i < count && !from.empty(); ++i) {
+      candidates_.push_back(from[random_.Below(from.size())]);
+    }
+  };
+  draw(finder_.local(), 2);
+  draw(finder_.remote(), finder_.local().empty() ? 2 : 1);
+  if (request.prefix_hashes.empty()) {
+    return;
+  }
+  prefixes_.FindHolders(request.prefix_hashes, holders_);
+  std::size_t added = 0;
+  for (const UpstreamNumber number : holders_) {
+    Entry* entry = Find(number);
+    if (entry == nullptr) {
+      continue;
+    }
+    const std::vector<Entry*>& list = entry->local ? finder_.local() : finder_.remote();
+    if (std::find(list.begin(), list.end(), entry) != list.end()) {
+      candidates_.push_back(entry);
+      if (++added == kMostHolders) {
+        break;
+      }
+    }
+  }
+}
+
+double UpstreamTable::Score(const Entry& entry, const RouteRequest& request, TimePoint now) const {
+  const PrefixMatch match = prefixes_.Match(request.prefix_hashes, entry.number);
+  const double wait =
+      entry.load.PredictedWait(UncachedPromptCost(match, request), entry.limit.limit(), now);
+  const double rest = std::max(0.0, request.predicted_cost - PromptCost(request));
+  return (wait + rest) * entry.load.PaceAt(now) + 2 * entry.distance +
+         entry.price_per_cost * request.predicted_cost;
+}
+
+UpstreamTable::Entry* UpstreamTable::ChooseCandidate(Group& group, const RouteRequest& request,
+                                                     TimePoint now) {
+  Entry* best = nullptr;
+  double best_score = std::numeric_limits<double>::infinity();
+  Entry* best_overdue = nullptr;
+  for (Entry* entry : candidates_) {
+    if (entry == best) {
+      continue;
+    }
+    if (group.CheckOverdue(*entry, now, counters_)) {
+      best_overdue = entry;
+      continue;
+    }
+    const double score = Score(*entry, request, now);
+    if (score < best_score) {
+      best = entry;
+      best_score = score;
+    }
+  }
+  if (best != nullptr) {
+    return best;
+  }
+  for (const std::vector<Entry*>* list : {&finder_.local(), &finder_.remote()}) {
+    for (Entry* entry : *list) {
+      if (!entry->straggler.left()) {
+        return entry;
+      }
+    }
+  }
+  return best_overdue;
 }
 
 tl::expected<UpstreamId, Reason> UpstreamTable::Select(const RouteRequest& request, TimePoint now) {
-  std::vector<Entry*> candidates;
-  for (auto& [name, entry] : entries_) {
-    const bool excluded =
-        std::find(request.excluded.begin(), request.excluded.end(), name) != request.excluded.end();
-    if (entry.config.service == request.service && !excluded && CanTake(entry, now)) {
-      candidates.push_back(&entry);
+  const auto found = groups_.find(request.service);
+  if (found == groups_.end()) {
+    counters_.Add(RoutingCount::kRefusedUnknownService);
+    return tl::make_unexpected(Reason::kNoUpstream);
+  }
+  Group& group = found->second;
+  const Entry* hedged = nullptr;
+  if (request.hedge_of != 0) {
+    const auto original = attempts_.find(request.hedge_of);
+    if (original == attempts_.end() || request.attempt == 0 || original->second.partner != 0 ||
+        !original->second.repeatable || !hedge_budget_.Allows(group.HedgeCost(original->second))) {
+      counters_.Add(RoutingCount::kRefusedHedgeBudget);
+      return tl::make_unexpected(Reason::kRetryBudgetExhausted);
     }
+    hedged = Find(original->second.upstream);
   }
-  if (candidates.empty()) {
+  group.Refresh(now);
+  finder_.Find(group, request, hedged, limit_share_, now);
+  if (finder_.empty()) {
+    counters_.Add(finder_.refusal());
     return tl::make_unexpected(Reason::kNoUpstream);
   }
-  Entry* first = candidates[random_.Below(candidates.size())];
-  Entry* second = candidates[random_.Below(candidates.size())];
-  Entry* chosen = first->running <= second->running ? first : second;
-  ++chosen->running;
+  Entry* chosen = finder_.probe();
+  const bool probe = chosen != nullptr;
+  if (!probe) {
+    FindCandidates(request);
+    chosen = ChooseCandidate(group, request, now);
+  }
+  Start(*chosen, group, request, probe, now);
   return chosen->config.name;
 }
 
-void UpstreamTable::OnFirstToken(const UpstreamId& /*upstream*/, Duration /*latency*/,
-                                 TimePoint /*now*/) {}
+void UpstreamTable::Start(Entry& entry, Group& group, const RouteRequest& request, bool probe,
+                          TimePoint now) {
+  counters_.Add(RoutingCount::kSelected);
+  if (probe) {
+    counters_.Add(RoutingCount::kProbes);
+    if (entry.straggler.left()) {
+      entry.straggler.OnProbeStart();
+    } else {
+      entry.availability.OnProbeStart();
+    }
+  }
+  group.OnDispatch(request.predicted_cost);
+  if (request.hedge_of == 0) {
+    hedge_budget_.Earn(request.predicted_cost);
+  }
+  AttemptId id = request.attempt;
+  if (id == 0) {
+    id = next_unnumbered_++;
+    entry.unnumbered.push_back(id);
+  }
+  const PrefixMatch match = prefixes_.Match(request.prefix_hashes, entry.number);
+  RunningAttempt attempt;
+  attempt.upstream = entry.number;
+  attempt.cost = request.predicted_cost;
+  attempt.prompt_cost = UncachedPromptCost(match, request);
+  attempt.expected_first_token =
+      entry.load.pending_prompts() + attempt.prompt_cost + kFirstTokenFloor;
+  attempt.expected_total = ExpectedTotal(request.predicted_cost);
+  attempt.dispatched = now;
+  attempt.last_progress = now;
+  attempt.repeatable = request.repeatable;
+  attempt.probe = probe;
+  attempt.hashes = request.prefix_hashes;
+  attempt.expected_blocks = match.blocks;
+  if (request.hedge_of != 0) {
+    counters_.Add(RoutingCount::kHedges);
+    RunningAttempt& original = attempts_.at(request.hedge_of);
+    const double reserved = group.HedgeCost(original);
+    hedge_budget_.Reserve(reserved);
+    original.partner = request.attempt;
+    original.reserved = reserved;
+    attempt.partner = request.hedge_of;
+    attempt.reserved = reserved;
+  }
+  entry.load.Start(attempt.cost, attempt.prompt_cost, now);
+  entry.waiting.push_back({id, now, attempt.expected_first_token, attempt.expected_total});
+  // The blocks that match are confirmed when the attempt ends; here they would cost time.
+  prefixes_.Record(std::span(request.prefix_hashes).subspan(match.blocks), entry.number);
+  attempts_.insert_or_assign(id, std::move(attempt));
+}
+
+std::optional<TimePoint> UpstreamTable::HedgeTime(AttemptId id, TimePoint now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return std::nullopt;
+  }
+  const RunningAttempt& attempt = found->second;
+  Entry* entry = Find(attempt.upstream);
+  if (!attempt.repeatable || attempt.partner != 0 || attempt.first_token || entry == nullptr) {
+    return std::nullopt;
+  }
+  Group& group = GroupOf(*entry);
+  group.Refresh(now);
+  const std::optional<double> usual = group.UsualAnswer(attempt);
+  if (!usual) {
+    return now + kHedgeRecheck;
+  }
+  const bool left = group.CheckOverdue(*entry, now, counters_);
+  const TimePoint early = attempt.dispatched + FromSeconds(*usual * kHedgeRatioAtStraggler);
+  const TimePoint late = attempt.dispatched + FromSeconds(*usual * StragglerDetector::kLeaveRatio);
+  const TimePoint due = left ? early : late;
+  if (now >= due) {
+    if (hedge_budget_.Allows(group.HedgeCost(attempt))) {
+      return now;
+    }
+    return now + std::max<Duration>(kHedgeRecheck, FromSeconds(*usual));
+  }
+  // The upstream may turn out to be a straggler before the late instant.
+  return now < early ? early : std::min(due, now + FromSeconds(*usual * 0.25) + 1ms);
+}
+
+void UpstreamTable::StopWaiting(Entry& entry, AttemptId attempt) {
+  std::erase_if(entry.waiting,
+                [attempt](const Entry::Waiting& waiting) { return waiting.attempt == attempt; });
+}
+
+AttemptId UpstreamTable::Resolve(const UpstreamId& upstream, AttemptId attempt,
+                                 TimePoint dispatched) const {
+  if (attempt != 0) {
+    return attempt;
+  }
+  const Entry* entry = Find(upstream);
+  if (entry == nullptr) {
+    return 0;
+  }
+  AttemptId nearest = 0;
+  Duration smallest = Duration::max();
+  for (const AttemptId id : entry->unnumbered) {
+    const Duration difference = std::chrono::abs(attempts_.at(id).dispatched - dispatched);
+    if (difference < smallest) {
+      nearest = id;
+      smallest = difference;
+    }
+  }
+  return nearest;
+}
+
+void UpstreamTable::OnFirstToken(const UpstreamId& upstream, Duration latency, TimePoint now,
+                                 AttemptId attempt_id) {
+  const AttemptId id = Resolve(upstream, attempt_id, now - latency);
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end() || found->second.first_token) {
+    return;
+  }
+  RunningAttempt& attempt = found->second;
+  Entry* entry = Find(attempt.upstream);
+  if (entry == nullptr) {
+    return;
+  }
+  StopWaiting(*entry, id);
+  Group& group = GroupOf(*entry);
+  group.OnFirstToken();
+  entry->last_answer = now;
+  entry->limit.OnProgress();
+  attempt.first_token = true;
+  attempt.last_progress = now;
+  ++entry->streaming;
+  entry->last_token = now;
+  entry->load.FinishPrompt(attempt.prompt_cost);
+  if (group.Sample(*entry, LatencyKind::kFirstToken,
+                   ToSeconds(latency) / attempt.expected_first_token, attempt.probe, now,
+                   counters_)) {
+    attempt.probe = false;
+  }
+}
+
+void UpstreamTable::OnProgress(AttemptId id, int tokens, TimePoint now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end() || !found->second.first_token) {
+    return;
+  }
+  RunningAttempt& attempt = found->second;
+  Entry* entry = Find(attempt.upstream);
+  if (entry == nullptr || tokens <= attempt.tokens) {
+    return;
+  }
+  Group& group = GroupOf(*entry);
+  group.OnProgress();
+  entry->last_token = now;
+  if (tokens - attempt.tokens < Group::kTokensPerSample) {
+    return;
+  }
+  group.SampleStream(*entry, ToSeconds(now - attempt.last_progress) / (tokens - attempt.tokens),
+                     attempt.last_progress, now, counters_);
+  attempt.tokens = tokens;
+  attempt.last_progress = now;
+}
+
+void UpstreamTable::SettleHedge(const RunningAttempt& attempt, AttemptId id, AttemptResult result,
+                                TimePoint now) {
+  if (attempt.partner == 0 || attempt.settled) {
+    return;
+  }
+  const auto partner = attempts_.find(attempt.partner);
+  const bool partner_runs = partner != attempts_.end() && partner->second.partner == id;
+  if (result == AttemptResult::kCompleted && partner_runs) {
+    return;  // The waste is known when the other attempt ends.
+  }
+  double wasted = attempt.cost;
+  if (result != AttemptResult::kCompleted) {
+    // A straggler has done at most this part of the work, or it would not be one; and before the
+    // first token, no more than the prompt.
+    const Entry* entry = Find(attempt.upstream);
+    const double slowness =
+        entry != nullptr && entry->straggler.left() ? StragglerDetector::kLeaveRatio : 1;
+    wasted = std::min(attempt.first_token ? attempt.cost : attempt.reserved,
+                      ToSeconds(now - attempt.dispatched) / slowness);
+  }
+  hedge_budget_.Settle(attempt.reserved, wasted);
+  if (partner_runs) {
+    partner->second.settled = true;
+  }
+}
+
+void UpstreamTable::LearnFailure(Entry& entry, AttemptResult result, TimePoint now) {
+  entry.availability.OnFailure(now, random_);
+  // A process that takes no connections has died, and its cache with it.
+  if (result == AttemptResult::kConnectFailed) {
+    prefixes_.Clear(entry.number);
+  } else {
+    prefixes_.Distrust(entry.number);
+  }
+}
+
+void UpstreamTable::LearnCompletion(Entry& entry, Group& group, const AttemptOutcome& outcome,
+                                    RunningAttempt& attempt, TimePoint now) {
+  entry.last_answer = now;
+  if (entry.availability.OnSuccess(now)) {
+    entry.limit.Restart();
+  }
+  const double total = ToSeconds(outcome.total);
+  const double ratio = total / attempt.expected_total;
+  const int tokens = outcome.tokens - attempt.tokens;
+  if (attempt.first_token && tokens >= Group::kTokensPerSample) {
+    group.SampleStream(entry, ToSeconds(now - attempt.last_progress) / tokens,
+                       attempt.last_progress, now, counters_);
+  }
+  if (!group.streams() &&
+      group.Sample(entry, LatencyKind::kTotal, ratio, attempt.probe, now, counters_)) {
+    attempt.probe = false;
+  }
+  if (!attempt.hashes.empty()) {
+    if (outcome.cached_blocks >= 0 &&
+        outcome.cached_blocks < kDistrustBelow * static_cast<double>(attempt.expected_blocks)) {
+      prefixes_.Distrust(entry.number);
+    }
+    prefixes_.Record(attempt.hashes, entry.number);
+  }
+  if (!entry.straggler.left()) {
+    entry.load.OnLatency(ratio, now);
+    entry.limit.OnCompleted(ratio, entry.load.running());
+  }
+}
 
 void UpstreamTable::OnFinish(const UpstreamId& upstream, const AttemptOutcome& outcome,
                              TimePoint now) {
-  const auto found = entries_.find(upstream);
-  if (found == entries_.end()) {
-    return;
+  const AttemptId id = Resolve(upstream, outcome.attempt, now - outcome.total);
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return;  // Ended before, or never dispatched by this table.
+  }
+  SettleHedge(found->second, id, outcome.result, now);
+  RunningAttempt attempt = std::move(found->second);
+  attempts_.erase(found);
+  Entry* entry = Find(attempt.upstream);
+  if (entry == nullptr) {
+    return;  // The upstream was removed while the attempt ran.
+  }
+  StopWaiting(*entry, id);
+  std::erase(entry->unnumbered, id);
+  entry->load.Finish(attempt.cost, attempt.first_token ? 0 : attempt.prompt_cost, now);
+  entry->streaming -= attempt.first_token ? 1 : 0;
+  if (attempt.probe) {
+    entry->availability.OnProbeEnd();
   }
-  Entry& entry = found->second;
-  entry.running = std::max(0, entry.running - 1);
-  if (outcome.result == AttemptResult::kConnectFailed || outcome.result == AttemptResult::kLost) {
-    entry.unusable_until = now + kPauseAfterFailure;
+  Group& group = GroupOf(*entry);
+  switch (outcome.result) {
+    case AttemptResult::kCompleted:
+      LearnCompletion(*entry, group, outcome, attempt, now);
+      break;
+    case AttemptResult::kConnectFailed:
+    case AttemptResult::kLost:
+      LearnFailure(*entry, outcome.result, now);
+      break;
+    case AttemptResult::kTimedOut:
+      // An upstream that answered another attempt meanwhile is not silent.
+      if (entry->last_answer < attempt.dispatched) {
+        LearnFailure(*entry, outcome.result, now);
+      }
+      break;
+    case AttemptResult::kRefused:
+      entry->limit.OnRefused(entry->load.running());
+      break;
+    case AttemptResult::kCancelled:
+      break;
+  }
+  if (!attempt.first_token &&
+      (outcome.result == AttemptResult::kCancelled || outcome.result == AttemptResult::kTimedOut)) {
+    if (group.SampleUnanswered(*entry, attempt, now, counters_)) {
+      attempt.probe = false;
+    }
+  }
+  // A probe that ended without a latency says nothing good.
+  if (attempt.probe && entry->straggler.left()) {
+    entry->straggler.OnProbeEnd(StragglerDetector::kLeaveRatio, now);
   }
 }
 
 void UpstreamTable::OnLoadReport(const UpstreamId& upstream, const LoadReport& report,
+                                 TimePoint now) {
+  if (Entry* entry = Find(upstream)) {
+    entry->load.OnReport(report, now);
+  }
+}
+
+void UpstreamTable::OnCacheEvent(const UpstreamId& upstream, const CacheEvent& event,
                                  TimePoint /*now*/) {
-  const auto found = entries_.find(upstream);
-  if (found != entries_.end()) {
-    found->second.report = report;
+  if (const Entry* entry = Find(upstream)) {
+    counters_.Add(RoutingCount::kCacheEventsMissed, prefixes_.OnEvent(entry->number, event));
   }
 }
 
-void UpstreamTable::OnNotice(const UpstreamId& upstream, bool leaving, TimePoint /*now*/) {
-  const auto found = entries_.find(upstream);
-  if (found != entries_.end()) {
-    found->second.leaving = leaving;
+void UpstreamTable::OnNotice(const UpstreamId& upstream, const LeaveNotice& notice, TimePoint now) {
+  Entry* entry = Find(upstream);
+  if (entry == nullptr) {
+    counters_.Add(RoutingCount::kNoticesUnknownUpstream);
+    return;
   }
+  if (!entry->availability.OnNotice(notice, now)) {
+    counters_.Add(RoutingCount::kNoticesRepeated);
+  }
+}
+
+void UpstreamTable::OnNotice(const UpstreamId& upstream, bool leaving, TimePoint now) {
+  OnNotice(upstream, LeaveNotice{.leaving = leaving}, now);
+}
+
+bool UpstreamTable::IsStraggler(const UpstreamId& upstream) const {
+  const Entry* entry = Find(upstream);
+  return entry != nullptr && entry->straggler.left();
+}
+
+int UpstreamTable::LimitOf(const UpstreamId& upstream) const {
+  const Entry* entry = Find(upstream);
+  return entry == nullptr ? 0 : entry->SlotsFor(limit_share_);
+}
+
+UpstreamTable::Entry* UpstreamTable::Find(const UpstreamId& upstream) const {
+  const auto found = entries_.find(upstream);
+  return found == entries_.end() ? nullptr : found->second.get();
+}
+
+UpstreamTable::Entry* UpstreamTable::Find(UpstreamNumber number) const {
+  return number < by_number_.size() ? by_number_[number] : nullptr;
 }
 
 }  // namespace savoryglade
--- a/tests/emulator/engine_state_test.cc
+++ b/tests/emulator/engine_state_test.cc
@@ -92,7 +92,7 @@
   EXPECT_GT(events.size(), 300U);
   EXPECT_LT(events.size(), 500U);
   std::set<std::uint64_t> sequences;
-  for (const CacheEvent& event : events) {
+  for (const CacheChange& event : events) {
     sequences.insert(event.sequence);
   }
   EXPECT_EQ(sequences.size(), events.size());
