--- /dev/null
+++ b/bench/path/path_main.cc
@@ -0,0 +1,307 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+#include <cmath>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "bench/path/daemon_process.h"
+#include "emulator/engine.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/worker_pool.h"
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr int kEngines = 4;
+constexpr std::size_t kCallerThreads = 3;
+constexpr int kRatePerSecond = 1000;
+constexpr int kFirstByteRequests = 3000;
+constexpr int kOpenStreams = 500;
+constexpr int kIdleStreams = 1000;
+constexpr Duration kSettle = 1s;
+constexpr Duration kTokenTime = 4s;
+constexpr Duration kCallTimeout = 20s;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+// Emulated engines, each with a thread and a listener of its own.
+class Engines {
+ public:
+  explicit Engines(const EngineOptions& options) {
+    for (int i = 0; i < kEngines; ++i) {
+      engines_.push_back(std::make_unique<Engine>(options));
+      pools_.push_back(std::make_unique<WorkerPool>(1));
+      servers_.push_back(std::make_unique<HttpServer>(
+          *pools_.back(), HttpLimits{},
+          [engine = engines_.back().get()](HttpExchange& e) { return engine->Handle(e); }));
+      endpoints_.push_back(*servers_.back()->Listen({.address = "127.0.0.1"}));
+    }
+  }
+  ~Engines() {
+    for (const auto& pool : pools_) {
+      pool->Stop();
+    }
+  }
+  Engines(const Engines&) = delete;
+  Engines& operator=(const Engines&) = delete;
+
+  const std::vector<Endpoint>& endpoints() const { return endpoints_; }
+
+ private:
+  std::vector<std::unique_ptr<Engine>> engines_;
+  std::vector<std::unique_ptr<WorkerPool>> pools_;
+  std::vector<std::unique_ptr<HttpServer>> servers_;
+  std::vector<Endpoint> endpoints_;
+};
+
+// Where calls go: to a daemon, or to the engines directly.
+struct Target {
+  std::vector<Endpoint> endpoints;
+  bool direct = false;
+};
+
+HttpRequest MakeCall(const Target& target, const Endpoint& endpoint, int number, int tokens) {
+  HttpRequest request(http::verb::post, target.direct ? "/generate" : "/v1/chat/completions", 11);
+  request.set(http::field::host, ToString(endpoint));
+  request.set(http::field::authorization, "Bearer key");
+  request.body() =
+      target.direct
+          ? fmt::format(
+                R"({{"generation":"bench-{}","prompt":"Check the shutter","max_tokens":{}}})",
+                number, tokens)
+          : fmt::format(R"({{"model":"assistant","stream":true,"max_tokens":{},)"
+                        R"("messages":[{{"role":"user","content":"Check the shutter"}}]}})",
+                        tokens);
+  request.prepare_payload();
+  return request;
+}
+
+// Callers on several threads.
+class Callers {
+ public:
+  explicit Callers(Target target) : target_(std::move(target)), pool_(kCallerThreads) {
+    for (std::size_t i = 0; i < kCallerThreads; ++i) {
+      connections_.push_back(std::make_unique<ConnectionPool>());
+    }
+  }
+  ~Callers() { pool_.Stop(); }
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+
+  // Sends short calls at a fixed rate and returns the times to the first byte of their bodies, in
+  // milliseconds, sorted.
+  std::vector<double> MeasureFirstByte() {
+    const TimePoint start = Now() + 50ms;
+    for (int i = 0; i < kFirstByteRequests; ++i) {
+      asio::co_spawn(pool_.Next(), FirstByte(i, start + i * Duration(1s) / kRatePerSecond),
+                     asio::detached);
+    }
+    const TimePoint limit = start + kCallTimeout;
+    while (finished_.load() < kFirstByteRequests && Now() < limit) {
+      std::this_thread::sleep_for(10ms);
+    }
+    const std::lock_guard lock(mutex_);
+    std::sort(times_.begin(), times_.end());
+    return times_;
+  }
+
+  // Opens streams that stay open, and waits until each has got its first token.
+  void OpenStreams(int count) {
+    for (int i = 0; i < count; ++i) {
+      asio::co_spawn(pool_.Next(), ReadStream(i), asio::detached);
+    }
+    const TimePoint limit = Now() + kCallTimeout;
+    while (open_.load() < count && Now() < limit) {
+      std::this_thread::sleep_for(10ms);
+    }
+  }
+
+  int open() const { return open_.load(); }
+  std::uint64_t tokens() const { return tokens_.load(); }
+
+ private:
+  asio::awaitable<void> FirstByte(int number, TimePoint when) {
+    asio::steady_timer timer(co_await asio::this_coro::executor, when);
+    co_await timer.async_wait(asio::use_awaitable);
+    const Endpoint& endpoint =
+        target_.endpoints[static_cast<std::size_t>(number) % target_.endpoints.size()];
+    ConnectionPool& connections = *connections_[WorkerPool::CurrentIndex()];
+    auto connection = co_await connections.Acquire(endpoint, kCallTimeout);
+    if (connection) {
+      const TimePoint start = Now();
+      std::string text;
+      const auto sent =
+          co_await (*connection)->Send(MakeCall(target_, endpoint, number, 1), kCallTimeout);
+      if (sent) {
+        const auto status = co_await (*connection)->ReadHeader(kCallTimeout);
+        bool more = status && *status == 200;
+        bool first = true;
+        while (more) {
+          const auto part = co_await (*connection)->ReadSome(text, kCallTimeout);
+          if (first && !text.empty()) {
+            first = false;
+            const std::lock_guard lock(mutex_);
+            times_.push_back(ToSeconds(Now() - start) * 1e3);
+          }
+          more = part && *part;
+        }
+        connections.Release(std::move(*connection));
+      }
+    }
+    ++finished_;
+  }
+
+  asio::awaitable<void> ReadStream(int number) {
+    const Endpoint& endpoint =
+        target_.endpoints[static_cast<std::size_t>(number) % target_.endpoints.size()];
+    auto connection = co_await HttpConnection::Connect(endpoint, kCallTimeout);
+    if (!connection) {
+      co_return;
+    }
+    const auto sent =
+        co_await (*connection)->Send(MakeCall(target_, endpoint, number, 1'000'000), kCallTimeout);
+    if (!sent) {
+      co_return;
+    }
+    const auto status = co_await (*connection)->ReadHeader(kCallTimeout);
+    if (!status || *status != 200) {
+      co_return;
+    }
+    std::string text;
+    bool first = true;
+    while (true) {
+      text.clear();
+      const auto part = co_await (*connection)->ReadSome(text, kCallTimeout);
+      if (!part || !*part) {
+        co_return;
+      }
+      open_ += first ? 1 : 0;
+      first = false;
+      tokens_ += CountEvents(text);
+    }
+  }
+
+  static std::uint64_t CountEvents(const std::string& text) {
+    std::uint64_t count = 0;
+    for (std::size_t at = text.find("data: {"); at != std::string::npos;
+         at = text.find("data: {", at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+
+  Target target_;
+  std::mutex mutex_;
+  std::vector<double> times_;
+  std::atomic<int> finished_{0};
+  std::atomic<int> open_{0};
+  std::atomic<std::uint64_t> tokens_{0};
+  WorkerPool pool_;
+  std::vector<std::unique_ptr<ConnectionPool>> connections_;
+};
+
+double Quantile(const std::vector<double>& sorted, double probability) {
+  if (sorted.empty()) {
+    return NAN;
+  }
+  const auto rank = static_cast<std::size_t>(probability * static_cast<double>(sorted.size()));
+  return sorted[std::min(rank, sorted.size() - 1)];
+}
+
+void Print(std::string_view name, double baseline, double ours, std::string_view unit) {
+  fmt::print(
+      R"({{"measure":"path","case":"{}","baseline":{:.4g},"ours":{:.6g},"unit":"{}","seed":1}})"
+      "\n",
+      name, baseline, ours, unit);
+}
+
+void MeasureFirstByte() {
+  DaemonProcess daemon;
+  Engines engines({.first_token = Duration::zero(), .between_tokens = 5ms, .batch_limit = 4096});
+  const Endpoint endpoint = daemon.Start(engines.endpoints());
+  const auto direct =
+      Callers({.endpoints = engines.endpoints(), .direct = true}).MeasureFirstByte();
+  const auto ours = Callers({.endpoints = {endpoint}}).MeasureFirstByte();
+  for (const double probability : {0.5, 0.99}) {
+    const double base = Quantile(direct, probability);
+    Print(fmt::format("first byte p{:g}, added", probability * 100), base,
+          Quantile(ours, probability) - base, "ms");
+  }
+  Print("first byte, answered requests", static_cast<double>(direct.size()),
+        static_cast<double>(ours.size()), "requests");
+}
+
+void MeasureTokens() {
+  DaemonProcess daemon;
+  Engines engines({.first_token = Duration::zero(), .between_tokens = 1500us, .batch_limit = 4096});
+  const Endpoint endpoint = daemon.Start(engines.endpoints());
+  double direct_rate = 0;
+  {
+    Callers direct({.endpoints = engines.endpoints(), .direct = true});
+    direct.OpenStreams(kOpenStreams);
+    const std::uint64_t before = direct.tokens();
+    const TimePoint start = Now();
+    std::this_thread::sleep_for(kSettle);
+    direct_rate = static_cast<double>(direct.tokens() - before) / ToSeconds(Now() - start);
+  }
+  Callers callers({.endpoints = {endpoint}});
+  callers.OpenStreams(kOpenStreams);
+  std::this_thread::sleep_for(kSettle);
+  const DaemonUsage before = daemon.Usage();
+  const TimePoint start = Now();
+  std::this_thread::sleep_for(kTokenTime);
+  const DaemonUsage after = daemon.Usage();
+  const double wall = ToSeconds(Now() - start);
+  const auto tokens = static_cast<double>(after.tokens_relayed - before.tokens_relayed);
+  const double cpu = after.cpu_seconds - before.cpu_seconds;
+  Print("open streams", kOpenStreams, callers.open(), "streams");
+  Print("tokens relayed, one worker", direct_rate, tokens / wall, "tokens/s");
+  Print("tokens relayed for each CPU second", NAN, tokens / cpu, "tokens/s");
+  Print("CPU use of the worker", NAN, cpu / wall, "cores");
+}
+
+void MeasureMemory() {
+  DaemonProcess daemon;
+  Engines engines({.first_token = Duration::zero(), .between_tokens = 60s, .batch_limit = 4096});
+  const Endpoint endpoint = daemon.Start(engines.endpoints());
+  Callers callers({.endpoints = {endpoint}});
+  callers.OpenStreams(1);
+  const std::uint64_t before = daemon.Usage().resident_bytes;
+  callers.OpenStreams(kIdleStreams + 1);
+  const std::uint64_t after = daemon.Usage().resident_bytes;
+  Print("memory for each idle open stream", NAN,
+        static_cast<double>(after - before) / static_cast<double>(callers.open() - 1) / 1024, "KB");
+}
+
+int Run(int argc, char** argv) {
+  const std::string_view argument = argc > 1 ? argv[1] : "path";
+  if (argument == "--list") {
+    fmt::print("path\n");
+    return 0;
+  }
+  if (argument != "path") {
+    fmt::print(stderr, "unknown measure \"{}\", expected \"path\"\n", argument);
+    return 2;
+  }
+  MeasureFirstByte();
+  MeasureTokens();
+  MeasureMemory();
+  return 0;
+}
+
+}  // namespace
+}  // namespace savoryglade
+
+int main(int argc, char** argv) { return savoryglade::Run(argc, argv); }
--- a/packages/daemon/answer_writer.cc
+++ b/packages/daemon/answer_writer.cc
@@ -99,14 +99,15 @@
 }
 
 asio::awaitable<void> AnswerWriter::FinishWithResume() {
-  // The id is that of the last token, as Last-Event-ID must carry it.
   pending_ += "event: resume\n";
-  if (next_position_ > 0) {
-    pending_ += fmt::format("id: {}:{}\n", key_.value(), next_position_ - 1);
-  }
+  // The id is that of the last token, as Last-Event-ID must carry it.
+  const std::string id =
+      next_position_ > 0 ? fmt::format("id: {}:{}\n", key_.value(), next_position_ - 1) : "";
+  pending_ += id;
   pending_ +=
       fmt::format("data: {{\"request\":\"{}\",\"position\":{}}}\n\n", key_.value(), next_position_);
-  if (co_await Flush()) {
+  const bool written = co_await Flush();
+  if (written) {
     co_await exchange_.EndStream();
   }
 }
@@ -117,7 +118,8 @@
       "event: error\ndata: {{\"error\":{{\"reason\":\"{}\",\"verdict\":\"{}\",\"request\":\"{}\","
       "\"retry_after\":{}}}}}\n\n",
       ToString(verdict.reason), ToString(verdict.run_state), key_.value(), retry_after);
-  if (co_await Flush()) {
+  const bool written = co_await Flush();
+  if (written) {
     co_await exchange_.EndStream();
   }
 }
--- a/packages/daemon/model_handler.cc
+++ b/packages/daemon/model_handler.cc
@@ -104,6 +104,11 @@
       co_await Refuse(verdict);
       co_return true;
     }
+    if (abandoned_ && abandoned_->name == upstream->name) {
+      // The attempt takes up what the upstream still holds.
+      abandoned_.reset();
+    }
+    CancelAbandoned();
     services_.streams.Put({.key_digest = digests_.key,
                            .content_digest = digests_.content,
                            .upstream = upstream->name,
@@ -162,7 +167,7 @@
       co_return false;
     }
     if (verdict.run_state == RunState::kMayHaveRun) {
-      CancelGeneration(services_, upstream, digests_.generation, executor);
+      abandoned_ = upstream;
     }
     if (verdict.reason == Reason::kDeadlineExceeded) {
       co_await Refuse(verdict);
@@ -213,8 +218,19 @@
     co_await writer_.FinishWithResume();
   }
 
+  // Cancels the generation of a failed attempt. This waits until the upstream of the next attempt
+  // is known, because at the same upstream it would cancel that attempt as well.
+  void CancelAbandoned() {
+    if (abandoned_) {
+      CancelGeneration(services_, *abandoned_, digests_.generation,
+                       exchange_.stream().get_executor());
+      abandoned_.reset();
+    }
+  }
+
   // Answers a request that gets no whole answer.
   asio::awaitable<void> Refuse(const Verdict& verdict) {
+    CancelAbandoned();
     if (writer_.started()) {
       services_.metrics
           .GetCounter("savoryglade_streams_ended_early_total",
@@ -236,6 +252,8 @@
   AnswerWriter writer_;
   std::shared_ptr<Interrupt> interrupt_;
   std::vector<UpstreamId> tried_;
+  // Upstream that may still generate for an attempt that failed.
+  std::optional<UpstreamConfig> abandoned_;
   int attempts_ = 0;
   // The least that can be promised after all attempts so far.
   RunState state_ = RunState::kNotRun;
--- a/packages/emulator/engine.cc
+++ b/packages/emulator/engine.cc
@@ -130,12 +130,16 @@
   pending_fault_ = EngineFault::kNone;
   fault_ = fault;
   if (fault == EngineFault::kCrash) {
-    ++epoch_;
     state_.Reset();
   }
   if (fault == EngineFault::kSilentConnections) {
     silent_connections_ = latest_connection_;
   }
+  for (const auto& known : std::exchange(still_, {})) {
+    if (const auto reader = known.lock()) {
+      reader->Wake();
+    }
+  }
 }
 
 bool Engine::IsStill(const HttpExchange& exchange) const {
@@ -155,9 +159,7 @@
     co_await TakeFault(exchange);
   } else if (crashed) {
     exchange.Abort();
-  } else if (still) {
-    co_await StayStill(exchange);
-  } else {
+  } else if (!still || co_await StayStill(exchange)) {
     co_await Route(exchange);
   }
 }
@@ -189,13 +191,28 @@
   co_await RespondWithText(exchange, health ? 200 : 404, health ? "ok\n" : "no such resource\n");
 }
 
-// Keeps a connection open without an answer until its peer closes it or the server stops.
-asio::awaitable<void> Engine::StayStill(HttpExchange& exchange) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, TimePoint::max());
+// Keeps a connection silent until its fault ends. Returns false if the engine crashed or the peer
+// closed the connection instead.
+asio::awaitable<bool> Engine::StayStill(HttpExchange& exchange) {
+  const auto reader = std::make_shared<Reader>(co_await asio::this_coro::executor);
   PeerWatch watch(exchange.stream());
-  watch.OnGone([&timer] { timer.cancel(); });
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  watch.OnGone([&reader] { reader->timer.cancel(); });
+  while (!watch.gone()) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (fault_ == EngineFault::kCrash) {
+        break;
+      }
+      if (!IsStill(exchange)) {
+        co_return true;
+      }
+      still_.push_back(reader);
+    }
+    reader->timer.expires_at(TimePoint::max());
+    co_await reader->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
   exchange.Abort();
+  co_return false;
 }
 
 asio::awaitable<void> Engine::TakeFault(HttpExchange& exchange) {
@@ -351,8 +368,8 @@
       break;
     }
     if (batch.still) {
-      co_await StayStill(exchange);
-      break;
+      open = co_await StayStill(exchange);
+      continue;
     }
     if (!batch.text.empty()) {
       position = batch.position;
@@ -371,7 +388,9 @@
         const std::lock_guard lock(mutex_);
         still = IsStill(exchange);
       }
-      open = still || co_await exchange.WriteChunk(": keep-alive\n\n");
+      if (!still) {
+        open = co_await exchange.WriteChunk(": keep-alive\n\n");
+      }
     }
   }
   const std::lock_guard lock(mutex_);
--- a/packages/emulator/engine.h
+++ b/packages/emulator/engine.h
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/time.h"
 #include "emulator/engine_state.h"
@@ -72,7 +73,7 @@
                                       std::shared_ptr<Generation> generation,
                                       std::int64_t position);
   boost::asio::awaitable<void> StepLoop();
-  boost::asio::awaitable<void> StayStill(HttpExchange& exchange);
+  boost::asio::awaitable<bool> StayStill(HttpExchange& exchange);
   boost::asio::awaitable<void> EnsureStepLoop();
 
   Batch TakeBatch(HttpExchange& exchange, Generation& generation, std::int64_t first,
@@ -85,13 +86,13 @@
   mutable std::mutex mutex_;
   EngineState state_;
   bool stepping_ = false;
+  // Handlers that a fault keeps silent.
+  std::vector<std::weak_ptr<GenerationReader>> still_;
   EngineFault fault_ = EngineFault::kNone;
   EngineFault pending_fault_ = EngineFault::kNone;
   std::int64_t pending_position_ = -1;
   std::uint64_t latest_connection_ = 0;
   std::uint64_t silent_connections_ = 0;
-  // Changes with each crash; a handler of an earlier epoch ends its connection.
-  std::uint64_t epoch_ = 0;
   std::string load_report_;
   TimePoint load_report_time_;
 };
--- a/tests/daemon/stream_test.cc
+++ b/tests/daemon/stream_test.cc
@@ -120,6 +120,21 @@
   }
 }
 
+// Guards against a cancellation of the failed attempt that hits the next one at the same engine.
+TEST(StreamTest, StreamIsTakenUpAtTheSameEngineAfterASilentConnection) {
+  const std::string expected = UndisturbedStream(kTokens, kKey);
+  EngineHost engine;
+  const auto daemon =
+      StartDaemon({.engines = {engine.endpoint}, .parts = {.path = ShortSilence()}});
+  engine.engine.SetFault(EngineFault::kSilentConnections, kHalf);
+  CallerConnection caller(daemon->callers_endpoint());
+  caller.Send(ChatCall(kTokens, kKey));
+  EXPECT_TRUE(caller.ReadAll());
+  EXPECT_EQ(caller.body(), expected);
+  EXPECT_EQ(engine.engine.counts().generated_tokens, static_cast<std::uint64_t>(kTokens));
+  EXPECT_EQ(engine.engine.counts().cancelled, 0U);
+}
+
 // Guards against events of other requests, or events sent again, that reach the caller.
 TEST(StreamTest, ForeignAndRepeatedEventsAreDroppedAndCountedApart) {
   const std::string expected = UndisturbedStream(kTokens, kKey);
