--- a/packages/daemon/chat_request.cc
+++ b/packages/daemon/chat_request.cc
@@ -49,4 +49,12 @@
   return request;
 }
 
+std::string FindModelName(const std::string& body) {
+  json::error_code error;
+  const json::value document = json::parse(body, error);
+  const json::object* object = error ? nullptr : document.if_object();
+  const json::value* model = object == nullptr ? nullptr : object->if_contains("model");
+  return model != nullptr && model->is_string() ? std::string(model->get_string()) : "";
+}
+
 }  // namespace savoryglade
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -60,6 +60,9 @@
   // Stops listening and the workers.
   void Stop();
 
+  // Begins to drain, waits until no request is in flight, then stops.
+  void Drain();
+
   // Counters of this daemon.
   MetricRegistry& metrics() { return metrics_; }
 
--- a/packages/daemon/stream_directory.h
+++ b/packages/daemon/stream_directory.h
@@ -16,10 +16,10 @@
 namespace savoryglade {
 
 // Where the stream of a request runs. The key digest covers client account, service and request
-// key; the body digest tells a resent request from another one under the same key.
+// key; the content digest tells a resent request from another one under the same key.
 struct StreamRecord {
   std::string key_digest;
-  std::string body_digest;
+  std::string content_digest;
   UpstreamId upstream;
   std::string generation;
   bool ended = false;
--- a/packages/emulator/engine_state.cc
+++ b/packages/emulator/engine_state.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/prefix_hash.h"
+#include "core/random.h"
 
 namespace savoryglade {
 namespace {
@@ -16,13 +17,6 @@
     "check ",   "the ",     "shutter ", "blades ", "for ", "oil ",  "then ", "set ",
     "curtain ", "tension ", "to ",      "spec ",   "and ", "test ", "each ", "speed "};
 
-// Finaliser of SplitMix64; neighbouring positions give unrelated words.
-std::uint64_t Mix(std::uint64_t value) {
-  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
-  return value ^ (value >> 31);
-}
-
 std::string Text(const json::object& object, std::string_view name) {
   const json::value* value = object.if_contains(json::string_view(name.data(), name.size()));
   return value != nullptr && value->is_string() ? std::string(value->get_string()) : "";
@@ -36,11 +30,11 @@
 }  // namespace
 
 std::string_view EngineState::TokenAt(std::uint64_t token_seed, std::int64_t position) {
-  return kWords[Mix(token_seed + static_cast<std::uint64_t>(position)) % kWords.size()];
+  return kWords[Random(token_seed + static_cast<std::uint64_t>(position)).Below(kWords.size())];
 }
 
 std::uint64_t EngineState::TokenSeed(std::string_view prompt, std::string_view seed) {
-  return Mix(StableHash(seed, StableHash(prompt)));
+  return StableHash(seed, StableHash(prompt));
 }
 
 std::shared_ptr<Generation> EngineState::Submit(GenerationRequest request, TimePoint now) {
--- a/packages/emulator/plain_service.cc
+++ b/packages/emulator/plain_service.cc
@@ -126,7 +126,7 @@
     answer["runs"] = ++runs_;
     const std::string key(exchange.Header("Idempotency-Key"));
     if (!key.empty()) {
-      answer["runs_of_key"] = ++runs_of_key_[key];
+      ++runs_of_key_[key];
     }
   }
   if (fault == PlainFault::kCloseAfter) {
