Charge an upstream for the blocks that a prompt would evict

Cause: a trace of the tight cache showed four of twenty engines with up to twice the conversations of others. They were the first to hold a shared prefix, evicted conversations before they came back, and the router could not see it.

Change: PrefixMap learns from eviction events how long an engine keeps a block after its last use. The score adds ten times the uncached prompt work, falling with that time.

--- a/packages/routing/prefix_map.cc
+++ b/packages/routing/prefix_map.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace savoryglade {
@@ -20,6 +21,7 @@
 constexpr Duration kOvertakenFor = 3s;
 constexpr std::size_t kMostMissing = 256;
 constexpr std::size_t kRememberedEvictions = 512;
+constexpr double kEvictionWeight = 0.02;
 // Of longer prompts, blocks before the last so many are looked up at intervals, to bound the time.
 constexpr std::size_t kLookedAtSingly = 64;
 
@@ -65,9 +67,10 @@
   return gaps == 0 ? 1.0 : std::max(kLowestTrust, std::pow(kTrustAfterGap, gaps));
 }
 
-void PrefixMap::Record(std::span<const std::uint64_t> hashes, UpstreamNumber upstream) {
-  const Source source = SourceOf(upstream);
-  const Holder record{upstream, source.epoch, source.sequence};
+void PrefixMap::Record(std::span<const std::uint64_t> hashes, UpstreamNumber upstream,
+                       TimePoint now) {
+  const Source& source = SourceOf(upstream);
+  const Holder record{upstream, source.epoch, source.sequence, now};
   for (const std::uint64_t hash : hashes) {
     Block& block = Touch(hash);
     const auto end = block.holders.begin() + block.count;
@@ -86,7 +89,8 @@
   }
 }
 
-void PrefixMap::Evict(std::uint64_t hash, UpstreamNumber upstream, std::uint64_t sequence) {
+void PrefixMap::Evict(std::uint64_t hash, UpstreamNumber upstream, std::uint64_t sequence,
+                      TimePoint now) {
   auto found = young_.find(hash);
   Blocks& blocks = found != young_.end() ? young_ : old_;
   if (found == young_.end()) {
@@ -98,6 +102,9 @@
   Block& block = found->second;
   for (std::uint8_t i = 0; i < block.count; ++i) {
     if (block.holders[i].upstream == upstream && block.holders[i].sequence < sequence) {
+      const double age = ToSeconds(now - block.holders[i].recorded);
+      double& mean = SourceOf(upstream).eviction_age;
+      mean = mean <= 0 ? age : mean + kEvictionWeight * (age - mean);
       block.holders[i] = block.holders[--block.count];
       block.next = 0;
       break;
@@ -108,6 +115,11 @@
   }
 }
 
+double PrefixMap::KeptFor(UpstreamNumber upstream) const {
+  const double age = upstream < sources_.size() ? sources_[upstream].eviction_age : 0;
+  return age > 0 ? age : std::numeric_limits<double>::infinity();
+}
+
 bool PrefixMap::TakeMissing(Source& source, std::uint64_t sequence) {
   return std::erase_if(source.missing, [sequence](const Missing& missing) {
            return missing.sequence == sequence;
@@ -140,7 +152,7 @@
   return lost;
 }
 
-void PrefixMap::RecordLate(UpstreamNumber upstream, const CacheEvent& event) {
+void PrefixMap::RecordLate(UpstreamNumber upstream, const CacheEvent& event, TimePoint now) {
   const std::deque<Eviction>& evictions = SourceOf(upstream).evictions;
   std::vector<std::uint64_t> hashes = event.hashes;
   std::erase_if(hashes, [&](std::uint64_t hash) {
@@ -148,7 +160,7 @@
       return eviction.hash == hash && eviction.sequence > event.sequence;
     });
   });
-  Record(hashes, upstream);
+  Record(hashes, upstream, now);
 }
 
 std::uint64_t PrefixMap::OnEvent(UpstreamNumber upstream, const CacheEvent& event, TimePoint now) {
@@ -173,14 +185,14 @@
   }
   if (event.kind == CacheEvent::Kind::kStored) {
     if (late) {
-      RecordLate(upstream, event);
+      RecordLate(upstream, event, now);
     } else {
-      Record(event.hashes, upstream);
+      Record(event.hashes, upstream, now);
     }
     return lost;
   }
   for (const std::uint64_t hash : event.hashes) {
-    Evict(hash, upstream, event.sequence);
+    Evict(hash, upstream, event.sequence, now);
     source.evictions.push_back({event.sequence, hash});
   }
   while (source.evictions.size() > kRememberedEvictions) {
--- a/packages/routing/prefix_map.h
+++ b/packages/routing/prefix_map.h
@@ -32,7 +32,7 @@
   explicit PrefixMap(std::size_t max_entries) : generation_size_(max_entries / 2 + 1) {}
 
   // Records that the upstream holds these blocks.
-  void Record(std::span<const std::uint64_t> hashes, UpstreamNumber upstream);
+  void Record(std::span<const std::uint64_t> hashes, UpstreamNumber upstream, TimePoint now);
 
   // Takes an event. Events may overtake each other; one that is missing for some seconds after a
   // later one is lost. Returns the number of events that were found lost by this call.
@@ -54,6 +54,10 @@
   PrefixMatch Match(const View& view, UpstreamNumber upstream) const;
   PrefixMatch Match(std::span<const std::uint64_t> hashes, UpstreamNumber upstream) const;
 
+  // Returns how long in seconds the upstream has lately kept a block after its last use; infinity
+  // if it evicts nothing.
+  double KeptFor(UpstreamNumber upstream) const;
+
   // Returns the number of blocks that are recorded.
   std::size_t size() const { return young_.size() + old_.size(); }
 
@@ -65,6 +69,7 @@
     UpstreamNumber upstream = 0;
     std::uint32_t epoch = 0;
     std::uint64_t sequence = 0;
+    TimePoint recorded;
   };
 
   struct Block {
@@ -93,18 +98,21 @@
     // bring back.
     std::vector<Missing> missing;
     std::deque<Eviction> evictions;
+    // Recent mean of the time in seconds from the last record of a block to its eviction; zero
+    // without evictions.
+    double eviction_age = 0;
   };
 
   using Blocks = std::unordered_map<std::uint64_t, Block>;
 
   const Block* Find(std::uint64_t hash) const;
   Block& Touch(std::uint64_t hash);
-  void Evict(std::uint64_t hash, UpstreamNumber upstream, std::uint64_t sequence);
+  void Evict(std::uint64_t hash, UpstreamNumber upstream, std::uint64_t sequence, TimePoint now);
   bool IsValid(const Holder& holder) const;
   static bool TakeMissing(Source& source, std::uint64_t sequence);
   std::uint64_t NoteSkipped(UpstreamNumber upstream, std::uint64_t sequence, TimePoint now);
   std::uint64_t FindLost(UpstreamNumber upstream, TimePoint now);
-  void RecordLate(UpstreamNumber upstream, const CacheEvent& event);
+  void RecordLate(UpstreamNumber upstream, const CacheEvent& event, TimePoint now);
   Source& SourceOf(UpstreamNumber upstream);
   double TrustOf(const Holder& holder) const;
 
--- a/packages/routing/upstream_table.cc
+++ b/packages/routing/upstream_table.cc
@@ -21,6 +21,11 @@
 constexpr double kHedgeRatioAtStraggler = 1.5;
 // A prefix that so many upstreams hold is a system prompt rather than one conversation.
 constexpr std::size_t kSharedHolders = 3;
+// Weight of evicted prompt work, and the time in seconds within which a conversation usually comes
+// back. Without them the engines that first held a shared prefix got more conversations than others
+// and evicted them; weights of 3 and 30 and times of 15 and 40 recomputed more.
+constexpr double kEvictionWeight = 10;
+constexpr double kReuseSeconds = 20;
 // Part of the unknown blocks that the home of a prompt is assumed to hold: enough to outweigh small
 // differences in load, not enough to outweigh a record.
 constexpr double kHomeConfidence = 0.5;
@@ -182,7 +187,12 @@
   const double wait =
       entry.load.PredictedWait(UncachedPromptCost(match, request), entry.limit.slots(), now);
   const double rest = std::max(0.0, request.predicted_cost - PromptCost(request));
-  return (wait + rest) * entry.load.PaceAt(now) + 2 * entry.distance +
+  // What is computed here evicts as much, which will be missed if it was used lately.
+  const double evicted = request.prefix_hashes.empty()
+                             ? 0
+                             : UncachedPromptCost(match, request) * kEvictionWeight *
+                                   std::exp(-prefixes_.KeptFor(entry.number) / kReuseSeconds);
+  return (wait + evicted + rest) * entry.load.PaceAt(now) + 2 * entry.distance +
          entry.price_per_cost * request.predicted_cost;
 }
 
@@ -299,7 +309,7 @@
   entry.load.Start(attempt.cost, attempt.prompt_cost, now);
   entry.waiting.push_back({id, now, attempt.expected_first_token, attempt.expected_total});
   // The blocks that match are confirmed when the attempt ends; here they would cost time.
-  prefixes_.Record(std::span(request.prefix_hashes).subspan(match.blocks), entry.number);
+  prefixes_.Record(std::span(request.prefix_hashes).subspan(match.blocks), entry.number, now);
   attempts_.insert_or_assign(id, std::move(attempt));
 }
 
@@ -466,7 +476,7 @@
         outcome.cached_blocks < kDistrustBelow * static_cast<double>(attempt.expected_blocks)) {
       prefixes_.Distrust(entry.number);
     }
-    prefixes_.Record(attempt.hashes, entry.number);
+    prefixes_.Record(attempt.hashes, entry.number, now);
   }
   if (!entry.straggler.left()) {
     entry.limit.OnCompleted(group.Slowness(attempt, total, outcome.tokens), entry.load.running());
--- a/tests/routing/prefix_map_test.cc
+++ b/tests/routing/prefix_map_test.cc
@@ -1,5 +1,6 @@
 #include "routing/prefix_map.h"
 
+#include <cmath>
 #include <cstdint>
 #include <vector>
 
@@ -27,7 +28,7 @@
   const auto prompt = Prompt(100, 37);
   for (std::size_t held = 0; held <= prompt.size(); ++held) {
     const auto upstream = static_cast<UpstreamNumber>(held);
-    map.Record(std::span(prompt).first(held), upstream);
+    map.Record(std::span(prompt).first(held), upstream, kNow);
     EXPECT_EQ(map.Match(prompt, upstream).blocks, held);
   }
 }
@@ -54,7 +55,7 @@
   EXPECT_LT(map.Match(prompt, 1).trust, 1);
   EXPECT_DOUBLE_EQ(map.Match(other, 1).trust, 1);
   EXPECT_DOUBLE_EQ(map.Match(prompt, 2).trust, 1);
-  map.Record(prompt, 1);
+  map.Record(prompt, 1, kNow);
   EXPECT_DOUBLE_EQ(map.Match(prompt, 1).trust, 1);
 }
 
@@ -114,8 +115,8 @@
   PrefixMap map(1000);
   const auto hot = Prompt(1, 20);
   for (std::uint64_t i = 1; i <= 1000; ++i) {
-    map.Record(Prompt(i * 1000, 20), 1);
-    map.Record(hot, 2);
+    map.Record(Prompt(i * 1000, 20), 1, kNow);
+    map.Record(hot, 2, kNow);
     EXPECT_LE(map.size(), 1002U);
   }
   EXPECT_EQ(map.Match(hot, 2).blocks, 20U);
@@ -126,8 +127,8 @@
 TEST(PrefixMapTest, HoldersOfAClearedUpstreamAreNotFound) {
   PrefixMap map(1000);
   const auto prompt = Prompt(1, 10);
-  map.Record(prompt, 1);
-  map.Record(std::span(prompt).first(4), 2);
+  map.Record(prompt, 1, kNow);
+  map.Record(std::span(prompt).first(4), 2, kNow);
   map.Clear(1);
   PrefixMap::View view;
   map.Look(prompt, view);
@@ -153,10 +154,22 @@
 TEST(PrefixMapTest, LongPromptsMatchToWithinAnInterval) {
   PrefixMap map(10000);
   const auto prompt = Prompt(1, 2000);
-  map.Record(std::span(prompt).first(1000), 1);
+  map.Record(std::span(prompt).first(1000), 1, kNow);
   EXPECT_GE(map.Match(prompt, 1).blocks, 960U);
   EXPECT_LE(map.Match(prompt, 1).blocks, 1000U);
 }
 
+// Guards against conversations that go on being sent to an engine which evicts them before they
+// come back.
+TEST(PrefixMapTest, EvictionsShowHowLongAnEngineKeepsABlock) {
+  PrefixMap map(1000);
+  const auto prompt = Prompt(1, 10);
+  EXPECT_TRUE(std::isinf(map.KeptFor(1)));
+  map.OnEvent(1, {.sequence = 1, .kind = Kind::kStored, .hashes = prompt}, kNow);
+  map.OnEvent(1, {.sequence = 2, .kind = Kind::kEvicted, .hashes = prompt}, kNow + 5s);
+  EXPECT_DOUBLE_EQ(map.KeptFor(1), 5);
+  EXPECT_TRUE(std::isinf(map.KeptFor(2)));
+}
+
 }  // namespace
 }  // namespace savoryglade
