--- /dev/null
+++ b/packages/daemon/claim_gate.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "core/strong_id.h"
+#include "core/time.h"
+#include "core/verdict.h"
+#include "recovery/claim_types.h"
+
+namespace savoryglade {
+
+// Identity of a may-not-repeat request.
+struct ClaimIdentity {
+  AccountId account;
+  ServiceId service;
+  std::string key;
+
+  friend auto operator<=>(const ClaimIdentity&, const ClaimIdentity&) = default;
+};
+
+// One sending of a may-not-repeat request.
+struct ClaimSending {
+  ClaimIdentity identity;
+  // SHA-256 of the body, so that a key that is used for another request is noticed.
+  BodyDigest body{};
+  // The caller does not know the outcome of an earlier sending with this key.
+  bool resend = false;
+};
+
+// Response of a request that ran, kept for those who send it again.
+struct StoredResponse {
+  unsigned status = 0;
+  std::string content_type;
+  std::string body;
+
+  friend auto operator<=>(const StoredResponse&, const StoredResponse&) = default;
+};
+
+// Answer to a claim.
+struct ClaimAnswer {
+  enum class Kind { kGranted, kRefused, kDone };
+
+  Kind kind = Kind::kRefused;
+  ClaimTicket token = 0;
+  // Set if refused.
+  Verdict verdict;
+  // Set if done.
+  StoredResponse response;
+};
+
+// Decides whether a may-not-repeat request may be dispatched. Safe to use from all workers.
+class ClaimGate {
+ public:
+  virtual ~ClaimGate() = default;
+
+  // Claims a request before its dispatch.
+  virtual boost::asio::awaitable<ClaimAnswer> Claim(ClaimSending sending, TimePoint now) = 0;
+
+  // Returns true if the request may still be dispatched, and notes that it is. To be called
+  // directly before the first byte is handed to the socket; after false, the claim is void and the
+  // request must never be dispatched.
+  virtual bool BeginDispatch(ClaimTicket token, TimePoint now) = 0;
+
+  // Gives up a claim whose request did not run, either because it was not dispatched or because the
+  // upstream has said so.
+  virtual void Release(ClaimTicket token) = 0;
+
+  // Keeps the response of a request that ran.
+  virtual void Complete(ClaimTicket token, StoredResponse response) = 0;
+
+  // Notes that the outcome of a dispatched request is unknown and will stay so.
+  virtual void Abandon(ClaimTicket token) = 0;
+};
+
+// Claims inside one daemon, lost when it stops.
+class MemoryClaimGate : public ClaimGate {
+ public:
+  boost::asio::awaitable<ClaimAnswer> Claim(ClaimSending sending, TimePoint now) override;
+  bool BeginDispatch(ClaimTicket token, TimePoint now) override;
+  void Release(ClaimTicket token) override;
+  void Complete(ClaimTicket token, StoredResponse response) override;
+  void Abandon(ClaimTicket token) override;
+
+ private:
+  struct Entry {
+    ClaimTicket token = 0;
+    TimePoint dispatch_deadline;
+    BodyDigest body{};
+    bool done = false;
+    StoredResponse response;
+  };
+
+  std::mutex mutex_;
+  ClaimTicket next_token_ = 1;
+  std::map<ClaimIdentity, Entry> entries_;
+  // Claims that are neither done nor abandoned.
+  std::map<ClaimTicket, ClaimIdentity> open_;
+};
+
+}  // namespace savoryglade
