Free the slot of an attempt that ends without its number

The table looked for it only among attempts without numbers, so each model request kept its slot for good.

Change: an end or first token without a number is matched by its time of dispatch against all running attempts of the upstream, those without a number first.

Figures: test AttemptEndedWithoutItsNumberFreesItsSlot: 100 requests in a row on two upstreams with one slot each succeed.

Conclusion: no slot is leaked.

--- a/packages/routing/upstream_entry.h
+++ b/packages/routing/upstream_entry.h
@@ -50,8 +50,8 @@
   // Attempts between first and last token, and when a token of any of them last arrived.
   int streaming = 0;
   TimePoint last_token{};
-  // Attempts that the caller gave no number.
-  std::vector<AttemptId> unnumbered;
+  // All running attempts, with and without a number of the caller.
+  std::vector<AttemptId> running;
 };
 
 }  // namespace savoryglade
--- a/packages/routing/upstream_table.cc
+++ b/packages/routing/upstream_table.cc
@@ -278,10 +278,10 @@
     hedge_budget_.Earn(request.predicted_cost);
   }
   AttemptId id = request.attempt;
-  if (id == 0) {
+  if (id == 0 || attempts_.contains(id)) {
     id = next_unnumbered_++;
-    entry.unnumbered.push_back(id);
   }
+  entry.running.push_back(id);
   const PrefixMatch match = prefixes_.Match(view_, entry.number);
   RunningAttempt attempt;
   attempt.upstream = entry.number;
@@ -357,13 +357,18 @@
   if (entry == nullptr) {
     return 0;
   }
+  // A caller that gave a number and does not name it again must not leak the slot; such attempts
+  // are taken only if there is none without a number.
   AttemptId nearest = 0;
   Duration smallest = Duration::max();
-  for (const AttemptId id : entry->unnumbered) {
+  bool nearest_is_numbered = true;
+  for (const AttemptId id : entry->running) {
+    const bool numbered = id < kFirstUnnumbered;
     const Duration difference = std::chrono::abs(attempts_.at(id).dispatched - dispatched);
-    if (difference < smallest) {
+    if (numbered == nearest_is_numbered ? difference < smallest : !numbered) {
       nearest = id;
       smallest = difference;
+      nearest_is_numbered = numbered;
     }
   }
   return nearest;
@@ -498,7 +503,7 @@
     return;  // The upstream was removed while the attempt ran.
   }
   StopWaiting(*entry, id);
-  std::erase(entry->unnumbered, id);
+  std::erase(entry->running, id);
   entry->load.Finish(attempt.cost, attempt.first_token ? 0 : attempt.prompt_cost, now);
   entry->streaming -= attempt.first_token ? 1 : 0;
   if (attempt.probe) {
--- a/packages/routing/upstream_table.h
+++ b/packages/routing/upstream_table.h
@@ -113,7 +113,8 @@
   std::map<ServiceId, Group> groups_;
   AttemptBook attempts_;
   // Numbers for attempts that the caller gave none; callers' numbers stay below.
-  AttemptId next_unnumbered_ = AttemptId{1} << 63;
+  static constexpr AttemptId kFirstUnnumbered = AttemptId{1} << 63;
+  AttemptId next_unnumbered_ = kFirstUnnumbered;
   PrefixMap prefixes_;
   HedgeBudget hedge_budget_;
   RoutingCounters counters_;
--- a/tests/routing/upstream_table_test.cc
+++ b/tests/routing/upstream_table_test.cc
@@ -189,6 +189,37 @@
   EXPECT_FALSE(table.HasCapacity(kService, driver.now));
 }
 
+// Guards against a slot that is never freed because the caller numbers an attempt and ends it
+// without the number, as the daemon's model handler did.
+TEST(UpstreamTableTest, AttemptEndedWithoutItsNumberFreesItsSlot) {
+  UpstreamTable table(1);
+  table.Configure(TwoUpstreams(), kStart);
+  TimePoint now = kStart;
+  for (AttemptId attempt = 1; attempt <= 100; ++attempt) {
+    const auto chosen = table.Select({.service = kService, .attempt = attempt}, now);
+    ASSERT_TRUE(chosen) << "attempt " << attempt;
+    table.OnFirstToken(*chosen, 10ms, now + 10ms);
+    now += 20ms;
+    table.OnFinish(*chosen, {.first_token = 10ms, .total = 20ms, .tokens = 5}, now);
+  }
+}
+
+// Guards against an end without a number that frees the slot of a numbered attempt although one
+// without a number runs.
+TEST(UpstreamTableTest, EndWithoutANumberPrefersAttemptsWithoutOne) {
+  UpstreamTable table(1);
+  Configuration configuration = MakeGroup(1);
+  configuration.upstreams[0].concurrency = 2;
+  table.Configure(configuration, kStart);
+  const UpstreamId upstream("u0");
+  ASSERT_TRUE(table.Select({.service = kService, .attempt = 7}, kStart));
+  ASSERT_TRUE(table.Select({.service = kService}, kStart + 1ms));
+  table.OnFinish(upstream, {.total = 100ms}, kStart + 100ms);
+  table.OnFinish(upstream, {.total = 100ms, .attempt = 7}, kStart + 100ms);
+  ASSERT_TRUE(table.Select({.service = kService}, kStart + 200ms));
+  EXPECT_TRUE(table.HasCapacity(kService, kStart + 200ms));
+}
+
 // Guards against a slot that is never freed because the caller gives attempts no numbers.
 TEST(UpstreamTableTest, AttemptsWithoutNumbersFreeTheirSlots) {
   UpstreamTable table(1);
