--- a/packages/routing/upstream_table.cc
+++ b/packages/routing/upstream_table.cc
@@ -21,6 +21,11 @@
 constexpr double kHedgeRatioAtStraggler = 1.5;
 // A prefix that so many upstreams hold is a system prompt rather than one conversation.
 constexpr std::size_t kSharedHolders = 3;
+// Weight of evicted prompt work, and the time in seconds within which a conversation usually comes
+// back. Without them the engines that first held a shared prefix got more conversations than others
+// and evicted them; weights of 3 and 30 and times of 15 and 40 recomputed more.
+constexpr double kEvictionWeight = 10;
+constexpr double kReuseSeconds = 20;
 // Part of the unknown blocks that the home of a prompt is assumed to hold: enough to outweigh small
 // differences in load, not enough to outweigh a record.
 constexpr double kHomeConfidence = 0.5;
@@ -182,7 +187,12 @@
   const double wait =
       entry.load.PredictedWait(UncachedPromptCost(match, request), entry.limit.slots(), now);
   const double rest = std::max(0.0, request.predicted_cost - PromptCost(request));
-  return (wait + rest) * entry.load.PaceAt(now) + 2 * entry.distance +
+  // What is computed here evicts as much, which will be missed if it was used lately.
+  const double evicted = request.prefix_hashes.empty()
+                             ? 0
+                             : UncachedPromptCost(match, request) * kEvictionWeight *
+                                   std::exp(-prefixes_.KeptFor(entry.number) / kReuseSeconds);
+  return (wait + evicted + rest) * entry.load.PaceAt(now) + 2 * entry.distance +
          entry.price_per_cost * request.predicted_cost;
 }
 
@@ -268,10 +278,10 @@
     hedge_budget_.Earn(request.predicted_cost);
   }
   AttemptId id = request.attempt;
-  if (id == 0) {
+  if (id == 0 || attempts_.contains(id)) {
     id = next_unnumbered_++;
-    entry.unnumbered.push_back(id);
   }
+  entry.running.push_back(id);
   const PrefixMatch match = prefixes_.Match(view_, entry.number);
   RunningAttempt attempt;
   attempt.upstream = entry.number;
@@ -299,7 +309,7 @@
   entry.load.Start(attempt.cost, attempt.prompt_cost, now);
   entry.waiting.push_back({id, now, attempt.expected_first_token, attempt.expected_total});
   // The blocks that match are confirmed when the attempt ends; here they would cost time.
-  prefixes_.Record(std::span(request.prefix_hashes).subspan(match.blocks), entry.number);
+  prefixes_.Record(std::span(request.prefix_hashes).subspan(match.blocks), entry.number, now);
   attempts_.insert_or_assign(id, std::move(attempt));
 }
 
@@ -347,13 +357,18 @@
   if (entry == nullptr) {
     return 0;
   }
+  // A caller that gave a number and does not name it again must not leak the slot; such attempts
+  // are taken only if there is none without a number.
   AttemptId nearest = 0;
   Duration smallest = Duration::max();
-  for (const AttemptId id : entry->unnumbered) {
+  bool nearest_is_numbered = true;
+  for (const AttemptId id : entry->running) {
+    const bool numbered = id < kFirstUnnumbered;
     const Duration difference = std::chrono::abs(attempts_.at(id).dispatched - dispatched);
-    if (difference < smallest) {
+    if (numbered == nearest_is_numbered ? difference < smallest : !numbered) {
       nearest = id;
       smallest = difference;
+      nearest_is_numbered = numbered;
     }
   }
   return nearest;
@@ -466,7 +481,7 @@
         outcome.cached_blocks < kDistrustBelow * static_cast<double>(attempt.expected_blocks)) {
       prefixes_.Distrust(entry.number);
     }
-    prefixes_.Record(attempt.hashes, entry.number);
+    prefixes_.Record(attempt.hashes, entry.number, now);
   }
   if (!entry.straggler.left()) {
     entry.limit.OnCompleted(group.Slowness(attempt, total, outcome.tokens), entry.load.running());
@@ -488,7 +503,7 @@
     return;  // The upstream was removed while the attempt ran.
   }
   StopWaiting(*entry, id);
-  std::erase(entry->unnumbered, id);
+  std::erase(entry->running, id);
   entry->load.Finish(attempt.cost, attempt.first_token ? 0 : attempt.prompt_cost, now);
   entry->streaming -= attempt.first_token ? 1 : 0;
   if (attempt.probe) {
