--- a/bench/recovery/main.cc
+++ b/bench/recovery/main.cc
@@ -26,11 +26,12 @@
 }  // namespace savoryglade
 
 int main(int argc, char** argv) {
-  constexpr std::array<std::pair<std::string_view, void (*)()>, 4> kMeasures = {
+  constexpr std::array<std::pair<std::string_view, void (*)()>, 5> kMeasures = {
       {{"at-most-once", savoryglade::MeasureAtMostOnce},
        {"claim-interleavings", savoryglade::MeasureClaimInterleavings},
        {"crashing-request", savoryglade::MeasureCrashingRequest},
-       {"reclaim", savoryglade::MeasureReclaim}}};
+       {"reclaim", savoryglade::MeasureReclaim},
+       {"stream-lookup", savoryglade::MeasureStreamLookup}}};
   const std::string_view wanted = argc > 1 ? argv[1] : "";
   bool found = false;
   for (const auto& [name, run] : kMeasures) {
--- a/bench/recovery/measures.h
+++ b/bench/recovery/measures.h
@@ -24,5 +24,6 @@
 void MeasureClaimInterleavings();
 void MeasureCrashingRequest();
 void MeasureReclaim();
+void MeasureStreamLookup();
 
 }  // namespace savoryglade
