Give the ledger the last word on sendings that are not dispatched

Cause: a daemon that gives up a claimed sending by itself (no upstream, drain) answers "not run", which is false for a resend whose first sending is alive, and for a sending beside another one that goes on with the claim.

Change: ClaimLedger::GiveUp ends such a sending with the right verdict. The histories give up 5% of the dispatches. A golden file holds one whole session. Bench at-most-once reports may_have_run without a run by reason.

--- a/bench/recovery/at_most_once.cc
+++ b/bench/recovery/at_most_once.cc
@@ -1,5 +1,6 @@
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "bench/recovery/measures.h"
@@ -72,6 +73,20 @@
   print("ends may_have_run", &ClaimHistoryResult::may_have_run, true);
   print("ends may_have_run without a run", &ClaimHistoryResult::may_have_run_unrun, true);
   print("ends without an outcome", &ClaimHistoryResult::no_outcome, true);
+  for (const Reason reason :
+       {Reason::kUpstreamLost, Reason::kClaimedElsewhere, Reason::kPlatformUnavailable}) {
+    std::vector<Sample> samples;
+    for (int group = 0; group < kGroups; ++group) {
+      const auto share = [&](ClaimHistoryResult& result) {
+        return 100.0 * result.unrun_reasons[reason] / result.requests;
+      };
+      samples.push_back({share(before[group]), share(after[group]),
+                         static_cast<std::uint64_t>(group) * kHistoriesPerGroup + 1});
+    }
+    PrintSamples("at-most-once",
+                 "ends may_have_run without a run, " + std::string(ToString(reason)), "percent",
+                 samples);
+  }
   print("table transactions", &ClaimHistoryResult::table_writes, false);
 }
 
--- a/packages/recovery/claim_ledger.cc
+++ b/packages/recovery/claim_ledger.cc
@@ -153,6 +153,23 @@
   return actions;
 }
 
+ClaimActions ClaimLedger::GiveUp(ClaimTicket ticket, Verdict verdict, TimePoint now) {
+  Entries::iterator position;
+  const Entry* entry = FindByTicket(ticket, &position);
+  if (entry == nullptr) {
+    return {};
+  }
+  const bool resend = std::any_of(entry->sendings.begin(), entry->sendings.end(),
+                                  [&](const Sending& s) { return s.ticket == ticket && s.resend; });
+  const bool others = entry->sendings.size() > 1 || entry->phase == Phase::kDispatched;
+  if (verdict.run_state == RunState::kNotRun && (resend || others || entry->contested)) {
+    verdict.run_state = RunState::kMayHaveRun;
+  }
+  ClaimActions actions = Cancel(ticket, now);
+  actions.outcomes.push_back({ticket, verdict});
+  return actions;
+}
+
 ClaimActions ClaimLedger::OnWriteResult(std::uint64_t id, TableStatus status, TimePoint now) {
   ClaimActions actions;
   const auto waiting = pending_.find(id);
--- a/packages/recovery/claim_ledger.h
+++ b/packages/recovery/claim_ledger.h
@@ -64,6 +64,11 @@
   // Ends a sending whose caller has gone. An undispatched claim without other sendings is released.
   ClaimActions Cancel(ClaimTicket ticket, TimePoint now);
 
+  // Ends a sending that the daemon does not dispatch, e.g. because no upstream is reachable, with a
+  // verdict for its caller. "Not run" becomes "may have run" if another sending of the request may
+  // be alive.
+  ClaimActions GiveUp(ClaimTicket ticket, Verdict verdict, TimePoint now);
+
   ClaimActions OnWriteResult(std::uint64_t id, TableStatus status, TimePoint now);
 
   // Takes the result of a read. The status is kCommitted if `row` is what the table holds.
--- a/tests/recovery/claim_history.h
+++ b/tests/recovery/claim_history.h
@@ -314,6 +314,12 @@
   }
 
   void Dispatch(int i, ClaimTicket ticket) {
+    if (!options_.calm && random_.Chance(0.05)) {
+      // No upstream was reachable.
+      const Verdict verdict{RunState::kNotRun, Reason::kNoUpstream, 1s};
+      Perform(i, processes_[i].ledger->GiveUp(ticket, verdict, Now(i)));
+      return;
+    }
     ClaimActions actions;
     const bool granted = processes_[i].ledger->BeginDispatch(ticket, Now(i), &actions);
     Perform(i, actions);
--- a/tests/recovery/claim_history_test.cc
+++ b/tests/recovery/claim_history_test.cc
@@ -1,6 +1,9 @@
 #include "tests/recovery/claim_history.h"
 
 #include <cstdint>
+#include <fstream>
+#include <string>
+#include <vector>
 
 #include "gtest/gtest.h"
 
@@ -38,5 +41,18 @@
   }
 }
 
+// Guards against a change of the order or the outcome of a whole session with crashes, pauses and
+// resends that nobody meant. The golden file is the session's trace.
+TEST(ClaimHistoryTest, SessionEqualsItsGoldenFile) {
+  const ClaimHistoryResult result = ClaimHistory({.seed = 79, .keep_trace = true}).Run();
+  std::ifstream file(SAVORYGLADE_SOURCE_DIR "/tests/recovery/golden/claim_history_79.txt");
+  ASSERT_TRUE(file);
+  std::vector<std::string> golden;
+  for (std::string line; std::getline(file, line);) {
+    golden.push_back(line);
+  }
+  EXPECT_EQ(result.trace, golden);
+}
+
 }  // namespace
 }  // namespace savoryglade
--- a/tests/recovery/claim_ledger_test.cc
+++ b/tests/recovery/claim_ledger_test.cc
@@ -285,6 +285,27 @@
   EXPECT_TRUE(a_.BeginDispatch(cancelled.ready.front(), now_, &actions));
 }
 
+// Guards against "not run" for a resend that its daemon could not dispatch: the first sending may
+// still be alive.
+TEST_F(ClaimLedgerTest, ResendThatIsGivenUpGetsMayHaveRun) {
+  const Verdict no_upstream{RunState::kNotRun, Reason::kNoUpstream, 1s};
+  b_.Begin(Request(2, "body", true), now_);
+  EXPECT_EQ(VerdictOf(b_.GiveUp(2, no_upstream, now_)).run_state, RunState::kMayHaveRun);
+  HoldAtA();
+  const ClaimActions given_up = a_.GiveUp(1, no_upstream, now_);
+  EXPECT_EQ(VerdictOf(given_up), no_upstream);
+  table_.Apply(given_up.writes);
+  EXPECT_EQ(table_.Read(kKey), std::nullopt);
+}
+
+// Guards against "not run" for one sending while another at the same daemon goes on with the claim.
+TEST_F(ClaimLedgerTest, SendingThatIsGivenUpBesideAnotherGetsMayHaveRun) {
+  HoldAtA();
+  a_.Begin(Request(2), now_);
+  const ClaimActions given_up = a_.GiveUp(2, {RunState::kNotRun, Reason::kDraining, 1s}, now_);
+  EXPECT_EQ(VerdictOf(given_up).run_state, RunState::kMayHaveRun);
+}
+
 // Guards against a dispatched request that is forgotten because its caller has gone.
 TEST_F(ClaimLedgerTest, DispatchedClaimOutlivesItsCaller) {
   DispatchAtA();
