Claim again after an upstream states that it did not run a request

Cause: a claim is dispatched once, so a may-not-repeat call that its upstream refused could not be sent elsewhere; a resend after a lost answer named the loss of an upstream that it never reached. Change: the handler releases the claim and claims again before the next attempt; a sending that met another one's claim gets claimed_elsewhere.

--- a/packages/daemon/claim_service.cc
+++ b/packages/daemon/claim_service.cc
@@ -38,7 +38,12 @@
 
 ClaimAnswer ToAnswer(const ClaimOutcome& outcome) {
   if (const auto* verdict = std::get_if<Verdict>(&outcome.result)) {
-    return {.kind = ClaimAnswer::Kind::kRefused, .verdict = *verdict};
+    ClaimAnswer refused{.kind = ClaimAnswer::Kind::kRefused, .verdict = *verdict};
+    if (verdict->reason == Reason::kUpstreamLost) {
+      // This sending met the claim of another one, which has lost its upstream.
+      refused.verdict.reason = Reason::kClaimedElsewhere;
+    }
+    return refused;
   }
   const StoredAnswer& stored = std::get<StoredAnswer>(outcome.result);
   const std::size_t end = stored.body.find('\n');
--- a/packages/daemon/plain_handler.cc
+++ b/packages/daemon/plain_handler.cc
@@ -223,6 +223,7 @@
                                          .retry_after = kRetryAfter},
                              .result = AttemptResult::kCancelled};
     }
+    claim_dispatched_ = rule_ != nullptr;
     co_return co_await Exchange(std::move(*connection));
   }
 
@@ -286,6 +287,13 @@
       co_return true;
     }
     services_.path_metrics.retries.Add();
+    if (claim_dispatched_) {
+      // The upstream has stated that it did not run the request. A claim is dispatched once, so the next attempt
+      // needs another one.
+      services_.claims.Release(claim_);
+      claim_ = 0;
+      claim_dispatched_ = false;
+    }
     asio::steady_timer timer(co_await asio::this_coro::executor, retry->delay);
     const InterruptScope scope(*interrupt_, [&timer] { timer.cancel(); });
     if (!interrupt_->raised()) {
@@ -353,6 +361,7 @@
   HttpRequest upstream_request_;
   std::string claim_key_;
   ClaimTicket claim_ = 0;
+  bool claim_dispatched_ = false;
   bool claim_is_void_ = false;
   bool may_have_run_ = false;
   int attempts_ = 0;
