--- a/bench/scheduling/bench_main.cc
+++ b/bench/scheduling/bench_main.cc
@@ -9,8 +9,10 @@
 
 int main(int argc, char** argv) {
   const std::map<std::string, std::function<void()>> measures = {
+      {"decision-cost", savoryglade::bench::RunDecisionCost},
       {"fairness", savoryglade::bench::RunFairness},
       {"head-of-line", savoryglade::bench::RunHeadOfLine},
+      {"overload", savoryglade::bench::RunOverload},
   };
   const std::string argument = argc == 2 ? argv[1] : "";
   if (argument == "--list") {
--- a/bench/scheduling/report.h
+++ b/bench/scheduling/report.h
@@ -27,6 +27,7 @@
 double Quantile(std::vector<double> values, double quantile);
 
 // The measures, each in a file of its own.
+void RunDecisionCost();
 void RunFairness();
 void RunHeadOfLine();
 void RunOverload();
--- a/packages/recovery/retry_budget.h
+++ b/packages/recovery/retry_budget.h
@@ -12,8 +12,9 @@
   // Attempts that each request adds.
   double fraction = 0.1;
   // Unused attempts that are kept. Without a bound, an hour without failures would allow a storm of
-  // retries when one comes.
-  double burst = 20;
+  // retries when one comes. 40 are what a lost failure domain may run for one account: a quarter of
+  // a service's 160 slots.
+  double burst = 40;
   // Attempts of an account that has just started, so that one failure can be retried.
   double initial = 1;
 };
--- a/packages/scheduling/fleet_usage.cc
+++ b/packages/scheduling/fleet_usage.cc
@@ -10,12 +10,15 @@
 // summary changes nothing.
 constexpr Duration kDaemonSummaryLife = 1500ms;
 constexpr Duration kDomainSummaryLife = 6s;
+// Twice the time in which the failure detector and the summaries settle after a loss.
+constexpr Duration kForgetKnownAfter = 12s;
 
 }  // namespace
 
 void FleetUsage::OnView(std::size_t live_daemons) {
   if (live_daemons > 1) {
-    fleet_size_ = live_daemons;
+    view_size_ = live_daemons;
+    known_before_ = known_daemons_;
   }
 }
 
@@ -57,7 +60,7 @@
   source.daemons = summary.daemons;
   source.has_complete = source.has_complete || summary.complete;
   source.received = now;
-  Recount();
+  Recount(now);
   return served;
 }
 
@@ -66,7 +69,7 @@
     return false;
   }
   std::erase_if(sources_, [now](const auto& entry) { return StaleAt(entry.second) <= now; });
-  Recount();
+  Recount(now);
   return true;
 }
 
@@ -76,7 +79,7 @@
 }
 
 double FleetUsage::KnownFraction() const {
-  return std::min(1.0, static_cast<double>(known_daemons_) / static_cast<double>(fleet_size_));
+  return std::min(1.0, static_cast<double>(known_daemons_) / static_cast<double>(FleetSize()));
 }
 
 std::size_t FleetUsage::DomainPeers() const {
@@ -90,7 +93,7 @@
          (source.scope == UsageScope::kDaemon ? kDaemonSummaryLife : kDomainSummaryLife);
 }
 
-void FleetUsage::Recount() {
+void FleetUsage::Recount(TimePoint now) {
   demand_.clear();
   domain_demand_.clear();
   known_daemons_ = 1;
@@ -109,6 +112,13 @@
       }
     }
   }
+  // A daemon that hears nobody keeps the number, because it is more likely to be cut off than to be
+  // the last one.
+  if (known_daemons_ >= known_before_ ||
+      (known_daemons_ > 1 && now >= known_before_at_ + kForgetKnownAfter)) {
+    known_before_ = known_daemons_;
+    known_before_at_ = now;
+  }
 }
 
 }  // namespace savoryglade
--- a/packages/scheduling/fleet_usage.h
+++ b/packages/scheduling/fleet_usage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -52,8 +53,9 @@
   // Returns the number of daemons whose demand is known, this one included.
   std::size_t KnownDaemons() const { return known_daemons_; }
 
-  // Returns the number of daemons in the last view with more than one live daemon.
-  std::size_t FleetSize() const { return fleet_size_; }
+  // Returns the number of daemons in the last view with more than one live daemon, or the number
+  // that was known from summaries if that is higher: a view may cover one failure domain only.
+  std::size_t FleetSize() const { return std::max(view_size_, known_before_); }
 
   // Returns the demand of the daemons of this failure domain alone, for the domain's total.
   const std::unordered_map<std::uint32_t, Demand>& DomainDemand() const { return domain_demand_; }
@@ -74,9 +76,12 @@
   };
 
   static TimePoint StaleAt(const Source& source);
-  void Recount();
+  void Recount(TimePoint now);
 
-  std::size_t fleet_size_ = 1;
+  std::size_t view_size_ = 1;
+  // Highest recent value of known_daemons_, and when it was last reached.
+  std::size_t known_before_ = 1;
+  TimePoint known_before_at_;
   std::size_t known_daemons_ = 1;
   TimePoint next_stale_ = TimePoint::max();
   std::map<std::pair<UsageScope, DaemonId>, Source> sources_;
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -92,8 +92,9 @@
 
 tl::expected<void, Verdict> Scheduler::Enqueue(const QueuedRequest& request, TimePoint now) {
   if (request.deadline <= now) {
-    return tl::make_unexpected(
-        Verdict{.reason = Reason::kDeadlineUnreachable, .retry_after = kMinRetryAfter});
+    return tl::make_unexpected(Verdict{.run_state = request.run_state,
+                                       .reason = Reason::kDeadlineUnreachable,
+                                       .retry_after = kMinRetryAfter});
   }
   ServiceState& service = Service(request.service);
   FairAccount& account = service.queue.Account(request.account, service.id);
@@ -444,13 +445,14 @@
   const std::optional<double> known = Slots(service, now);
   const double slots = std::max(1.0, known.value_or(1));
   const auto refuse = [&](Reason reason, double excess) {
-    return Verdict{.reason = reason,
+    return Verdict{.run_state = request.run_state,
+                   .reason = reason,
                    .retry_after = RetryAfter(service, account, cost, excess, slots, now)};
   };
-  if (queued_.size() >= options_.queue_limit) {
+  if (!request.is_retry && queued_.size() >= options_.queue_limit) {
     return refuse(Reason::kQueueFull, queue.waiting_cost() / slots);
   }
-  if (account.Waiting() >= options_.account_queue_limit) {
+  if (!request.is_retry && account.Waiting() >= options_.account_queue_limit) {
     return refuse(Reason::kAccountQueueFull, account.WaitingCost() / slots);
   }
   // A request that finds no queue is admitted even if its predicted cost is beyond its deadline:
@@ -470,7 +472,7 @@
     return refuse(Reason::kDeadlineUnreachable, wait + cost - remaining);
   }
   const double longest = std::max(ToSeconds(options_.max_wait), options_.cost_wait_factor * cost);
-  if (wait > longest) {
+  if (!request.is_retry && wait > longest) {
     return refuse(Reason::kAccountQueueFull, wait - longest);
   }
   return std::nullopt;
@@ -510,7 +512,9 @@
     const Duration retry_after = RetryAfter(service, *queued.account, queued.request.predicted_cost,
                                             service.queue.waiting_cost() / slots, slots, now);
     overdue_.push_back(
-        {.ticket = ticket, .verdict = {.reason = reason, .retry_after = retry_after}});
+        {.ticket = ticket,
+         .verdict = {
+             .run_state = queued.request.run_state, .reason = reason, .retry_after = retry_after}});
     RemoveQueued(ticket);
   }
 }
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -36,6 +36,11 @@
   // Size of the body in bytes and the caller's limit on generated tokens, for the prediction.
   std::size_t request_bytes = 0;
   int max_tokens = 0;
+  // Whether an attempt failed and the retry budget has been charged for this one. Only its deadline
+  // limits its admission: refused for a full queue, it would waste what it has cost.
+  bool is_retry = false;
+  // What earlier attempts left: a verdict on a request that may have run never says "not run".
+  RunState run_state = RunState::kNotRun;
   // Set by the scheduler. Routing holds long work to LongSlotFraction of each upstream's slots.
   WorkClass work_class = WorkClass::kShort;
   // Set by the scheduler: 0 is the most urgent, 9 the least. Engines run lower values first.
@@ -88,7 +93,8 @@
   // Takes the number of live daemons, this one included.
   void OnView(std::size_t live_daemons);
 
-  // Takes a request into the queue, or refuses it with a verdict that always says "not run".
+  // Takes a request into the queue, or refuses it with a verdict that says "not run" unless an
+  // earlier attempt may have run.
   tl::expected<void, Verdict> Enqueue(const QueuedRequest& request, TimePoint now);
 
   // Removes and returns the next request whose service can start one now; nothing if there is none.
--- a/tests/scheduling/fairness_test.cc
+++ b/tests/scheduling/fairness_test.cc
@@ -213,6 +213,25 @@
   EXPECT_EQ(started, 4);
 }
 
+// Guards against a daemon that is cut off and takes half of the slots, because its view counts the
+// daemons of its own failure domain only.
+TEST_F(FairnessTest, SafeLocalPartCountsTheOtherFailureDomains) {
+  scheduler_.OnView(2);
+  scheduler_.Merge(kPeer, PeerSummary(1, 0), now_);
+  UsageSummary total = PeerSummary(1, 0);
+  total.scope = UsageScope::kDomain;
+  total.domain = FailureDomainId("verona");
+  total.daemons = 2;
+  scheduler_.Merge(DaemonId("other"), total, now_);
+  scheduler_.OnView(1);
+  EXPECT_EQ(scheduler_.LocalLimit(kService, now_ + 7s), 4U);
+  // The others return and one of them stays away: its part is free after a while.
+  scheduler_.Merge(kPeer, PeerSummary(2, 0), now_ + 20s);
+  scheduler_.Merge(kPeer, PeerSummary(3, 0), now_ + 21s);
+  scheduler_.OnView(1);
+  EXPECT_EQ(scheduler_.LocalLimit(kService, now_ + 30s), 8U);
+}
+
 // Guards against a summary of a peer that went silent and that still counts as demand.
 TEST_F(FairnessTest, SummariesAgeOut) {
   scheduler_.OnView(2);
