--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -7,6 +7,7 @@
 
 #include "core/error.h"
 #include "core/strong_id.h"
+#include "core/time.h"
 
 namespace savoryglade {
 
@@ -23,6 +24,19 @@
   friend auto operator<=>(const PeerSettings&, const PeerSettings&) = default;
 };
 
+// Limits of the listener for callers. Sizes are in bytes.
+struct CallerLimits {
+  std::int64_t header_size = 16 * 1024;
+  std::int64_t body_size = 4 * 1024 * 1024;
+  std::int64_t connections = 10'000;
+  // Longest time for a whole request to arrive.
+  Duration read_timeout = 10s;
+  // Longest time for one write to a slow reader.
+  Duration write_timeout = 30s;
+
+  friend auto operator<=>(const CallerLimits&, const CallerLimits&) = default;
+};
+
 // Settings of one daemon, read once at start. Addresses are "IP:port"; port 0 lets the system
 // choose.
 struct Settings {
@@ -43,6 +57,7 @@
   // File with the key that all daemons of the fleet share. Required beyond loopback.
   std::string fleet_key_file;
   std::string log_level = "info";
+  CallerLimits caller_limits;
 
   friend auto operator<=>(const Settings&, const Settings&) = default;
 };
