--- a/packages/daemon/platform_client.cc
+++ b/packages/daemon/platform_client.cc
@@ -67,6 +67,7 @@
                                MetricRegistry& metrics)
     : context_(context),
       endpoint_(std::move(endpoint)),
+      connections_({}, metrics.GetCounter("savoryglade_platform_silent_connections_total")),
       reads_(metrics.GetCounter("savoryglade_table_reads_total")),
       writes_(metrics.GetCounter("savoryglade_table_writes_total")),
       failures_(metrics.GetCounter("savoryglade_platform_failures_total")) {}
--- a/packages/daemon/savorygladed_main.cc
+++ b/packages/daemon/savorygladed_main.cc
@@ -1,10 +1,14 @@
 #include <docopt/docopt.h>
 #include <fmt/format.h>
+#include <unistd.h>
 
+#include <chrono>
 #include <csignal>
+#include <ctime>
 #include <fstream>
 #include <iterator>
 #include <string>
+#include <utility>
 
 #include "config/settings.h"
 #include "daemon/daemon.h"
@@ -33,6 +37,9 @@
 )";
 
 constexpr int kExitInvalidSettings = 2;
+// Section 10 of the design page: what a second signal leaves to the requests in flight.
+constexpr savoryglade::Duration kDrainLimit = std::chrono::seconds(30);
+constexpr timespec kDrainPoll{.tv_sec = 0, .tv_nsec = 10'000'000};
 
 Result<Settings> LoadSettings(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
@@ -53,7 +60,10 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  Daemon daemon(settings);
+  savoryglade::DaemonParts parts;
+  // The same path as a planned stop from outside.
+  parts.drain_requested = [] { kill(getpid(), SIGTERM); };
+  Daemon daemon(settings, std::move(parts));
   const Result<void> started = daemon.Start();
   if (!started) {
     log.Error(started.error().message);
@@ -61,7 +71,13 @@
   }
   int signal = 0;
   sigwait(&signals, &signal);
-  daemon.Drain();
+  daemon.BeginDrain();
+  while (!daemon.drained()) {
+    if (sigtimedwait(&signals, nullptr, &kDrainPoll) > 0) {
+      daemon.LimitDrain(kDrainLimit);
+    }
+  }
+  daemon.Stop();
   return 0;
 }
 
