--- a/packages/daemon/peer_link.h
+++ b/packages/daemon/peer_link.h
@@ -31,7 +31,7 @@
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
  public:
   // Gets each message after the peer has been authenticated. The peer's Hello comes before.
-  using Handler = std::function<void(const std::shared_ptr<PeerLink>&, wire::MessageT)>;
+  using Handler = std::function<void(const std::shared_ptr<PeerLink>&, const wire::MessageT&)>;
 
   PeerLink(boost::asio::ip::tcp::socket socket, const std::string& fleet_key, wire::Side side,
            PeerCounters& counters);
@@ -49,6 +49,8 @@
   const FailureDomainId& failure_domain() const { return failure_domain_; }
   const std::string& address() const { return address_; }
   std::uint64_t incarnation() const { return incarnation_; }
+  // Incarnation in our own Hello.
+  std::uint64_t own_incarnation() const { return own_incarnation_; }
 
   wire::Side side() const { return side_; }
   bool authenticated() const { return codec_.authenticated(); }
@@ -71,6 +73,7 @@
   FailureDomainId failure_domain_;
   std::string address_;
   std::uint64_t incarnation_ = 0;
+  std::uint64_t own_incarnation_ = 0;
   std::deque<std::string> queue_;
   std::size_t queued_bytes_ = 0;
   bool writing_ = false;
