Count resumed streams when they begin and measure grouped tokens

Cause: the counter of resumed streams rose only after the last byte had been sent, so that a test which read the whole answer could see it too early; this failed twice in three runs of daemon_test. The measure opened 167 of 500 streams, because the router starts each upstream at a low concurrency limit, and the stand-in engines and not the daemon limited the rate.

Change: the counter rises with the status of the resumption. Engines may give several tokens a step. The measure lists each engine under several names and has cases of 1 and 16 tokens a step.

--- a/bench/path/daemon_process.cc
+++ b/bench/path/daemon_process.cc
@@ -19,6 +19,8 @@
 namespace savoryglade {
 namespace {
 
+constexpr int kNamesPerEngine = 8;
+
 std::string ReadLine(int file) {
   std::string line;
   char byte = 0;
@@ -51,12 +53,16 @@
 
 std::unique_ptr<Daemon> StartDaemon(const std::string& ports) {
   std::string upstreams;
-  std::istringstream stream(ports);
-  for (std::string port; stream >> port;) {
-    upstreams += fmt::format(
-        R"({}{{"name":"engine-{}","service":"assistant","port":{},"failure_domain":"verona",)"
-        R"("concurrency":4096}})",
-        upstreams.empty() ? "" : ",", port, port);
+  // The router starts each upstream at a low concurrency limit, so the engines stand in the
+  // configuration under several names.
+  for (int name = 0; name < kNamesPerEngine; ++name) {
+    std::istringstream stream(ports);
+    for (std::string port; stream >> port;) {
+      upstreams += fmt::format(
+          R"({}{{"name":"engine-{}-{}","service":"assistant","port":{},"failure_domain":"verona",)"
+          R"("concurrency":4096}})",
+          upstreams.empty() ? "" : ",", port, name, port);
+    }
   }
   const std::string path = fmt::format("/tmp/savoryglade_bench_path_{}.json", ::getpid());
   std::ofstream(path) << fmt::format(
--- a/bench/path/path_main.cc
+++ b/bench/path/path_main.cc
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 #include <cmath>
+#include <cstdio>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -221,10 +222,12 @@
 }
 
 void Print(std::string_view name, double baseline, double ours, std::string_view unit) {
-  fmt::print(
-      R"({{"measure":"path","case":"{}","baseline":{:.4g},"ours":{:.6g},"unit":"{}","seed":1}})"
-      "\n",
-      name, baseline, ours, unit);
+  // A case without baseline has null there, as JSON has no NaN.
+  const std::string base = std::isnan(baseline) ? "null" : fmt::format("{:.4g}", baseline);
+  fmt::print(R"({{"measure":"path","case":"{}","baseline":{},"ours":{:.6g},"unit":"{}","seed":1}})"
+             "\n",
+             name, base, ours, unit);
+  std::fflush(stdout);
 }
 
 void MeasureFirstByte() {
@@ -243,9 +246,14 @@
         static_cast<double>(ours.size()), "requests");
 }
 
-void MeasureTokens() {
+// Relays as many tokens as engines with this number of tokens for each step offer.
+void MeasureTokens(int tokens_per_step, Duration step) {
   DaemonProcess daemon;
-  Engines engines({.first_token = Duration::zero(), .between_tokens = 1500us, .batch_limit = 4096});
+  Engines engines({.first_token = Duration::zero(),
+                   .between_tokens = step,
+                   .tokens_per_step = tokens_per_step,
+                   .batch_limit = 4096});
+  const std::string suffix = fmt::format(", {} tokens a step", tokens_per_step);
   const Endpoint endpoint = daemon.Start(engines.endpoints());
   double direct_rate = 0;
   {
@@ -266,10 +274,10 @@
   const double wall = ToSeconds(Now() - start);
   const auto tokens = static_cast<double>(after.tokens_relayed - before.tokens_relayed);
   const double cpu = after.cpu_seconds - before.cpu_seconds;
-  Print("open streams", kOpenStreams, callers.open(), "streams");
-  Print("tokens relayed, one worker", direct_rate, tokens / wall, "tokens/s");
-  Print("tokens relayed for each CPU second", NAN, tokens / cpu, "tokens/s");
-  Print("CPU use of the worker", NAN, cpu / wall, "cores");
+  Print("open streams" + suffix, kOpenStreams, callers.open(), "streams");
+  Print("tokens relayed, one worker" + suffix, direct_rate, tokens / wall, "tokens/s");
+  Print("tokens relayed for each CPU second" + suffix, NAN, tokens / cpu, "tokens/s");
+  Print("CPU use of the worker" + suffix, NAN, cpu / wall, "cores");
 }
 
 void MeasureMemory() {
@@ -296,7 +304,8 @@
     return 2;
   }
   MeasureFirstByte();
-  MeasureTokens();
+  MeasureTokens(1, 10ms);
+  MeasureTokens(16, 20ms);
   MeasureMemory();
   return 0;
 }
--- a/packages/daemon/model_attempt.cc
+++ b/packages/daemon/model_attempt.cc
@@ -57,6 +57,7 @@
   next_position_ = first_position_;
   std::string body = fmt::format(R"({{"generation":"{}","position":{}}})",
                                  request_.digests.generation, first_position_);
+  resuming_ = true;
   co_return co_await Run("/resume", std::move(body));
 }
 
@@ -135,6 +136,7 @@
         ? Fail(AttemptResult::kRefused, Reason::kUpstreamError, RunState::kNotRun)
         : Fail(AttemptResult::kLost, Reason::kUpstreamError);
   }
+  services_.path_metrics.resumed_streams.Add(resuming_ ? 1 : 0);
   co_return co_await Relay(connection);
 }
 
--- a/packages/daemon/model_handler.cc
+++ b/packages/daemon/model_handler.cc
@@ -72,9 +72,6 @@
     }
     ModelAttempt attempt(services_, *upstream, model_request_, writer_, *interrupt_);
     const AttemptEnd end = co_await attempt.Resume();
-    if (attempt.outcome().tokens > 0 || end == AttemptEnd::kComplete) {
-      services_.path_metrics.resumed_streams.Add();
-    }
     co_return co_await TakeEnd(end, attempt.verdict(), *upstream, false);
   }
 
--- a/packages/emulator/engine_state.cc
+++ b/packages/emulator/engine_state.cc
@@ -106,8 +106,10 @@
 }
 
 void EngineState::Generate(Generation& generation) {
-  ++generation.next;
-  ++counts_.generated_tokens;
+  const std::int64_t end = std::min<std::int64_t>(generation.next + options_.tokens_per_step,
+                                                  generation.request.max_tokens);
+  counts_.generated_tokens += static_cast<std::uint64_t>(end - generation.next);
+  generation.next = end;
   Wake(generation);
 }
 
