--- a/bench/recovery/measures.h
+++ b/bench/recovery/measures.h
@@ -22,5 +22,8 @@
 
 void MeasureAtMostOnce();
 void MeasureClaimInterleavings();
+void MeasureCrashingRequest();
+void MeasureReclaim();
+void MeasureStreamLookup();
 
 }  // namespace savoryglade
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -15,6 +15,15 @@
 // services.
 enum class PlatformKind { kEmbedded, kHttp };
 
+// Another daemon of the fleet that is known before the platform's VM list has been read.
+struct PeerSettings {
+  DaemonId daemon;
+  FailureDomainId failure_domain;
+  std::string address;
+
+  friend auto operator<=>(const PeerSettings&, const PeerSettings&) = default;
+};
+
 // Limits of the listener for callers. Sizes are in bytes.
 struct CallerLimits {
   std::int64_t header_size = 16 * 1024;
@@ -28,15 +37,6 @@
   friend auto operator<=>(const CallerLimits&, const CallerLimits&) = default;
 };
 
-// Another daemon of the fleet that is known before the platform's VM list has been read.
-struct PeerSettings {
-  DaemonId daemon;
-  FailureDomainId failure_domain;
-  std::string address;
-
-  friend auto operator<=>(const PeerSettings&, const PeerSettings&) = default;
-};
-
 // Settings of one daemon, read once at start. Addresses are "IP:port"; port 0 lets the system
 // choose.
 struct Settings {
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -9,12 +9,14 @@
 #include "config/settings.h"
 #include "core/error.h"
 #include "daemon/active_requests.h"
+#include "daemon/administration_handler.h"
 #include "daemon/caller_context.h"
 #include "daemon/claim_gate.h"
 #include "daemon/config_holder.h"
 #include "daemon/dispatcher.h"
 #include "daemon/path_metrics.h"
 #include "daemon/path_options.h"
+#include "daemon/platform_config_service.h"
 #include "daemon/retry_strategy.h"
 #include "daemon/stream_directory.h"
 #include "metrics/registry.h"
@@ -30,6 +32,8 @@
   std::shared_ptr<StreamDirectory> streams;
   std::shared_ptr<ClaimGate> claims;
   std::shared_ptr<RetryStrategy> retries;
+  // Called when an operator asks the daemon to drain; without it the daemon only begins to drain.
+  std::function<void()> drain_requested;
 };
 
 // The daemon of one entry VM: listeners for callers and operators over the shared tables.
@@ -65,17 +69,16 @@
   // Endpoints in use; valid after Start.
   const Endpoint& callers_endpoint() const { return callers_endpoint_; }
   const Endpoint& administration_endpoint() const { return administration_endpoint_; }
+  const Endpoint& peers_endpoint() const { return peers_endpoint_; }
 
  private:
   boost::asio::awaitable<void> HandleCaller(HttpExchange& exchange);
-  boost::asio::awaitable<void> HandleAdministration(HttpExchange& exchange);
   boost::asio::awaitable<void> TickLoop();
-  bool OperatorKeyMatches(const HttpExchange& exchange) const;
+  std::shared_ptr<ClaimGate> StartClaims();
   RequestKey MakeKey();
   CallerServices MakeServices();
 
   Settings settings_;
-  std::string operator_key_;
   MetricRegistry metrics_;
   PathMetrics path_metrics_;
   DaemonParts parts_;
@@ -86,9 +89,12 @@
   std::atomic<std::uint64_t> next_key_{1};
   Endpoint callers_endpoint_;
   Endpoint administration_endpoint_;
+  Endpoint peers_endpoint_;
   WorkerPool pool_;
   // One for each worker.
   std::vector<std::unique_ptr<ConnectionPool>> connections_;
+  PlatformConfigService platform_;
+  AdministrationHandler administration_handler_;
   HttpServer callers_;
   HttpServer administration_;
 };
--- a/packages/daemon/plain_handler.cc
+++ b/packages/daemon/plain_handler.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "daemon/request_identity.h"
@@ -171,9 +172,12 @@
 
   // Claims a may-not-repeat request. Returns false if it has been answered instead.
   asio::awaitable<bool> Claim() {
-    ClaimIdentity identity{
-        .account = request_.account.name, .service = request_.service.name, .key = claim_key_};
-    ClaimAnswer answer = co_await services_.claims.Claim(std::move(identity), Now());
+    ClaimSending sending{.identity = {.account = request_.account.name,
+                                      .service = request_.service.name,
+                                      .key = claim_key_},
+                         .body = DigestOf(exchange_.request().body()),
+                         .resend = exchange_.Header("Savoryglade-Resend") == "true"};
+    ClaimAnswer answer = co_await services_.claims.Claim(std::move(sending), Now());
     if (answer.kind == ClaimAnswer::Kind::kGranted) {
       claim_ = answer.token;
       co_return true;
@@ -183,7 +187,8 @@
       co_return false;
     }
     HttpHeaders headers = {{"Savoryglade-Request", request_.key.value()},
-                           {"Savoryglade-Verdict", "ran"}};
+                           {"Savoryglade-Verdict", "ran"},
+                           {"Savoryglade-Replayed", "true"}};
     if (!answer.response.content_type.empty()) {
       headers.emplace_back("Content-Type", answer.response.content_type);
     }
@@ -267,16 +272,21 @@
     may_have_run_ = may_have_run_ || verdict.run_state == RunState::kMayHaveRun;
     const FailedAttempt failure{.account = request_.account.name,
                                 .service = request_.service.name,
-                                .verdict = verdict,
+                                .run_state = verdict.run_state,
+                                .reason = verdict.reason,
+                                .dispatched = verdict.run_state != RunState::kNotRun,
+                                .may_not_repeat = rule_ != nullptr,
+                                .repeatable = repeatable_,
                                 .attempts = attempts_,
                                 .deadline = deadline_};
-    const std::optional<Duration> delay = services_.retries.DelayBeforeRetry(failure, Now());
-    if (!delay) {
-      co_await End(verdict);
+    const RetryDecision decision = services_.retries.Decide(failure, Now());
+    const Retry* retry = std::get_if<Retry>(&decision);
+    if (retry == nullptr) {
+      co_await End(std::get<GiveUp>(decision).verdict);
       co_return true;
     }
     services_.path_metrics.retries.Add();
-    asio::steady_timer timer(co_await asio::this_coro::executor, *delay);
+    asio::steady_timer timer(co_await asio::this_coro::executor, retry->delay);
     const InterruptScope scope(*interrupt_, [&timer] { timer.cancel(); });
     if (!interrupt_->raised()) {
       co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -342,7 +352,7 @@
   std::shared_ptr<Interrupt> interrupt_;
   HttpRequest upstream_request_;
   std::string claim_key_;
-  ClaimToken claim_ = 0;
+  ClaimTicket claim_ = 0;
   bool claim_is_void_ = false;
   bool may_have_run_ = false;
   int attempts_ = 0;
--- a/packages/routing/upstream_table.h
+++ b/packages/routing/upstream_table.h
@@ -90,6 +90,7 @@
 
   void FindCandidates(const RouteRequest& request);
   Entry* ChooseCandidate(Group& group, const RouteRequest& request, TimePoint now);
+  PrefixMatch ExpectedMatch(const Entry& entry, const RouteRequest& request) const;
   double Score(const Entry& entry, const RouteRequest& request, TimePoint now) const;
   void Start(Entry& entry, Group& group, const RouteRequest& request, bool probe, TimePoint now);
   void SettleHedge(const RunningAttempt& attempt, AttemptId id, AttemptResult result,
@@ -112,13 +113,15 @@
   std::map<ServiceId, Group> groups_;
   AttemptBook attempts_;
   // Numbers for attempts that the caller gave none; callers' numbers stay below.
-  AttemptId next_unnumbered_ = AttemptId{1} << 63;
+  static constexpr AttemptId kFirstUnnumbered = AttemptId{1} << 63;
+  AttemptId next_unnumbered_ = kFirstUnnumbered;
   PrefixMap prefixes_;
   HedgeBudget hedge_budget_;
   RoutingCounters counters_;
   CandidateFinder finder_;
   std::vector<Entry*> candidates_;
-  std::vector<UpstreamNumber> holders_;
+  PrefixMap::View view_;
+  Entry* home_ = nullptr;
 };
 
 }  // namespace savoryglade
