--- a/tests/recovery/claim_enumeration.h
+++ b/tests/recovery/claim_enumeration.h
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
-#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_set>
@@ -73,7 +73,8 @@
   std::array<int, 2> ticks_due = {0, 0};
   std::array<std::uint64_t, 4> inputs = {1, 2, 3, 4};
   FakeClaimTable table;
-  std::vector<ClaimMessage> messages;
+  // Shared, because every step copies the world.
+  std::vector<std::shared_ptr<const ClaimMessage>> messages;
   TimePoint now{};
   int faults = 0;
   int time_steps = 0;
@@ -122,7 +123,7 @@
   static void Add(ClaimWorld& world, int creator, ClaimMessage message) {
     message.identity = MixHash(world.inputs[creator], static_cast<std::uint64_t>(message.kind));
     message.identity = MixHash(message.identity, message.id + message.ticket * 1000);
-    world.messages.push_back(std::move(message));
+    world.messages.push_back(std::make_shared<const ClaimMessage>(std::move(message)));
   }
 
   static void Perform(ClaimWorld& world, int p, const ClaimActions& actions) {
@@ -238,7 +239,8 @@
   // Takes the other ends that a message can have: an error of the table, a lost connection, a
   // statement of the upstream that it did not run the request.
   void ExploreFaults(const ClaimWorld& world, std::size_t index, int depth) {
-    const ClaimMessage message = world.messages[index];
+    const std::shared_ptr<const ClaimMessage> shared = world.messages[index];
+    const ClaimMessage& message = *shared;
     ClaimWorld lost = world;
     lost.messages.erase(lost.messages.begin() + static_cast<std::ptrdiff_t>(index));
     --lost.faults;
@@ -275,7 +277,9 @@
     ClaimWorld repeated = world;
     --repeated.faults;
     // The second copy is another message of the same content.
-    repeated.messages[index].identity = MixHash(message.identity, 77);
+    ClaimMessage second = message;
+    second.identity = MixHash(message.identity, 77);
+    repeated.messages[index] = std::make_shared<const ClaimMessage>(std::move(second));
     Deliver(repeated, message);
     Step("repeat " + Name(message), repeated, depth);
   }
@@ -292,7 +296,8 @@
     complete_ += world.messages.empty() ? 1 : 0;
     for (std::size_t i = 0; i < world.messages.size(); ++i) {
       ClaimWorld next = world;
-      const ClaimMessage message = next.messages[i];
+      const std::shared_ptr<const ClaimMessage> shared = world.messages[i];
+      const ClaimMessage& message = *shared;
       next.messages.erase(next.messages.begin() + static_cast<std::ptrdiff_t>(i));
       Deliver(next, message);
       Step("deliver " + Name(message), next, depth);
@@ -368,8 +373,8 @@
       hash = MixHash(hash, input);
     }
     std::vector<std::uint64_t> identities;
-    for (const ClaimMessage& message : world.messages) {
-      identities.push_back(message.identity);
+    for (const auto& message : world.messages) {
+      identities.push_back(message->identity);
     }
     std::sort(identities.begin(), identities.end());
     for (const std::uint64_t identity : identities) {
