--- a/packages/daemon/model_handler.cc
+++ b/packages/daemon/model_handler.cc
@@ -63,7 +63,7 @@
     if (!record) {
       co_return false;
     }
-    if (record->body_digest != digests_.body) {
+    if (record->content_digest != digests_.content) {
       co_await Refuse({.reason = Reason::kIdempotencyKeyReused});
       co_return true;
     }
@@ -102,8 +102,13 @@
       co_await Refuse(verdict);
       co_return true;
     }
+    if (abandoned_ && abandoned_->name == upstream->name) {
+      // The attempt takes up what the upstream still holds.
+      abandoned_.reset();
+    }
+    CancelAbandoned();
     services_.streams.Put({.key_digest = digests_.key,
-                           .body_digest = digests_.body,
+                           .content_digest = digests_.content,
                            .upstream = upstream->name,
                            .generation = digests_.generation});
     ModelAttempt attempt(services_, *upstream, model_request_, writer_, *interrupt_);
@@ -139,7 +144,7 @@
                                 const UpstreamConfig& upstream, bool counts) {
     if (end == AttemptEnd::kComplete) {
       services_.streams.Put({.key_digest = digests_.key,
-                             .body_digest = digests_.body,
+                             .content_digest = digests_.content,
                              .upstream = upstream.name,
                              .generation = digests_.generation,
                              .ended = true});
@@ -164,7 +169,7 @@
       co_return false;
     }
     if (verdict.run_state == RunState::kMayHaveRun) {
-      CancelGeneration(services_, upstream, digests_.generation, executor);
+      abandoned_ = upstream;
     }
     if (verdict.reason == Reason::kDeadlineExceeded) {
       co_await Refuse(verdict);
@@ -219,8 +224,19 @@
     co_await writer_.FinishWithResume();
   }
 
+  // Cancels the generation of a failed attempt. This waits until the upstream of the next attempt
+  // is known, because at the same upstream it would cancel that attempt as well.
+  void CancelAbandoned() {
+    if (abandoned_) {
+      CancelGeneration(services_, *abandoned_, digests_.generation,
+                       exchange_.stream().get_executor());
+      abandoned_.reset();
+    }
+  }
+
   // Answers a request that gets no whole answer.
   asio::awaitable<void> Refuse(const Verdict& verdict) {
+    CancelAbandoned();
     if (writer_.started()) {
       services_.metrics
           .GetCounter("savoryglade_streams_ended_early_total",
@@ -242,6 +258,8 @@
   AnswerWriter writer_;
   std::shared_ptr<Interrupt> interrupt_;
   std::vector<UpstreamId> tried_;
+  // Upstream that may still generate for an attempt that failed.
+  std::optional<UpstreamConfig> abandoned_;
   int attempts_ = 0;
   // The least that can be promised after all attempts so far.
   RunState state_ = RunState::kNotRun;
@@ -260,7 +278,9 @@
     co_return;
   }
   const RequestDigests digests =
-      MakeDigests(request.account.name, request.service.name, request.key, exchange.TakeBody());
+      MakeDigests(request.account.name, request.service.name, request.key, chat);
+  // Its prompt is in the chat request; the rest is not needed while the answer runs.
+  exchange.TakeBody();
   ModelSession session(exchange, request, chat, digests, *position, services);
   co_await session.Run();
 }
--- a/packages/daemon/request_identity.h
+++ b/packages/daemon/request_identity.h
@@ -7,6 +7,7 @@
 
 #include "config/configuration.h"
 #include "core/strong_id.h"
+#include "daemon/chat_request.h"
 
 namespace savoryglade {
 
@@ -23,9 +24,10 @@
 struct RequestDigests {
   // Covers client account, service and key.
   std::string key;
-  std::string body;
-  // Id of the generation at the engine. Covers the body too, so that an engine can never attach a
-  // request to the stream of another one.
+  // Covers what the answer depends on, but not the form in which it is delivered.
+  std::string content;
+  // Id of the generation at the engine. Covers the content too, so that an engine can never attach
+  // a request to the stream of another one.
   std::string generation;
   // Seed of the answer, which follows from the key so that a resent request gives the same answer.
   std::string seed;
@@ -33,7 +35,7 @@
 
 // Computes the digests of a request.
 RequestDigests MakeDigests(const AccountId& account, const ServiceId& service,
-                           const RequestKey& key, std::string_view body);
+                           const RequestKey& key, const ChatRequest& chat);
 
 // Returns the rule that makes a request of a plain service may-not-repeat, or nullptr. The target
 // is a path with an optional query.
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -168,7 +168,9 @@
       co_return;
     }
   }
-  silent_connections_.Add();
+  if (silent_connections_ != nullptr) {
+    silent_connections_->Add();
+  }
 }
 
 asio::awaitable<Result<HttpResponse>> FetchOnce(const Endpoint& endpoint, HttpRequest request,
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -84,8 +84,10 @@
 // Idle connections of one worker. Not safe to use from several threads.
 class ConnectionPool {
  public:
+  ConnectionPool() = default;
+  // The counter counts connections that did not answer the check.
   ConnectionPool(PoolOptions options, Counter& silent_connections)
-      : options_(options), silent_connections_(silent_connections) {}
+      : options_(options), silent_connections_(&silent_connections) {}
 
   // Returns an idle connection to the endpoint, or a new one.
   boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> Acquire(const Endpoint& endpoint,
@@ -109,7 +111,7 @@
   boost::asio::awaitable<void> Check(std::unique_ptr<HttpConnection> connection);
 
   PoolOptions options_;
-  Counter& silent_connections_;
+  Counter* silent_connections_ = nullptr;
   std::map<Endpoint, std::vector<IdleConnection>> idle_;
 };
 
