Exchange usage and claims between the daemons

Cause: daemons counted each other's work not at all and could not ask the owner of a claim, so shares held for each daemon alone and a resend in another failure domain ended as "may have run". A handler said "not run" by itself where the ledger knew of an earlier sending. Model requests kept their slot because their end carried no attempt number.

Change: PeerExchange sends usage every 500 ms inside a failure domain and every 2 s between them, carries claim questions and replies over links that are dialled on demand, and reports dead daemons to the claims; the dispatcher numbers each attempt; ClaimGate::GiveUp returns the ledger's verdict for a claim that was not dispatched.

--- a/packages/daemon/claim_gate.cc
+++ b/packages/daemon/claim_gate.cc
@@ -59,6 +59,11 @@
   }
 }
 
+Verdict MemoryClaimGate::GiveUp(ClaimTicket token, Verdict verdict) {
+  Release(token);
+  return verdict;
+}
+
 void MemoryClaimGate::Complete(ClaimTicket token, StoredResponse response) {
   const std::lock_guard lock(mutex_);
   const auto found = open_.find(token);
--- a/packages/daemon/claim_gate.h
+++ b/packages/daemon/claim_gate.h
@@ -66,10 +66,14 @@
   // request must never be dispatched.
   virtual bool BeginDispatch(ClaimTicket token, TimePoint now) = 0;
 
-  // Gives up a claim whose request did not run, either because it was not dispatched or because the
-  // upstream has said so.
+  // Gives up a claim whose request was dispatched and, as the upstream has said, did not run.
   virtual void Release(ClaimTicket token) = 0;
 
+  // Gives up a claim that was not dispatched and never will be. Returns the verdict for the caller:
+  // the given one, with "may have run" in place of "not run" if an earlier sending of the same
+  // request may have run.
+  virtual Verdict GiveUp(ClaimTicket token, Verdict verdict) = 0;
+
   // Keeps the response of a request that ran.
   virtual void Complete(ClaimTicket token, StoredResponse response) = 0;
 
@@ -83,6 +87,7 @@
   boost::asio::awaitable<ClaimAnswer> Claim(ClaimSending sending, TimePoint now) override;
   bool BeginDispatch(ClaimTicket token, TimePoint now) override;
   void Release(ClaimTicket token) override;
+  Verdict GiveUp(ClaimTicket token, Verdict verdict) override;
   void Complete(ClaimTicket token, StoredResponse response) override;
   void Abandon(ClaimTicket token) override;
 
--- a/packages/daemon/claim_service.cc
+++ b/packages/daemon/claim_service.cc
@@ -57,6 +57,17 @@
                        .body = stored.body.substr(end + 1)}};
 }
 
+// Returns the verdict that the actions hold for a sending.
+std::optional<Verdict> FindVerdict(const ClaimActions& actions, ClaimTicket ticket) {
+  for (const ClaimOutcome& outcome : actions.outcomes) {
+    const auto* verdict = std::get_if<Verdict>(&outcome.result);
+    if (outcome.ticket == ticket && verdict != nullptr) {
+      return *verdict;
+    }
+  }
+  return std::nullopt;
+}
+
 // A write finds its row as it expects it if the row is absent, or holds the expected claim.
 bool ConditionHolds(const ClaimWrite& write, const platform::Row& row) {
   if (!write.expected) {
@@ -183,8 +194,8 @@
   {
     const std::lock_guard lock(mutex_);
     allowed = ledger_.BeginDispatch(token, now, &actions);
-    if (allowed) {
-      dispatched_.insert(token);
+    if (const auto verdict = FindVerdict(actions, token)) {
+      refused_[token] = *verdict;
     }
   }
   Execute(std::move(actions));
@@ -192,29 +203,35 @@
 }
 
 void ClaimService::Release(ClaimTicket token) {
-  bool dispatched = false;
+  Run([token](ClaimLedger& ledger, TimePoint now) { return ledger.OnStatedNotRun(token, now); });
+}
+
+Verdict ClaimService::GiveUp(ClaimTicket token, Verdict verdict) {
+  ClaimActions actions;
   {
     const std::lock_guard lock(mutex_);
-    dispatched = dispatched_.erase(token) > 0;
+    const auto refused = refused_.find(token);
+    if (refused != refused_.end()) {
+      verdict = refused->second;
+      refused_.erase(refused);
+      return verdict;
+    }
+    actions = ledger_.GiveUp(token, verdict, Now());
+    verdict = FindVerdict(actions, token).value_or(verdict);
   }
-  Run([token, dispatched](ClaimLedger& ledger, TimePoint now) {
-    return dispatched ? ledger.OnStatedNotRun(token, now) : ledger.Cancel(token, now);
-  });
+  Execute(std::move(actions));
+  return verdict;
 }
 
 void ClaimService::Complete(ClaimTicket token, StoredResponse response) {
   Run([&](ClaimLedger& ledger, TimePoint now) {
-    dispatched_.erase(token);
     return ledger.OnCompleted(token, static_cast<int>(response.status), JoinResponse(response),
                               now);
   });
 }
 
 void ClaimService::Abandon(ClaimTicket token) {
-  Run([this, token](ClaimLedger& ledger, TimePoint now) {
-    dispatched_.erase(token);
-    return ledger.OnLost(token, now);
-  });
+  Run([token](ClaimLedger& ledger, TimePoint now) { return ledger.OnLost(token, now); });
 }
 
 void ClaimService::OnQuery(const ClaimQuery& query) {
--- a/packages/daemon/claim_service.h
+++ b/packages/daemon/claim_service.h
@@ -51,6 +51,7 @@
   boost::asio::awaitable<ClaimAnswer> Claim(ClaimSending sending, TimePoint now) override;
   bool BeginDispatch(ClaimTicket token, TimePoint now) override;
   void Release(ClaimTicket token) override;
+  Verdict GiveUp(ClaimTicket token, Verdict verdict) override;
   void Complete(ClaimTicket token, StoredResponse response) override;
   void Abandon(ClaimTicket token) override;
 
@@ -88,7 +89,8 @@
   ClaimCommitter committer_;
   ClaimTicket next_ticket_ = 1;
   std::map<ClaimTicket, std::shared_ptr<Waiter>> waiters_;
-  std::set<ClaimTicket> dispatched_;
+  // Verdicts of claims whose dispatch was refused, until their handlers ask for them.
+  std::map<ClaimTicket, Verdict> refused_;
   Counter& transactions_;
   Counter& conflicts_;
   Counter& replays_;
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -172,9 +172,7 @@
     return tl::make_unexpected(peers_bound.error());
   }
   peers_endpoint_ = *peers_bound;
-  if (!parts_.claims) {
-    parts_.claims = StartClaims();
-  }
+  StartClaimsAndExchange();
   const Result<Endpoint> callers_bound = callers_.Listen(*callers);
   const Result<Endpoint> administration_bound = administration_.Listen(*administration);
   if (!callers_bound || !administration_bound) {
@@ -196,17 +194,25 @@
   return {};
 }
 
-std::shared_ptr<ClaimGate> Daemon::StartClaims() {
-  std::random_device random;
-  const std::uint64_t nonce = (std::uint64_t{random()} << 32) | random();
-  auto claims = std::make_shared<ClaimService>(
-      pool_.context(0), platform_.table(),
-      ClaimServiceOptions{.owner = {.daemon = settings_.daemon,
-                                    .incarnation = StartMilliseconds(),
-                                    .nonce = nonce}},
-      metrics_);
-  claims->Start();
-  return claims;
+void Daemon::StartClaimsAndExchange() {
+  std::shared_ptr<ClaimService> claims;
+  if (!parts_.claims) {
+    std::random_device random;
+    const std::uint64_t nonce = (std::uint64_t{random()} << 32) | random();
+    claims = std::make_shared<ClaimService>(
+        pool_.context(0), platform_.table(),
+        ClaimServiceOptions{.owner = {.daemon = settings_.daemon,
+                                      .incarnation = StartMilliseconds(),
+                                      .nonce = nonce}},
+        metrics_);
+    parts_.claims = claims;
+  }
+  peer_exchange_ = std::make_unique<PeerExchange>(pool_.context(0), platform_.network(),
+                                                  dispatcher_, claims, settings_.failure_domain);
+  peer_exchange_->Start();
+  if (claims) {
+    claims->Start();
+  }
 }
 
 void Daemon::BeginDrain() {
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -16,6 +16,7 @@
 #include "daemon/dispatcher.h"
 #include "daemon/path_metrics.h"
 #include "daemon/path_options.h"
+#include "daemon/peer_exchange.h"
 #include "daemon/platform_config_service.h"
 #include "daemon/retry_strategy.h"
 #include "daemon/stream_directory.h"
@@ -74,7 +75,7 @@
  private:
   boost::asio::awaitable<void> HandleCaller(HttpExchange& exchange);
   boost::asio::awaitable<void> TickLoop();
-  std::shared_ptr<ClaimGate> StartClaims();
+  void StartClaimsAndExchange();
   RequestKey MakeKey();
   CallerServices MakeServices();
 
@@ -95,6 +96,7 @@
   std::vector<std::unique_ptr<ConnectionPool>> connections_;
   PlatformConfigService platform_;
   AdministrationHandler administration_handler_;
+  std::unique_ptr<PeerExchange> peer_exchange_;
   HttpServer callers_;
   HttpServer administration_;
 };
--- a/packages/daemon/dispatcher.cc
+++ b/packages/daemon/dispatcher.cc
@@ -88,7 +88,9 @@
   }
   {
     const std::lock_guard lock(table_mutex_);
-    table_.OnFinish(upstream, outcome, now);
+    AttemptOutcome numbered = outcome;
+    numbered.attempt = ticket;
+    table_.OnFinish(upstream, numbered, now);
   }
   Pump();
 }
@@ -150,11 +152,14 @@
     if (!request) {
       return;
     }
-    const auto chosen = table_.Select(waiters_.at(request->ticket)->route, now);
+    RouteRequest& route = waiters_.at(request->ticket)->route;
+    route.attempt = request->ticket;
+    const auto chosen = table_.Select(route, now);
     if (!chosen) {
       scheduler_.Finish(request->ticket, 0, now, false);
-      Deliver(request->ticket,
-              tl::make_unexpected(Verdict{.reason = chosen.error(), .retry_after = Duration(1s)}));
+      Deliver(request->ticket, tl::make_unexpected(Verdict{.run_state = request->run_state,
+                                                           .reason = chosen.error(),
+                                                           .retry_after = Duration(1s)}));
       continue;
     }
     Deliver(request->ticket, upstreams_.at(*chosen));
--- a/packages/daemon/model_attempt.cc
+++ b/packages/daemon/model_attempt.cc
@@ -53,7 +53,6 @@
 }
 
 asio::awaitable<AttemptEnd> ModelAttempt::Resume() {
-  count_resumption_ = true;
   first_position_ = writer_.next_position();
   next_position_ = first_position_;
   std::string body = fmt::format(R"({{"generation":"{}","position":{}}})",
@@ -154,11 +153,6 @@
     if (!TakeEvents()) {
       co_return Fail(AttemptResult::kLost, Reason::kUpstreamError);
     }
-    if (count_resumption_ && (done_ || next_position_ > first_position_)) {
-      // Before the caller can see the end of its answer, so that counters never lag behind answers.
-      services_.path_metrics.resumed_streams.Add();
-      count_resumption_ = false;
-    }
     const bool written = done_ ? co_await writer_.Finish() : co_await writer_.Flush();
     if (!written) {
       outcome_.result = AttemptResult::kCancelled;
--- a/packages/daemon/model_handler.cc
+++ b/packages/daemon/model_handler.cc
@@ -126,7 +126,9 @@
                                .enqueued = Now(),
                                .deadline = deadline_,
                                .request_bytes = chat_.prompt.size(),
-                               .max_tokens = chat_.max_tokens};
+                               .max_tokens = chat_.max_tokens,
+                               .is_retry = attempts_ > 0,
+                               .run_state = state_};
     RouteRequest route{.service = request_.service.name,
                        .predicted_cost = queued.predicted_cost,
                        .prefix_hashes = PrefixHashes(chat_.prompt),
--- /dev/null
+++ b/packages/daemon/peer_exchange.cc
@@ -0,0 +1,205 @@
+#include "daemon/peer_exchange.h"
+
+#include <boost/asio.hpp>
+#include <utility>
+
+#include "daemon/claim_row_codec.h"
+#include "logging/logger.h"
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+
+// Section 6 of the design page.
+constexpr Duration kUsageInterval = 500ms;
+constexpr int kIntervalsPerDomainUsage = 4;
+
+const Logger kLog("peers");
+
+wire::MessageT ToMessage(const UsageSummary& summary) {
+  wire::UsageSummaryT message;
+  message.failure_domain = summary.domain.value();
+  message.incarnation = summary.incarnation;
+  message.sequence = summary.sequence;
+  message.daemons = summary.daemons;
+  message.complete = summary.complete;
+  for (const AccountUsage& usage : summary.accounts) {
+    message.accounts.emplace_back(usage.key, usage.served_ms, usage.waiting, usage.running);
+  }
+  return wire::MakeMessage(std::move(message));
+}
+
+UsageSummary FromMessage(const wire::UsageSummaryT& message) {
+  UsageSummary summary{
+      .scope = message.failure_domain.empty() ? UsageScope::kDaemon : UsageScope::kDomain,
+      .domain = FailureDomainId(message.failure_domain),
+      .incarnation = message.incarnation,
+      .sequence = message.sequence,
+      .daemons = message.daemons,
+      .complete = message.complete};
+  for (const wire::AccountUsage& usage : message.accounts) {
+    summary.accounts.push_back({.key = usage.key(),
+                                .served_ms = usage.served_ms(),
+                                .waiting = usage.waiting(),
+                                .running = usage.running()});
+  }
+  return summary;
+}
+
+}  // namespace
+
+PeerExchange::PeerExchange(asio::io_context& context, PeerNetwork& network, Dispatcher& dispatcher,
+                           std::shared_ptr<ClaimService> claims, FailureDomainId failure_domain)
+    : context_(context),
+      network_(network),
+      dispatcher_(dispatcher),
+      claims_(std::move(claims)),
+      failure_domain_(std::move(failure_domain)) {}
+
+void PeerExchange::Start() {
+  if (claims_) {
+    claims_->SetPeers({.send_query = [this](const ClaimQuery& query) { return SendQuery(query); },
+                       .send_reply = [this](const ClaimReply& reply) { SendReply(reply); }});
+  }
+  asio::co_spawn(context_, UsageLoop(), asio::detached);
+}
+
+asio::awaitable<void> PeerExchange::UsageLoop() {
+  network_.SetMessageHandler(
+      [this](const DaemonId& from, const wire::MessageT& message) { Handle(from, message); });
+  network_.SetChangeHandler([this](const membership::Change& change) {
+    if (claims_ && change.member.state == membership::MemberState::kDead) {
+      claims_->OnDaemonGone(change.member.daemon);
+    }
+  });
+  asio::steady_timer timer(context_);
+  for (int interval = 1;; ++interval) {
+    timer.expires_after(kUsageInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    SendUsage();
+    if (interval % kIntervalsPerDomainUsage == 0) {
+      SendDomainUsage();
+    }
+  }
+}
+
+void PeerExchange::SendUsage() {
+  dispatcher_.OnView(network_.membership().LiveInDomain());
+  const UsageSummary summary = dispatcher_.Summary();
+  if (summary.accounts.empty()) {
+    return;
+  }
+  const wire::MessageT message = ToMessage(summary);
+  for (const membership::Member& member : network_.membership().Members()) {
+    if (member.failure_domain == failure_domain_ &&
+        member.daemon != network_.membership().daemon() &&
+        member.state == membership::MemberState::kAlive) {
+      network_.Send(member.daemon, message);
+    }
+  }
+}
+
+void PeerExchange::SendDomainUsage() {
+  if (!network_.membership().is_representative()) {
+    return;
+  }
+  const UsageSummary summary = dispatcher_.DomainSummary(failure_domain_);
+  if (summary.accounts.empty()) {
+    return;
+  }
+  const wire::MessageT message = ToMessage(summary);
+  for (const membership::Member& member : network_.membership().Members()) {
+    const auto representative = network_.membership().Representative(member.failure_domain);
+    if (member.failure_domain != failure_domain_ && representative == member.daemon) {
+      network_.Send(member.daemon, message);
+    }
+  }
+}
+
+void PeerExchange::Handle(const DaemonId& from, const wire::MessageT& message) {
+  switch (message.body.type) {
+    case wire::Body_UsageSummary:
+      OnUsage(from, *message.body.AsUsageSummary());
+      break;
+    case wire::Body_ClaimQuery:
+      OnClaimQuery(from, *message.body.AsClaimQuery());
+      break;
+    case wire::Body_ClaimReply:
+      OnClaimReply(*message.body.AsClaimReply());
+      break;
+    default:
+      break;
+  }
+}
+
+void PeerExchange::OnUsage(const DaemonId& from, const wire::UsageSummaryT& message) {
+  const UsageSummary summary = FromMessage(message);
+  dispatcher_.Merge(from, summary);
+  // Only representatives hear other failure domains, so they pass the totals on inside their own.
+  const auto sender = network_.membership().Find(from);
+  const bool from_outside = sender && sender->failure_domain != failure_domain_;
+  if (summary.scope != UsageScope::kDomain || !from_outside) {
+    return;
+  }
+  for (const membership::Member& member : network_.membership().Members()) {
+    if (member.failure_domain == failure_domain_ &&
+        member.daemon != network_.membership().daemon()) {
+      network_.Send(member.daemon, wire::MakeMessage(message));
+    }
+  }
+}
+
+void PeerExchange::OnClaimQuery(const DaemonId& from, const wire::ClaimQueryT& message) {
+  const Result<ClaimKey> key = ParseClaimKey(message.claim);
+  const Result<ClaimToken> token = ParseClaimToken(message.token);
+  if (!claims_ || !key || !token) {
+    kLog.Warning("A question about a claim was not answered.", {{"from", from.value()}});
+    return;
+  }
+  claims_->OnQuery({.id = message.query, .asker = from, .key = *key, .token = *token});
+}
+
+void PeerExchange::OnClaimReply(const wire::ClaimReplyT& message) {
+  const Result<ClaimKey> key = ParseClaimKey(message.claim);
+  const Result<ClaimToken> token = ParseClaimToken(message.token);
+  if (!claims_ || !key || !token || message.kind > wire::ClaimReplyKind_MAX) {
+    return;
+  }
+  ClaimReply reply{.id = message.query,
+                   .asker = network_.membership().daemon(),
+                   .key = *key,
+                   .token = *token,
+                   .kind = static_cast<ClaimReplyKind>(message.kind)};
+  if (reply.kind == ClaimReplyKind::kDone) {
+    const Result<ClaimRow> row = ParseClaimRow(message.row);
+    if (!row) {
+      return;
+    }
+    reply.answer = row->answer;
+  }
+  claims_->OnReply(reply);
+}
+
+bool PeerExchange::SendQuery(const ClaimQuery& query) {
+  wire::ClaimQueryT message;
+  message.query = query.id;
+  message.claim = PrintClaimKey(query.key);
+  message.token = PrintClaimToken(query.token);
+  return network_.Send(query.token.owner.daemon, wire::MakeMessage(std::move(message)));
+}
+
+void PeerExchange::SendReply(const ClaimReply& reply) {
+  wire::ClaimReplyT message;
+  message.query = reply.id;
+  message.claim = PrintClaimKey(reply.key);
+  message.token = PrintClaimToken(reply.token);
+  message.kind = static_cast<wire::ClaimReplyKind>(reply.kind);
+  if (reply.kind == ClaimReplyKind::kDone) {
+    message.row =
+        PrintClaimRow({.token = reply.token, .state = ClaimState::kDone, .answer = reply.answer});
+  }
+  network_.Send(reply.asker, wire::MakeMessage(std::move(message)));
+}
+
+}  // namespace savoryglade
--- a/packages/daemon/peer_network.cc
+++ b/packages/daemon/peer_network.cc
@@ -199,6 +199,9 @@
                                         {"state", membership::ToString(change.member.state)},
                                         {"incarnation", change.member.incarnation}});
     live_members_.Set(static_cast<std::int64_t>(membership_.LiveInDomain()));
+    if (change_handler_) {
+      change_handler_(change);
+    }
   }
   DialMissing(now);
   for (const membership::HeartbeatOrder& order : membership_.TakeDueHeartbeats(now)) {
@@ -322,10 +325,26 @@
       OnConfigFetch(link, *message.body.AsConfigFetch());
       break;
     default:
+      if (message_handler_) {
+        message_handler_(link->daemon(), message);
+      }
       break;
   }
 }
 
+bool PeerNetwork::Send(const DaemonId& daemon, const wire::MessageT& message) {
+  const auto link = links_.find(daemon);
+  if (link != links_.end() && link->second->open()) {
+    link->second->Send(message);
+    return true;
+  }
+  const std::optional<Member> member = membership_.Find(daemon);
+  if (member && !member->address.empty() && dialling_.insert(daemon).second) {
+    asio::co_spawn(context_, Dial(daemon, member->address), asio::detached);
+  }
+  return false;
+}
+
 void PeerNetwork::SendHeartbeat(const LinkPointer& link, bool answer_wanted) {
   Send(link, membership_.MakeHeartbeat(link->daemon(), answer_wanted));
 }
--- a/packages/daemon/peer_network.h
+++ b/packages/daemon/peer_network.h
@@ -44,6 +44,22 @@
   // Replaces the daemons that the platform lists; those of the settings stay.
   void SetListedPeers(const std::vector<membership::Peer>& peers);
 
+  using MessageHandler = std::function<void(const DaemonId&, const wire::MessageT&)>;
+  using ChangeHandler = std::function<void(const membership::Change&)>;
+
+  // Gets the messages that are neither heartbeats nor configuration.
+  void SetMessageHandler(MessageHandler message_handler) {
+    message_handler_ = std::move(message_handler);
+  }
+  // Gets each change of a member's state.
+  void SetChangeHandler(ChangeHandler change_handler) {
+    change_handler_ = std::move(change_handler);
+  }
+
+  // Sends a message to a daemon. Returns false if there is no link; one is then dialled for the
+  // next message.
+  bool Send(const DaemonId& daemon, const wire::MessageT& message);
+
   // Checks whether the daemon may serve now. Tick does so as well.
   void UpdateReady(TimePoint now);
 
@@ -88,6 +104,8 @@
   Counter& deltas_;
   Gauge& live_members_;
   SnapshotHandler handler_;
+  MessageHandler message_handler_;
+  ChangeHandler change_handler_;
   membership::Membership membership_;
   membership::ConfigReplica replica_;
   std::string own_address_;
--- a/packages/daemon/plain_handler.cc
+++ b/packages/daemon/plain_handler.cc
@@ -288,8 +288,8 @@
     }
     services_.path_metrics.retries.Add();
     if (claim_dispatched_) {
-      // The upstream has stated that it did not run the request. A claim is dispatched once, so the next attempt
-      // needs another one.
+      // The upstream has stated that it did not run the request. A claim is dispatched once, so the
+      // next attempt needs another one.
       services_.claims.Release(claim_);
       claim_ = 0;
       claim_dispatched_ = false;
@@ -334,7 +334,9 @@
       verdict.run_state = RunState::kMayHaveRun;
     }
     if (claim_ != 0) {
-      if (verdict.run_state == RunState::kNotRun) {
+      if (!claim_dispatched_) {
+        verdict = services_.claims.GiveUp(claim_, verdict);
+      } else if (verdict.run_state == RunState::kNotRun) {
         services_.claims.Release(claim_);
       } else {
         services_.claims.Abandon(claim_);
--- a/packages/daemon/platform_config_service.h
+++ b/packages/daemon/platform_config_service.h
@@ -48,6 +48,9 @@
   boost::asio::awaitable<bool> WaitFor(std::uint64_t version, std::size_t live_members,
                                        Duration timeout);
 
+  // The links to the other daemons; valid after Start, to be used on the context only.
+  PeerNetwork& network() { return *network_; }
+
   // The table in use; valid after Start.
   platform::Table& table() { return *table_; }
 
