--- a/packages/daemon/model_attempt.cc
+++ b/packages/daemon/model_attempt.cc
@@ -58,7 +58,6 @@
   next_position_ = first_position_;
   std::string body = fmt::format(R"({{"generation":"{}","position":{}}})",
                                  request_.digests.generation, first_position_);
-  resuming_ = true;
   co_return co_await Run("/resume", std::move(body));
 }
 
@@ -137,7 +136,6 @@
         ? Fail(AttemptResult::kRefused, Reason::kUpstreamError, RunState::kNotRun)
         : Fail(AttemptResult::kLost, Reason::kUpstreamError);
   }
-  services_.path_metrics.resumed_streams.Add(resuming_ ? 1 : 0);
   co_return co_await Relay(connection);
 }
 
--- a/packages/daemon/model_attempt.h
+++ b/packages/daemon/model_attempt.h
@@ -82,7 +82,6 @@
   // Position that the upstream must send next; below the writer's while an answer is generated
   // again from the start.
   std::int64_t next_position_ = 0;
-  bool resuming_ = false;
   bool done_ = false;
   bool gap_ = false;
   AttemptOutcome outcome_;
