--- a/packages/daemon/plain_handler.cc
+++ b/packages/daemon/plain_handler.cc
@@ -288,8 +288,8 @@
     }
     services_.path_metrics.retries.Add();
     if (claim_dispatched_) {
-      // The upstream has stated that it did not run the request. A claim is dispatched once, so the next attempt
-      // needs another one.
+      // The upstream has stated that it did not run the request. A claim is dispatched once, so the
+      // next attempt needs another one.
       services_.claims.Release(claim_);
       claim_ = 0;
       claim_dispatched_ = false;
