Release the acceptor with its server and count resumptions once

Cause: a connection on another worker kept the acceptor beyond its context, a use-after-free at destruction under AddressSanitizer. Two conditional expressions still held co_await, which g++ 12 miscompiles.

Change: HttpServer releases the acceptor in its destructor; the attempt counts the resumption before it writes; the conditional expressions are statements.

--- a/packages/daemon/model_attempt.cc
+++ b/packages/daemon/model_attempt.cc
@@ -53,6 +53,7 @@
 }
 
 asio::awaitable<AttemptEnd> ModelAttempt::Resume() {
+  count_resumption_ = true;
   first_position_ = writer_.next_position();
   next_position_ = first_position_;
   std::string body = fmt::format(R"({{"generation":"{}","position":{}}})",
@@ -151,7 +152,18 @@
     if (!TakeEvents()) {
       co_return Fail(AttemptResult::kLost, Reason::kUpstreamError);
     }
-    const bool written = done_ ? co_await writer_.Finish() : co_await writer_.Flush();
+    if (count_resumption_ && (done_ || next_position_ > first_position_)) {
+      // Before the caller can see the end of its answer, so that counters never lag behind answers.
+      services_.path_metrics.resumed_streams.Add();
+      count_resumption_ = false;
+    }
+    // Two statements, because g++ 12 miscompiles co_await inside a conditional expression.
+    bool written = false;
+    if (done_) {
+      written = co_await writer_.Finish();
+    } else {
+      written = co_await writer_.Flush();
+    }
     if (!written) {
       outcome_.result = AttemptResult::kCancelled;
       interrupt_.Raise(InterruptCause::kCallerGone);
--- a/packages/daemon/model_attempt.h
+++ b/packages/daemon/model_attempt.h
@@ -76,6 +76,8 @@
   SseReader reader_;
   EngineEventParser parser_;
   TimePoint start_ = std::chrono::steady_clock::now();
+  // The attempt takes up a stream and that has not been counted yet.
+  bool count_resumption_ = false;
   std::int64_t first_position_ = 0;
   // Position that the upstream must send next; below the writer's while an answer is generated
   // again from the start.
--- a/packages/daemon/model_handler.cc
+++ b/packages/daemon/model_handler.cc
@@ -178,7 +178,10 @@
       co_return true;
     }
     attempts_ += counts ? 1 : 0;
-    co_return !counts ? false : co_await PrepareRetry(verdict);
+    if (!counts) {
+      co_return false;
+    }
+    co_return co_await PrepareRetry(verdict);
   }
 
   // Waits for the next attempt if the budget allows one, else answers. Returns true if the request
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -271,7 +271,11 @@
 HttpServer::HttpServer(WorkerPool& pool, HttpLimits limits, HttpHandler handler)
     : state_(std::make_shared<State>(pool, limits, std::move(handler))) {}
 
-HttpServer::~HttpServer() { StopAccepting(); }
+HttpServer::~HttpServer() {
+  // Connections that are still open on other workers keep the state alive beyond the context that the acceptor
+  // belongs to.
+  state_->acceptor.reset();
+}
 
 Result<Endpoint> HttpServer::Listen(const Endpoint& endpoint) {
   beast::error_code error;
