--- a/packages/config/configuration_diff.cc
+++ b/packages/config/configuration_diff.cc
@@ -23,6 +23,10 @@
   return items;
 }
 
+std::string ItemPath(const std::string& list, const std::string& name) {
+  return fmt::format("{}/{}", list, name);
+}
+
 std::vector<std::string> DifferentFields(const json::object& before, const json::object& after) {
   std::vector<std::string> fields;
   for (const auto& member : before) {
@@ -46,16 +50,16 @@
   for (const auto& [name, item] : old_items) {
     const auto found = new_items.find(name);
     if (found == new_items.end()) {
-      changes.push_back({.kind = ChangeKind::kRemoved, .item = list + "/" + name});
+      changes.push_back({.kind = ChangeKind::kRemoved, .item = ItemPath(list, name)});
     } else if (found->second != item) {
       changes.push_back({.kind = ChangeKind::kChanged,
-                         .item = list + "/" + name,
+                         .item = ItemPath(list, name),
                          .fields = DifferentFields(item, found->second)});
     }
   }
   for (const auto& [name, item] : new_items) {
     if (old_items.count(name) == 0) {
-      changes.push_back({.kind = ChangeKind::kAdded, .item = list + "/" + name});
+      changes.push_back({.kind = ChangeKind::kAdded, .item = ItemPath(list, name)});
     }
   }
 }
--- a/packages/daemon/claim_row_codec.cc
+++ b/packages/daemon/claim_row_codec.cc
@@ -114,7 +114,7 @@
 }
 
 Result<ClaimRow> ParseClaimRow(const std::string& text) {
-  const auto parsed = ReadOrError(text, "claim row", [](const json::object& object) {
+  return ReadOrError(text, "claim row", [](const json::object& object) {
     ClaimRow row{.token = TokenFromJson(object.at("token").as_object())};
     row.state = StateFromName(json::value_to<std::string>(object.at("state"))).value();
     row.body = DigestFromHex(json::value_to<std::string>(object.at("body"))).value();
@@ -127,7 +127,6 @@
     }
     return row;
   });
-  return parsed;
 }
 
 std::string PrintClaimToken(const ClaimToken& token) { return json::serialize(TokenToJson(token)); }
--- a/packages/daemon/claim_service.cc
+++ b/packages/daemon/claim_service.cc
@@ -90,7 +90,7 @@
 };
 
 ClaimService::ClaimService(asio::io_context& context, platform::Table& table,
-                           ClaimServiceOptions options, MetricRegistry& metrics)
+                           const ClaimServiceOptions& options, MetricRegistry& metrics)
     : context_(context),
       table_(table),
       owner_(options.owner),
--- a/packages/daemon/claim_service.h
+++ b/packages/daemon/claim_service.h
@@ -39,7 +39,7 @@
 class ClaimService : public ClaimGate {
  public:
   ClaimService(boost::asio::io_context& context, platform::Table& table,
-               ClaimServiceOptions options, MetricRegistry& metrics);
+               const ClaimServiceOptions& options, MetricRegistry& metrics);
   ~ClaimService() override;
 
   // Connects the service with the other daemons; to be called before Start.
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -272,8 +272,8 @@
     : state_(std::make_shared<State>(pool, limits, std::move(handler))) {}
 
 HttpServer::~HttpServer() {
-  // Connections that are still open on other workers keep the state alive beyond the context that the acceptor
-  // belongs to.
+  // Connections that are still open on other workers keep the state alive beyond the context that
+  // the acceptor belongs to.
   state_->acceptor.reset();
 }
 
