Prove claims, configuration and refusals over a platform outage in a golden session

Cause: the only golden session used one daemon; nothing showed what callers and operators see when the platform goes down.

The explain command is removed until the daemon answers it.

--- a/packages/admin/commands.cc
+++ b/packages/admin/commands.cc
@@ -126,9 +126,51 @@
   return kExitDone;
 }
 
-Result<int> RunStatus(const OperatorClient& client, const CommandArguments& /*arguments*/,
+std::string TextField(const json::object& object, const char* name) {
+  const json::value* value = object.if_contains(name);
+  if (value == nullptr) {
+    return "unknown";
+  }
+  return value->is_string() ? std::string(value->get_string()) : json::serialize(*value);
+}
+
+// Prints the status as a line for the daemon and one for each member.
+std::string PrintStatusForPeople(const std::string& text) {
+  json::error_code error;
+  const json::value document = json::parse(text, error);
+  const json::object* status = error ? nullptr : document.if_object();
+  const json::value* configuration =
+      status == nullptr ? nullptr : status->if_contains("configuration");
+  const json::value* members = status == nullptr ? nullptr : status->if_contains("members");
+  if (configuration == nullptr || !configuration->is_object() || members == nullptr ||
+      !members->is_array()) {
+    return text;
+  }
+  const json::object& held = configuration->get_object();
+  std::string lines = fmt::format(
+      "{} in {}: ready {}, configuration {} from {}, last compared with the platform {} ms ago\n"
+      "{:<20} {:<16} {:<8} {}\n",
+      TextField(*status, "daemon"), TextField(*status, "failure_domain"),
+      TextField(*status, "ready"), TextField(held, "version"), TextField(held, "source"),
+      TextField(held, "staleness_ms"), "DAEMON", "FAILURE DOMAIN", "STATE", "CONFIGURATION");
+  for (const json::value& member : members->get_array()) {
+    if (const json::object* fields = member.if_object()) {
+      lines += fmt::format("{:<20} {:<16} {:<8} {}\n", TextField(*fields, "daemon"),
+                           TextField(*fields, "failure_domain"), TextField(*fields, "state"),
+                           TextField(*fields, "configuration_version"));
+    }
+  }
+  return lines;
+}
+
+Result<int> RunStatus(const OperatorClient& client, const CommandArguments& arguments,
                       const Print& print) {
-  return PrintText(client.GetStatus(), print);
+  const Result<std::string> status = client.GetStatus();
+  if (status && !arguments.json) {
+    print(PrintStatusForPeople(*status));
+    return kExitDone;
+  }
+  return PrintText(status, print);
 }
 
 Result<int> RunMetrics(const OperatorClient& client, const CommandArguments& /*arguments*/,
@@ -136,11 +178,6 @@
   return PrintText(client.GetMetrics(), print);
 }
 
-Result<int> RunExplain(const OperatorClient& client, const CommandArguments& arguments,
-                       const Print& print) {
-  return PrintText(client.Explain(RequestKey(arguments.operand)), print);
-}
-
 Result<int> RunDrain(const OperatorClient& client, const CommandArguments& arguments,
                      const Print& print) {
   const Result<void> drained = client.Drain();
@@ -155,8 +192,8 @@
 
 const std::vector<Command>& Commands() {
   static const std::vector<Command> kCommands = {
-      {"get", RunGet},         {"diff", RunDiff},       {"apply", RunApply}, {"status", RunStatus},
-      {"metrics", RunMetrics}, {"explain", RunExplain}, {"drain", RunDrain},
+      {"get", RunGet},       {"diff", RunDiff},       {"apply", RunApply},
+      {"status", RunStatus}, {"metrics", RunMetrics}, {"drain", RunDrain},
   };
   return kCommands;
 }
--- a/packages/admin/commands.h
+++ b/packages/admin/commands.h
@@ -11,7 +11,7 @@
 
 // Arguments of one call of savoryctl.
 struct CommandArguments {
-  // File of "apply" and "diff", or key of "explain".
+  // File of "apply" and "diff".
   std::string operand;
   bool json = false;
 };
--- a/packages/admin/operator_client.cc
+++ b/packages/admin/operator_client.cc
@@ -258,8 +258,4 @@
   return Exchange("POST", "/v1/drain", "", std::nullopt).map([](const std::string&) {});
 }
 
-Result<std::string> OperatorClient::Explain(const RequestKey& key) const {
-  return Exchange("GET", "/v1/requests/" + key.value(), "", std::nullopt);
-}
-
 }  // namespace savoryglade
--- a/packages/admin/operator_client.h
+++ b/packages/admin/operator_client.h
@@ -62,8 +62,6 @@
   Result<std::string> GetMetrics() const;
   // Asks the daemon to drain: it takes no new work and ends when nothing is in flight.
   Result<void> Drain() const;
-  // Returns the decisions on one request as JSON text.
-  Result<std::string> Explain(const RequestKey& key) const;
 
  private:
   using Edit = std::function<Result<void>(Configuration&)>;
--- a/packages/admin/savoryctl_main.cc
+++ b/packages/admin/savoryctl_main.cc
@@ -26,7 +26,6 @@
   savoryctl [options] apply <operand>
   savoryctl [options] status
   savoryctl [options] watch [--count=N]
-  savoryctl [options] explain <operand>
   savoryctl [options] metrics
   savoryctl [options] drain
   savoryctl version
@@ -36,15 +35,14 @@
   get             Print the configuration in force at the daemon.
   diff FILE       Print how a configuration file differs from the one in force; exit code 1 if it does.
   apply FILE      Replace the configuration, if the file's version is in force or the file has none.
-  status          Print the daemons, the versions in force there, and the upstreams.
+  status          Print the daemons and the versions in force there.
   watch           Print the status every two seconds.
-  explain KEY     Print the decisions on one request, by its Savoryglade-Request key.
   metrics         Print the counters and timings.
   drain           Let the daemon end what is in flight and stop.
 
 Options:
   --daemon=ADDRESS  Administration address of a daemon [default: 127.0.0.1:8081].
-  --json            Print errors and differences as JSON.
+  --json            Print status, errors and differences as JSON.
   --count=N         Stop watching after so many times; 0 goes on [default: 0].
   --help            Show this text.
 
--- a/packages/emulator/platform_service.h
+++ b/packages/emulator/platform_service.h
@@ -13,13 +13,15 @@
 // Emulated platform over HTTP and JSON: table, VM list, object store, and faults that can be
 // switched on. A request whose answer is lost is left without one until the client gives up.
 //
-//   GET  /table/row?key=K        {"version": 0 if there is no row, "value": text}
-//   POST /table/commit           {"conditions": [{"key", "version"}], "writes": [{"key", "value"}]}
+//   POST /table/read             {"key"}; answers {"version", "value"}, version 0 without a row
+//   POST /table/commit           {"conditions": [{"key", "version"}], "writes": [{"key",
+//   "value"}]};
 //                                200 committed, 409 conflict; a null value deletes
-//   GET  /vms[?failure_domain=F] {"vms": [{"vm", "failure_domain", "daemon", "peers_address",
-//   "leaving"}]} PUT  /vms, DELETE /vms/NAME  add or replace a VM, remove it PUT, GET /objects/KEY
-//   whole objects PUT  /faults                 {"outage", "lose_answers", "delay_ms"} GET  /counts
-//   {"table_reads", "table_writes", "vm_lists"}
+//   POST /vms/list               {"failure_domain"}; answers {"vms"}
+//   PUT  /vms, DELETE /vms/NAME  adds or replaces a VM, removes it
+//   PUT, GET /objects/KEY        whole objects
+//   PUT  /faults                 {"outage", "lose_answers", "delay_ms"}
+//   GET  /counts                 {"table_reads", "table_writes", "vm_lists"}
 class PlatformService {
  public:
   // Answers one HTTP request.
--- a/tests/golden/session_world.cc
+++ b/tests/golden/session_world.cc
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 #include <fstream>
 #include <optional>
+#include <regex>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -65,10 +66,19 @@
 
 const std::map<std::string, SessionWorld::StepFunction>& SessionWorld::Steps() {
   static const std::map<std::string, StepFunction> kSteps = {
-      {"engine", &SessionWorld::StartEngine}, {"plain", &SessionWorld::StartPlain},
-      {"daemon", &SessionWorld::StartDaemon}, {"drain", &SessionWorld::DrainDaemon},
-      {"call", &SessionWorld::Call},          {"configuration", &SessionWorld::Configuration},
-      {"operator", &SessionWorld::Operator},  {"counters", &SessionWorld::Counters},
+      {"engine", &SessionWorld::StartEngine},
+      {"plain", &SessionWorld::StartPlain},
+      {"daemon", &SessionWorld::StartDaemon},
+      {"drain", &SessionWorld::DrainDaemon},
+      {"fleet", &SessionWorld::StartFleet},
+      {"wait", &SessionWorld::WaitForVersion},
+      {"platform", &SessionWorld::SetPlatform},
+      {"engine-fault", &SessionWorld::SetEngineFault},
+
+      {"call", &SessionWorld::Call},
+      {"configuration", &SessionWorld::Configuration},
+      {"operator", &SessionWorld::Operator},
+      {"counters", &SessionWorld::Counters},
       {"runs", &SessionWorld::Runs},
   };
   return kSteps;
@@ -123,6 +133,70 @@
   return "";
 }
 
+// fleet NAME=FAILURE-DOMAIN...: daemons that share a platform over HTTP and know each other.
+std::string SessionWorld::StartFleet(const SessionStep& step) {
+  platform_ = std::make_unique<PlatformService>();
+  platform_server_ = std::make_unique<HttpServer>(
+      upstream_workers_, HttpLimits{},
+      [platform = platform_.get()](HttpExchange& e) { return platform->Handle(e); });
+  const Endpoint endpoint = *platform_server_->Listen({.address = kLoopback});
+  // No daemon reads the list of VMs before all are on it.
+  platform_->SetFaults({.outage = true});
+  for (const auto& [name, domain] : step.options) {
+    Settings settings;
+    settings.daemon = DaemonId(name);
+    settings.failure_domain = FailureDomainId(domain);
+    settings.callers_address = "127.0.0.1:0";
+    settings.administration_address = "127.0.0.1:0";
+    settings.peers_address = "127.0.0.1:0";
+    settings.worker_threads = 1;
+    settings.platform_kind = PlatformKind::kHttp;
+    settings.platform_address = ToString(endpoint);
+    auto daemon = std::make_unique<Daemon>(settings);
+    const Result<void> started = daemon->Start();
+    if (!started) {
+      return "error: " + started.error().message + "\n";
+    }
+    platform_->state().PutVm({.vm = VmId("vm-" + name),
+                              .failure_domain = settings.failure_domain,
+                              .daemon = settings.daemon,
+                              .peers_address = ToString(daemon->peers_endpoint())});
+    daemons_[name] = std::move(daemon);
+  }
+  platform_->SetFaults({});
+  return "";
+}
+
+// wait VERSION MEMBERS: until each daemon has the version in force and sees that many members of
+// its failure domain.
+std::string SessionWorld::WaitForVersion(const SessionStep& step) {
+  std::string text;
+  for (const auto& [name, daemon] : daemons_) {
+    HttpRequest request(http::verb::get,
+                        fmt::format("/v1/status?wait_for_version={}&wait_for_members={}",
+                                    step.Word(1), step.Word(2)),
+                        11);
+    const auto response = Exchange(daemon->administration_endpoint(), std::move(request));
+    const bool reached = response && response->result_int() == 200;
+    text += fmt::format("{}: {}\n", name, reached ? "in force" : "not in force");
+  }
+  return text;
+}
+
+// platform up|down|loses-answers
+std::string SessionWorld::SetPlatform(const SessionStep& step) {
+  platform_->SetFaults(
+      {.outage = step.Word(1) == "down", .lose_answers = step.Word(1) == "loses-answers"});
+  return "";
+}
+
+// engine-fault ENGINE FAULT [at=POSITION]
+std::string SessionWorld::SetEngineFault(const SessionStep& step) {
+  upstreams_.at(step.Word(1))
+      .engine->SetFault(ParseEngineFault(step.Word(2)), std::stoll(step.Option("at", "-1")));
+  return "";
+}
+
 std::string SessionWorld::DrainDaemon(const SessionStep& step) {
   Daemon& daemon = DaemonOf(step);
   daemon.BeginDrain();
@@ -152,12 +226,14 @@
   return std::move(*response);
 }
 
-// call ACCOUNT-KEY METHOD PATH [key=IDEMPOTENCY-KEY] [resume=LAST-EVENT-ID] [at=DAEMON]
+// call ACCOUNT-KEY METHOD PATH [key=IDEMPOTENCY-KEY] [resume=LAST-EVENT-ID] [resend=true]
+// [at=DAEMON]
 std::string SessionWorld::Call(const SessionStep& step) {
   HttpRequest request(http::string_to_verb(step.Word(2)), step.Word(3), 11);
   request.set(http::field::authorization, "Bearer " + step.Word(1));
   for (const auto& [option, header] :
-       {std::pair{"key", "Idempotency-Key"}, std::pair{"resume", "Last-Event-ID"}}) {
+       {std::pair{"key", "Idempotency-Key"}, std::pair{"resume", "Last-Event-ID"},
+        std::pair{"resend", "Savoryglade-Resend"}}) {
     if (!step.Option(option).empty()) {
       request.set(header, step.Option(option));
     }
@@ -239,6 +315,9 @@
     text = ReplaceAll(std::move(text), fmt::format("{}:{}", kLoopback, port),
                       fmt::format("{{address:{}}}", name));
   }
+  // Keys that a daemon made hold its start time.
+  static const std::regex kMadeKey("[a-z]+-[0-9]+-[0-9a-f]{12,16}-[0-9a-f]+");
+  text = std::regex_replace(text, kMadeKey, "{made key}");
   return text;
 }
 
--- a/tests/golden/session_world.h
+++ b/tests/golden/session_world.h
@@ -9,6 +9,7 @@
 #include "daemon/daemon.h"
 #include "emulator/engine.h"
 #include "emulator/plain_service.h"
+#include "emulator/platform_service.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -43,6 +44,10 @@
   std::string StartEngine(const SessionStep& step);
   std::string StartPlain(const SessionStep& step);
   std::string StartDaemon(const SessionStep& step);
+  std::string StartFleet(const SessionStep& step);
+  std::string WaitForVersion(const SessionStep& step);
+  std::string SetPlatform(const SessionStep& step);
+  std::string SetEngineFault(const SessionStep& step);
   std::string DrainDaemon(const SessionStep& step);
   std::string Call(const SessionStep& step);
   std::string Configuration(const SessionStep& step);
@@ -57,7 +62,10 @@
   Daemon& DaemonOf(const SessionStep& step);
   Result<HttpResponse> Exchange(const Endpoint& endpoint, HttpRequest request);
 
-  WorkerPool upstream_workers_{2};
+  // One worker, because a connection on another one would outlive the listener's context.
+  WorkerPool upstream_workers_{1};
+  std::unique_ptr<PlatformService> platform_;
+  std::unique_ptr<HttpServer> platform_server_;
   std::map<std::string, Upstream> upstreams_;
   std::map<std::string, std::unique_ptr<Daemon>> daemons_;
 };
