--- a/packages/admin/commands.cc
+++ b/packages/admin/commands.cc
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 #include <fstream>
 #include <iterator>
+#include <utility>
 
 #include "config/configuration_diff.h"
 #include "config/json_reader.h"
@@ -53,13 +54,26 @@
       });
 }
 
-// Returns the file's configuration. A file without a version is meant for the version in force.
-Result<Configuration> ReadForVersionInForce(const std::string& path, const Configuration& current) {
-  Result<Configuration> configuration = ReadConfigurationFile(path);
-  if (configuration && configuration->version == 0) {
-    configuration->version = current.version;
+// What is in force, and what a file asks for.
+struct CurrentAndWanted {
+  Configuration current;
+  Configuration wanted;
+};
+
+// Reads both. A file without a version is meant for the version in force.
+Result<CurrentAndWanted> ReadBoth(const OperatorClient& client, const std::string& path) {
+  Result<Configuration> current = client.GetConfiguration();
+  if (!current) {
+    return tl::make_unexpected(current.error());
   }
-  return configuration;
+  Result<Configuration> wanted = ReadConfigurationFile(path);
+  if (!wanted) {
+    return tl::make_unexpected(wanted.error());
+  }
+  if (wanted->version == 0) {
+    wanted->version = current->version;
+  }
+  return CurrentAndWanted{.current = std::move(*current), .wanted = std::move(*wanted)};
 }
 
 Result<int> RunGet(const OperatorClient& client, const CommandArguments& /*arguments*/,
@@ -87,30 +101,22 @@
 // Exit code 1 tells scripts that there is a difference, like other diff commands.
 Result<int> RunDiff(const OperatorClient& client, const CommandArguments& arguments,
                     const Print& print) {
-  const Result<Configuration> current = client.GetConfiguration();
-  if (!current) {
-    return tl::make_unexpected(current.error());
+  const Result<CurrentAndWanted> both = ReadBoth(client, arguments.operand);
+  if (!both) {
+    return tl::make_unexpected(both.error());
   }
-  const Result<Configuration> wanted = ReadForVersionInForce(arguments.operand, *current);
-  if (!wanted) {
-    return tl::make_unexpected(wanted.error());
-  }
-  const std::vector<ConfigurationChange> changes = DiffConfigurations(*current, *wanted);
+  const std::vector<ConfigurationChange> changes = DiffConfigurations(both->current, both->wanted);
   print(arguments.json ? PrintJson(ChangesToJson(changes)) : PrintChanges(changes));
   return changes.empty() ? kExitDone : kExitFailed;
 }
 
 Result<int> RunApply(const OperatorClient& client, const CommandArguments& arguments,
                      const Print& print) {
-  const Result<Configuration> current = client.GetConfiguration();
-  if (!current) {
-    return tl::make_unexpected(current.error());
-  }
-  const Result<Configuration> wanted = ReadForVersionInForce(arguments.operand, *current);
-  if (!wanted) {
-    return tl::make_unexpected(wanted.error());
+  const Result<CurrentAndWanted> both = ReadBoth(client, arguments.operand);
+  if (!both) {
+    return tl::make_unexpected(both.error());
   }
-  const Result<Configuration> applied = client.Apply(*wanted);
+  const Result<Configuration> applied = client.Apply(both->wanted);
   if (!applied) {
     return tl::make_unexpected(applied.error());
   }
--- a/packages/daemon/peer_network.cc
+++ b/packages/daemon/peer_network.cc
@@ -9,6 +9,7 @@
 
 #include "config/configuration_delta.h"
 #include "logging/logger.h"
+#include "net/acceptor.h"
 
 namespace savoryglade {
 namespace {
@@ -68,30 +69,13 @@
     if (!endpoint) {
       return endpoint;
     }
-    boost::system::error_code error;
-    const tcp::endpoint address(asio::ip::make_address(endpoint->address, error), endpoint->port);
-    tcp::acceptor acceptor(context_);
-    if (!error) {
-      acceptor.open(address.protocol(), error);
-    }
-    if (!error) {
-      acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-      acceptor.bind(address, error);
-    }
-    if (!error) {
-      acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-      return tl::make_unexpected(
-          Error{.code = ErrorCode::kUnavailable,
-                .message = fmt::format("Can't listen for peers on {}: {}.", settings_.peers_address,
-                                       error.message())});
+    Result<tcp::acceptor> acceptor = OpenAcceptor(context_, *endpoint);
+    if (!acceptor) {
+      return tl::make_unexpected(acceptor.error());
     }
-    bound = {.address = endpoint->address, .port = acceptor.local_endpoint().port()};
+    bound = {.address = endpoint->address, .port = acceptor->local_endpoint().port()};
     own_address_ = ToString(bound);
-    acceptor_.emplace(std::move(acceptor));
+    acceptor_.emplace(std::move(*acceptor));
     membership_.SetAddress(settings_.daemon, own_address_);
   }
   SetListedPeers({});
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "logging/logger.h"
+#include "net/acceptor.h"
 
 namespace savoryglade {
 namespace {
@@ -278,28 +279,12 @@
 }
 
 Result<Endpoint> HttpServer::Listen(const Endpoint& endpoint) {
-  beast::error_code error;
-  const tcp::endpoint address(asio::ip::make_address(endpoint.address, error), endpoint.port);
-  tcp::acceptor acceptor(state_->pool.context(0));
-  if (!error) {
-    acceptor.open(address.protocol(), error);
+  Result<tcp::acceptor> acceptor = OpenAcceptor(state_->pool.context(0), endpoint);
+  if (!acceptor) {
+    return tl::make_unexpected(acceptor.error());
   }
-  if (!error) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.bind(address, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return tl::make_unexpected(Error{
-        .code = ErrorCode::kUnavailable,
-        .message = fmt::format("Can't listen on {}: {}.", ToString(endpoint), error.message())});
-  }
-  const std::uint16_t port = acceptor.local_endpoint().port();
-  state_->acceptor.emplace(std::move(acceptor));
+  const std::uint16_t port = acceptor->local_endpoint().port();
+  state_->acceptor.emplace(std::move(*acceptor));
   asio::co_spawn(
       state_->pool.context(0),
       [state = state_]() -> asio::awaitable<void> { return state->Accept(); }, asio::detached);
