Space the claim transactions by the size of the fleet

Cause: every daemon committed claims each 50 ms whatever the size of the fleet, so 350 busy daemons would have sent 7,000 transactions a second to a table that takes several hundred (worked out).

Change: the interval is 12.5 ms for each known failure domain times the live daemons of the own one: 50 ms for a domain of four domains, divided among its daemons, as section 4 of the design page says for daemons that write by themselves.

The rate under load was not measured.

Conclusion: the fleet stays within 80 claim transactions a second by rule. At 350 daemons a busy daemon then waits up to 4.4 s for its turn, so the committer of a failure domain has to follow before that size.

--- a/packages/daemon/peer_exchange.cc
+++ b/packages/daemon/peer_exchange.cc
@@ -1,6 +1,8 @@
 #include "daemon/peer_exchange.h"
 
 #include <boost/asio.hpp>
+#include <cstdint>
+#include <set>
 #include <utility>
 
 #include "daemon/claim_row_codec.h"
@@ -14,6 +16,9 @@
 // Section 6 of the design page.
 constexpr Duration kUsageInterval = 500ms;
 constexpr int kIntervalsPerDomainUsage = 4;
+// Section 4: 50 ms with 4 failure domains, so that all of them together send 80 claim transactions
+// a second.
+constexpr Duration kCommitIntervalPerDomain = 12500us;
 
 const Logger kLog("peers");
 
@@ -84,7 +89,21 @@
   }
 }
 
+// Each daemon writes by itself, so the interval of its failure domain is divided among its daemons.
+void PeerExchange::SetCommitInterval() {
+  std::set<FailureDomainId> domains;
+  for (const membership::Member& member : network_.membership().Members()) {
+    domains.insert(member.failure_domain);
+  }
+  const auto daemons = static_cast<std::int64_t>(network_.membership().LiveInDomain());
+  claims_->SetCommitInterval(kCommitIntervalPerDomain * static_cast<std::int64_t>(domains.size()) *
+                             daemons);
+}
+
 void PeerExchange::SendUsage() {
+  if (claims_) {
+    SetCommitInterval();
+  }
   dispatcher_.OnView(network_.membership().LiveInDomain());
   const UsageSummary summary = dispatcher_.Summary();
   if (summary.accounts.empty()) {
--- a/packages/daemon/peer_exchange.h
+++ b/packages/daemon/peer_exchange.h
@@ -26,6 +26,7 @@
 
  private:
   boost::asio::awaitable<void> UsageLoop();
+  void SetCommitInterval();
   void SendUsage();
   void SendDomainUsage();
   void Handle(const DaemonId& from, const wire::MessageT& message);
