Remove the claims in memory of one daemon

Cause: since the claims are kept in the platform's table, nothing used MemoryClaimGate any more; it was a second version of the claim rules beside the ledger.

--- a/packages/daemon/claim_gate.h
+++ b/packages/daemon/claim_gate.h
@@ -3,8 +3,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <compare>
 #include <cstdint>
-#include <map>
-#include <mutex>
 #include <string>
 
 #include "core/strong_id.h"
@@ -81,30 +79,4 @@
   virtual void Abandon(ClaimTicket token) = 0;
 };
 
-// Claims inside one daemon, lost when it stops.
-class MemoryClaimGate : public ClaimGate {
- public:
-  boost::asio::awaitable<ClaimAnswer> Claim(ClaimSending sending, TimePoint now) override;
-  bool BeginDispatch(ClaimTicket token, TimePoint now) override;
-  void Release(ClaimTicket token) override;
-  Verdict GiveUp(ClaimTicket token, Verdict verdict) override;
-  void Complete(ClaimTicket token, StoredResponse response) override;
-  void Abandon(ClaimTicket token) override;
-
- private:
-  struct Entry {
-    ClaimTicket token = 0;
-    TimePoint dispatch_deadline;
-    BodyDigest body{};
-    bool done = false;
-    StoredResponse response;
-  };
-
-  std::mutex mutex_;
-  ClaimTicket next_token_ = 1;
-  std::map<ClaimIdentity, Entry> entries_;
-  // Claims that are neither done nor abandoned.
-  std::map<ClaimTicket, ClaimIdentity> open_;
-};
-
 }  // namespace savoryglade
