--- a/packages/capacity/lease.cc
+++ b/packages/capacity/lease.cc
@@ -37,7 +37,7 @@
   return row.holder == holder_ && row.incarnation == incarnation_;
 }
 
-platform::Transaction Lease::MakeTransaction(const LeaseRow& row) const {
+provider::Transaction Lease::MakeTransaction(const LeaseRow& row) const {
   return {.conditions = {{key_, row_version_}}, .writes = {{key_, PrintLeaseRow(row)}}};
 }
 
@@ -74,7 +74,7 @@
   return Write({.holder = holder_, .incarnation = incarnation_, .fencing = row_.fencing + 1}, now);
 }
 
-void Lease::OnRead(const platform::ReadResult& result, TimePoint now) {
+void Lease::OnRead(const provider::ReadResult& result, TimePoint now) {
   busy_ = false;
   next_ = now + options_.retry_interval;
   if (!result) {
@@ -117,10 +117,10 @@
   }
 }
 
-void Lease::OnCommit(platform::CommitStatus status, TimePoint now) {
+void Lease::OnCommit(provider::CommitStatus status, TimePoint now) {
   busy_ = false;
   switch (status) {
-    case platform::CommitStatus::kCommitted:
+    case provider::CommitStatus::kCommitted:
       row_ = writing_;
       if (candidate_ && Ours(row_)) {
         Hold(write_begun_);
@@ -128,12 +128,12 @@
       // The new version of the row is known to the table only.
       known_ = false;
       break;
-    case platform::CommitStatus::kConflict:
-    case platform::CommitStatus::kUnknown:
+    case provider::CommitStatus::kConflict:
+    case provider::CommitStatus::kUnknown:
       known_ = false;
       next_ = now;
       break;
-    case platform::CommitStatus::kUnavailable:
+    case provider::CommitStatus::kUnavailable:
       next_ = now + options_.retry_interval;
       break;
   }
--- a/packages/capacity/lease.h
+++ b/packages/capacity/lease.h
@@ -8,7 +8,7 @@
 #include "core/error.h"
 #include "core/strong_id.h"
 #include "core/time.h"
-#include "platform/table.h"
+#include "provider/table.h"
 
 namespace savoryglade::capacity {
 
@@ -51,7 +51,7 @@
  public:
   struct ReadRow {};
   struct CommitRow {
-    platform::Transaction transaction;
+    provider::Transaction transaction;
   };
   using Order = std::variant<ReadRow, CommitRow>;
 
@@ -61,8 +61,8 @@
   std::optional<Order> Tick(TimePoint now);
 
   // Result of the operation that Tick returned last.
-  void OnRead(const platform::ReadResult& result, TimePoint now);
-  void OnCommit(platform::CommitStatus status, TimePoint now);
+  void OnRead(const provider::ReadResult& result, TimePoint now);
+  void OnCommit(provider::CommitStatus status, TimePoint now);
 
   // Takes a higher incarnation, after this daemon was declared dead. It gives up what it holds.
   void SetIncarnation(std::uint64_t incarnation);
@@ -83,7 +83,7 @@
   const LeaseRow& row() const { return row_; }
 
  private:
-  platform::Transaction MakeTransaction(const LeaseRow& row) const;
+  provider::Transaction MakeTransaction(const LeaseRow& row) const;
   bool Ours(const LeaseRow& row) const;
   CommitRow Write(LeaseRow row, TimePoint now);
   void Hold(TimePoint counted_from);
--- a/packages/core/verdict.cc
+++ b/packages/core/verdict.cc
@@ -32,6 +32,7 @@
     "not_ready",
     "too_many_connections",
     "answer_not_kept",
+    "allowance_exhausted",
 };
 
 }  // namespace
--- a/packages/core/verdict.h
+++ b/packages/core/verdict.h
@@ -41,6 +41,7 @@
   kNotReady,
   kTooManyConnections,
   kAnswerNotKept,
+  kAllowanceExhausted,
   kCount,
 };
 
--- a/packages/daemon/claim_service.cc
+++ b/packages/daemon/claim_service.cc
@@ -17,15 +17,15 @@
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
-TableStatus ToTableStatus(platform::CommitStatus status) {
+TableStatus ToTableStatus(provider::CommitStatus status) {
   switch (status) {
-    case platform::CommitStatus::kCommitted:
+    case provider::CommitStatus::kCommitted:
       return TableStatus::kCommitted;
-    case platform::CommitStatus::kConflict:
+    case provider::CommitStatus::kConflict:
       return TableStatus::kConflict;
-    case platform::CommitStatus::kUnavailable:
+    case provider::CommitStatus::kUnavailable:
       return TableStatus::kUnavailable;
-    case platform::CommitStatus::kUnknown:
+    case provider::CommitStatus::kUnknown:
       break;
   }
   return TableStatus::kUnknown;
@@ -69,7 +69,7 @@
 }
 
 // A write finds its row as it expects it if the row is absent, or holds the expected claim.
-bool ConditionHolds(const ClaimWrite& write, const platform::Row& row) {
+bool ConditionHolds(const ClaimWrite& write, const provider::Row& row) {
   if (!write.expected) {
     return !row.exists();
   }
@@ -89,7 +89,7 @@
   std::optional<ClaimAnswer> answer;
 };
 
-ClaimService::ClaimService(asio::io_context& context, platform::Table& table,
+ClaimService::ClaimService(asio::io_context& context, provider::Table& table,
                            const ClaimServiceOptions& options, MetricRegistry& metrics)
     : context_(context),
       table_(table),
@@ -277,7 +277,7 @@
 }
 
 asio::awaitable<void> ClaimService::ReadRow(ClaimRead read) {
-  const platform::ReadResult row = co_await AwaitRead(table_, ClaimRowName(read.key));
+  const provider::ReadResult row = co_await AwaitRead(table_, ClaimRowName(read.key));
   TableStatus status = TableStatus::kUnavailable;
   std::optional<ClaimRow> claim;
   if (row) {
@@ -294,9 +294,9 @@
   });
 }
 
-asio::awaitable<std::pair<platform::Transaction, std::set<ClaimKey>>> ClaimService::Prepare(
+asio::awaitable<std::pair<provider::Transaction, std::set<ClaimKey>>> ClaimService::Prepare(
     const ClaimTransaction& transaction, bool* readable) {
-  platform::Transaction rows;
+  provider::Transaction rows;
   std::set<ClaimKey> conflicts;
   *readable = true;
   for (const ClaimWrite& write : transaction.writes) {
@@ -305,7 +305,7 @@
     // The table compares versions, so the row of an expected claim is read for its version. An
     // insert needs no read.
     if (write.expected) {
-      const platform::ReadResult row = co_await AwaitRead(table_, name);
+      const provider::ReadResult row = co_await AwaitRead(table_, name);
       if (!row) {
         *readable = false;
         break;
@@ -316,7 +316,7 @@
       version = row->version;
     }
     rows.conditions.push_back({.key = name, .version = version});
-    platform::RowWrite row_write{.key = name};
+    provider::RowWrite row_write{.key = name};
     if (write.row) {
       row_write.value = PrintClaimRow(*write.row);
     }
@@ -335,7 +335,7 @@
     if (status == TableStatus::kConflict) {
       // The table does not say which condition failed.
       for (const ClaimWrite& write : transaction.writes) {
-        const platform::ReadResult row = co_await AwaitRead(table_, ClaimRowName(write.key));
+        const provider::ReadResult row = co_await AwaitRead(table_, ClaimRowName(write.key));
         if (row && !ConditionHolds(write, *row)) {
           conflicts.insert(write.key);
         }
--- a/packages/daemon/claim_service.h
+++ b/packages/daemon/claim_service.h
@@ -12,7 +12,7 @@
 
 #include "daemon/claim_gate.h"
 #include "metrics/registry.h"
-#include "platform/table.h"
+#include "provider/table.h"
 #include "recovery/claim_committer.h"
 #include "recovery/claim_ledger.h"
 
@@ -38,7 +38,7 @@
 // service is destroyed. Its lock comes after those of the scheduler and the upstream table.
 class ClaimService : public ClaimGate {
  public:
-  ClaimService(boost::asio::io_context& context, platform::Table& table,
+  ClaimService(boost::asio::io_context& context, provider::Table& table,
                const ClaimServiceOptions& options, MetricRegistry& metrics);
   ~ClaimService() override;
 
@@ -76,12 +76,12 @@
   boost::asio::awaitable<void> TickLoop();
   boost::asio::awaitable<void> ReadRow(ClaimRead read);
   boost::asio::awaitable<void> Commit(ClaimTransaction transaction);
-  boost::asio::awaitable<std::pair<platform::Transaction, std::set<ClaimKey>>> Prepare(
+  boost::asio::awaitable<std::pair<provider::Transaction, std::set<ClaimKey>>> Prepare(
       const ClaimTransaction& transaction, bool* readable);
   void HandleWriteResults(const std::vector<ClaimWriteResult>& results);
 
   boost::asio::io_context& context_;
-  platform::Table& table_;
+  provider::Table& table_;
   ClaimOwner owner_;
   ClaimPeers peers_;
   mutable std::mutex mutex_;
--- a/packages/daemon/platform_client.cc
+++ b/packages/daemon/platform_client.cc
@@ -12,9 +12,9 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 namespace json = boost::json;
-using platform::CommitStatus;
-using platform::ReadResult;
-using platform::VmRecord;
+using provider::CommitStatus;
+using provider::ReadResult;
+using provider::VmRecord;
 
 constexpr Duration kConnectTimeout = 1s;
 // A slow platform answers within seconds; a lost answer must not hold up the caller for longer.
@@ -32,7 +32,7 @@
   return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
 }
 
-std::string PrintTransaction(const platform::Transaction& transaction) {
+std::string PrintTransaction(const provider::Transaction& transaction) {
   json::array conditions;
   for (const auto& condition : transaction.conditions) {
     conditions.emplace_back(json::object{{"key", condition.key}, {"version", condition.version}});
@@ -72,13 +72,13 @@
       writes_(metrics.GetCounter("savoryglade_table_writes_total")),
       failures_(metrics.GetCounter("savoryglade_platform_failures_total")) {}
 
-void PlatformClient::Read(const std::string& key, platform::ReadCallback callback) {
+void PlatformClient::Read(const std::string& key, provider::ReadCallback callback) {
   reads_.Add();
   Spawn(context_, ReadRow(key), std::move(callback));
 }
 
-void PlatformClient::Commit(const platform::Transaction& transaction,
-                            platform::CommitCallback callback) {
+void PlatformClient::Commit(const provider::Transaction& transaction,
+                            provider::CommitCallback callback) {
   writes_.Add();
   Spawn(context_, CommitRows(PrintTransaction(transaction)), std::move(callback));
 }
@@ -138,7 +138,7 @@
   if (response->result_int() != 200 || version == nullptr || !version->is_number()) {
     co_return Malformed("a read");
   }
-  co_return platform::Row{.value = Text(*object, "value"),
+  co_return provider::Row{.value = Text(*object, "value"),
                           .version = version->to_number<std::uint64_t>()};
 }
 
@@ -207,20 +207,20 @@
 
 }  // namespace
 
-asio::awaitable<ReadResult> AwaitRead(platform::Table& table, std::string key) {
+asio::awaitable<ReadResult> AwaitRead(provider::Table& table, std::string key) {
   auto operation = [&table, &key](auto callback) { table.Read(key, std::move(callback)); };
   co_return co_await AwaitCallback<ReadResult>(std::move(operation));
 }
 
-asio::awaitable<CommitStatus> AwaitCommit(platform::Table& table,
-                                          platform::Transaction transaction) {
+asio::awaitable<CommitStatus> AwaitCommit(provider::Table& table,
+                                          provider::Transaction transaction) {
   auto operation = [&table, &transaction](auto callback) {
     table.Commit(transaction, std::move(callback));
   };
   co_return co_await AwaitCallback<CommitStatus>(std::move(operation));
 }
 
-asio::awaitable<Result<std::vector<VmRecord>>> AwaitList(platform::VmList& list,
+asio::awaitable<Result<std::vector<VmRecord>>> AwaitList(provider::VmList& list,
                                                          FailureDomainId failure_domain) {
   auto operation = [&list, &failure_domain](auto callback) {
     list.List(failure_domain, std::move(callback));
--- a/packages/daemon/platform_client.h
+++ b/packages/daemon/platform_client.h
@@ -9,29 +9,29 @@
 #include "metrics/registry.h"
 #include "net/endpoint.h"
 #include "net/http_client.h"
-#include "platform/services.h"
-#include "platform/table.h"
+#include "provider/services.h"
+#include "provider/table.h"
 
 namespace savoryglade {
 
 // Table and VM list of the platform over HTTP and JSON. Callbacks run on the given context, which
 // must be stopped before the client is destroyed.
-class PlatformClient : public platform::Table, public platform::VmList {
+class PlatformClient : public provider::Table, public provider::VmList {
  public:
   PlatformClient(boost::asio::io_context& context, Endpoint endpoint, MetricRegistry& metrics);
 
-  void Read(const std::string& key, platform::ReadCallback callback) override;
-  void Commit(const platform::Transaction& transaction, platform::CommitCallback callback) override;
+  void Read(const std::string& key, provider::ReadCallback callback) override;
+  void Commit(const provider::Transaction& transaction, provider::CommitCallback callback) override;
   void List(const FailureDomainId& failure_domain,
-            std::function<void(Result<std::vector<platform::VmRecord>>)> callback) override;
+            std::function<void(Result<std::vector<provider::VmRecord>>)> callback) override;
 
  private:
   // Sends a request. After an error with the code kUnavailable it was never handed over or was
   // refused; after any other error it may have taken effect.
   boost::asio::awaitable<Result<HttpResponse>> Exchange(const char* target, std::string body);
-  boost::asio::awaitable<platform::ReadResult> ReadRow(std::string key);
-  boost::asio::awaitable<platform::CommitStatus> CommitRows(std::string body);
-  boost::asio::awaitable<Result<std::vector<platform::VmRecord>>> ListVms(std::string body);
+  boost::asio::awaitable<provider::ReadResult> ReadRow(std::string key);
+  boost::asio::awaitable<provider::CommitStatus> CommitRows(std::string body);
+  boost::asio::awaitable<Result<std::vector<provider::VmRecord>>> ListVms(std::string body);
 
   boost::asio::io_context& context_;
   Endpoint endpoint_;
@@ -42,10 +42,10 @@
 };
 
 // Awaits an operation of the platform. The callback must come on the executor of the coroutine.
-boost::asio::awaitable<platform::ReadResult> AwaitRead(platform::Table& table, std::string key);
-boost::asio::awaitable<platform::CommitStatus> AwaitCommit(platform::Table& table,
-                                                           platform::Transaction transaction);
-boost::asio::awaitable<Result<std::vector<platform::VmRecord>>> AwaitList(
-    platform::VmList& list, FailureDomainId failure_domain);
+boost::asio::awaitable<provider::ReadResult> AwaitRead(provider::Table& table, std::string key);
+boost::asio::awaitable<provider::CommitStatus> AwaitCommit(provider::Table& table,
+                                                           provider::Transaction transaction);
+boost::asio::awaitable<Result<std::vector<provider::VmRecord>>> AwaitList(
+    provider::VmList& list, FailureDomainId failure_domain);
 
 }  // namespace savoryglade
--- a/packages/daemon/platform_config_change.cc
+++ b/packages/daemon/platform_config_change.cc
@@ -113,7 +113,7 @@
   return Wait{kRetryDelay};
 }
 
-ConfigChange::Step ConfigChange::OnRead(const platform::ReadResult& result, TimePoint now) {
+ConfigChange::Step ConfigChange::OnRead(const provider::ReadResult& result, TimePoint now) {
   if (!result) {
     return WaitOrGiveUp(now);
   }
@@ -156,16 +156,16 @@
                                 {kConfigurationVersionRow, fmt::to_string(wanted_.version)}}}};
 }
 
-ConfigChange::Step ConfigChange::OnCommit(platform::CommitStatus status, TimePoint now) {
+ConfigChange::Step ConfigChange::OnCommit(provider::CommitStatus status, TimePoint now) {
   switch (status) {
-    case platform::CommitStatus::kCommitted:
+    case provider::CommitStatus::kCommitted:
       return Accepted(sent_->version, sent_);
-    case platform::CommitStatus::kConflict:
+    case provider::CommitStatus::kConflict:
       // An earlier attempt of ours or somebody else's change: the row tells.
       return now >= deadline_ ? WaitOrGiveUp(now) : Step(ReadRow{});
-    case platform::CommitStatus::kUnavailable:
+    case provider::CommitStatus::kUnavailable:
       return WaitOrGiveUp(now);
-    case platform::CommitStatus::kUnknown:
+    case provider::CommitStatus::kUnknown:
       pending_ = sent_under_;
       return WaitOrGiveUp(now);
   }
--- a/packages/daemon/platform_config_change.h
+++ b/packages/daemon/platform_config_change.h
@@ -9,7 +9,7 @@
 
 #include "config/configuration.h"
 #include "core/time.h"
-#include "platform/table.h"
+#include "provider/table.h"
 
 namespace savoryglade {
 
@@ -58,7 +58,7 @@
  public:
   struct ReadRow {};
   struct CommitRows {
-    platform::Transaction transaction;
+    provider::Transaction transaction;
   };
   struct Wait {
     Duration duration;
@@ -70,8 +70,8 @@
                TimePoint deadline);
 
   static Step Start() { return ReadRow{}; }
-  Step OnRead(const platform::ReadResult& result, TimePoint now);
-  Step OnCommit(platform::CommitStatus status, TimePoint now);
+  Step OnRead(const provider::ReadResult& result, TimePoint now);
+  Step OnCommit(provider::CommitStatus status, TimePoint now);
   static Step OnWaited() { return ReadRow{}; }
 
  private:
--- a/packages/daemon/platform_config_service.cc
+++ b/packages/daemon/platform_config_service.cc
@@ -65,7 +65,7 @@
       context_, settings_, fleet_key, metrics_,
       [this](const PeerNetwork::Snapshot& snapshot) { holder_.Offer(*snapshot); });
   if (settings_.platform_kind == PlatformKind::kEmbedded) {
-    embedded_ = std::make_unique<platform::MemoryPlatform>();
+    embedded_ = std::make_unique<provider::MemoryPlatform>();
     table_ = embedded_.get();
     vm_list_ = embedded_.get();
     if (first) {
@@ -74,7 +74,7 @@
       embedded_->Commit(
           {.writes = {{kConfigurationRow, PrintConfigurationRow(row)},
                       {kConfigurationVersionRow, fmt::to_string(row.configuration->version)}}},
-          [](platform::CommitStatus) {});
+          [](provider::CommitStatus) {});
       network_->Offer(row.configuration, ConfigSource::kTable);
     }
     network_->replica().OnTableVersion(network_->replica().version(), Now());
@@ -98,7 +98,7 @@
 
 asio::awaitable<void> PlatformConfigService::Poll() {
   const TimePoint asked = Now();
-  const platform::ReadResult version_row = co_await AwaitRead(*table_, kConfigurationVersionRow);
+  const provider::ReadResult version_row = co_await AwaitRead(*table_, kConfigurationVersionRow);
   if (!version_row) {
     network_->replica().OnTableUnavailable();
     co_return;
@@ -113,7 +113,7 @@
   if (version <= network_->replica().version()) {
     co_return;
   }
-  const platform::ReadResult row = co_await AwaitRead(*table_, kConfigurationRow);
+  const provider::ReadResult row = co_await AwaitRead(*table_, kConfigurationRow);
   if (!row) {
     co_return;
   }
@@ -151,7 +151,7 @@
     const auto records = co_await AwaitList(*vm_list_, std::move(listed));
     if (records) {
       std::vector<membership::Peer> peers;
-      for (const platform::VmRecord& record : *records) {
+      for (const provider::VmRecord& record : *records) {
         if (!record.daemon.empty() && !record.leaving) {
           peers.push_back({.daemon = record.daemon,
                            .failure_domain = record.failure_domain,
@@ -178,10 +178,10 @@
   ConfigChange::Step step = ConfigChange::Start();
   while (true) {
     if (std::holds_alternative<ConfigChange::ReadRow>(step)) {
-      const platform::ReadResult row = co_await AwaitRead(*table_, kConfigurationRow);
+      const provider::ReadResult row = co_await AwaitRead(*table_, kConfigurationRow);
       step = change.OnRead(row, Now());
     } else if (const auto* commit = std::get_if<ConfigChange::CommitRows>(&step)) {
-      const platform::CommitStatus status = co_await AwaitCommit(*table_, commit->transaction);
+      const provider::CommitStatus status = co_await AwaitCommit(*table_, commit->transaction);
       step = change.OnCommit(status, Now());
     } else if (const auto* wait = std::get_if<ConfigChange::Wait>(&step)) {
       co_await Sleep(wait->duration);
--- a/packages/daemon/platform_config_service.h
+++ b/packages/daemon/platform_config_service.h
@@ -16,7 +16,7 @@
 #include "daemon/platform_config_change.h"
 #include "metrics/registry.h"
 #include "net/endpoint.h"
-#include "platform/memory_platform.h"
+#include "provider/memory_platform.h"
 
 namespace savoryglade {
 
@@ -52,7 +52,7 @@
   PeerNetwork& network() { return *network_; }
 
   // The table in use; valid after Start.
-  platform::Table& table() { return *table_; }
+  provider::Table& table() { return *table_; }
 
   // Returns an id for a change that no other change has.
   std::string MakeChangeId();
@@ -69,10 +69,10 @@
   Settings settings_;
   MetricRegistry& metrics_;
   ConfigHolder& holder_;
-  std::unique_ptr<platform::MemoryPlatform> embedded_;
+  std::unique_ptr<provider::MemoryPlatform> embedded_;
   std::unique_ptr<PlatformClient> client_;
-  platform::Table* table_ = nullptr;
-  platform::VmList* vm_list_ = nullptr;
+  provider::Table* table_ = nullptr;
+  provider::VmList* vm_list_ = nullptr;
   std::unique_ptr<PeerNetwork> network_;
 };
 
--- a/packages/daemon/savorygladed_main.cc
+++ b/packages/daemon/savorygladed_main.cc
@@ -13,6 +13,7 @@
 #include "config/settings.h"
 #include "daemon/daemon.h"
 #include "logging/logger.h"
+#include "platform/platform_daemon.h"
 
 namespace {
 
@@ -25,12 +26,14 @@
 
 Usage:
   savorygladed [--settings=FILE]
+  savorygladed --platform
   savorygladed --check-settings=FILE
   savorygladed --help
   savorygladed --version
 
 Options:
   --settings=FILE        JSON file with the settings; without it the embedded defaults apply.
+  --platform             Run on the operators' platform, with the settings file it provides.
   --check-settings=FILE  Check a settings file, print all faults, and exit.
   --help                 Show this text.
   --version              Show the version.
@@ -86,6 +89,9 @@
 int main(int argc, char** argv) {
   const auto arguments =
       docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "savorygladed " SAVORYGLADE_VERSION);
+  if (arguments.at("--platform").asBool()) {
+    return savoryglade::platform::RunOnPlatform();
+  }
   Settings settings;
   const auto& check = arguments.at("--check-settings");
   const auto& load = arguments.at("--settings");
--- a/packages/emulator/platform_service.cc
+++ b/packages/emulator/platform_service.cc
@@ -31,8 +31,8 @@
   return value != nullptr && value->is_number() ? value->to_number<std::uint64_t>() : 0;
 }
 
-platform::Transaction ParseTransaction(const json::object& object) {
-  platform::Transaction transaction;
+provider::Transaction ParseTransaction(const json::object& object) {
+  provider::Transaction transaction;
   for (const json::value& condition : object.at("conditions").as_array()) {
     const json::object& fields = condition.as_object();
     transaction.conditions.push_back({Text(fields, "key"), Number(fields, "version")});
@@ -48,9 +48,9 @@
   return transaction;
 }
 
-json::array PrintVms(const std::vector<platform::VmRecord>& vms) {
+json::array PrintVms(const std::vector<provider::VmRecord>& vms) {
   json::array array;
-  for (const platform::VmRecord& vm : vms) {
+  for (const provider::VmRecord& vm : vms) {
     array.emplace_back(json::object{{"vm", vm.vm.value()},
                                     {"failure_domain", vm.failure_domain.value()},
                                     {"daemon", vm.daemon.value()},
@@ -72,12 +72,12 @@
 
 }  // namespace
 
-void PlatformService::SetFaults(const platform::Faults& faults) {
+void PlatformService::SetFaults(const provider::Faults& faults) {
   const std::lock_guard lock(mutex_);
   faults_ = faults;
 }
 
-platform::Faults PlatformService::faults() const {
+provider::Faults PlatformService::faults() const {
   const std::lock_guard lock(mutex_);
   return faults_;
 }
@@ -86,7 +86,7 @@
   const std::string_view target = exchange.target();
   const http::verb method = exchange.request().method();
   if (target == "/counts") {
-    const platform::TableCounts counts = state_.counts();
+    const provider::TableCounts counts = state_.counts();
     json::object answer = {{"table_reads", counts.reads},
                            {"table_writes", counts.writes},
                            {"vm_lists", vm_lists_.load()}};
@@ -101,7 +101,7 @@
     co_await RespondJson(exchange, 200, json::object());
     co_return;
   }
-  const platform::Faults faults = this->faults();
+  const provider::Faults faults = this->faults();
   if (faults.outage) {
     json::object answer = {{"status", "unavailable"}};
     co_await RespondJson(exchange, 503, std::move(answer));
@@ -114,21 +114,21 @@
 }
 
 asio::awaitable<void> PlatformService::Answer(HttpExchange& exchange,
-                                              const platform::Faults& faults) {
+                                              const provider::Faults& faults) {
   const std::string path(exchange.target());
   const http::verb method = exchange.request().method();
   const std::string& body = exchange.request().body();
   unsigned status = 404;
   json::object answer = {{"status", "no such resource"}};
   if (path == "/table/read" && method == http::verb::post) {
-    state_.Read(Text(json::parse(body).as_object(), "key"), [&](const platform::ReadResult& row) {
+    state_.Read(Text(json::parse(body).as_object(), "key"), [&](const provider::ReadResult& row) {
       status = 200;
       answer = {{"version", row->version}, {"value", row->value}};
     });
   } else if (path == "/table/commit" && method == http::verb::post) {
     state_.Commit(ParseTransaction(json::parse(body).as_object()),
-                  [&](platform::CommitStatus result) {
-                    const bool committed = result == platform::CommitStatus::kCommitted;
+                  [&](provider::CommitStatus result) {
+                    const bool committed = result == provider::CommitStatus::kCommitted;
                     status = committed ? 200 : 409;
                     answer = {{"status", committed ? "committed" : "conflict"}};
                   });
--- a/packages/emulator/platform_service.h
+++ b/packages/emulator/platform_service.h
@@ -6,7 +6,7 @@
 #include <mutex>
 
 #include "net/http_server.h"
-#include "platform/memory_platform.h"
+#include "provider/memory_platform.h"
 
 namespace savoryglade {
 
@@ -28,18 +28,18 @@
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
 
   // Rows, VMs and counts behind the HTTP interface. Faults set here are not injected.
-  platform::MemoryPlatform& state() { return state_; }
+  provider::MemoryPlatform& state() { return state_; }
   // Injects faults into the answers from now on, for table, VM list and object store alike.
-  void SetFaults(const platform::Faults& faults);
+  void SetFaults(const provider::Faults& faults);
 
  private:
-  boost::asio::awaitable<void> Answer(HttpExchange& exchange, const platform::Faults& faults);
+  boost::asio::awaitable<void> Answer(HttpExchange& exchange, const provider::Faults& faults);
 
-  platform::Faults faults() const;
+  provider::Faults faults() const;
 
-  platform::MemoryPlatform state_;
+  provider::MemoryPlatform state_;
   mutable std::mutex mutex_;
-  platform::Faults faults_;
+  provider::Faults faults_;
   std::atomic<std::uint64_t> vm_lists_{0};
 };
 
--- /dev/null
+++ b/packages/gateway/adapter.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "capacity/usage_ledger.h"
+#include "config/route_table.h"
+#include "core/error.h"
+#include "core/strong_id.h"
+#include "core/time.h"
+#include "membership/registration_view.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "provider/table.h"
+#include "routing/upstream_board.h"
+
+namespace savoryglade::gateway {
+
+// What a caller states of its request in headers.
+struct CallFacts {
+  // Identity of this sending; upstreams repeat it in their answers.
+  std::string attempt;
+  // Time that the caller waits for the answer, from when it sent the request.
+  std::optional<Duration> patience;
+  std::string api_key;
+  // Prompt and output tokens together, if stated.
+  std::optional<double> stated_tokens;
+  // The service is left empty.
+  WorkEstimate work;
+  // Last event of an earlier answer that the caller has received.
+  std::string last_event;
+};
+
+// What the gateway adds to a request for an upstream.
+struct ForwardFacts {
+  UpstreamId expected;
+  AccountId account;
+  // Time that is left for the answer.
+  Duration left = Duration::zero();
+  // 0 is the most urgent, 9 the least.
+  int engine_priority = 5;
+  // Last event that the caller has received; the upstream goes on behind it.
+  std::string last_event;
+};
+
+// Whose answer a header begins, by the identity in it.
+enum class AnswerOwner : std::uint8_t { kThis, kOther, kUnstated };
+
+// What the header of an answer says besides its status.
+struct AnswerFacts {
+  AnswerOwner owner = AnswerOwner::kUnstated;
+  // Whether the upstream states that it has not run the request and will not.
+  bool not_run = false;
+  // Whether it has the mark of a worker's answer.
+  bool sealed = false;
+  // Whether the body was changed on the way, so that it is not the worker's.
+  bool encoded = false;
+  struct Load {
+    int running = 0;
+    int waiting = 0;
+    // 1 as usual.
+    double slowness = 1;
+  };
+  std::optional<Load> load;
+  // Time for which the upstream keeps an idle connection.
+  std::optional<Duration> idle_timeout;
+};
+
+// Translates the headers of requests and answers.
+class CallCodec {
+ public:
+  virtual ~CallCodec() = default;
+
+  // The error says which header can't be read.
+  virtual Result<CallFacts> DecodeCall(const HttpRequest& request) const = 0;
+  // Makes the request for an upstream; the body is copied.
+  virtual HttpRequest EncodeForward(const HttpRequest& request,
+                                    const ForwardFacts& facts) const = 0;
+  virtual AnswerFacts DecodeAnswer(const std::string& attempt, unsigned status,
+                                   const boost::beast::http::fields& header) const = 0;
+  // Headers of an upstream's answer that the caller gets.
+  virtual HttpHeaders CallerHeaders(const boost::beast::http::fields& header) const = 0;
+  // Headers of an answer of the gateway itself.
+  virtual HttpHeaders OwnHeaders(const std::string& attempt) const = 0;
+};
+
+// Position in the history of a followed table. Zero asks for the whole state.
+using FeedPosition = std::uint64_t;
+
+// New routes, if there are any, and where to go on.
+struct RouteUpdate {
+  std::optional<RouteDocument> document;
+  FeedPosition position = 0;
+};
+
+struct UpstreamUpdate {
+  std::vector<RegistrationChange> changes;
+  // Whether the changes are all upstreams that there are.
+  bool whole = false;
+  FeedPosition position = 0;
+};
+
+// The operators' routes, the upstreams' registrations and the daemons' own rows. All calls have
+// time-outs of their own. The error kConflict of a Follow says that the history behind the position
+// is gone; the caller starts again at zero.
+class FleetStore {
+ public:
+  virtual ~FleetStore() = default;
+
+  // Returns as soon as there are new routes, or after the wait.
+  virtual boost::asio::awaitable<Result<RouteUpdate>> FollowRoutes(FeedPosition after,
+                                                                   Duration wait) = 0;
+  virtual boost::asio::awaitable<Result<UpstreamUpdate>> FollowUpstreams(FeedPosition after) = 0;
+  // Reads one of the daemons' own rows; a row of version 0 if there is none.
+  virtual boost::asio::awaitable<provider::ReadResult> ReadRow(const std::string& key) = 0;
+  virtual boost::asio::awaitable<provider::CommitStatus> Commit(
+      const provider::Transaction& transaction) = 0;
+  // Returns the daemons' own rows whose keys begin with the prefix.
+  virtual boost::asio::awaitable<Result<std::map<std::string, provider::Row>>> ReadRows(
+      const std::string& prefix) = 0;
+};
+
+// Who carries out a duty, and the number that rises with each change of the holder.
+struct DutyHolder {
+  DaemonId daemon;
+  std::uint64_t fencing = 0;
+};
+
+// Order for the number of workers of one kind in a failure domain.
+struct CapacityOrder {
+  ServiceId service;
+  FailureDomainId failure_domain;
+  int count = 0;
+  bool reclaimable = false;
+
+  friend auto operator<=>(const CapacityOrder&, const CapacityOrder&) = default;
+};
+
+// Calls of which one daemon at a time has the duty.
+class DutyApi {
+ public:
+  virtual ~DutyApi() = default;
+
+  // The error code is kDenied if the platform refuses for now, kUnavailable if nothing was done,
+  // and kUnknownOutcome otherwise.
+  virtual boost::asio::awaitable<Result<void>> ReportUsage(
+      const DutyHolder& holder, capacity::WindowNumber window,
+      const capacity::WindowCounts& counts) = 0;
+  virtual boost::asio::awaitable<Result<void>> OrderCapacity(const DutyHolder& holder,
+                                                             const CapacityOrder& order) = 0;
+};
+
+}  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/gateway/call.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "capacity/usage_ledger.h"
+#include "config/route_table.h"
+#include "core/time.h"
+#include "core/verdict.h"
+#include "gateway/adapter.h"
+#include "gateway/sse_splitter.h"
+#include "net/http_server.h"
+#include "net/peer_watch.h"
+
+namespace savoryglade::gateway {
+
+// Whole answer that is sent as it is.
+struct BufferedAnswer {
+  unsigned status = 0;
+  HttpHeaders headers;
+  std::string body;
+};
+
+// One request of a caller on its way through the gateway.
+struct Call {
+  explicit Call(HttpExchange& caller_exchange)
+      : exchange(caller_exchange), caller(caller_exchange.stream()) {}
+
+  HttpExchange& exchange;
+  PeerWatch caller;
+  CallFacts facts;
+  // Keeps the route alive while the configuration changes.
+  std::shared_ptr<const RouteTable> routes;
+  const Route* route = nullptr;
+  // Null on public routes.
+  const AccountPolicy* account = nullptr;
+  ServiceId service;
+  TimePoint received;
+  // When the final answer is due: the caller's patience or the route's time-out.
+  TimePoint deadline;
+  // Hash that identifies a request that comes again; zero without a body.
+  std::uint64_t fingerprint = 0;
+  // Units taken from the account's allowance.
+  double units = 0;
+
+  // Connections opened and requests handed over so far.
+  int connects = 0;
+  int sent = 0;
+  // Upstreams that may have run the request.
+  int runs = 0;
+  std::vector<UpstreamId> tried;
+  std::optional<UpstreamId> last_upstream;
+  // Window in which the request was counted as begun.
+  std::optional<capacity::WindowNumber> begun;
+  RunState run_state = RunState::kNotRun;
+
+  // Whether the head of a streamed answer has been sent.
+  bool streaming = false;
+  SseSplitter events;
+  // Failure of a worker that is the answer unless a repeat succeeds.
+  std::optional<BufferedAnswer> failure;
+
+  Duration Left(TimePoint now) const { return deadline - now; }
+  AccountId account_id() const { return account == nullptr ? AccountId() : account->name; }
+  int rank() const { return account != nullptr && account->rank ? *account->rank : route->rank; }
+};
+
+}  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/gateway/duty_runner.cc
@@ -0,0 +1,183 @@
+#include "gateway/duty_runner.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <utility>
+#include <variant>
+
+#include "core/boot_clock.h"
+#include "logging/logger.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using capacity::WindowCounts;
+using capacity::WindowNumber;
+
+constexpr Duration kLeaseTick = 200ms;
+constexpr Duration kUsageTick = 500ms;
+// Time from the end of a window until its counts are fixed; digests of all daemons arrive in it.
+constexpr Duration kCountDelay = 1500ms;
+// An order is not sent with less of the lease left than a call may take.
+constexpr Duration kOrderTimeout = 500ms;
+// Windows before the current one that a new holder reports if they are still due.
+constexpr WindowNumber kLateWindows = 2;
+// Windows after which the row with the fixed counts is removed.
+constexpr WindowNumber kKeptRows = 12;
+
+const Logger kLog("duties");
+
+capacity::LeaseOptions MakeLeaseOptions(const FleetBounds& bounds) {
+  return {.duration = bounds.lease,
+          .renew_interval = bounds.lease / 4,
+          .order_timeout = kOrderTimeout,
+          .retry_interval = bounds.lease / 3};
+}
+
+std::string CountsKey(WindowNumber window) { return fmt::format("usage/{}", window); }
+
+std::string PrintCounts(const WindowCounts& counts) {
+  json::object object;
+  for (const auto& [account, count] : counts) {
+    object[account.value()] = count;
+  }
+  return json::serialize(object);
+}
+
+Result<WindowCounts> ParseCounts(const std::string& text) {
+  boost::system::error_code error;
+  const json::value value = json::parse(text, error);
+  if (error || !value.is_object()) {
+    return tl::make_unexpected(
+        Error{.code = ErrorCode::kInvalid, .message = "The row of a window holds no counts."});
+  }
+  WindowCounts counts;
+  for (const auto& entry : value.get_object()) {
+    const auto count = entry.value().is_number() ? entry.value().to_number<std::uint64_t>(error)
+                                                 : std::uint64_t{0};
+    if (error || !entry.value().is_number()) {
+      return tl::make_unexpected(Error{.code = ErrorCode::kInvalid,
+                                       .message = "The row of a window holds a wrong count."});
+    }
+    counts[AccountId(std::string(entry.key()))] = count;
+  }
+  return counts;
+}
+
+asio::awaitable<void> Sleep(Duration duration) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(duration);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+}  // namespace
+
+DutyRunner::DutyRunner(FleetState& fleet, FleetStore& store, DutyApi& duties)
+    : fleet_(fleet),
+      store_(store),
+      duties_(duties),
+      lease_("duties", fleet.settings.daemon, fleet.incarnation,
+             MakeLeaseOptions(fleet.settings.bounds)) {}
+
+bool DutyRunner::holds_lease() const { return lease_.MayActUnfenced(BootNow()); }
+
+asio::awaitable<void> DutyRunner::LeaseLoop() {
+  bool held = false;
+  while (true) {
+    const auto order = lease_.Tick(BootNow());
+    if (order) {
+      if (std::holds_alternative<capacity::Lease::ReadRow>(*order)) {
+        const auto row = co_await store_.ReadRow("lease/duties");
+        lease_.OnRead(row, BootNow());
+      } else {
+        const auto status =
+            co_await store_.Commit(std::get<capacity::Lease::CommitRow>(*order).transaction);
+        lease_.OnCommit(status, BootNow());
+      }
+    }
+    if (held != holds_lease()) {
+      held = !held;
+      kLog.Info(held ? "This daemon holds the duties." : "This daemon no longer holds the duties.",
+                {{"fencing", lease_.fencing()}});
+    }
+    co_await Sleep(kLeaseTick);
+  }
+}
+
+asio::awaitable<void> DutyRunner::UsageLoop() {
+  const FleetBounds& bounds = fleet_.settings.bounds;
+  if (!fleet_.settings.reports_usage || bounds.usage_window == Duration::zero()) {
+    co_return;
+  }
+  while (true) {
+    co_await Sleep(kUsageTick);
+    const TimePoint now = BootNow();
+    const WindowNumber current = fleet_.WindowAt(now);
+    fleet_.usage.Expire(current);
+    if (!holds_lease()) {
+      first_window_.reset();
+      continue;
+    }
+    if (!first_window_) {
+      first_window_ = current - kLateWindows;
+    }
+    for (WindowNumber window = *first_window_; window < current; ++window) {
+      const Duration age = fleet_.clock.Now(now) - bounds.usage_window * (window + 1);
+      if (age >= kCountDelay && !reported_.contains(window)) {
+        co_await ReportWindow(window);
+      }
+    }
+    first_window_ = std::max(*first_window_, current - kLateWindows);
+    reported_.erase(reported_.begin(), reported_.lower_bound(current - kKeptRows));
+  }
+}
+
+asio::awaitable<Result<WindowCounts>> DutyRunner::FixCounts(WindowNumber window) {
+  const std::string key = CountsKey(window);
+  const WindowCounts counts = fleet_.usage.Total(window);
+  const provider::Transaction transaction = {
+      .conditions = {{.key = key, .version = 0}},
+      .writes = {{.key = key, .value = PrintCounts(counts)},
+                 {.key = CountsKey(window - kKeptRows), .value = std::nullopt}}};
+  const provider::CommitStatus status = co_await store_.Commit(transaction);
+  if (status == provider::CommitStatus::kCommitted) {
+    co_return counts;
+  }
+  const provider::ReadResult row = co_await store_.ReadRow(key);
+  if (!row) {
+    co_return tl::make_unexpected(row.error());
+  }
+  if (!row->exists()) {
+    co_return tl::make_unexpected(Error{.code = ErrorCode::kUnavailable,
+                                        .message = "The counts of a window can't be fixed."});
+  }
+  co_return ParseCounts(row->value);
+}
+
+asio::awaitable<void> DutyRunner::ReportWindow(WindowNumber window) {
+  const Result<WindowCounts> counts = co_await FixCounts(window);
+  if (!counts) {
+    kLog.Warning("The counts of a window are not known.",
+                 {{"window", window}, {"error", counts.error().message}});
+    co_return;
+  }
+  // The lease may have lapsed while the store was asked.
+  if (!holds_lease()) {
+    co_return;
+  }
+  const DutyHolder holder{.daemon = fleet_.settings.daemon, .fencing = lease_.fencing()};
+  const Result<void> sent = co_await duties_.ReportUsage(holder, window, *counts);
+  if (!sent) {
+    kLog.Warning("A usage report was not accepted.",
+                 {{"window", window}, {"error", sent.error().message}});
+    co_return;
+  }
+  reported_.insert(window);
+  kLog.Info("A usage report was accepted.", {{"window", window}, {"fencing", holder.fencing}});
+}
+
+}  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/gateway/fleet_state.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "capacity/usage_ledger.h"
+#include "config/route_table.h"
+#include "core/time.h"
+#include "gateway/gateway_settings.h"
+#include "membership/fleet_clock.h"
+#include "metrics/registry.h"
+#include "recovery/crash_register.h"
+#include "recovery/window_retry_budget.h"
+#include "routing/upstream_board.h"
+#include "scheduling/account_allowance.h"
+
+namespace savoryglade::gateway {
+
+// What the gateway of one VM knows of the fleet: the decision objects that requests, feeds, peers
+// and duties share. All of it is used on one thread, so there are no locks.
+struct FleetState {
+  FleetState(GatewaySettings gateway_settings, std::uint64_t daemon_incarnation,
+             Duration time_of_day, TimePoint now)
+      : settings(std::move(gateway_settings)),
+        incarnation(daemon_incarnation),
+        board(BoardOptions{.local_domain = settings.failure_domain}),
+        allowance(AllowanceOptions{}),
+        retries(WindowBudgetOptions{.window = settings.bounds.retry_window,
+                                    .ratio = settings.bounds.retry_ratio,
+                                    .allowance = settings.bounds.retry_allowance}),
+        clock(time_of_day, now) {}
+
+  // Number of the reporting window that contains this instant.
+  capacity::WindowNumber WindowAt(TimePoint now) const {
+    return clock.Now(now) / settings.bounds.usage_window;
+  }
+
+  GatewaySettings settings;
+  const std::uint64_t incarnation;
+  MetricRegistry metrics;
+  // Null until the first routes were read.
+  std::shared_ptr<const RouteTable> routes;
+  UpstreamBoard board;
+  AccountAllowance allowance;
+  WindowRetryBudget retries;
+  CrashRegister crashes;
+  capacity::UsageLedger usage;
+  FleetClock clock;
+  // Set by SIGTERM.
+  bool draining = false;
+  TimePoint drain_began{};
+  // Requests that are being answered.
+  int active = 0;
+};
+
+}  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/gateway/gateway.cc
@@ -0,0 +1,150 @@
+#include "gateway/gateway.h"
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "core/boot_clock.h"
+#include "logging/logger.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+// Time from the start of a drain until the balancer has missed two readiness answers; requests that
+// arrive before then are served.
+constexpr Duration kBalancerDelay = 3s;
+// Part of the stop's grace after which requests in flight are cut off.
+constexpr double kGraceUse = 0.92;
+constexpr Duration kDrainTick = 50ms;
+constexpr Duration kHousekeepingInterval = 1s;
+// Descriptors that are left for connections to upstreams, peers and the platform.
+constexpr std::size_t kReservedDescriptors = 800;
+// Longest time for a request to arrive once its first byte has.
+constexpr Duration kReadTimeout = 10s;
+constexpr Duration kIdleTimeout = 15s;
+
+const Logger kLog("gateway");
+
+std::uint64_t RandomIncarnation() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+Duration TimeOfDay() { return std::chrono::system_clock::now().time_since_epoch(); }
+
+HttpLimits CallerLimits(const GatewaySettings& settings) {
+  const std::size_t usable = settings.max_descriptors > 2 * kReservedDescriptors
+                                 ? settings.max_descriptors - kReservedDescriptors
+                                 : settings.max_descriptors / 2;
+  return {.connections = usable, .idle_timeout = kIdleTimeout, .read_timeout = kReadTimeout};
+}
+
+}  // namespace
+
+Gateway::Gateway(GatewaySettings settings, const AdapterFactory& make_adapters)
+    : pool_(1),
+      fleet_(std::move(settings), RandomIncarnation(), TimeOfDay(), BootNow()),
+      adapters_(make_adapters(pool_.context(0), fleet_.metrics)),
+      feeds_(fleet_, *adapters_.store, connections_),
+      peers_(fleet_, *adapters_.store),
+      duties_(fleet_, *adapters_.store, *adapters_.duties),
+      relay_(fleet_, *adapters_.codec, connections_),
+      callers_(pool_, CallerLimits(fleet_.settings),
+               [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
+      readiness_(pool_, {}, [this](HttpExchange& exchange) { return HandleReadiness(exchange); }),
+      metrics_(pool_, {}, [this](HttpExchange& exchange) { return HandleMetrics(exchange); }) {}
+
+Gateway::~Gateway() { Stop(); }
+
+Result<void> Gateway::Start() {
+  const GatewaySettings& settings = fleet_.settings;
+  if (const Result<void> opened = peers_.Open(pool_.context(0)); !opened) {
+    return opened;
+  }
+  const std::pair<HttpServer*, const Endpoint*> listeners[] = {{&callers_, &settings.callers},
+                                                               {&readiness_, &settings.readiness},
+                                                               {&metrics_, &settings.metrics}};
+  for (const auto& [server, endpoint] : listeners) {
+    if (const auto listening = server->Listen(*endpoint); !listening) {
+      return tl::make_unexpected(listening.error());
+    }
+  }
+  asio::io_context& context = pool_.context(0);
+  const auto spawn = [&context](asio::awaitable<void> loop) {
+    asio::co_spawn(context, std::move(loop), [](const std::exception_ptr& failure) {
+      if (failure) {
+        std::rethrow_exception(failure);
+      }
+    });
+  };
+  spawn(feeds_.FollowRoutes());
+  spawn(feeds_.FollowUpstreams());
+  spawn(peers_.ReceiveLoop());
+  spawn(peers_.SendLoop());
+  spawn(peers_.RegisterLoop());
+  spawn(duties_.LeaseLoop());
+  spawn(duties_.UsageLoop());
+  spawn(HousekeepingLoop());
+  kLog.Info("The gateway has started.", {{"daemon", settings.daemon.value()},
+                                         {"failure_domain", settings.failure_domain.value()},
+                                         {"callers", ToString(settings.callers)},
+                                         {"incarnation", fleet_.incarnation}});
+  return {};
+}
+
+asio::awaitable<void> Gateway::HandleReadiness(HttpExchange& exchange) {
+  const bool ready = feeds_.complete() && !fleet_.draining;
+  co_await exchange.Respond(ready ? 200 : 503, {}, {});
+}
+
+asio::awaitable<void> Gateway::HandleMetrics(HttpExchange& exchange) {
+  co_await exchange.Respond(200, ContentType("text/plain; version=0.0.4"),
+                            fleet_.metrics.RenderText());
+}
+
+asio::awaitable<void> Gateway::HousekeepingLoop() {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (true) {
+    connections_.Expire(BootNow());
+    fleet_.metrics.GetGauge("savoryglade_gateway_active_requests").Set(fleet_.active);
+    timer.expires_after(kHousekeepingInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+void Gateway::BeginDrain() {
+  asio::post(pool_.context(0), [this] {
+    if (fleet_.draining) {
+      return;
+    }
+    kLog.Info("The gateway drains.", {{"active", fleet_.active}});
+    fleet_.draining = true;
+    fleet_.drain_began = BootNow();
+    duties_.Release();
+    asio::co_spawn(pool_.context(0), DrainLoop(), asio::detached);
+  });
+}
+
+asio::awaitable<void> Gateway::DrainLoop() {
+  const Duration limit = FromSeconds(ToSeconds(fleet_.settings.bounds.stop_grace) * kGraceUse);
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (true) {
+    const Duration elapsed = BootNow() - fleet_.drain_began;
+    if (elapsed >= limit || (elapsed >= kBalancerDelay && fleet_.active == 0)) {
+      break;
+    }
+    timer.expires_after(kDrainTick);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  kLog.Info("The drain is over.", {{"active", fleet_.active}});
+  drained_ = true;
+}
+
+bool Gateway::DrainIsOver() const { return drained_.load(); }
+
+void Gateway::Stop() { pool_.Stop(); }
+
+}  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/gateway/gateway.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+
+#include "core/error.h"
+#include "gateway/adapter.h"
+#include "gateway/call_relay.h"
+#include "gateway/duty_runner.h"
+#include "gateway/fleet_feeds.h"
+#include "gateway/fleet_state.h"
+#include "gateway/peer_digests.h"
+#include "gateway/upstream_connections.h"
+#include "net/http_server.h"
+#include "net/worker_pool.h"
+
+namespace savoryglade::gateway {
+
+// Translations of the platform that a gateway speaks with.
+struct GatewayAdapters {
+  std::unique_ptr<CallCodec> codec;
+  std::unique_ptr<FleetStore> store;
+  std::unique_ptr<DutyApi> duties;
+};
+
+// Makes the adapters once the gateway's context exists.
+using AdapterFactory = std::function<GatewayAdapters(boost::asio::io_context&, MetricRegistry&)>;
+
+// The daemon of one entry VM behind the operators' routes. Runs on one worker thread.
+class Gateway {
+ public:
+  Gateway(GatewaySettings settings, const AdapterFactory& make_adapters);
+  // Stops at once: connections are closed and requests in flight are cut off.
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // Starts listening and following the store. The error names what could not be opened.
+  Result<void> Start();
+
+  // Turns the readiness answer to "no". Requests are still taken until the balancer has noticed.
+  void BeginDrain();
+  // Returns true once nothing is left to do, or the time of the stop is up.
+  bool DrainIsOver() const;
+  void Stop();
+
+ private:
+  boost::asio::awaitable<void> HandleReadiness(HttpExchange& exchange);
+  boost::asio::awaitable<void> HandleMetrics(HttpExchange& exchange);
+  boost::asio::awaitable<void> DrainLoop();
+  boost::asio::awaitable<void> HousekeepingLoop();
+
+  WorkerPool pool_;
+  FleetState fleet_;
+  GatewayAdapters adapters_;
+  UpstreamConnections connections_;
+  FleetFeeds feeds_;
+  PeerDigests peers_;
+  DutyRunner duties_;
+  CallRelay relay_;
+  HttpServer callers_;
+  HttpServer readiness_;
+  HttpServer metrics_;
+  std::atomic<bool> drained_{false};
+};
+
+}  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/gateway/sse_splitter.cc
@@ -0,0 +1,51 @@
+#include "gateway/sse_splitter.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace savoryglade::gateway {
+namespace {
+
+// Returns the position behind the last empty line, or zero.
+std::size_t EndOfEvents(std::string_view text) {
+  std::size_t end = 0;
+  for (const std::string_view gap : {std::string_view("\n\n"), std::string_view("\r\n\r\n")}) {
+    const std::size_t found = text.rfind(gap);
+    if (found != std::string_view::npos) {
+      end = std::max(end, found + gap.size());
+    }
+  }
+  return end;
+}
+
+}  // namespace
+
+std::string SseSplitter::Take(std::string_view bytes) {
+  rest_.append(bytes);
+  const std::size_t end = EndOfEvents(rest_);
+  std::string whole = rest_.substr(0, end);
+  rest_.erase(0, end);
+  NoteIds(whole);
+  return whole;
+}
+
+void SseSplitter::NoteIds(std::string_view events) {
+  while (!events.empty()) {
+    const std::size_t end = events.find('\n');
+    std::string_view line = events.substr(0, end);
+    events = end == std::string_view::npos ? std::string_view() : events.substr(end + 1);
+    if (!line.starts_with("id:")) {
+      continue;
+    }
+    line.remove_prefix(3);
+    if (line.starts_with(' ')) {
+      line.remove_prefix(1);
+    }
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    last_id_ = line;
+  }
+}
+
+}  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/gateway/upstream_connections.cc
@@ -0,0 +1,62 @@
+#include "gateway/upstream_connections.h"
+
+#include <boost/asio.hpp>
+#include <utility>
+
+#include "core/boot_clock.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+// Connections kept for each upstream; more than one daemon's share of a full batch.
+constexpr std::size_t kMaxIdle = 64;
+// Idle time if the upstream does not state its own.
+constexpr Duration kDefaultIdle = 2s;
+// Part of the stated idle time that is used.
+constexpr double kIdleUse = 0.6;
+
+}  // namespace
+
+boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> UpstreamConnections::Acquire(
+    const UpstreamRecord& upstream, Duration longest_idle, Duration timeout) {
+  const Result<Endpoint> endpoint = ParseEndpoint(upstream.address);
+  if (!endpoint) {
+    co_return tl::make_unexpected(endpoint.error());
+  }
+  std::vector<Idle>& idle = idle_[upstream.id];
+  const TimePoint now = BootNow();
+  while (!idle.empty()) {
+    Idle last = std::move(idle.back());
+    idle.pop_back();
+    if (now >= last.until || now - last.since > longest_idle ||
+        last.connection->endpoint() != *endpoint) {
+      continue;
+    }
+    // Not quiet: closed by its peer, or a late answer waits on it.
+    if (last.connection->IsQuiet()) {
+      co_return std::move(last.connection);
+    }
+  }
+  co_return co_await HttpConnection::Connect(*endpoint, timeout);
+}
+
+void UpstreamConnections::Release(const UpstreamId& upstream,
+                                  std::unique_ptr<HttpConnection> connection,
+                                  std::optional<Duration> idle_timeout) {
+  std::vector<Idle>& idle = idle_[upstream];
+  if (!connection->reusable() || idle.size() >= kMaxIdle) {
+    return;
+  }
+  const TimePoint now = BootNow();
+  const Duration use = FromSeconds(ToSeconds(idle_timeout.value_or(kDefaultIdle)) * kIdleUse);
+  idle.push_back({.connection = std::move(connection), .since = now, .until = now + use});
+}
+
+void UpstreamConnections::Expire(TimePoint now) {
+  for (auto& [upstream, idle] : idle_) {
+    std::erase_if(idle, [now](const Idle& entry) { return now >= entry.until; });
+  }
+  std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+}  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/gateway/upstream_connections.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "core/error.h"
+#include "core/strong_id.h"
+#include "core/time.h"
+#include "net/endpoint.h"
+#include "net/http_client.h"
+#include "routing/upstream_board.h"
+
+namespace savoryglade::gateway {
+
+// Idle connections to upstreams. A connection is not used again close to the time at which its
+// upstream closes it, because a request that crosses that close may or may not have run. Used by
+// one thread.
+class UpstreamConnections {
+ public:
+  // Returns an idle connection that has been idle for at most the given time, or a new one.
+  boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> Acquire(
+      const UpstreamRecord& upstream, Duration longest_idle, Duration timeout);
+
+  // Keeps a connection whose answer was read whole. Nothing is kept if it can't be used again.
+  void Release(const UpstreamId& upstream, std::unique_ptr<HttpConnection> connection,
+               std::optional<Duration> idle_timeout);
+
+  // Closes the idle connections to an upstream.
+  void Drop(const UpstreamId& upstream) { idle_.erase(upstream); }
+  // Closes connections that were idle for too long.
+  void Expire(TimePoint now);
+
+ private:
+  struct Idle {
+    std::unique_ptr<HttpConnection> connection;
+    TimePoint since;
+    TimePoint until;
+  };
+
+  std::map<UpstreamId, std::vector<Idle>> idle_;
+};
+
+}  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/membership/fleet_clock.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "core/strong_id.h"
+#include "core/time.h"
+
+namespace savoryglade {
+
+// Time of day that all daemons agree on: the median of the clocks of this daemon and its peers, as
+// they stood when each started. A clock that is set while its daemon runs has no effect, and one
+// that was wrong at the start is outvoted. Not safe to use from several threads.
+class FleetClock {
+ public:
+  // Takes the time since 1970 that this VM's clock shows now.
+  FleetClock(Duration time_of_day, TimePoint now)
+      : own_offset_(time_of_day - now.time_since_epoch()) {}
+
+  // Time since 1970 by this daemon's own clock, for its peers.
+  Duration OwnTime(TimePoint now) const { return now.time_since_epoch() + own_offset_; }
+  // Takes the own time of a peer.
+  void OnPeerTime(const DaemonId& daemon, Duration time_of_day, TimePoint now);
+  // Agreed time since 1970.
+  Duration Now(TimePoint now) const;
+
+ private:
+  struct PeerOffset {
+    Duration offset = Duration::zero();
+    TimePoint heard{};
+  };
+  static constexpr Duration kPeerLifetime = 60s;
+
+  Duration own_offset_;
+  std::map<DaemonId, PeerOffset> peers_;
+};
+
+}  // namespace savoryglade
--- a/packages/platform/memory_platform.cc
+++ b/packages/provider/memory_platform.cc
@@ -1,10 +1,10 @@
-#include "platform/memory_platform.h"
+#include "provider/memory_platform.h"
 
 #include <algorithm>
 #include <optional>
 #include <utility>
 
-namespace savoryglade::platform {
+namespace savoryglade::provider {
 namespace {
 
 // How long a caller waits for an answer that never comes.
@@ -197,4 +197,4 @@
       tl::make_unexpected(kOutage), tl::make_unexpected(kUnknownOutcome), std::move(callback));
 }
 
-}  // namespace savoryglade::platform
+}  // namespace savoryglade::provider
--- a/packages/platform/memory_platform.h
+++ b/packages/provider/memory_platform.h
@@ -10,10 +10,10 @@
 #include <vector>
 
 #include "core/time.h"
-#include "platform/services.h"
-#include "platform/table.h"
+#include "provider/services.h"
+#include "provider/table.h"
 
-namespace savoryglade::platform {
+namespace savoryglade::provider {
 
 // Faults that an in-memory service injects into each operation while they are set.
 struct Faults {
@@ -102,4 +102,4 @@
   std::vector<std::string> purchase_order_;
 };
 
-}  // namespace savoryglade::platform
+}  // namespace savoryglade::provider
--- a/packages/platform/services.h
+++ b/packages/provider/services.h
@@ -8,7 +8,7 @@
 #include "core/error.h"
 #include "core/strong_id.h"
 
-namespace savoryglade::platform {
+namespace savoryglade::provider {
 
 // Store of whole objects by key. An object is replaced whole; there are no conditions.
 class ObjectStore {
@@ -76,4 +76,4 @@
   virtual void StopVm(const VmId& vm, std::function<void(Result<void>)> callback) = 0;
 };
 
-}  // namespace savoryglade::platform
+}  // namespace savoryglade::provider
--- a/packages/platform/table.h
+++ b/packages/provider/table.h
@@ -8,7 +8,7 @@
 
 #include "core/error.h"
 
-namespace savoryglade::platform {
+namespace savoryglade::provider {
 
 // Value of a row and the version that the table gave it. Versions rise over the whole table, so a
 // row that is deleted and inserted again never has an earlier version. Version 0 means that there
@@ -65,4 +65,4 @@
   virtual void Commit(const Transaction& transaction, CommitCallback callback) = 0;
 };
 
-}  // namespace savoryglade::platform
+}  // namespace savoryglade::provider
--- /dev/null
+++ b/packages/routing/upstream_board.cc
@@ -0,0 +1,276 @@
+#include "routing/upstream_board.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "core/prefix_hash.h"
+
+namespace savoryglade {
+namespace {
+
+// Parts that are remembered for each upstream.
+constexpr std::size_t kMaxParts = 4096;
+// Weight of an upstream that peers have left or that has just failed, in seconds.
+constexpr double kSuspectCost = 0.5;
+// Prompt tokens that are read again cost the fleet as much as they delay this request.
+constexpr double kRereadWeight = 2;
+
+std::uint64_t HomeWeight(const UpstreamId& id, std::uint64_t key) {
+  std::uint64_t hash = StableHash(id.value()) ^ (key * 0x9E3779B97F4A7C15ULL);
+  hash = (hash ^ (hash >> 31)) * 0xBF58476D1CE4E5B9ULL;
+  hash = (hash ^ (hash >> 27)) * 0x94D049BB133111EBULL;
+  return hash ^ (hash >> 31);
+}
+
+// The deepest part that other requests share; the last part belongs to one session.
+std::uint64_t HomeKey(const WorkEstimate& work) {
+  const std::size_t count = work.parts.size();
+  return count >= 2 ? work.parts[count - 2].id : work.parts.front().id;
+}
+
+}  // namespace
+
+void UpstreamBoard::Update(const UpstreamRecord& record) {
+  Entry& entry = entries_[record.id];
+  if (entry.record.started_ms != record.started_ms || entry.record.address != record.address) {
+    entry = Entry{};
+  }
+  entry.record = record;
+}
+
+void UpstreamBoard::Remove(const UpstreamId& id) { entries_.erase(id); }
+
+const UpstreamRecord* UpstreamBoard::Find(const UpstreamId& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : &found->second.record;
+}
+
+std::vector<UpstreamRecord> UpstreamBoard::Records() const {
+  std::vector<UpstreamRecord> records;
+  for (const auto& [id, entry] : entries_) {
+    records.push_back(entry.record);
+  }
+  return records;
+}
+
+UpstreamLoad UpstreamBoard::FleetLoad(const Entry& entry, TimePoint now) const {
+  UpstreamLoad sum = entry.own;
+  sum.suspect = false;
+  for (const auto& [daemon, report] : peers_) {
+    if (now - report.received > options_.report_lifetime) {
+      continue;
+    }
+    const auto found = report.loads.find(entry.record.id);
+    if (found != report.loads.end()) {
+      sum.running += found->second.running;
+      sum.waiting_tokens += found->second.waiting_tokens;
+      sum.suspect = sum.suspect || found->second.suspect;
+    }
+  }
+  if (now - entry.reported_at <= options_.report_lifetime) {
+    sum.running = std::max(sum.running, entry.reported_running);
+  }
+  return sum;
+}
+
+bool UpstreamBoard::IsSilent(const Entry& entry, TimePoint now) const {
+  if (entry.unanswered.empty()) {
+    return false;
+  }
+  const Duration reading =
+      FromSeconds(entry.own.waiting_tokens / options_.prompt_tokens_per_s * 2 * entry.slowness);
+  const TimePoint heard = std::max(entry.last_bytes, entry.unanswered.front());
+  return now - heard > options_.silence + reading;
+}
+
+double UpstreamBoard::UncachedTokens(const Entry& entry, const WorkEstimate& work,
+                                     bool home) const {
+  double cached = 0;
+  for (std::size_t i = 0; i < work.parts.size(); ++i) {
+    const bool shared = i + 1 < work.parts.size();
+    if (!(home && shared) && !entry.parts.contains(work.parts[i].id)) {
+      break;
+    }
+    cached += work.parts[i].tokens;
+  }
+  return std::max(work.prompt_tokens - cached, 1.0);
+}
+
+double UpstreamBoard::Score(const Entry& entry, const WorkEstimate& work, const UpstreamLoad& load,
+                            double uncached) const {
+  const double distance =
+      entry.record.failure_domain == options_.local_domain ? 0 : options_.remote_cost_s;
+  const double suspicion = load.suspect || entry.failures > 0 ? kSuspectCost : 0;
+  if (!work.IsGeneration()) {
+    const double occupied =
+        static_cast<double>(load.running) / static_cast<double>(std::max(entry.record.slots, 1));
+    return occupied * entry.slowness + distance + suspicion;
+  }
+  const double queue = load.waiting_tokens / options_.prompt_tokens_per_s;
+  const double reading = uncached / options_.prompt_tokens_per_s * kRereadWeight;
+  return (queue + reading + load.running * options_.running_cost_s) * entry.slowness + distance +
+         suspicion;
+}
+
+std::optional<Placement> UpstreamBoard::Choose(const WorkEstimate& work,
+                                               const std::vector<UpstreamId>& excluded,
+                                               TimePoint now) const {
+  std::vector<const Entry*> usable;
+  std::vector<const Entry*> doubtful;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.service != work.service || entry.record.leaving ||
+        std::ranges::find(excluded, id) != excluded.end()) {
+      continue;
+    }
+    const bool left = now < entry.paused_until || IsSilent(entry, now);
+    (left ? doubtful : usable).push_back(&entry);
+  }
+  if (usable.empty()) {
+    usable.swap(doubtful);
+  }
+  const Entry* home = nullptr;
+  if (!work.parts.empty()) {
+    const std::uint64_t key = HomeKey(work);
+    const auto best = std::ranges::max_element(
+        usable, {}, [key](const Entry* entry) { return HomeWeight(entry->record.id, key); });
+    home = best == usable.end() ? nullptr : *best;
+  }
+  const Entry* chosen = nullptr;
+  double best_score = 0;
+  double best_uncached = 0;
+  for (const Entry* entry : usable) {
+    const UpstreamLoad load = FleetLoad(*entry, now);
+    if (load.running >= entry->record.slots) {
+      continue;
+    }
+    const double uncached = UncachedTokens(*entry, work, entry == home);
+    const double score = Score(*entry, work, load, uncached);
+    if (chosen == nullptr || score < best_score) {
+      chosen = entry;
+      best_score = score;
+      best_uncached = uncached;
+    }
+  }
+  if (chosen == nullptr) {
+    return std::nullopt;
+  }
+  const double reading = work.IsGeneration()
+                             ? (FleetLoad(*chosen, now).waiting_tokens + best_uncached) /
+                                   options_.prompt_tokens_per_s * chosen->slowness
+                             : 0;
+  return Placement{.upstream = chosen->record,
+                   .uncached_tokens = work.IsGeneration() ? best_uncached : 0,
+                   .expected = FromSeconds(reading)};
+}
+
+int UpstreamBoard::FreeSlots(const ServiceId& service, TimePoint now) const {
+  int free = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.service == service && !entry.record.leaving && now >= entry.paused_until) {
+      free += std::max(0, entry.record.slots - FleetLoad(entry, now).running);
+    }
+  }
+  return free;
+}
+
+void UpstreamBoard::OnSent(const UpstreamId& id, const WorkEstimate& work, double uncached_tokens,
+                           TimePoint now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  ++entry.own.running;
+  entry.own.waiting_tokens += uncached_tokens;
+  entry.unanswered.push_back(now);
+  if (entry.parts.size() + work.parts.size() > kMaxParts) {
+    entry.parts.clear();
+  }
+  for (const PromptPart& part : work.parts) {
+    entry.parts[part.id] = now;
+  }
+}
+
+void UpstreamBoard::OnFirstByte(const UpstreamId& id, double uncached_tokens, TimePoint now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.own.waiting_tokens = std::max(0.0, entry.own.waiting_tokens - uncached_tokens);
+  if (!entry.unanswered.empty()) {
+    entry.unanswered.pop_front();
+  }
+  entry.last_bytes = now;
+}
+
+void UpstreamBoard::OnBytes(const UpstreamId& id, TimePoint now) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    found->second.last_bytes = now;
+  }
+}
+
+void UpstreamBoard::OnEnd(const UpstreamId& id, double uncached_tokens, bool first_byte,
+                          AttemptEnd end, TimePoint now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.own.running = std::max(0, entry.own.running - 1);
+  if (!first_byte) {
+    entry.own.waiting_tokens = std::max(0.0, entry.own.waiting_tokens - uncached_tokens);
+    if (!entry.unanswered.empty()) {
+      entry.unanswered.pop_front();
+    }
+  }
+  if (end == AttemptEnd::kAnswered) {
+    entry.failures = 0;
+    entry.paused_until = TimePoint{};
+  } else if (end == AttemptEnd::kFailed || end == AttemptEnd::kUnreachable) {
+    entry.failures = std::min(entry.failures + 1, 8);
+    // One broken answer does not show that the upstream is down; a refused connection does.
+    if (end == AttemptEnd::kUnreachable || entry.failures >= 2) {
+      const Duration pause = options_.first_pause * (1 << std::min(entry.failures - 1, 4));
+      entry.paused_until = now + std::min(pause, options_.longest_pause);
+    }
+  } else if (end == AttemptEnd::kRefused) {
+    entry.reported_running = entry.record.slots;
+    entry.reported_at = now - options_.report_lifetime + 300ms;
+  }
+}
+
+void UpstreamBoard::OnPeerLoad(const DaemonId& daemon, std::map<UpstreamId, UpstreamLoad> loads,
+                               TimePoint now) {
+  peers_[daemon] = PeerReport{.received = now, .loads = std::move(loads)};
+  std::erase_if(peers_, [now](const auto& peer) { return now - peer.second.received > 30s; });
+}
+
+std::map<UpstreamId, UpstreamLoad> UpstreamBoard::OwnLoad(TimePoint now) const {
+  std::map<UpstreamId, UpstreamLoad> loads;
+  for (const auto& [id, entry] : entries_) {
+    UpstreamLoad load = entry.own;
+    load.suspect = now < entry.paused_until || IsSilent(entry, now);
+    if (load != UpstreamLoad{}) {
+      loads.emplace(id, load);
+    }
+  }
+  return loads;
+}
+
+void UpstreamBoard::OnLoadReport(const UpstreamId& id, int running, int waiting, double slowness,
+                                 TimePoint now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.reported_running = running + waiting;
+  entry.reported_at = now;
+  // Slowness changes many times per second, so one sample counts for little.
+  constexpr double kSampleWeight = 0.3;
+  entry.slowness += kSampleWeight * (std::clamp(slowness, 0.5, 10.0) - entry.slowness);
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/routing/upstream_board.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/strong_id.h"
+#include "core/time.h"
+
+namespace savoryglade {
+
+// One upstream as it registered itself.
+struct UpstreamRecord {
+  UpstreamId id;
+  ServiceId service;
+  // IP address and port.
+  std::string address;
+  FailureDomainId failure_domain;
+  // Requests that it runs at the same time.
+  int slots = 1;
+  // True once it gives notice that it leaves; it takes no new work then.
+  bool leaving = false;
+  bool reclaimable = false;
+  // Start of its process in milliseconds of Unix time; 0 if it does not say.
+  std::int64_t started_ms = 0;
+
+  friend auto operator<=>(const UpstreamRecord&, const UpstreamRecord&) = default;
+};
+
+// Part of a prompt that requests may share. A part is only reused if all parts before it are.
+struct PromptPart {
+  std::uint64_t id = 0;
+  double tokens = 0;
+
+  friend auto operator<=>(const PromptPart&, const PromptPart&) = default;
+};
+
+// What the choice of an upstream needs to know of a request.
+struct WorkEstimate {
+  ServiceId service;
+  // Zero for a request to a plain service.
+  double prompt_tokens = 0;
+  double output_tokens = 0;
+  std::vector<PromptPart> parts;
+
+  bool IsGeneration() const { return prompt_tokens > 0; }
+};
+
+// Load that one daemon has on one upstream.
+struct UpstreamLoad {
+  int running = 0;
+  // Prompt tokens of requests that have no first token yet.
+  double waiting_tokens = 0;
+  // Whether the daemon left it because of failures or silence.
+  bool suspect = false;
+
+  friend auto operator<=>(const UpstreamLoad&, const UpstreamLoad&) = default;
+};
+
+// How an attempt at an upstream ended, as far as it tells about the upstream.
+enum class AttemptEnd : std::uint8_t { kAnswered, kFailed, kUnreachable, kRefused, kCancelled };
+
+// Rates of a model engine and thresholds of the choice.
+struct BoardOptions {
+  FailureDomainId local_domain;
+  // Prompt tokens that an engine reads in a second; from the operators' sheet of their engines.
+  double prompt_tokens_per_s = 55'000;
+  // What each running request adds to the time of a request, in seconds.
+  double running_cost_s = 0.004;
+  // One-way latency to another failure domain, in seconds.
+  double remote_cost_s = 0.001;
+  // Silence after which an upstream with a request that waits is left, beyond the expected time.
+  Duration silence = 700ms;
+  // First pause after failures; doubled with each further one up to the longest.
+  Duration first_pause = 500ms;
+  Duration longest_pause = 6s;
+  // Load reports of peers older than this are not used.
+  Duration report_lifetime = 1500ms;
+};
+
+// Upstream that was chosen, with the tokens that it must read for the request.
+struct Placement {
+  UpstreamRecord upstream;
+  double uncached_tokens = 0;
+  // Expected time to the first token or to the answer.
+  Duration expected = Duration::zero();
+};
+
+// Chooses the upstream of each attempt by the load of the whole fleet: what this daemon has sent,
+// at once, and what its peers say of theirs. A shared prompt has a home that all daemons agree on
+// without a message, and leaves it only when the queue there costs more than reading it again.
+// Not safe to use from several threads.
+class UpstreamBoard {
+ public:
+  explicit UpstreamBoard(BoardOptions options) : options_(std::move(options)) {}
+
+  // Takes a new or changed record. A changed start time or address clears what was learned.
+  void Update(const UpstreamRecord& record);
+  void Remove(const UpstreamId& id);
+  const UpstreamRecord* Find(const UpstreamId& id) const;
+  std::vector<UpstreamRecord> Records() const;
+
+  // Chooses an upstream of the service that is not excluded; nothing if none takes work.
+  std::optional<Placement> Choose(const WorkEstimate& work, const std::vector<UpstreamId>& excluded,
+                                  TimePoint now) const;
+
+  // Requests that can still be taken before all upstreams of the service are full.
+  int FreeSlots(const ServiceId& service, TimePoint now) const;
+
+  // Records of one attempt, in this order: sent, first byte, end.
+  void OnSent(const UpstreamId& id, const WorkEstimate& work, double uncached_tokens,
+              TimePoint now);
+  void OnFirstByte(const UpstreamId& id, double uncached_tokens, TimePoint now);
+  void OnBytes(const UpstreamId& id, TimePoint now);
+  // first_byte says whether OnFirstByte was called for the attempt.
+  void OnEnd(const UpstreamId& id, double uncached_tokens, bool first_byte, AttemptEnd end,
+             TimePoint now);
+
+  // Takes the load of a peer. Upstreams that are left out have none.
+  void OnPeerLoad(const DaemonId& daemon, std::map<UpstreamId, UpstreamLoad> loads, TimePoint now);
+  // Load of this daemon, for its peers.
+  std::map<UpstreamId, UpstreamLoad> OwnLoad(TimePoint now) const;
+
+  // Takes what an upstream says of its own load with an answer. The slowness is 1 as usual.
+  void OnLoadReport(const UpstreamId& id, int running, int waiting, double slowness, TimePoint now);
+
+ private:
+  struct Entry {
+    UpstreamRecord record;
+    UpstreamLoad own;
+    int failures = 0;
+    TimePoint paused_until{};
+    TimePoint last_bytes{};
+    // Instants at which unanswered attempts were sent.
+    std::deque<TimePoint> unanswered;
+    double slowness = 1;
+    int reported_running = 0;
+    TimePoint reported_at{};
+    // Prompt parts that this daemon had read there and when.
+    std::unordered_map<std::uint64_t, TimePoint> parts;
+  };
+  struct PeerReport {
+    TimePoint received;
+    std::map<UpstreamId, UpstreamLoad> loads;
+  };
+
+  UpstreamLoad FleetLoad(const Entry& entry, TimePoint now) const;
+  bool IsSilent(const Entry& entry, TimePoint now) const;
+  double UncachedTokens(const Entry& entry, const WorkEstimate& work, bool home) const;
+  double Score(const Entry& entry, const WorkEstimate& work, const UpstreamLoad& load,
+               double uncached) const;
+
+  BoardOptions options_;
+  std::map<UpstreamId, Entry> entries_;
+  std::map<DaemonId, PeerReport> peers_;
+};
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/scheduling/account_allowance.cc
@@ -0,0 +1,126 @@
+#include "scheduling/account_allowance.h"
+
+#include <algorithm>
+
+namespace savoryglade {
+
+void AccountAllowance::Configure(const std::vector<AccountPolicy>& accounts, TimePoint now) {
+  std::map<AccountId, Bucket> buckets;
+  for (const AccountPolicy& policy : accounts) {
+    if (policy.rate <= 0) {
+      continue;
+    }
+    const auto found = buckets_.find(policy.name);
+    Bucket bucket = found != buckets_.end() ? found->second : Bucket{.refilled = now};
+    bucket.policy = policy;
+    bucket.level = std::min(bucket.level, policy.burst);
+    buckets.emplace(policy.name, std::move(bucket));
+  }
+  buckets_ = std::move(buckets);
+}
+
+void AccountAllowance::Refill(Bucket& bucket, TimePoint now) {
+  const double added = ToSeconds(std::max(now - bucket.refilled, Duration::zero()));
+  bucket.level = std::min(bucket.level + added * bucket.policy.rate, bucket.policy.burst);
+  bucket.refilled = std::max(now, bucket.refilled);
+  bucket.informed = bucket.informed || bucket.level >= bucket.policy.burst;
+}
+
+void AccountAllowance::ChargeSilentPeers(TimePoint now) {
+  std::erase_if(peers_,
+                [&](const auto& peer) { return now - peer.second.heard > options_.peer_lifetime; });
+  const double daemons = static_cast<double>(peers_.size()) + 1;
+  for (auto& [daemon, peer] : peers_) {
+    const TimePoint silent_since = std::max(peer.heard + options_.peer_silence, peer.charged_until);
+    if (now <= silent_since) {
+      continue;
+    }
+    for (auto& [account, bucket] : buckets_) {
+      const double units = ToSeconds(now - silent_since) * bucket.policy.rate / daemons;
+      bucket.level -= units;
+      peer.assumed[account] += units;
+    }
+    peer.charged_until = now;
+  }
+}
+
+bool AccountAllowance::Take(const AccountId& account, double units, TimePoint now) {
+  const auto found = buckets_.find(account);
+  if (found == buckets_.end()) {
+    return true;
+  }
+  ChargeSilentPeers(now);
+  Bucket& bucket = found->second;
+  Refill(bucket, now);
+  // A request larger than the burst would never pass otherwise.
+  if (bucket.level < std::min(units, bucket.policy.burst)) {
+    return false;
+  }
+  bucket.level -= units;
+  bucket.taken += units;
+  return true;
+}
+
+void AccountAllowance::GiveBack(const AccountId& account, double units) {
+  const auto found = buckets_.find(account);
+  if (found != buckets_.end()) {
+    found->second.level = std::min(found->second.level + units, found->second.policy.burst);
+    found->second.taken -= units;
+  }
+}
+
+Duration AccountAllowance::TimeUntil(const AccountId& account, double units) const {
+  const auto found = buckets_.find(account);
+  if (found == buckets_.end()) {
+    return Duration::zero();
+  }
+  const Bucket& bucket = found->second;
+  const double missing = std::min(units, bucket.policy.burst) - bucket.level;
+  return FromSeconds(std::max(missing, 0.0) / bucket.policy.rate);
+}
+
+std::map<AccountId, AllowanceUse> AccountAllowance::OwnUse(TimePoint now) {
+  std::map<AccountId, AllowanceUse> use;
+  for (auto& [account, bucket] : buckets_) {
+    Refill(bucket, now);
+    use.emplace(account, AllowanceUse{.taken = bucket.taken, .level = bucket.level});
+  }
+  return use;
+}
+
+void AccountAllowance::OnPeerUse(const DaemonId& daemon, std::uint64_t incarnation,
+                                 const std::map<AccountId, AllowanceUse>& use, TimePoint now) {
+  ChargeSilentPeers(now);
+  const auto [found, is_new] = peers_.try_emplace(daemon);
+  Peer& peer = found->second;
+  const bool restarted = !is_new && peer.incarnation != incarnation;
+  if (is_new || restarted) {
+    peer.taken.clear();
+  }
+  for (const auto& [account, totals] : use) {
+    const auto bucket_found = buckets_.find(account);
+    if (bucket_found == buckets_.end()) {
+      continue;
+    }
+    Bucket& bucket = bucket_found->second;
+    Refill(bucket, now);
+    if (!bucket.informed) {
+      bucket.level = std::max(bucket.level, std::min(totals.level, bucket.policy.burst));
+      bucket.informed = true;
+    }
+    // What a peer had taken before it was first heard is in the level that it reports.
+    const auto last = peer.taken.find(account);
+    if (last != peer.taken.end() || restarted) {
+      const double before = last == peer.taken.end() ? 0 : last->second;
+      bucket.level = std::min(bucket.level + peer.assumed[account] - (totals.taken - before),
+                              bucket.policy.burst);
+      peer.assumed[account] = 0;
+    }
+    peer.taken[account] = totals.taken;
+  }
+  peer.incarnation = incarnation;
+  peer.heard = now;
+  peer.charged_until = now;
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/scheduling/account_allowance.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "config/route_table.h"
+#include "core/strong_id.h"
+#include "core/time.h"
+
+namespace savoryglade {
+
+// What one daemon has taken of an account's allowance since its start, and the level of the bucket
+// as it sees it, in units of the account.
+struct AllowanceUse {
+  double taken = 0;
+  double level = 0;
+
+  friend auto operator<=>(const AllowanceUse&, const AllowanceUse&) = default;
+};
+
+struct AllowanceOptions {
+  // A peer that was not heard for this long is charged an even part of each rate until it returns.
+  Duration peer_silence = 1s;
+  // A peer that was not heard for this long has gone.
+  Duration peer_lifetime = 15s;
+};
+
+// Allowances of the client accounts over all daemons. Each daemon has a bucket for each account,
+// takes its own requests out at once and those of its peers when it hears of them. While a peer is
+// silent it is charged an even part of the rate, so that parts of a divided fleet together stay
+// within the allowance. Not safe to use from several threads.
+class AccountAllowance {
+ public:
+  explicit AccountAllowance(AllowanceOptions options) : options_(options) {}
+
+  // Takes the accounts of a new configuration. Buckets of accounts that stay keep their level.
+  void Configure(const std::vector<AccountPolicy>& accounts, TimePoint now);
+
+  // Takes units out of the bucket. Returns false, and takes nothing, if there are too few.
+  bool Take(const AccountId& account, double units, TimePoint now);
+  // Gives back what a request took that was not run.
+  void GiveBack(const AccountId& account, double units);
+  // Time after which the units are expected to be there.
+  Duration TimeUntil(const AccountId& account, double units) const;
+
+  // Use by this daemon, for its peers.
+  std::map<AccountId, AllowanceUse> OwnUse(TimePoint now);
+  // Takes the use of a peer since its start, which the incarnation tells apart.
+  void OnPeerUse(const DaemonId& daemon, std::uint64_t incarnation,
+                 const std::map<AccountId, AllowanceUse>& use, TimePoint now);
+  // Takes the news that a peer ends: nothing is charged for its silence.
+  void ForgetPeer(const DaemonId& daemon) { peers_.erase(daemon); }
+
+ private:
+  struct Bucket {
+    AccountPolicy policy;
+    double level = 0;
+    double taken = 0;
+    TimePoint refilled{};
+    // Whether the level is known: filled since the start, or heard from a peer.
+    bool informed = false;
+  };
+  struct Peer {
+    std::uint64_t incarnation = 0;
+    TimePoint heard{};
+    TimePoint charged_until{};
+    std::map<AccountId, double> taken;
+    // Units charged during silence that the peer has not accounted for yet.
+    std::map<AccountId, double> assumed;
+  };
+
+  void Refill(Bucket& bucket, TimePoint now);
+  void ChargeSilentPeers(TimePoint now);
+
+  AllowanceOptions options_;
+  std::map<AccountId, Bucket> buckets_;
+  std::map<DaemonId, Peer> peers_;
+};
+
+}  // namespace savoryglade
--- a/tests/capacity/lease_test.cc
+++ b/tests/capacity/lease_test.cc
@@ -6,13 +6,13 @@
 #include <vector>
 
 #include "core/event_queue.h"
-#include "platform/memory_platform.h"
+#include "provider/memory_platform.h"
 
 namespace savoryglade::capacity {
 namespace {
 
-using platform::CommitStatus;
-using platform::MemoryPlatform;
+using provider::CommitStatus;
+using provider::MemoryPlatform;
 
 // Candidates for one lease on the virtual clock, with a platform that can fail.
 class LeaseTest : public testing::Test {
@@ -48,7 +48,7 @@
       });
       return;
     }
-    platform_.Read("lease/verona", [this, &lease](const platform::ReadResult& row) {
+    platform_.Read("lease/verona", [this, &lease](const provider::ReadResult& row) {
       lease.OnRead(row, clock_.now());
     });
   }
@@ -141,20 +141,20 @@
     return *std::get<Lease::CommitRow>(order).transaction.writes[0].value;
   };
   ASSERT_TRUE(std::holds_alternative<Lease::ReadRow>(*lease.Tick(start)));
-  lease.OnRead(platform::Row{}, start);
+  lease.OnRead(provider::Row{}, start);
   const std::string taken = row_of(*lease.Tick(start));
   lease.OnCommit(CommitStatus::kCommitted, start);
   lease.Tick(start + 5s);
-  lease.OnRead(platform::Row{.value = taken, .version = 1}, start + 5s);
+  lease.OnRead(provider::Row{.value = taken, .version = 1}, start + 5s);
   const std::string first = row_of(*lease.Tick(start + 5s));
   lease.OnCommit(CommitStatus::kUnknown, start + 7s);
   lease.Tick(start + 7s);
-  lease.OnRead(platform::Row{.value = taken, .version = 1}, start + 7s);
+  lease.OnRead(provider::Row{.value = taken, .version = 1}, start + 7s);
   const std::string second = row_of(*lease.Tick(start + 17s));
   EXPECT_NE(first, second);
   lease.OnCommit(CommitStatus::kConflict, start + 17s);
   lease.Tick(start + 17s);
-  lease.OnRead(platform::Row{.value = first, .version = 2}, start + 17s);
+  lease.OnRead(provider::Row{.value = first, .version = 2}, start + 17s);
   EXPECT_FALSE(lease.MayAct(start + 17s));
 }
 
--- a/tests/daemon/claim_service_test.cc
+++ b/tests/daemon/claim_service_test.cc
@@ -9,7 +9,7 @@
 #include "daemon/claim_row_codec.h"
 #include "gtest/gtest.h"
 #include "net/worker_pool.h"
-#include "platform/memory_platform.h"
+#include "provider/memory_platform.h"
 
 namespace savoryglade {
 namespace {
@@ -24,7 +24,7 @@
 // One daemon's claims with a context of their own over a shared table.
 class ClaimHost {
  public:
-  ClaimHost(const std::string& name, platform::Table& table)
+  ClaimHost(const std::string& name, provider::Table& table)
       : service_(pool_.context(0), table,
                  {.owner = {.daemon = DaemonId(name), .incarnation = 1, .nonce = 1},
                   .committer = {.interval = 1ms}},
@@ -70,7 +70,7 @@
 
 // Guards against a confirmation that runs a second time when its caller sends it to another daemon.
 TEST(ClaimServiceTest, AResendAtAnotherDaemonGetsTheStoredAnswer) {
-  platform::MemoryPlatform table;
+  provider::MemoryPlatform table;
   ClaimHost first("brescia-1", table);
   ClaimHost second("verona-1", table);
   Connect(first, second);
@@ -88,7 +88,7 @@
 
 // Guards against "not run" for a request whose dispatching daemon is gone.
 TEST(ClaimServiceTest, AResendAfterTheOwnerIsGoneMayHaveRun) {
-  platform::MemoryPlatform table;
+  provider::MemoryPlatform table;
   ClaimHost first("brescia-1", table);
   ClaimHost second("verona-1", table);
   const ClaimAnswer granted = first.Claim(Confirmation());
@@ -106,7 +106,7 @@
 
 // Guards against a refusal of a request that no daemon will run: its owner gives the claim up.
 TEST(ClaimServiceTest, AnUndispatchedClaimIsTakenOverWithTheConsentOfItsOwner) {
-  platform::MemoryPlatform table;
+  provider::MemoryPlatform table;
   ClaimHost first("brescia-1", table);
   ClaimHost second("verona-1", table);
   Connect(first, second);
@@ -120,7 +120,7 @@
 
 // Guards against a dispatch while the claim can't be made durable.
 TEST(ClaimServiceTest, DuringAnOutageTheRequestIsRefusedAsNotRun) {
-  platform::MemoryPlatform table;
+  provider::MemoryPlatform table;
   table.SetFaults({.outage = true});
   ClaimHost host("brescia-1", table);
   const ClaimAnswer answer = host.Claim(Confirmation());
@@ -132,7 +132,7 @@
 
 // Guards against a key that is used again for another delivery and gets the first one's answer.
 TEST(ClaimServiceTest, AnotherBodyUnderTheSameKeyIsRefused) {
-  platform::MemoryPlatform table;
+  provider::MemoryPlatform table;
   ClaimHost first("brescia-1", table);
   ClaimHost second("verona-1", table);
   Connect(first, second);
@@ -146,7 +146,7 @@
 
 // Guards against an incomplete answer passed on as whole because it was too large to keep.
 TEST(ClaimServiceTest, AnAnswerThatWasNotKeptIsReportedAsRan) {
-  platform::MemoryPlatform table;
+  provider::MemoryPlatform table;
   ClaimHost first("brescia-1", table);
   ClaimHost second("verona-1", table);
   const ClaimAnswer granted = first.Claim(Confirmation());
--- a/tests/daemon/fault_pairs_test.cc
+++ b/tests/daemon/fault_pairs_test.cc
@@ -10,7 +10,7 @@
 #include "core/event_queue.h"
 #include "daemon/platform_config_change.h"
 #include "membership/config_replica.h"
-#include "platform/memory_platform.h"
+#include "provider/memory_platform.h"
 
 namespace savoryglade {
 namespace {
@@ -19,9 +19,9 @@
 using capacity::LeaseOptions;
 using membership::ConfigReplica;
 using membership::ConfigSource;
-using platform::CommitStatus;
-using platform::MemoryPlatform;
-using platform::ReadResult;
+using provider::CommitStatus;
+using provider::MemoryPlatform;
+using provider::ReadResult;
 
 constexpr std::size_t kNodes = 3;
 constexpr Duration kTableLatency = 40ms;
@@ -138,7 +138,7 @@
     platform_.Read(key, [this, i, done](const ReadResult& r) { At(i, [done, r] { done(r); }); });
   }
 
-  void Commit(std::size_t i, const platform::Transaction& transaction,
+  void Commit(std::size_t i, const provider::Transaction& transaction,
               const std::function<void(CommitStatus)>& done) {
     if (nodes_[i]->no_platform) {
       clock_.After(1s, [this, i, done] { At(i, [done] { done(CommitStatus::kUnavailable); }); });
@@ -232,7 +232,7 @@
 
   // Reads a row around the faults.
   std::string ValueInTable(const std::string& key) {
-    const platform::Faults faults = platform_.faults();
+    const provider::Faults faults = platform_.faults();
     platform_.SetFaults({});
     std::string value;
     platform_.Read(key, [&value](const ReadResult& result) { value = result->value; });
@@ -278,19 +278,19 @@
 
 std::vector<Fault> AllFaults() {
   // Platform faults that overlap are merged, so each changes its own field only.
-  const auto on_platform = [](void (*change)(platform::Faults&, bool)) {
+  const auto on_platform = [](void (*change)(provider::Faults&, bool)) {
     return [change](FaultModel& model, bool begins) {
-      platform::Faults faults = model.platform().faults();
+      provider::Faults faults = model.platform().faults();
       change(faults, begins);
       model.platform().SetFaults(faults);
     };
   };
   auto paused = std::make_shared<std::vector<std::size_t>>();
   std::vector<Fault> faults = {
-      {"table outage", on_platform([](platform::Faults& f, bool on) { f.outage = on; })},
+      {"table outage", on_platform([](provider::Faults& f, bool on) { f.outage = on; })},
       {"slow table",
-       on_platform([](platform::Faults& f, bool on) { f.delay = on ? 1500ms : kTableLatency; })},
-      {"lost answers", on_platform([](platform::Faults& f, bool on) { f.lose_answers = on; })},
+       on_platform([](provider::Faults& f, bool on) { f.delay = on ? 1500ms : kTableLatency; })},
+      {"lost answers", on_platform([](provider::Faults& f, bool on) { f.lose_answers = on; })},
       {"paused holder",
        [paused](FaultModel& model, bool begins) {
          if (begins) {
--- a/tests/daemon/fleet_fixture.h
+++ b/tests/daemon/fleet_fixture.h
@@ -41,7 +41,7 @@
   }
 
   // Starts daemons and lists them once all listen, so that none reads a list of only some.
-  void Start(std::size_t daemons, std::size_t domains, const platform::Faults& faults_after = {}) {
+  void Start(std::size_t daemons, std::size_t domains, const provider::Faults& faults_after = {}) {
     platform_.SetFaults({.outage = true});
     for (std::size_t i = 0; i < daemons; ++i) {
       Settings settings;
--- a/tests/daemon/platform_config_change_test.cc
+++ b/tests/daemon/platform_config_change_test.cc
@@ -6,13 +6,13 @@
 #include <memory>
 
 #include "core/event_queue.h"
-#include "platform/memory_platform.h"
+#include "provider/memory_platform.h"
 
 namespace savoryglade {
 namespace {
 
 using Kind = ConfigChangeOutcome::Kind;
-using platform::MemoryPlatform;
+using provider::MemoryPlatform;
 
 Configuration WithUpstream(const std::string& name) {
   Configuration configuration;
@@ -48,7 +48,7 @@
 
   std::uint64_t VersionInTable() {
     std::uint64_t version = 0;
-    platform_.Read(kConfigurationVersionRow, [&version](const platform::ReadResult& row) {
+    platform_.Read(kConfigurationVersionRow, [&version](const provider::ReadResult& row) {
       version = row->value.empty() ? 0 : std::stoull(row->value);
     });
     return version;
@@ -61,11 +61,11 @@
   void Run(const std::shared_ptr<ConfigChange>& change, const ConfigChange::Step& step,
            const std::shared_ptr<ConfigChangeOutcome>& outcome) {
     if (std::holds_alternative<ConfigChange::ReadRow>(step)) {
-      platform_.Read(kConfigurationRow, [=, this](const platform::ReadResult& result) {
+      platform_.Read(kConfigurationRow, [=, this](const provider::ReadResult& result) {
         Run(change, change->OnRead(result, clock_.now()), outcome);
       });
     } else if (const auto* commit = std::get_if<ConfigChange::CommitRows>(&step)) {
-      platform_.Commit(commit->transaction, [=, this](platform::CommitStatus status) {
+      platform_.Commit(commit->transaction, [=, this](provider::CommitStatus status) {
         Run(change, change->OnCommit(status, clock_.now()), outcome);
       });
     } else if (const auto* wait = std::get_if<ConfigChange::Wait>(&step)) {
--- a/tests/platform/memory_platform_test.cc
+++ b/tests/provider/memory_platform_test.cc
@@ -1,4 +1,4 @@
-#include "platform/memory_platform.h"
+#include "provider/memory_platform.h"
 
 #include <gtest/gtest.h>
 
@@ -6,7 +6,7 @@
 
 #include "core/event_queue.h"
 
-namespace savoryglade::platform {
+namespace savoryglade::provider {
 namespace {
 
 Row ReadNow(MemoryPlatform& platform, const std::string& key) {
@@ -104,4 +104,4 @@
 }
 
 }  // namespace
-}  // namespace savoryglade::platform
+}  // namespace savoryglade::provider
