Refuse requests that an ending daemon may have to cut off

Cause: requests on kept connections were taken until the end of the grace.

Change: recovery/drain_policy decides which kinds are taken how long after the order; later ones get 503 with Retry-After and the connection closes.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -39,6 +39,8 @@
 // Wait for the answer of an idempotent call, as a multiple of the objective, before it is repeated.
 constexpr int kRepeatObjectives = 3;
 constexpr Duration kRetrySoon = 1s;
+// A daemon that ends is left at once; another one answers.
+constexpr Duration kElsewhereSoon = 100ms;
 
 const Logger kLog("gateway");
 
@@ -98,6 +100,9 @@
   if (call.route == nullptr || call.route->services.empty()) {
     return refuse(Reason::kUnknownService, "No route matches host and path.");
   }
+  if (fleet_.draining && !fleet_.drain.Takes(call.route->kind, now - fleet_.drain_began)) {
+    return refuse(Reason::kDraining, "The daemon ends.", kElsewhereSoon);
+  }
   if (!call.route->is_public && !call.routes->document().accounts.empty()) {
     call.account = call.routes->FindByKey(call.facts.api_key);
     if (call.account == nullptr) {
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -12,6 +12,7 @@
 #include "membership/fleet_clock.h"
 #include "metrics/registry.h"
 #include "recovery/crash_register.h"
+#include "recovery/drain_policy.h"
 #include "recovery/window_retry_budget.h"
 #include "routing/upstream_board.h"
 #include "scheduling/account_allowance.h"
@@ -30,7 +31,8 @@
         retries(WindowBudgetOptions{.window = settings.bounds.retry_window,
                                     .ratio = settings.bounds.retry_ratio,
                                     .allowance = settings.bounds.retry_allowance}),
-        clock(time_of_day, now) {}
+        clock(time_of_day, now),
+        drain(DrainOptions{.grace = settings.bounds.stop_grace}) {}
 
   // Number of the reporting window that contains this instant.
   capacity::WindowNumber WindowAt(TimePoint now) const {
@@ -48,7 +50,8 @@
   CrashRegister crashes;
   capacity::UsageLedger usage;
   FleetClock clock;
-  // Set by SIGTERM.
+  DrainPolicy drain;
+  // Set by the order to stop.
   bool draining = false;
   TimePoint drain_began{};
   // Requests that are being answered.
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -13,11 +13,6 @@
 
 namespace asio = boost::asio;
 
-// Time from the start of a drain until the balancer has missed two readiness answers; requests that
-// arrive before then are served.
-constexpr Duration kBalancerDelay = 3s;
-// Part of the stop's grace after which requests in flight are cut off.
-constexpr double kGraceUse = 0.92;
 constexpr Duration kDrainTick = 50ms;
 constexpr Duration kHousekeepingInterval = 1s;
 // Descriptors that are left for connections to upstreams, peers and the platform.
@@ -129,13 +124,8 @@
 }
 
 asio::awaitable<void> Gateway::DrainLoop() {
-  const Duration limit = FromSeconds(ToSeconds(fleet_.settings.bounds.stop_grace) * kGraceUse);
   asio::steady_timer timer(co_await asio::this_coro::executor);
-  while (true) {
-    const Duration elapsed = BootNow() - fleet_.drain_began;
-    if (elapsed >= limit || (elapsed >= kBalancerDelay && fleet_.active == 0)) {
-      break;
-    }
+  while (!fleet_.drain.Ends(BootNow() - fleet_.drain_began, fleet_.active)) {
     timer.expires_after(kDrainTick);
     co_await timer.async_wait(asio::use_awaitable);
   }
