Order reclaimable workers in place of on-demand ones

Change: capacity/capacity_planner plans each service's workers from the work that all daemons sent (capacity/work_meter, in the digests) and the number the operators began with, evenly over the failure domains. gateway/capacity_runner orders them under the lease.

Known fault: an on-demand order is taken back while its workers boot.

--- /dev/null
+++ b/packages/capacity/capacity_planner.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <compare>
+#include <map>
+#include <vector>
+
+#include "config/route_table.h"
+#include "core/strong_id.h"
+#include "core/time.h"
+
+namespace savoryglade::capacity {
+
+// Workers of a service in one failure domain, by how they are paid.
+struct DomainCapacity {
+  int on_demand = 0;
+  int reclaimable = 0;
+
+  int total() const { return on_demand + reclaimable; }
+  friend auto operator<=>(const DomainCapacity&, const DomainCapacity&) = default;
+};
+
+using CapacityPlan = std::map<FailureDomainId, DomainCapacity>;
+
+struct PlannerOptions {
+  // Part of the workers that demand keeps busy on average. The rest is for uneven load and for the
+  // loss of a failure domain.
+  double target_utilisation = 0.6;
+  // Part of the workers that may be missing until reclaimable ones are to be had again; on-demand
+  // ones take as long to boot and cost several times as much.
+  double tolerated_shortage = 0.3;
+  // Time for which the highest demand counts before workers are given back.
+  Duration peak_memory = 30s;
+  // Time for which a failure domain that has reclaimed or refused workers is not asked again.
+  Duration dry_time = 5s;
+};
+
+// Plans the workers of one service: as many as the demand needs, evenly over the failure domains,
+// because the reclaimable ones of a domain go together, and reclaimable ones wherever they are to
+// be had. On-demand workers are given back once reclaimable ones serve in their place, and ordered
+// only where there is nothing else. Not safe to use from several threads.
+class CapacityPlanner {
+ public:
+  explicit CapacityPlanner(PlannerOptions options) : options_(options) {}
+
+  // Sets the number of workers that is never gone below, usually those that the operators began
+  // with.
+  void SetBaseline(int workers) { baseline_ = workers; }
+  int baseline() const { return baseline_; }
+
+  // Takes the demand in workers that would be fully busy, and the workers that serve now without
+  // those that leave. Returns the workers to order.
+  CapacityPlan Plan(const ScalingRule& rule, double demand, const CapacityPlan& serving,
+                    TimePoint now);
+
+  // Takes a refused order or a notice of reclaim: the domain has no reclaimable workers for now.
+  void OnDry(const FailureDomainId& domain, TimePoint now) {
+    dry_until_[domain] = now + options_.dry_time;
+  }
+
+ private:
+  struct Peak {
+    TimePoint at;
+    double demand = 0;
+  };
+
+  int WorkersFor(double demand, TimePoint now);
+  // All failure domains, cheapest first.
+  static std::vector<FailureDomainId> ByPrice(const ScalingRule& rule);
+  bool IsDry(const FailureDomainId& domain, TimePoint now) const;
+
+  PlannerOptions options_;
+  int baseline_ = 0;
+  std::vector<Peak> peaks_;
+  std::map<FailureDomainId, TimePoint> dry_until_;
+};
+
+}  // namespace savoryglade::capacity
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -249,6 +249,8 @@
       .engine_priority = std::clamp(call.rank(), 0, 9),
       .last_event = call.events.last_id().empty() ? call.facts.last_event : call.events.last_id()};
   ++call.sent;
+  fleet_.work.Add(call.service, fleet_.board.WorkSeconds(call.facts.work,
+                                                         attempt.placement.uncached_tokens));
   const Result<void> sent = co_await connection->Send(
       codec_.EncodeForward(call.exchange.request(), facts), call.Left(now));
   if (!call.begun && call.route->kind != CallKind::kStream) {
--- /dev/null
+++ b/packages/gateway/capacity_runner.cc
@@ -0,0 +1,192 @@
+#include "gateway/capacity_runner.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <charconv>
+
+#include "core/boot_clock.h"
+#include "logging/logger.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using capacity::CapacityPlan;
+
+constexpr Duration kPlanInterval = 500ms;
+// An accepted order whose workers do not serve is sent again this long after their boot time.
+constexpr Duration kRepeatMargin = 3s;
+// Weight of the newest second in the demand, for a planner that reacts within some seconds.
+constexpr double kDemandWeight = 0.3;
+// Demand is not taken from intervals shorter than this.
+constexpr Duration kDemandInterval = 1s;
+// The number of workers must not have risen for this long to be the one that a service began with.
+constexpr Duration kBaselineDelay = 1500ms;
+
+const Logger kLog("capacity");
+
+std::string BaselineKey(const ServiceId& service) {
+  return fmt::format("capacity/{}", service.value());
+}
+
+}  // namespace
+
+CapacityRunner::CapacityRunner(FleetState& fleet, FleetStore& store, DutyApi& duties,
+                               const DutyRunner& lease)
+    : fleet_(fleet), store_(store), duties_(duties), lease_(lease) {}
+
+asio::awaitable<void> CapacityRunner::Loop() {
+  if (!fleet_.settings.orders_capacity) {
+    co_return;
+  }
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (true) {
+    timer.expires_after(kPlanInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    // Kept for the whole pass, because the configuration may change during a call.
+    const std::shared_ptr<const RouteTable> routes = fleet_.routes;
+    if (routes == nullptr || !lease_.holds_lease()) {
+      services_.clear();
+      continue;
+    }
+    for (const RoutedService& service : routes->document().services) {
+      if (service.scaling) {
+        co_await PlanService(service, BootNow());
+      }
+    }
+  }
+}
+
+CapacityPlan CapacityRunner::Serving(const ServiceId& service) const {
+  CapacityPlan serving;
+  for (const UpstreamRecord& record : fleet_.board.Records()) {
+    if (record.service == service && !record.leaving) {
+      capacity::DomainCapacity& domain = serving[record.failure_domain];
+      ++(record.reclaimable ? domain.reclaimable : domain.on_demand);
+    }
+  }
+  return serving;
+}
+
+double CapacityRunner::Demand(const ServiceId& service, ServiceState& state, TimePoint now) const {
+  const double work = fleet_.work.Total(service);
+  if (state.looked_at == TimePoint{}) {
+    state.work_s = work;
+    state.looked_at = now;
+  }
+  const Duration interval = now - state.looked_at;
+  if (interval >= kDemandInterval) {
+    const double rate = std::max(0.0, work - state.work_s) / ToSeconds(interval);
+    state.demand += kDemandWeight * (rate - state.demand);
+    state.work_s = work;
+    state.looked_at = now;
+  }
+  return state.demand;
+}
+
+asio::awaitable<bool> CapacityRunner::LearnBaseline(const RoutedService& service,
+                                                    ServiceState& state) {
+  if (state.baseline_known) {
+    co_return true;
+  }
+  int total = 0;
+  for (const auto& [domain, capacity] : Serving(service.name)) {
+    total += capacity.total();
+  }
+  // Upstreams register one by one after the start of the system.
+  const TimePoint now = BootNow();
+  if (total > state.most_serving) {
+    state.most_serving = total;
+    state.most_since = now;
+  }
+  total = state.most_serving;
+  if (total == 0 || now - state.most_since < kBaselineDelay) {
+    co_return false;
+  }
+  const std::string key = BaselineKey(service.name);
+  const provider::ReadResult row = co_await store_.ReadRow(key);
+  if (!row) {
+    kLog.Warning("The baseline of a service can't be read.",
+                 {{"service", service.name.value()}, {"error", row.error().message}});
+    co_return false;
+  }
+  if (row->exists()) {
+    std::from_chars(row->value.data(), row->value.data() + row->value.size(), total);
+  } else {
+    provider::Transaction transaction;
+    transaction.conditions.push_back({.key = key, .version = 0});
+    transaction.writes.push_back({.key = key, .value = std::to_string(total)});
+    if (co_await store_.Commit(transaction) != provider::CommitStatus::kCommitted) {
+      co_return false;
+    }
+  }
+  state.planner.SetBaseline(total);
+  state.baseline_known = true;
+  kLog.Info("The baseline of a service is known.",
+            {{"service", service.name.value()}, {"workers", total}});
+  co_return true;
+}
+
+asio::awaitable<void> CapacityRunner::PlanService(const RoutedService& service, TimePoint now) {
+  ServiceState& state = services_[service.name];
+  if (!co_await LearnBaseline(service, state)) {
+    co_return;
+  }
+  for (const UpstreamRecord& record : fleet_.board.Records()) {
+    if (record.service == service.name && record.reclaimable && record.leaving) {
+      state.planner.OnDry(record.failure_domain, now);
+    }
+  }
+  const CapacityPlan serving = Serving(service.name);
+  const CapacityPlan plan = state.planner.Plan(
+      *service.scaling, Demand(service.name, state, now), serving, now);
+  for (const auto& [domain, capacity] : plan) {
+    const auto found = serving.find(domain);
+    const capacity::DomainCapacity there =
+        found == serving.end() ? capacity::DomainCapacity{} : found->second;
+    co_await SendOrder(service.name, state, {domain, true}, capacity.reclaimable,
+                       there.reclaimable, service.scaling->boot_time, now);
+    co_await SendOrder(service.name, state, {domain, false}, capacity.on_demand, there.on_demand,
+                       service.scaling->boot_time, now);
+  }
+}
+
+asio::awaitable<void> CapacityRunner::SendOrder(const ServiceId& service, ServiceState& state,
+                                                const OrderKey& key, int count, int serving,
+                                                Duration boot_time, TimePoint now) {
+  const auto& [domain, reclaimable] = key;
+  const auto last = state.orders.find(key);
+  if (last == state.orders.end() ? count == serving : count == last->second.count) {
+    const bool settled = last == state.orders.end() || count == serving ||
+                         now - last->second.at < boot_time + kRepeatMargin;
+    if (settled) {
+      co_return;
+    }
+  }
+  // The lease may have lapsed during an earlier call.
+  if (!lease_.holds_lease()) {
+    co_return;
+  }
+  CapacityOrder order;
+  order.service = service;
+  order.failure_domain = domain;
+  order.count = count;
+  order.reclaimable = reclaimable;
+  const Result<void> sent = co_await duties_.OrderCapacity(lease_.holder(), order);
+  kLog.Info("Workers were ordered.", {{"service", service.value()},
+                                      {"failure_domain", domain.value()},
+                                      {"count", count},
+                                      {"serving", serving},
+                                      {"reclaimable", reclaimable},
+                                      {"outcome", sent ? std::string("accepted")
+                                                       : sent.error().message}});
+  if (sent) {
+    state.orders[key] = {.count = count, .at = now, .accepted = true};
+  } else if (reclaimable && sent.error().code == ErrorCode::kDenied) {
+    state.planner.OnDry(domain, now);
+  }
+}
+
+}  // namespace savoryglade::gateway
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -35,6 +35,16 @@
   return accounts;
 }
 
+std::vector<ServiceId> Services(const FleetState& fleet) {
+  std::vector<ServiceId> services;
+  if (fleet.routes != nullptr) {
+    for (const RoutedService& service : fleet.routes->document().services) {
+      services.push_back(service.name);
+    }
+  }
+  return services;
+}
+
 std::vector<UpstreamId> Upstreams(const FleetState& fleet) {
   std::vector<UpstreamId> upstreams;
   for (const UpstreamRecord& record : fleet.board.Records()) {
@@ -91,6 +101,9 @@
     digest.allowances.emplace_back(StableHash(account.value()), use.taken, use.level);
   }
   AddBegun(fleet, now, digest);
+  for (const auto& [service, seconds] : fleet.work.own()) {
+    digest.work.emplace_back(StableHash(service.value()), seconds);
+  }
   for (const CrashRecord& record : fleet.crashes.Records(kSentCrashes, now)) {
     auto item = std::make_unique<wire::CrashItemT>();
     item->request = record.request;
@@ -139,6 +152,15 @@
   for (auto& [window, counts] : begun) {
     fleet.usage.OnPeerCounts(sender.daemon, sender.incarnation, window, std::move(counts));
   }
+  const auto services = ByHash(Services(fleet));
+  std::map<ServiceId, double> work;
+  for (const wire::WorkItem& item : digest.work) {
+    const auto found = services.find(item.service());
+    if (found != services.end()) {
+      work.emplace(found->second, item.seconds());
+    }
+  }
+  fleet.work.OnPeerWork(sender.daemon, sender.incarnation, std::move(work));
   for (const auto& crash : digest.crashes) {
     fleet.crashes.OnPeerRecord(
         CrashRecord{.request = crash->request, .upstreams = crash->upstreams}, now);
--- a/packages/gateway/duty_runner.cc
+++ b/packages/gateway/duty_runner.cc
@@ -169,15 +169,15 @@
   if (!holds_lease()) {
     co_return;
   }
-  const DutyHolder holder{.daemon = fleet_.settings.daemon, .fencing = lease_.fencing()};
-  const Result<void> sent = co_await duties_.ReportUsage(holder, window, *counts);
+  const DutyHolder acting = holder();
+  const Result<void> sent = co_await duties_.ReportUsage(acting, window, *counts);
   if (!sent) {
     kLog.Warning("A usage report was not accepted.",
                  {{"window", window}, {"error", sent.error().message}});
     co_return;
   }
   reported_.insert(window);
-  kLog.Info("A usage report was accepted.", {{"window", window}, {"fencing", holder.fencing}});
+  kLog.Info("A usage report was accepted.", {{"window", window}, {"fencing", acting.fencing}});
 }
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/duty_runner.h
+++ b/packages/gateway/duty_runner.h
@@ -22,6 +22,10 @@
   // Gives the lease up; called when the daemon drains.
   void Release() { lease_.Release(); }
   bool holds_lease() const;
+  // Who acts; valid while the lease is held.
+  DutyHolder holder() const {
+    return {.daemon = fleet_.settings.daemon, .fencing = lease_.fencing()};
+  }
 
  private:
   boost::asio::awaitable<void> ReportWindow(capacity::WindowNumber window);
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "capacity/usage_ledger.h"
+#include "capacity/work_meter.h"
 #include "config/route_table.h"
 #include "core/time.h"
 #include "gateway/gateway_settings.h"
@@ -49,6 +50,7 @@
   WindowRetryBudget retries;
   CrashRegister crashes;
   capacity::UsageLedger usage;
+  capacity::WorkMeter work;
   FleetClock clock;
   DrainPolicy drain;
   // Set by the order to stop.
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -46,6 +46,7 @@
       feeds_(fleet_, *adapters_.store, connections_),
       peers_(fleet_, *adapters_.store),
       duties_(fleet_, *adapters_.store, *adapters_.duties),
+      capacity_(fleet_, *adapters_.store, *adapters_.duties, duties_),
       relay_(fleet_, *adapters_.codec, connections_),
       callers_(pool_, CallerLimits(fleet_.settings),
                [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
@@ -82,6 +83,7 @@
   spawn(peers_.RegisterLoop());
   spawn(duties_.LeaseLoop());
   spawn(duties_.UsageLoop());
+  spawn(capacity_.Loop());
   spawn(HousekeepingLoop());
   kLog.Info("The gateway has started.", {{"daemon", settings.daemon.value()},
                                          {"failure_domain", settings.failure_domain.value()},
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "core/error.h"
 #include "gateway/adapter.h"
 #include "gateway/call_relay.h"
+#include "gateway/capacity_runner.h"
 #include "gateway/duty_runner.h"
 #include "gateway/fleet_feeds.h"
 #include "gateway/fleet_state.h"
@@ -57,6 +58,7 @@
   FleetFeeds feeds_;
   PeerDigests peers_;
   DutyRunner duties_;
+  CapacityRunner capacity_;
   CallRelay relay_;
   HttpServer callers_;
   HttpServer readiness_;
--- a/packages/routing/upstream_board.h
+++ b/packages/routing/upstream_board.h
@@ -71,6 +71,8 @@
   FailureDomainId local_domain;
   // Prompt tokens that an engine reads in a second; from the operators' sheet of their engines.
   double prompt_tokens_per_s = 55'000;
+  // Time of one output token in a batch of usual size, as a part of one engine, in seconds.
+  double output_token_s = 0.0002;
   // What each running request adds to the time of a request, in seconds.
   double running_cost_s = 0.004;
   // One-way latency to another failure domain, in seconds.
@@ -110,6 +112,12 @@
   std::optional<Placement> Choose(const WorkEstimate& work, const std::vector<UpstreamId>& excluded,
                                   TimePoint now) const;
 
+  // Estimated time of one engine that a request takes, in seconds.
+  double WorkSeconds(const WorkEstimate& work, double uncached_tokens) const {
+    return uncached_tokens / options_.prompt_tokens_per_s +
+           work.output_tokens * options_.output_token_s;
+  }
+
   // Requests that can still be taken before all upstreams of the service are full.
   int FreeSlots(const ServiceId& service, TimePoint now) const;
 
