Plan capacity by demand, and use half of the allowances' tolerance

Cause: on-demand orders were taken back while their workers booted, dry failure domains were planned as empty, and accounts at their limit lost requests to a bucket without the tolerance that the operators allow.

Change: the planner sees the last orders, leaves dry domains alone, and buys on demand only what the demand needs at 85% utilisation. Refused orders pause. AccountAllowance uses half of overshoot and slack and expects peers to go on at their recent rate between digests.

--- a/packages/capacity/capacity_planner.cc
+++ b/packages/capacity/capacity_planner.cc
@@ -5,15 +5,21 @@
 #include <cstddef>
 
 namespace savoryglade::capacity {
+namespace {
 
-int CapacityPlanner::WorkersFor(double demand, TimePoint now) {
+DomainCapacity Of(const CapacityPlan& plan, const FailureDomainId& domain) {
+  const auto found = plan.find(domain);
+  return found == plan.end() ? DomainCapacity{} : found->second;
+}
+
+}  // namespace
+
+double CapacityPlanner::PeakDemand(double demand, TimePoint now) {
   std::erase_if(peaks_, [&](const Peak& peak) {
     return now - peak.at > options_.peak_memory || peak.demand <= demand;
   });
   peaks_.push_back({.at = now, .demand = demand});
-  const auto highest = std::ranges::max_element(peaks_, {}, &Peak::demand);
-  const double workers = std::ceil(highest->demand / options_.target_utilisation);
-  return std::max(baseline_, static_cast<int>(workers));
+  return std::ranges::max_element(peaks_, {}, &Peak::demand)->demand;
 }
 
 std::vector<FailureDomainId> CapacityPlanner::ByPrice(const ScalingRule& rule) {
@@ -21,9 +27,8 @@
   for (const auto& [domain, price] : rule.prices) {
     domains.push_back(domain);
   }
-  std::ranges::stable_sort(domains, {}, [&rule](const FailureDomainId& domain) {
-    return rule.prices.at(domain);
-  });
+  std::ranges::stable_sort(
+      domains, {}, [&rule](const FailureDomainId& domain) { return rule.prices.at(domain); });
   return domains;
 }
 
@@ -33,30 +38,36 @@
 }
 
 CapacityPlan CapacityPlanner::Plan(const ScalingRule& rule, double demand,
-                                   const CapacityPlan& serving, TimePoint now) {
-  const int workers = WorkersFor(demand, now);
+                                   const CapacityPlan& serving, const CapacityPlan& ordered,
+                                   TimePoint now) {
+  const double peak = PeakDemand(demand, now);
+  const int workers =
+      std::max(baseline_, static_cast<int>(std::ceil(peak / options_.target_utilisation)));
+  const int needed = static_cast<int>(std::ceil(peak / options_.highest_utilisation));
   const std::vector<FailureDomainId> domains = ByPrice(rule);
-  const auto served = [&serving](const FailureDomainId& domain) {
-    const auto found = serving.find(domain);
-    return found == serving.end() ? DomainCapacity{} : found->second;
-  };
   int reclaimable = 0;
   for (const FailureDomainId& domain : domains) {
-    reclaimable += served(domain).reclaimable;
+    reclaimable += Of(serving, domain).reclaimable;
   }
-  const bool replaced = reclaimable >= workers;
+  const bool replaced = baseline_is_final_ && reclaimable >= workers;
   CapacityPlan plan;
   int missing = 0;
   for (std::size_t i = 0; i < domains.size(); ++i) {
-    const DomainCapacity there = served(domains[i]);
+    const DomainCapacity there = Of(serving, domains[i]);
     const auto count = static_cast<int>(domains.size());
     const int share = workers / count + (static_cast<int>(i) < workers % count ? 1 : 0);
     DomainCapacity& planned = plan[domains[i]];
-    planned.on_demand = replaced ? 0 : std::min(there.on_demand, rule.max_count);
+    // Ordered ones that still boot count as well.
+    const int on_demand = std::max(there.on_demand, Of(ordered, domains[i]).on_demand);
+    planned.on_demand = replaced ? 0 : std::min(on_demand, rule.max_count);
     const int room = std::max(0, rule.max_count - planned.on_demand);
-    planned.reclaimable =
-        std::min(IsDry(domains[i], now) ? std::min(share, there.reclaimable) : share, room);
-    missing += std::max(0, share - planned.total());
+    // An order in a dry domain stays as it is, and only what serves there counts.
+    const bool dry = IsDry(domains[i], now);
+    const int wanted =
+        dry ? std::max(there.reclaimable, Of(ordered, domains[i]).reclaimable) : share;
+    planned.reclaimable = std::min(wanted, room);
+    const int expected = planned.on_demand + (dry ? there.reclaimable : planned.reclaimable);
+    missing += std::max(0, share - expected);
   }
   // What a domain can't give, the others do.
   for (const FailureDomainId& domain : domains) {
@@ -65,12 +76,14 @@
     planned.reclaimable += std::max(0, added);
     missing -= std::max(0, added);
   }
-  if (missing > workers * options_.tolerated_shortage) {
-    for (const FailureDomainId& domain : domains) {
-      const int added = std::clamp(rule.max_count - plan[domain].total(), 0, missing);
-      plan[domain].on_demand += added;
-      missing -= added;
+  int short_of_need = needed - (workers - missing);
+  for (const FailureDomainId& domain : domains) {
+    if (short_of_need <= 0) {
+      break;
     }
+    const int added = std::clamp(rule.max_count - plan[domain].total(), 0, short_of_need);
+    plan[domain].on_demand += added;
+    short_of_need -= added;
   }
   for (auto& [domain, planned] : plan) {
     planned.on_demand += std::max(0, rule.min_count - planned.total());
--- a/packages/capacity/capacity_planner.h
+++ b/packages/capacity/capacity_planner.h
@@ -24,10 +24,10 @@
 struct PlannerOptions {
   // Part of the workers that demand keeps busy on average. The rest is for uneven load and for the
   // loss of a failure domain.
-  double target_utilisation = 0.6;
-  // Part of the workers that may be missing until reclaimable ones are to be had again; on-demand
-  // ones take as long to boot and cost several times as much.
-  double tolerated_shortage = 0.3;
+  double target_utilisation = 0.42;
+  // Utilisation beyond which on-demand workers stand in until reclaimable ones are to be had again;
+  // they take as long to boot and cost several times as much.
+  double highest_utilisation = 0.85;
   // Time for which the highest demand counts before workers are given back.
   Duration peak_memory = 30s;
   // Time for which a failure domain that has reclaimed or refused workers is not asked again.
@@ -43,14 +43,16 @@
   explicit CapacityPlanner(PlannerOptions options) : options_(options) {}
 
   // Sets the number of workers that is never gone below, usually those that the operators began
-  // with.
-  void SetBaseline(int workers) { baseline_ = workers; }
-  int baseline() const { return baseline_; }
+  // with. Until it is final, no on-demand worker is given back.
+  void SetBaseline(int workers, bool is_final) {
+    baseline_ = workers;
+    baseline_is_final_ = is_final;
+  }
 
-  // Takes the demand in workers that would be fully busy, and the workers that serve now without
-  // those that leave. Returns the workers to order.
+  // Takes the demand in workers that would be fully busy, the workers that serve now without those
+  // that leave, and the last orders. Returns the workers to order.
   CapacityPlan Plan(const ScalingRule& rule, double demand, const CapacityPlan& serving,
-                    TimePoint now);
+                    const CapacityPlan& ordered, TimePoint now);
 
   // Takes a refused order or a notice of reclaim: the domain has no reclaimable workers for now.
   void OnDry(const FailureDomainId& domain, TimePoint now) {
@@ -63,13 +65,15 @@
     double demand = 0;
   };
 
-  int WorkersFor(double demand, TimePoint now);
+  // Highest demand within the memory.
+  double PeakDemand(double demand, TimePoint now);
   // All failure domains, cheapest first.
   static std::vector<FailureDomainId> ByPrice(const ScalingRule& rule);
   bool IsDry(const FailureDomainId& domain, TimePoint now) const;
 
   PlannerOptions options_;
   int baseline_ = 0;
+  bool baseline_is_final_ = false;
   std::vector<Peak> peaks_;
   std::map<FailureDomainId, TimePoint> dry_until_;
 };
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -123,7 +123,7 @@
                      ? call.facts.stated_tokens.value_or(call.account->unstated_tokens)
                      : 1;
     if (!fleet_.allowance.Take(call.account->name, call.units, now)) {
-      const Duration wait = fleet_.allowance.TimeUntil(call.account->name, call.units);
+      const Duration wait = fleet_.allowance.TimeUntil(call.account->name, call.units, now);
       call.units = 0;
       return refuse(Reason::kAllowanceExhausted, "The account's allowance is used up.",
                     std::max(wait, Duration(200ms)));
@@ -249,8 +249,8 @@
       .engine_priority = std::clamp(call.rank(), 0, 9),
       .last_event = call.events.last_id().empty() ? call.facts.last_event : call.events.last_id()};
   ++call.sent;
-  fleet_.work.Add(call.service, fleet_.board.WorkSeconds(call.facts.work,
-                                                         attempt.placement.uncached_tokens));
+  fleet_.work.Add(call.service,
+                  fleet_.board.WorkSeconds(call.facts.work, attempt.placement.uncached_tokens));
   const Result<void> sent = co_await connection->Send(
       codec_.EncodeForward(call.exchange.request(), facts), call.Left(now));
   if (!call.begun && call.route->kind != CallKind::kStream) {
--- a/packages/gateway/capacity_runner.cc
+++ b/packages/gateway/capacity_runner.cc
@@ -18,6 +18,8 @@
 constexpr Duration kPlanInterval = 500ms;
 // An accepted order whose workers do not serve is sent again this long after their boot time.
 constexpr Duration kRepeatMargin = 3s;
+// A refused order is sent again after this time.
+constexpr Duration kRefusedPause = 2s;
 // Weight of the newest second in the demand, for a planner that reacts within some seconds.
 constexpr double kDemandWeight = 0.3;
 // Demand is not taken from intervals shorter than this.
@@ -86,70 +88,82 @@
   return state.demand;
 }
 
-asio::awaitable<bool> CapacityRunner::LearnBaseline(const RoutedService& service,
+asio::awaitable<void> CapacityRunner::LearnBaseline(const RoutedService& service,
                                                     ServiceState& state) {
   if (state.baseline_known) {
-    co_return true;
+    co_return;
   }
+  const std::string key = BaselineKey(service.name);
+  const provider::ReadResult row = co_await store_.ReadRow(key);
+  if (!row) {
+    kLog.Warning("The baseline of a service can't be read.",
+                 {{"service", service.name.value()}, {"error", row.error().message}});
+    co_return;
+  }
+  if (row->exists()) {
+    int workers = 0;
+    std::from_chars(row->value.data(), row->value.data() + row->value.size(), workers);
+    state.planner.SetBaseline(workers, true);
+    state.baseline_known = true;
+    co_return;
+  }
+  // Upstreams register one by one after the start of the system.
   int total = 0;
   for (const auto& [domain, capacity] : Serving(service.name)) {
-    total += capacity.total();
+    total += capacity.on_demand;
   }
-  // Upstreams register one by one after the start of the system.
   const TimePoint now = BootNow();
   if (total > state.most_serving) {
     state.most_serving = total;
     state.most_since = now;
+    state.planner.SetBaseline(total, false);
   }
-  total = state.most_serving;
-  if (total == 0 || now - state.most_since < kBaselineDelay) {
-    co_return false;
-  }
-  const std::string key = BaselineKey(service.name);
-  const provider::ReadResult row = co_await store_.ReadRow(key);
-  if (!row) {
-    kLog.Warning("The baseline of a service can't be read.",
-                 {{"service", service.name.value()}, {"error", row.error().message}});
-    co_return false;
+  if (state.most_serving == 0 || now - state.most_since < kBaselineDelay) {
+    co_return;
   }
-  if (row->exists()) {
-    std::from_chars(row->value.data(), row->value.data() + row->value.size(), total);
-  } else {
-    provider::Transaction transaction;
-    transaction.conditions.push_back({.key = key, .version = 0});
-    transaction.writes.push_back({.key = key, .value = std::to_string(total)});
-    if (co_await store_.Commit(transaction) != provider::CommitStatus::kCommitted) {
-      co_return false;
-    }
+  provider::Transaction transaction;
+  transaction.conditions.push_back({.key = key, .version = 0});
+  transaction.writes.push_back({.key = key, .value = std::to_string(state.most_serving)});
+  if (co_await store_.Commit(transaction) != provider::CommitStatus::kCommitted) {
+    co_return;
   }
-  state.planner.SetBaseline(total);
+  state.planner.SetBaseline(state.most_serving, true);
   state.baseline_known = true;
   kLog.Info("The baseline of a service is known.",
-            {{"service", service.name.value()}, {"workers", total}});
-  co_return true;
+            {{"service", service.name.value()}, {"workers", state.most_serving}});
+}
+
+CapacityPlan CapacityRunner::Ordered(const ServiceState& state) {
+  CapacityPlan ordered;
+  for (const auto& [key, order] : state.orders) {
+    const auto& [domain, reclaimable] = key;
+    (reclaimable ? ordered[domain].reclaimable : ordered[domain].on_demand) = order.count;
+  }
+  return ordered;
 }
 
 asio::awaitable<void> CapacityRunner::PlanService(const RoutedService& service, TimePoint now) {
   ServiceState& state = services_[service.name];
-  if (!co_await LearnBaseline(service, state)) {
-    co_return;
-  }
+  co_await LearnBaseline(service, state);
   for (const UpstreamRecord& record : fleet_.board.Records()) {
     if (record.service == service.name && record.reclaimable && record.leaving) {
       state.planner.OnDry(record.failure_domain, now);
     }
   }
   const CapacityPlan serving = Serving(service.name);
-  const CapacityPlan plan = state.planner.Plan(
-      *service.scaling, Demand(service.name, state, now), serving, now);
+  const CapacityPlan plan = state.planner.Plan(*service.scaling, Demand(service.name, state, now),
+                                               serving, Ordered(state), now);
   for (const auto& [domain, capacity] : plan) {
     const auto found = serving.find(domain);
     const capacity::DomainCapacity there =
         found == serving.end() ? capacity::DomainCapacity{} : found->second;
-    co_await SendOrder(service.name, state, {domain, true}, capacity.reclaimable,
-                       there.reclaimable, service.scaling->boot_time, now);
-    co_await SendOrder(service.name, state, {domain, false}, capacity.on_demand, there.on_demand,
+    co_await SendOrder(service.name, state, {domain, true}, capacity.reclaimable, there.reclaimable,
                        service.scaling->boot_time, now);
+    // Before all workers have registered an order could take some of them away.
+    if (state.baseline_known) {
+      co_await SendOrder(service.name, state, {domain, false}, capacity.on_demand, there.on_demand,
+                         service.scaling->boot_time, now);
+    }
   }
 }
 
@@ -165,6 +179,10 @@
       co_return;
     }
   }
+  if (const auto refused = state.refused.find(key);
+      refused != state.refused.end() && now - refused->second < kRefusedPause) {
+    co_return;
+  }
   // The lease may have lapsed during an earlier call.
   if (!lease_.holds_lease()) {
     co_return;
@@ -175,16 +193,20 @@
   order.count = count;
   order.reclaimable = reclaimable;
   const Result<void> sent = co_await duties_.OrderCapacity(lease_.holder(), order);
-  kLog.Info("Workers were ordered.", {{"service", service.value()},
-                                      {"failure_domain", domain.value()},
-                                      {"count", count},
-                                      {"serving", serving},
-                                      {"reclaimable", reclaimable},
-                                      {"outcome", sent ? std::string("accepted")
-                                                       : sent.error().message}});
+  kLog.Info("Workers were ordered.",
+            {{"service", service.value()},
+             {"failure_domain", domain.value()},
+             {"count", count},
+             {"serving", serving},
+             {"reclaimable", reclaimable},
+             {"outcome", sent ? std::string("accepted") : sent.error().message}});
   if (sent) {
-    state.orders[key] = {.count = count, .at = now, .accepted = true};
-  } else if (reclaimable && sent.error().code == ErrorCode::kDenied) {
+    state.orders[key] = {.count = count, .at = now};
+    state.refused.erase(key);
+    co_return;
+  }
+  state.refused[key] = now;
+  if (reclaimable && sent.error().code == ErrorCode::kDenied) {
     state.planner.OnDry(domain, now);
   }
 }
--- a/packages/gateway/capacity_runner.h
+++ b/packages/gateway/capacity_runner.h
@@ -25,14 +25,15 @@
   struct LastOrder {
     int count = 0;
     TimePoint at{};
-    bool accepted = false;
   };
   struct ServiceState {
     capacity::CapacityPlanner planner{{}};
     bool baseline_known = false;
     int most_serving = 0;
     TimePoint most_since{};
+    // Last accepted orders.
     std::map<OrderKey, LastOrder> orders;
+    std::map<OrderKey, TimePoint> refused;
     // Estimated work that was sent to the service at the last look, in seconds of one worker.
     double work_s = 0;
     TimePoint looked_at{};
@@ -40,11 +41,13 @@
   };
 
   boost::asio::awaitable<void> PlanService(const RoutedService& service, TimePoint now);
-  // Reads the number of workers that the service began with, or keeps what it has now.
-  boost::asio::awaitable<bool> LearnBaseline(const RoutedService& service, ServiceState& state);
+  // Reads the number of workers that the service began with, or keeps what it has had most once
+  // that no longer rises.
+  boost::asio::awaitable<void> LearnBaseline(const RoutedService& service, ServiceState& state);
   boost::asio::awaitable<void> SendOrder(const ServiceId& service, ServiceState& state,
                                          const OrderKey& key, int count, int serving,
                                          Duration boot_time, TimePoint now);
+  static capacity::CapacityPlan Ordered(const ServiceState& state);
   capacity::CapacityPlan Serving(const ServiceId& service) const;
   double Demand(const ServiceId& service, ServiceState& state, TimePoint now) const;
 
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -20,6 +20,11 @@
   double retry_ratio = 0.2;
   Duration retry_window = 10s;
   double retry_allowance = 0;
+  // Part of an account's rate and burst, and units besides, that the fleet may let through beyond
+  // its allowance in any window.
+  Duration allowance_window = 8s;
+  double allowance_overshoot = 0;
+  double allowance_slack = 0;
   // Longest time in which a lease that is not renewed is still held.
   Duration lease = 3s;
   // Length of the windows in which usage is reported; zero if it is not.
--- a/packages/routing/upstream_board.h
+++ b/packages/routing/upstream_board.h
@@ -72,7 +72,7 @@
   // Prompt tokens that an engine reads in a second; from the operators' sheet of their engines.
   double prompt_tokens_per_s = 55'000;
   // Time of one output token in a batch of usual size, as a part of one engine, in seconds.
-  double output_token_s = 0.0002;
+  double output_token_s = 0.0001;
   // What each running request adds to the time of a request, in seconds.
   double running_cost_s = 0.004;
   // One-way latency to another failure domain, in seconds.
--- a/packages/scheduling/account_allowance.cc
+++ b/packages/scheduling/account_allowance.cc
@@ -4,6 +4,13 @@
 
 namespace savoryglade {
 
+namespace {
+
+// Weight of the newest digest in the rate of a peer.
+constexpr double kRateWeight = 0.3;
+
+}  // namespace
+
 void AccountAllowance::Configure(const std::vector<AccountPolicy>& accounts, TimePoint now) {
   std::map<AccountId, Bucket> buckets;
   for (const AccountPolicy& policy : accounts) {
@@ -12,8 +19,12 @@
     }
     const auto found = buckets_.find(policy.name);
     Bucket bucket = found != buckets_.end() ? found->second : Bucket{.refilled = now};
-    bucket.policy = policy;
-    bucket.level = std::min(bucket.level, policy.burst);
+    const double factor = 1 + options_.overshoot * options_.tolerance_use;
+    // A bucket lets through its burst and what flows in during the window: each gets half.
+    const double slack = options_.slack * options_.tolerance_use / 2;
+    bucket.rate = policy.rate * factor + slack / ToSeconds(options_.window);
+    bucket.burst = policy.burst * factor + slack;
+    bucket.level = std::min(bucket.level, bucket.burst);
     buckets.emplace(policy.name, std::move(bucket));
   }
   buckets_ = std::move(buckets);
@@ -21,9 +32,9 @@
 
 void AccountAllowance::Refill(Bucket& bucket, TimePoint now) {
   const double added = ToSeconds(std::max(now - bucket.refilled, Duration::zero()));
-  bucket.level = std::min(bucket.level + added * bucket.policy.rate, bucket.policy.burst);
+  bucket.level = std::min(bucket.level + added * bucket.rate, bucket.burst);
   bucket.refilled = std::max(now, bucket.refilled);
-  bucket.informed = bucket.informed || bucket.level >= bucket.policy.burst;
+  bucket.informed = bucket.informed || bucket.level >= bucket.burst;
 }
 
 void AccountAllowance::ChargeSilentPeers(TimePoint now) {
@@ -36,7 +47,7 @@
       continue;
     }
     for (auto& [account, bucket] : buckets_) {
-      const double units = ToSeconds(now - silent_since) * bucket.policy.rate / daemons;
+      const double units = ToSeconds(now - silent_since) * bucket.rate / daemons;
       bucket.level -= units;
       peer.assumed[account] += units;
     }
@@ -44,6 +55,18 @@
   }
 }
 
+double AccountAllowance::ExpectedLevel(const AccountId& account, const Bucket& bucket,
+                                       TimePoint now) const {
+  double level = bucket.level;
+  for (const auto& [daemon, peer] : peers_) {
+    const auto rate = peer.rates.find(account);
+    if (rate != peer.rates.end()) {
+      level -= rate->second * ToSeconds(std::min(now - peer.heard, options_.peer_silence));
+    }
+  }
+  return level;
+}
+
 bool AccountAllowance::Take(const AccountId& account, double units, TimePoint now) {
   const auto found = buckets_.find(account);
   if (found == buckets_.end()) {
@@ -53,7 +76,7 @@
   Bucket& bucket = found->second;
   Refill(bucket, now);
   // A request larger than the burst would never pass otherwise.
-  if (bucket.level < std::min(units, bucket.policy.burst)) {
+  if (ExpectedLevel(account, bucket, now) < std::min(units, bucket.burst)) {
     return false;
   }
   bucket.level -= units;
@@ -64,19 +87,19 @@
 void AccountAllowance::GiveBack(const AccountId& account, double units) {
   const auto found = buckets_.find(account);
   if (found != buckets_.end()) {
-    found->second.level = std::min(found->second.level + units, found->second.policy.burst);
+    found->second.level = std::min(found->second.level + units, found->second.burst);
     found->second.taken -= units;
   }
 }
 
-Duration AccountAllowance::TimeUntil(const AccountId& account, double units) const {
+Duration AccountAllowance::TimeUntil(const AccountId& account, double units, TimePoint now) const {
   const auto found = buckets_.find(account);
   if (found == buckets_.end()) {
     return Duration::zero();
   }
   const Bucket& bucket = found->second;
-  const double missing = std::min(units, bucket.policy.burst) - bucket.level;
-  return FromSeconds(std::max(missing, 0.0) / bucket.policy.rate);
+  const double missing = std::min(units, bucket.burst) - ExpectedLevel(account, bucket, now);
+  return FromSeconds(std::max(missing, 0.0) / bucket.rate);
 }
 
 std::map<AccountId, AllowanceUse> AccountAllowance::OwnUse(TimePoint now) {
@@ -105,15 +128,19 @@
     Bucket& bucket = bucket_found->second;
     Refill(bucket, now);
     if (!bucket.informed) {
-      bucket.level = std::max(bucket.level, std::min(totals.level, bucket.policy.burst));
+      bucket.level = std::max(bucket.level, std::min(totals.level, bucket.burst));
       bucket.informed = true;
     }
     // What a peer had taken before it was first heard is in the level that it reports.
     const auto last = peer.taken.find(account);
     if (last != peer.taken.end() || restarted) {
       const double before = last == peer.taken.end() ? 0 : last->second;
-      bucket.level = std::min(bucket.level + peer.assumed[account] - (totals.taken - before),
-                              bucket.policy.burst);
+      if (const Duration interval = now - peer.heard; interval > Duration::zero()) {
+        double& rate = peer.rates[account];
+        rate += kRateWeight * (std::max(totals.taken - before, 0.0) / ToSeconds(interval) - rate);
+      }
+      bucket.level =
+          std::min(bucket.level + peer.assumed[account] - (totals.taken - before), bucket.burst);
       peer.assumed[account] = 0;
     }
     peer.taken[account] = totals.taken;
--- a/packages/scheduling/account_allowance.h
+++ b/packages/scheduling/account_allowance.h
@@ -21,6 +21,13 @@
 };
 
 struct AllowanceOptions {
+  // Part of the rate and the burst that may be taken beyond them, and units that may be taken
+  // besides in any window; both bounds hold for the whole fleet.
+  double overshoot = 0;
+  double slack = 0;
+  Duration window = 8s;
+  // Part of overshoot and slack that is used. The rest is for what the daemons learn late.
+  double tolerance_use = 0.5;
   // A peer that was not heard for this long is charged an even part of each rate until it returns.
   Duration peer_silence = 1s;
   // A peer that was not heard for this long has gone.
@@ -28,9 +35,10 @@
 };
 
 // Allowances of the client accounts over all daemons. Each daemon has a bucket for each account,
-// takes its own requests out at once and those of its peers when it hears of them. While a peer is
-// silent it is charged an even part of the rate, so that parts of a divided fleet together stay
-// within the allowance. Not safe to use from several threads.
+// takes its own requests out at once and those of its peers when it hears of them. Between two
+// digests a peer is expected to go on taking at its recent rate, so that daemons don't all take the
+// same units. While a peer is silent it is charged an even part of the rate, so that parts of a
+// divided fleet together stay within the allowance. Not safe to use from several threads.
 class AccountAllowance {
  public:
   explicit AccountAllowance(AllowanceOptions options) : options_(options) {}
@@ -43,7 +51,7 @@
   // Gives back what a request took that was not run.
   void GiveBack(const AccountId& account, double units);
   // Time after which the units are expected to be there.
-  Duration TimeUntil(const AccountId& account, double units) const;
+  Duration TimeUntil(const AccountId& account, double units, TimePoint now) const;
 
   // Use by this daemon, for its peers.
   std::map<AccountId, AllowanceUse> OwnUse(TimePoint now);
@@ -55,7 +63,9 @@
 
  private:
   struct Bucket {
-    AccountPolicy policy;
+    // Units per second and most units at once, with the tolerance in use.
+    double rate = 0;
+    double burst = 0;
     double level = 0;
     double taken = 0;
     TimePoint refilled{};
@@ -69,10 +79,14 @@
     std::map<AccountId, double> taken;
     // Units charged during silence that the peer has not accounted for yet.
     std::map<AccountId, double> assumed;
+    // Recent units per second.
+    std::map<AccountId, double> rates;
   };
 
   void Refill(Bucket& bucket, TimePoint now);
   void ChargeSilentPeers(TimePoint now);
+  // Level of the bucket less what peers are expected to have taken since they were heard.
+  double ExpectedLevel(const AccountId& account, const Bucket& bucket, TimePoint now) const;
 
   AllowanceOptions options_;
   std::map<AccountId, Bucket> buckets_;
