--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -430,7 +430,7 @@
       attempt.answer.encoded) {
     co_return Step::kLost;
   }
-  HttpHeaders headers = codec_.CallerHeaders(connection.response_header());
+  const HttpHeaders headers = codec_.CallerHeaders(connection.response_header());
   call.events.Reset();
   std::string received;
   bool more = true;
@@ -458,7 +458,7 @@
       if (fleet_.draining) {
         call.exchange.CloseAfterResponse();
       }
-      open = co_await call.exchange.StartStream(status, std::move(headers), events);
+      open = co_await call.exchange.StartStream(status, headers, events);
     } else {
       open = co_await call.exchange.WriteChunk(events);
     }
@@ -478,7 +478,7 @@
   fleet_.crashes.OnAnswered(call.fingerprint);
   if (!call.streaming) {
     call.streaming = true;
-    co_await call.exchange.StartStream(status, std::move(headers));
+    co_await call.exchange.StartStream(status, headers);
   }
   co_await call.exchange.EndStream();
   ++call.runs;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -57,7 +57,7 @@
 
 Result<void> Gateway::Start() {
   const GatewaySettings& settings = fleet_.settings;
-  if (const Result<void> opened = peers_.Open(pool_.context(0)); !opened) {
+  if (Result<void> opened = peers_.Open(pool_.context(0)); !opened) {
     return opened;
   }
   const std::pair<HttpServer*, const Endpoint*> listeners[] = {{&callers_, &settings.callers},
--- a/packages/scheduling/account_allowance.cc
+++ b/packages/scheduling/account_allowance.cc
@@ -25,7 +25,7 @@
     bucket.rate = policy.rate * factor + slack / ToSeconds(options_.window);
     bucket.burst = policy.burst * factor + slack;
     bucket.level = std::min(bucket.level, bucket.burst);
-    buckets.emplace(policy.name, std::move(bucket));
+    buckets.emplace(policy.name, bucket);
   }
   buckets_ = std::move(buckets);
 }
--- /dev/null
+++ b/tests/capacity/capacity_planner_test.cc
@@ -0,0 +1,105 @@
+#include "capacity/capacity_planner.h"
+
+#include <gtest/gtest.h>
+
+namespace savoryglade::capacity {
+namespace {
+
+const FailureDomainId kBergamo("bergamo");
+const FailureDomainId kVerona("verona");
+
+TimePoint At(Duration time) { return TimePoint(100s) + time; }
+
+ScalingRule Rule() {
+  return {.min_count = 1,
+          .max_count = 10,
+          .boot_time = 4s,
+          .reclaimable_price = 0.22,
+          .prices = {{kBergamo, 0.8}, {kVerona, 1.25}}};
+}
+
+class CapacityPlannerTest : public testing::Test {
+ protected:
+  CapacityPlannerTest() : planner_({}) { planner_.SetBaseline(6, true); }
+
+  CapacityPlan Plan(double demand, const CapacityPlan& serving, const CapacityPlan& ordered = {},
+                    Duration time = 0s) {
+    return planner_.Plan(Rule(), demand, serving, ordered, At(time));
+  }
+
+  static int Total(const CapacityPlan& plan) {
+    int total = 0;
+    for (const auto& [domain, capacity] : plan) {
+      total += capacity.total();
+    }
+    return total;
+  }
+
+  CapacityPlanner planner_;
+};
+
+TEST_F(CapacityPlannerTest, ReplacesOnDemandWorkersOnceReclaimableOnesServe) {
+  const CapacityPlan start = {{kBergamo, {.on_demand = 3}}, {kVerona, {.on_demand = 3}}};
+  CapacityPlan plan = Plan(0, start);
+  EXPECT_EQ(plan[kBergamo], (DomainCapacity{.on_demand = 3, .reclaimable = 3}));
+  EXPECT_EQ(plan[kVerona], (DomainCapacity{.on_demand = 3, .reclaimable = 3}));
+  plan = Plan(0, plan);
+  EXPECT_EQ(plan[kBergamo], (DomainCapacity{.reclaimable = 3}));
+  EXPECT_EQ(plan[kVerona], (DomainCapacity{.reclaimable = 3}));
+}
+
+// Guards against giving back workers while some have not registered yet.
+TEST_F(CapacityPlannerTest, KeepsOnDemandWorkersUntilTheBaselineIsFinal) {
+  planner_.SetBaseline(1, false);
+  const CapacityPlan start = {{kBergamo, {.on_demand = 1, .reclaimable = 1}}};
+  EXPECT_EQ(Plan(0, start)[kBergamo].on_demand, 1);
+}
+
+// Load pattern: traffic grows threefold within seconds, then falls.
+TEST_F(CapacityPlannerTest, FollowsDemandUpAtOnceAndDownAfterThePeakIsForgotten) {
+  const CapacityPlan serving = {{kBergamo, {.reclaimable = 3}}, {kVerona, {.reclaimable = 3}}};
+  EXPECT_EQ(Total(Plan(2, serving, {}, 0s)), 6);
+  EXPECT_EQ(Total(Plan(6, serving, {}, 1s)), 15);
+  EXPECT_EQ(Total(Plan(2, serving, {}, 10s)), 15);
+  EXPECT_EQ(Total(Plan(2, serving, {}, 40s)), 6);
+}
+
+// Load pattern: a failure domain reclaims its workers and has no more of them.
+TEST_F(CapacityPlannerTest, OtherDomainsStandInForADryOne) {
+  const CapacityPlan ordered = {{kBergamo, {.reclaimable = 3}}, {kVerona, {.reclaimable = 3}}};
+  const CapacityPlan serving = {{kVerona, {.reclaimable = 3}}};
+  planner_.OnDry(kBergamo, At(0s));
+  CapacityPlan plan = Plan(2, serving, ordered);
+  EXPECT_EQ(plan[kVerona].reclaimable, 6);
+  // The order stays, so that the workers return when they are to be had.
+  EXPECT_EQ(plan[kBergamo].reclaimable, 3);
+  EXPECT_EQ(plan[kBergamo].on_demand, 0);
+}
+
+// Load pattern: no reclaimable workers anywhere, and what is left does not carry the demand.
+TEST_F(CapacityPlannerTest, BuysOnDemandOnlyWhatTheDemandNeeds) {
+  const CapacityPlan ordered = {{kBergamo, {.reclaimable = 3}}, {kVerona, {.reclaimable = 3}}};
+  const CapacityPlan serving = {{kVerona, {.reclaimable = 3}}};
+  planner_.OnDry(kBergamo, At(0s));
+  planner_.OnDry(kVerona, At(0s));
+  CapacityPlan plan = Plan(2, serving, ordered);
+  EXPECT_EQ(plan[kBergamo].on_demand + plan[kVerona].on_demand, 0);
+  plan = Plan(4, serving, ordered);
+  EXPECT_EQ(plan[kBergamo].on_demand, 2);
+  // They are not taken back while they boot.
+  EXPECT_EQ(Plan(4, serving, plan)[kBergamo].on_demand, 2);
+}
+
+TEST_F(CapacityPlannerTest, StaysWithinTheLimitsOfEachDomain) {
+  CapacityPlan plan = Plan(100, {});
+  EXPECT_EQ(plan[kBergamo].total(), 10);
+  EXPECT_EQ(plan[kVerona].total(), 10);
+  planner_.SetBaseline(0, true);
+  CapacityPlanner small({});
+  plan = small.Plan(Rule(), 0, {}, {}, At(0s));
+  EXPECT_EQ(plan[kBergamo].total(), 1);
+  EXPECT_EQ(plan[kVerona].total(), 1);
+}
+
+}  // namespace
+}  // namespace savoryglade::capacity
--- /dev/null
+++ b/tests/capacity/usage_ledger_test.cc
@@ -0,0 +1,64 @@
+#include "capacity/usage_ledger.h"
+
+#include <gtest/gtest.h>
+
+#include "capacity/work_meter.h"
+
+namespace savoryglade::capacity {
+namespace {
+
+const AccountId kDrivers("drivers");
+const AccountId kOffice("office");
+
+TEST(UsageLedgerTest, SumsOwnCountsAndThoseOfPeers) {
+  UsageLedger ledger;
+  ledger.OnBegun(5, kDrivers);
+  ledger.OnBegun(5, kDrivers);
+  ledger.OnBegun(6, kDrivers);
+  ledger.OnPeerCounts(DaemonId("peer"), 1, 5, {{kDrivers, 3}, {kOffice, 1}});
+  EXPECT_EQ(ledger.Total(5), (WindowCounts{{kDrivers, 5}, {kOffice, 1}}));
+}
+
+TEST(UsageLedgerTest, LaterCountsOfAPeerReplaceEarlierOnes) {
+  UsageLedger ledger;
+  ledger.OnPeerCounts(DaemonId("peer"), 1, 5, {{kDrivers, 3}});
+  ledger.OnPeerCounts(DaemonId("peer"), 1, 5, {{kDrivers, 4}});
+  EXPECT_EQ(ledger.Total(5), (WindowCounts{{kDrivers, 4}}));
+}
+
+// Guards against losing the counts of a daemon that was killed in the middle of a window.
+TEST(UsageLedgerTest, CountsOfAPeersEarlierStartAreKept) {
+  UsageLedger ledger;
+  ledger.OnPeerCounts(DaemonId("peer"), 1, 5, {{kDrivers, 3}});
+  ledger.OnPeerCounts(DaemonId("peer"), 2, 5, {{kDrivers, 1}});
+  EXPECT_EQ(ledger.Total(5), (WindowCounts{{kDrivers, 4}}));
+}
+
+TEST(UsageLedgerTest, RequestsThatDidNotRunAreTakenBack) {
+  UsageLedger ledger;
+  ledger.OnBegun(5, kDrivers);
+  ledger.OnBegun(5, kDrivers);
+  ledger.OnNotRun(5, kDrivers);
+  EXPECT_EQ(ledger.Total(5), (WindowCounts{{kDrivers, 1}}));
+}
+
+TEST(UsageLedgerTest, OldWindowsAreForgotten) {
+  UsageLedger ledger;
+  ledger.OnBegun(5, kDrivers);
+  ledger.OnPeerCounts(DaemonId("peer"), 1, 5, {{kDrivers, 3}});
+  ledger.Expire(5 + UsageLedger::kKept + 1);
+  EXPECT_TRUE(ledger.Total(5).empty());
+}
+
+TEST(WorkMeterTest, TheTotalDoesNotFallWhenAPeerRestarts) {
+  const ServiceId service("model");
+  WorkMeter meter;
+  meter.Add(service, 1);
+  meter.OnPeerWork(DaemonId("peer"), 1, {{service, 5}});
+  EXPECT_DOUBLE_EQ(meter.Total(service), 6);
+  meter.OnPeerWork(DaemonId("peer"), 2, {{service, 1}});
+  EXPECT_DOUBLE_EQ(meter.Total(service), 7);
+}
+
+}  // namespace
+}  // namespace savoryglade::capacity
--- /dev/null
+++ b/tests/config/route_table_test.cc
@@ -0,0 +1,80 @@
+#include "config/route_table.h"
+
+#include <gtest/gtest.h>
+
+namespace savoryglade {
+namespace {
+
+RouteDocument MakeDocument() {
+  RouteDocument document;
+  document.version = 7;
+  document.routes.push_back({.name = "all",
+                             .host = "orders.example",
+                             .prefix = "/",
+                             .services = {{.service = ServiceId("orders")}}});
+  document.routes.push_back({.name = "briefs",
+                             .host = "orders.example",
+                             .prefix = "/briefs/",
+                             .services = {{.service = ServiceId("assistant")}}});
+  document.accounts.push_back({.name = AccountId("drivers"), .keys = {"key-1", "key-2"}});
+  return document;
+}
+
+TEST(RouteTableTest, TheLongestPrefixOfTheHostWins) {
+  const RouteTable table(MakeDocument());
+  ASSERT_NE(table.Match("orders.example", "/briefs/4"), nullptr);
+  EXPECT_EQ(table.Match("orders.example", "/briefs/4")->name, "briefs");
+  EXPECT_EQ(table.Match("orders.example", "/brief")->name, "all");
+  EXPECT_EQ(table.Match("other.example", "/briefs/4"), nullptr);
+}
+
+TEST(RouteTableTest, HostsMatchWithoutPortAndCase) {
+  const RouteTable table(MakeDocument());
+  EXPECT_NE(table.Match("Orders.Example:8080", "/briefs/4"), nullptr);
+}
+
+// Guards against a route that is chosen by text behind the question mark.
+TEST(RouteTableTest, TheQueryIsNoPartOfThePath) {
+  RouteDocument document = MakeDocument();
+  document.routes.erase(document.routes.begin());
+  const RouteTable table(std::move(document));
+  EXPECT_EQ(table.Match("orders.example", "/other?x=/briefs/"), nullptr);
+  EXPECT_NE(table.Match("orders.example", "/briefs/?x=1"), nullptr);
+}
+
+TEST(RouteTableTest, KeysNameTheirAccount) {
+  const RouteTable table(MakeDocument());
+  ASSERT_NE(table.FindByKey("key-2"), nullptr);
+  EXPECT_EQ(table.FindByKey("key-2")->name, AccountId("drivers"));
+  EXPECT_EQ(table.FindByKey("key-3"), nullptr);
+  EXPECT_EQ(table.FindByKey(""), nullptr);
+}
+
+TEST(RouteTableTest, ServicesAreChosenInProportionToTheirWeights) {
+  Route route;
+  route.services = {{.service = ServiceId("a"), .weight = 90},
+                    {.service = ServiceId("b"), .weight = 10}};
+  int second = 0;
+  for (std::uint64_t seed = 0; seed < 1000; ++seed) {
+    second += RouteTable::ChooseService(route, seed) == ServiceId("b") ? 1 : 0;
+  }
+  EXPECT_EQ(second, 100);
+}
+
+// Guards against a division by zero when operators drain a split.
+TEST(RouteTableTest, WeightsOfZeroLeaveTheFirstService) {
+  Route route;
+  route.services = {{.service = ServiceId("a"), .weight = 0}};
+  EXPECT_EQ(RouteTable::ChooseService(route, 5), ServiceId("a"));
+}
+
+TEST(RouteTableTest, OnlyIdempotentCallsAndResumableStreamsAreRepeated) {
+  EXPECT_TRUE(Route{.kind = CallKind::kIdempotent}.Repeatable());
+  EXPECT_FALSE(Route{.kind = CallKind::kAtMostOnce}.Repeatable());
+  EXPECT_FALSE(Route{.kind = CallKind::kStream}.Repeatable());
+  EXPECT_TRUE((Route{.kind = CallKind::kStream, .resumable = true}.Repeatable()));
+  EXPECT_FALSE((Route{.kind = CallKind::kAtMostOnce, .resumable = true}.Repeatable()));
+}
+
+}  // namespace
+}  // namespace savoryglade
--- /dev/null
+++ b/tests/membership/registration_view_test.cc
@@ -0,0 +1,79 @@
+#include "membership/registration_view.h"
+
+#include <gtest/gtest.h>
+
+namespace savoryglade {
+namespace {
+
+const UpstreamId kWorker("worker");
+
+TimePoint At(Duration time) { return TimePoint(100s) + time; }
+
+RegistrationChange Present(std::uint64_t version, bool leaving = false) {
+  return {.id = kWorker,
+          .record = UpstreamRecord{.id = kWorker, .service = ServiceId("a"), .leaving = leaving},
+          .version = version};
+}
+
+RegistrationChange Gone(std::uint64_t version) { return {.id = kWorker, .version = version}; }
+
+TEST(RegistrationViewTest, TellsOnlyWhatChanges) {
+  RegistrationView view({});
+  EXPECT_EQ(view.Apply({Present(1)}, false, At(0s)).size(), 1U);
+  // A heartbeat changes nothing but the version of the row.
+  EXPECT_TRUE(view.Apply({Present(2)}, false, At(0s)).empty());
+  EXPECT_EQ(view.Apply({Present(3, true)}, false, At(0s)).size(), 1U);
+}
+
+TEST(RegistrationViewTest, AnUpstreamThatLeavesInQuietTimesIsGoneAtOnce) {
+  RegistrationView view({});
+  view.Apply({Present(1)}, false, At(0s));
+  const auto news = view.Apply({Gone(2)}, false, At(1s));
+  ASSERT_EQ(news.size(), 1U);
+  EXPECT_FALSE(news[0].record);
+}
+
+// Guards against losing all upstreams when their registrations expire while the store is down.
+TEST(RegistrationViewTest, ARegistrationThatExpiresInADisturbanceIsKeptForAWhile) {
+  RegistrationView view({.settle = 3s});
+  view.Apply({Present(1)}, false, At(0s));
+  view.OnDisturbance(At(5s));
+  EXPECT_TRUE(view.Apply({Gone(2)}, false, At(6s)).empty());
+  EXPECT_TRUE(view.Expire(At(7s)).empty());
+  // It registers again in time.
+  EXPECT_TRUE(view.Apply({Present(3)}, false, At(7s)).empty());
+  EXPECT_TRUE(view.Expire(At(20s)).empty());
+}
+
+TEST(RegistrationViewTest, ARegistrationThatStaysMissingIsGone) {
+  RegistrationView view({.settle = 3s});
+  view.Apply({Present(1)}, false, At(0s));
+  view.OnDisturbance(At(5s));
+  view.Apply({Gone(2)}, false, At(6s));
+  EXPECT_EQ(view.Expire(At(8s)).size(), 1U);
+  EXPECT_TRUE(view.Expire(At(9s)).empty());
+}
+
+// Guards against an upstream that gave notice and is kept because the store was disturbed.
+TEST(RegistrationViewTest, ALeavingUpstreamIsGoneEvenInADisturbance) {
+  RegistrationView view({});
+  view.Apply({Present(1, true)}, false, At(0s));
+  view.OnDisturbance(At(1s));
+  EXPECT_EQ(view.Apply({Gone(2)}, false, At(1s)).size(), 1U);
+}
+
+TEST(RegistrationViewTest, AWholeListingRemovesWhatItDoesNotName) {
+  RegistrationView view({});
+  view.Apply({Present(1)}, false, At(0s));
+  EXPECT_EQ(view.Apply({}, true, At(1s)).size(), 1U);
+}
+
+// Guards against a stale read that brings back a registration that has changed since.
+TEST(RegistrationViewTest, OldNewsChangesNothing) {
+  RegistrationView view({});
+  view.Apply({Present(5, true)}, false, At(0s));
+  EXPECT_TRUE(view.Apply({Present(4)}, false, At(0s)).empty());
+}
+
+}  // namespace
+}  // namespace savoryglade
--- /dev/null
+++ b/tests/platform/documents_test.cc
@@ -0,0 +1,116 @@
+#include "platform/documents.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "core/random.h"
+
+namespace savoryglade::platform {
+namespace {
+
+constexpr const char* kManifest = R"({"version":7,
+"routes":[{"name":"r1","host":"a.example","prefix":"/b/","route_kind":"streaming","timeout_ms":15000,
+"goal_ms":1200,"priority":1,"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+"max_attempts":2,"public":false,"sticky":true,"resumable":true,"itl_target_ms":500},
+{"name":"r2","host":"a.example","prefix":"/c/","route_kind":"idempotent","service":"s2"},
+{"name":"r3","host":"a.example","prefix":"/d/","route_kind":"something_new","service":"s2"}],
+"services":[{"name":"s1","health_path":"/healthz","max_conns":370,"engine":{"slots":64,"kv_capacity":550405},
+"scaling":{"min_count":1,"max_count":10,"boot_time_s":4.0,"spot_price":0.22,"zone_prices":{"x":1.0,"y":0.8}}}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,"unit":"tokens","uncached_tokens":200,
+"rate_per_s":296691,"burst":296691},{"name":"t2","api_keys":["k3"]}]})";
+
+TEST(DocumentsTest, ReadsTheOperatorsDocument) {
+  const auto document = ParseRouteDocument(kManifest);
+  ASSERT_TRUE(document) << document.error().message;
+  EXPECT_EQ(document->version, 7U);
+  ASSERT_EQ(document->routes.size(), 3U);
+  const Route& stream = document->routes[0];
+  EXPECT_EQ(stream.kind, CallKind::kStream);
+  EXPECT_EQ(stream.timeout, 15s);
+  EXPECT_EQ(stream.objective, 1200ms);
+  EXPECT_EQ(stream.longest_pause, 500ms);
+  EXPECT_TRUE(stream.resumable);
+  ASSERT_EQ(stream.services.size(), 2U);
+  EXPECT_EQ(stream.services[1], (WeightedService{.service = ServiceId("s2"), .weight = 10}));
+  EXPECT_EQ(document->routes[1].kind, CallKind::kIdempotent);
+  ASSERT_EQ(document->services.size(), 1U);
+  ASSERT_TRUE(document->services[0].scaling);
+  EXPECT_EQ(document->services[0].scaling->prices.at(FailureDomainId("y")), 0.8);
+  ASSERT_EQ(document->accounts.size(), 2U);
+  EXPECT_EQ(document->accounts[0].rank, 1);
+  EXPECT_TRUE(document->accounts[0].counts_tokens);
+  EXPECT_FALSE(document->accounts[1].rank);
+  EXPECT_EQ(document->bounds.body_size, 4194304U);
+}
+
+// Guards against repeating a kind of request that this version does not know.
+TEST(DocumentsTest, AnUnknownKindIsNotRepeated) {
+  const auto document = ParseRouteDocument(kManifest);
+  ASSERT_TRUE(document);
+  EXPECT_FALSE(document->routes[2].Repeatable());
+}
+
+TEST(DocumentsTest, ReadsAWorkersEntry) {
+  const auto record = ParseUpstream("i-1", R"({"service":"s1","address":"10.128.0.9:8080",
+      "zone":"x","slots":64,"state":"draining","use_spot":true,"born":1700000000000,"seq_no":4})");
+  ASSERT_TRUE(record) << record.error().message;
+  EXPECT_EQ(*record, (UpstreamRecord{.id = UpstreamId("i-1"),
+                                     .service = ServiceId("s1"),
+                                     .address = "10.128.0.9:8080",
+                                     .failure_domain = FailureDomainId("x"),
+                                     .slots = 64,
+                                     .leaving = true,
+                                     .reclaimable = true,
+                                     .started_ms = 1'700'000'000'000}));
+}
+
+// Guards against entries of another writer that are taken for upstreams.
+TEST(DocumentsTest, HostileEntriesNameNoUpstream) {
+  const char* const entries[] = {
+      "",
+      "\xff\xfe",
+      "[]",
+      "null",
+      R"({"service":"s1"})",
+      R"({"service":5,"address":"10.0.0.1:1","zone":"x","slots":1,"state":"ready"})",
+      R"({"service":"s1","address":"10.0.0.1","zone":"x","slots":1,"state":"ready"})",
+      R"({"service":"s1","address":"10.0.0.1:1","zone":"x","slots":"4","state":"ready"})",
+      R"({"service":"s1","address":"10.0.0.1:1","zone":"x","slots":0,"state":"ready"})",
+      R"({"service":"s1","address":"10.0.0.1:1","zone":"x","slots":1,"state":"asleep"})",
+      R"({"service":"","address":"10.0.0.1:1","zone":"x","slots":1,"state":"ready"})",
+  };
+  for (const char* entry : entries) {
+    EXPECT_FALSE(ParseUpstream("i-1", entry)) << entry;
+  }
+}
+
+TEST(DocumentsTest, DamagedDocumentsDoNotCrash) {
+  Random random(20261204);
+  const std::string manifest = kManifest;
+  for (int i = 0; i < 3000; ++i) {
+    std::string text = manifest;
+    for (std::uint64_t change = random.Below(6) + 1; change > 0; --change) {
+      text[random.Below(text.size())] = static_cast<char>(random.Below(128));
+    }
+    text.resize(random.Below(text.size()) + 1);
+    ParseRouteDocument(text);
+    ParseUpstream("i-1", text);
+    DecodeBase64(text);
+  }
+}
+
+TEST(DocumentsTest, Base64GoesThereAndBack) {
+  for (const std::string& text :
+       {std::string(), std::string("a"), std::string("node-1"), std::string("\x00\xff\x10", 3)}) {
+    const auto decoded = DecodeBase64(EncodeBase64(text));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(*decoded, text);
+  }
+  EXPECT_EQ(EncodeBase64("node-1"), "bm9kZS0x");
+  EXPECT_FALSE(DecodeBase64("bm9*"));
+}
+
+}  // namespace
+}  // namespace savoryglade::platform
--- /dev/null
+++ b/tests/platform/node_settings_test.cc
@@ -0,0 +1,67 @@
+#include "platform/node_settings.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace savoryglade::platform {
+namespace {
+
+constexpr const char* kText = R"(node_name=edge-verona-1
+role=daemon
+ip=10.3.0.26
+zone=verona
+listen.front_addr=10.3.0.26:8107
+listen.ready_addr=10.3.0.26:8110
+internal_ports=7600,7615
+limits.memory_mb=260
+limits.max_fds=4100
+bounds.grace_s=8
+bounds.lease_ms=3000
+bounds.report_window_s=5
+bounds.retry_allowance=56
+platform.address=10.200.1.7:8225
+cloud_api.address=10.200.0.35:8225
+cloud_api.duties=usage_report,autoscale
+something.new=1
+)";
+
+TEST(NodeSettingsTest, ReadsThePlatformsFile) {
+  const auto settings = ParseNodeSettings(kText);
+  ASSERT_TRUE(settings) << settings.error().message;
+  EXPECT_EQ(settings->daemon, DaemonId("edge-verona-1"));
+  EXPECT_EQ(settings->failure_domain, FailureDomainId("verona"));
+  EXPECT_EQ(settings->callers, (Endpoint{.address = "10.3.0.26", .port = 8107}));
+  EXPECT_EQ(settings->peers, (Endpoint{.address = "10.3.0.26", .port = 7600}));
+  EXPECT_EQ(settings->store, (Endpoint{.address = "10.200.1.7", .port = 8225}));
+  EXPECT_TRUE(settings->reports_usage);
+  EXPECT_TRUE(settings->orders_capacity);
+  EXPECT_EQ(settings->bounds.stop_grace, 8s);
+  EXPECT_EQ(settings->bounds.lease, 3s);
+  EXPECT_EQ(settings->bounds.usage_window, 5s);
+  EXPECT_DOUBLE_EQ(settings->bounds.retry_allowance, 56);
+  EXPECT_EQ(settings->memory_bytes, 260U * 1024 * 1024);
+}
+
+TEST(NodeSettingsTest, NamesAllFaultsAtOnce) {
+  const auto settings = ParseNodeSettings(
+      "node_name=a\nip=10.0.0.1\ninternal_ports=7600,7601\nlisten.front_addr=nowhere\n"
+      "listen.ready_addr=10.0.0.1:1\nplatform.address=10.0.0.2:1\nbounds.grace_s=soon\n");
+  ASSERT_FALSE(settings);
+  EXPECT_EQ(settings.error().message,
+            "zone: missing\n"
+            "listen.front_addr: found \"nowhere\", expected an address as 10.1.0.14:8221\n"
+            "bounds.grace_s: found \"soon\", expected a number of at least 0");
+}
+
+// Guards against asking for the address of calls that this deployment has no duty to make.
+TEST(NodeSettingsTest, DutiesAreOptional) {
+  std::string text = kText;
+  text.erase(text.find("cloud_api.address"));
+  const auto settings = ParseNodeSettings(text);
+  ASSERT_TRUE(settings) << settings.error().message;
+  EXPECT_FALSE(settings->reports_usage);
+}
+
+}  // namespace
+}  // namespace savoryglade::platform
--- /dev/null
+++ b/tests/recovery/crash_register_test.cc
@@ -0,0 +1,69 @@
+#include "recovery/crash_register.h"
+
+#include <gtest/gtest.h>
+
+namespace savoryglade {
+namespace {
+
+TimePoint At(Duration time) { return TimePoint(100s) + time; }
+
+TEST(CrashRegisterTest, RefusesARequestThatCrashedThreeUpstreams) {
+  CrashRegister crashes;
+  crashes.OnCrash(7, 1, At(0s));
+  crashes.OnCrash(7, 2, At(1s));
+  EXPECT_FALSE(crashes.IsRefused(7, At(1s)));
+  crashes.OnCrash(7, 3, At(2s));
+  EXPECT_TRUE(crashes.IsRefused(7, At(2s)));
+  EXPECT_FALSE(crashes.IsRefused(8, At(2s)));
+}
+
+// Guards against refusing a request because one upstream broke several of its connections.
+TEST(CrashRegisterTest, AnUpstreamCountsOnce) {
+  CrashRegister crashes;
+  for (int i = 0; i < 5; ++i) {
+    crashes.OnCrash(7, 1, At(0s));
+  }
+  EXPECT_FALSE(crashes.IsRefused(7, At(0s)));
+}
+
+TEST(CrashRegisterTest, AnAnswerClearsTheRequest) {
+  CrashRegister crashes;
+  crashes.OnCrash(7, 1, At(0s));
+  crashes.OnCrash(7, 2, At(0s));
+  crashes.OnAnswered(7);
+  crashes.OnCrash(7, 3, At(0s));
+  EXPECT_FALSE(crashes.IsRefused(7, At(0s)));
+}
+
+TEST(CrashRegisterTest, RecordsOfPeersCount) {
+  CrashRegister here;
+  CrashRegister there;
+  here.OnCrash(7, 1, At(0s));
+  there.OnCrash(7, 2, At(0s));
+  there.OnCrash(7, 3, At(0s));
+  for (const CrashRecord& record : there.Records(8, At(0s))) {
+    here.OnPeerRecord(record, At(1s));
+  }
+  EXPECT_TRUE(here.IsRefused(7, At(1s)));
+}
+
+// Guards against records that two daemons keep alive for ever by sending them to each other.
+TEST(CrashRegisterTest, RepeatedRecordsDoNotProlongARefusal) {
+  CrashRegister crashes;
+  const CrashRecord record{.request = 7, .upstreams = {1, 2, 3}};
+  crashes.OnPeerRecord(record, At(0s));
+  crashes.OnPeerRecord(record, At(50s));
+  EXPECT_TRUE(crashes.IsRefused(7, At(50s)));
+  EXPECT_FALSE(crashes.IsRefused(7, At(61s)));
+}
+
+TEST(CrashRegisterTest, KeepsABoundedNumberOfRecords) {
+  CrashRegister crashes;
+  for (std::uint64_t request = 0; request < 10'000; ++request) {
+    crashes.OnCrash(request, 1, At(std::chrono::milliseconds(request)));
+  }
+  EXPECT_EQ(crashes.Records(100'000, At(10s)).size(), 4096U);
+}
+
+}  // namespace
+}  // namespace savoryglade
--- /dev/null
+++ b/tests/recovery/window_retry_budget_test.cc
@@ -0,0 +1,52 @@
+#include "recovery/window_retry_budget.h"
+
+#include <gtest/gtest.h>
+
+namespace savoryglade {
+namespace {
+
+const ServiceId kOrders("orders");
+
+TimePoint At(Duration time) { return TimePoint(100s) + time; }
+
+int TakeAll(WindowRetryBudget& budget, TimePoint now) {
+  int taken = 0;
+  while (taken < 1000 && budget.Take(kOrders, now)) {
+    ++taken;
+  }
+  return taken;
+}
+
+// Load pattern: all upstreams fail at once and every request asks for a repeat.
+TEST(WindowRetryBudgetTest, DaemonsTogetherStayWithinTheFleetsBound) {
+  constexpr int kDaemons = 8;
+  constexpr int kRequests = 100;
+  int taken = 0;
+  for (int daemon = 0; daemon < kDaemons; ++daemon) {
+    WindowRetryBudget budget({.ratio = 0.2, .allowance = 56});
+    budget.SetDaemons(kDaemons);
+    for (int i = 0; i < kRequests; ++i) {
+      budget.OnRequest(kOrders, At(i * 10ms));
+    }
+    taken += TakeAll(budget, At(1s));
+  }
+  EXPECT_LE(taken, 0.2 * kDaemons * kRequests + 56);
+  EXPECT_GE(taken, 0.2 * kDaemons * kRequests / 2);
+}
+
+TEST(WindowRetryBudgetTest, RepeatsComeBackWhenTheWindowHasPassed) {
+  WindowRetryBudget budget({.ratio = 0, .allowance = 10, .use = 1});
+  EXPECT_EQ(TakeAll(budget, At(0s)), 10);
+  EXPECT_EQ(TakeAll(budget, At(9s)), 0);
+  EXPECT_EQ(TakeAll(budget, At(10s)), 10);
+}
+
+TEST(WindowRetryBudgetTest, ServicesHaveBudgetsOfTheirOwn) {
+  WindowRetryBudget budget({.ratio = 0, .allowance = 1, .use = 1});
+  EXPECT_TRUE(budget.Take(kOrders, At(0s)));
+  EXPECT_FALSE(budget.Take(kOrders, At(0s)));
+  EXPECT_TRUE(budget.Take(ServiceId("model"), At(0s)));
+}
+
+}  // namespace
+}  // namespace savoryglade
--- /dev/null
+++ b/tests/scheduling/account_allowance_test.cc
@@ -0,0 +1,149 @@
+#include "scheduling/account_allowance.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace savoryglade {
+namespace {
+
+const AccountId kDrivers("drivers");
+
+TimePoint At(Duration time) { return TimePoint(100s) + time; }
+
+std::vector<AccountPolicy> Policy(double rate, double burst) {
+  return {{.name = kDrivers, .rate = rate, .burst = burst, .counts_tokens = true}};
+}
+
+// Several daemons under load on a virtual clock, which exchange their use at an interval.
+class Fleet {
+ public:
+  Fleet(int daemons, double rate, double burst, AllowanceOptions options) {
+    for (int i = 0; i < daemons; ++i) {
+      daemons_.push_back(std::make_unique<AccountAllowance>(options));
+      daemons_.back()->Configure(Policy(rate, burst), At(0s));
+    }
+  }
+
+  // Offers requests of the given size at each daemon each step and returns the most units that
+  // were taken in any window of 8 s.
+  double MostTaken(Duration length, double units, bool (*connected)(TimePoint, int, int)) {
+    constexpr Duration kStep = 10ms;
+    constexpr Duration kExchange = 150ms;
+    constexpr Duration kWindow = 8s;
+    std::deque<std::pair<TimePoint, double>> taken;
+    double sum = 0;
+    double most = 0;
+    for (Duration time = 0s; time < length; time += kStep) {
+      const TimePoint now = At(time);
+      for (const auto& daemon : daemons_) {
+        if (daemon->Take(kDrivers, units, now)) {
+          taken.emplace_back(now, units);
+          sum += units;
+        }
+      }
+      while (!taken.empty() && now - taken.front().first >= kWindow) {
+        sum -= taken.front().second;
+        taken.pop_front();
+      }
+      most = std::max(most, sum);
+      if (time % kExchange == 0ms) {
+        Exchange(now, connected);
+      }
+    }
+    return most;
+  }
+
+ private:
+  void Exchange(TimePoint now, bool (*connected)(TimePoint, int, int)) {
+    const auto count = static_cast<int>(daemons_.size());
+    for (int from = 0; from < count; ++from) {
+      const auto use = daemons_[static_cast<std::size_t>(from)]->OwnUse(now);
+      for (int to = 0; to < count; ++to) {
+        if (from != to && connected(now, from, to)) {
+          daemons_[static_cast<std::size_t>(to)]->OnPeerUse(DaemonId(std::to_string(from)), 1, use,
+                                                            now);
+        }
+      }
+    }
+  }
+
+  std::vector<std::unique_ptr<AccountAllowance>> daemons_;
+};
+
+constexpr double kRate = 100'000;
+constexpr double kBurst = 100'000;
+constexpr AllowanceOptions kTolerant{.overshoot = 0.1, .slack = 140'000};
+// What the operators allow in any window of 8 s.
+constexpr double kAllowed = (kRate * 8 + kBurst) * 1.1 + 140'000;
+
+// Load pattern: one account sends many times its allowance through all daemons.
+TEST(AccountAllowanceTest, AHotAccountStaysWithinItsAllowanceOverAllDaemons) {
+  Fleet fleet(8, kRate, kBurst, kTolerant);
+  const double most = fleet.MostTaken(30s, 6000, [](TimePoint, int, int) { return true; });
+  EXPECT_LE(most, kAllowed);
+  EXPECT_GE(most, kRate * 8);
+}
+
+// Load pattern: the same, while the daemons are cut into two halves.
+TEST(AccountAllowanceTest, ADividedFleetStaysWithinTheAllowance) {
+  Fleet fleet(8, kRate, kBurst, kTolerant);
+  const double most = fleet.MostTaken(30s, 6000, [](TimePoint now, int from, int to) {
+    return now < At(10s) || now > At(20s) || from / 4 == to / 4;
+  });
+  EXPECT_LE(most, kAllowed);
+}
+
+TEST(AccountAllowanceTest, AccountsWithoutALimitAreNotCounted) {
+  AccountAllowance allowance({});
+  allowance.Configure({{.name = kDrivers}}, At(0s));
+  EXPECT_TRUE(allowance.Take(kDrivers, 1e9, At(0s)));
+  EXPECT_TRUE(allowance.Take(AccountId("unknown"), 1e9, At(0s)));
+}
+
+// Guards against requests that are refused for ever because they are larger than the burst.
+TEST(AccountAllowanceTest, ARequestLargerThanTheBurstPassesAFullBucket) {
+  AccountAllowance allowance({});
+  allowance.Configure(Policy(100, 100), At(0s));
+  EXPECT_FALSE(allowance.Take(kDrivers, 500, At(500ms)));
+  EXPECT_TRUE(allowance.Take(kDrivers, 500, At(1s)));
+  EXPECT_FALSE(allowance.Take(kDrivers, 1, At(2s)));
+}
+
+TEST(AccountAllowanceTest, TellsWhenTheUnitsAreThere) {
+  AccountAllowance allowance({});
+  allowance.Configure(Policy(100, 100), At(0s));
+  EXPECT_EQ(allowance.TimeUntil(kDrivers, 50, At(0s)), 500ms);
+}
+
+TEST(AccountAllowanceTest, GivesBackWhatWasNotRun) {
+  AccountAllowance allowance({});
+  allowance.Configure(Policy(100, 100), At(0s));
+  EXPECT_TRUE(allowance.Take(kDrivers, 100, At(1s)));
+  allowance.GiveBack(kDrivers, 100);
+  EXPECT_TRUE(allowance.Take(kDrivers, 100, At(1s)));
+}
+
+// Guards against a daemon that restarts and refuses what its peers would allow.
+TEST(AccountAllowanceTest, ARestartedDaemonTakesTheLevelOfItsPeers) {
+  AccountAllowance allowance({});
+  allowance.Configure(Policy(100, 100), At(0s));
+  allowance.OnPeerUse(DaemonId("peer"), 1, {{kDrivers, {.taken = 5000, .level = 80}}}, At(0s));
+  EXPECT_TRUE(allowance.Take(kDrivers, 80, At(0s)));
+}
+
+// Guards against charging the whole use of a peer again after it restarted.
+TEST(AccountAllowanceTest, ARestartedPeerIsChargedFromZero) {
+  AccountAllowance allowance({});
+  allowance.Configure(Policy(100, 100), At(0s));
+  allowance.OnPeerUse(DaemonId("peer"), 1, {{kDrivers, {.taken = 5000, .level = 100}}}, At(1s));
+  allowance.OnPeerUse(DaemonId("peer"), 2, {{kDrivers, {.taken = 10, .level = 90}}}, At(2s));
+  EXPECT_TRUE(allowance.Take(kDrivers, 50, At(2s)));
+}
+
+}  // namespace
+}  // namespace savoryglade
