Trust removed registrations soon after the store answers again

The daemon was cut off from the store; the removal was real, but failed calls had prolonged the time in which removals are not believed.

Measured: membership_test and routing_test fail before and pass after.

--- a/packages/gateway/fleet_feeds.cc
+++ b/packages/gateway/fleet_feeds.cc
@@ -17,9 +17,6 @@
 // waiting reads would return many times per second.
 constexpr Duration kUpstreamInterval = 400ms;
 constexpr Duration kRetryInterval = 250ms;
-// Part of the operators' contact time in which registrations may be missing after a disturbance.
-constexpr double kSettleFraction = 0.9;
-
 const Logger kLog("feeds");
 
 asio::awaitable<void> Sleep(Duration duration) {
@@ -31,11 +28,7 @@
 }  // namespace
 
 FleetFeeds::FleetFeeds(FleetState& fleet, FleetStore& store, UpstreamConnections& connections)
-    : fleet_(fleet),
-      store_(store),
-      connections_(connections),
-      registrations_(
-          {.settle = FromSeconds(ToSeconds(fleet.settings.bounds.contact) * kSettleFraction)}) {}
+    : fleet_(fleet), store_(store), connections_(connections), registrations_({}) {}
 
 asio::awaitable<void> FleetFeeds::FollowRoutes() {
   FeedPosition position = 0;
@@ -93,7 +86,7 @@
     } else {
       kLog.Warning("The registrations can't be read.",
                    {{"position", position}, {"error", update.error().message}});
-      registrations_.OnDisturbance(now);
+      registrations_.OnDisturbance();
       pause = kRetryInterval;
     }
     ApplyUpstreams(registrations_.Expire(now));
@@ -112,11 +105,13 @@
       connections_.Drop(change.id);
       continue;
     }
-    if (held == nullptr || held->leaving != change.record->leaving) {
+    if (held == nullptr || held->leaving != change.record->leaving ||
+        held->doubtful != change.record->doubtful) {
       kLog.Info("An upstream registered or changed.",
                 {{"upstream", change.id.value()},
                  {"service", change.record->service.value()},
                  {"leaving", change.record->leaving},
+                 {"doubtful", change.record->doubtful},
                  {"reclaimable", change.record->reclaimable}});
     }
     if (held != nullptr && (held->started_ms != change.record->started_ms ||
--- a/packages/membership/registration_view.cc
+++ b/packages/membership/registration_view.cc
@@ -25,6 +25,8 @@
   }
   if (now < disturbed_until_ && !entry.record->leaving) {
     entry.gone_at = disturbed_until_;
+    entry.record->doubtful = true;
+    news.push_back({.id = change.id, .record = entry.record, .version = change.version});
     return;
   }
   entry.record.reset();
@@ -33,6 +35,10 @@
 
 std::vector<RegistrationChange> RegistrationView::Apply(
     const std::vector<RegistrationChange>& changes, bool whole, TimePoint now) {
+  if (disturbed_) {
+    disturbed_ = false;
+    disturbed_until_ = now + options_.settle;
+  }
   std::vector<RegistrationChange> news;
   for (const RegistrationChange& change : changes) {
     Take(change, now, news);
--- a/packages/membership/registration_view.h
+++ b/packages/membership/registration_view.h
@@ -21,24 +21,25 @@
 };
 
 // Upstreams by their registrations, which expire while the store that holds them is disturbed. A
-// registration that vanishes during or shortly after a disturbance is kept until the upstream has
-// had time to register again; one that vanishes in quiet times is gone at once. Late and repeated
-// news of an upstream have no effect. Not safe to use from several threads.
+// registration that vanishes shortly after a disturbance is kept, marked as doubtful, until the
+// upstream has had time to register again; one that vanishes in quiet times is gone at once. Late
+// and repeated news of an upstream have no effect. Not safe to use from several threads.
 class RegistrationView {
  public:
   struct Options {
-    // Time after a disturbance of the store in which a registration may be missing wrongly.
-    Duration settle = 3s;
+    // Time after the first answer behind a disturbance in which a registration may be missing
+    // wrongly. Upstreams are back about two seconds after the store; the operators' pages say so.
+    Duration settle = 2200ms;
   };
 
   explicit RegistrationView(Options options) : options_(options) {}
 
-  // Takes changes; a whole listing also removes what it does not name. Returns the upstreams whose
-  // records changed or, without a record, that are gone.
+  // Takes the changes of an answer; a whole listing also removes what it does not name. Returns the
+  // upstreams whose records changed or, without a record, that are gone.
   std::vector<RegistrationChange> Apply(const std::vector<RegistrationChange>& changes, bool whole,
                                         TimePoint now);
   // Takes a failed call of the store.
-  void OnDisturbance(TimePoint now) { disturbed_until_ = now + options_.settle; }
+  void OnDisturbance() { disturbed_ = true; }
   // Returns the upstreams whose time to register again is over.
   std::vector<RegistrationChange> Expire(TimePoint now);
 
@@ -53,6 +54,7 @@
   void Take(const RegistrationChange& change, TimePoint now, std::vector<RegistrationChange>& news);
 
   Options options_;
+  bool disturbed_ = false;
   TimePoint disturbed_until_{};
   std::map<UpstreamId, Entry> entries_;
 };
--- a/packages/routing/upstream_board.cc
+++ b/packages/routing/upstream_board.cc
@@ -122,7 +122,7 @@
         std::ranges::find(excluded, id) != excluded.end()) {
       continue;
     }
-    const bool left = now < entry.paused_until || IsSilent(entry, now);
+    const bool left = entry.record.doubtful || now < entry.paused_until || IsSilent(entry, now);
     (left ? doubtful : usable).push_back(&entry);
   }
   if (usable.empty()) {
--- a/packages/routing/upstream_board.h
+++ b/packages/routing/upstream_board.h
@@ -27,6 +27,8 @@
   // True once it gives notice that it leaves; it takes no new work then.
   bool leaving = false;
   bool reclaimable = false;
+  // True while its registration is missing but may come back; it takes work only if no other does.
+  bool doubtful = false;
   // Start of its process in milliseconds of Unix time; 0 if it does not say.
   std::int64_t started_ms = 0;
 
--- a/tests/membership/registration_view_test.cc
+++ b/tests/membership/registration_view_test.cc
@@ -34,32 +34,53 @@
 }
 
 // Guards against losing all upstreams when their registrations expire while the store is down.
-TEST(RegistrationViewTest, ARegistrationThatExpiresInADisturbanceIsKeptForAWhile) {
-  RegistrationView view({.settle = 3s});
+TEST(RegistrationViewTest, ARegistrationThatExpiresInADisturbanceIsDoubtfulForAWhile) {
+  RegistrationView view({.settle = 2s});
   view.Apply({Present(1)}, false, At(0s));
-  view.OnDisturbance(At(5s));
-  EXPECT_TRUE(view.Apply({Gone(2)}, false, At(6s)).empty());
+  view.OnDisturbance();
+  const auto news = view.Apply({Gone(2)}, false, At(6s));
+  ASSERT_EQ(news.size(), 1U);
+  ASSERT_TRUE(news[0].record);
+  EXPECT_TRUE(news[0].record->doubtful);
   EXPECT_TRUE(view.Expire(At(7s)).empty());
   // It registers again in time.
-  EXPECT_TRUE(view.Apply({Present(3)}, false, At(7s)).empty());
+  const auto back = view.Apply({Present(3)}, false, At(7s));
+  ASSERT_EQ(back.size(), 1U);
+  EXPECT_FALSE(back[0].record->doubtful);
   EXPECT_TRUE(view.Expire(At(20s)).empty());
 }
 
-TEST(RegistrationViewTest, ARegistrationThatStaysMissingIsGone) {
-  RegistrationView view({.settle = 3s});
+// Guards against work for an upstream that left while this daemon was cut off from the store: its
+// removal was real, and it was kept for too long after the cut.
+TEST(RegistrationViewTest, ARegistrationThatStaysMissingIsGoneSoonAfterTheStoreAnswers) {
+  RegistrationView view({.settle = 2s});
   view.Apply({Present(1)}, false, At(0s));
-  view.OnDisturbance(At(5s));
+  view.OnDisturbance();
+  view.OnDisturbance();
   view.Apply({Gone(2)}, false, At(6s));
+  EXPECT_TRUE(view.Expire(At(7900ms)).empty());
   EXPECT_EQ(view.Expire(At(8s)).size(), 1U);
   EXPECT_TRUE(view.Expire(At(9s)).empty());
 }
 
+TEST(RegistrationViewTest, AnswersAfterTheTimeToSettleAreTrusted) {
+  RegistrationView view({.settle = 2s});
+  view.Apply({Present(1)}, false, At(0s));
+  view.OnDisturbance();
+  view.Apply({}, false, At(6s));
+  const auto news = view.Apply({Gone(2)}, false, At(8s));
+  ASSERT_EQ(news.size(), 1U);
+  EXPECT_FALSE(news[0].record);
+}
+
 // Guards against an upstream that gave notice and is kept because the store was disturbed.
 TEST(RegistrationViewTest, ALeavingUpstreamIsGoneEvenInADisturbance) {
   RegistrationView view({});
   view.Apply({Present(1, true)}, false, At(0s));
-  view.OnDisturbance(At(1s));
-  EXPECT_EQ(view.Apply({Gone(2)}, false, At(1s)).size(), 1U);
+  view.OnDisturbance();
+  const auto news = view.Apply({Gone(2)}, false, At(1s));
+  ASSERT_EQ(news.size(), 1U);
+  EXPECT_FALSE(news[0].record);
 }
 
 TEST(RegistrationViewTest, AWholeListingRemovesWhatItDoesNotName) {
--- a/tests/routing/upstream_board_test.cc
+++ b/tests/routing/upstream_board_test.cc
@@ -153,6 +153,17 @@
   EXPECT_TRUE(board_.Choose(work, {}, At(100ms)));
 }
 
+TEST_F(UpstreamBoardTest, AnUpstreamInDoubtTakesWorkOnlyIfNoOtherDoes) {
+  UpstreamRecord doubtful = Engine("a");
+  doubtful.doubtful = true;
+  board_.Update(doubtful);
+  EXPECT_EQ(board_.Choose(Prompt(1, 2), {}, At(0s))->upstream.id, UpstreamId("a"));
+  board_.Update(Engine("b"));
+  for (std::uint64_t shared = 0; shared < 20; ++shared) {
+    EXPECT_EQ(board_.Choose(Prompt(shared, 2), {}, At(0s))->upstream.id, UpstreamId("b"));
+  }
+}
+
 TEST_F(UpstreamBoardTest, PlainCallsGoToTheNearestOfEquallyLoadedUpstreams) {
   board_.Update(Plain("far", "brescia"));
   board_.Update(Plain("near", "verona"));
