Buy on demand when reclaims follow each other, and give back one by one

Orders that could not be met took up the limit of each domain, so that no on-demand worker could be bought, and a new holder of the duty gave workers back because it knew no demand.

Change: orders that can't be met make room; on-demand workers are bought beyond 70% utilisation and given back as far as reclaimable ones carry the demand at 50%; a new holder takes over what serves; 36% utilisation is aimed at.

--- a/packages/capacity/capacity_planner.cc
+++ b/packages/capacity/capacity_planner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
+#include <limits>
 
 namespace savoryglade::capacity {
 namespace {
@@ -12,6 +13,12 @@
   return found == plan.end() ? DomainCapacity{} : found->second;
 }
 
+// Rounds up, except for what binary fractions leave behind.
+int CeilWorkers(double workers) {
+  constexpr double kRoundingError = 1e-6;
+  return static_cast<int>(std::ceil(workers - kRoundingError));
+}
+
 }  // namespace
 
 double CapacityPlanner::PeakDemand(double demand, TimePoint now) {
@@ -41,15 +48,19 @@
                                    const CapacityPlan& serving, const CapacityPlan& ordered,
                                    TimePoint now) {
   const double peak = PeakDemand(demand, now);
-  const int workers =
-      std::max(baseline_, static_cast<int>(std::ceil(peak / options_.target_utilisation)));
-  const int needed = static_cast<int>(std::ceil(peak / options_.highest_utilisation));
+  const int workers = std::max(baseline_, CeilWorkers(peak / options_.target_utilisation));
+  const int needed = CeilWorkers(peak / options_.highest_utilisation);
   const std::vector<FailureDomainId> domains = ByPrice(rule);
   int reclaimable = 0;
   for (const FailureDomainId& domain : domains) {
     reclaimable += Of(serving, domain).reclaimable;
   }
-  const bool replaced = baseline_is_final_ && reclaimable >= workers;
+  // On-demand workers beyond these have been replaced.
+  int kept = std::numeric_limits<int>::max();
+  if (baseline_is_final_) {
+    const int enough = std::max(baseline_, CeilWorkers(peak / options_.release_utilisation));
+    kept = std::max(0, enough - reclaimable);
+  }
   CapacityPlan plan;
   int missing = 0;
   for (std::size_t i = 0; i < domains.size(); ++i) {
@@ -59,7 +70,8 @@
     DomainCapacity& planned = plan[domains[i]];
     // Ordered ones that still boot count as well.
     const int on_demand = std::max(there.on_demand, Of(ordered, domains[i]).on_demand);
-    planned.on_demand = replaced ? 0 : std::min(on_demand, rule.max_count);
+    planned.on_demand = std::min({on_demand, rule.max_count, kept});
+    kept -= planned.on_demand;
     const int room = std::max(0, rule.max_count - planned.on_demand);
     // An order in a dry domain stays as it is, and only what serves there counts.
     const bool dry = IsDry(domains[i], now);
@@ -81,8 +93,13 @@
     if (short_of_need <= 0) {
       break;
     }
-    const int added = std::clamp(rule.max_count - plan[domain].total(), 0, short_of_need);
-    plan[domain].on_demand += added;
+    DomainCapacity& planned = plan[domain];
+    // Both kinds share the limit, so an order that can't be met makes room.
+    const int serving_there = std::min(Of(serving, domain).reclaimable, planned.reclaimable);
+    const int room = rule.max_count - planned.on_demand - serving_there;
+    const int added = std::clamp(room, 0, short_of_need);
+    planned.on_demand += added;
+    planned.reclaimable = std::min(planned.reclaimable, rule.max_count - planned.on_demand);
     short_of_need -= added;
   }
   for (auto& [domain, planned] : plan) {
--- a/packages/capacity/capacity_planner.h
+++ b/packages/capacity/capacity_planner.h
@@ -24,10 +24,12 @@
 struct PlannerOptions {
   // Part of the workers that demand keeps busy on average. The rest is for uneven load and for the
   // loss of a failure domain.
-  double target_utilisation = 0.42;
+  double target_utilisation = 0.36;
   // Utilisation beyond which on-demand workers stand in until reclaimable ones are to be had again;
-  // they take as long to boot and cost several times as much.
-  double highest_utilisation = 0.85;
+  // they cost several times as much.
+  double highest_utilisation = 0.7;
+  // Utilisation of the reclaimable workers alone up to which on-demand ones are given back.
+  double release_utilisation = 0.5;
   // Time for which the highest demand counts before workers are given back.
   Duration peak_memory = 30s;
   // Time for which a failure domain that has reclaimed or refused workers is not asked again.
@@ -54,6 +56,11 @@
   CapacityPlan Plan(const ScalingRule& rule, double demand, const CapacityPlan& serving,
                     const CapacityPlan& ordered, TimePoint now);
 
+  // Takes over from another planner: what serves now was needed for as long as a peak counts.
+  void TakeOver(int serving, TimePoint now) {
+    peaks_.push_back({.at = now, .demand = serving * options_.target_utilisation});
+  }
+
   // Takes a refused order or a notice of reclaim: the domain has no reclaimable workers for now.
   void OnDry(const FailureDomainId& domain, TimePoint now) {
     dry_until_[domain] = now + options_.dry_time;
--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -60,9 +61,22 @@
   // Whether the head of a streamed answer has been sent.
   bool streaming = false;
   SseSplitter events;
+  // Time to the first event, and the longest time between two events.
+  Duration first_event = Duration::zero();
+  Duration longest_pause = Duration::zero();
+  TimePoint last_event_at{};
   // Failure of a worker that is the answer unless a repeat succeeds.
   std::optional<BufferedAnswer> failure;
 
+  // Takes the time at which events were passed on.
+  void OnEvents(TimePoint now) {
+    if (last_event_at == TimePoint{}) {
+      first_event = now - received;
+    } else {
+      longest_pause = std::max(longest_pause, now - last_event_at);
+    }
+    last_event_at = now;
+  }
   Duration Left(TimePoint now) const { return deadline - now; }
   AccountId account_id() const { return account == nullptr ? AccountId() : account->name; }
   int rank() const { return account != nullptr && account->rank ? *account->rank : route->rank; }
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -299,6 +299,24 @@
   }
 }
 
+void CallRelay::NoteAnswered(const Call& call, const Attempt& attempt, unsigned status) {
+  const Duration total = BootNow() - call.received;
+  fleet_.metrics.GetTiming("savoryglade_gateway_answer_seconds", {{"route", call.route->name}})
+      .Record(total);
+  kLog.Info("A request has its answer.", {{"request", call.facts.attempt},
+                                          {"route", call.route->name},
+                                          {"account", call.account_id().value()},
+                                          {"upstream", attempt.placement.upstream.id.value()},
+                                          {"status", status},
+                                          {"sent", call.sent},
+                                          {"prompt_tokens", call.facts.work.prompt_tokens},
+                                          {"uncached_tokens", attempt.placement.uncached_tokens},
+                                          {"expected_ms", attempt.placement.expected / 1ms},
+                                          {"first_event_ms", call.first_event / 1ms},
+                                          {"longest_pause_ms", call.longest_pause / 1ms},
+                                          {"ms", total / 1ms}});
+}
+
 void CallRelay::CountBegun(Call& call, TimePoint now) {
   if (call.account == nullptr || fleet_.settings.bounds.usage_window == Duration::zero()) {
     return;
@@ -418,8 +436,7 @@
   }
   co_await call.exchange.Respond(status, std::move(answer.headers), std::move(answer.body));
   ++call.runs;
-  fleet_.metrics.GetTiming("savoryglade_gateway_answer_seconds", {{"route", call.route->name}})
-      .Record(BootNow() - call.received);
+  NoteAnswered(call, attempt, status);
   co_return Step::kFinished;
 }
 
@@ -452,6 +469,7 @@
     if (events.empty()) {
       continue;
     }
+    call.OnEvents(BootNow());
     bool open = true;
     if (!call.streaming) {
       call.streaming = true;
@@ -482,8 +500,7 @@
   }
   co_await call.exchange.EndStream();
   ++call.runs;
-  fleet_.metrics.GetTiming("savoryglade_gateway_answer_seconds", {{"route", call.route->name}})
-      .Record(BootNow() - call.received);
+  NoteAnswered(call, attempt, status);
   co_return Step::kFinished;
 }
 
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -56,6 +56,8 @@
   boost::asio::awaitable<unsigned> ReadOwnHeader(Call& call, Attempt& attempt);
   boost::asio::awaitable<Step> RelayWhole(Call& call, Attempt& attempt, unsigned status);
   boost::asio::awaitable<Step> RelayStream(Call& call, Attempt& attempt, unsigned status);
+  // Logs and counts a request that has its whole answer.
+  void NoteAnswered(const Call& call, const Attempt& attempt, unsigned status);
   void NoteFirstByte(Call& call, Attempt& attempt);
   void CountBegun(Call& call, TimePoint now);
   bool MayRepeat(const Call& call) const;
--- a/packages/gateway/capacity_runner.cc
+++ b/packages/gateway/capacity_runner.cc
@@ -104,6 +104,11 @@
     int workers = 0;
     std::from_chars(row->value.data(), row->value.data() + row->value.size(), workers);
     state.planner.SetBaseline(workers, true);
+    int serving = 0;
+    for (const auto& [domain, capacity] : Serving(service.name)) {
+      serving += capacity.total();
+    }
+    state.planner.TakeOver(serving, BootNow());
     state.baseline_known = true;
     co_return;
   }
