Test the gateway against emulated store and workers, and note the design

Calls of the store are fewer: routes are followed with longer waits, registrations are read at 0.35 of the notice bound, daemons that hear the holder of the duties don't ask for the lease. The demand also counts the slots in use.

--- a/packages/boost_impl/boost_impl.cc
+++ b/packages/boost_impl/boost_impl.cc
@@ -2,3 +2,4 @@
 #include <boost/asio/impl/src.hpp>
 #include <boost/beast/src.hpp>
 #include <boost/json/src.hpp>
+#include <boost/url/src.hpp>
--- /dev/null
+++ b/packages/emulator/store_service.cc
@@ -0,0 +1,198 @@
+#include "emulator/store_service.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+#include <boost/url.hpp>
+#include <chrono>
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace base64 = boost::beast::detail::base64;
+
+constexpr Duration kFeedPoll = 5ms;
+
+std::string Encode(const std::string& bytes) {
+  std::string text(base64::encoded_size(bytes.size()), '\0');
+  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+  return text;
+}
+
+std::string Decode(std::string_view text) {
+  std::string bytes(base64::decoded_size(text.size()), '\0');
+  bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
+  return bytes;
+}
+
+// Value of a parameter of the query, without percent escapes.
+std::string Parameter(std::string_view target, std::string_view name) {
+  const auto url = boost::urls::parse_origin_form({target.data(), target.size()});
+  if (!url) {
+    return {};
+  }
+  for (const auto& parameter : url->params()) {
+    if (std::string_view(parameter.key.data(), parameter.key.size()) == name) {
+      return std::string(parameter.value);
+    }
+  }
+  return {};
+}
+
+std::uint64_t NumberParameter(std::string_view target, std::string_view name) {
+  const std::string text = Parameter(target, name);
+  return text.empty() ? 0 : std::stoull(text);
+}
+
+std::string Text(const json::object& row, const char* name) {
+  return std::string(row.at(name).as_string());
+}
+
+}  // namespace
+
+void StoreService::SetFaults(const StoreFaults& faults) {
+  const std::lock_guard lock(mutex_);
+  faults_ = faults;
+}
+
+void StoreService::Put(const std::string& table, const std::string& key,
+                       const std::string& value) {
+  const std::lock_guard lock(mutex_);
+  rows_[{table, key}] = {.value = value, .version = ++version_};
+}
+
+void StoreService::Remove(const std::string& table, const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  rows_[{table, key}] = {.version = ++version_, .removed = true};
+}
+
+std::uint64_t StoreService::calls() const {
+  const std::lock_guard lock(mutex_);
+  return calls_;
+}
+
+asio::awaitable<void> StoreService::Handle(HttpExchange& exchange) {
+  StoreFaults faults;
+  {
+    const std::lock_guard lock(mutex_);
+    ++calls_;
+    faults = faults_;
+  }
+  const std::string_view target = exchange.target();
+  if (faults.outage) {
+    co_await exchange.Respond(503, {}, {});
+  } else if (target.starts_with("/v1/rows-get")) {
+    co_await ReadRows(exchange);
+  } else if (target.starts_with("/v1/rows-feed")) {
+    if (faults.forget_history) {
+      co_await exchange.Respond(410, {}, {});
+    } else {
+      co_await ReadFeed(exchange);
+    }
+  } else if (target == "/v1/rows-tx") {
+    co_await Transact(exchange);
+  } else {
+    co_await exchange.Respond(404, {}, {});
+  }
+}
+
+std::string StoreService::PrintRows(const std::string& table, const std::string& from,
+                                    const std::string& to, std::uint64_t after,
+                                    bool* empty) const {
+  const std::lock_guard lock(mutex_);
+  json::array rows;
+  for (const auto& [name, row] : rows_) {
+    const bool in_range = name.first == table && name.second >= from &&
+                          (to.empty() || name.second < to) && row.version > after;
+    if (!in_range || (row.removed && after == 0)) {
+      continue;
+    }
+    json::object printed;
+    printed["table"] = table;
+    printed["part"] = "";
+    printed["key"] = name.second;
+    printed["ver"] = row.version;
+    if (row.removed) {
+      printed["deleted"] = true;
+    } else {
+      printed["value"] = Encode(row.value);
+    }
+    rows.emplace_back(std::move(printed));
+  }
+  *empty = rows.empty();
+  json::object page;
+  page["rows"] = std::move(rows);
+  page["has_more"] = false;
+  page["ver"] = version_;
+  page["now_ms"] = 0;
+  return json::serialize(page);
+}
+
+asio::awaitable<void> StoreService::ReadRows(HttpExchange& exchange) {
+  const std::string_view target = exchange.target();
+  bool empty = false;
+  std::string page = PrintRows(Parameter(target, "table"), Parameter(target, "from"),
+                               Parameter(target, "to"), 0, &empty);
+  co_await exchange.Respond(200, ContentType("application/json"), std::move(page));
+}
+
+asio::awaitable<void> StoreService::ReadFeed(HttpExchange& exchange) {
+  const std::string target(exchange.target());
+  const TimePoint deadline = std::chrono::steady_clock::now() +
+                             std::chrono::milliseconds(NumberParameter(target, "wait_ms"));
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (true) {
+    bool empty = false;
+    std::string page = PrintRows(Parameter(target, "table"), {}, {},
+                                 NumberParameter(target, "after_rev"), &empty);
+    if (!empty || std::chrono::steady_clock::now() >= deadline) {
+      co_await exchange.Respond(200, ContentType("application/json"), std::move(page));
+      co_return;
+    }
+    timer.expires_after(kFeedPoll);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> StoreService::Transact(HttpExchange& exchange) {
+  const json::value body = json::parse(exchange.request().body());
+  unsigned status = 200;
+  bool lose = false;
+  json::object answer;
+  {
+    const std::lock_guard lock(mutex_);
+    lose = faults_.lose_answers;
+    for (const json::value& entry : body.at("expected_rev").as_array()) {
+      const json::object& row = entry.as_object();
+      const auto found = rows_.find({Text(row, "table"), Text(row, "key")});
+      const bool exists = found != rows_.end() && !found->second.removed;
+      const std::uint64_t version = exists ? found->second.version : 0;
+      if (version != row.at("ver").to_number<std::uint64_t>()) {
+        status = 412;
+      }
+    }
+    if (status == 200) {
+      ++version_;
+      for (const json::value& entry : body.at("puts").as_array()) {
+        const json::object& row = entry.as_object();
+        rows_[{Text(row, "table"), Text(row, "key")}] = {.value = Decode(Text(row, "value")),
+                                                         .version = version_};
+      }
+      for (const json::value& entry : body.at("remove").as_array()) {
+        const json::object& row = entry.as_object();
+        rows_[{Text(row, "table"), Text(row, "key")}] = {.version = version_, .removed = true};
+      }
+    }
+    answer["ver"] = version_;
+    answer["now_ms"] = 0;
+  }
+  if (lose) {
+    exchange.Abort();
+    co_return;
+  }
+  co_await exchange.Respond(status, ContentType("application/json"), json::serialize(answer));
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/emulator/worker_service.cc
@@ -0,0 +1,132 @@
+#include "emulator/worker_service.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio.hpp>
+#include <utility>
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+
+}  // namespace
+
+void WorkerService::SetFault(WorkerFault fault, int count) {
+  const std::lock_guard lock(mutex_);
+  fault_ = fault;
+  fault_count_ = count;
+}
+
+WorkerFault WorkerService::TakeFault() {
+  const std::lock_guard lock(mutex_);
+  if (fault_count_ == 0) {
+    return WorkerFault::kNone;
+  }
+  --fault_count_;
+  return fault_;
+}
+
+int WorkerService::RunsOf(const std::string& attempt) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = runs_.find(attempt);
+  return found == runs_.end() ? 0 : found->second;
+}
+
+int WorkerService::runs() const {
+  const std::lock_guard lock(mutex_);
+  int sum = 0;
+  for (const auto& [attempt, count] : runs_) {
+    sum += count;
+  }
+  return sum;
+}
+
+HttpRequest WorkerService::last_request() const {
+  const std::lock_guard lock(mutex_);
+  return last_request_;
+}
+
+HttpHeaders WorkerService::AnswerHeaders(const HttpExchange& exchange, bool sealed) const {
+  HttpHeaders headers;
+  headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
+  headers.emplace_back("Server-Load", "1,0,4,100");
+  headers.emplace_back("Keep-Alive", "timeout=5");
+  if (sealed) {
+    headers.emplace_back("Response-Seal", "seal-of-" + instance_);
+  }
+  return headers;
+}
+
+asio::awaitable<void> WorkerService::Handle(HttpExchange& exchange) {
+  const std::string expected(exchange.Header("Expect-Instance"));
+  if (!expected.empty() && expected != instance_) {
+    HttpHeaders headers;
+    headers.emplace_back("Instance-Id", instance_);
+    co_await exchange.Respond(421, std::move(headers), {});
+    co_return;
+  }
+  const WorkerFault fault = TakeFault();
+  if (fault == WorkerFault::kDecline) {
+    HttpHeaders headers;
+    headers.emplace_back("Not-Executed", "1");
+    co_await exchange.Respond(503, std::move(headers), {});
+    co_return;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    ++runs_[std::string(exchange.Header("Attempt-Id"))];
+    last_request_ = exchange.request();
+  }
+  if (fault == WorkerFault::kLoseAnswer) {
+    exchange.Abort();
+    co_return;
+  }
+  if (exchange.target().find("/stream/") != std::string_view::npos) {
+    co_await Stream(exchange, fault);
+    co_return;
+  }
+  const std::string body = fmt::format("{} {} {}", std::string(exchange.request().method_string()),
+                                       exchange.target(), exchange.request().body());
+  HttpHeaders headers = AnswerHeaders(exchange, fault != WorkerFault::kUnsealed);
+  unsigned status = 200;
+  if (fault == WorkerFault::kFail) {
+    status = 500;
+  } else if (fault == WorkerFault::kFalsePromise) {
+    status = 503;
+  } else if (fault == WorkerFault::kTruncate) {
+    if (co_await exchange.StartStream(status, std::move(headers), body.substr(0, 3))) {
+      exchange.Abort();
+    }
+    co_return;
+  } else if (fault == WorkerFault::kAnswerTwice) {
+    HttpHeaders again = headers;
+    if (co_await exchange.Respond(status, std::move(headers), body)) {
+      co_await exchange.Respond(status, std::move(again), body);
+    }
+    co_return;
+  }
+  co_await exchange.Respond(status, std::move(headers), body);
+}
+
+asio::awaitable<void> WorkerService::Stream(HttpExchange& exchange, WorkerFault fault) {
+  const std::string last(exchange.Header("Last-Event-Id"));
+  const int first = last.empty() ? 1 : std::stoi(last) + 1;
+  HttpHeaders headers = AnswerHeaders(exchange, fault != WorkerFault::kUnsealed);
+  headers.emplace_back("Content-Type", "text/event-stream");
+  bool open = co_await exchange.StartStream(200, std::move(headers));
+  for (int event = first; open && event <= kEvents; ++event) {
+    const std::string text = fmt::format("id: {}\ndata: token {}\n\n", event, event);
+    if (fault == WorkerFault::kTearStream && event == kEvents / 2 + 1) {
+      co_await exchange.WriteChunk(text.substr(0, text.size() / 2));
+      exchange.Abort();
+      co_return;
+    }
+    open = co_await exchange.WriteChunk(text);
+  }
+  if (open) {
+    co_await exchange.EndStream();
+  }
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/emulator/worker_service.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "net/http_server.h"
+
+namespace savoryglade {
+
+// What an emulated worker does with a request instead of answering it.
+enum class WorkerFault {
+  kNone,
+  // Answers 503 with the statement that it did not run the request.
+  kDecline,
+  // Answers 503 without that statement, after it has run the request.
+  kFalsePromise,
+  // Runs the request and closes the connection without an answer.
+  kLoseAnswer,
+  // Runs the request and answers without the mark of a worker's answer.
+  kUnsealed,
+  // Runs the request and breaks off the body.
+  kTruncate,
+  // Answers, and a second time on the same connection.
+  kAnswerTwice,
+  // Runs the request and answers 500.
+  kFail,
+  // Streams half of the events, and breaks off in the middle of the next one.
+  kTearStream,
+};
+
+// Emulated worker of the operators' platform, for plain calls and for streams of events. Safe to
+// use from all threads.
+class WorkerService {
+ public:
+  // Number of events in each stream.
+  static constexpr int kEvents = 6;
+
+  explicit WorkerService(std::string instance) : instance_(std::move(instance)) {}
+
+  // Answers one HTTP request: a stream if the path holds "/stream/", otherwise a body that repeats
+  // the request.
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+
+  // Shows a fault for the next requests, as many as the count says.
+  void SetFault(WorkerFault fault, int count);
+
+  // Number of runs of an attempt, and of all.
+  int RunsOf(const std::string& attempt) const;
+  int runs() const;
+  // Headers of the last request, as they came.
+  HttpRequest last_request() const;
+
+ private:
+  boost::asio::awaitable<void> Stream(HttpExchange& exchange, WorkerFault fault);
+  WorkerFault TakeFault();
+  HttpHeaders AnswerHeaders(const HttpExchange& exchange, bool sealed) const;
+
+  std::string instance_;
+  mutable std::mutex mutex_;
+  std::map<std::string, int> runs_;
+  HttpRequest last_request_;
+  WorkerFault fault_ = WorkerFault::kNone;
+  int fault_count_ = 0;
+};
+
+}  // namespace savoryglade
--- a/packages/gateway/capacity_runner.cc
+++ b/packages/gateway/capacity_runner.cc
@@ -80,7 +80,9 @@
   }
   const Duration interval = now - state.looked_at;
   if (interval >= kDemandInterval) {
-    const double rate = std::max(0.0, work - state.work_s) / ToSeconds(interval);
+    // Either the engines' time or their slots run out first.
+    const double rate = std::max(std::max(0.0, work - state.work_s) / ToSeconds(interval),
+                                 fleet_.board.BusyUpstreams(service, now));
     state.demand += kDemandWeight * (rate - state.demand);
     state.work_s = work;
     state.looked_at = now;
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -92,6 +92,7 @@
   digest.failure_domain = fleet.settings.failure_domain.value();
   digest.time_of_day_ms = fleet.clock.OwnTime(now) / 1ms;
   digest.leaving = fleet.draining;
+  digest.holds_duties = fleet.holds_duties;
   for (const auto& [id, load] : fleet.board.OwnLoad(now)) {
     digest.loads.emplace_back(StableHash(id.value()), static_cast<float>(load.waiting_tokens),
                               static_cast<std::uint16_t>(std::min(load.running, kLargestRunning)),
@@ -132,6 +133,9 @@
     return sender;
   }
   ApplyLoads(digest, sender.daemon, fleet, now);
+  if (digest.holds_duties) {
+    fleet.holder_heard = now;
+  }
   fleet.clock.OnPeerTime(sender.daemon, digest.time_of_day_ms * 1ms, now);
   const auto accounts = ByHash(Accounts(fleet));
   std::map<AccountId, AllowanceUse> use;
--- a/packages/gateway/duty_runner.cc
+++ b/packages/gateway/duty_runner.cc
@@ -19,6 +19,10 @@
 using capacity::WindowNumber;
 
 constexpr Duration kLeaseTick = 200ms;
+// Daemons that hear the holder don't ask the store about the lease. After this silence they do, one
+// after the other.
+constexpr Duration kHolderSilence = 1500ms;
+constexpr Duration kCandidateDelay = 500ms;
 constexpr Duration kUsageTick = 500ms;
 // Time from the end of a window until its counts are fixed; digests of all daemons arrive in it.
 constexpr Duration kCountDelay = 1500ms;
@@ -85,9 +89,17 @@
 
 bool DutyRunner::holds_lease() const { return lease_.MayActUnfenced(BootNow()); }
 
+bool DutyRunner::IsCandidate(TimePoint now) const {
+  return fleet_.holds_duties ||
+         now - fleet_.holder_heard > kHolderSilence + kCandidateDelay * fleet_.peers_before;
+}
+
 asio::awaitable<void> DutyRunner::LeaseLoop() {
-  bool held = false;
   while (true) {
+    if (!IsCandidate(BootNow())) {
+      co_await Sleep(kLeaseTick);
+      continue;
+    }
     const auto order = lease_.Tick(BootNow());
     if (order) {
       if (std::holds_alternative<capacity::Lease::ReadRow>(*order)) {
@@ -99,9 +111,9 @@
         lease_.OnCommit(status, BootNow());
       }
     }
-    if (held != holds_lease()) {
-      held = !held;
-      kLog.Info(held ? "This daemon holds the duties." : "This daemon no longer holds the duties.",
+    if (fleet_.holds_duties != holds_lease()) {
+      fleet_.holds_duties = !fleet_.holds_duties;
+      kLog.Info(fleet_.holds_duties ? "This daemon holds the duties." : "This daemon no longer holds the duties.",
                 {{"fencing", lease_.fencing()}});
     }
     co_await Sleep(kLeaseTick);
--- a/packages/gateway/fleet_feeds.cc
+++ b/packages/gateway/fleet_feeds.cc
@@ -12,10 +12,11 @@
 namespace asio = boost::asio;
 
 // Longest wait of a read for new routes. A connection that has gone silent is found after it.
-constexpr Duration kRouteWait = 1200ms;
-// Time between two reads of the registrations. Each heartbeat of an upstream changes its row, so
-// waiting reads would return many times per second.
-constexpr Duration kUpstreamInterval = 400ms;
+constexpr Duration kRouteWait = 2500ms;
+// Time between two reads of the registrations, as a part of the time in which a notice must be
+// known. Each heartbeat of an upstream changes its row, so waiting reads would return many times
+// per second.
+constexpr double kUpstreamIntervalFraction = 0.35;
 constexpr Duration kRetryInterval = 250ms;
 const Logger kLog("feeds");
 
@@ -69,11 +70,13 @@
 }
 
 asio::awaitable<void> FleetFeeds::FollowUpstreams() {
+  const Duration interval =
+      FromSeconds(ToSeconds(fleet_.settings.bounds.upstream_drain) * kUpstreamIntervalFraction);
   FeedPosition position = 0;
   while (true) {
     const Result<UpstreamUpdate> update = co_await store_.FollowUpstreams(position);
     const TimePoint now = BootNow();
-    Duration pause = kUpstreamInterval;
+    Duration pause = interval;
     if (update) {
       position = update->position;
       ApplyUpstreams(registrations_.Apply(update->changes, update->whole, now));
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -58,6 +58,13 @@
   // Set by the order to stop.
   bool draining = false;
   TimePoint drain_began{};
+  // Time between two digests of a daemon; it grows with the fleet.
+  Duration digest_interval = 150ms;
+  // Whether this daemon holds the duties, when a peer last said that it does, and the number of
+  // live peers that come before this daemon when a new holder is needed.
+  bool holds_duties = false;
+  TimePoint holder_heard{};
+  int peers_before = 0;
   // Requests that are being answered.
   int active = 0;
 };
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -60,13 +60,20 @@
   if (Result<void> opened = peers_.Open(pool_.context(0)); !opened) {
     return opened;
   }
-  const std::pair<HttpServer*, const Endpoint*> listeners[] = {{&callers_, &settings.callers},
-                                                               {&readiness_, &settings.readiness},
-                                                               {&metrics_, &settings.metrics}};
-  for (const auto& [server, endpoint] : listeners) {
-    if (const auto listening = server->Listen(*endpoint); !listening) {
+  struct Listener {
+    HttpServer& server;
+    const Endpoint& wanted;
+    Endpoint& used;
+  };
+  for (const Listener& listener :
+       {Listener{callers_, settings.callers, callers_endpoint_},
+        Listener{readiness_, settings.readiness, readiness_endpoint_},
+        Listener{metrics_, settings.metrics, metrics_endpoint_}}) {
+    const auto listening = listener.server.Listen(listener.wanted);
+    if (!listening) {
       return tl::make_unexpected(listening.error());
     }
+    listener.used = *listening;
   }
   asio::io_context& context = pool_.context(0);
   const auto spawn = [&context](asio::awaitable<void> loop) {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <atomic>
+#include <functional>
 #include <memory>
 
 #include "core/error.h"
@@ -39,6 +41,11 @@
   // Starts listening and following the store. The error names what could not be opened.
   Result<void> Start();
 
+  // Endpoints in use; valid after Start.
+  const Endpoint& callers_endpoint() const { return callers_endpoint_; }
+  const Endpoint& readiness_endpoint() const { return readiness_endpoint_; }
+  const Endpoint& metrics_endpoint() const { return metrics_endpoint_; }
+
   // Turns the readiness answer to "no". Requests are still taken until the balancer has noticed.
   void BeginDrain();
   // Returns true once nothing is left to do, or the time of the stop is up.
@@ -63,6 +70,9 @@
   HttpServer callers_;
   HttpServer readiness_;
   HttpServer metrics_;
+  Endpoint callers_endpoint_;
+  Endpoint readiness_endpoint_;
+  Endpoint metrics_endpoint_;
   std::atomic<bool> drained_{false};
 };
 
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -15,6 +15,8 @@
 struct FleetBounds {
   // Time from the end of a disturbance until a VM counts as well again.
   Duration contact = 3s;
+  // Longest time for which an upstream that gave notice still gets new work.
+  Duration upstream_drain = 2s;
   // Time from SIGTERM to SIGKILL.
   Duration stop_grace = 8s;
   double retry_ratio = 0.2;
--- a/packages/gateway/peer_digests.cc
+++ b/packages/gateway/peer_digests.cc
@@ -22,10 +22,13 @@
 // Time between two digests in a small fleet. It grows with the fleet, so that a daemon handles
 // about as many datagrams in a large one.
 constexpr Duration kShortestInterval = 150ms;
-constexpr Duration kIntervalPerPeer = 15ms;
-constexpr Duration kRegisterInterval = 4s;
+constexpr Duration kIntervalPerPeer = 8ms;
+constexpr Duration kRegisterInterval = 6s;
 // A row that has not changed for this long belongs to a daemon that has gone.
-constexpr Duration kPeerLifetime = 12s;
+constexpr Duration kPeerLifetime = 18s;
+// A peer is taken for silent after this many intervals, or the time of a small fleet if longer.
+constexpr int kSilentIntervals = 4;
+constexpr Duration kShortestSilence = 1s;
 constexpr std::size_t kLargestDatagram = 60'000;
 constexpr const char* kRowPrefix = "daemon/";
 
@@ -52,6 +55,8 @@
                                                             ToString(endpoint), error.message())});
   }
   socket_->non_blocking(true, error);
+  // Port 0 lets the system choose one.
+  fleet_.settings.peers.port = socket_->local_endpoint().port();
   return {};
 }
 
@@ -81,6 +86,12 @@
     return gone;
   });
   fleet_.retries.SetDaemons(daemons());
+  fleet_.digest_interval = std::max(kShortestInterval, kIntervalPerPeer * daemons());
+  const Duration silence = std::max(kShortestSilence, kSilentIntervals * fleet_.digest_interval);
+  fleet_.allowance.SetPeerSilence(silence);
+  fleet_.board.SetReportLifetime(silence);
+  fleet_.peers_before = static_cast<int>(std::ranges::count_if(
+      peers_, [this](const auto& peer) { return peer.first < fleet_.settings.daemon; }));
 }
 
 asio::awaitable<void> PeerDigests::SendLoop() {
@@ -88,7 +99,7 @@
   while (true) {
     SendDigest();
     Expire(BootNow());
-    timer.expires_after(std::max(kShortestInterval, kIntervalPerPeer * daemons()));
+    timer.expires_after(fleet_.digest_interval);
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
--- a/packages/routing/upstream_board.cc
+++ b/packages/routing/upstream_board.cc
@@ -173,6 +173,16 @@
   return free;
 }
 
+double UpstreamBoard::BusyUpstreams(const ServiceId& service, TimePoint now) const {
+  double busy = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.service == service) {
+      busy += static_cast<double>(FleetLoad(entry, now).running) / entry.record.slots;
+    }
+  }
+  return busy;
+}
+
 void UpstreamBoard::OnSent(const UpstreamId& id, const WorkEstimate& work, double uncached_tokens,
                            TimePoint now) {
   const auto found = entries_.find(id);
--- a/packages/routing/upstream_board.h
+++ b/packages/routing/upstream_board.h
@@ -104,6 +104,9 @@
  public:
   explicit UpstreamBoard(BoardOptions options) : options_(std::move(options)) {}
 
+  // Sets the age up to which reports of peers are used.
+  void SetReportLifetime(Duration lifetime) { options_.report_lifetime = lifetime; }
+
   // Takes a new or changed record. A changed start time or address clears what was learned.
   void Update(const UpstreamRecord& record);
   void Remove(const UpstreamId& id);
@@ -120,6 +123,9 @@
            work.output_tokens * options_.output_token_s;
   }
 
+  // Engines of the service that would be busy with what runs now if each were full.
+  double BusyUpstreams(const ServiceId& service, TimePoint now) const;
+
   // Requests that can still be taken before all upstreams of the service are full.
   int FreeSlots(const ServiceId& service, TimePoint now) const;
 
--- a/packages/scheduling/account_allowance.h
+++ b/packages/scheduling/account_allowance.h
@@ -43,6 +43,9 @@
  public:
   explicit AccountAllowance(AllowanceOptions options) : options_(options) {}
 
+  // Sets the time after which a peer counts as silent, which grows with the time between digests.
+  void SetPeerSilence(Duration silence) { options_.peer_silence = silence; }
+
   // Takes the accounts of a new configuration. Buckets of accounts that stay keep their level.
   void Configure(const std::vector<AccountPolicy>& accounts, TimePoint now);
 
--- a/tests/daemon/path_fixture.h
+++ b/tests/daemon/path_fixture.h
@@ -1,10 +1,5 @@
 #pragma once
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -12,6 +7,7 @@
 #include <vector>
 
 #include "daemon/daemon.h"
+#include "emulator/caller_connection.h"
 #include "emulator/engine.h"
 #include "emulator/plain_service.h"
 #include "net/endpoint.h"
@@ -20,38 +16,6 @@
 
 namespace savoryglade {
 
-// Blocking connection of a caller.
-class CallerConnection {
- public:
-  explicit CallerConnection(const Endpoint& endpoint);
-
-  // Sends text as it is.
-  void Send(std::string_view text);
-  // Ends the sending direction only.
-  void EndSending();
-  void Close();
-
-  // Reads until the body so far satisfies the condition or the response ends.
-  void ReadUntil(const std::function<bool(const std::string&)>& condition);
-  // Reads until the body holds a number of tokens.
-  void ReadTokens(std::size_t count);
-  // Reads to the end of the response. Returns false if it was cut off.
-  bool ReadAll();
-
-  unsigned status() const { return parser_->get().result_int(); }
-  std::string Header(std::string_view name) const;
-  const std::string& body() const { return parser_->get().body(); }
-
- private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
-  boost::asio::io_context context_;
-  boost::asio::ip::tcp::socket socket_;
-  boost::beast::flat_buffer buffer_;
-  std::unique_ptr<Parser> parser_;
-  bool ended_ = false;
-};
-
 // Emulated engine behind a listener of its own.
 struct EngineHost {
   explicit EngineHost(EngineOptions options = {.first_token = 1ms, .between_tokens = 1ms});
