Keep a part of the baseline when reclaims leave few workers

The new holder knew of no demand, and what it saw was small because it found few workers.

Change: 60% of the baseline is kept, on demand if need be; candidates look after the lease 0.6 s after the holder falls silent.

--- a/packages/capacity/capacity_planner.cc
+++ b/packages/capacity/capacity_planner.cc
@@ -49,7 +49,8 @@
                                    TimePoint now) {
   const double peak = PeakDemand(demand, now);
   const int workers = std::max(baseline_, CeilWorkers(peak / options_.target_utilisation));
-  const int needed = CeilWorkers(peak / options_.highest_utilisation);
+  const int needed = std::max(CeilWorkers(peak / options_.highest_utilisation),
+                              CeilWorkers(baseline_ * options_.least_of_baseline));
   const std::vector<FailureDomainId> domains = ByPrice(rule);
   int reclaimable = 0;
   for (const FailureDomainId& domain : domains) {
--- a/packages/capacity/capacity_planner.h
+++ b/packages/capacity/capacity_planner.h
@@ -28,6 +28,9 @@
   // Utilisation beyond which on-demand workers stand in until reclaimable ones are to be had again;
   // they cost several times as much.
   double highest_utilisation = 0.7;
+  // Part of the baseline below which on-demand workers stand in whatever the demand is. Demand that
+  // finds too few workers looks small, and a new holder of the duty has seen little of it.
+  double least_of_baseline = 0.6;
   // Utilisation of the reclaimable workers alone up to which on-demand ones are given back.
   double release_utilisation = 0.5;
   // Time for which the highest demand counts before workers are given back.
--- a/packages/emulator/store_service.cc
+++ b/packages/emulator/store_service.cc
@@ -57,8 +57,7 @@
   faults_ = faults;
 }
 
-void StoreService::Put(const std::string& table, const std::string& key,
-                       const std::string& value) {
+void StoreService::Put(const std::string& table, const std::string& key, const std::string& value) {
   const std::lock_guard lock(mutex_);
   rows_[{table, key}] = {.value = value, .version = ++version_};
 }
@@ -99,8 +98,7 @@
 }
 
 std::string StoreService::PrintRows(const std::string& table, const std::string& from,
-                                    const std::string& to, std::uint64_t after,
-                                    bool* empty) const {
+                                    const std::string& to, std::uint64_t after, bool* empty) const {
   const std::lock_guard lock(mutex_);
   json::array rows;
   for (const auto& [name, row] : rows_) {
@@ -145,8 +143,8 @@
   asio::steady_timer timer(co_await asio::this_coro::executor);
   while (true) {
     bool empty = false;
-    std::string page = PrintRows(Parameter(target, "table"), {}, {},
-                                 NumberParameter(target, "after_rev"), &empty);
+    std::string page =
+        PrintRows(Parameter(target, "table"), {}, {}, NumberParameter(target, "after_rev"), &empty);
     if (!empty || std::chrono::steady_clock::now() >= deadline) {
       co_await exchange.Respond(200, ContentType("application/json"), std::move(page));
       co_return;
--- a/packages/gateway/duty_runner.cc
+++ b/packages/gateway/duty_runner.cc
@@ -21,7 +21,8 @@
 constexpr Duration kLeaseTick = 200ms;
 // Daemons that hear the holder don't ask the store about the lease. After this silence they do, one
 // after the other.
-constexpr Duration kHolderSilence = 1500ms;
+constexpr Duration kHolderSilence = 600ms;
+constexpr int kSilentIntervals = 4;
 constexpr Duration kCandidateDelay = 500ms;
 constexpr Duration kUsageTick = 500ms;
 // Time from the end of a window until its counts are fixed; digests of all daemons arrive in it.
@@ -91,7 +92,9 @@
 
 bool DutyRunner::IsCandidate(TimePoint now) const {
   return fleet_.holds_duties ||
-         now - fleet_.holder_heard > kHolderSilence + kCandidateDelay * fleet_.peers_before;
+         now - fleet_.holder_heard >
+             std::max(kHolderSilence, kSilentIntervals * fleet_.digest_interval) +
+                 kCandidateDelay * fleet_.peers_before;
 }
 
 asio::awaitable<void> DutyRunner::LeaseLoop() {
@@ -113,7 +116,8 @@
     }
     if (fleet_.holds_duties != holds_lease()) {
       fleet_.holds_duties = !fleet_.holds_duties;
-      kLog.Info(fleet_.holds_duties ? "This daemon holds the duties." : "This daemon no longer holds the duties.",
+      kLog.Info(fleet_.holds_duties ? "This daemon holds the duties."
+                                    : "This daemon no longer holds the duties.",
                 {{"fencing", lease_.fencing()}});
     }
     co_await Sleep(kLeaseTick);
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -65,10 +65,9 @@
     const Endpoint& wanted;
     Endpoint& used;
   };
-  for (const Listener& listener :
-       {Listener{callers_, settings.callers, callers_endpoint_},
-        Listener{readiness_, settings.readiness, readiness_endpoint_},
-        Listener{metrics_, settings.metrics, metrics_endpoint_}}) {
+  for (const Listener& listener : {Listener{callers_, settings.callers, callers_endpoint_},
+                                   Listener{readiness_, settings.readiness, readiness_endpoint_},
+                                   Listener{metrics_, settings.metrics, metrics_endpoint_}}) {
     const auto listening = listener.server.Listen(listener.wanted);
     if (!listening) {
       return tl::make_unexpected(listening.error());
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <atomic>
+#include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
 
