Count slowness for a moment, queue shortly at plain upstreams, hand the lease over

Cause: an upstream's stated slowness changes many times per second but was averaged over seconds; short bursts of plain calls were refused although a worker queues them for milliseconds; duties lapsed for the length of a lease at each planned stop.

Change: slowness counts for 500 ms after it was stated; plain upstreams get up to two requests a slot; a released lease can be taken at once.

--- a/packages/admin/savoryctl_main.cc
+++ b/packages/admin/savoryctl_main.cc
@@ -4,10 +4,13 @@
 #include <chrono>
 #include <cstdint>
 #include <cstdlib>
+#include <fstream>
+#include <iterator>
 #include <string>
 #include <thread>
 
 #include "admin/commands.h"
+#include "admin/explain.h"
 #include "admin/operator_client.h"
 
 namespace {
@@ -28,6 +31,7 @@
   savoryctl [options] watch [--count=N]
   savoryctl [options] metrics
   savoryctl [options] drain
+  savoryctl explain <request> --log=FILE
   savoryctl version
   savoryctl --help
 
@@ -38,12 +42,14 @@
   status          Print the daemons and the versions in force there.
   watch           Print the status every two seconds.
   metrics         Print the counters and timings.
+  explain REQUEST Print what became of a request, from the log of the daemons that it passed.
   drain           Let the daemon end what is in flight and stop.
 
 Options:
   --daemon=ADDRESS  Administration address of a daemon [default: 127.0.0.1:8081].
   --json            Print status, errors and differences as JSON.
   --count=N         Stop watching after so many times; 0 goes on [default: 0].
+  --log=FILE        Log of one or more daemons.
   --help            Show this text.
 
 The operator key is taken from the environment variable SAVORYGLADE_OPERATOR_KEY.
@@ -81,6 +87,22 @@
   return savoryglade::ExitCodeOf(code.error().code);
 }
 
+int Explain(const std::string& path, const std::string& request) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    fmt::print(stderr, "Can't read the log {}.\n", path);
+    return savoryglade::kExitInvalid;
+  }
+  const std::string log{std::istreambuf_iterator<char>(file), {}};
+  const Result<std::string> text = savoryglade::ExplainRequest(log, request);
+  if (!text) {
+    fmt::print(stderr, "{}\n", text.error().message);
+    return savoryglade::kExitFailed;
+  }
+  fmt::print("{}", *text);
+  return savoryglade::kExitDone;
+}
+
 int Watch(const Command& status, const OperatorClient& client, const CommandArguments& arguments,
           std::int64_t count) {
   int code = 0;
@@ -101,6 +123,9 @@
     fmt::print("savoryctl {}\n", SAVORYGLADE_VERSION);
     return savoryglade::kExitDone;
   }
+  if (arguments.at("explain").asBool()) {
+    return Explain(arguments.at("--log").asString(), arguments.at("<request>").asString());
+  }
   const Result<OperatorClientOptions> options = ReadOptions(arguments.at("--daemon").asString());
   if (!options) {
     fmt::print(stderr, "--daemon: {}\n", options.error().message);
--- a/packages/capacity/lease.cc
+++ b/packages/capacity/lease.cc
@@ -6,6 +6,12 @@
 #include <utility>
 
 namespace savoryglade::capacity {
+namespace {
+
+// Duration in the row of a lease that was given up; the shortest that a row can hold.
+constexpr Duration kReleasedDuration = 1ms;
+
+}  // namespace
 
 std::string PrintLeaseRow(const LeaseRow& row) {
   return fmt::format("{} {} {} {} {}", row.incarnation, row.fencing, row.attempt,
@@ -43,7 +49,7 @@
 
 Lease::CommitRow Lease::Write(LeaseRow row, TimePoint now) {
   row.attempt = ++attempts_;
-  row.duration = options_.duration;
+  row.duration = handing_over_ ? kReleasedDuration : options_.duration;
   writing_ = std::move(row);
   write_begun_ = now;
   busy_ = true;
@@ -51,7 +57,7 @@
 }
 
 std::optional<Lease::Order> Lease::Tick(TimePoint now) {
-  if (busy_ || now < next_ || !candidate_) {
+  if (busy_ || now < next_ || !(candidate_ || handing_over_)) {
     return std::nullopt;
   }
   if (!known_) {
@@ -61,6 +67,11 @@
   if (deadline_ && now >= *deadline_) {
     deadline_.reset();
   }
+  if (handing_over_ && !Ours(row_)) {
+    // Another holds it already.
+    handing_over_ = false;
+    return std::nullopt;
+  }
   if (row_version_ != 0 && Ours(row_)) {
     // Also after it lapsed: the write's condition fails if another has taken the lease since.
     return Write(row_, now);
@@ -122,6 +133,7 @@
   switch (status) {
     case provider::CommitStatus::kCommitted:
       row_ = writing_;
+      handing_over_ = handing_over_ && row_.duration != kReleasedDuration;
       if (candidate_ && Ours(row_)) {
         Hold(write_begun_);
       }
--- a/packages/capacity/lease.h
+++ b/packages/capacity/lease.h
@@ -67,8 +67,15 @@
   // Takes a higher incarnation, after this daemon was declared dead. It gives up what it holds.
   void SetIncarnation(std::uint64_t incarnation);
 
-  // Gives the lease up: nothing is done under it from now on and it is not renewed.
-  void Release() { candidate_ = false; }
+  // Gives the lease up: nothing is done under it from now on and it is not renewed. If it is held,
+  // the next Ticks write a row that others need not wait out.
+  void Release(TimePoint now) {
+    handing_over_ = candidate_ && MayAct(now);
+    candidate_ = false;
+    next_ = handing_over_ ? now : next_;
+  }
+  // True until the row that gives the lease up is written.
+  bool handing_over() const { return handing_over_; }
 
   // True while orders to engines that check fencing numbers may be sent. Must be asked right before
   // each order, because the lease may have lapsed while this daemon was paused.
@@ -93,6 +100,7 @@
   std::uint64_t incarnation_;
   LeaseOptions options_;
   bool candidate_ = true;
+  bool handing_over_ = false;
   bool busy_ = false;
   bool known_ = false;
   // Instant from which the next operation is due.
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 #include <utility>
@@ -67,6 +68,14 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+// Factor by which callers that are refused together come back at different times.
+double RetrySpread(const std::string& attempt) {
+  constexpr std::uint64_t kSteps = 64;
+  constexpr double kLeast = 0.75;
+  constexpr double kRange = 0.5;
+  return kLeast + kRange * static_cast<double>(StableHash(attempt) % kSteps) / kSteps;
+}
+
 std::uint64_t Fingerprint(const Call& call) {
   const HttpRequest& request = call.exchange.request();
   if (request.body().empty()) {
@@ -162,6 +171,12 @@
                  .retry_after = kRetrySoon};
 }
 
+std::string_view CallRelay::NameOf(Step step) {
+  static constexpr std::array<std::string_view, 4> kNames = {"finished", "not_run", "lost",
+                                                             "failed"};
+  return kNames.at(static_cast<std::size_t>(step));
+}
+
 asio::awaitable<void> CallRelay::Run(Call& call) {
   while (!call.caller.gone()) {
     const TimePoint now = BootNow();
@@ -188,6 +203,10 @@
       co_return;
     }
     call.tried.push_back(placement->upstream.id);
+    fleet_.metrics
+        .GetCounter("savoryglade_gateway_lost_attempts_total",
+                    {{"reason", std::string(NameOf(step))}})
+        .Add();
     if (step != Step::kNotRun) {
       ++call.runs;
       call.run_state = step == Step::kFailed ? RunState::kRan : RunState::kMayHaveRun;
@@ -216,7 +235,7 @@
     kLog.Info("An attempt ended without its answer.", {{"request", call.facts.attempt},
                                                        {"route", call.route->name},
                                                        {"upstream", id.value()},
-                                                       {"step", static_cast<int>(step)},
+                                                       {"outcome", NameOf(step)},
                                                        {"end", static_cast<int>(attempt.end)},
                                                        {"ms", (BootNow() - attempt.sent) / 1ms}});
   }
@@ -537,7 +556,8 @@
   headers.emplace_back("Savoryglade-Verdict", run_state);
   headers.emplace_back("Savoryglade-Reason", reason);
   if (IsPromise(status) && verdict.retry_after > Duration::zero()) {
-    headers.emplace_back("Retry-After", fmt::format("{:.2f}", ToSeconds(verdict.retry_after)));
+    const double seconds = ToSeconds(verdict.retry_after) * RetrySpread(call.facts.attempt);
+    headers.emplace_back("Retry-After", fmt::format("{:.2f}", seconds));
   }
   std::string body =
       fmt::format(R"({{"error":{{"reason":"{}","verdict":"{}"}}}})", reason, run_state);
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "core/verdict.h"
 #include "gateway/adapter.h"
@@ -38,6 +39,8 @@
     kFailed,
   };
 
+  static std::string_view NameOf(Step step);
+
   // State of one attempt that its parts share.
   struct Attempt {
     Placement placement;
--- a/packages/gateway/duty_runner.cc
+++ b/packages/gateway/duty_runner.cc
@@ -90,14 +90,19 @@
 
 bool DutyRunner::holds_lease() const { return lease_.MayActUnfenced(BootNow()); }
 
+void DutyRunner::Release() { lease_.Release(BootNow()); }
+
 bool DutyRunner::IsCandidate(TimePoint now) const {
-  return fleet_.holds_duties ||
+  return fleet_.holds_duties || lease_.handing_over() ||
          now - fleet_.holder_heard >
              std::max(kHolderSilence, kSilentIntervals * fleet_.digest_interval) +
                  kCandidateDelay * fleet_.peers_before;
 }
 
 asio::awaitable<void> DutyRunner::LeaseLoop() {
+  if (!fleet_.settings.reports_usage && !fleet_.settings.orders_capacity) {
+    co_return;
+  }
   while (true) {
     if (!IsCandidate(BootNow())) {
       co_await Sleep(kLeaseTick);
--- a/packages/gateway/duty_runner.h
+++ b/packages/gateway/duty_runner.h
@@ -20,7 +20,7 @@
   boost::asio::awaitable<void> UsageLoop();
 
   // Gives the lease up; called when the daemon drains.
-  void Release() { lease_.Release(); }
+  void Release();
   bool holds_lease() const;
   // Who acts; valid while the lease is held.
   DutyHolder holder() const {
--- a/packages/gateway/fleet_feeds.cc
+++ b/packages/gateway/fleet_feeds.cc
@@ -28,8 +28,13 @@
 
 }  // namespace
 
-FleetFeeds::FleetFeeds(FleetState& fleet, FleetStore& store, UpstreamConnections& connections)
-    : fleet_(fleet), store_(store), connections_(connections), registrations_({}) {}
+FleetFeeds::FleetFeeds(FleetState& fleet, FleetStore& store, UpstreamConnections& connections,
+                       RoutesCallback on_routes)
+    : fleet_(fleet),
+      store_(store),
+      connections_(connections),
+      on_routes_(std::move(on_routes)),
+      registrations_({}) {}
 
 asio::awaitable<void> FleetFeeds::FollowRoutes() {
   FeedPosition position = 0;
@@ -67,6 +72,7 @@
                                          {"accounts", document.accounts.size()}});
   fleet_.allowance.Configure(document.accounts, BootNow());
   fleet_.routes = std::make_shared<const RouteTable>(std::move(document));
+  on_routes_(*fleet_.routes);
 }
 
 asio::awaitable<void> FleetFeeds::FollowUpstreams() {
--- a/packages/gateway/fleet_feeds.h
+++ b/packages/gateway/fleet_feeds.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 
 #include "gateway/adapter.h"
 #include "gateway/fleet_state.h"
@@ -13,7 +14,11 @@
 // the fleet state. Both loops run until their context stops.
 class FleetFeeds {
  public:
-  FleetFeeds(FleetState& fleet, FleetStore& store, UpstreamConnections& connections);
+  // Called with each new version of the routes.
+  using RoutesCallback = std::function<void(const RouteTable&)>;
+
+  FleetFeeds(FleetState& fleet, FleetStore& store, UpstreamConnections& connections,
+             RoutesCallback on_routes);
 
   boost::asio::awaitable<void> FollowRoutes();
   boost::asio::awaitable<void> FollowUpstreams();
@@ -28,6 +33,7 @@
   FleetState& fleet_;
   FleetStore& store_;
   UpstreamConnections& connections_;
+  RoutesCallback on_routes_;
   RegistrationView registrations_;
   bool upstreams_known_ = false;
 };
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -28,14 +28,23 @@
       : settings(std::move(gateway_settings)),
         incarnation(daemon_incarnation),
         board(BoardOptions{.local_domain = settings.failure_domain}),
-        allowance(AllowanceOptions{.overshoot = settings.bounds.allowance_overshoot,
-                                   .slack = settings.bounds.allowance_slack,
-                                   .window = settings.bounds.allowance_window}),
-        retries(WindowBudgetOptions{.window = settings.bounds.retry_window,
-                                    .ratio = settings.bounds.retry_ratio,
-                                    .allowance = settings.bounds.retry_allowance}),
+        allowance(AllowanceOptions{}),
+        retries(WindowBudgetOptions{}),
         clock(time_of_day, now),
-        drain(DrainOptions{.grace = settings.bounds.stop_grace}) {}
+        drain(DrainOptions{}) {
+    ApplyBounds();
+  }
+
+  // Hands the bounds of the settings to the objects that keep them.
+  void ApplyBounds() {
+    const FleetBounds& bounds = settings.bounds;
+    allowance.SetTolerance(bounds.allowance_overshoot, bounds.allowance_slack,
+                           bounds.allowance_window);
+    retries.SetOptions({.window = bounds.retry_window,
+                        .ratio = bounds.retry_ratio,
+                        .allowance = bounds.retry_allowance});
+    drain = DrainPolicy({.grace = bounds.stop_grace});
+  }
 
   // Number of the reporting window that contains this instant.
   capacity::WindowNumber WindowAt(TimePoint now) const {
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -43,7 +43,8 @@
     : pool_(1),
       fleet_(std::move(settings), RandomIncarnation(), TimeOfDay(), BootNow()),
       adapters_(make_adapters(pool_.context(0), fleet_.metrics)),
-      feeds_(fleet_, *adapters_.store, connections_),
+      feeds_(fleet_, *adapters_.store, connections_,
+             [this](const RouteTable& routes) { ApplyBounds(routes.document().bounds); }),
       peers_(fleet_, *adapters_.store),
       duties_(fleet_, *adapters_.store, *adapters_.duties),
       capacity_(fleet_, *adapters_.store, *adapters_.duties, duties_),
@@ -118,6 +119,31 @@
   }
 }
 
+void Gateway::ApplyBounds(const CallerBounds& bounds) {
+  HttpLimits limits = CallerLimits(fleet_.settings);
+  limits.header_size = bounds.header_size;
+  limits.body_size = bounds.body_size;
+  limits.idle_timeout = bounds.idle_timeout;
+  limits.read_timeout = std::max(bounds.header_timeout, kReadTimeout);
+  callers_.SetLimits(limits);
+}
+
+void Gateway::ApplySettings(const GatewaySettings& settings) {
+  asio::post(pool_.context(0), [this, settings] {
+    GatewaySettings others = settings;
+    others.bounds = fleet_.settings.bounds;
+    others.peers.port = fleet_.settings.peers.port;
+    if (others != fleet_.settings) {
+      kLog.Warning("Settings besides the bounds have changed; they need a restart.");
+    }
+    if (settings.bounds != fleet_.settings.bounds) {
+      fleet_.settings.bounds = settings.bounds;
+      fleet_.ApplyBounds();
+      kLog.Info("New bounds are in force.");
+    }
+  });
+}
+
 void Gateway::BeginDrain() {
   asio::post(pool_.context(0), [this] {
     if (fleet_.draining) {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -46,6 +46,10 @@
   const Endpoint& readiness_endpoint() const { return readiness_endpoint_; }
   const Endpoint& metrics_endpoint() const { return metrics_endpoint_; }
 
+  // Takes changed settings. Bounds are in force at once; other fields need a restart, and a log
+  // line says so.
+  void ApplySettings(const GatewaySettings& settings);
+
   // Turns the readiness answer to "no". Requests are still taken until the balancer has noticed.
   void BeginDrain();
   // Returns true once nothing is left to do, or the time of the stop is up.
@@ -53,6 +57,7 @@
   void Stop();
 
  private:
+  void ApplyBounds(const CallerBounds& bounds);
   boost::asio::awaitable<void> HandleReadiness(HttpExchange& exchange);
   boost::asio::awaitable<void> HandleMetrics(HttpExchange& exchange);
   boost::asio::awaitable<void> DrainLoop();
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -47,6 +47,7 @@
 
 asio::awaitable<Result<void>> HttpConnection::Send(const HttpRequest& request, Duration timeout) {
   reusable_ = false;
+  expects_body_ = request.method() != http::verb::head;
   stream_.expires_after(timeout);
   const auto [error, size] = co_await http::async_write(stream_, request, kAwait);
   stream_.expires_never();
@@ -59,6 +60,7 @@
 asio::awaitable<Result<unsigned>> HttpConnection::ReadHeader(Duration timeout) {
   parser_.emplace();
   parser_->body_limit(boost::none);
+  parser_->skip(!expects_body_);
   stream_.expires_after(timeout);
   const auto [error, size] = co_await http::async_read_header(stream_, buffer_, *parser_, kAwait);
   stream_.expires_never();
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -70,6 +70,8 @@
   boost::beast::flat_buffer buffer_;
   std::optional<StreamParser> parser_;
   bool reusable_ = true;
+  // The answer to a HEAD request has no body whatever its header says.
+  bool expects_body_ = true;
 };
 
 // Limits of a connection pool.
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <optional>
 #include <string>
+#include <tuple>
 
 #include "logging/logger.h"
 #include "net/acceptor.h"
@@ -31,6 +32,8 @@
 constexpr std::size_t kLingerBytes = 1024 * 1024;
 constexpr Duration kLingerTime = 1s;
 
+// Asks a caller for the body that it holds back until its header is accepted.
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view kTooManyConnections =
     "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
     "Savoryglade-Verdict: not_run\r\nSavoryglade-Reason: too_many_connections\r\n"
@@ -232,7 +235,16 @@
         }
       }
       stream.expires_after(state->limits.read_timeout);
-      const auto [error, size] = co_await http::async_read(stream, buffer, *parser, kAwait);
+      auto [error, size] = co_await http::async_read_header(stream, buffer, *parser, kAwait);
+      if (!error && !parser->is_done()) {
+        if (beast::iequals(parser->get()[http::field::expect], "100-continue")) {
+          std::tie(error, size) =
+              co_await asio::async_write(stream, asio::buffer(kContinue), kAwait);
+        }
+        if (!error) {
+          std::tie(error, size) = co_await http::async_read(stream, buffer, *parser, kAwait);
+        }
+      }
       stream.expires_never();
       if (error) {
         co_await RespondToBadRequest(stream, state->limits, error);
@@ -291,6 +303,10 @@
   return Endpoint{.address = endpoint.address, .port = port};
 }
 
+void HttpServer::SetLimits(const HttpLimits& limits) {
+  asio::post(state_->pool.context(0), [state = state_, limits] { state->limits = limits; });
+}
+
 void HttpServer::StopAccepting() {
   if (!state_->acceptor) {
     return;
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -113,6 +113,10 @@
   // Starts to listen and returns the endpoint with the port in use. The error names the address.
   Result<Endpoint> Listen(const Endpoint& endpoint);
 
+  // Changes the limits of requests that come from now on; the number of connections stays. Only for
+  // a server on a pool of one worker.
+  void SetLimits(const HttpLimits& limits);
+
   // Takes no further connections; open ones go on.
   void StopAccepting();
 
--- a/packages/routing/upstream_board.cc
+++ b/packages/routing/upstream_board.cc
@@ -14,6 +14,8 @@
 constexpr double kSuspectCost = 0.5;
 // Prompt tokens that are read again cost the fleet as much as they delay this request.
 constexpr double kRereadWeight = 2;
+// A slow moment of an upstream makes reading take this much longer before it counts as silent.
+constexpr double kSilenceFactor = 3;
 
 std::uint64_t HomeWeight(const UpstreamId& id, std::uint64_t key) {
   std::uint64_t hash = StableHash(id.value()) ^ (key * 0x9E3779B97F4A7C15ULL);
@@ -78,7 +80,7 @@
     return false;
   }
   const Duration reading =
-      FromSeconds(entry.own.waiting_tokens / options_.prompt_tokens_per_s * 2 * entry.slowness);
+      FromSeconds(entry.own.waiting_tokens / options_.prompt_tokens_per_s * kSilenceFactor);
   const TimePoint heard = std::max(entry.last_bytes, entry.unanswered.front());
   return now - heard > options_.silence + reading;
 }
@@ -96,20 +98,28 @@
   return std::max(work.prompt_tokens - cached, 1.0);
 }
 
+double UpstreamBoard::SlownessOf(const Entry& entry, TimePoint now) const {
+  return now - entry.reported_at <= options_.slowness_lifetime ? entry.slowness : 1;
+}
+
+int UpstreamBoard::RoomOf(const Entry& entry, const WorkEstimate& work) const {
+  return entry.record.slots * (work.IsGeneration() ? 1 : options_.plain_requests_per_slot);
+}
+
 double UpstreamBoard::Score(const Entry& entry, const WorkEstimate& work, const UpstreamLoad& load,
-                            double uncached) const {
+                            double uncached, TimePoint now) const {
   const double distance =
       entry.record.failure_domain == options_.local_domain ? 0 : options_.remote_cost_s;
   const double suspicion = load.suspect || entry.failures > 0 ? kSuspectCost : 0;
   if (!work.IsGeneration()) {
     const double occupied =
         static_cast<double>(load.running) / static_cast<double>(std::max(entry.record.slots, 1));
-    return occupied * entry.slowness + distance + suspicion;
+    return occupied * SlownessOf(entry, now) + distance + suspicion;
   }
   const double queue = load.waiting_tokens / options_.prompt_tokens_per_s;
   const double reading = uncached / options_.prompt_tokens_per_s * kRereadWeight;
-  return (queue + reading + load.running * options_.running_cost_s) * entry.slowness + distance +
-         suspicion;
+  return (queue + reading + load.running * options_.running_cost_s) * SlownessOf(entry, now) +
+         distance + suspicion;
 }
 
 std::optional<Placement> UpstreamBoard::Choose(const WorkEstimate& work,
@@ -140,11 +150,11 @@
   double best_uncached = 0;
   for (const Entry* entry : usable) {
     const UpstreamLoad load = FleetLoad(*entry, now);
-    if (load.running >= entry->record.slots) {
+    if (load.running >= RoomOf(*entry, work)) {
       continue;
     }
     const double uncached = UncachedTokens(*entry, work, entry == home);
-    const double score = Score(*entry, work, load, uncached);
+    const double score = Score(*entry, work, load, uncached, now);
     if (chosen == nullptr || score < best_score) {
       chosen = entry;
       best_score = score;
@@ -156,7 +166,7 @@
   }
   const double reading = work.IsGeneration()
                              ? (FleetLoad(*chosen, now).waiting_tokens + best_uncached) /
-                                   options_.prompt_tokens_per_s * chosen->slowness
+                                   options_.prompt_tokens_per_s * SlownessOf(*chosen, now)
                              : 0;
   return Placement{.upstream = chosen->record,
                    .uncached_tokens = work.IsGeneration() ? best_uncached : 0,
@@ -278,9 +288,9 @@
   Entry& entry = found->second;
   entry.reported_running = running + waiting;
   entry.reported_at = now;
-  // Slowness changes many times per second, so one sample counts for little.
-  constexpr double kSampleWeight = 0.3;
-  entry.slowness += kSampleWeight * (std::clamp(slowness, 0.5, 10.0) - entry.slowness);
+  constexpr double kLeastSlowness = 0.5;
+  constexpr double kMostSlowness = 10;
+  entry.slowness = std::clamp(slowness, kLeastSlowness, kMostSlowness);
 }
 
 }  // namespace savoryglade
--- a/packages/routing/upstream_board.h
+++ b/packages/routing/upstream_board.h
@@ -84,6 +84,11 @@
   // First pause after failures; doubled with each further one up to the longest.
   Duration first_pause = 500ms;
   Duration longest_pause = 6s;
+  // Age up to which the slowness that an upstream states counts; it changes many times per second.
+  Duration slowness_lifetime = 500ms;
+  // Requests that a plain upstream takes for each of its slots; the rest wait there for some ten
+  // milliseconds, which is shorter than coming back after a refusal.
+  int plain_requests_per_slot = 2;
   // Load reports of peers older than this are not used.
   Duration report_lifetime = 1500ms;
 };
@@ -168,9 +173,13 @@
 
   UpstreamLoad FleetLoad(const Entry& entry, TimePoint now) const;
   bool IsSilent(const Entry& entry, TimePoint now) const;
+  // Slowness of an upstream as far as it is known now; 1 as usual.
+  double SlownessOf(const Entry& entry, TimePoint now) const;
+  // Requests that an upstream takes at the same time.
+  int RoomOf(const Entry& entry, const WorkEstimate& work) const;
   double UncachedTokens(const Entry& entry, const WorkEstimate& work, bool home) const;
   double Score(const Entry& entry, const WorkEstimate& work, const UpstreamLoad& load,
-               double uncached) const;
+               double uncached, TimePoint now) const;
 
   BoardOptions options_;
   std::map<UpstreamId, Entry> entries_;
--- a/packages/scheduling/account_allowance.h
+++ b/packages/scheduling/account_allowance.h
@@ -43,6 +43,12 @@
  public:
   explicit AccountAllowance(AllowanceOptions options) : options_(options) {}
 
+  // Sets what may be taken beyond rates and bursts; in force with the next Configure.
+  void SetTolerance(double overshoot, double slack, Duration window) {
+    options_.overshoot = overshoot;
+    options_.slack = slack;
+    options_.window = window;
+  }
   // Sets the time after which a peer counts as silent, which grows with the time between digests.
   void SetPeerSilence(Duration silence) { options_.peer_silence = silence; }
 
--- a/tests/capacity/lease_test.cc
+++ b/tests/capacity/lease_test.cc
@@ -94,6 +94,27 @@
   EXPECT_EQ(leases_[0]->fencing(), 1U);
 }
 
+// Guards against duties that nobody carries out for the length of a lease after a planned stop.
+TEST_F(LeaseTest, AReleasedLeaseIsTakenWithoutWaitingItOut) {
+  RunFor(20s);
+  ASSERT_TRUE(Acts(0));
+  leases_[0]->Release(clock_.now());
+  EXPECT_FALSE(Acts(0));
+  EXPECT_TRUE(leases_[0]->handing_over());
+  RunFor(5s);
+  EXPECT_FALSE(leases_[0]->handing_over());
+  EXPECT_TRUE(Acts(1));
+  EXPECT_EQ(leases_[1]->fencing(), 2U);
+}
+
+TEST_F(LeaseTest, ALeaseThatIsNotHeldIsNotHandedOver) {
+  RunFor(20s);
+  leases_[1]->Release(clock_.now());
+  EXPECT_FALSE(leases_[1]->handing_over());
+  RunFor(20s);
+  EXPECT_TRUE(Acts(0));
+}
+
 // Guards against a holder that goes on through an outage during which it can't renew.
 TEST_F(LeaseTest, AnOutageEndsTheLeaseAndThenItIsTakenAgain) {
   RunFor(20s);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -3,7 +3,10 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <iterator>
 #include <memory>
+#include <regex>
 #include <string>
 #include <vector>
 
@@ -368,6 +371,58 @@
   EXPECT_EQ(Call("GET", "/reads/1", "a1").status, 200U);
 }
 
+TEST_F(GatewayTest, TheOperatorsLimitsBindCallers) {
+  store_.service.Put("op", "config",
+                     fmt::format(R"({{"version":1,"routes":[
+{{"name":"orders","host":"h","prefix":"/orders/","route_kind":"non_idempotent","timeout_ms":3000,"service":"s"}}],
+"services":[{{"name":"s"}}],"tenants":[{{"name":"drivers","api_keys":["{}"]}}],
+"limits":{{"max_header_bytes":4096,"max_body_bytes":100,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}})",
+                                 kKey));
+  AwaitReady();
+  EXPECT_EQ(Call("POST", "/orders/1", "a1", kKey, std::string(100, 'x')).status, 200U);
+  EXPECT_EQ(Call("POST", "/orders/1", "a2", kKey, std::string(101, 'x')).status, 413U);
+  EXPECT_EQ(Call("POST", "/orders/" + std::string(5000, 'x'), "a3").status, 431U);
+}
+
+TEST_F(GatewayTest, ACallerThatWaitsForPermissionGetsIt) {
+  PutRoutes(1);
+  AwaitReady();
+  CallerConnection connection(gateway_->callers_endpoint());
+  connection.Send(fmt::format(
+      "POST /orders/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\nAuthorization: Bearer {}\r\n"
+      "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n",
+      kKey));
+  connection.ReadUntil([](const std::string&) { return false; });
+  EXPECT_EQ(connection.status(), 100U);
+}
+
+TEST_F(GatewayTest, AnAnswerToHeadHasNoBody) {
+  PutRoutes(1);
+  AwaitReady();
+  EXPECT_EQ(Call("HEAD", "/reads/1", "a1").status, 200U);
+}
+
+// Guards against metrics that operators can't look up.
+TEST_F(GatewayTest, TheOperatorsPageListsTheMetrics) {
+  PutRoutes(1);
+  AwaitReady();
+  Call("GET", "/reads/1", "a1");
+  Call("GET", "/nowhere", "a2");
+  SetFaults(WorkerFault::kDecline, 10);
+  Call("GET", "/reads/1", "a3");
+  std::ifstream file(std::string(SAVORYGLADE_SOURCE_DIR) + "/docs/OPERATIONS.md", std::ios::binary);
+  const std::string page{std::istreambuf_iterator<char>(file), {}};
+  const std::string text =
+      Ask(gateway_->metrics_endpoint(), "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n").body;
+  const std::regex pattern("# TYPE (savoryglade_[a-z_]+) ");
+  int count = 0;
+  for (std::sregex_iterator it(text.begin(), text.end(), pattern), end; it != end; ++it) {
+    EXPECT_NE(page.find("| `" + (*it)[1].str() + "` |"), std::string::npos) << (*it)[1];
+    ++count;
+  }
+  EXPECT_GE(count, 6);
+}
+
 TEST_F(GatewayTest, SmuggledRequestsDoNotReachAWorker) {
   PutRoutes(1);
   AwaitReady();
--- a/tests/routing/upstream_board_test.cc
+++ b/tests/routing/upstream_board_test.cc
@@ -172,6 +172,28 @@
   EXPECT_EQ(board_.Choose(Call(), {}, At(0s))->upstream.id, UpstreamId("far"));
 }
 
+// Load pattern: a neighbour that nobody sees slows an upstream for some hundred milliseconds.
+TEST_F(UpstreamBoardTest, AStatedSlownessCountsForAMomentOnly) {
+  AddEngines(2);
+  const WorkEstimate work = Prompt(1, 2, 100, 100);
+  const UpstreamId home = board_.Choose(work, {}, At(0s))->upstream.id;
+  board_.OnSent(home, work, 2000, At(0s));
+  board_.OnFirstByte(home, 2000, At(0s));
+  board_.OnLoadReport(home, 1, 0, 8, At(0s));
+  EXPECT_NE(board_.Choose(work, {}, At(100ms))->upstream.id, home);
+  EXPECT_EQ(board_.Choose(work, {}, At(2s))->upstream.id, home);
+}
+
+// Load pattern: a burst of short calls fills the slots of a plain service for some milliseconds.
+TEST_F(UpstreamBoardTest, PlainUpstreamsTakeAShortQueue) {
+  board_.Update(Plain("only", "verona"));
+  for (int i = 0; i < 12; ++i) {
+    ASSERT_TRUE(board_.Choose(Call(), {}, At(0s))) << i;
+    board_.OnSent(UpstreamId("only"), Call(), 0, At(0s));
+  }
+  EXPECT_FALSE(board_.Choose(Call(), {}, At(0s)));
+}
+
 // Guards against knowledge of an earlier process under the same name.
 TEST_F(UpstreamBoardTest, ARestartedUpstreamStartsAnew) {
   AddEngines(1);
