Ask the store less often, and test callers that leave

Change: registrations are read at 0.45 of the notice bound, rows of daemons each 20 s once the fleet is known.

--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -33,6 +33,11 @@
   return found == runs_.end() ? 0 : found->second;
 }
 
+int WorkerService::abandoned() const {
+  const std::lock_guard lock(mutex_);
+  return abandoned_;
+}
+
 int WorkerService::runs() const {
   const std::lock_guard lock(mutex_);
   int sum = 0;
@@ -78,6 +83,16 @@
     ++runs_[std::string(exchange.Header("Attempt-Id"))];
     last_request_ = exchange.request();
   }
+  if (fault == WorkerFault::kSilent) {
+    // A read returns once the peer has closed the connection.
+    char byte = 0;
+    co_await exchange.stream().async_read_some(asio::buffer(&byte, sizeof(byte)),
+                                               asio::as_tuple(asio::use_awaitable));
+    const std::lock_guard lock(mutex_);
+    ++abandoned_;
+    exchange.Abort();
+    co_return;
+  }
   if (fault == WorkerFault::kLoseAnswer) {
     exchange.Abort();
     co_return;
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -27,6 +27,8 @@
   kAnswerTwice,
   // Runs the request and answers 500.
   kFail,
+  // Runs the request and says nothing until its connection is closed.
+  kSilent,
   // Streams half of the events, and breaks off in the middle of the next one.
   kTearStream,
 };
@@ -50,6 +52,8 @@
   // Number of runs of an attempt, and of all.
   int RunsOf(const std::string& attempt) const;
   int runs() const;
+  // Number of requests that were silent until their connections were closed.
+  int abandoned() const;
   // Headers of the last request, as they came.
   HttpRequest last_request() const;
 
@@ -64,6 +68,7 @@
   HttpRequest last_request_;
   WorkerFault fault_ = WorkerFault::kNone;
   int fault_count_ = 0;
+  int abandoned_ = 0;
 };
 
 }  // namespace savoryglade
--- a/packages/gateway/fleet_feeds.cc
+++ b/packages/gateway/fleet_feeds.cc
@@ -16,7 +16,7 @@
 // Time between two reads of the registrations, as a part of the time in which a notice must be
 // known. Each heartbeat of an upstream changes its row, so waiting reads would return many times
 // per second.
-constexpr double kUpstreamIntervalFraction = 0.35;
+constexpr double kUpstreamIntervalFraction = 0.45;
 constexpr Duration kRetryInterval = 250ms;
 const Logger kLog("feeds");
 
--- a/packages/gateway/peer_digests.cc
+++ b/packages/gateway/peer_digests.cc
@@ -23,9 +23,14 @@
 // about as many datagrams in a large one.
 constexpr Duration kShortestInterval = 150ms;
 constexpr Duration kIntervalPerPeer = 8ms;
-constexpr Duration kRegisterInterval = 6s;
-// A row that has not changed for this long belongs to a daemon that has gone.
-constexpr Duration kPeerLifetime = 18s;
+constexpr Duration kRegisterInterval = 8s;
+// A peer whose row has not changed and that sent no digest for this long has gone.
+constexpr Duration kPeerLifetime = 30s;
+// Daemons start together and find each other by the rows; later ones make themselves known by
+// their digests, so the rows are read less often then.
+constexpr int kFirstReads = 3;
+constexpr Duration kFirstReadInterval = 2s;
+constexpr Duration kReadInterval = 20s;
 // A peer is taken for silent after this many intervals, or the time of a small fleet if longer.
 constexpr int kSilentIntervals = 4;
 constexpr Duration kShortestSilence = 1s;
@@ -175,26 +180,35 @@
   // Versions of rows that were there at the last read: an old row of a daemon that has gone must
   // not bring it back each time.
   std::map<std::string, std::uint64_t> read;
+  TimePoint write_at = BootNow();
+  TimePoint read_at = write_at;
+  int reads = 0;
   while (true) {
-    if (!fleet_.draining) {
+    if (!fleet_.draining && BootNow() >= write_at) {
       const provider::CommitStatus status = co_await store_.Commit(registration);
-      if (status != provider::CommitStatus::kCommitted) {
+      const bool written = status == provider::CommitStatus::kCommitted;
+      write_at = BootNow() + (written ? kRegisterInterval : kFirstReadInterval);
+      if (!written) {
         kLog.Warning("This daemon's row can't be written.", {{"status", static_cast<int>(status)}});
       }
     }
-    const auto rows = co_await store_.ReadRows(kRowPrefix);
-    if (rows) {
-      for (const auto& [key, row] : *rows) {
-        std::uint64_t& version = read[key];
-        if (version != row.version) {
-          version = row.version;
-          TakeRow(key, row, BootNow());
+    if (BootNow() >= read_at) {
+      const auto rows = co_await store_.ReadRows(kRowPrefix);
+      if (rows) {
+        ++reads;
+        for (const auto& [key, row] : *rows) {
+          std::uint64_t& version = read[key];
+          if (version != row.version) {
+            version = row.version;
+            TakeRow(key, row, BootNow());
+          }
         }
+      } else {
+        kLog.Warning("The rows of the daemons can't be read.", {{"error", rows.error().message}});
       }
-    } else {
-      kLog.Warning("The rows of the daemons can't be read.", {{"error", rows.error().message}});
+      read_at = BootNow() + (reads < kFirstReads ? kFirstReadInterval : kReadInterval);
     }
-    timer.expires_after(kRegisterInterval);
+    timer.expires_after(std::max(std::min(write_at, read_at) - BootNow(), kShortestInterval));
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -371,6 +371,24 @@
   EXPECT_EQ(Call("GET", "/reads/1", "a1").status, 200U);
 }
 
+// Guards against workers that go on for callers that have left.
+TEST_F(GatewayTest, AnUpstreamsConnectionEndsWithItsCaller) {
+  PutRoutes(1);
+  AwaitReady();
+  SetFaults(WorkerFault::kSilent, 1);
+  CallerConnection connection(gateway_->callers_endpoint());
+  connection.Send(Request("POST", "/orders/1", "a1"));
+  const auto abandoned = [this] {
+    return workers_[0]->service.abandoned() + workers_[1]->service.abandoned();
+  };
+  while (Runs("a1") == 0) {
+  }
+  EXPECT_EQ(abandoned(), 0);
+  connection.Close();
+  while (abandoned() == 0) {
+  }
+}
+
 TEST_F(GatewayTest, TheOperatorsLimitsBindCallers) {
   store_.service.Put("op", "config",
                      fmt::format(R"({{"version":1,"routes":[
--- a/tests/platform/header_codec_test.cc
+++ b/tests/platform/header_codec_test.cc
@@ -3,8 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <boost/beast/http.hpp>
+#include <iterator>
 #include <string>
 
+#include "core/random.h"
+
 namespace savoryglade::platform {
 namespace {
 
@@ -137,5 +140,31 @@
   EXPECT_EQ(headers, expected);
 }
 
+// Bad input at the callers' and the upstreams' door: each is rejected or read as nothing.
+TEST(HeaderCodecTest, DamagedHeadersDoNotCrash) {
+  Random random(20261204);
+  const std::string values[] = {
+      "1460,80",  "5c1e07a2:800,91bd3f06:410", "15000", "3,0,8,100", "timeout=5",
+      "Bearer x", "keep-alive, close"};
+  const char* const names[] = {"Token-Counts", "Prefix-Hash",   "Deadline-Ms", "Server-Load",
+                               "Keep-Alive",   "Authorization", "Connection",  "Attempt-Id"};
+  for (int i = 0; i < 5000; ++i) {
+    HttpRequest request(http::verb::get, "/", 11);
+    for (const char* name : names) {
+      std::string value = values[random.Below(std::size(values))];
+      value[random.Below(value.size())] = static_cast<char>(random.Below(94) + 33);
+      value.resize(random.Below(value.size() + 1));
+      request.set(name, value);
+    }
+    const HeaderCodec codec;
+    if (const auto facts = codec.DecodeCall(request)) {
+      EXPECT_GE(facts->work.prompt_tokens, 0);
+    }
+    codec.EncodeForward(request, {.expected = UpstreamId("i"), .left = 1s});
+    codec.DecodeAnswer("a", 200, request);
+    codec.CallerHeaders(request);
+  }
+}
+
 }  // namespace
 }  // namespace savoryglade::platform
