--- a/packages/gateway/capacity_runner.cc
+++ b/packages/gateway/capacity_runner.cc
@@ -21,7 +21,7 @@
 // A refused order is sent again after this time.
 constexpr Duration kRefusedPause = 2s;
 // Weight of the newest second in the demand, for a planner that reacts within some seconds.
-constexpr double kDemandWeight = 0.3;
+constexpr double kDemandWeight = 0.6;
 // Demand is not taken from intervals shorter than this.
 constexpr Duration kDemandInterval = 1s;
 // The number of workers must not have risen for this long to be the one that a service began with.
