--- a/tests/daemon/path_fixture.cc
+++ b/tests/daemon/path_fixture.cc
@@ -19,8 +19,6 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
 
 std::string PrintUpstreams(const DaemonSetup& setup) {
