Keep daemons that hear few peers to an even part of each allowance

Daemons that hear only part of the fleet each took what their whole part was left. Why that daemon hears so few is not known; it is not the exchange's own loss, because all of its failure domain is heard.

Change: a daemon that does not hear three tenths of its peers keeps to 1/N of each rate. Silent peers are charged until their rows and digests are gone, for up to 60 s, instead of 15 s.

--- a/packages/gateway/peer_digests.cc
+++ b/packages/gateway/peer_digests.cc
@@ -83,10 +83,11 @@
 }
 
 void PeerDigests::Expire(TimePoint now) {
-  std::erase_if(peers_, [now](const auto& peer) {
+  std::erase_if(peers_, [this, now](const auto& peer) {
     const bool gone = now - peer.second.seen > kPeerLifetime;
     if (gone) {
       kLog.Info("A daemon is gone.", {{"daemon", peer.first.value()}});
+      fleet_.allowance.ForgetPeer(peer.first);
     }
     return gone;
   });
--- a/packages/scheduling/account_allowance.cc
+++ b/packages/scheduling/account_allowance.cc
@@ -12,6 +12,8 @@
 constexpr double kAskedWeight = 0.5;
 // Part of the rate from which on each daemon is held to its own part.
 constexpr double kContended = 1.0;
+// Part of the peers that may be silent before a daemon keeps to its even part.
+constexpr double kTolerableSilence = 0.3;
 // What a daemon may take beyond its part; the bucket of the fleet still binds.
 constexpr double kPartSlack = 1.2;
 
@@ -62,18 +64,24 @@
   buckets_ = std::move(buckets);
 }
 
-std::optional<double> AccountAllowance::OwnPart(const AccountId& account,
-                                                const Bucket& bucket) const {
+std::optional<double> AccountAllowance::OwnPart(const AccountId& account, const Bucket& bucket,
+                                                TimePoint now) const {
   double asked = bucket.asked_rate;
+  std::size_t silent = 0;
   for (const auto& [daemon, peer] : peers_) {
     const auto rate = peer.asked_rates.find(account);
     asked += rate == peer.asked_rates.end() ? 0 : rate->second;
+    silent += now - peer.heard > options_.peer_silence ? 1 : 0;
+  }
+  const double even = 1 / (static_cast<double>(peers_.size()) + 1);
+  // Those that it hears may hear others, so what the silent ones leave is not this daemon's alone.
+  if (static_cast<double>(silent) > kTolerableSilence * static_cast<double>(peers_.size())) {
+    return even;
   }
   if (asked < bucket.rate * kContended) {
     return std::nullopt;
   }
-  // A daemon that was not asked before gets an even part.
-  const double even = 1 / (static_cast<double>(peers_.size()) + 1);
+  // A daemon that was not asked before gets half of an even part.
   return std::min(1.0, kPartSlack * std::max(bucket.asked_rate / asked, even / 2));
 }
 
@@ -166,7 +174,7 @@
       bucket.asked_before = bucket.asked;
       bucket.asked_at = now;
     }
-    bucket.own_part = OwnPart(account, bucket);
+    bucket.own_part = OwnPart(account, bucket, now);
     use.emplace(account,
                 AllowanceUse{.asked = bucket.asked, .taken = bucket.taken, .level = bucket.level});
   }
--- a/packages/scheduling/account_allowance.h
+++ b/packages/scheduling/account_allowance.h
@@ -34,8 +34,8 @@
   int small_fleet = 16;
   // A peer that was not heard for this long is charged an even part of each rate until it returns.
   Duration peer_silence = 1s;
-  // A peer that was not heard for this long has gone.
-  Duration peer_lifetime = 15s;
+  // A peer that was not heard for this long has gone, unless ForgetPeer says so earlier.
+  Duration peer_lifetime = 60s;
 };
 
 // Allowances of the client accounts over all daemons. Each daemon has a bucket for each account,
@@ -86,8 +86,8 @@
     TimePoint refilled{};
     // Units that this daemon's part of the rate leaves it; below zero after a large request.
     double own_level = 0;
-    // Part of the rate that is this daemon's while more is asked than the rate; nothing otherwise.
-    // Worked out with each digest.
+    // Part of the rate that is this daemon's while more is asked than the rate, or while it hears
+    // too few of its peers; nothing otherwise. Worked out with each digest.
     std::optional<double> own_part;
     // Recent units per second that callers asked for here.
     double asked_rate = 0;
@@ -113,7 +113,8 @@
   void ApplyPolicy(Bucket& bucket) const;
   static void Refill(Bucket& bucket, TimePoint now);
   void ChargeSilentPeers(TimePoint now);
-  std::optional<double> OwnPart(const AccountId& account, const Bucket& bucket) const;
+  std::optional<double> OwnPart(const AccountId& account, const Bucket& bucket,
+                                TimePoint now) const;
   // Level of the bucket less what peers are expected to have taken since they were heard.
   double ExpectedLevel(const AccountId& account, const Bucket& bucket, TimePoint now) const;
 
--- a/tests/scheduling/account_allowance_test.cc
+++ b/tests/scheduling/account_allowance_test.cc
@@ -132,6 +132,19 @@
   EXPECT_GE(most, 4 * kRate * 8 * 0.8);
 }
 
+// Load pattern: an account is hot, and some daemons of each failure domain hear only the others of
+// their domain, while all hear them. Each took what its whole domain was left.
+TEST(AccountAllowanceTest, DaemonsThatHearFewOthersKeepToTheirEvenPart) {
+  Fleet fleet(40, 4 * kRate, 4 * kBurst, kTolerant, 300ms);
+  const auto connected = [](TimePoint now, int from, int to) {
+    const bool deaf = now > At(5s) && to % 10 < 3;
+    return !deaf || from / 10 == to / 10;
+  };
+  const double most = fleet.MostTaken(40s, 800, connected);
+  EXPECT_LE(most, (4 * kRate * 8 + 4 * kBurst) * 1.1 + 140'000);
+  EXPECT_GE(most, 4 * kRate * 8 * 0.8);
+}
+
 TEST(AccountAllowanceTest, AccountsWithoutALimitAreNotCounted) {
   AccountAllowance allowance({});
   allowance.Configure({{.name = kDrivers}}, At(0s));
