Log how attempts end and what is known of crashing requests

Callers saw: a request that crashes upstreams was sent on and on. The logs could not tell the hypotheses apart: a crash record left no line when it was made, received or cleared, and a lost attempt did not say whether the connection broke or timed out.

Change: gateway/crash_detector logs each change of the registry with the request's fingerprint, the upstream's start and the number of upstreams; reports from peers that change the registry are logged with their sender; "An attempt ended without its answer." carries the error and whether a byte had arrived; savoryglade_gateway_crash_records_total counts the changes by event. What is recorded and refused is unchanged.

--- a/packages/gateway/attempt.h
+++ b/packages/gateway/attempt.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 #include "core/time.h"
 #include "gateway/adapter.h"
@@ -35,6 +36,8 @@
   // Set while a stream is relayed.
   std::shared_ptr<MigratableStream> stream;
   AttemptEnd end = AttemptEnd::kFailed;
+  // Why the attempt has no usable response, for the log.
+  std::string failure;
 };
 
 // Returns true for statuses that callers interpret as a statement that the request was not run. A
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -60,17 +60,6 @@
   return kMinFactor + kFactorRange * static_cast<double>(Fnv1aHash(attempt_id) % kSteps) / kSteps;
 }
 
-// Returns a hash of account, target and body, or zero without a body.
-std::uint64_t Fingerprint(const Call& call) {
-  const HttpRequest& request = call.exchange.request();
-  if (request.body().empty()) {
-    return 0;
-  }
-  std::uint64_t hash = Fnv1aHash(call.account_id().value());
-  hash = Fnv1aHash(call.exchange.target(), hash);
-  return Fnv1aHash(request.body(), hash);
-}
-
 }  // namespace
 
 Result<void> CallRelay::AdmitRequest(Call& call, Verdict& verdict) {
@@ -110,8 +99,7 @@
       now +
       std::min(call.metadata.caller_timeout.value_or(call.route->timeout), call.route->timeout) -
       kResponseMargin;
-  call.fingerprint = Fingerprint(call);
-  if (call.fingerprint != 0 && fleet_.crash_registry.IsRefused(call.fingerprint, now)) {
+  if (crash_detector_.IsRefused(call, now)) {
     return reject(Reason::kRequestCrashesUpstreams, "The request has crashed several upstreams.");
   }
   if (call.account != nullptr) {
@@ -254,6 +242,8 @@
                {"upstream", id.value()},
                {"outcome", OutcomeName(outcome)},
                {"end", static_cast<int>(attempt.end)},
+               {"first_byte", attempt.first_byte},
+               {"failure", attempt.failure},
                {"ms", (BootNow() - attempt.sent_at) / 1ms}});
   }
   call.caller.OnDisconnect({});
@@ -267,6 +257,7 @@
       attempt.placement.upstream, at_most_once ? kMaxIdleTimeNoRetry : kMaxIdleTime,
       std::min(kConnectTimeout, call.RemainingTime(BootNow())));
   if (!connected) {
+    attempt.failure = connected.error().message;
     attempt.end = AttemptEnd::kUnreachable;
     co_return RelayOutcome::kNotRun;
   }
@@ -297,18 +288,17 @@
   if (!call.counted_window && call.route->kind != CallKind::kStream) {
     RecordUsage(call, now);
   }
+  if (!sent) {
+    attempt.failure = sent.error().message;
+  }
   const unsigned status = sent ? co_await response_relay_.ReadHeader(call, attempt) : 0;
   if (call.caller.disconnected()) {
     attempt.end = AttemptEnd::kCancelled;
     co_return RelayOutcome::kFinished;
   }
   if (status == 0) {
-    if (call.fingerprint != 0 && call.RemainingTime(BootNow()) > kMinRemainingTime) {
-      fleet_.crash_registry.OnCrash(
-          call.fingerprint,
-          Fnv1aHash(attempt.placement.upstream.id.value()) +
-              static_cast<std::uint64_t>(attempt.placement.upstream.started_ms),
-          BootNow());
+    if (call.RemainingTime(BootNow()) > kMinRemainingTime) {
+      crash_detector_.OnAttemptLost(call, attempt, BootNow());
     }
     co_return RelayOutcome::kResponseLost;
   }
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -9,6 +9,7 @@
 #include "gateway/adapter.h"
 #include "gateway/attempt.h"
 #include "gateway/call.h"
+#include "gateway/crash_detector.h"
 #include "gateway/fleet_state.h"
 #include "gateway/response_relay.h"
 #include "gateway/stream_migrator.h"
@@ -27,7 +28,8 @@
       : fleet_(fleet),
         codec_(codec),
         connections_(connections),
-        response_relay_(fleet, codec, connections, migrator) {}
+        crash_detector_(fleet),
+        response_relay_(fleet, codec, connections, migrator, crash_detector_) {}
 
   // Handles one request and sends its response.
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
@@ -58,6 +60,7 @@
   FleetState& fleet_;
   const MessageCodec& codec_;
   UpstreamConnectionPool& connections_;
+  CrashDetector crash_detector_;
   ResponseRelay response_relay_;
 };
 
--- /dev/null
+++ b/packages/gateway/crash_detector.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/time.h"
+#include "gateway/attempt.h"
+#include "gateway/call.h"
+#include "gateway/fleet_state.h"
+
+namespace savoryglade::gateway {
+
+// Counts changes of the crash registry, by event: recorded, received, cleared.
+inline constexpr const char* kCrashRecordsMetric = "savoryglade_gateway_crash_records_total";
+
+// Records in the fleet's crash registry which requests lose the upstreams that run them, and logs
+// each change. Not thread-safe.
+class CrashDetector {
+ public:
+  explicit CrashDetector(FleetState& fleet) : fleet_(fleet) {}
+
+  // Returns true if the request has crashed too many upstreams. Sets the call's fingerprint, and
+  // the reason of a refusal for the log.
+  bool IsRefused(Call& call, TimePoint now);
+  // Records that an upstream was lost while it ran the request.
+  void OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now);
+  // Records that an upstream has answered the request.
+  void OnAnswer(const Call& call);
+
+ private:
+  FleetState& fleet_;
+};
+
+}  // namespace savoryglade::gateway
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -1,9 +1,13 @@
 #include "gateway/report_exchange.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
 #include "core/prefix_hash.h"
+#include "gateway/crash_detector.h"
+#include "logging/logger.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -12,6 +16,8 @@
 constexpr capacity::WindowNumber kReportedPastWindows = 2;
 constexpr std::size_t kMaxReportedCrashes = 8;
 
+const Logger kLog("peers");
+
 template <typename Id>
 std::uint64_t HashOf(const Id& id) {
   return Fnv1aHash(id.value());
@@ -154,7 +160,14 @@
     fleet_.work.OnReport(source, report.incarnation, work);
   }
   for (const CrashRecord& record : report.crashes) {
-    fleet_.crash_registry.OnPeerRecord(record, now);
+    if (fleet_.crash_registry.OnPeerRecord(record, now)) {
+      fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "received"}}).Add();
+      kLog.Info("A peer reported a request that crashes upstreams.",
+                {{"fingerprint", fmt::format("{:016x}", record.request)},
+                 {"daemon", report.sender.id.value()},
+                 {"upstreams", fleet_.crash_registry.UpstreamCount(record.request)},
+                 {"refused", fleet_.crash_registry.IsRefused(record.request, now)}});
+    }
   }
 }
 
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -1,5 +1,7 @@
 #include "gateway/response_relay.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <optional>
@@ -77,6 +79,7 @@
     const Result<unsigned> status =
         co_await connection.ReadHeader(ResponseTimeout(call, attempt, now));
     if (!status) {
+      attempt.failure = status.error().message;
       co_return 0;
     }
     if (*status < 200) {
@@ -94,11 +97,13 @@
       const Result<bool> has_more =
           co_await connection.ReadSome(discarded, ResponseTimeout(call, attempt, BootNow()));
       if (!has_more) {
+        attempt.failure = has_more.error().message;
         co_return 0;
       }
       more = *has_more;
     }
   }
+  attempt.failure = "The connection carried only responses to other requests.";
   co_return 0;
 }
 
@@ -110,6 +115,7 @@
                       !attempt.response.content_encoded &&
                       (!success || attempt.response.has_seal) && !ImpliesNotRun(status);
   if (!usable || (call.stream_started && !success)) {
+    attempt.failure = fmt::format("The response with status {} can't be relayed.", status);
     co_return RelayOutcome::kResponseLost;
   }
   BufferedResponse response{.status = status,
@@ -122,6 +128,7 @@
       co_return RelayOutcome::kFinished;
     }
     if (!has_more) {
+      attempt.failure = has_more.error().message;
       co_return RelayOutcome::kResponseLost;
     }
     fleet_.load_balancer.OnBytes(attempt.placement.upstream.id, BootNow());
@@ -163,7 +170,7 @@
     call.failed_response = std::move(response);
     co_return RelayOutcome::kFailed;
   }
-  fleet_.crash_registry.OnCompleted(call.fingerprint);
+  crash_detector_.OnAnswer(call);
   if (fleet_.draining) {
     call.exchange.CloseAfterResponse();
   }
@@ -177,6 +184,7 @@
                                                          unsigned status) {
   if (attempt.response.owner != ResponseOwner::kThisAttempt || !attempt.response.has_seal ||
       attempt.response.content_encoded) {
+    attempt.failure = "The stream's header has no seal, or not this request's id.";
     co_return RelayOutcome::kResponseLost;
   }
   attempt.stream =
@@ -214,6 +222,7 @@
       co_return RelayOutcome::kFinished;
     }
     if (!has_more) {
+      attempt.failure = has_more.error().message;
       co_return RelayOutcome::kResponseLost;
     }
     more = *has_more;
@@ -240,14 +249,14 @@
   }
   if (!call.sse_splitter.partial_event().empty() ||
       co_await migrator_.AwaitStopOutcome(attempt.stream)) {
-    // The stream ended within an event, or because the upstream was asked to stop it.
+    attempt.failure = "The stream ended within an event, or was stopped to be moved.";
     co_return RelayOutcome::kResponseLost;
   }
   attempt.end = AttemptEnd::kAnswered;
   connections_.Release(attempt.placement.upstream.id, std::move(attempt.connection),
                        attempt.response.idle_timeout, MaxIdleConnections(call));
   call.caller.OnDisconnect({});
-  fleet_.crash_registry.OnCompleted(call.fingerprint);
+  crash_detector_.OnAnswer(call);
   if (!call.stream_started) {
     call.stream_started = true;
     co_await call.exchange.StartStream(status, headers);
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -5,6 +5,7 @@
 #include "gateway/adapter.h"
 #include "gateway/attempt.h"
 #include "gateway/call.h"
+#include "gateway/crash_detector.h"
 #include "gateway/fleet_state.h"
 #include "gateway/stream_migrator.h"
 #include "gateway/upstream_connection_pool.h"
@@ -17,8 +18,12 @@
 class ResponseRelay {
  public:
   ResponseRelay(FleetState& fleet, const MessageCodec& codec, UpstreamConnectionPool& connections,
-                StreamMigrator& migrator)
-      : fleet_(fleet), codec_(codec), connections_(connections), migrator_(migrator) {}
+                StreamMigrator& migrator, CrashDetector& crash_detector)
+      : fleet_(fleet),
+        codec_(codec),
+        connections_(connections),
+        migrator_(migrator),
+        crash_detector_(crash_detector) {}
 
   // Reads response headers until one belongs to the attempt. Returns its status, or zero if none
   // arrives.
@@ -44,6 +49,7 @@
   const MessageCodec& codec_;
   UpstreamConnectionPool& connections_;
   StreamMigrator& migrator_;
+  CrashDetector& crash_detector_;
 };
 
 }  // namespace savoryglade::gateway
--- a/packages/recovery/crash_registry.cc
+++ b/packages/recovery/crash_registry.cc
@@ -24,16 +24,23 @@
   entry.last_crash_at = now;
 }
 
-void CrashRegistry::OnPeerRecord(const CrashRecord& record, TimePoint now) {
+bool CrashRegistry::OnPeerRecord(const CrashRecord& record, TimePoint now) {
   if (!records_.contains(record.request)) {
     EvictRecords(now);
   }
   Entry& entry = records_[record.request];
   const std::size_t before = entry.upstreams.size();
   entry.upstreams.insert(record.upstreams.begin(), record.upstreams.end());
-  if (entry.upstreams.size() != before) {
-    entry.last_crash_at = now;
+  if (entry.upstreams.size() == before) {
+    return false;
   }
+  entry.last_crash_at = now;
+  return true;
+}
+
+std::size_t CrashRegistry::UpstreamCount(std::uint64_t request) const {
+  const auto found = records_.find(request);
+  return found == records_.end() ? 0 : found->second.upstreams.size();
 }
 
 bool CrashRegistry::IsRefused(std::uint64_t request, TimePoint now) const {
--- a/packages/recovery/crash_registry.h
+++ b/packages/recovery/crash_registry.h
@@ -30,9 +30,14 @@
   static constexpr Duration kRecordLifetime = 60s;
 
   void OnCrash(std::uint64_t request, std::uint64_t upstream, TimePoint now);
-  void OnCompleted(std::uint64_t request) { records_.erase(request); }
-  void OnPeerRecord(const CrashRecord& record, TimePoint now);
-
+  // Returns true if the request had a record.
+  bool OnCompleted(std::uint64_t request) { return records_.erase(request) > 0; }
+  // Returns true if the peer knows of an upstream that was not recorded here.
+  bool OnPeerRecord(const CrashRecord& record, TimePoint now);
+
+  // Returns the number of upstreams that are recorded for a request.
+  std::size_t UpstreamCount(std::uint64_t request) const;
+  std::size_t size() const { return records_.size(); }
   bool IsRefused(std::uint64_t request, TimePoint now) const;
   // Returns the newest records to send to peers, at most `limit`.
   std::vector<CrashRecord> RecentRecords(std::size_t limit, TimePoint now) const;
