Reproduce the endless repeats of a crashing request

Callers saw: a request under which three upstreams had ended was sent to upstreams N times more. No listed kind of trouble plays such a request, so emulated workers do: they break the connection of each request that they begin to run.

--- /dev/null
+++ b/tests/gateway/crashing_request_test.cc
@@ -0,0 +1,104 @@
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "emulator/worker_service.h"
+#include "tests/gateway/gateway_fixture.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+// Runs of a request after which no upstream may receive it again.
+constexpr int kRunsBeforeRefusal = 3;
+
+// Sends requests that break the connection of every worker that begins to run them.
+class CrashingRequestTest : public GatewayFixture {
+ protected:
+  CrashingRequestTest() : GatewayFixture(8) {
+    PutRoutes(1);
+    WaitUntilReady();
+  }
+
+  // Sends the request again and again, each time with its own attempt id. Returns the reason of the
+  // last response.
+  std::string SendRepeatedly(const std::string& method, const std::string& path,
+                             const std::string& body) {
+    std::string reason;
+    for (int i = 0; i < 8; ++i) {
+      reason = SendRequest(method, path, fmt::format("a{}", ++attempts_), kApiKey, body).reason;
+    }
+    return reason;
+  }
+
+ private:
+  int attempts_ = 0;
+};
+
+// Guards against a crashing request that is not recognised because it has no body.
+TEST_F(CrashingRequestTest, RequestWithoutABodyIsRefusedAfterThreeCrashes) {
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  EXPECT_EQ(SendRepeatedly("GET", "/reads/stock", ""), "request_crashes_upstreams");
+  EXPECT_EQ(TotalRuns(), kRunsBeforeRefusal);
+}
+
+// Guards against refusing one request for the crashes of others of the same account and route.
+TEST_F(CrashingRequestTest, OtherRequestsWithoutABodyAreServed) {
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  SendRepeatedly("GET", "/reads/stock?item=1", "");
+  SetFaults(WorkerFault::kNone, 0);
+  EXPECT_EQ(SendRequest("GET", "/reads/stock?item=2", "b1").status, 200U);
+  EXPECT_EQ(SendRequest("HEAD", "/reads/stock?item=1", "b2").status, 200U);
+}
+
+// Guards against a further send within the call whose attempt was the third crash.
+TEST_F(CrashingRequestTest, CallThatSeesTheThirdCrashMakesNoFurtherAttempt) {
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  SendRequest("POST", "/reads/stock", "a1", kApiKey, "query");
+  EXPECT_EQ(TotalRuns(), 2);
+  const Response response = SendRequest("POST", "/reads/stock", "a2", kApiKey, "query");
+  EXPECT_EQ(response.status, 502U);
+  EXPECT_EQ(response.reason, "request_crashes_upstreams");
+  EXPECT_EQ(TotalRuns(), kRunsBeforeRefusal);
+}
+
+// Guards against crashes that are not recorded because the response has already begun.
+TEST_F(CrashingRequestTest, StreamThatCrashesAfterItsHeaderIsRefused) {
+  SetFaults(WorkerFault::kTruncateStream, 100);
+  EXPECT_EQ(SendRepeatedly("POST", "/once/stream/1", "prompt"), "request_crashes_upstreams");
+  EXPECT_EQ(TotalRuns(), kRunsBeforeRefusal);
+}
+
+TEST_F(CrashingRequestTest, ResponseThatBreaksOffInItsBodyIsRefused) {
+  SetFaults(WorkerFault::kTruncateBody, 100);
+  EXPECT_EQ(SendRepeatedly("POST", "/reads/stock", "query"), "request_crashes_upstreams");
+  EXPECT_EQ(TotalRuns(), kRunsBeforeRefusal);
+}
+
+// Guards against a record that is cleared by the failure of an upstream that did not run the
+// request to its end.
+TEST_F(CrashingRequestTest, FailureOfAnUpstreamDoesNotClearTheRecord) {
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  SendRequest("POST", "/reads/stock", "a1", kApiKey, "query");
+  SetFaults(WorkerFault::kInternalError, 100);
+  EXPECT_EQ(SendRequest("POST", "/reads/stock", "a2", kApiKey, "query").status, 500U);
+  const int failed_runs = TotalRuns() - 2;
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  EXPECT_EQ(SendRepeatedly("POST", "/reads/stock", "query"), "request_crashes_upstreams");
+  EXPECT_EQ(TotalRuns() - failed_runs, kRunsBeforeRefusal);
+}
+
+// Guards against a daemon that forgets crashing requests when it restarts, alone or with all
+// others.
+TEST_F(CrashingRequestTest, RestartedDaemonRefusesTheRequest) {
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  SendRepeatedly("POST", "/reads/stock", "query");
+  ASSERT_EQ(TotalRuns(), kRunsBeforeRefusal);
+  StartGateway();
+  WaitUntilReady();
+  EXPECT_EQ(SendRepeatedly("POST", "/reads/stock", "query"), "request_crashes_upstreams");
+  EXPECT_EQ(TotalRuns(), kRunsBeforeRefusal);
+}
+
+}  // namespace
+}  // namespace savoryglade::gateway
--- a/tests/gateway/report_exchange_test.cc
+++ b/tests/gateway/report_exchange_test.cc
@@ -110,6 +110,49 @@
   std::size_t datagrams_ = 0;
 };
 
+// Time within which all daemons have to refuse a request that has crashed three upstreams.
+constexpr Duration kRefusalDelay = 3s;
+constexpr Duration kReportInterval = 150ms;
+constexpr std::uint64_t kCrashingRequest = 7;
+
+// Guards against a crash record that stays behind those of requests whose responses were lost for
+// another reason.
+TEST(ReportExchangeTest, CrashRecordsReachAllDaemonsWhileOtherResponsesAreLost) {
+  GroupedFleet fleet(1, 8);
+  std::uint64_t other = 1000;
+  for (std::uint64_t crash = 0; crash < 3; ++crash) {
+    fleet.fleet(crash).crash_registry.OnCrash(kCrashingRequest, 100 + crash, At(0s));
+  }
+  for (Duration time = Duration::zero(); time < kRefusalDelay; time += kReportInterval) {
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      for (int lost = 0; lost < 20; ++lost) {
+        fleet.fleet(i).crash_registry.OnCrash(++other, 1, At(time));
+      }
+    }
+    fleet.ExchangeReports(At(time));
+  }
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    EXPECT_TRUE(fleet.fleet(i).crash_registry.IsRefused(kCrashingRequest, At(kRefusalDelay))) << i;
+  }
+}
+
+TEST(ReportExchangeTest, DaemonThatJoinsLearnsOfCrashingRequestsBehindNewerRecords) {
+  GroupedFleet fleet(2, 10);
+  for (std::uint64_t crash = 0; crash < 3; ++crash) {
+    fleet.fleet(0).crash_registry.OnCrash(kCrashingRequest, 100 + crash, At(0s));
+  }
+  for (std::uint64_t other = 1000; other < 1100; ++other) {
+    fleet.fleet(0).crash_registry.OnCrash(other, 1, At(1s));
+  }
+  for (Duration time = Duration::zero(); time < kRefusalDelay; time += kReportInterval) {
+    fleet.ExchangeReports(At(2s + time));
+  }
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    EXPECT_TRUE(fleet.fleet(i).crash_registry.IsRefused(kCrashingRequest, At(2s + kRefusalDelay)))
+        << i;
+  }
+}
+
 // Guards against counts that are lost or counted twice on the way through the representatives.
 TEST(ReportExchangeTest, PropagatesTheCountsOfEachDaemonToAllOthersOnce) {
   GroupedFleet fleet(4, 6);
--- a/tests/recovery/crash_registry_test.cc
+++ b/tests/recovery/crash_registry_test.cc
@@ -57,6 +57,17 @@
   EXPECT_FALSE(crashes.IsRefused(7, At(61s)));
 }
 
+// Guards against a request that is repeated slowly enough never to be refused.
+TEST(CrashRegistryTest, CrashesThatAreMinutesApartCount) {
+  CrashRegistry crashes;
+  crashes.OnCrash(7, 1, At(0s));
+  crashes.OnCrash(8, 1, At(119s));
+  crashes.OnCrash(7, 2, At(120s));
+  crashes.OnCrash(8, 2, At(239s));
+  crashes.OnCrash(7, 3, At(240s));
+  EXPECT_TRUE(crashes.IsRefused(7, At(240s)));
+}
+
 TEST(CrashRegistryTest, NumberOfRecordsIsBounded) {
   CrashRegistry crashes;
   for (std::uint64_t request = 0; request < 10'000; ++request) {
