Recognise crashing requests that have no body

Callers saw: a request without a body that crashes upstreams was sent to upstreams without end.

Cause: the fingerprint of a request with an empty body was 0, and 0 was neither recorded nor refused.

Change: each request has a fingerprint, of account, method, target and body, with separators between them. Requests that differ in their query stay apart.

--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -42,7 +42,7 @@
   TimePoint received;
   // Time by which the response is due: the caller's timeout or the route's, whichever is shorter.
   TimePoint deadline;
-  // Hash that identifies a repeated request; zero without a body.
+  // Hash that is the same for each repeat of the request, whatever its attempt id.
   std::uint64_t fingerprint = 0;
   // Units taken from the account's allowance.
   double units = 0;
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <string>
+#include <string_view>
 
 #include "core/prefix_hash.h"
 #include "logging/logger.h"
@@ -12,14 +13,17 @@
 
 const Logger kLog("gateway");
 
-// Returns a hash of account, target and body, or zero without a body.
+// Returns a hash of account, method, target and body.
 std::uint64_t Fingerprint(const Call& call) {
   const HttpRequest& request = call.exchange.request();
-  if (request.body().empty()) {
-    return 0;
-  }
+  // A separator that occurs in none of the parts before the body.
+  constexpr std::string_view kSeparator("\0", 1);
   std::uint64_t hash = Fnv1aHash(call.account_id().value());
+  hash = Fnv1aHash(kSeparator, hash);
+  hash = Fnv1aHash(std::string(request.method_string()), hash);
+  hash = Fnv1aHash(kSeparator, hash);
   hash = Fnv1aHash(call.exchange.target(), hash);
+  hash = Fnv1aHash(kSeparator, hash);
   return Fnv1aHash(request.body(), hash);
 }
 
@@ -34,7 +38,7 @@
 
 bool CrashDetector::IsRefused(Call& call, TimePoint now) {
   call.fingerprint = Fingerprint(call);
-  if (call.fingerprint == 0 || !fleet_.crash_registry.IsRefused(call.fingerprint, now)) {
+  if (!fleet_.crash_registry.IsRefused(call.fingerprint, now)) {
     return false;
   }
   call.rejection_detail = fmt::format("fingerprint {}, {} upstreams", ToHex(call.fingerprint),
@@ -43,9 +47,6 @@
 }
 
 void CrashDetector::OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now) {
-  if (call.fingerprint == 0) {
-    return;
-  }
   fleet_.crash_registry.OnCrash(call.fingerprint, ProcessKey(attempt.placement.upstream), now);
   fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "recorded"}}).Add();
   kLog.Info("Recorded that an upstream was lost while it ran a request.",
