Ask before each attempt whether the request crashes upstreams

Callers saw: a request was sent to a further upstream after the third crash was known.

Cause: the crash registry was asked once, when a request was admitted. A call within its attempts went on to the next upstream whatever it or another call had learned meanwhile.

Change: the loop of attempts asks the registry before each attempt but the first.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -178,6 +178,12 @@
                              .retry_after = kRetryAfter});
       co_return;
     }
+    // The registry may have changed since the request was admitted, by this call or another one.
+    if (call.sends > 0 && crash_detector_.IsRefused(call, now)) {
+      co_await Reject(call, {.run_state = call.run_state,
+                             .reason = Reason::kRequestCrashesUpstreams});
+      co_return;
+    }
     const std::optional<Placement> placement = SelectUpstream(call, now);
     if (!placement) {
       co_await Reject(call, NoUpstreamVerdict(call, now));
