Record crashes that happen after the response header

Callers saw: a stream that crashes each engine after its first bytes was sent to engines without end.

Cause: a crash was recorded only if no response header had arrived. An engine that begins to run a stream sends the header first, so the crash of a stream or of a long body left no record.

Change: each attempt that ends without its whole response is recorded, unless the upstream sent a response that can't be relayed, which shows that it lives.

--- a/packages/gateway/attempt.h
+++ b/packages/gateway/attempt.h
@@ -36,6 +36,8 @@
   // Set while a stream is relayed.
   std::shared_ptr<MigratableStream> stream;
   AttemptEnd end = AttemptEnd::kFailed;
+  // True if the upstream sent a response that can't be relayed, so that it was not lost.
+  bool response_rejected = false;
   // Why the attempt has no usable response, for the log.
   std::string failure;
 };
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -239,6 +239,9 @@
   call.last_upstream = id;
   fleet_.load_balancer.OnSent(id, call.metadata.work, placement.uncached_tokens, attempt.sent_at);
   const RelayOutcome outcome = co_await SendAttempt(call, attempt);
+  if (outcome == RelayOutcome::kResponseLost && call.RemainingTime(BootNow()) > kMinRemainingTime) {
+    crash_detector_.OnAttemptLost(call, attempt, BootNow());
+  }
   fleet_.load_balancer.OnEnd(id, placement.uncached_tokens, attempt.first_byte, attempt.end,
                              BootNow());
   if (outcome != RelayOutcome::kFinished) {
@@ -303,9 +306,6 @@
     co_return RelayOutcome::kFinished;
   }
   if (status == 0) {
-    if (call.RemainingTime(BootNow()) > kMinRemainingTime) {
-      crash_detector_.OnAttemptLost(call, attempt, BootNow());
-    }
     co_return RelayOutcome::kResponseLost;
   }
   RecordFirstByte(call, attempt);
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -47,6 +47,9 @@
 }
 
 void CrashDetector::OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now) {
+  if (attempt.response_rejected) {
+    return;
+  }
   fleet_.crash_registry.OnCrash(call.fingerprint, ProcessKey(attempt.placement.upstream), now);
   fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "recorded"}}).Add();
   kLog.Info("Recorded that an upstream was lost while it ran a request.",
--- a/packages/gateway/crash_detector.h
+++ b/packages/gateway/crash_detector.h
@@ -19,7 +19,8 @@
   // Returns true if the request has crashed too many upstreams. Sets the call's fingerprint, and
   // the reason of a refusal for the log.
   bool IsRefused(Call& call, TimePoint now);
-  // Records that an upstream was lost while it ran the request.
+  // Records that an upstream was lost while it ran the request, unless it sent a response that can't
+  // be used.
   void OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now);
   // Records that an upstream has answered the request.
   void OnAnswer(const Call& call);
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -115,6 +115,7 @@
                       !attempt.response.content_encoded &&
                       (!success || attempt.response.has_seal) && !ImpliesNotRun(status);
   if (!usable || (call.stream_started && !success)) {
+    attempt.response_rejected = true;
     attempt.failure = fmt::format("The response with status {} can't be relayed.", status);
     co_return RelayOutcome::kResponseLost;
   }
@@ -184,6 +185,7 @@
                                                          unsigned status) {
   if (attempt.response.owner != ResponseOwner::kThisAttempt || !attempt.response.has_seal ||
       attempt.response.content_encoded) {
+    attempt.response_rejected = true;
     attempt.failure = "The stream's header has no seal, or not this request's id.";
     co_return RelayOutcome::kResponseLost;
   }
