Keep a crash record when an upstream fails the request

Callers saw: a request that crashes upstreams was run again after another upstream had answered it with 500.

Cause: any response that was passed on cleared the record, also a failure. An upstream that fails requests may not have begun to run this one, so its failure shows nothing.

Change: only a response below 500 clears the record.

--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -11,6 +11,8 @@
 namespace savoryglade::gateway {
 namespace {
 
+constexpr unsigned kFirstServerErrorStatus = 500;
+
 const Logger kLog("gateway");
 
 // Returns a hash of account, method, target and body.
@@ -61,8 +63,9 @@
              {"refused", fleet_.crash_registry.IsRefused(call.fingerprint, now)}});
 }
 
-void CrashDetector::OnAnswer(const Call& call) {
-  if (!fleet_.crash_registry.OnCompleted(call.fingerprint)) {
+void CrashDetector::OnAnswer(const Call& call, unsigned status) {
+  // A worker that fails a request may not have begun to run it.
+  if (status >= kFirstServerErrorStatus || !fleet_.crash_registry.OnCompleted(call.fingerprint)) {
     return;
   }
   fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "cleared"}}).Add();
--- a/packages/gateway/crash_detector.h
+++ b/packages/gateway/crash_detector.h
@@ -22,8 +22,8 @@
   // Records that an upstream was lost while it ran the request, unless it sent a response that can't
   // be used.
   void OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now);
-  // Records that an upstream has answered the request.
-  void OnAnswer(const Call& call);
+  // Records that an upstream has answered the request with this status.
+  void OnAnswer(const Call& call, unsigned status);
 
  private:
   FleetState& fleet_;
