Report crash records by importance and keep them while they matter

Callers saw: a request was refused at one daemon and sent on by others.

Cause: a digest carried the eight newest records. Each lost response makes a record too, so a wave of them displaced the record of a crashing request before peers had it, and a daemon that joined never got it. A record was dropped a minute after its last crash; a peer with a younger copy brought it back. An answer cleared the record only at the daemon that saw it, and the next digest of a peer restored it.

Change: CrashRegistry keeps the instant of each loss and of the last answer, and records travel with ages, so they merge in any order and expire everywhere. A report takes refused requests first, then a daemon's own new losses three times, then what was reported least often; 48 records at most. A request is refused for 60 s; one more loss then refuses it for twice as long, up to an hour. An answer discards the losses before it at all daemons, so an upstream that only loses responses does not turn harmless requests into refused ones. Retry-After names the end of the refusal.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -99,8 +99,11 @@
       now +
       std::min(call.metadata.caller_timeout.value_or(call.route->timeout), call.route->timeout) -
       kResponseMargin;
-  if (crash_detector_.IsRefused(call, now)) {
-    return reject(Reason::kRequestCrashesUpstreams, "The request has crashed several upstreams.");
+  CrashDetector::Identify(call);
+  if (const Duration refusal = crash_detector_.RemainingRefusal(call, now);
+      refusal > Duration::zero()) {
+    return reject(Reason::kRequestCrashesUpstreams, "The request has crashed several upstreams.",
+                  refusal);
   }
   if (call.account != nullptr) {
     call.units = call.account->counts_tokens
@@ -179,9 +182,9 @@
       co_return;
     }
     // The registry may have changed since the request was admitted, by this call or another one.
-    if (call.sends > 0 && crash_detector_.IsRefused(call, now)) {
-      co_await Reject(call, {.run_state = call.run_state,
-                             .reason = Reason::kRequestCrashesUpstreams});
+    if (call.sends > 0 && crash_detector_.RemainingRefusal(call, now) > Duration::zero()) {
+      co_await Reject(call,
+                      {.run_state = call.run_state, .reason = Reason::kRequestCrashesUpstreams});
       co_return;
     }
     const std::optional<Placement> placement = SelectUpstream(call, now);
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -38,38 +38,39 @@
 
 }  // namespace
 
-bool CrashDetector::IsRefused(Call& call, TimePoint now) {
-  call.fingerprint = Fingerprint(call);
-  if (!fleet_.crash_registry.IsRefused(call.fingerprint, now)) {
-    return false;
+void CrashDetector::Identify(Call& call) { call.fingerprint = Fingerprint(call); }
+
+Duration CrashDetector::RemainingRefusal(Call& call, TimePoint now) const {
+  const Duration remaining = fleet_.crash_registry.RemainingRefusal(call.fingerprint, now);
+  if (remaining > Duration::zero()) {
+    call.rejection_detail = fmt::format("fingerprint {}, {} losses", ToHex(call.fingerprint),
+                                        fleet_.crash_registry.LossCount(call.fingerprint));
   }
-  call.rejection_detail = fmt::format("fingerprint {}, {} upstreams", ToHex(call.fingerprint),
-                                      fleet_.crash_registry.UpstreamCount(call.fingerprint));
-  return true;
+  return remaining;
 }
 
 void CrashDetector::OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now) {
   if (attempt.response_rejected) {
     return;
   }
-  fleet_.crash_registry.OnCrash(call.fingerprint, ProcessKey(attempt.placement.upstream), now);
+  fleet_.crash_registry.OnLoss(call.fingerprint, ProcessKey(attempt.placement.upstream), now);
   fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "recorded"}}).Add();
   kLog.Info("Recorded that an upstream was lost while it ran a request.",
             {{"request", call.metadata.attempt_id},
              {"fingerprint", ToHex(call.fingerprint)},
              {"upstream", attempt.placement.upstream.id.value()},
              {"started_ms", attempt.placement.upstream.started_ms},
-             {"upstreams", fleet_.crash_registry.UpstreamCount(call.fingerprint)},
+             {"losses", fleet_.crash_registry.LossCount(call.fingerprint)},
              {"refused", fleet_.crash_registry.IsRefused(call.fingerprint, now)}});
 }
 
-void CrashDetector::OnAnswer(const Call& call, unsigned status) {
+void CrashDetector::OnAnswer(const Call& call, unsigned status, TimePoint now) {
   // A worker that fails a request may not have begun to run it.
-  if (status >= kFirstServerErrorStatus || !fleet_.crash_registry.OnCompleted(call.fingerprint)) {
+  if (status >= kFirstServerErrorStatus || !fleet_.crash_registry.OnAnswer(call.fingerprint, now)) {
     return;
   }
   fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "cleared"}}).Add();
-  kLog.Info("An answer cleared the crash record of a request.",
+  kLog.Info("An answer showed that a request does not crash upstreams.",
             {{"request", call.metadata.attempt_id}, {"fingerprint", ToHex(call.fingerprint)}});
 }
 
--- a/packages/gateway/crash_detector.h
+++ b/packages/gateway/crash_detector.h
@@ -16,14 +16,16 @@
  public:
   explicit CrashDetector(FleetState& fleet) : fleet_(fleet) {}
 
-  // Returns true if the request has crashed too many upstreams. Sets the call's fingerprint, and
-  // the reason of a refusal for the log.
-  bool IsRefused(Call& call, TimePoint now);
-  // Records that an upstream was lost while it ran the request, unless it sent a response that can't
-  // be used.
+  // Sets the call's fingerprint.
+  static void Identify(Call& call);
+  // Returns the time for which the request is refused because it has crashed too many upstreams, or
+  // zero if it is not refused. Sets the detail of a refusal for the log.
+  Duration RemainingRefusal(Call& call, TimePoint now) const;
+  // Records that an upstream was lost while it ran the request, unless it sent a response that
+  // can't be used.
   void OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now);
   // Records that an upstream has answered the request with this status.
-  void OnAnswer(const Call& call, unsigned status);
+  void OnAnswer(const Call& call, unsigned status, TimePoint now);
 
  private:
   FleetState& fleet_;
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -98,7 +98,12 @@
   for (const CrashRecord& record : report.crashes) {
     auto item = std::make_unique<wire::CrashItemT>();
     item->request = record.request;
-    item->upstreams = record.upstreams;
+    for (const UpstreamLoss& loss : record.losses) {
+      item->losses.emplace_back(loss.upstream, Milliseconds(loss.age));
+    }
+    if (record.answer_age) {
+      item->answer_age_ms = *record.answer_age / 1ms;
+    }
     digest.crashes.push_back(std::move(item));
   }
   if (report.feed_update) {
@@ -154,7 +159,14 @@
     report.work.emplace(item.service(), item.seconds());
   }
   for (const auto& item : digest.crashes) {
-    report.crashes.push_back({.request = item->request, .upstreams = item->upstreams});
+    CrashRecord record{.request = item->request};
+    for (const wire::LossItem& loss : item->losses) {
+      record.losses.push_back({.upstream = loss.upstream(), .age = loss.age_ms() * 1ms});
+    }
+    if (item->answer_age_ms >= 0) {
+      record.answer_age = item->answer_age_ms * 1ms;
+    }
+    report.crashes.push_back(std::move(record));
   }
   if (digest.feed) {
     report.feed_update = DecodeFeedUpdate(*digest.feed);
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -14,7 +14,7 @@
 
 // Windows before the current one whose counts are sent; these can still change or be reported.
 constexpr capacity::WindowNumber kReportedPastWindows = 2;
-constexpr std::size_t kMaxReportedCrashes = 8;
+constexpr std::size_t kMaxReportedCrashes = 48;
 
 const Logger kLog("peers");
 
@@ -97,7 +97,7 @@
                      .time_of_day = fleet_.clock.OwnTime(now),
                      .leaving = fleet_.draining,
                      .loads = fleet_.load_balancer.AggregateLoad(scope, now),
-                     .crashes = fleet_.crash_registry.RecentRecords(kMaxReportedCrashes, now)};
+                     .crashes = fleet_.crash_registry.SelectForReport(kMaxReportedCrashes, now)};
   if (fleet_.holds_duties) {
     report.holder_age = Duration::zero();
   } else if (fleet_.holder_last_reported != TimePoint{}) {
@@ -165,7 +165,7 @@
       kLog.Info("A peer reported a request that crashes upstreams.",
                 {{"fingerprint", fmt::format("{:016x}", record.request)},
                  {"daemon", report.sender.id.value()},
-                 {"upstreams", fleet_.crash_registry.UpstreamCount(record.request)},
+                 {"losses", fleet_.crash_registry.LossCount(record.request)},
                  {"refused", fleet_.crash_registry.IsRefused(record.request, now)}});
     }
   }
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -171,7 +171,7 @@
     call.failed_response = std::move(response);
     co_return RelayOutcome::kFailed;
   }
-  crash_detector_.OnAnswer(call, status);
+  crash_detector_.OnAnswer(call, status, BootNow());
   if (fleet_.draining) {
     call.exchange.CloseAfterResponse();
   }
@@ -258,7 +258,7 @@
   connections_.Release(attempt.placement.upstream.id, std::move(attempt.connection),
                        attempt.response.idle_timeout, MaxIdleConnections(call));
   call.caller.OnDisconnect({});
-  crash_detector_.OnAnswer(call, status);
+  crash_detector_.OnAnswer(call, status, BootNow());
   if (!call.stream_started) {
     call.stream_started = true;
     co_await call.exchange.StartStream(status, headers);
--- a/packages/recovery/crash_registry.cc
+++ b/packages/recovery/crash_registry.cc
@@ -1,72 +1,237 @@
 #include "recovery/crash_registry.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
+#include <vector>
 
 namespace savoryglade {
+namespace {
 
-void CrashRegistry::EvictRecords(TimePoint now) {
-  std::erase_if(records_, [now](const auto& entry) {
-    return now - entry.second.last_crash_at > kRecordLifetime;
-  });
+// Returns the instant of the last loss. It may precede the start of the clock, because losses that
+// peers report can be older than this VM.
+TimePoint LastLoss(const std::map<std::uint64_t, TimePoint>& losses) {
+  TimePoint last = TimePoint::min();
+  for (const auto& [upstream, lost_at] : losses) {
+    last = std::max(last, lost_at);
+  }
+  return last;
+}
+
+}  // namespace
+
+std::optional<TimePoint> CrashRegistry::RefusedUntil(const Entry& entry) {
+  if (entry.losses.size() < kLossesBeforeRefusal) {
+    return std::nullopt;
+  }
+  std::vector<TimePoint> losses;
+  for (const auto& [upstream, lost_at] : entry.losses) {
+    losses.push_back(lost_at);
+  }
+  std::ranges::sort(losses);
+  Duration refusal = kFirstRefusal;
+  TimePoint until = losses[kLossesBeforeRefusal - 1] + refusal;
+  for (std::size_t i = kLossesBeforeRefusal; i < losses.size(); ++i) {
+    // An earlier loss belongs to a run that began before the refusal was known everywhere.
+    if (losses[i] >= until) {
+      refusal = std::min(2 * refusal, kMaxRefusal);
+      until = losses[i] + refusal;
+    }
+  }
+  return until;
+}
+
+bool CrashRegistry::HasExpired(const Entry& entry, TimePoint now) {
+  if (entry.losses.empty()) {
+    return !entry.answered_at || now - *entry.answered_at > kAnswerLifetime;
+  }
+  const TimePoint last =
+      std::max(LastLoss(entry.losses), RefusedUntil(entry).value_or(TimePoint::min()));
+  return now - last > kLossLifetime;
+}
+
+void CrashRegistry::Evict(TimePoint now) {
+  if (records_.size() < kMaxRecords) {
+    return;
+  }
+  std::erase_if(records_, [now](const auto& record) { return HasExpired(record.second, now); });
   if (records_.size() >= kMaxRecords) {
-    const auto oldest = std::ranges::min_element(
-        records_, {}, [](const auto& entry) { return entry.second.last_crash_at; });
-    records_.erase(oldest);
+    const auto victim = std::ranges::min_element(records_, {}, [](const auto& record) {
+      return std::pair(record.second.losses.size(), LastLoss(record.second.losses));
+    });
+    records_.erase(victim);
   }
 }
 
-void CrashRegistry::OnCrash(std::uint64_t request, std::uint64_t upstream, TimePoint now) {
-  if (!records_.contains(request)) {
-    EvictRecords(now);
+CrashRegistry::Entry& CrashRegistry::FindOrAdd(std::uint64_t request, TimePoint now) {
+  const auto found = records_.find(request);
+  if (found != records_.end()) {
+    if (!HasExpired(found->second, now)) {
+      return found->second;
+    }
+    found->second = Entry{};
+    return found->second;
   }
-  Entry& entry = records_[request];
-  entry.upstreams.insert(upstream);
-  entry.last_crash_at = now;
+  Evict(now);
+  return records_[request];
 }
 
-bool CrashRegistry::OnPeerRecord(const CrashRecord& record, TimePoint now) {
-  if (!records_.contains(record.request)) {
-    EvictRecords(now);
+void CrashRegistry::OnLoss(std::uint64_t request, std::uint64_t upstream, TimePoint now) {
+  Entry& entry = FindOrAdd(request, now);
+  entry.own = true;
+  if (AddLoss(upstream, now, entry)) {
+    entry.reports = 0;
   }
-  Entry& entry = records_[record.request];
-  const std::size_t before = entry.upstreams.size();
-  entry.upstreams.insert(record.upstreams.begin(), record.upstreams.end());
-  if (entry.upstreams.size() == before) {
+}
+
+bool CrashRegistry::AddLoss(std::uint64_t upstream, TimePoint lost_at, Entry& entry) {
+  if (!entry.losses.try_emplace(upstream, lost_at).second) {
     return false;
   }
-  entry.last_crash_at = now;
+  if (entry.losses.size() <= kMaxLosses) {
+    return true;
+  }
+  const auto oldest = std::ranges::min_element(
+      entry.losses, {}, [](const auto& loss) { return std::pair(loss.second, loss.first); });
+  const bool kept = oldest->first != upstream;
+  entry.losses.erase(oldest);
+  return kept;
+}
+
+bool CrashRegistry::OnAnswer(std::uint64_t request, TimePoint now) {
+  const auto found = records_.find(request);
+  if (found == records_.end() || found->second.losses.empty()) {
+    return false;
+  }
+  Entry& entry = found->second;
+  entry.answered_at = now;
+  entry.losses.clear();
+  entry.own = true;
+  entry.reports = 0;
   return true;
 }
 
-std::size_t CrashRegistry::UpstreamCount(std::uint64_t request) const {
+void CrashRegistry::DiscardAnsweredLosses(Entry& entry) {
+  std::erase_if(entry.losses, [&entry](const auto& loss) {
+    return loss.second <= *entry.answered_at + kAnswerTolerance;
+  });
+}
+
+bool CrashRegistry::Merge(const CrashRecord& record, Entry& entry, TimePoint now) {
+  bool changed = false;
+  if (record.answer_age && *record.answer_age <= kAnswerLifetime) {
+    const TimePoint answered_at = now - *record.answer_age;
+    // A difference within the tolerance is the delay of another report of the same answer.
+    if (!entry.answered_at || answered_at > *entry.answered_at + kAnswerTolerance) {
+      entry.answered_at = answered_at;
+      DiscardAnsweredLosses(entry);
+      changed = true;
+    }
+  }
+  for (const UpstreamLoss& loss : record.losses) {
+    const TimePoint lost_at = now - loss.age;
+    const bool answered = entry.answered_at && lost_at <= *entry.answered_at + kAnswerTolerance;
+    if (!answered && loss.age <= kMaxRefusal + kLossLifetime) {
+      changed = AddLoss(loss.upstream, lost_at, entry) || changed;
+    }
+  }
+  if (changed) {
+    entry.reports = 0;
+  }
+  return changed;
+}
+
+bool CrashRegistry::OnPeerRecord(const CrashRecord& record, TimePoint now) {
+  Entry merged = records_.contains(record.request) ? FindOrAdd(record.request, now) : Entry{};
+  if (!Merge(record, merged, now) || HasExpired(merged, now)) {
+    return false;
+  }
+  FindOrAdd(record.request, now) = std::move(merged);
+  return true;
+}
+
+bool CrashRegistry::OnStoredRecord(const CrashRecord& record, TimePoint now) {
+  const bool changed = OnPeerRecord(record, now);
+  OnStored(record);
+  return changed;
+}
+
+std::size_t CrashRegistry::LossCount(std::uint64_t request) const {
   const auto found = records_.find(request);
-  return found == records_.end() ? 0 : found->second.upstreams.size();
+  return found == records_.end() ? 0 : found->second.losses.size();
 }
 
-bool CrashRegistry::IsRefused(std::uint64_t request, TimePoint now) const {
+Duration CrashRegistry::RemainingRefusal(std::uint64_t request, TimePoint now) const {
   const auto found = records_.find(request);
-  return found != records_.end() && now - found->second.last_crash_at <= kRecordLifetime &&
-         found->second.upstreams.size() >= kCrashesBeforeRefusal;
+  if (found == records_.end()) {
+    return Duration::zero();
+  }
+  const std::optional<TimePoint> until = RefusedUntil(found->second);
+  return until && now < *until ? *until - now : Duration::zero();
+}
+
+CrashRecord CrashRegistry::ToRecord(std::uint64_t request, const Entry& entry, TimePoint now) {
+  CrashRecord record{.request = request};
+  for (const auto& [upstream, lost_at] : entry.losses) {
+    record.losses.push_back({.upstream = upstream, .age = now - lost_at});
+  }
+  if (entry.answered_at) {
+    record.answer_age = now - *entry.answered_at;
+  }
+  return record;
 }
 
-std::vector<CrashRecord> CrashRegistry::RecentRecords(std::size_t limit, TimePoint now) const {
-  std::vector<std::pair<TimePoint, CrashRecord>> newest;
+std::vector<CrashRecord> CrashRegistry::SelectForReport(std::size_t limit, TimePoint now) {
+  std::erase_if(records_, [now](const auto& record) { return HasExpired(record.second, now); });
+  // Lower ranks are reported first; then those that were reported least often, oldest first.
+  using Priority = std::tuple<int, int, TimePoint>;
+  std::vector<std::pair<Priority, std::uint64_t>> candidates;
+  candidates.reserve(records_.size());
   for (const auto& [request, entry] : records_) {
-    if (now - entry.last_crash_at <= kRecordLifetime) {
-      newest.emplace_back(entry.last_crash_at, CrashRecord{.request = request,
-                                                           .upstreams = {entry.upstreams.begin(),
-                                                                         entry.upstreams.end()}});
-    }
+    const bool refused = entry.losses.size() >= kLossesBeforeRefusal;
+    const bool is_new = entry.own && entry.reports < kPriorityReports;
+    const int rank = refused ? 0 : (is_new ? 1 : 2);
+    candidates.emplace_back(Priority(rank, entry.reports, LastLoss(entry.losses)), request);
+  }
+  const std::size_t count = std::min(limit, candidates.size());
+  std::ranges::partial_sort(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(count));
+  std::vector<CrashRecord> selected;
+  for (std::size_t i = 0; i < count; ++i) {
+    Entry& entry = records_.at(candidates[i].second);
+    ++entry.reports;
+    selected.push_back(ToRecord(candidates[i].second, entry, now));
+  }
+  return selected;
+}
+
+bool CrashRegistry::NeedsStorage(const Entry& entry) {
+  if (entry.losses.empty()) {
+    return !entry.stored.empty();
   }
-  std::ranges::sort(newest, [](const auto& a, const auto& b) { return a.first > b.first; });
-  std::vector<CrashRecord> records;
-  for (auto& [last_crash_at, record] : newest) {
-    if (records.size() == limit) {
-      break;
+  return entry.losses.size() > 1 && std::ranges::any_of(entry.losses, [&entry](const auto& loss) {
+           return !entry.stored.contains(loss.first);
+         });
+}
+
+std::vector<CrashRecord> CrashRegistry::SelectForStorage(TimePoint now) const {
+  std::vector<CrashRecord> selected;
+  for (const auto& [request, entry] : records_) {
+    if (entry.own && NeedsStorage(entry)) {
+      selected.push_back(ToRecord(request, entry, now));
     }
-    records.push_back(std::move(record));
   }
-  return records;
+  return selected;
+}
+
+void CrashRegistry::OnStored(const CrashRecord& record) {
+  const auto found = records_.find(record.request);
+  if (found == records_.end()) {
+    return;
+  }
+  found->second.stored.clear();
+  for (const UpstreamLoss& loss : record.losses) {
+    found->second.stored.insert(loss.upstream);
+  }
 }
 
 }  // namespace savoryglade
--- a/packages/recovery/crash_registry.h
+++ b/packages/recovery/crash_registry.h
@@ -1,58 +1,120 @@
 #pragma once
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
 
-#include "core/strong_id.h"
 #include "core/time.h"
 
 namespace savoryglade {
 
-// Upstreams whose connection was lost without an answer while they ran a request.
+// Loss of an upstream process while it ran a request.
+struct UpstreamLoss {
+  // Hash of the upstream's name and start time.
+  std::uint64_t upstream = 0;
+  // Time since the loss.
+  Duration age = Duration::zero();
+
+  friend auto operator<=>(const UpstreamLoss&, const UpstreamLoss&) = default;
+};
+
+// What one daemon knows about a request that may crash upstreams. Holds ages instead of instants,
+// because the clocks of daemons differ.
 struct CrashRecord {
-  // Hash of account, method, path and body.
+  // Hash of account, method, target and body.
   std::uint64_t request = 0;
-  std::vector<std::uint64_t> upstreams;
+  std::vector<UpstreamLoss> losses;
+  // Time since an upstream last answered the request, if one did after a loss.
+  std::optional<Duration> answer_age;
 
   friend auto operator<=>(const CrashRecord&, const CrashRecord&) = default;
 };
 
-// Detects requests that crash the upstreams that run them. Each upstream counts once per request,
-// identified by the hash of its name and start time. A complete answer clears the request. Daemons
-// exchange their records, so that a request that is sent again through another daemon is
-// recognised. Not thread-safe.
+// Detects requests that crash the upstreams that run them. Each upstream process counts once per
+// request. After the third loss the request is refused for a while; then one more loss is enough to
+// refuse it for twice as long. An answer shows that the request is harmless and discards the losses
+// before it. Daemons exchange their records, so that a request that is sent again through another
+// daemon is recognised; records can be merged in any order. Not thread-safe.
 class CrashRegistry {
  public:
-  // Number of crashed upstreams after which a request is refused.
-  static constexpr std::size_t kCrashesBeforeRefusal = 3;
-  static constexpr Duration kRecordLifetime = 60s;
-
-  void OnCrash(std::uint64_t request, std::uint64_t upstream, TimePoint now);
-  // Returns true if the request had a record.
-  bool OnCompleted(std::uint64_t request) { return records_.erase(request) > 0; }
-  // Returns true if the peer knows of an upstream that was not recorded here.
+  // Number of lost upstreams after which a request is refused.
+  static constexpr std::size_t kLossesBeforeRefusal = 3;
+  static constexpr Duration kFirstRefusal = 60s;
+  static constexpr Duration kMaxRefusal = 1h;
+  // Time for which a loss counts, and for which the record of a refusal is kept after its end.
+  static constexpr Duration kLossLifetime = 600s;
+  // Time for which an answer is remembered, so that peers learn of it.
+  static constexpr Duration kAnswerLifetime = 60s;
+  // Losses up to this long after an answer are attributed to the time before it, because the age of
+  // a peer's loss is measured with the delay of the report.
+  static constexpr Duration kAnswerTolerance = 1s;
+
+  void OnLoss(std::uint64_t request, std::uint64_t upstream, TimePoint now);
+  // Records an answer to the request. Returns true if it discards losses.
+  bool OnAnswer(std::uint64_t request, TimePoint now);
+  // Merges a record of a peer. Returns true if it contains something new.
   bool OnPeerRecord(const CrashRecord& record, TimePoint now);
+  // Merges a record that is stored for all daemons. Returns true if it contains something new.
+  bool OnStoredRecord(const CrashRecord& record, TimePoint now);
+
+  std::size_t LossCount(std::uint64_t request) const;
+  // Returns the time for which the request is still refused, or zero if it is not refused.
+  Duration RemainingRefusal(std::uint64_t request, TimePoint now) const;
+  bool IsRefused(std::uint64_t request, TimePoint now) const {
+    return RemainingRefusal(request, now) > Duration::zero();
+  }
+
+  // Returns at most `limit` records for the next report to peers. Refused requests come first, then
+  // this daemon's own new losses, then the records that were reported least often.
+  std::vector<CrashRecord> SelectForReport(std::size_t limit, TimePoint now);
+  // Returns the records that this daemon should store for all daemons: those with more than one
+  // loss that are not stored completely. A record without losses means that the stored one is to be
+  // removed.
+  std::vector<CrashRecord> SelectForStorage(TimePoint now) const;
+  // Records that a record has been stored, or removed if it has no losses.
+  void OnStored(const CrashRecord& record);
 
-  // Returns the number of upstreams that are recorded for a request.
-  std::size_t UpstreamCount(std::uint64_t request) const;
   std::size_t size() const { return records_.size(); }
-  bool IsRefused(std::uint64_t request, TimePoint now) const;
-  // Returns the newest records to send to peers, at most `limit`.
-  std::vector<CrashRecord> RecentRecords(std::size_t limit, TimePoint now) const;
 
  private:
   struct Entry {
-    std::set<std::uint64_t> upstreams;
-    TimePoint last_crash_at{};
+    // Instants of the losses, by upstream.
+    std::map<std::uint64_t, TimePoint> losses;
+    std::optional<TimePoint> answered_at;
+    // Whether this daemon saw one of the losses or the answer itself.
+    bool own = false;
+    // Number of reports with the record since it last changed.
+    int reports = 0;
+    // Upstreams in the stored record; empty if no record is stored.
+    std::set<std::uint64_t> stored;
   };
+  using Records = std::unordered_map<std::uint64_t, Entry>;
+
   static constexpr std::size_t kMaxRecords = 4096;
+  // Newest losses that are kept for one request; enough to reach the longest refusal.
+  static constexpr std::size_t kMaxLosses = 9;
+  // Reports in which the loss of a record is repeated with priority, because datagrams get lost.
+  static constexpr int kPriorityReports = 3;
 
-  // Removes expired records and, if the registry is still full, the oldest one.
-  void EvictRecords(TimePoint now);
+  Entry& FindOrAdd(std::uint64_t request, TimePoint now);
+  // Removes expired records and, if the registry is still full, the least important one.
+  void Evict(TimePoint now);
+  static bool Merge(const CrashRecord& record, Entry& entry, TimePoint now);
+  static void DiscardAnsweredLosses(Entry& entry);
+  // Adds a loss. Returns true if the upstream was not recorded yet.
+  static bool AddLoss(std::uint64_t upstream, TimePoint lost_at, Entry& entry);
+  static bool NeedsStorage(const Entry& entry);
+  static CrashRecord ToRecord(std::uint64_t request, const Entry& entry, TimePoint now);
+  // Returns the instant until which the request is refused, if it has been refused.
+  static std::optional<TimePoint> RefusedUntil(const Entry& entry);
+  static bool HasExpired(const Entry& entry, TimePoint now);
 
-  std::unordered_map<std::uint64_t, Entry> records_;
+  Records records_;
 };
 
 }  // namespace savoryglade
