Store crash records so that restarts and partitions keep them

Callers saw: after a restart of a daemon, or of all of them, a request that had crashed three upstreams was sent to upstreams again.

Cause: what is known of crashing requests lived in the memory of each process and travelled by datagrams only. A kill of all daemons erased it, and a daemon that is cut off from its peers but reaches the store never had it. docs/platform.md said so as if it were harmless.

Change: gateway/crash_record_store writes a row from the second lost upstream on, merges the rows of others through a waiting read of a table of its own, stores again what another daemon has overwritten, and removes the row when an answer shows that the request is harmless. A daemon is ready once it has read the rows. FleetStore gets WatchCrashRows.

--- a/packages/emulator/store_service.cc
+++ b/packages/emulator/store_service.cc
@@ -55,6 +55,17 @@
   rows_[{table, key}] = {.version = ++version_, .removed = true};
 }
 
+std::map<std::string, std::string> StoreService::Rows(const std::string& table) const {
+  const std::lock_guard lock(mutex_);
+  std::map<std::string, std::string> rows;
+  for (const auto& [name, row] : rows_) {
+    if (name.first == table && !row.removed) {
+      rows.emplace(name.second, row.value);
+    }
+  }
+  return rows;
+}
+
 std::uint64_t StoreService::calls() const {
   const std::lock_guard lock(mutex_);
   return calls_;
--- a/packages/emulator/store_service.h
+++ b/packages/emulator/store_service.h
@@ -35,6 +35,8 @@
   // Writes a row as an operator or an upstream does. The value is not Base64-encoded.
   void Put(const std::string& table, const std::string& key, const std::string& value);
   void Remove(const std::string& table, const std::string& key);
+  // Returns the keys and values of the rows of a table.
+  std::map<std::string, std::string> Rows(const std::string& table) const;
   // Returns the number of requests received, including those without a response.
   std::uint64_t calls() const;
 
--- a/packages/gateway/adapter.h
+++ b/packages/gateway/adapter.h
@@ -119,9 +119,16 @@
   FeedPosition position = 0;
 };
 
+// Changed rows of the daemons' own, by key, and the position from which to continue. Rows that were
+// removed are left out.
+struct RowUpdate {
+  std::map<std::string, provider::Row> rows;
+  FeedPosition position = 0;
+};
+
 // Store of the operators' routes, the upstreams' registrations and the daemons' own rows. Each
-// call applies its own timeout. WatchRoutes and WatchUpstreams return kConflict if the history
-// after the position has been discarded; the caller then restarts from zero.
+// call applies its own timeout. The Watch functions return kConflict if the history after the
+// position has been discarded; the caller then restarts from zero.
 class FleetStore {
  public:
   virtual ~FleetStore() = default;
@@ -138,6 +145,10 @@
   // Returns the daemons' own rows whose keys begin with the prefix.
   virtual boost::asio::awaitable<Result<std::map<std::string, provider::Row>>> ReadRows(
       const std::string& prefix) = 0;
+  // Returns as soon as one of the daemons' own rows whose keys begin with "crash/" changes after
+  // the position, or once the wait has passed. Returns all of them for position zero.
+  virtual boost::asio::awaitable<Result<RowUpdate>> WatchCrashRows(FeedPosition after,
+                                                                   Duration wait) = 0;
 };
 
 // Daemon that performs the duties, and a fencing token that increases with each change of holder.
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "core/verdict.h"
 #include "gateway/adapter.h"
@@ -23,12 +25,13 @@
 // FleetState decide on admission, upstream selection and retries. Not thread-safe.
 class CallRelay {
  public:
+  // The callback is called when the crash registry has changed.
   CallRelay(FleetState& fleet, const MessageCodec& codec, UpstreamConnectionPool& connections,
-            StreamMigrator& migrator)
+            StreamMigrator& migrator, std::function<void()> on_crash_record)
       : fleet_(fleet),
         codec_(codec),
         connections_(connections),
-        crash_detector_(fleet),
+        crash_detector_(fleet, std::move(on_crash_record)),
         response_relay_(fleet, codec, connections, migrator, crash_detector_) {}
 
   // Handles one request and sends its response.
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -62,6 +62,7 @@
              {"started_ms", attempt.placement.upstream.started_ms},
              {"losses", fleet_.crash_registry.LossCount(call.fingerprint)},
              {"refused", fleet_.crash_registry.IsRefused(call.fingerprint, now)}});
+  on_change_();
 }
 
 void CrashDetector::OnAnswer(const Call& call, unsigned status, TimePoint now) {
@@ -72,6 +73,7 @@
   fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "cleared"}}).Add();
   kLog.Info("An answer showed that a request does not crash upstreams.",
             {{"request", call.metadata.attempt_id}, {"fingerprint", ToHex(call.fingerprint)}});
+  on_change_();
 }
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/crash_detector.h
+++ b/packages/gateway/crash_detector.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <functional>
+#include <utility>
+
 #include "core/time.h"
 #include "gateway/attempt.h"
 #include "gateway/call.h"
@@ -7,14 +10,17 @@
 
 namespace savoryglade::gateway {
 
-// Counts changes of the crash registry, by event: recorded, received, cleared.
+// Counts changes of the crash registry, by event: recorded (seen here), received
+// (from a peer), read (from the store), stored, cleared.
 inline constexpr const char* kCrashRecordsMetric = "savoryglade_gateway_crash_records_total";
 
 // Records in the fleet's crash registry which requests lose the upstreams that run them, and logs
 // each change. Not thread-safe.
 class CrashDetector {
  public:
-  explicit CrashDetector(FleetState& fleet) : fleet_(fleet) {}
+  // The callback is called after each change of the registry.
+  CrashDetector(FleetState& fleet, std::function<void()> on_change)
+      : fleet_(fleet), on_change_(std::move(on_change)) {}
 
   // Sets the call's fingerprint.
   static void Identify(Call& call);
@@ -29,6 +35,7 @@
 
  private:
   FleetState& fleet_;
+  std::function<void()> on_change_;
 };
 
 }  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/gateway/crash_record_store.cc
@@ -0,0 +1,205 @@
+#include "gateway/crash_record_store.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "core/boot_clock.h"
+#include "gateway/crash_detector.h"
+#include "logging/logger.h"
+#include "net/sleep.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::string_view kRowPrefix = "crash/";
+// Longest wait of a read for changes. Also bounds the time until a dead connection is detected.
+constexpr Duration kWatchTimeout = 10s;
+// Interval of reads of all rows, which find those that have expired.
+constexpr Duration kFullReadInterval = 600s;
+constexpr Duration kMinReadInterval = 20ms;
+// First pause after a failed call; doubled after each further failure, up to the maximum.
+constexpr Duration kRetryInterval = 250ms;
+constexpr Duration kMaxRetryInterval = 1s;
+
+const Logger kLog("crashes");
+
+std::string RowKey(std::uint64_t request) { return fmt::format("{}{:016x}", kRowPrefix, request); }
+
+bool ParseHex(std::string_view text, std::uint64_t& value) {
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, value, 16);
+  return error == std::errc() && stop == end;
+}
+
+// Returns true if none of the losses can count any more.
+bool HasExpired(const CrashRecord& record) {
+  return std::ranges::all_of(record.losses, [](const UpstreamLoss& loss) {
+    return loss.age > CrashRegistry::kMaxRefusal + CrashRegistry::kLossLifetime;
+  });
+}
+
+}  // namespace
+
+std::string EncodeCrashRow(const CrashRecord& record, Duration unix_time) {
+  json::object losses;
+  for (const UpstreamLoss& loss : record.losses) {
+    losses[fmt::format("{:016x}", loss.upstream)] = (unix_time - loss.age) / 1ms;
+  }
+  return json::serialize(json::object{{"lost_ms", std::move(losses)}});
+}
+
+Result<CrashRecord> DecodeCrashRow(const std::string& key, const std::string& value,
+                                   Duration unix_time) {
+  const auto invalid = [](const char* detail) {
+    return tl::make_unexpected(Error{.code = ErrorCode::kInvalid, .message = detail});
+  };
+  CrashRecord record;
+  if (!key.starts_with(kRowPrefix) ||
+      !ParseHex(std::string_view(key).substr(kRowPrefix.size()), record.request)) {
+    return invalid("The key does not name a request.");
+  }
+  boost::system::error_code error;
+  const json::value document = json::parse(value, error);
+  const json::object* object = error ? nullptr : document.if_object();
+  const json::value* losses = object == nullptr ? nullptr : object->if_contains("lost_ms");
+  if (losses == nullptr || !losses->is_object()) {
+    return invalid("The row has no object lost_ms.");
+  }
+  for (const auto& [name, lost_ms] : losses->get_object()) {
+    UpstreamLoss loss;
+    if (!ParseHex({name.data(), name.size()}, loss.upstream) || !lost_ms.is_int64()) {
+      return invalid("A loss has no valid upstream or time.");
+    }
+    // The daemons' clocks differ, so a loss may seem to lie ahead.
+    loss.age = std::max(unix_time - lost_ms.get_int64() * Duration(1ms), Duration::zero());
+    record.losses.push_back(loss);
+  }
+  return record;
+}
+
+CrashRecordStore::CrashRecordStore(FleetState& fleet, FleetStore& store, asio::io_context& context)
+    : fleet_(fleet), store_(store), write_timer_(context) {}
+
+void CrashRecordStore::ApplyRow(const std::string& key, const provider::Row& row, TimePoint now) {
+  const Result<CrashRecord> record = DecodeCrashRow(key, row.value, fleet_.clock.Now(now));
+  if (!record) {
+    kLog.Warning("A stored crash record is invalid.",
+                 {{"key", key}, {"error", record.error().message}});
+    return;
+  }
+  if (fleet_.crash_registry.OnStoredRecord(*record, now)) {
+    fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "read"}}).Add();
+    kLog.Info("The store holds a request that crashes upstreams.",
+              {{"fingerprint", fmt::format("{:016x}", record->request)},
+               {"version", row.version},
+               {"losses", fleet_.crash_registry.LossCount(record->request)},
+               {"refused", fleet_.crash_registry.IsRefused(record->request, now)}});
+  }
+}
+
+asio::awaitable<void> CrashRecordStore::RemoveExpiredRows(const RowUpdate& update) {
+  for (const auto& [key, row] : update.rows) {
+    const Result<CrashRecord> record = DecodeCrashRow(key, row.value, fleet_.clock.Now(BootNow()));
+    if (!fleet_.holds_duties || (record && !HasExpired(*record))) {
+      continue;
+    }
+    const provider::Transaction removal = {.conditions = {{.key = key, .version = row.version}},
+                                           .writes = {{.key = key, .value = std::nullopt}}};
+    const provider::CommitStatus status = co_await store_.Commit(removal);
+    kLog.Info("Removed an expired crash record from the store.",
+              {{"key", key}, {"status", static_cast<int>(status)}});
+  }
+}
+
+asio::awaitable<void> CrashRecordStore::ReadLoop() {
+  Duration pause = kRetryInterval;
+  while (true) {
+    if (BootNow() - full_read_at_ >= kFullReadInterval) {
+      position_ = 0;
+    }
+    const bool full_read = position_ == 0;
+    const Result<RowUpdate> update = co_await store_.WatchCrashRows(position_, kWatchTimeout);
+    if (!update) {
+      kLog.Warning("Reading the crash records from the store failed.",
+                   {{"position", position_}, {"error", update.error().message}});
+      if (update.error().code == ErrorCode::kConflict) {
+        position_ = 0;
+      }
+      co_await Sleep(pause);
+      pause = std::min(2 * pause, kMaxRetryInterval);
+      continue;
+    }
+    pause = kRetryInterval;
+    position_ = update->position;
+    loaded_ = true;
+    const TimePoint now = BootNow();
+    for (const auto& [key, row] : update->rows) {
+      ApplyRow(key, row, now);
+    }
+    if (full_read) {
+      full_read_at_ = now;
+      co_await RemoveExpiredRows(*update);
+    }
+    OnRegistryChanged();
+    co_await Sleep(position_ == 0 ? kRetryInterval : kMinReadInterval);
+  }
+}
+
+asio::awaitable<bool> CrashRecordStore::Store(const CrashRecord& record) {
+  provider::RowWrite write{.key = RowKey(record.request)};
+  if (!record.losses.empty()) {
+    write.value = EncodeCrashRow(record, fleet_.clock.Now(BootNow()));
+  }
+  // Unconditional, because a daemon whose losses were overwritten reads the row and stores them
+  // again.
+  const provider::Transaction transaction{.writes = {std::move(write)}};
+  const provider::CommitStatus status = co_await store_.Commit(transaction);
+  const bool stored = status == provider::CommitStatus::kCommitted;
+  if (stored) {
+    fleet_.crash_registry.OnStored(record);
+    fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "stored"}}).Add();
+  }
+  kLog.Info(stored ? "Stored a crash record for all daemons." : "Storing a crash record failed.",
+            {{"fingerprint", fmt::format("{:016x}", record.request)},
+             {"losses", record.losses.size()},
+             {"status", static_cast<int>(status)}});
+  co_return stored;
+}
+
+asio::awaitable<void> CrashRecordStore::WriteLoop() {
+  Duration pause = kRetryInterval;
+  while (true) {
+    bool failed = false;
+    const std::vector<CrashRecord> records = fleet_.crash_registry.SelectForStorage(BootNow());
+    for (const CrashRecord& record : records) {
+      if (!co_await Store(record)) {
+        failed = true;
+        break;
+      }
+    }
+    if (failed) {
+      co_await Sleep(pause);
+      pause = std::min(2 * pause, kMaxRetryInterval);
+      continue;
+    }
+    pause = kRetryInterval;
+    if (records.empty()) {
+      write_timer_.expires_at(asio::steady_timer::time_point::max());
+      co_await write_timer_.async_wait(kAwait);
+    }
+  }
+}
+
+}  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/gateway/crash_record_store.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+
+#include "core/error.h"
+#include "gateway/adapter.h"
+#include "gateway/fleet_state.h"
+
+namespace savoryglade::gateway {
+
+// Shares the records of requests that crash upstreams through the store, so that they survive a
+// restart of all daemons and reach daemons that are cut off from their peers. Only requests with
+// more than one loss are stored. Both loops run until their context stops.
+class CrashRecordStore {
+ public:
+  CrashRecordStore(FleetState& fleet, FleetStore& store, boost::asio::io_context& context);
+
+  // Watches the stored records and merges them into the registry.
+  boost::asio::awaitable<void> ReadLoop();
+  // Stores the records that this daemon has to store, and retries after failures.
+  boost::asio::awaitable<void> WriteLoop();
+  // Tells the write loop that the registry may have changed.
+  void OnRegistryChanged() { write_timer_.cancel(); }
+
+  // Returns true once the stored records have been read.
+  bool loaded() const { return loaded_; }
+
+ private:
+  void ApplyRow(const std::string& key, const provider::Row& row, TimePoint now);
+  // Stores one record, or removes it if it has no losses. Returns false if the store call failed.
+  boost::asio::awaitable<bool> Store(const CrashRecord& record);
+  // Removes the rows whose losses no longer count, if this daemon holds the fleet's duties.
+  boost::asio::awaitable<void> RemoveExpiredRows(const RowUpdate& update);
+
+  FleetState& fleet_;
+  FleetStore& store_;
+  // Cancelled when the registry has changed.
+  boost::asio::steady_timer write_timer_;
+  FeedPosition position_ = 0;
+  TimePoint full_read_at_{};
+  bool loaded_ = false;
+};
+
+// Encodes the losses of a record as the value of its row, with their Unix times.
+std::string EncodeCrashRow(const CrashRecord& record, Duration unix_time);
+// Decodes a row. Returns kInvalid if the key or the value is malformed.
+Result<CrashRecord> DecodeCrashRow(const std::string& key, const std::string& value,
+                                   Duration unix_time);
+
+}  // namespace savoryglade::gateway
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -57,11 +57,18 @@
                                   [this](std::optional<FeedUpdate> feed_update) {
                                     report_transport_.Publish(std::move(feed_update));
                                   }}),
+      crash_records_(fleet_, *adapters_.store, pool_.context(0)),
       report_transport_(fleet_, *adapters_.store,
-                        [this](const FleetReport& report) { store_watcher_.OnReport(report); }),
+                        [this](const FleetReport& report) {
+                          store_watcher_.OnReport(report);
+                          if (!report.crashes.empty()) {
+                            crash_records_.OnRegistryChanged();
+                          }
+                        }),
       duty_runner_(fleet_, *adapters_.store, *adapters_.duties),
       capacity_controller_(fleet_, *adapters_.store, *adapters_.duties, duty_runner_),
-      relay_(fleet_, *adapters_.codec, connections_, migrator_),
+      relay_(fleet_, *adapters_.codec, connections_, migrator_,
+             [this] { crash_records_.OnRegistryChanged(); }),
       callers_(pool_, CallerLimits(fleet_.settings),
                [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
       readiness_(pool_, {}, [this](HttpExchange& exchange) { return HandleReadiness(exchange); }),
@@ -98,6 +105,8 @@
   };
   spawn(store_watcher_.RoutesLoop());
   spawn(store_watcher_.UpstreamsLoop());
+  spawn(crash_records_.ReadLoop());
+  spawn(crash_records_.WriteLoop());
   spawn(report_transport_.ReceiveLoop());
   spawn(report_transport_.SendLoop());
   spawn(report_transport_.RegisterLoop());
@@ -113,7 +122,7 @@
 }
 
 asio::awaitable<void> Gateway::HandleReadiness(HttpExchange& exchange) {
-  const bool ready = store_watcher_.has_synced() && !fleet_.draining;
+  const bool ready = store_watcher_.has_synced() && crash_records_.loaded() && !fleet_.draining;
   co_await exchange.Respond(ready ? 200 : 503, {}, {});
 }
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/adapter.h"
 #include "gateway/call_relay.h"
 #include "gateway/capacity_controller.h"
+#include "gateway/crash_record_store.h"
 #include "gateway/duty_runner.h"
 #include "gateway/fleet_state.h"
 #include "gateway/fleet_store_watcher.h"
@@ -74,6 +75,7 @@
   UpstreamConnectionPool connections_;
   StreamMigrator migrator_;
   FleetStoreWatcher store_watcher_;
+  CrashRecordStore crash_records_;
   PeerReportTransport report_transport_;
   DutyRunner duty_runner_;
   CapacityController capacity_controller_;
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -2,13 +2,17 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 #include "emulator/worker_service.h"
+#include "gateway/crash_record_store.h"
 #include "tests/gateway/gateway_fixture.h"
 
 namespace savoryglade::gateway {
 namespace {
 
+constexpr const char* kCrashTable = "savoryglade-crashes";
+
 // Runs of a request after which no upstream may receive it again.
 constexpr int kRunsBeforeRefusal = 3;
 
@@ -31,6 +35,18 @@
     return reason;
   }
 
+  // Waits until the store holds the given number of losses of the only request that is stored.
+  void WaitUntilStored(std::size_t losses) const {
+    while (true) {
+      for (const auto& [key, value] : store_.service.Rows(kCrashTable)) {
+        const Result<CrashRecord> record = DecodeCrashRow(key, value, Duration::zero());
+        if (record && record->losses.size() == losses) {
+          return;
+        }
+      }
+    }
+  }
+
  private:
   int attempts_ = 0;
 };
@@ -94,11 +110,73 @@
   SetFaults(WorkerFault::kCloseAfterRun, 100);
   SendRepeatedly("POST", "/reads/stock", "query");
   ASSERT_EQ(TotalRuns(), kRunsBeforeRefusal);
+  WaitUntilStored(kRunsBeforeRefusal);
   StartGateway();
   WaitUntilReady();
   EXPECT_EQ(SendRepeatedly("POST", "/reads/stock", "query"), "request_crashes_upstreams");
   EXPECT_EQ(TotalRuns(), kRunsBeforeRefusal);
 }
 
+// Guards against a daemon that hears nothing from its peers and sends what they refuse.
+TEST_F(CrashingRequestTest, DaemonLearnsOfTheRequestFromTheStoreWhileItRuns) {
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  SendRepeatedly("POST", "/reads/stock", "query");
+  WaitUntilStored(kRunsBeforeRefusal);
+  const auto [key, value] = *store_.service.Rows(kCrashTable).begin();
+  store_.service.Remove(kCrashTable, key);
+  StartGateway();
+  WaitUntilReady();
+  SetFaults(WorkerFault::kNone, 0);
+  EXPECT_EQ(SendRequest("POST", "/reads/stock", "b1", kApiKey, "query").status, 200U);
+  store_.service.Put(kCrashTable, key, value);
+  while (SendRequest("POST", "/reads/stock", "b2", kApiKey, "query").reason !=
+         "request_crashes_upstreams") {
+  }
+}
+
+TEST_F(CrashingRequestTest, LossesDuringAStoreOutageAreStoredAfterIt) {
+  store_.service.SetFaults({.outage = true});
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  EXPECT_EQ(SendRepeatedly("POST", "/reads/stock", "query"), "request_crashes_upstreams");
+  EXPECT_TRUE(store_.service.Rows(kCrashTable).empty());
+  store_.service.SetFaults({});
+  WaitUntilStored(kRunsBeforeRefusal);
+}
+
+// Guards against a harmless request that stays refused because two upstreams lost its response.
+TEST_F(CrashingRequestTest, AnswerRemovesTheStoredRecord) {
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  SendRequest("POST", "/reads/stock", "a1", kApiKey, "query");
+  WaitUntilStored(2);
+  SetFaults(WorkerFault::kNone, 0);
+  EXPECT_EQ(SendRequest("POST", "/reads/stock", "a2", kApiKey, "query").status, 200U);
+  while (!store_.service.Rows(kCrashTable).empty()) {
+  }
+}
+
+TEST(CrashRowTest, RoundTripsLossesWithTheirAges) {
+  const CrashRecord record{.request = 0xabc, .losses = {{.upstream = 1, .age = 5s}, {2, 7s}}};
+  const std::string value = EncodeCrashRow(record, 1'000s);
+  const Result<CrashRecord> decoded = DecodeCrashRow("crash/0000000000000abc", value, 1'010s);
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->request, 0xabcU);
+  EXPECT_EQ(decoded->losses, (std::vector<UpstreamLoss>{{1, 15s}, {2, 17s}}));
+  // The clock of the daemon that reads may be behind.
+  EXPECT_EQ(DecodeCrashRow("crash/0000000000000abc", value, 990s)->losses.front().age,
+            Duration::zero());
+}
+
+TEST(CrashRowTest, RejectsMalformedRows) {
+  const std::string value = R"({"lost_ms":{"01":5}})";
+  EXPECT_TRUE(DecodeCrashRow("crash/01", value, 1s));
+  EXPECT_FALSE(DecodeCrashRow("crash/", value, 1s));
+  EXPECT_FALSE(DecodeCrashRow("crash/zz", value, 1s));
+  EXPECT_FALSE(DecodeCrashRow("usage/01", value, 1s));
+  for (const char* malformed : {"", "{", "[]", R"({"lost_ms":7})", R"({"lost_ms":{"zz":5}})",
+                                R"({"lost_ms":{"01":"5"}})"}) {
+    EXPECT_FALSE(DecodeCrashRow("crash/01", malformed, 1s)) << malformed;
+  }
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
