Do not grant the retry allowance again to a restarted daemon

Cause: a daemon that restarts forgets its retries of the last window and gets its share of the allowance again.

Change: in the first window after its start a daemon uses only the fifth of its share that is otherwise held back, so share and restart together stay within the allowance. Several restarts within one window add a fifth each.

Measured: WindowRetryBudgetTest.RestartedDaemonsStayWithinFleetLimit, 8 daemons that restart once: 80 retries of 56 before, within 56 now. recovery_test passes.

--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -31,7 +31,7 @@
         incarnation(daemon_incarnation),
         load_balancer(FleetLoadBalancerOptions{.local_domain = settings.failure_domain}),
         rate_limiter(RateLimiterOptions{}),
-        retry_budget(WindowRetryBudgetOptions{}),
+        retry_budget(WindowRetryBudgetOptions{}, now),
         clock(time_of_day, now),
         groups(Self(), FleetGroupOptions{}),
         drain_policy(DrainOptions{}) {
--- a/packages/recovery/window_retry_budget.cc
+++ b/packages/recovery/window_retry_budget.cc
@@ -1,6 +1,12 @@
 #include "recovery/window_retry_budget.h"
 
 namespace savoryglade {
+namespace {
+
+// Tolerates rounding of the bound.
+constexpr double kRounding = 1e-9;
+
+}  // namespace
 
 void WindowRetryBudget::Expire(std::deque<TimePoint>& instants, TimePoint now) const {
   while (!instants.empty() && now - instants.front() >= options_.window) {
@@ -18,10 +24,13 @@
   History& history = services_[service];
   Expire(history.requests, now);
   Expire(history.retries, now);
+  const bool first_window = now - started_at_ < options_.window;
+  const double usable_allowance =
+      first_window ? 1 - options_.usable_fraction : options_.usable_fraction;
   const double bound =
-      options_.usable_fraction * (options_.ratio * static_cast<double>(history.requests.size()) +
-                                  options_.allowance / daemons_);
-  if (static_cast<double>(history.retries.size()) + 1 > bound) {
+      options_.usable_fraction * options_.ratio * static_cast<double>(history.requests.size()) +
+      usable_allowance * options_.allowance / daemons_;
+  if (static_cast<double>(history.retries.size()) + 1 > bound + kRounding) {
     return false;
   }
   history.retries.push_back(now);
--- a/packages/recovery/window_retry_budget.h
+++ b/packages/recovery/window_retry_budget.h
@@ -21,10 +21,13 @@
 };
 
 // Sliding-window retry budget of this daemon, per service: `ratio` of its own requests plus an
-// equal share of the fleet's allowance. Needs no messages between daemons. Not thread-safe.
+// equal share of the fleet's allowance. Needs no messages between daemons. In the first window
+// after its start a daemon uses only the part of the allowance that is otherwise held back, because
+// the process before it may have used its share. Not thread-safe.
 class WindowRetryBudget {
  public:
-  explicit WindowRetryBudget(WindowRetryBudgetOptions options) : options_(options) {}
+  WindowRetryBudget(WindowRetryBudgetOptions options, TimePoint started_at)
+      : options_(options), started_at_(started_at) {}
 
   void SetOptions(WindowRetryBudgetOptions options) { options_ = options; }
   // Sets the number of daemons that share the allowance.
@@ -43,6 +46,7 @@
   void Expire(std::deque<TimePoint>& instants, TimePoint now) const;
 
   WindowRetryBudgetOptions options_;
+  TimePoint started_at_;
   int daemons_ = 1;
   std::map<ServiceId, History> services_;
 };
--- a/tests/recovery/window_retry_budget_test.cc
+++ b/tests/recovery/window_retry_budget_test.cc
@@ -23,7 +23,7 @@
   constexpr int kRequests = 100;
   int taken = 0;
   for (int daemon = 0; daemon < kDaemons; ++daemon) {
-    WindowRetryBudget budget({.ratio = 0.2, .allowance = 56});
+    WindowRetryBudget budget({.ratio = 0.2, .allowance = 56}, At(-60s));
     budget.SetDaemonCount(kDaemons);
     for (int i = 0; i < kRequests; ++i) {
       budget.OnRequest(kOrders, At(i * 10ms));
@@ -35,14 +35,36 @@
 }
 
 TEST(WindowRetryBudgetTest, RetriesAreAvailableAgainAfterWindow) {
-  WindowRetryBudget budget({.ratio = 0, .allowance = 10, .usable_fraction = 1});
+  WindowRetryBudget budget({.ratio = 0, .allowance = 10, .usable_fraction = 1}, At(-60s));
   EXPECT_EQ(TakeAll(budget, At(0s)), 10);
   EXPECT_EQ(TakeAll(budget, At(9s)), 0);
   EXPECT_EQ(TakeAll(budget, At(10s)), 10);
 }
 
+// Guards against an allowance that is granted again because the process that used it has restarted.
+TEST(WindowRetryBudgetTest, RestartedDaemonsStayWithinFleetLimit) {
+  constexpr int kDaemons = 8;
+  constexpr double kAllowance = 56;
+  int taken = 0;
+  for (int daemon = 0; daemon < kDaemons; ++daemon) {
+    for (const TimePoint started_at : {At(-60s), At(5s)}) {
+      WindowRetryBudget budget({.ratio = 0, .allowance = kAllowance}, started_at);
+      budget.SetDaemonCount(kDaemons);
+      taken += TakeAll(budget, At(5s));
+    }
+  }
+  EXPECT_LE(taken, kAllowance);
+  EXPECT_GT(taken, kAllowance / 2);
+}
+
+TEST(WindowRetryBudgetTest, WholeShareIsAvailableOneWindowAfterTheStart) {
+  WindowRetryBudget budget({.ratio = 0, .allowance = 100}, At(0s));
+  EXPECT_EQ(TakeAll(budget, At(9s)), 20);
+  EXPECT_EQ(TakeAll(budget, At(20s)), 80);
+}
+
 TEST(WindowRetryBudgetTest, EachServiceHasItsOwnBudget) {
-  WindowRetryBudget budget({.ratio = 0, .allowance = 1, .usable_fraction = 1});
+  WindowRetryBudget budget({.ratio = 0, .allowance = 1, .usable_fraction = 1}, At(-60s));
   EXPECT_TRUE(budget.TryConsume(kOrders, At(0s)));
   EXPECT_FALSE(budget.TryConsume(kOrders, At(0s)));
   EXPECT_TRUE(budget.TryConsume(ServiceId("model"), At(0s)));
