Keep the retry shares of daemons that a partition hides

Cause: the allowance is divided by the number of daemons that one knows. Daemons that are cut off from their peers and from the store for longer than the lifetime of a silent peer divide it among fewer, and the shares of both sides add up to more than the allowance.

Change: the number falls only after it has been lower for ten minutes; after a real shrink the retries are that much scarcer meanwhile.

--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -200,7 +200,7 @@
     RemovePeer(daemon);
   }
   const int daemons = fleet_.groups.daemons();
-  fleet_.retry_budget.SetDaemonCount(daemons);
+  fleet_.retry_budget.SetDaemonCount(daemons, now);
   fleet_.rate_limiter.SetDaemonCount(daemons);
   const auto group = static_cast<int>(fleet_.groups.Group().size()) + 1;
   fleet_.digest_interval = std::max(kMinDigestInterval, kDigestIntervalPerPeer * group);
--- a/packages/recovery/window_retry_budget.cc
+++ b/packages/recovery/window_retry_budget.cc
@@ -1,5 +1,7 @@
 #include "recovery/window_retry_budget.h"
 
+#include <algorithm>
+
 namespace savoryglade {
 namespace {
 
@@ -37,4 +39,14 @@
   return true;
 }
 
+void WindowRetryBudget::SetDaemonCount(int daemons, TimePoint now) {
+  if (daemons >= daemons_) {
+    daemons_ = daemons;
+    count_confirmed_at_ = now;
+  } else if (now - count_confirmed_at_ > kShrinkDelay) {
+    daemons_ = std::max(daemons, 1);
+    count_confirmed_at_ = now;
+  }
+}
+
 }  // namespace savoryglade
--- a/packages/recovery/window_retry_budget.h
+++ b/packages/recovery/window_retry_budget.h
@@ -26,12 +26,16 @@
 // the process before it may have used its share. Not thread-safe.
 class WindowRetryBudget {
  public:
+  // Time for which the number of daemons must stay lower before the allowance is divided among
+  // fewer. Until then the missing daemons may be on the other side of a partition.
+  static constexpr Duration kShrinkDelay = 600s;
+
   WindowRetryBudget(WindowRetryBudgetOptions options, TimePoint started_at)
       : options_(options), started_at_(started_at) {}
 
   void SetOptions(WindowRetryBudgetOptions options) { options_ = options; }
-  // Sets the number of daemons that share the allowance.
-  void SetDaemonCount(int daemons) { daemons_ = daemons > 0 ? daemons : 1; }
+  // Sets the number of daemons that are known to share the allowance.
+  void SetDaemonCount(int daemons, TimePoint now);
 
   void OnRequest(const ServiceId& service, TimePoint now);
   // Consumes one retry of the budget. Returns false and consumes none if the budget is used up.
@@ -48,6 +52,8 @@
   WindowRetryBudgetOptions options_;
   TimePoint started_at_;
   int daemons_ = 1;
+  // Latest instant at which at least this number of daemons was known.
+  TimePoint count_confirmed_at_{};
   std::map<ServiceId, History> services_;
 };
 
--- a/tests/recovery/window_retry_budget_test.cc
+++ b/tests/recovery/window_retry_budget_test.cc
@@ -24,7 +24,7 @@
   int taken = 0;
   for (int daemon = 0; daemon < kDaemons; ++daemon) {
     WindowRetryBudget budget({.ratio = 0.2, .allowance = 56}, At(-60s));
-    budget.SetDaemonCount(kDaemons);
+    budget.SetDaemonCount(kDaemons, At(-60s));
     for (int i = 0; i < kRequests; ++i) {
       budget.OnRequest(kOrders, At(i * 10ms));
     }
@@ -49,7 +49,7 @@
   for (int daemon = 0; daemon < kDaemons; ++daemon) {
     for (const TimePoint started_at : {At(-60s), At(5s)}) {
       WindowRetryBudget budget({.ratio = 0, .allowance = kAllowance}, started_at);
-      budget.SetDaemonCount(kDaemons);
+      budget.SetDaemonCount(kDaemons, started_at);
       taken += TakeAll(budget, At(5s));
     }
   }
@@ -63,6 +63,30 @@
   EXPECT_EQ(TakeAll(budget, At(20s)), 80);
 }
 
+// Guards against daemons that divide the allowance among fewer daemons because they hear only their
+// side of a partition.
+TEST(WindowRetryBudgetTest, PartitionedDaemonsStayWithinFleetLimit) {
+  constexpr int kDaemons = 8;
+  constexpr double kAllowance = 56;
+  int taken = 0;
+  for (int daemon = 0; daemon < kDaemons; ++daemon) {
+    WindowRetryBudget budget({.ratio = 0, .allowance = kAllowance}, At(-60s));
+    budget.SetDaemonCount(kDaemons, At(0s));
+    budget.SetDaemonCount(kDaemons / 2, At(31s));
+    taken += TakeAll(budget, At(300s));
+  }
+  EXPECT_LE(taken, kAllowance);
+}
+
+TEST(WindowRetryBudgetTest, SharesGrowAfterTheFleetHasShrunkForGood) {
+  WindowRetryBudget budget({.ratio = 0, .allowance = 80, .usable_fraction = 1}, At(-60s));
+  budget.SetDaemonCount(8, At(0s));
+  budget.SetDaemonCount(4, At(1s));
+  EXPECT_EQ(TakeAll(budget, At(1s)), 10);
+  budget.SetDaemonCount(4, At(602s));
+  EXPECT_EQ(TakeAll(budget, At(602s)), 20);
+}
+
 TEST(WindowRetryBudgetTest, EachServiceHasItsOwnBudget) {
   WindowRetryBudget budget({.ratio = 0, .allowance = 1, .usable_fraction = 1}, At(-60s));
   EXPECT_TRUE(budget.TryConsume(kOrders, At(0s)));
