Charge the return of a stream to its source to the retry budget

Cause: a stream that is migrated is charged for the send to its destination. If the destination states that it did not run it, the stream goes back to the engine that stopped it; that second send was not counted, so the fleet could make more sends than its budget says.

Change: the return is charged without asking, because refusing it would break the caller's stream; other retries wait for it.

That the relay makes the charge has no test of its own.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -208,6 +208,7 @@
     }
     if (moved && outcome == RelayOutcome::kNotRun && call.migration_source) {
       // The engine that stopped the request still holds its KV cache.
+      fleet_.retry_budget.Charge(call.service, BootNow());
       call.migration_target = std::exchange(call.migration_source, std::nullopt);
       continue;
     }
--- a/packages/recovery/window_retry_budget.cc
+++ b/packages/recovery/window_retry_budget.cc
@@ -39,6 +39,10 @@
   return true;
 }
 
+void WindowRetryBudget::Charge(const ServiceId& service, TimePoint now) {
+  services_[service].retries.push_back(now);
+}
+
 void WindowRetryBudget::SetDaemonCount(int daemons, TimePoint now) {
   if (daemons >= daemons_) {
     daemons_ = daemons;
--- a/packages/recovery/window_retry_budget.h
+++ b/packages/recovery/window_retry_budget.h
@@ -40,6 +40,8 @@
   void OnRequest(const ServiceId& service, TimePoint now);
   // Consumes one retry of the budget. Returns false and consumes none if the budget is used up.
   bool TryConsume(const ServiceId& service, TimePoint now);
+  // Counts a retry that is made whether or not the budget allows it.
+  void Charge(const ServiceId& service, TimePoint now);
 
  private:
   struct History {
