Wait for the stored crash record without sending the request

Cause: DaemonLearnsOfTheRequestFromTheStoreWhileItRuns sent the request, which no longer crashed, until it was refused. If the daemon read the row while one of these was in flight, its answer discarded the losses, as it should, and the test went on for ever. It passed four times and then hung once; the stack of the hung process (in the loop of the test) and the order of the events show the race.

Change: the test waits until the daemon's metrics count the row, then sends the request once and expects the refusal and no further run, which is stricter.

--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -129,9 +129,14 @@
   SetFaults(WorkerFault::kNone, 0);
   EXPECT_EQ(SendRequest("POST", "/reads/stock", "b1", kApiKey, "query").status, 200U);
   store_.service.Put(kCrashTable, key, value);
-  while (SendRequest("POST", "/reads/stock", "b2", kApiKey, "query").reason !=
-         "request_crashes_upstreams") {
+  // Sends nothing meanwhile: an answer would show that the request is harmless.
+  while (Metrics().find("savoryglade_gateway_crash_records_total{event=\"read\"}") ==
+         std::string::npos) {
   }
+  const int runs = TotalRuns();
+  EXPECT_EQ(SendRequest("POST", "/reads/stock", "b2", kApiKey, "query").reason,
+            "request_crashes_upstreams");
+  EXPECT_EQ(TotalRuns(), runs);
 }
 
 TEST_F(CrashingRequestTest, LossesDuringAStoreOutageAreStoredAfterIt) {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -145,6 +145,11 @@
     return SendText(gateway_->callers_endpoint(), FormatRequest(method, path, attempt, key, body));
   }
 
+  // Returns the gateway's metrics as text.
+  std::string Metrics() const {
+    return SendText(gateway_->metrics_endpoint(), "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n").body;
+  }
+
   void SetFaults(WorkerFault fault, int count) {
     for (const auto& worker : workers_) {
       worker->service.SetFault(fault, count);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -319,8 +319,7 @@
   SendRequest("GET", "/reads/1", "a3");
   std::ifstream file(std::string(SAVORYGLADE_SOURCE_DIR) + "/docs/OPERATIONS.md", std::ios::binary);
   const std::string page{std::istreambuf_iterator<char>(file), {}};
-  const std::string text =
-      SendText(gateway_->metrics_endpoint(), "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n").body;
+  const std::string text = Metrics();
   const std::regex pattern("# TYPE (savoryglade_[a-z_]+) ");
   int count = 0;
   for (std::sregex_iterator it(text.begin(), text.end(), pattern), end; it != end; ++it) {
