End responses that never end, and record long ones that break off

Cause: each read had a timeout, but the reads together had none. Interim responses, the body of a response to another request, or an event without its end kept a request at the gateway for ever, past its deadline, and the event filled the memory. The splitter searched the whole unfinished event again for each piece, so its cost grew with the square of the size. A response of more than 256 KB that broke off left no crash record.

Change: reads of a body end at the deadline; 16 interim responses, 256 KB of a response to another request and 256 KB of one event are the most that is read. Such an upstream lives, so it is not recorded as lost; the client connection returns kInvalid for bytes that are no HTTP response. The splitter searches only what is new. A long response that breaks off is recorded, and one that ends clears the record.

--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -2,8 +2,12 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace savoryglade {
@@ -11,6 +15,32 @@
 
 namespace asio = boost::asio;
 
+// Bytes of a fault that sends without end.
+struct EndlessBytes {
+  WorkerFault fault;
+  // Contains {} where the attempt id belongs.
+  std::string_view begin;
+  std::string_view repeated;
+};
+
+constexpr std::array kEndlessBytes = {
+    EndlessBytes{WorkerFault::kEndlessHeader, "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\n",
+                 "X-Padding: 0123456789\r\n"},
+    EndlessBytes{WorkerFault::kEndlessInterimResponses, "HTTP/1.1 100 Continue\r\n\r\n",
+                 "HTTP/1.1 100 Continue\r\n\r\n"},
+    EndlessBytes{WorkerFault::kEndlessStaleBody, "HTTP/1.1 200 OK\r\nAttempt-Id: not-{}\r\n\r\n",
+                 "0123456789"},
+    EndlessBytes{WorkerFault::kEndlessEvent,
+                 "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n"
+                 "Content-Type: text/event-stream\r\n\r\n",
+                 "0123456789"},
+};
+
+const EndlessBytes* FindEndlessBytes(WorkerFault fault) {
+  const auto found = std::ranges::find(kEndlessBytes, fault, &EndlessBytes::fault);
+  return found == kEndlessBytes.end() ? nullptr : &*found;
+}
+
 }  // namespace
 
 void WorkerService::SetFault(WorkerFault fault, int count) {
@@ -143,6 +173,13 @@
     exchange.Abort();
     co_return;
   }
+  if (const EndlessBytes* bytes = FindEndlessBytes(fault); bytes != nullptr) {
+    co_await SendEndlessly(
+        exchange,
+        fmt::format(fmt::runtime(bytes->begin), std::string(exchange.Header("Attempt-Id"))),
+        std::string(bytes->repeated));
+    co_return;
+  }
   if (exchange.target().find("/stream/") != std::string_view::npos) {
     co_await Stream(exchange, fault);
     co_return;
@@ -156,7 +193,8 @@
   } else if (fault == WorkerFault::kUnavailableAfterRun) {
     status = 503;
   } else if (fault == WorkerFault::kTruncateBody) {
-    if (co_await exchange.StartStream(status, std::move(headers), body.substr(0, 3))) {
+    if (co_await exchange.StartStream(status, std::move(headers),
+                                      body.substr(0, body.size() / 2))) {
       exchange.Abort();
     }
     co_return;
@@ -170,6 +208,22 @@
   co_await exchange.Respond(status, std::move(headers), body);
 }
 
+asio::awaitable<void> WorkerService::SendEndlessly(HttpExchange& exchange, std::string begin,
+                                                   std::string repeated) {
+  constexpr std::size_t kBlockBytes = 64 * 1024;
+  std::string block;
+  while (block.size() < kBlockBytes) {
+    block += repeated;
+  }
+  auto [error, size] = co_await asio::async_write(exchange.stream(), asio::buffer(begin),
+                                                  asio::as_tuple(asio::use_awaitable));
+  while (!error) {
+    std::tie(error, size) = co_await asio::async_write(exchange.stream(), asio::buffer(block),
+                                                       asio::as_tuple(asio::use_awaitable));
+  }
+  exchange.Abort();
+}
+
 asio::awaitable<void> WorkerService::Stream(HttpExchange& exchange, WorkerFault fault) {
   const std::string last_event_id(exchange.Header("Last-Event-Id"));
   const int first_event = last_event_id.empty() ? 1 : std::stoi(last_event_id) + 1;
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -35,6 +35,15 @@
   kTruncateStream,
   // Sends half of the events and then nothing until the run is migrated to another worker.
   kWaitForMigration,
+  // The following run the request and send bytes until the peer closes the connection.
+  // Header fields without the end of the header.
+  kEndlessHeader,
+  // Interim responses.
+  kEndlessInterimResponses,
+  // The body of a response to another attempt.
+  kEndlessStaleBody,
+  // A server-sent event without its end.
+  kEndlessEvent,
 };
 
 // Emulated worker of the operators' platform, for plain calls and for event streams. Thread-safe.
@@ -64,6 +73,9 @@
 
  private:
   boost::asio::awaitable<void> Stream(HttpExchange& exchange, WorkerFault fault);
+  // Sends a text and then another one again and again until the peer closes the connection.
+  static boost::asio::awaitable<void> SendEndlessly(HttpExchange& exchange, std::string begin,
+                                                    std::string repeated);
   // Responds to a request to copy a run to another worker. A final copy ends the stream of the run.
   boost::asio::awaitable<void> HandleMigration(HttpExchange& exchange);
   boost::asio::awaitable<void> WaitForMigration(const std::string& attempt);
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -20,6 +20,12 @@
 constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
 // Late responses to earlier requests that are discarded on one connection.
 constexpr int kMaxStaleResponses = 2;
+// Bytes of one such response that are read.
+constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;
+// Interim responses (status 1xx) that are read before a final one.
+constexpr int kMaxInterimResponses = 16;
+// Largest event of a stream.
+constexpr std::size_t kMaxEventBytes = 256 * 1024;
 // Wait for the next event of a stream, as a multiple of the route's longest pause, before the
 // stream is resumed at another upstream.
 constexpr int kStallPauseMultiple = 3;
@@ -55,8 +61,7 @@
                                           {"ms", total / 1ms}});
 }
 
-Duration ResponseRelay::ResponseTimeout(const Call& call, const Attempt& attempt,
-                                        TimePoint now) const {
+Duration ResponseRelay::ResponseTimeout(const Call& call, const Attempt& attempt, TimePoint now) {
   const Duration remaining = std::max(call.RemainingTime(now), Duration(1ms));
   if (call.possible_runs + 1 >= call.route->max_attempts || !call.route->Repeatable()) {
     return remaining;
@@ -71,18 +76,48 @@
   return std::min(remaining, kRetryObjectiveMultiple * call.route->latency_objective);
 }
 
+asio::awaitable<Result<bool>> ResponseRelay::ReadBody(const Call& call, const Attempt& attempt,
+                                                      std::string& bytes, Duration timeout) {
+  if (call.RemainingTime(BootNow()) <= Duration::zero()) {
+    co_return tl::make_unexpected(
+        Error{.code = ErrorCode::kTimeout, .message = "The response did not end in time."});
+  }
+  co_return co_await attempt.connection->ReadSome(bytes, timeout);
+}
+
+asio::awaitable<bool> ResponseRelay::DiscardBody(const Call& call, Attempt& attempt) {
+  std::string discarded;
+  for (std::size_t size = 0; size <= kMaxDiscardedBytes; size += discarded.size()) {
+    discarded.clear();
+    const Result<bool> has_more =
+        co_await ReadBody(call, attempt, discarded, ResponseTimeout(call, attempt, BootNow()));
+    if (!has_more) {
+      attempt.failure = has_more.error().message;
+      co_return false;
+    }
+    if (!*has_more) {
+      co_return true;
+    }
+  }
+  attempt.response_rejected = true;
+  attempt.failure = "A response to another request did not end.";
+  co_return false;
+}
+
 asio::awaitable<unsigned> ResponseRelay::ReadHeader(Call& call, Attempt& attempt) {
   HttpConnection& connection = *attempt.connection;
-  std::string discarded;
-  for (int stale = 0; stale <= kMaxStaleResponses;) {
-    const TimePoint now = BootNow();
+  int interim_responses = 0;
+  int stale_responses = 0;
+  while (interim_responses <= kMaxInterimResponses && stale_responses <= kMaxStaleResponses) {
     const Result<unsigned> status =
-        co_await connection.ReadHeader(ResponseTimeout(call, attempt, now));
+        co_await connection.ReadHeader(ResponseTimeout(call, attempt, BootNow()));
     if (!status) {
+      attempt.response_rejected = status.error().code == ErrorCode::kInvalid;
       attempt.failure = status.error().message;
       co_return 0;
     }
     if (*status < 200) {
+      ++interim_responses;
       continue;
     }
     attempt.response =
@@ -91,19 +126,13 @@
       co_return *status;
     }
     // This is a late response to an earlier request on the connection; discard it and read on.
-    ++stale;
-    for (bool more = true; more;) {
-      discarded.clear();
-      const Result<bool> has_more =
-          co_await connection.ReadSome(discarded, ResponseTimeout(call, attempt, BootNow()));
-      if (!has_more) {
-        attempt.failure = has_more.error().message;
-        co_return 0;
-      }
-      more = *has_more;
+    ++stale_responses;
+    if (!co_await DiscardBody(call, attempt)) {
+      co_return 0;
     }
   }
-  attempt.failure = "The connection carried only responses to other requests.";
+  attempt.response_rejected = true;
+  attempt.failure = "The connection carried too many responses that do not answer the request.";
   co_return 0;
 }
 
@@ -123,7 +152,7 @@
                             .headers = codec_.CallerResponseHeaders(connection.response_header())};
   while (true) {
     const Result<bool> has_more =
-        co_await connection.ReadSome(response.body, ResponseTimeout(call, attempt, BootNow()));
+        co_await ReadBody(call, attempt, response.body, ResponseTimeout(call, attempt, BootNow()));
     if (call.caller.disconnected()) {
       attempt.end = AttemptEnd::kCancelled;
       co_return RelayOutcome::kFinished;
@@ -149,13 +178,19 @@
         co_await call.exchange.StartStream(status, std::move(response.headers), response.body);
     while (open) {
       response.body.clear();
-      const Result<bool> has_more = co_await connection.ReadSome(
-          response.body, std::max(call.RemainingTime(BootNow()), Duration(1ms)));
+      const Result<bool> has_more = co_await ReadBody(
+          call, attempt, response.body, std::max(call.RemainingTime(BootNow()), Duration(1ms)));
       if (!has_more) {
+        attempt.failure = has_more.error().message;
+        attempt.end = AttemptEnd::kFailed;
+        if (has_more.error().code != ErrorCode::kTimeout) {
+          crash_detector_.OnAttemptLost(call, attempt, BootNow());
+        }
         call.exchange.Abort();
         co_return RelayOutcome::kFinished;
       }
       if (!*has_more) {
+        crash_detector_.OnAnswer(call, status, BootNow());
         open = co_await call.exchange.EndStream();
         break;
       }
@@ -217,7 +252,7 @@
   while (more) {
     received.clear();
     const Result<bool> has_more =
-        co_await connection.ReadSome(received, ResponseTimeout(call, attempt, BootNow()));
+        co_await ReadBody(call, attempt, received, ResponseTimeout(call, attempt, BootNow()));
     if (call.caller.disconnected()) {
       attempt.end = AttemptEnd::kCancelled;
       call.exchange.Abort();
@@ -230,6 +265,11 @@
     more = *has_more;
     fleet_.load_balancer.OnBytes(attempt.placement.upstream.id, BootNow());
     const std::string events = call.sse_splitter.Append(received);
+    if (call.sse_splitter.partial_event().size() > kMaxEventBytes) {
+      attempt.response_rejected = true;
+      attempt.failure = "An event of the stream exceeds the maximum size.";
+      co_return RelayOutcome::kResponseLost;
+    }
     if (events.empty()) {
       continue;
     }
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -38,8 +38,14 @@
  private:
   // Relays events until the upstream's stream completes, breaks or stalls.
   boost::asio::awaitable<RelayOutcome> RelayEvents(Call& call, Attempt& attempt, unsigned status);
+  // Appends the next bytes of the body. Returns false at its end, and kTimeout once the deadline
+  // has passed, even if bytes still arrive.
+  static boost::asio::awaitable<Result<bool>> ReadBody(const Call& call, const Attempt& attempt,
+                                                       std::string& bytes, Duration timeout);
+  // Reads over a response to another attempt. Returns false if it does not end.
+  static boost::asio::awaitable<bool> DiscardBody(const Call& call, Attempt& attempt);
   // Returns the longest wait for the next bytes of a response.
-  Duration ResponseTimeout(const Call& call, const Attempt& attempt, TimePoint now) const;
+  static Duration ResponseTimeout(const Call& call, const Attempt& attempt, TimePoint now);
   // Returns the number of idle connections to keep to each upstream of the call's service.
   std::size_t MaxIdleConnections(const Call& call) const;
   // Logs a completely answered request and records its latency.
--- a/packages/gateway/sse_splitter.cc
+++ b/packages/gateway/sse_splitter.cc
@@ -6,13 +6,19 @@
 namespace savoryglade::gateway {
 namespace {
 
-// Returns the position after the last empty line, or zero if there is none.
-std::size_t EndOfLastEvent(std::string_view text) {
+// Longest line ending that separates two events.
+constexpr std::size_t kMaxSeparatorBytes = 4;
+
+// Returns the position after the last empty line, or zero if there is none. The text before
+// `searched` is known to have none.
+std::size_t EndOfLastEvent(std::string_view text, std::size_t searched) {
+  const std::size_t start = searched - std::min(searched, kMaxSeparatorBytes - 1);
+  text.remove_prefix(start);
   std::size_t end = 0;
   for (const std::string_view gap : {std::string_view("\n\n"), std::string_view("\r\n\r\n")}) {
     const std::size_t found = text.rfind(gap);
     if (found != std::string_view::npos) {
-      end = std::max(end, found + gap.size());
+      end = std::max(end, start + found + gap.size());
     }
   }
   return end;
@@ -21,8 +27,9 @@
 }  // namespace
 
 std::string SseSplitter::Append(std::string_view bytes) {
+  const std::size_t searched = rest_.size();
   rest_.append(bytes);
-  const std::size_t end = EndOfLastEvent(rest_);
+  const std::size_t end = EndOfLastEvent(rest_, searched);
   std::string whole = rest_.substr(0, end);
   rest_.erase(0, end);
   UpdateLastId(whole);
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -23,8 +23,19 @@
 constexpr std::size_t kMaxHealthBodyBytes = 4 * 1024;
 constexpr std::size_t kMaxFetchBodyBytes = 16 * 1024 * 1024;
 
+ErrorCode CodeOf(beast::error_code error) {
+  if (error == beast::error::timeout) {
+    return ErrorCode::kTimeout;
+  }
+  const bool connection_ended =
+      error == http::error::end_of_stream || error == http::error::partial_message;
+  const bool is_parse_error =
+      error.category() == make_error_code(http::error::bad_version).category();
+  return is_parse_error && !connection_ended ? ErrorCode::kInvalid : ErrorCode::kUnavailable;
+}
+
 Error MakeError(const char* action, const Endpoint& endpoint, beast::error_code error) {
-  return {.code = error == beast::error::timeout ? ErrorCode::kTimeout : ErrorCode::kUnavailable,
+  return {.code = CodeOf(error),
           .message = fmt::format("{} {} failed: {}.", action, ToString(endpoint), error.message())};
 }
 
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -40,7 +40,8 @@
   // Sends a complete request. After an error the request may still have arrived.
   boost::asio::awaitable<Result<void>> Send(const HttpRequest& request, Duration timeout);
 
-  // Reads the header of the response and returns the status code.
+  // Reads the header of the response and returns the status code. Returns kInvalid if the bytes
+  // received are no HTTP response, kTimeout after the timeout, and otherwise kUnavailable.
   boost::asio::awaitable<Result<unsigned>> ReadHeader(Duration timeout);
 
   // Appends the next chunk of the body to the text. Returns false at the end of the body. The
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -91,6 +91,14 @@
   EXPECT_EQ(TotalRuns(), kRunsBeforeRefusal);
 }
 
+// The first part of such a response has already been sent to the caller.
+TEST_F(CrashingRequestTest, LongResponseThatBreaksOffIsRefused) {
+  SetFaults(WorkerFault::kTruncateBody, 100);
+  EXPECT_EQ(SendRepeatedly("POST", "/reads/stock", std::string(600 * 1024, 'x')),
+            "request_crashes_upstreams");
+  EXPECT_EQ(TotalRuns(), kRunsBeforeRefusal);
+}
+
 // Guards against a record that is cleared by the failure of an upstream that did not run the
 // request to its end.
 TEST_F(CrashingRequestTest, FailureOfAnUpstreamDoesNotClearTheRecord) {
--- a/tests/gateway/sse_splitter_test.cc
+++ b/tests/gateway/sse_splitter_test.cc
@@ -33,5 +33,20 @@
   EXPECT_TRUE(splitter.partial_event().empty());
 }
 
+// Guards against event boundaries that are missed because they arrive in pieces.
+TEST(SseSplitterTest, SplitsEventsThatArriveByteByByte) {
+  for (const std::string text :
+       {"id:1\ndata: a\n\nid:2\ndata: b\n\n", "id:1\r\ndata: a\r\n\r\nid:2\r\ndata: b\r\n\r\n"}) {
+    SseSplitter splitter;
+    std::string events;
+    for (const char byte : text) {
+      events += splitter.Append({&byte, 1});
+    }
+    EXPECT_EQ(events, text);
+    EXPECT_EQ(splitter.last_id(), "2");
+    EXPECT_TRUE(splitter.partial_event().empty());
+  }
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
