Word the log lines and comments of crash records as what they say

Cause: a reader of the log would take "A peer reported a request that crashes upstreams." for a refusal; it is written for a single lost response too. Two private functions of the registry and a ranking lacked a comment.

No behaviour changes.

--- a/packages/gateway/crash_record_store.cc
+++ b/packages/gateway/crash_record_store.cc
@@ -101,7 +101,7 @@
   }
   if (fleet_.crash_registry.OnStoredRecord(*record, now)) {
     fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "read"}}).Add();
-    kLog.Info("The store holds a request that crashes upstreams.",
+    kLog.Info("Merged a crash record of the store.",
               {{"fingerprint", fmt::format("{:016x}", record->request)},
                {"version", row.version},
                {"losses", fleet_.crash_registry.LossCount(record->request)},
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -162,7 +162,7 @@
   for (const CrashRecord& record : report.crashes) {
     if (fleet_.crash_registry.OnPeerRecord(record, now)) {
       fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "received"}}).Add();
-      kLog.Info("A peer reported a request that crashes upstreams.",
+      kLog.Info("Merged the crash record of a peer.",
                 {{"fingerprint", fmt::format("{:016x}", record.request)},
                  {"daemon", report.sender.id.value()},
                  {"losses", fleet_.crash_registry.LossCount(record.request)},
--- a/packages/recovery/crash_registry.cc
+++ b/packages/recovery/crash_registry.cc
@@ -183,7 +183,7 @@
 
 std::vector<CrashRecord> CrashRegistry::SelectForReport(std::size_t limit, TimePoint now) {
   std::erase_if(records_, [now](const auto& record) { return HasExpired(record.second, now); });
-  // Lower ranks are reported first; then those that were reported least often, oldest first.
+  // Rank, number of reports and time of the last loss; lower values are reported first.
   using Priority = std::tuple<int, int, TimePoint>;
   std::vector<std::pair<Priority, std::uint64_t>> candidates;
   candidates.reserve(records_.size());
--- a/packages/recovery/crash_registry.h
+++ b/packages/recovery/crash_registry.h
@@ -98,13 +98,15 @@
   static constexpr std::size_t kMaxRecords = 4096;
   // Newest losses that are kept for one request; enough to reach the longest refusal.
   static constexpr std::size_t kMaxLosses = 9;
-  // Reports in which the loss of a record is repeated with priority, because datagrams get lost.
+  // Reports that carry a new loss with priority, because datagrams can be lost.
   static constexpr int kPriorityReports = 3;
 
   Entry& FindOrAdd(std::uint64_t request, TimePoint now);
   // Removes expired records and, if the registry is still full, the least important one.
   void Evict(TimePoint now);
+  // Merges a record into an entry. Returns true if this changes the entry.
   static bool Merge(const CrashRecord& record, Entry& entry, TimePoint now);
+  // Removes the losses before the entry's answer, which must be set.
   static void DiscardAnsweredLosses(Entry& entry);
   // Adds a loss. Returns true if the upstream was not recorded yet.
   static bool AddLoss(std::uint64_t upstream, TimePoint lost_at, Entry& entry);
