Leave old crash records out of the reports

Change: a record that is not refused is left out after four reports, until it changes; refused requests stay in, and the store has what has more than one loss.

--- a/packages/recovery/crash_registry.cc
+++ b/packages/recovery/crash_registry.cc
@@ -189,6 +189,9 @@
   candidates.reserve(records_.size());
   for (const auto& [request, entry] : records_) {
     const bool refused = entry.losses.size() >= kLossesBeforeRefusal;
+    if (!refused && entry.reports >= kMaxReports) {
+      continue;
+    }
     const bool is_new = entry.own && entry.reports < kPriorityReports;
     const int rank = refused ? 0 : (is_new ? 1 : 2);
     candidates.emplace_back(Priority(rank, entry.reports, LastLoss(entry.losses)), request);
--- a/packages/recovery/crash_registry.h
+++ b/packages/recovery/crash_registry.h
@@ -70,7 +70,7 @@
   }
 
   // Returns at most `limit` records for the next report to peers. Refused requests come first, then
-  // this daemon's own new losses, then the records that were reported least often.
+  // this daemon's own new losses, then other records that have changed recently.
   std::vector<CrashRecord> SelectForReport(std::size_t limit, TimePoint now);
   // Returns the records that this daemon should store for all daemons: those with more than one
   // loss that are not stored completely. A record without losses means that the stored one is to be
@@ -100,6 +100,8 @@
   static constexpr std::size_t kMaxLosses = 9;
   // Reports that carry a new loss with priority, because datagrams can be lost.
   static constexpr int kPriorityReports = 3;
+  // Reports after which a record that is not refused is left out until it changes.
+  static constexpr int kMaxReports = 4;
 
   Entry& FindOrAdd(std::uint64_t request, TimePoint now);
   // Removes expired records and, if the registry is still full, the least important one.
--- a/tests/recovery/crash_registry_test.cc
+++ b/tests/recovery/crash_registry_test.cc
@@ -151,6 +151,24 @@
   EXPECT_TRUE(crashes.SelectForStorage(At(0s)).empty());
 }
 
+// Guards against reports that carry old records for as long as these are kept.
+TEST(CrashRegistryTest, UnchangedRecordsLeaveTheReportsUnlessRefused) {
+  CrashRegistry crashes;
+  for (std::uint64_t request = 1; request <= 20; ++request) {
+    crashes.OnLoss(request, 1, At(0s));
+  }
+  crashes.OnLoss(7, 2, At(0s));
+  crashes.OnLoss(7, 3, At(0s));
+  for (int report = 0; report < 4; ++report) {
+    EXPECT_EQ(crashes.SelectForReport(48, At(1s)).size(), 20U);
+  }
+  const std::vector<CrashRecord> later = crashes.SelectForReport(48, At(2s));
+  ASSERT_EQ(later.size(), 1U);
+  EXPECT_EQ(later.front().request, 7U);
+  crashes.OnLoss(9, 2, At(3s));
+  EXPECT_EQ(crashes.SelectForReport(48, At(3s)).size(), 2U);
+}
+
 TEST(CrashRegistryTest, NumberOfRecordsIsBounded) {
   CrashRegistry crashes;
   for (std::uint64_t request = 0; request < 10'000; ++request) {
