Reset upstream connections when they are closed

Callers saw nothing: their request had its answer from another upstream. The upstream saw a request 2,857 ms after the store had acknowledged its notice (DRAIN). Cause: the daemon closed the connection of an abandoned attempt with an orderly close, so the kernel kept the request and delivered it once the failure domain was reachable again, 0.2 + 0.4 + 0.8 + 1.6 + 3.2 = 6.2 s after the send. The end of an attempt did not recall its request.

Every client connection now lingers for zero seconds: closing it, by the daemon or by the end of its process, discards what the peer has not acknowledged and resets the connection. A connection that is idle has nothing to discard. The same holds for calls to the store, to engines and to the platform's duties, which could land late in the same way.

--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -52,6 +52,8 @@
     co_return tl::make_unexpected(MakeError("Connecting to", endpoint, error));
   }
   stream.socket().set_option(tcp::no_delay(true));
+  // A closed socket would otherwise retransmit a request for minutes after its attempt has ended.
+  stream.socket().set_option(asio::socket_base::linger(true, 0));
   stream.expires_never();
   co_return std::make_unique<HttpConnection>(std::move(stream), endpoint);
 }
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -27,11 +27,15 @@
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
 // HTTP client connection. The request must not be considered "not run" once Send has been called.
+// Closing the connection resets it, so that the kernel discards what the peer has not received yet.
 // Used by one coroutine at a time.
 class HttpConnection {
  public:
   HttpConnection(boost::beast::tcp_stream stream, Endpoint endpoint)
       : stream_(std::move(stream)), endpoint_(std::move(endpoint)) {}
+  ~HttpConnection() { Close(); }
+  HttpConnection(const HttpConnection&) = delete;
+  HttpConnection& operator=(const HttpConnection&) = delete;
 
   // Opens a connection within the timeout. Returns kUnavailable or kTimeout on failure.
   static boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> Connect(
