Withdraw requests that have not reached a leaving upstream

A call that waits for its response keeps its connection open, so TCP goes on retransmitting a request that was sent into a cut path. An attempt that may not be repeated waits until the deadline, 15 s for a chat, and its request can reach an upstream seconds after the daemon has learned that the upstream leaves.

OpenAttempts knows the connections of the attempts in progress. When an upstream announces to leave or is gone, connections on which the upstream's host has not acknowledged the request 300 ms later are reset; the call goes on as after a lost response. Requests that have arrived are left alone.

--- a/packages/gateway/attempt.h
+++ b/packages/gateway/attempt.h
@@ -2,10 +2,12 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/time.h"
 #include "gateway/adapter.h"
+#include "gateway/open_attempts.h"
 #include "gateway/stream_migrator.h"
 #include "net/http_client.h"
 #include "routing/fleet_load_balancer.h"
@@ -31,6 +33,8 @@
   Placement placement;
   TimePoint sent_at;
   std::unique_ptr<HttpConnection> connection;
+  // Set while the attempt owns the connection.
+  std::optional<OpenAttempts::Registration> registration;
   bool first_byte = false;
   ResponseMetadata response;
   // Set while a stream is relayed.
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -280,6 +280,7 @@
     co_return RelayOutcome::kFinished;
   }
   HttpConnection* const connection = attempt.connection.get();
+  attempt.registration.emplace(open_attempts_, attempt.placement.upstream.id, *connection);
   call.caller.OnDisconnect([connection] { connection->Close(); });
   const TimePoint now = BootNow();
   const ForwardMetadata metadata{.upstream = attempt.placement.upstream.id,
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -13,6 +13,7 @@
 #include "gateway/call.h"
 #include "gateway/crash_detector.h"
 #include "gateway/fleet_state.h"
+#include "gateway/open_attempts.h"
 #include "gateway/response_relay.h"
 #include "gateway/stream_migrator.h"
 #include "gateway/upstream_connection_pool.h"
@@ -27,10 +28,12 @@
  public:
   // The callback is called when the crash registry has changed.
   CallRelay(FleetState& fleet, const MessageCodec& codec, UpstreamConnectionPool& connections,
-            StreamMigrator& migrator, std::function<void()> on_crash_record)
+            StreamMigrator& migrator, OpenAttempts& open_attempts,
+            std::function<void()> on_crash_record)
       : fleet_(fleet),
         codec_(codec),
         connections_(connections),
+        open_attempts_(open_attempts),
         crash_detector_(fleet, std::move(on_crash_record)),
         response_relay_(fleet, codec, connections, migrator, crash_detector_) {}
 
@@ -63,6 +66,7 @@
   FleetState& fleet_;
   const MessageCodec& codec_;
   UpstreamConnectionPool& connections_;
+  OpenAttempts& open_attempts_;
   CrashDetector crash_detector_;
   ResponseRelay response_relay_;
 };
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -45,18 +45,21 @@
       fleet_(std::move(settings), RandomIncarnation(), TimeOfDay(), BootNow()),
       adapters_(make_adapters(pool_.context(0), fleet_.metrics)),
       migrator_(fleet_, *adapters_.engines, pool_.context(0)),
-      store_watcher_(
-          fleet_, *adapters_.store, connections_, pool_.context(0),
-          StoreWatchCallbacks{.on_routes =
-                                  [this](const RouteTable& routes) {
-                                    ApplyRequestLimits(routes.document().bounds);
-                                  },
-                              .on_upstream_leaving =
-                                  [this](const UpstreamId& id) { migrator_.OnUpstreamLeaving(id); },
-                              .publish =
-                                  [this](std::optional<FeedUpdate> feed_update) {
-                                    report_transport_.Publish(std::move(feed_update));
-                                  }}),
+      open_attempts_(pool_.context(0)),
+      store_watcher_(fleet_, *adapters_.store, connections_, pool_.context(0),
+                     StoreWatchCallbacks{.on_routes =
+                                             [this](const RouteTable& routes) {
+                                               ApplyRequestLimits(routes.document().bounds);
+                                             },
+                                         .on_upstream_leaving =
+                                             [this](const UpstreamId& id) {
+                                               migrator_.OnUpstreamLeaving(id);
+                                               open_attempts_.OnUpstreamLeaving(id);
+                                             },
+                                         .publish =
+                                             [this](std::optional<FeedUpdate> feed_update) {
+                                               report_transport_.Publish(std::move(feed_update));
+                                             }}),
       crash_records_(fleet_, *adapters_.store, pool_.context(0)),
       report_transport_(fleet_, *adapters_.store,
                         [this](const FleetReport& report) {
@@ -67,7 +70,7 @@
                         }),
       duty_runner_(fleet_, *adapters_.store, *adapters_.duties),
       capacity_controller_(fleet_, *adapters_.store, *adapters_.duties, duty_runner_),
-      relay_(fleet_, *adapters_.codec, connections_, migrator_,
+      relay_(fleet_, *adapters_.codec, connections_, migrator_, open_attempts_,
              [this] { crash_records_.OnRegistryChanged(); }),
       callers_(pool_, CallerLimits(fleet_.settings),
                [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/duty_runner.h"
 #include "gateway/fleet_state.h"
 #include "gateway/fleet_store_watcher.h"
+#include "gateway/open_attempts.h"
 #include "gateway/peer_report_transport.h"
 #include "gateway/stream_migrator.h"
 #include "gateway/upstream_connection_pool.h"
@@ -74,6 +75,7 @@
   GatewayAdapters adapters_;
   UpstreamConnectionPool connections_;
   StreamMigrator migrator_;
+  OpenAttempts open_attempts_;
   FleetStoreWatcher store_watcher_;
   CrashRecordStore crash_records_;
   PeerReportTransport report_transport_;
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -43,6 +43,13 @@
       service == nullptr ? 0 : service->max_connections, fleet_.groups.daemons());
 }
 
+void ResponseRelay::ReleaseConnection(Call& call, Attempt& attempt) {
+  attempt.registration.reset();
+  connections_.Release(attempt.placement.upstream.id, std::move(attempt.connection),
+                       attempt.response.idle_timeout, MaxIdleConnections(call));
+  call.caller.OnDisconnect({});
+}
+
 void ResponseRelay::RecordResponse(const Call& call, const Attempt& attempt, unsigned status) {
   const Duration total = BootNow() - call.received;
   fleet_.metrics.GetTiming("savoryglade_gateway_answer_seconds", {{"route", call.route->name}})
@@ -198,9 +205,7 @@
     }
     co_return RelayOutcome::kFinished;
   }
-  connections_.Release(attempt.placement.upstream.id, std::move(attempt.connection),
-                       attempt.response.idle_timeout, MaxIdleConnections(call));
-  call.caller.OnDisconnect({});
+  ReleaseConnection(call, attempt);
   if (status >= 500 && call.route->kind == CallKind::kIdempotent && call.possible_runs == 0 &&
       call.route->max_attempts > 1) {
     call.failed_response = std::move(response);
@@ -295,9 +300,7 @@
     co_return RelayOutcome::kResponseLost;
   }
   attempt.end = AttemptEnd::kAnswered;
-  connections_.Release(attempt.placement.upstream.id, std::move(attempt.connection),
-                       attempt.response.idle_timeout, MaxIdleConnections(call));
-  call.caller.OnDisconnect({});
+  ReleaseConnection(call, attempt);
   crash_detector_.OnAnswer(call, status, BootNow());
   if (!call.stream_started) {
     call.stream_started = true;
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -48,6 +48,8 @@
   static Duration ResponseTimeout(const Call& call, const Attempt& attempt, TimePoint now);
   // Returns the number of idle connections to keep to each upstream of the call's service.
   std::size_t MaxIdleConnections(const Call& call) const;
+  // Returns the connection of a completely answered attempt to the pool.
+  void ReleaseConnection(Call& call, Attempt& attempt);
   // Logs a completely answered request and records its latency.
   void RecordResponse(const Call& call, const Attempt& attempt, unsigned status);
 
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -1,6 +1,8 @@
 #include "net/http_client.h"
 
 #include <fmt/format.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -118,6 +120,15 @@
 
 const http::fields& HttpConnection::response_header() const { return parser_->get().base(); }
 
+std::optional<std::size_t> HttpConnection::UnacknowledgedBytes() {
+  int bytes = 0;
+  if (!stream_.socket().is_open() ||
+      ::ioctl(stream_.socket().native_handle(), SIOCOUTQ, &bytes) != 0) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(bytes);
+}
+
 bool HttpConnection::IsOpenAndIdle() {
   if (!stream_.socket().is_open() || buffer_.size() > 0) {
     return false;
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -56,6 +56,10 @@
   boost::asio::awaitable<Result<HttpResponse>> ReadResponse(std::size_t body_limit,
                                                             Duration timeout);
 
+  // Returns the number of bytes sent that the peer's host has not acknowledged, or nothing if the
+  // connection is closed.
+  std::optional<std::size_t> UnacknowledgedBytes();
+
   // Returns true if an idle connection is open and has no unread input.
   bool IsOpenAndIdle();
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -77,10 +77,14 @@
   static std::string WorkerName(int i) { return fmt::format("worker-{}", i); }
 
   void RegisterWorker(int i, const char* state) {
+    RegisterUpstream(WorkerName(i), workers_[static_cast<std::size_t>(i)]->endpoint, state);
+  }
+
+  void RegisterUpstream(const std::string& name, const Endpoint& endpoint, const char* state) {
     store_.service.Put(
-        "servers", WorkerName(i),
+        "servers", name,
         fmt::format(R"({{"service":"s","address":"{}","zone":"verona","slots":4,"state":"{}"}})",
-                    ToString(workers_[static_cast<std::size_t>(i)]->endpoint), state));
+                    ToString(endpoint), state));
   }
 
   void PutRoutes(int version, const std::string& more_routes = {}) {
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -9,6 +9,7 @@
 #include "emulator/caller_connection.h"
 #include "emulator/worker_service.h"
 #include "tests/gateway/gateway_fixture.h"
+#include "tests/net/unread_peer.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -203,6 +204,26 @@
   }
 }
 
+// Guards against a request that the kernel goes on sending, while its call waits for the response,
+// until it reaches an upstream that has left.
+TEST_F(GatewayTest, WithdrawsARequestThatHasNotReachedALeavingUpstream) {
+  RegisterWorker(0, "draining");
+  RegisterWorker(1, "draining");
+  UnreadPeer peer;
+  RegisterUpstream("unread", peer.endpoint(), "ready");
+  PutRoutes(1);
+  WaitUntilReady();
+  CallerConnection caller(gateway_->callers_endpoint());
+  caller.Send(FormatRequest("POST", "/reads/1", "a1", kApiKey, std::string(128 * 1024, 'x')));
+  peer.Accept();
+  RegisterWorker(0, "ready");
+  RegisterUpstream("unread", peer.endpoint(), "draining");
+  EXPECT_TRUE(caller.ReadAll());
+  EXPECT_EQ(caller.status(), 200U);
+  EXPECT_EQ(workers_[0]->service.RunCount("a1"), 1);
+  EXPECT_EQ(peer.ReadToEnd().second, boost::asio::error::connection_reset);
+}
+
 // Guards against one malformed registration that makes the others unusable.
 TEST_F(GatewayTest, MalformedRegistrationsDoNotAffectOthers) {
   store_.service.Put("servers", "hostile-1", "\xff\xfe{");
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -2,55 +2,21 @@
 
 #include <gtest/gtest.h>
 
-#include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 #include <memory>
 #include <string>
 #include <utility>
 
+#include "tests/net/unread_peer.h"
+
 namespace savoryglade {
 namespace {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 
 // Size of a request that does not fit into the receiver's socket buffer.
 constexpr std::size_t kRequestBodyBytes = 128 * 1024;
-constexpr int kReceiverBufferBytes = 4 * 1024;
-
-// Peer of one connection that reads only when it is told to, so that a request stays in the
-// sender's kernel as if the path were cut.
-class UnreadPeer {
- public:
-  UnreadPeer() : acceptor_(context_), socket_(context_) {
-    const tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
-    acceptor_.open(any_port.protocol());
-    acceptor_.set_option(asio::socket_base::receive_buffer_size(kReceiverBufferBytes));
-    acceptor_.bind(any_port);
-    acceptor_.listen();
-  }
-
-  Endpoint endpoint() const {
-    return {.address = "127.0.0.1", .port = acceptor_.local_endpoint().port()};
-  }
-  void Accept() { acceptor_.accept(socket_); }
-  // Reads until the connection ends. Returns the number of bytes and how the connection ended.
-  std::pair<std::size_t, boost::system::error_code> ReadToEnd() {
-    std::array<char, 4096> buffer;
-    std::size_t total = 0;
-    boost::system::error_code error;
-    while (!error) {
-      total += socket_.read_some(asio::buffer(buffer), error);
-    }
-    return {total, error};
-  }
-
- private:
-  asio::io_context context_;
-  tcp::acceptor acceptor_;
-  tcp::socket socket_;
-};
 
 HttpRequest LargeRequest() {
   HttpRequest request(boost::beast::http::verb::post, "/orders", 11);
