Report only first-hand confirmations of routes

Cause: a daemon that had not read the store relayed the age of the confirmation it had heard of. The age lacks the time that a report is under way, so each relay made the confirmation younger, and a full mesh kept itself convinced that its routes are the newest although nobody read them.

A daemon now reports the age of its own last read; every daemon of a group hears those who read the store directly, so no relay is needed. A daemon that has read nothing reports the largest age.

--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -42,8 +42,8 @@
   bool leaving = false;
   // Time since the holder of the duties last reported that it holds them, if a report is known.
   std::optional<Duration> holder_age;
-  // Version of the routes that the sender holds, and time since that version was last known to be
-  // the newest.
+  // Version of the routes that the sender holds, and time since a read by the sender itself showed
+  // that this version is the newest.
   std::uint64_t routes_version = 0;
   Duration routes_age = Duration::zero();
   std::vector<ReportedLoad> loads;
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -65,8 +65,12 @@
   MetricRegistry metrics;
   // Null until the first routes have been read.
   std::shared_ptr<const RouteTable> routes;
-  // Latest instant at which these routes were known to be the newest.
+  // Latest instant at which these routes were known to be the newest, from this daemon's own reads
+  // or from a peer's.
   TimePoint routes_confirmed_at{};
+  // Latest instant at which a read by this daemon showed that. Only this is reported to peers: the
+  // age of a relayed confirmation would lack the transit time of each report.
+  TimePoint routes_read_at{};
   // Newest version of the routes that a peer has reported.
   std::uint64_t peer_routes_version = 0;
   FleetLoadBalancer load_balancer;
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -86,7 +86,7 @@
         co_await Sleep(kRetryInterval);
       } else {
         // The routes had not changed when the store sent its response.
-        fleet_.routes_confirmed_at = std::max(read_started_at, BootNow() - kMaxResponseLatency);
+        ConfirmRoutes(std::max(read_started_at, BootNow() - kMaxResponseLatency));
       }
       pause = kRetryInterval;
       // A peer holds a version that the store has not returned yet: pause before reading again.
@@ -106,10 +106,15 @@
   }
 }
 
+void FleetStoreWatcher::ConfirmRoutes(TimePoint as_of) {
+  fleet_.routes_read_at = std::max(fleet_.routes_read_at, as_of);
+  fleet_.routes_confirmed_at = std::max(fleet_.routes_confirmed_at, as_of);
+}
+
 void FleetStoreWatcher::ApplyRoutes(RouteDocument document, TimePoint as_of) {
   const std::uint64_t held = fleet_.routes == nullptr ? 0 : fleet_.routes->version();
   if (document.version >= held) {
-    fleet_.routes_confirmed_at = std::max(fleet_.routes_confirmed_at, as_of);
+    ConfirmRoutes(as_of);
   }
   if (fleet_.routes != nullptr && document.version <= held) {
     return;
--- a/packages/gateway/fleet_store_watcher.h
+++ b/packages/gateway/fleet_store_watcher.h
@@ -50,6 +50,8 @@
   // Reads and applies changed registrations. Returns false if the store call failed.
   boost::asio::awaitable<bool> ReadUpstreams();
   void ApplyRoutes(RouteDocument document, TimePoint as_of);
+  // Records that the store held no newer routes at this instant.
+  void ConfirmRoutes(TimePoint as_of);
   void ApplyUpstreams(const std::vector<RegistrationChange>& changes);
   // Applies peers' updates that continue from this daemon's position.
   void ApplyFeedUpdates(const std::vector<FeedUpdate>& updates);
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -105,7 +105,8 @@
   }
   if (fleet_.routes != nullptr) {
     report.routes_version = fleet_.routes->version();
-    report.routes_age = now - fleet_.routes_confirmed_at;
+    report.routes_age =
+        fleet_.routes_read_at == TimePoint{} ? Duration::max() : now - fleet_.routes_read_at;
   }
   AddAllowanceUsage(full, now, last_reported_[scope], report);
   AddUsageCounts(full, now, last_reported_[scope], report);
--- a/tests/gateway/report_exchange_test.cc
+++ b/tests/gateway/report_exchange_test.cc
@@ -56,9 +56,14 @@
   std::size_t datagrams() const { return datagrams_; }
   void Kill(std::size_t i) { nodes_[i].alive = false; }
 
-  // Runs one round of reports from each live daemon.
+  // Sets the time that a report takes to arrive.
+  void SetTransitTime(Duration transit_time) { transit_time_ = transit_time; }
+
+  // Runs one round of reports from each live daemon. Each daemon sends once the report of the one
+  // before has arrived.
   void ExchangeReports(TimePoint now) {
     for (Node& node : nodes_) {
+      now += transit_time_;
       if (!node.alive) {
         continue;
       }
@@ -101,13 +106,14 @@
         groups.OnSummary(report->sender.id, now);
       }
       if (scope == ReportScope::kDaemon || (scope == ReportScope::kDomain) == to.representative) {
-        to.exchange->Apply(*report, now);
+        to.exchange->Apply(*report, now + transit_time_);
       }
     }
   }
 
   std::vector<Node> nodes_;
   std::size_t datagrams_ = 0;
+  Duration transit_time_ = Duration::zero();
 };
 
 // Time within which all daemons have to refuse a request that has crashed three upstreams.
@@ -115,6 +121,23 @@
 constexpr Duration kReportInterval = 150ms;
 constexpr std::uint64_t kCrashingRequest = 7;
 
+// Guards against routes that the whole fleet believes to be the newest although no daemon reads the
+// store any more.
+TEST(ReportExchangeTest, RepeatedReportsDoNotRenewTheConfirmationOfRoutes) {
+  GroupedFleet fleet(3, 8);
+  fleet.SetTransitTime(5ms);
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    fleet.fleet(i).routes_confirmed_at = At(0s);
+  }
+  fleet.fleet(0).routes_read_at = At(0s);
+  for (Duration time = 0s; time < 5s; time += kReportInterval) {
+    fleet.ExchangeReports(At(time));
+  }
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    EXPECT_LE(fleet.fleet(i).routes_confirmed_at, At(10ms)) << i;
+  }
+}
+
 // Guards against a crash record that stays behind those of requests whose responses were lost for
 // another reason.
 TEST(ReportExchangeTest, CrashRecordsReachAllDaemonsWhileOtherResponsesAreLost) {
