Add the time that a report was under way to the ages in it

Ages in reports were taken as if the report had just been built. A report that waits in the socket of a busy receiver therefore made its content younger: registrations (how old a view may be decides DRAIN), routes, crash records and the holder of the duties.

The receiver compares the sender's clock, which reports already carry, with its own, takes the fastest report of the last one to two minutes as delivered at once, and adds the difference to all ages.

--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -54,6 +54,23 @@
   // Registration changes that the sender has read from the store, and time since that read began.
   std::optional<FeedUpdate> feed_update;
   Duration feed_update_age = Duration::zero();
+
+  // Adds the time that the report was under way to the ages in it.
+  void AddDelay(Duration delay) {
+    routes_age += delay;
+    feed_update_age += delay;
+    if (holder_age) {
+      *holder_age += delay;
+    }
+    for (CrashRecord& record : crashes) {
+      for (UpstreamLoss& loss : record.losses) {
+        loss.age += delay;
+      }
+      if (record.answer_age) {
+        *record.answer_age += delay;
+      }
+    }
+  }
 };
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -182,6 +182,7 @@
 
 void PeerReportTransport::RemovePeer(const DaemonId& daemon) {
   peers_.erase(daemon);
+  report_delay_.Remove(daemon);
   fleet_.groups.Remove(daemon);
   exchange_.RemoveDaemon(daemon);
 }
@@ -324,7 +325,7 @@
       continue;
     }
     bytes.Add(size);
-    const Result<FleetReport> report = DecodeDigest({datagram.data(), size});
+    Result<FleetReport> report = DecodeDigest({datagram.data(), size});
     if (!report) {
       kLog.Warning("Dropped a datagram that is not a valid digest.",
                    {{"from", from.address().to_string()},
@@ -333,7 +334,10 @@
       continue;
     }
     if (report->sender.id != fleet_.settings.daemon) {
-      HandleReport(*report, from, BootNow());
+      const TimePoint now = BootNow();
+      report->AddDelay(
+          report_delay_.OnReport(report->sender.id, report->incarnation, report->time_of_day, now));
+      HandleReport(*report, from, now);
     }
   }
 }
--- a/packages/gateway/peer_report_transport.h
+++ b/packages/gateway/peer_report_transport.h
@@ -13,6 +13,7 @@
 #include "gateway/fleet_report.h"
 #include "gateway/fleet_state.h"
 #include "gateway/report_exchange.h"
+#include "membership/report_delay.h"
 
 namespace savoryglade::gateway {
 
@@ -70,6 +71,7 @@
   FleetState& fleet_;
   FleetStore& store_;
   ReportExchange exchange_;
+  ReportDelay report_delay_;
   ReportCallback on_report_;
   std::unique_ptr<boost::asio::ip::udp::socket> socket_;
   std::map<DaemonId, Peer> peers_;
