--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -49,6 +49,17 @@
   remaining_fault_count_ = count;
 }
 
+void WorkerService::CrashOnPromptPart(std::string part) {
+  const std::lock_guard lock(mutex_);
+  crashing_part_ = std::move(part);
+}
+
+bool WorkerService::CrashesOn(const HttpExchange& exchange) const {
+  const std::lock_guard lock(mutex_);
+  return !crashing_part_.empty() &&
+         exchange.Header("Prefix-Hash").find(crashing_part_ + ":") != std::string_view::npos;
+}
+
 WorkerFault WorkerService::ConsumeFault() {
   const std::lock_guard lock(mutex_);
   if (remaining_fault_count_ == 0) {
@@ -169,6 +180,12 @@
     exchange.Abort();
     co_return;
   }
+  if (CrashesOn(exchange)) {
+    if (co_await exchange.StartStream(200, ResponseHeaders(exchange, true))) {
+      exchange.Abort();
+    }
+    co_return;
+  }
   if (fault == WorkerFault::kCloseAfterRun) {
     exchange.Abort();
     co_return;
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -59,6 +59,9 @@
 
   // Injects a fault into the next count requests.
   void SetFault(WorkerFault fault, int count);
+  // Makes the worker crash whenever it begins to answer a request whose prompt has this part: its
+  // connections break after the header of the response.
+  void CrashOnPromptPart(std::string part);
 
   // Returns the number of runs of an attempt.
   int RunCount(const std::string& attempt) const;
@@ -80,6 +83,7 @@
   boost::asio::awaitable<void> HandleMigration(HttpExchange& exchange);
   boost::asio::awaitable<void> WaitForMigration(const std::string& attempt);
   WorkerFault ConsumeFault();
+  bool CrashesOn(const HttpExchange& exchange) const;
   HttpHeaders ResponseHeaders(const HttpExchange& exchange, bool with_seal) const;
 
   std::string instance_;
@@ -88,6 +92,7 @@
   HttpRequest last_request_;
   WorkerFault fault_ = WorkerFault::kNone;
   int remaining_fault_count_ = 0;
+  std::string crashing_part_;
   int abandoned_requests_ = 0;
   int migrated_runs_ = 0;
   // Timers of streams that wait for migration, by attempt; cancelled by the final copy.
