Refuse requests with a prompt part that crashes engines

Callers of sound requests lost their engine about twice a second. Cause: crash records name whole requests, and no request came often enough to be refused.

A second registry of the same type keeps records of prompt parts, all but the last of a prompt. Each broken connection counts once per engine process, for parts that were not answered completely within the last one to two minutes, anywhere in the fleet, and only while the service answers other requests. After five losses a part is refused for ten minutes, doubled by a further loss; after two, its requests are not sent to a second engine. Sound requests share parts with the crashing ones, but these are answered all the time. An answer that ends with its connection, without length or chunks, clears nothing: a crash between two events looks the same. Time-outs and connections that the daemon closed are no crashes. Records travel in the reports and are stored as crash/part/<hash>.

--- a/packages/gateway/attempt.h
+++ b/packages/gateway/attempt.h
@@ -42,6 +42,9 @@
   AttemptEnd end = AttemptEnd::kFailed;
   // True if the upstream sent a response that can't be relayed, so that it was not lost.
   bool response_rejected = false;
+  // Whether the response had a length or chunks, so that its end was not just that of its
+  // connection.
+  bool has_framed_end = false;
   // Why the attempt has no usable response, for the log.
   std::string failure;
 };
--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -44,6 +44,8 @@
   TimePoint deadline;
   // Hash that is the same for each repeat of the request, whatever its attempt id.
   std::uint64_t fingerprint = 0;
+  // Hashes of the service and each part of the prompt that other requests may share.
+  std::vector<std::uint64_t> shared_parts;
   // Units taken from the account's allowance.
   double units = 0;
   // Values behind a rejection, for the log.
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -144,7 +144,8 @@
 }
 
 bool CallRelay::CanRetry(const Call& call) const {
-  return call.route->Repeatable() && call.possible_runs < call.route->max_attempts;
+  return call.route->Repeatable() && call.possible_runs < call.route->max_attempts &&
+         !crash_detector_.IsSuspected(call);
 }
 
 Verdict CallRelay::NoUpstreamVerdict(const Call& call, TimePoint now) const {
--- a/packages/gateway/crash_detector.h
+++ b/packages/gateway/crash_detector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <utility>
 
 #include "core/time.h"
@@ -14,28 +15,37 @@
 // (from a peer), read (from the store), stored, cleared.
 inline constexpr const char* kCrashRecordsMetric = "savoryglade_gateway_crash_records_total";
 
-// Records in the fleet's crash registry which requests lose the upstreams that run them, and logs
-// each change. Not thread-safe.
+// Records in the fleet's crash registries which requests, and which parts of prompts, lose the
+// upstreams that run them, and logs each change. Not thread-safe.
 class CrashDetector {
  public:
   // The callback is called after each change of the registry.
   CrashDetector(FleetState& fleet, std::function<void()> on_change)
       : fleet_(fleet), on_change_(std::move(on_change)) {}
 
-  // Sets the call's fingerprint.
+  // Sets the call's fingerprint and the hashes of the shared parts of its prompt.
   static void Identify(Call& call);
-  // Returns the time for which the request is refused because it has crashed too many upstreams, or
-  // zero if it is not refused. Sets the detail of a refusal for the log.
+  // Returns the time for which the request is refused because it, or a part of its prompt, has
+  // crashed too many upstreams, or zero if it is not refused. Sets the detail of a refusal for the
+  // log.
   Duration RemainingRefusal(Call& call, TimePoint now) const;
   // Records that an upstream was lost while it ran the request, unless it sent a response that
   // can't be used.
   void OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now);
   // Records that an upstream has answered the request with this status.
-  void OnAnswer(const Call& call, unsigned status, TimePoint now);
+  void OnAnswer(const Call& call, const Attempt& attempt, unsigned status, TimePoint now);
+  // Returns true if the prompt has a part that may have crashed more than one upstream, so that the
+  // request should not be sent to another one.
+  bool IsSuspected(const Call& call) const;
 
  private:
+  // Records the loss for each shared part of the prompt, unless the whole service fails.
+  void RecordPartLosses(const Call& call, const Attempt& attempt, TimePoint now);
+
   FleetState& fleet_;
   std::function<void()> on_change_;
+  // Time of the last complete answer of each service.
+  std::map<ServiceId, TimePoint> last_answers_;
 };
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/crash_record_store.cc
+++ b/packages/gateway/crash_record_store.cc
@@ -23,7 +23,9 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+// Prefixes of the keys of all rows and of those that name a prompt part.
 constexpr std::string_view kRowPrefix = "crash/";
+constexpr std::string_view kPartRowPrefix = "crash/part/";
 // Longest wait of a read for changes. Also bounds the time until a dead connection is detected.
 constexpr Duration kWatchTimeout = 10s;
 // Interval of reads of all rows, which find those that have expired.
@@ -35,7 +37,9 @@
 
 const Logger kLog("crashes");
 
-std::string RowKey(std::uint64_t request) { return fmt::format("{}{:016x}", kRowPrefix, request); }
+std::string_view PrefixOf(CrashSubject subject) {
+  return subject == CrashSubject::kPromptPart ? kPartRowPrefix : kRowPrefix;
+}
 
 bool ParseHex(std::string_view text, std::uint64_t& value) {
   const char* const end = text.data() + text.size();
@@ -52,6 +56,14 @@
 
 }  // namespace
 
+std::string CrashRowKey(CrashSubject subject, std::uint64_t request) {
+  return fmt::format("{}{:016x}", PrefixOf(subject), request);
+}
+
+CrashSubject CrashSubjectOf(std::string_view key) {
+  return key.starts_with(kPartRowPrefix) ? CrashSubject::kPromptPart : CrashSubject::kRequest;
+}
+
 std::string EncodeCrashRow(const CrashRecord& record, Duration unix_time) {
   json::object losses;
   for (const UpstreamLoss& loss : record.losses) {
@@ -67,8 +79,9 @@
   };
   CrashRecord record;
   if (!key.starts_with(kRowPrefix) ||
-      !ParseHex(std::string_view(key).substr(kRowPrefix.size()), record.request)) {
-    return invalid("The key does not name a request.");
+      !ParseHex(std::string_view(key).substr(PrefixOf(CrashSubjectOf(key)).size()),
+                record.request)) {
+    return invalid("The key names no request and no prompt part.");
   }
   boost::system::error_code error;
   const json::value document = json::parse(value, error);
@@ -99,13 +112,14 @@
                  {{"key", key}, {"error", record.error().message}});
     return;
   }
-  if (fleet_.crash_registry.OnStoredRecord(*record, now)) {
+  CrashRegistry& registry = RegistryOf(CrashSubjectOf(key));
+  if (registry.OnStoredRecord(*record, now)) {
     fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "read"}}).Add();
     kLog.Info("Merged a crash record of the store.",
-              {{"fingerprint", fmt::format("{:016x}", record->request)},
+              {{"key", key},
                {"version", row.version},
-               {"losses", fleet_.crash_registry.LossCount(record->request)},
-               {"refused", fleet_.crash_registry.IsRefused(record->request, now)}});
+               {"losses", registry.LossCount(record->request)},
+               {"refused", registry.IsRefused(record->request, now)}});
   }
 }
 
@@ -157,8 +171,12 @@
   }
 }
 
-asio::awaitable<bool> CrashRecordStore::Store(const CrashRecord& record) {
-  provider::RowWrite write{.key = RowKey(record.request)};
+CrashRegistry& CrashRecordStore::RegistryOf(CrashSubject subject) {
+  return subject == CrashSubject::kPromptPart ? fleet_.part_crash_registry : fleet_.crash_registry;
+}
+
+asio::awaitable<bool> CrashRecordStore::Store(CrashSubject subject, const CrashRecord& record) {
+  provider::RowWrite write{.key = CrashRowKey(subject, record.request)};
   if (!record.losses.empty()) {
     write.value = EncodeCrashRow(record, fleet_.clock.Now(BootNow()));
   }
@@ -168,26 +186,35 @@
   const provider::CommitStatus status = co_await store_.Commit(transaction);
   const bool stored = status == provider::CommitStatus::kCommitted;
   if (stored) {
-    fleet_.crash_registry.OnStored(record);
+    RegistryOf(subject).OnStored(record);
     fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "stored"}}).Add();
   }
   kLog.Info(stored ? "Stored a crash record for all daemons." : "Storing a crash record failed.",
-            {{"fingerprint", fmt::format("{:016x}", record.request)},
+            {{"key", CrashRowKey(subject, record.request)},
              {"losses", record.losses.size()},
              {"status", static_cast<int>(status)}});
   co_return stored;
 }
 
+asio::awaitable<std::optional<std::size_t>> CrashRecordStore::StoreRecords(CrashSubject subject) {
+  const std::vector<CrashRecord> records = RegistryOf(subject).SelectForStorage(BootNow());
+  for (const CrashRecord& record : records) {
+    if (!co_await Store(subject, record)) {
+      co_return std::nullopt;
+    }
+  }
+  co_return records.size();
+}
+
 asio::awaitable<void> CrashRecordStore::WriteLoop() {
   Duration pause = kRetryInterval;
   while (true) {
     bool failed = false;
-    const std::vector<CrashRecord> records = fleet_.crash_registry.SelectForStorage(BootNow());
-    for (const CrashRecord& record : records) {
-      if (!co_await Store(record)) {
-        failed = true;
-        break;
-      }
+    std::size_t stored = 0;
+    for (const CrashSubject subject : {CrashSubject::kPromptPart, CrashSubject::kRequest}) {
+      const std::optional<std::size_t> count = co_await StoreRecords(subject);
+      failed = failed || !count;
+      stored += count.value_or(0);
     }
     if (failed) {
       co_await Sleep(pause);
@@ -195,7 +222,7 @@
       continue;
     }
     pause = kRetryInterval;
-    if (records.empty()) {
+    if (stored == 0) {
       write_timer_.expires_at(asio::steady_timer::time_point::max());
       co_await write_timer_.async_wait(kAwait);
     }
--- a/packages/gateway/crash_record_store.h
+++ b/packages/gateway/crash_record_store.h
@@ -3,7 +3,11 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "core/error.h"
 #include "gateway/adapter.h"
@@ -11,9 +15,12 @@
 
 namespace savoryglade::gateway {
 
-// Shares the records of requests that crash upstreams through the store, so that they survive a
-// restart of all daemons and reach daemons that are cut off from their peers. Only requests with
-// more than one loss are stored. Both loops run until their context stops.
+// What the records of a row or registry name.
+enum class CrashSubject : std::uint8_t { kRequest, kPromptPart };
+
+// Shares the records of requests and prompt parts that crash upstreams through the store, so that
+// they survive a restart of all daemons and reach daemons that are cut off from their peers. Only
+// records with more than one loss are stored. Both loops run until their context stops.
 class CrashRecordStore {
  public:
   CrashRecordStore(FleetState& fleet, FleetStore& store, boost::asio::io_context& context);
@@ -30,8 +37,12 @@
 
  private:
   void ApplyRow(const std::string& key, const provider::Row& row, TimePoint now);
+  CrashRegistry& RegistryOf(CrashSubject subject);
+  // Stores the records that this daemon has to store. Returns how many, or nothing if a store call
+  // failed.
+  boost::asio::awaitable<std::optional<std::size_t>> StoreRecords(CrashSubject subject);
   // Stores one record, or removes it if it has no losses. Returns false if the store call failed.
-  boost::asio::awaitable<bool> Store(const CrashRecord& record);
+  boost::asio::awaitable<bool> Store(CrashSubject subject, const CrashRecord& record);
   // Removes the rows whose losses no longer count, if this daemon holds the fleet's duties.
   boost::asio::awaitable<void> RemoveExpiredRows(const RowUpdate& update);
 
@@ -46,6 +57,10 @@
 
 // Encodes the losses of a record as the value of its row, with their Unix times.
 std::string EncodeCrashRow(const CrashRecord& record, Duration unix_time);
+// Returns the key of a record's row.
+std::string CrashRowKey(CrashSubject subject, std::uint64_t request);
+// Returns what a row's key names.
+CrashSubject CrashSubjectOf(std::string_view key);
 // Decodes a row. Returns kInvalid if the key or the value is malformed.
 Result<CrashRecord> DecodeCrashRow(const std::string& key, const std::string& value,
                                    Duration unix_time);
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -63,6 +63,39 @@
   return feed_update;
 }
 
+std::vector<std::unique_ptr<wire::CrashItemT>> EncodeCrashRecords(
+    const std::vector<CrashRecord>& records) {
+  std::vector<std::unique_ptr<wire::CrashItemT>> items;
+  for (const CrashRecord& record : records) {
+    auto item = std::make_unique<wire::CrashItemT>();
+    item->request = record.request;
+    for (const UpstreamLoss& loss : record.losses) {
+      item->losses.emplace_back(loss.upstream, Milliseconds(loss.age));
+    }
+    if (record.answer_age) {
+      item->answer_age_ms = *record.answer_age / 1ms;
+    }
+    items.push_back(std::move(item));
+  }
+  return items;
+}
+
+std::vector<CrashRecord> DecodeCrashRecords(
+    const std::vector<std::unique_ptr<wire::CrashItemT>>& items) {
+  std::vector<CrashRecord> records;
+  for (const auto& item : items) {
+    CrashRecord record{.request = item->request};
+    for (const wire::LossItem& loss : item->losses) {
+      record.losses.push_back({.upstream = loss.upstream(), .age = loss.age_ms() * 1ms});
+    }
+    if (item->answer_age_ms >= 0) {
+      record.answer_age = item->answer_age_ms * 1ms;
+    }
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
 }  // namespace
 
 std::string EncodeDigest(const FleetReport& report) {
@@ -95,17 +128,8 @@
   for (const auto& [service, seconds] : report.work) {
     digest.work.emplace_back(service, seconds);
   }
-  for (const CrashRecord& record : report.crashes) {
-    auto item = std::make_unique<wire::CrashItemT>();
-    item->request = record.request;
-    for (const UpstreamLoss& loss : record.losses) {
-      item->losses.emplace_back(loss.upstream, Milliseconds(loss.age));
-    }
-    if (record.answer_age) {
-      item->answer_age_ms = *record.answer_age / 1ms;
-    }
-    digest.crashes.push_back(std::move(item));
-  }
+  digest.crashes = EncodeCrashRecords(report.crashes);
+  digest.part_crashes = EncodeCrashRecords(report.part_crashes);
   if (report.feed_update) {
     digest.feed = EncodeFeedUpdate(*report.feed_update, report.feed_update_age);
   }
@@ -158,16 +182,8 @@
   for (const wire::WorkItem& item : digest.work) {
     report.work.emplace(item.service(), item.seconds());
   }
-  for (const auto& item : digest.crashes) {
-    CrashRecord record{.request = item->request};
-    for (const wire::LossItem& loss : item->losses) {
-      record.losses.push_back({.upstream = loss.upstream(), .age = loss.age_ms() * 1ms});
-    }
-    if (item->answer_age_ms >= 0) {
-      record.answer_age = item->answer_age_ms * 1ms;
-    }
-    report.crashes.push_back(std::move(record));
-  }
+  report.crashes = DecodeCrashRecords(digest.crashes);
+  report.part_crashes = DecodeCrashRecords(digest.part_crashes);
   if (digest.feed) {
     report.feed_update = DecodeFeedUpdate(*digest.feed);
     report.feed_update_age = digest.feed->age_ms * 1ms;
--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -50,7 +50,9 @@
   std::map<std::uint64_t, AllowanceUsage> allowances;
   std::vector<BegunCount> begun;
   std::map<std::uint64_t, double> work;
+  // Records of requests and of prompt parts.
   std::vector<CrashRecord> crashes;
+  std::vector<CrashRecord> part_crashes;
   // Registration changes that the sender has read from the store, and time since that read began.
   std::optional<FeedUpdate> feed_update;
   Duration feed_update_age = Duration::zero();
@@ -62,12 +64,14 @@
     if (holder_age) {
       *holder_age += delay;
     }
-    for (CrashRecord& record : crashes) {
-      for (UpstreamLoss& loss : record.losses) {
-        loss.age += delay;
-      }
-      if (record.answer_age) {
-        *record.answer_age += delay;
+    for (std::vector<CrashRecord>* records : {&crashes, &part_crashes}) {
+      for (CrashRecord& record : *records) {
+        for (UpstreamLoss& loss : record.losses) {
+          loss.age += delay;
+        }
+        if (record.answer_age) {
+          *record.answer_age += delay;
+        }
       }
     }
   }
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -77,6 +77,7 @@
   AccountRateLimiter rate_limiter;
   WindowRetryBudget retry_budget;
   CrashRegistry crash_registry;
+  CrashRegistry part_crash_registry{kPartCrashPolicy};
   capacity::UsageLedger usage;
   capacity::WorkMeter work;
   FleetClock clock;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -64,7 +64,7 @@
       report_transport_(fleet_, *adapters_.store,
                         [this](const FleetReport& report) {
                           store_watcher_.OnReport(report);
-                          if (!report.crashes.empty()) {
+                          if (!report.crashes.empty() || !report.part_crashes.empty()) {
                             crash_records_.OnRegistryChanged();
                           }
                         }),
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -90,14 +90,16 @@
 }
 
 FleetReport ReportExchange::BuildReport(ReportScope scope, bool full, TimePoint now) {
-  FleetReport report{.sender = fleet_.Self(),
-                     .incarnation = fleet_.incarnation,
-                     .scope = scope,
-                     .daemons = fleet_.rate_limiter.ReportingDaemonsOf(scope, now),
-                     .time_of_day = fleet_.clock.OwnTime(now),
-                     .leaving = fleet_.draining,
-                     .loads = fleet_.load_balancer.AggregateLoad(scope, now),
-                     .crashes = fleet_.crash_registry.SelectForReport(kMaxReportedCrashes, now)};
+  FleetReport report{
+      .sender = fleet_.Self(),
+      .incarnation = fleet_.incarnation,
+      .scope = scope,
+      .daemons = fleet_.rate_limiter.ReportingDaemonsOf(scope, now),
+      .time_of_day = fleet_.clock.OwnTime(now),
+      .leaving = fleet_.draining,
+      .loads = fleet_.load_balancer.AggregateLoad(scope, now),
+      .crashes = fleet_.crash_registry.SelectForReport(kMaxReportedCrashes, now),
+      .part_crashes = fleet_.part_crash_registry.SelectForReport(kMaxReportedCrashes, now)};
   if (fleet_.holds_duties) {
     report.holder_age = Duration::zero();
   } else if (fleet_.holder_last_reported != TimePoint{}) {
@@ -160,14 +162,21 @@
     }
     fleet_.work.OnReport(source, report.incarnation, work);
   }
-  for (const CrashRecord& record : report.crashes) {
-    if (fleet_.crash_registry.OnPeerRecord(record, now)) {
+  MergeCrashRecords(report.crashes, report.sender.id, fleet_.crash_registry, now);
+  MergeCrashRecords(report.part_crashes, report.sender.id, fleet_.part_crash_registry, now);
+}
+
+void ReportExchange::MergeCrashRecords(const std::vector<CrashRecord>& records,
+                                       const DaemonId& sender, CrashRegistry& registry,
+                                       TimePoint now) {
+  for (const CrashRecord& record : records) {
+    if (registry.OnPeerRecord(record, now)) {
       fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "received"}}).Add();
       kLog.Info("Merged the crash record of a peer.",
                 {{"fingerprint", fmt::format("{:016x}", record.request)},
-                 {"daemon", report.sender.id.value()},
-                 {"losses", fleet_.crash_registry.LossCount(record.request)},
-                 {"refused", fleet_.crash_registry.IsRefused(record.request, now)}});
+                 {"daemon", sender.value()},
+                 {"losses", registry.LossCount(record.request)},
+                 {"refused", registry.IsRefused(record.request, now)}});
     }
   }
 }
--- a/packages/gateway/report_exchange.h
+++ b/packages/gateway/report_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <vector>
 
 #include "core/report_source.h"
 #include "core/time.h"
@@ -42,6 +43,10 @@
   void AddUsageCounts(bool full, TimePoint now, LastReported& last_reported,
                       FleetReport& report) const;
 
+  // Merges a peer's records into one of the crash registries.
+  void MergeCrashRecords(const std::vector<CrashRecord>& records, const DaemonId& sender,
+                         CrashRegistry& registry, TimePoint now);
+
   FleetState& fleet_;
   std::map<ReportScope, LastReported> last_reported_;
 };
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -44,6 +44,7 @@
 }
 
 void ResponseRelay::ReleaseConnection(Call& call, Attempt& attempt) {
+  attempt.has_framed_end = !attempt.connection->ends_with_connection();
   attempt.registration.reset();
   connections_.Release(attempt.placement.upstream.id, std::move(attempt.connection),
                        attempt.response.idle_timeout, MaxIdleConnections(call));
@@ -197,7 +198,8 @@
         co_return RelayOutcome::kFinished;
       }
       if (!*has_more) {
-        crash_detector_.OnAnswer(call, status, BootNow());
+        attempt.has_framed_end = !connection.ends_with_connection();
+        crash_detector_.OnAnswer(call, attempt, status, BootNow());
         open = co_await call.exchange.EndStream();
         break;
       }
@@ -211,7 +213,7 @@
     call.failed_response = std::move(response);
     co_return RelayOutcome::kFailed;
   }
-  crash_detector_.OnAnswer(call, status, BootNow());
+  crash_detector_.OnAnswer(call, attempt, status, BootNow());
   if (fleet_.draining) {
     call.exchange.CloseAfterResponse();
   }
@@ -301,7 +303,7 @@
   }
   attempt.end = AttemptEnd::kAnswered;
   ReleaseConnection(call, attempt);
-  crash_detector_.OnAnswer(call, status, BootNow());
+  crash_detector_.OnAnswer(call, attempt, status, BootNow());
   if (!call.stream_started) {
     call.stream_started = true;
     co_await call.exchange.StartStream(status, headers);
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -68,6 +68,11 @@
   const Endpoint& endpoint() const { return endpoint_; }
   // Header that was read last.
   const boost::beast::http::fields& response_header() const;
+  // Returns true if the last response has neither a length nor chunks, so that the end of the
+  // connection ends it.
+  bool ends_with_connection() const { return parser_->need_eof(); }
+  // Returns false once this side has closed the connection, also because an operation timed out.
+  bool is_open() const { return stream_.socket().is_open(); }
   // Closes the connection; a pending operation fails.
   void Close() { stream_.close(); }
 
--- a/packages/recovery/crash_registry.cc
+++ b/packages/recovery/crash_registry.cc
@@ -20,8 +20,8 @@
 
 }  // namespace
 
-std::optional<TimePoint> CrashRegistry::RefusedUntil(const Entry& entry) {
-  if (entry.losses.size() < kLossesBeforeRefusal) {
+std::optional<TimePoint> CrashRegistry::RefusedUntil(const Entry& entry) const {
+  if (entry.losses.size() < policy_.losses_before_refusal) {
     return std::nullopt;
   }
   std::vector<TimePoint> losses;
@@ -29,9 +29,9 @@
     losses.push_back(lost_at);
   }
   std::ranges::sort(losses);
-  Duration refusal = kFirstRefusal;
-  TimePoint until = losses[kLossesBeforeRefusal - 1] + refusal;
-  for (std::size_t i = kLossesBeforeRefusal; i < losses.size(); ++i) {
+  Duration refusal = policy_.first_refusal;
+  TimePoint until = losses[policy_.losses_before_refusal - 1] + refusal;
+  for (std::size_t i = policy_.losses_before_refusal; i < losses.size(); ++i) {
     // An earlier loss belongs to a run that began before the refusal was known everywhere.
     if (losses[i] >= until) {
       refusal = std::min(2 * refusal, kMaxRefusal);
@@ -41,7 +41,7 @@
   return until;
 }
 
-bool CrashRegistry::HasExpired(const Entry& entry, TimePoint now) {
+bool CrashRegistry::HasExpired(const Entry& entry, TimePoint now) const {
   if (entry.losses.empty()) {
     return !entry.answered_at || now - *entry.answered_at > kAnswerLifetime;
   }
@@ -54,7 +54,8 @@
   if (records_.size() < kMaxRecords) {
     return;
   }
-  std::erase_if(records_, [now](const auto& record) { return HasExpired(record.second, now); });
+  std::erase_if(records_,
+                [this, now](const auto& record) { return HasExpired(record.second, now); });
   if (records_.size() >= kMaxRecords) {
     const auto victim = std::ranges::min_element(records_, {}, [](const auto& record) {
       return std::pair(record.second.losses.size(), LastLoss(record.second.losses));
@@ -76,7 +77,25 @@
   return records_[request];
 }
 
+void CrashRegistry::RememberAnswer(std::uint64_t request, TimePoint now) {
+  if (!policy_.answers_prevent_records) {
+    return;
+  }
+  const bool is_over = now - answer_period_start_ >= kAnswerLifetime;
+  if (is_over || recent_answers_.size() >= kMaxAnswers) {
+    if (now - answer_period_start_ >= 2 * kAnswerLifetime) {
+      recent_answers_.clear();
+    }
+    earlier_answers_ = std::exchange(recent_answers_, {});
+    answer_period_start_ = now;
+  }
+  recent_answers_.insert(request);
+}
+
 void CrashRegistry::OnLoss(std::uint64_t request, std::uint64_t upstream, TimePoint now) {
+  if (WasAnswered(request)) {
+    return;
+  }
   Entry& entry = FindOrAdd(request, now);
   entry.own = true;
   if (AddLoss(upstream, now, entry)) {
@@ -99,6 +118,7 @@
 }
 
 bool CrashRegistry::OnAnswer(std::uint64_t request, TimePoint now) {
+  RememberAnswer(request, now);
   const auto found = records_.find(request);
   if (found == records_.end() || found->second.losses.empty()) {
     return false;
@@ -142,6 +162,14 @@
 }
 
 bool CrashRegistry::OnPeerRecord(const CrashRecord& record, TimePoint now) {
+  if (WasAnswered(record.request) && !record.losses.empty()) {
+    // Tells the peer of the answer.
+    FindOrAdd(record.request, now) = {.answered_at = now, .own = true};
+    return false;
+  }
+  if (record.answer_age && *record.answer_age <= kAnswerLifetime) {
+    RememberAnswer(record.request, now - *record.answer_age);
+  }
   Entry merged = records_.contains(record.request) ? FindOrAdd(record.request, now) : Entry{};
   if (!Merge(record, merged, now) || HasExpired(merged, now)) {
     return false;
@@ -182,13 +210,14 @@
 }
 
 std::vector<CrashRecord> CrashRegistry::SelectForReport(std::size_t limit, TimePoint now) {
-  std::erase_if(records_, [now](const auto& record) { return HasExpired(record.second, now); });
+  std::erase_if(records_,
+                [this, now](const auto& record) { return HasExpired(record.second, now); });
   // Rank, number of reports and time of the last loss; lower values are reported first.
   using Priority = std::tuple<int, int, TimePoint>;
   std::vector<std::pair<Priority, std::uint64_t>> candidates;
   candidates.reserve(records_.size());
   for (const auto& [request, entry] : records_) {
-    const bool refused = entry.losses.size() >= kLossesBeforeRefusal;
+    const bool refused = entry.losses.size() >= policy_.losses_before_refusal;
     if (!refused && entry.reports >= kMaxReports) {
       continue;
     }
--- a/packages/recovery/crash_registry.h
+++ b/packages/recovery/crash_registry.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/time.h"
@@ -23,10 +24,10 @@
   friend auto operator<=>(const UpstreamLoss&, const UpstreamLoss&) = default;
 };
 
-// What one daemon knows about a request that may crash upstreams. Holds ages instead of instants,
-// because the clocks of daemons differ.
+// What one daemon knows about a request, or a part of prompts, that may crash upstreams. Holds ages
+// instead of instants, because the clocks of daemons differ.
 struct CrashRecord {
-  // Hash of account, method, target and body.
+  // Hash of account, method, target and body, or of service and prompt part.
   std::uint64_t request = 0;
   std::vector<UpstreamLoss> losses;
   // Time since an upstream last answered the request, if one did after a loss.
@@ -35,25 +36,43 @@
   friend auto operator<=>(const CrashRecord&, const CrashRecord&) = default;
 };
 
-// Detects requests that crash the upstreams that run them. Each upstream process counts once per
-// request. After the third loss the request is refused for a while; then one more loss is enough to
-// refuse it for twice as long. An answer shows that the request is harmless and discards the losses
-// before it. Daemons exchange their records, so that a request that is sent again through another
-// daemon is recognised; records can be merged in any order. Not thread-safe.
+// When a registry refuses what its records name.
+struct CrashPolicy {
+  // Number of lost upstreams after which a request is refused.
+  std::size_t losses_before_refusal = 3;
+  Duration first_refusal = 60s;
+  // Whether losses do not count while an answer is remembered.
+  bool answers_prevent_records = false;
+};
+
+// Records name whole requests.
+inline constexpr CrashPolicy kRequestCrashPolicy{};
+// Records name parts of prompts. A crash ends all requests of an engine, so parts of sound requests
+// collect losses too; a part that was answered recently is not the cause. Refusals are long,
+// because each request that tests a refused part may end another engine.
+inline constexpr CrashPolicy kPartCrashPolicy{
+    .losses_before_refusal = 5, .first_refusal = 600s, .answers_prevent_records = true};
+
+// Detects requests, or parts of prompts, that crash the upstreams that run them. Each upstream
+// process counts once per record. After the number of losses that the policy states the request is
+// refused for a while; then one more loss is enough to refuse it for twice as long. An answer shows
+// that the request is harmless and discards the losses before it. Daemons exchange their records,
+// so that a request that is sent again through another daemon is recognised; records can be merged
+// in any order. Not thread-safe.
 class CrashRegistry {
  public:
-  // Number of lost upstreams after which a request is refused.
-  static constexpr std::size_t kLossesBeforeRefusal = 3;
-  static constexpr Duration kFirstRefusal = 60s;
   static constexpr Duration kMaxRefusal = 1h;
   // Time for which a loss counts, and for which the record of a refusal is kept after its end.
   static constexpr Duration kLossLifetime = 600s;
-  // Time for which an answer is remembered, so that peers learn of it.
+  // Time for which an answer is remembered, so that peers learn of it. If answers prevent records,
+  // they do so for up to twice as long.
   static constexpr Duration kAnswerLifetime = 60s;
   // Losses up to this long after an answer are attributed to the time before it, because the age of
   // a peer's loss is measured with the delay of the report.
   static constexpr Duration kAnswerTolerance = 1s;
 
+  explicit CrashRegistry(CrashPolicy policy = kRequestCrashPolicy) : policy_(policy) {}
+
   void OnLoss(std::uint64_t request, std::uint64_t upstream, TimePoint now);
   // Records an answer to the request. Returns true if it discards losses.
   bool OnAnswer(std::uint64_t request, TimePoint now);
@@ -96,6 +115,8 @@
   using Records = std::unordered_map<std::uint64_t, Entry>;
 
   static constexpr std::size_t kMaxRecords = 4096;
+  // Answers that are remembered in one period; further ones replace all of the period before it.
+  static constexpr std::size_t kMaxAnswers = 32'768;
   // Newest losses that are kept for one request; enough to reach the longest refusal.
   static constexpr std::size_t kMaxLosses = 9;
   // Reports that carry a new loss with priority, because datagrams can be lost.
@@ -115,10 +136,20 @@
   static bool NeedsStorage(const Entry& entry);
   static CrashRecord ToRecord(std::uint64_t request, const Entry& entry, TimePoint now);
   // Returns the instant until which the request is refused, if it has been refused.
-  static std::optional<TimePoint> RefusedUntil(const Entry& entry);
-  static bool HasExpired(const Entry& entry, TimePoint now);
+  std::optional<TimePoint> RefusedUntil(const Entry& entry) const;
+  bool HasExpired(const Entry& entry, TimePoint now) const;
+  // Remembers an answer, if answers prevent records.
+  void RememberAnswer(std::uint64_t request, TimePoint now);
+  bool WasAnswered(std::uint64_t request) const {
+    return recent_answers_.contains(request) || earlier_answers_.contains(request);
+  }
 
+  CrashPolicy policy_;
   Records records_;
+  // Answers of the current period of kAnswerLifetime and of the one before it.
+  std::unordered_set<std::uint64_t> recent_answers_;
+  std::unordered_set<std::uint64_t> earlier_answers_;
+  TimePoint answer_period_start_{};
 };
 
 }  // namespace savoryglade
--- a/tests/gateway/crashing_part_test.cc
+++ b/tests/gateway/crashing_part_test.cc
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "gateway/crash_record_store.h"
 #include "tests/gateway/gateway_fixture.h"
 
 namespace savoryglade::gateway {
@@ -51,6 +52,19 @@
   }
   int CrashingRuns() const { return TotalRuns() - sound_runs_; }
 
+  // Waits until the store holds all losses of the crashing part.
+  void WaitUntilStored() const {
+    while (true) {
+      for (const auto& [key, value] : store_.service.Rows("savoryglade-crashes")) {
+        const Result<CrashRecord> record = DecodeCrashRow(key, value, Duration::zero());
+        if (record && CrashSubjectOf(key) == CrashSubject::kPromptPart &&
+            record->losses.size() == kRunsBeforeRefusal) {
+          return;
+        }
+      }
+    }
+  }
+
  private:
   int requests_ = 0;
   int sound_runs_ = 0;
@@ -65,8 +79,7 @@
 // Guards against a refusal that is forgotten when a daemon restarts.
 TEST_F(CrashingPartTest, RestartedDaemonRefusesThePart) {
   SendPairs(12);
-  while (store_.service.Rows("savoryglade-crashes").empty()) {
-  }
+  WaitUntilStored();
   const int runs = CrashingRuns();
   StartGateway();
   WaitUntilReady();
@@ -74,5 +87,35 @@
   EXPECT_EQ(CrashingRuns(), runs);
 }
 
+// Guards against refusing prompts for the crashes of engines that fail all requests.
+TEST_F(CrashingPartTest, FailureOfAllEnginesRefusesNoPart) {
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  for (int i = 0; i < 12; ++i) {
+    EXPECT_EQ(SendWithPart(kSoundPart).reason, "upstream_lost");
+  }
+  SetFaults(WorkerFault::kNone, 0);
+  EXPECT_EQ(SendWithPart(kSoundPart).status, 200U);
+}
+
+// Guards against refusing the parts that crashing and sound requests share, when engines also fail
+// sound requests.
+TEST_F(CrashingPartTest, AnsweredPartIsNotRefusedForLaterLosses) {
+  EXPECT_EQ(SendWithPart(kSoundPart).status, 200U);
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  for (int i = 0; i < 12; ++i) {
+    EXPECT_EQ(SendWithPart(kSoundPart).reason, "upstream_lost");
+  }
+  SetFaults(WorkerFault::kNone, 0);
+  EXPECT_EQ(SendWithPart(kSoundPart).status, 200U);
+}
+
+// Guards against a second engine that ends because a suspected request is sent again.
+TEST_F(CrashingPartTest, SuspectedRequestIsSentToOneUpstreamOnly) {
+  SendPairs(1);
+  EXPECT_EQ(CrashingRuns(), 2);
+  SendPairs(1);
+  EXPECT_EQ(CrashingRuns(), 3);
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
--- a/tests/recovery/crash_registry_test.cc
+++ b/tests/recovery/crash_registry_test.cc
@@ -177,5 +177,58 @@
   EXPECT_EQ(crashes.SelectForReport(100'000, At(10s)).size(), 4096U);
 }
 
+// Guards against a part of prompts that ends more than five upstreams.
+TEST(PartCrashRegistryTest, PartIsRefusedAfterFiveLosses) {
+  CrashRegistry crashes(kPartCrashPolicy);
+  for (std::uint64_t upstream = 1; upstream <= 4; ++upstream) {
+    crashes.OnLoss(7, upstream, At(0s));
+  }
+  EXPECT_FALSE(crashes.IsRefused(7, At(0s)));
+  crashes.OnLoss(7, 5, At(1s));
+  EXPECT_TRUE(crashes.IsRefused(7, At(1s)));
+  EXPECT_TRUE(crashes.IsRefused(7, At(500s)));
+}
+
+// Guards against refusing a part of sound requests that ran beside the crashing ones.
+TEST(PartCrashRegistryTest, AnsweredPartCollectsNoLosses) {
+  CrashRegistry crashes(kPartCrashPolicy);
+  EXPECT_FALSE(crashes.OnAnswer(7, At(0s)));
+  for (std::uint64_t upstream = 1; upstream <= 9; ++upstream) {
+    crashes.OnLoss(7, upstream, At(1s));
+  }
+  EXPECT_EQ(crashes.LossCount(7), 0U);
+  EXPECT_TRUE(crashes.SelectForReport(10, At(1s)).empty());
+}
+
+// Guards against a part that is never refused because it was answered long ago.
+TEST(PartCrashRegistryTest, AnAnswerIsForgotten) {
+  CrashRegistry crashes(kPartCrashPolicy);
+  crashes.OnAnswer(7, At(0s));
+  crashes.OnAnswer(8, At(61s));
+  crashes.OnAnswer(8, At(122s));
+  for (std::uint64_t upstream = 1; upstream <= 5; ++upstream) {
+    crashes.OnLoss(7, upstream, At(123s));
+  }
+  EXPECT_TRUE(crashes.IsRefused(7, At(123s)));
+}
+
+// Guards against a verdict on losses that only one daemon saw, while others have answers.
+TEST(PartCrashRegistryTest, AnswerAtAPeerDiscardsTheLosses) {
+  CrashRegistry here(kPartCrashPolicy);
+  CrashRegistry there(kPartCrashPolicy);
+  there.OnAnswer(7, At(0s));
+  for (std::uint64_t upstream = 1; upstream <= 5; ++upstream) {
+    here.OnLoss(7, upstream, At(1s));
+  }
+  EXPECT_TRUE(here.IsRefused(7, At(1s)));
+  EXPECT_FALSE(there.OnPeerRecord(here.SelectForReport(1, At(1s)).front(), At(1s)));
+  const std::vector<CrashRecord> reported = there.SelectForReport(1, At(1s));
+  ASSERT_EQ(reported.size(), 1U);
+  EXPECT_TRUE(here.OnPeerRecord(reported.front(), At(1s)));
+  EXPECT_FALSE(here.IsRefused(7, At(1s)));
+  here.OnLoss(7, 6, At(2s));
+  EXPECT_EQ(here.LossCount(7), 0U);
+}
+
 }  // namespace
 }  // namespace savoryglade
