Keep the list of open attempts alive until the last call is destroyed

Calls in progress are destroyed with the I/O context, after the gateway's other members, and each removes its entry from the list. A daemon that stopped with requests in progress touched freed memory.

--- a/packages/gateway/open_attempts.cc
+++ b/packages/gateway/open_attempts.cc
@@ -16,30 +16,30 @@
 
 }  // namespace
 
-OpenAttempts::Registration::Registration(OpenAttempts& attempts, UpstreamId upstream,
+OpenAttempts::Registration::Registration(const OpenAttempts& attempts, UpstreamId upstream,
                                          HttpConnection& connection)
-    : attempts_(attempts), upstream_(std::move(upstream)), connection_(connection) {
-  attempts_.connections_[upstream_].insert(&connection_);
+    : connections_(attempts.connections_), upstream_(std::move(upstream)), connection_(connection) {
+  (*connections_)[upstream_].insert(&connection_);
 }
 
 OpenAttempts::Registration::~Registration() {
-  const auto found = attempts_.connections_.find(upstream_);
+  const auto found = connections_->find(upstream_);
   found->second.erase(&connection_);
   if (found->second.empty()) {
-    attempts_.connections_.erase(found);
+    connections_->erase(found);
   }
 }
 
 void OpenAttempts::OnUpstreamLeaving(const UpstreamId& upstream) {
-  if (connections_.contains(upstream)) {
+  if (connections_->contains(upstream)) {
     boost::asio::co_spawn(context_, CloseUnacknowledged(upstream), boost::asio::detached);
   }
 }
 
 boost::asio::awaitable<void> OpenAttempts::CloseUnacknowledged(UpstreamId upstream) {
   co_await Sleep(kAcknowledgementTimeout);
-  const auto found = connections_.find(upstream);
-  if (found == connections_.end()) {
+  const auto found = connections_->find(upstream);
+  if (found == connections_->end()) {
     co_return;
   }
   for (HttpConnection* const connection : found->second) {
--- a/packages/gateway/open_attempts.h
+++ b/packages/gateway/open_attempts.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <map>
+#include <memory>
 #include <set>
 #include <utility>
 
@@ -16,17 +17,21 @@
 // announced to leave may receive requests. Not thread-safe.
 class OpenAttempts {
  public:
+  using Connections = std::map<UpstreamId, std::set<HttpConnection*>>;
+
   // Registers a connection for as long as this object lives, which must not exceed the connection's
   // lifetime.
   class Registration {
    public:
-    Registration(OpenAttempts& attempts, UpstreamId upstream, HttpConnection& connection);
+    Registration(const OpenAttempts& attempts, UpstreamId upstream, HttpConnection& connection);
     ~Registration();
     Registration(const Registration&) = delete;
     Registration& operator=(const Registration&) = delete;
 
    private:
-    OpenAttempts& attempts_;
+    // Shared, because the calls in progress are destroyed after the gateway's members when it
+    // stops.
+    std::shared_ptr<Connections> connections_;
     UpstreamId upstream_;
     HttpConnection& connection_;
   };
@@ -41,7 +46,7 @@
   boost::asio::awaitable<void> CloseUnacknowledged(UpstreamId upstream);
 
   boost::asio::io_context& context_;
-  std::map<UpstreamId, std::set<HttpConnection*>> connections_;
+  std::shared_ptr<Connections> connections_ = std::make_shared<Connections>();
 };
 
 }  // namespace savoryglade::gateway
