Take newer routes from peers while the store turns a daemon away

Cause: a daemon learns from reports that its peers hold newer routes, but could get the document from the store only.

Daemons respond to GET /routes with the document as the store returned it, on the TCP port of their peer endpoint, which reports carry. A daemon that is still behind 200 ms after a report asks the peer that reported the newest version, and again every 250 ms. The document is parsed as if the store had returned it, and an older one is ignored.

--- a/packages/gateway/adapter.h
+++ b/packages/gateway/adapter.h
@@ -108,6 +108,8 @@
 // New routes, if any, and the position from which to continue.
 struct RouteUpdate {
   std::optional<RouteDocument> document;
+  // Text from which the document was parsed.
+  std::string text;
   FeedPosition position = 0;
 };
 
@@ -136,6 +138,8 @@
   // Returns as soon as the routes change after the position, or once the wait has passed.
   virtual boost::asio::awaitable<Result<RouteUpdate>> WatchRoutes(FeedPosition after,
                                                                   Duration wait) = 0;
+  // Parses the text of a route document. Returns kInvalid if it is malformed.
+  virtual Result<RouteDocument> ParseRoutes(const std::string& text) const = 0;
   // Returns the registrations that changed after the position, without waiting.
   virtual boost::asio::awaitable<Result<UpstreamUpdate>> WatchUpstreams(FeedPosition after) = 0;
   // Reads one of the daemons' own rows. Returns a row of version 0 if it does not exist.
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -111,6 +111,7 @@
   if (report.holder_age) {
     digest.holder_age_ms = *report.holder_age / 1ms;
   }
+  digest.requests_port = report.requests_port;
   digest.routes_version = report.routes_version;
   digest.routes_age_ms = Milliseconds(report.routes_age);
   for (const ReportedLoad& item : report.loads) {
@@ -159,6 +160,7 @@
                      .daemons = digest.daemons,
                      .time_of_day = digest.time_of_day_ms * 1ms,
                      .leaving = digest.leaving,
+                     .requests_port = digest.requests_port,
                      .routes_version = digest.routes_version,
                      .routes_age = digest.routes_age_ms * 1ms};
   if (digest.holder_age_ms >= 0) {
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -71,8 +72,14 @@
   // Latest instant at which a read by this daemon showed that. Only this is reported to peers: the
   // age of a relayed confirmation would lack the transit time of each report.
   TimePoint routes_read_at{};
+  // Document from which the routes were parsed, for peers that can't read the store.
+  std::string routes_text;
   // Newest version of the routes that a peer has reported.
   std::uint64_t peer_routes_version = 0;
+  // Where the peer that reported it last responds to requests, if it does.
+  std::optional<Endpoint> peer_routes_source;
+  // TCP port on which this daemon responds to requests of other daemons.
+  std::uint16_t requests_port = 0;
   FleetLoadBalancer load_balancer;
   AccountRateLimiter rate_limiter;
   WindowRetryBudget retry_budget;
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -1,16 +1,19 @@
 #include "gateway/fleet_store_watcher.h"
 
 #include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
 #include <utility>
 
 #include "core/boot_clock.h"
 #include "logging/logger.h"
+#include "net/http_client.h"
 #include "net/sleep.h"
 
 namespace savoryglade::gateway {
 namespace {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
@@ -29,6 +32,10 @@
 // First pause after a failed call; doubled after each further failure, up to the maximum.
 constexpr Duration kRetryInterval = 250ms;
 constexpr Duration kMaxRetryInterval = 1s;
+// Time that the store has to return newer routes before they are fetched from a peer.
+constexpr Duration kPeerRoutesDelay = 200ms;
+constexpr Duration kPeerRoutesTimeout = 500ms;
+constexpr const char* kRoutesTarget = "/routes";
 // Shortest time between two reads of one table.
 constexpr Duration kMinReadInterval = 20ms;
 
@@ -49,6 +56,7 @@
       store_(store),
       connections_(connections),
       callbacks_(std::move(callbacks)),
+      context_(context),
       routes_timer_(context),
       upstreams_timer_(context),
       registrations_({}),
@@ -57,8 +65,7 @@
 asio::awaitable<Duration> FleetStoreWatcher::WaitUntilRoutesDue() {
   while (true) {
     const TimePoint now = BootNow();
-    const bool behind =
-        fleet_.routes == nullptr || fleet_.peer_routes_version > fleet_.routes->version();
+    const bool behind = fleet_.routes == nullptr || IsBehindPeers();
     const TimePoint due = fleet_.routes_confirmed_at + kMaxRouteAge;
     if (behind || now >= due) {
       co_return Duration::zero();
@@ -76,11 +83,14 @@
   while (true) {
     const Duration wait = co_await WaitUntilRoutesDue();
     const TimePoint read_started_at = BootNow();
-    const Result<RouteUpdate> update = co_await store_.WatchRoutes(routes_position_, wait);
+    Result<RouteUpdate> update = co_await store_.WatchRoutes(routes_position_, wait);
     if (update) {
       routes_position_ = update->position;
       if (update->document) {
-        ApplyRoutes(*update->document, read_started_at);
+        if (update->document->version >= held_version()) {
+          ConfirmRoutes(read_started_at);
+        }
+        ApplyRoutes(std::move(*update->document), std::move(update->text));
       } else if (fleet_.routes == nullptr) {
         routes_position_ = 0;
         co_await Sleep(kRetryInterval);
@@ -90,8 +100,7 @@
       }
       pause = kRetryInterval;
       // A peer holds a version that the store has not returned yet: pause before reading again.
-      const bool behind =
-          fleet_.routes != nullptr && fleet_.peer_routes_version > fleet_.routes->version();
+      const bool behind = fleet_.routes != nullptr && IsBehindPeers();
       co_await Sleep(behind ? kRetryInterval : kMinReadInterval);
       continue;
     }
@@ -111,11 +120,8 @@
   fleet_.routes_confirmed_at = std::max(fleet_.routes_confirmed_at, as_of);
 }
 
-void FleetStoreWatcher::ApplyRoutes(RouteDocument document, TimePoint as_of) {
-  const std::uint64_t held = fleet_.routes == nullptr ? 0 : fleet_.routes->version();
-  if (document.version >= held) {
-    ConfirmRoutes(as_of);
-  }
+void FleetStoreWatcher::ApplyRoutes(RouteDocument document, std::string text) {
+  const std::uint64_t held = held_version();
   if (fleet_.routes != nullptr && document.version <= held) {
     return;
   }
@@ -125,14 +131,59 @@
                                        {"accounts", document.accounts.size()}});
   fleet_.rate_limiter.Configure(document.accounts, BootNow());
   fleet_.routes = std::make_shared<const RouteTable>(std::move(document));
+  fleet_.routes_text = std::move(text);
   callbacks_.on_routes(*fleet_.routes);
   callbacks_.publish(std::nullopt);
 }
 
+asio::awaitable<void> FleetStoreWatcher::HandleRoutesRequest(HttpExchange& exchange) const {
+  if (exchange.target() != kRoutesTarget || fleet_.routes_text.empty()) {
+    co_await exchange.Respond(404, {}, {});
+    co_return;
+  }
+  co_await exchange.Respond(200, ContentType("application/octet-stream"), fleet_.routes_text);
+}
+
+bool FleetStoreWatcher::IsBehindPeers() const {
+  return fleet_.peer_routes_version > held_version();
+}
+
+asio::awaitable<void> FleetStoreWatcher::FetchRoutesFromPeers() {
+  fetching_routes_ = true;
+  // The store usually responds earlier.
+  co_await Sleep(kPeerRoutesDelay);
+  while (IsBehindPeers() && fleet_.peer_routes_source) {
+    const Endpoint source = *fleet_.peer_routes_source;
+    HttpRequest request(http::verb::get, kRoutesTarget, 11);
+    const Result<HttpResponse> response =
+        co_await FetchOnce(source, std::move(request), kPeerRoutesTimeout);
+    Result<RouteDocument> document = tl::make_unexpected(
+        Error{.code = ErrorCode::kNotFound, .message = "The peer holds no routes."});
+    if (!response) {
+      document = tl::make_unexpected(response.error());
+    } else if (response->result() == http::status::ok) {
+      document = store_.ParseRoutes(response->body());
+    }
+    if (document) {
+      kLog.Info("A peer sent its routes.",
+                {{"version", document->version}, {"peer", ToString(source)}});
+      ApplyRoutes(std::move(*document), response->body());
+    } else {
+      kLog.Warning("Fetching the routes from a peer failed.",
+                   {{"peer", ToString(source)}, {"error", document.error().message}});
+    }
+    co_await Sleep(kRetryInterval);
+  }
+  fetching_routes_ = false;
+}
+
 void FleetStoreWatcher::OnReport(const FleetReport& report) {
   if (fleet_.routes != nullptr && report.routes_version > fleet_.routes->version()) {
     routes_timer_.cancel();
   }
+  if (IsBehindPeers() && !fetching_routes_) {
+    asio::co_spawn(context_, FetchRoutesFromPeers(), asio::detached);
+  }
   if (report.feed_update) {
     FeedUpdate feed_update = *report.feed_update;
     feed_update.as_of = BootNow() - report.feed_update_age;
--- a/packages/gateway/fleet_store_watcher.h
+++ b/packages/gateway/fleet_store_watcher.h
@@ -12,6 +12,7 @@
 #include "membership/feed_reorder_buffer.h"
 #include "membership/feed_schedule.h"
 #include "membership/registration_view.h"
+#include "net/http_server.h"
 
 namespace savoryglade::gateway {
 
@@ -34,6 +35,9 @@
   FleetStoreWatcher(FleetState& fleet, FleetStore& store, UpstreamConnectionPool& connections,
                     boost::asio::io_context& context, StoreWatchCallbacks callbacks);
 
+  // Responds to another daemon's request for the routes.
+  boost::asio::awaitable<void> HandleRoutesRequest(HttpExchange& exchange) const;
+
   boost::asio::awaitable<void> RoutesLoop();
   boost::asio::awaitable<void> UpstreamsLoop();
 
@@ -49,7 +53,15 @@
   boost::asio::awaitable<void> WaitUntilUpstreamsDue();
   // Reads and applies changed registrations. Returns false if the store call failed.
   boost::asio::awaitable<bool> ReadUpstreams();
-  void ApplyRoutes(RouteDocument document, TimePoint as_of);
+  void ApplyRoutes(RouteDocument document, std::string text);
+  // Returns true if a peer has reported newer routes than this daemon holds.
+  bool IsBehindPeers() const;
+  // Fetches the routes from peers that hold newer ones, until this daemon holds them too.
+  boost::asio::awaitable<void> FetchRoutesFromPeers();
+  // Returns the version of the routes that this daemon holds, or zero.
+  std::uint64_t held_version() const {
+    return fleet_.routes == nullptr ? 0 : fleet_.routes->version();
+  }
   // Records that the store held no newer routes at this instant.
   void ConfirmRoutes(TimePoint as_of);
   void ApplyUpstreams(const std::vector<RegistrationChange>& changes);
@@ -60,6 +72,7 @@
   FleetStore& store_;
   UpstreamConnectionPool& connections_;
   StoreWatchCallbacks callbacks_;
+  boost::asio::io_context& context_;
   // Cancelled when a report changes when the next read is due.
   boost::asio::steady_timer routes_timer_;
   boost::asio::steady_timer upstreams_timer_;
@@ -67,6 +80,7 @@
   FeedReorderBuffer reorder_buffer_;
   FeedSchedule upstream_schedule_;
   FeedPosition routes_position_ = 0;
+  bool fetching_routes_ = false;
   FeedPosition upstreams_position_ = 0;
   // Whether the next read must fetch all registrations, because none were read yet or the store
   // has discarded the history after the position.
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -75,12 +75,18 @@
       callers_(pool_, CallerLimits(fleet_.settings),
                [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
       readiness_(pool_, {}, [this](HttpExchange& exchange) { return HandleReadiness(exchange); }),
-      metrics_(pool_, {}, [this](HttpExchange& exchange) { return HandleMetrics(exchange); }) {}
+      metrics_(pool_, {}, [this](HttpExchange& exchange) { return HandleMetrics(exchange); }),
+      peer_requests_(pool_, {}, [this](HttpExchange& exchange) {
+        return store_watcher_.HandleRoutesRequest(exchange);
+      }) {}
 
 Gateway::~Gateway() { Stop(); }
 
 Result<void> Gateway::Start() {
   const GatewaySettings& settings = fleet_.settings;
+  // Reports are UDP datagrams and requests of peers are TCP connections to the same port, unless
+  // the system chooses the ports.
+  const Endpoint peer_requests = settings.peers;
   if (Result<void> opened = report_transport_.Open(pool_.context(0)); !opened) {
     return opened;
   }
@@ -89,15 +95,18 @@
     const Endpoint& wanted;
     Endpoint& used;
   };
-  for (const Listener& listener : {Listener{callers_, settings.callers, callers_endpoint_},
-                                   Listener{readiness_, settings.readiness, readiness_endpoint_},
-                                   Listener{metrics_, settings.metrics, metrics_endpoint_}}) {
+  for (const Listener& listener :
+       {Listener{callers_, settings.callers, callers_endpoint_},
+        Listener{readiness_, settings.readiness, readiness_endpoint_},
+        Listener{metrics_, settings.metrics, metrics_endpoint_},
+        Listener{peer_requests_, peer_requests, peer_requests_endpoint_}}) {
     const auto listening = listener.server.Listen(listener.wanted);
     if (!listening) {
       return tl::make_unexpected(listening.error());
     }
     listener.used = *listening;
   }
+  fleet_.requests_port = peer_requests_endpoint_.port;
   asio::io_context& context = pool_.context(0);
   const auto spawn = [&context](asio::awaitable<void> loop) {
     asio::co_spawn(context, std::move(loop), [](const std::exception_ptr& failure) {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -85,9 +85,11 @@
   HttpServer callers_;
   HttpServer readiness_;
   HttpServer metrics_;
+  HttpServer peer_requests_;
   Endpoint callers_endpoint_;
   Endpoint readiness_endpoint_;
   Endpoint metrics_endpoint_;
+  Endpoint peer_requests_endpoint_;
   std::atomic<bool> drained_{false};
 };
 
--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -305,6 +305,10 @@
   if (!IsRelevant(report, now)) {
     return;
   }
+  if (report.requests_port != 0 && report.routes_version >= fleet_.peer_routes_version) {
+    fleet_.peer_routes_source =
+        Endpoint{.address = from.address().to_string(), .port = report.requests_port};
+  }
   exchange_.Apply(report, now);
   on_report_(report);
 }
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -97,6 +97,7 @@
       .daemons = fleet_.rate_limiter.ReportingDaemonsOf(scope, now),
       .time_of_day = fleet_.clock.OwnTime(now),
       .leaving = fleet_.draining,
+      .requests_port = fleet_.requests_port,
       .loads = fleet_.load_balancer.AggregateLoad(scope, now),
       .crashes = fleet_.crash_registry.SelectForReport(kMaxReportedCrashes, now),
       .part_crashes = fleet_.part_crash_registry.SelectForReport(kMaxReportedCrashes, now)};
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -53,17 +53,22 @@
   // Starts the gateway, or a new process in its place.
   void StartGateway() {
     gateway_.reset();
-    GatewaySettings settings{.daemon = DaemonId("daemon-1"),
+    gateway_ = MakeGateway("daemon-1", store_.endpoint);
+  }
+
+  // Starts a gateway that reads the store at this endpoint.
+  static std::unique_ptr<Gateway> MakeGateway(const std::string& daemon, const Endpoint& store) {
+    GatewaySettings settings{.daemon = DaemonId(daemon),
                              .failure_domain = FailureDomainId("verona")};
     for (Endpoint* endpoint :
          {&settings.callers, &settings.readiness, &settings.peers, &settings.metrics}) {
       *endpoint = {.address = kLocal, .port = 0};
     }
-    settings.store = store_.endpoint;
-    settings.duties = store_.endpoint;
+    settings.store = store;
+    settings.duties = store;
     settings.bounds.retry_allowance = 100;
     settings.bounds.upstream_drain = 50ms;
-    gateway_ = std::make_unique<Gateway>(
+    auto gateway = std::make_unique<Gateway>(
         settings, [settings](boost::asio::io_context&, MetricRegistry& metrics) {
           return GatewayAdapters{
               .codec = std::make_unique<platform::HeaderCodec>(),
@@ -71,7 +76,8 @@
               .duties = std::make_unique<platform::DutyClient>(settings.duties, metrics),
               .engines = std::make_unique<platform::EngineClient>(metrics)};
         });
-    EXPECT_TRUE(gateway_->Start());
+    EXPECT_TRUE(gateway->Start());
+    return gateway;
   }
 
   static std::string WorkerName(int i) { return fmt::format("worker-{}", i); }
@@ -99,9 +105,10 @@
   }
 
   // Waits until the gateway's readiness check succeeds.
-  void WaitUntilReady() {
+  void WaitUntilReady() { WaitUntilReady(*gateway_); }
+  static void WaitUntilReady(const Gateway& gateway) {
     while (
-        SendText(gateway_->readiness_endpoint(), "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").status !=
+        SendText(gateway.readiness_endpoint(), "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").status !=
         200) {
     }
   }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1,8 +1,10 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <fstream>
 #include <iterator>
+#include <memory>
 #include <regex>
 #include <string>
 
@@ -224,6 +226,41 @@
   EXPECT_EQ(peer.ReadToEnd().second, boost::asio::error::connection_reset);
 }
 
+// Access to a store that can be withdrawn from one daemon while others keep it.
+struct StoreAccess {
+  explicit StoreAccess(StoreService& store) : store_service(store) {}
+
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange) {
+    if (denied) {
+      co_await exchange.Respond(503, {}, {});
+    } else {
+      co_await store_service.Handle(exchange);
+    }
+  }
+
+  StoreService& store_service;
+  std::atomic<bool> denied{false};
+};
+
+// Guards against a daemon that serves old routes for as long as the store turns it away, although
+// its peers hold newer ones.
+TEST_F(GatewayTest, TakesNewerRoutesFromAPeerWhileTheStoreRejectsThisDaemon) {
+  PutRoutes(1);
+  WaitUntilReady();
+  ServiceServer<StoreAccess> access(store_.service);
+  const std::unique_ptr<Gateway> other = MakeGateway("daemon-2", access.endpoint);
+  WaitUntilReady(*other);
+  const auto status = [&other] {
+    return SendText(other->callers_endpoint(), FormatRequest("GET", "/new/1", "a1")).status;
+  };
+  EXPECT_EQ(status(), 404U);
+  access.service.denied = true;
+  PutRoutes(2, R"(,{"name":"new","host":"h","prefix":"/new/","route_kind":"idempotent",)"
+               R"("timeout_ms":3000,"goal_ms":1000,"service":"s","max_attempts":2})");
+  while (status() != 200) {
+  }
+}
+
 // Guards against one malformed registration that makes the others unusable.
 TEST_F(GatewayTest, MalformedRegistrationsDoNotAffectOthers) {
   store_.service.Put("servers", "hostile-1", "\xff\xfe{");
