Count the usage of draining daemons until their reports end

Cause: each report of a daemon that drains removed it from the rate limiter again, so its next report began a new source, which is charged only from the second report on. Nothing that a draining daemon took was charged, although it serves for seconds.

The source now stays until its reports have been missing for the silence timeout and is then removed; it is not charged as a silent daemon.

--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -180,10 +180,14 @@
   }
 }
 
-void PeerReportTransport::RemovePeer(const DaemonId& daemon) {
+void PeerReportTransport::ForgetPeer(const DaemonId& daemon) {
   peers_.erase(daemon);
   report_delay_.Remove(daemon);
   fleet_.groups.Remove(daemon);
+}
+
+void PeerReportTransport::RemovePeer(const DaemonId& daemon) {
+  ForgetPeer(daemon);
   exchange_.RemoveDaemon(daemon);
 }
 
@@ -278,11 +282,11 @@
     if (peers_.contains(daemon)) {
       kLog.Info("A peer is shutting down.", {{"daemon", daemon.value()}});
     }
-    // Counts its last requests, then removes it from the fleet.
+    // Its usage is counted until its reports end, because it serves requests until it stops.
     if (IsRelevant(report, now)) {
       exchange_.Apply(report, now);
     }
-    RemovePeer(daemon);
+    ForgetPeer(daemon);
     return;
   }
   Peer& peer = peers_[daemon];
--- a/packages/gateway/peer_report_transport.h
+++ b/packages/gateway/peer_report_transport.h
@@ -56,6 +56,9 @@
   bool SendDatagram(const std::string& datagram, const DaemonId& receiver);
   // Removes peers that have been silent for too long, and adapts to the size of the fleet.
   void ExpirePeers(TimePoint now);
+  // Removes a daemon from the peers that receive reports.
+  void ForgetPeer(const DaemonId& daemon);
+  // Also stops to count its usage.
   void RemovePeer(const DaemonId& daemon);
   // Updates this daemon's role in the groups and discards the reports of its previous role.
   void UpdateRole(TimePoint now);
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -136,8 +136,10 @@
     fleet_.routes_confirmed_at = std::max(fleet_.routes_confirmed_at, now - report.routes_age);
   }
   const auto accounts = AccountsByHash(fleet_);
-  AllowanceReport allowance_report{
-      .source = source, .incarnation = report.incarnation, .daemons = report.daemons};
+  AllowanceReport allowance_report{.source = source,
+                                   .incarnation = report.incarnation,
+                                   .daemons = report.daemons,
+                                   .leaving = report.leaving};
   for (const auto& [key, totals] : report.allowances) {
     if (const auto found = accounts.find(key); found != accounts.end()) {
       allowance_report.use.emplace(found->second, totals);
--- a/packages/scheduling/account_rate_limiter.cc
+++ b/packages/scheduling/account_rate_limiter.cc
@@ -123,7 +123,9 @@
     return;
   }
   std::erase_if(sources_, [&](const auto& entry) {
-    const bool gone = now - entry.second.last_report_at > options_.peer_expiry_timeout;
+    const Duration timeout =
+        entry.second.leaving ? options_.peer_silence_timeout : options_.peer_expiry_timeout;
+    const bool gone = now - entry.second.last_report_at > timeout;
     reported_daemons_ -= gone ? entry.second.daemons : 0;
     return gone;
   });
@@ -317,6 +319,7 @@
     source.asked[account] = totals.asked;
   }
   source.incarnation = report.incarnation;
+  source.leaving = report.leaving;
   reported_daemons_ += report.daemons - (is_new ? 0 : source.daemons);
   source.daemons = report.daemons;
   source.last_report_at = now;
--- a/packages/scheduling/account_rate_limiter.h
+++ b/packages/scheduling/account_rate_limiter.h
@@ -32,6 +32,8 @@
   std::uint64_t incarnation = 0;
   // Number of daemons that the report covers.
   int daemons = 1;
+  // Whether the source is shutting down.
+  bool leaving = false;
   std::map<AccountId, AllowanceUsage> use;
 };
 
@@ -145,6 +147,8 @@
     int daemons = 1;
     // Whether to charge everything that the source took since its start.
     bool counts_from_zero = false;
+    // Whether the source is shutting down, so that its silence means that it has stopped.
+    bool leaving = false;
     TimePoint last_report_at{};
     TimePoint charged_until{};
     std::map<AccountId, double> taken;
--- a/tests/gateway/report_exchange_test.cc
+++ b/tests/gateway/report_exchange_test.cc
@@ -138,6 +138,28 @@
   }
 }
 
+// Guards against a daemon that has stopped and is charged as a silent one, if its usage is counted
+// for as long as it drains.
+TEST(ReportExchangeTest, UsageOfADrainingDaemonIsCountedUntilItsReportsEnd) {
+  constexpr double kUnits = 10;
+  GroupedFleet fleet(1, 2);
+  AccountRateLimiter& limiter = fleet.fleet(0).rate_limiter;
+  fleet.ExchangeReports(At(0s));
+  fleet.fleet(1).draining = true;
+  limiter.SetDaemonCount(1);
+  double taken = 0;
+  for (Duration time = kReportInterval; time < 2s; time += kReportInterval) {
+    taken += fleet.fleet(1).rate_limiter.TryAcquire(kDrivers, kUnits, At(time)) ? kUnits : 0;
+    fleet.ExchangeReports(At(time));
+  }
+  EXPECT_EQ(limiter.UsageOf(ReportScope::kDomain, At(2s)).at(kDrivers).taken, taken);
+  fleet.Kill(1);
+  limiter.TryAcquire(kDrivers, kUnits, At(4s));
+  limiter.UpdateRates(At(4s));
+  // Without silent peers there is no limit to an even part.
+  EXPECT_FALSE(limiter.StateOf(kDrivers, At(4s)).local_level);
+}
+
 // Guards against a crash record that stays behind those of requests whose responses were lost for
 // another reason.
 TEST(ReportExchangeTest, CrashRecordsReachAllDaemonsWhileOtherResponsesAreLost) {
