Ignore relayed announcements of the duty holder that say nothing new

Found while looking for other ages that renew themselves: daemons relay the age of the last announcement of the daemon that holds the duties, so that other failure domains hear of it, and each relay made it younger by the transit time. A fleet went on believing in a holder that had stopped, and contended late for its lease, which delays usage reports and capacity orders. Callers saw nothing.

An announcement now names its holder's incarnation and the holder's own clock; a report of the same or an earlier announcement changes nothing.

ReportExchangeTest.RepeatedReportsDoNotRenewTheAnnouncementOfTheDutyHolder failed before for all 23 other daemons (5 s after the holder had stopped) and passes; gateway_test 73 pass.

--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -110,6 +110,8 @@
   digest.leaving = report.leaving;
   if (report.holder_age) {
     digest.holder_age_ms = *report.holder_age / 1ms;
+    digest.holder_incarnation = report.holder_announcement.incarnation;
+    digest.holder_time_ms = report.holder_announcement.time / 1ms;
   }
   digest.requests_port = report.requests_port;
   digest.routes_version = report.routes_version;
@@ -165,6 +167,8 @@
                      .routes_age = digest.routes_age_ms * 1ms};
   if (digest.holder_age_ms >= 0) {
     report.holder_age = digest.holder_age_ms * 1ms;
+    report.holder_announcement = {.incarnation = digest.holder_incarnation,
+                                  .time = digest.holder_time_ms * 1ms};
   }
   for (const wire::UpstreamLoadItem& item : digest.loads) {
     report.loads.push_back({.upstream = item.upstream(),
--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -10,6 +10,7 @@
 #include "core/report_source.h"
 #include "core/time.h"
 #include "gateway/adapter.h"
+#include "gateway/fleet_state.h"
 #include "membership/feed_reorder_buffer.h"
 #include "membership/fleet_groups.h"
 #include "membership/registration_view.h"
@@ -44,6 +45,7 @@
   std::uint16_t requests_port = 0;
   // Time since the holder of the duties last reported that it holds them, if a report is known.
   std::optional<Duration> holder_age;
+  HolderAnnouncement holder_announcement;
   // Version of the routes that the sender holds, and time since a read by the sender itself showed
   // that this version is the newest.
   std::uint64_t routes_version = 0;
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -22,6 +22,16 @@
 
 namespace savoryglade::gateway {
 
+// Announcement of the daemon that holds the lease on the fleet's duties. Reports that relay the
+// same announcement say nothing new, whatever its age in them.
+struct HolderAnnouncement {
+  std::uint64_t incarnation = 0;
+  // The holder's clock at the announcement.
+  Duration time = Duration::zero();
+
+  friend auto operator<=>(const HolderAnnouncement&, const HolderAnnouncement&) = default;
+};
+
 // Shared state of the gateway on one VM: its view of the fleet and the objects that make decisions
 // for requests, store watches, peer reports and the fleet's duties, which are usage reports and
 // capacity orders to the platform. Not thread-safe; used on one thread.
@@ -101,6 +111,7 @@
   // Latest instant at which a peer is known to have held the lease on the fleet's duties, which are
   // usage reports and capacity orders to the platform.
   TimePoint holder_last_reported{};
+  HolderAnnouncement holder_announcement;
   // Number of peers with lower ids, which contend for the lease on the fleet's duties before this
   // daemon does.
   int lower_id_peers = 0;
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -103,8 +103,10 @@
       .part_crashes = fleet_.part_crash_registry.SelectForReport(kMaxReportedCrashes, now)};
   if (fleet_.holds_duties) {
     report.holder_age = Duration::zero();
+    report.holder_announcement = {.incarnation = fleet_.incarnation, .time = report.time_of_day};
   } else if (fleet_.holder_last_reported != TimePoint{}) {
     report.holder_age = now - fleet_.holder_last_reported;
+    report.holder_announcement = fleet_.holder_announcement;
   }
   if (fleet_.routes != nullptr) {
     report.routes_version = fleet_.routes->version();
@@ -128,7 +130,14 @@
   const ReportSource source = SourceOf(report);
   fleet_.load_balancer.OnReport(source, report.loads, now);
   if (report.holder_age) {
-    fleet_.holder_last_reported = std::max(fleet_.holder_last_reported, now - *report.holder_age);
+    const TimePoint announced_at = now - *report.holder_age;
+    const HolderAnnouncement& known = fleet_.holder_announcement;
+    const HolderAnnouncement& reported = report.holder_announcement;
+    if (announced_at > fleet_.holder_last_reported &&
+        (reported.incarnation != known.incarnation || reported.time > known.time)) {
+      fleet_.holder_last_reported = announced_at;
+      fleet_.holder_announcement = reported;
+    }
   }
   fleet_.clock.OnPeerTime(report.sender.id, report.time_of_day, now);
   fleet_.peer_routes_version = std::max(fleet_.peer_routes_version, report.routes_version);
--- a/tests/gateway/report_exchange_test.cc
+++ b/tests/gateway/report_exchange_test.cc
@@ -160,6 +160,28 @@
   EXPECT_FALSE(limiter.StateOf(kDrivers, At(4s)).local_level);
 }
 
+// Guards against daemons that tell each other for ever that the holder of the duties is alive.
+TEST(ReportExchangeTest, RepeatedReportsDoNotRenewTheAnnouncementOfTheDutyHolder) {
+  GroupedFleet fleet(3, 8);
+  fleet.SetTransitTime(5ms);
+  fleet.fleet(0).holds_duties = true;
+  Duration time = 0s;
+  for (; time < 1s; time += kReportInterval) {
+    fleet.ExchangeReports(At(time));
+  }
+  for (std::size_t i = 1; i < fleet.size(); ++i) {
+    EXPECT_GT(fleet.fleet(i).holder_last_reported, At(0s)) << i;
+  }
+  fleet.Kill(0);
+  const TimePoint stopped_at = At(time);
+  for (; time < 6s; time += kReportInterval) {
+    fleet.ExchangeReports(At(time));
+  }
+  for (std::size_t i = 1; i < fleet.size(); ++i) {
+    EXPECT_LE(fleet.fleet(i).holder_last_reported, stopped_at + kReportInterval) << i;
+  }
+}
+
 // Guards against a crash record that stays behind those of requests whose responses were lost for
 // another reason.
 TEST(ReportExchangeTest, CrashRecordsReachAllDaemonsWhileOtherResponsesAreLost) {
