Send nothing to an upstream long after its notice was learned

A stream that is moved from a leaving engine is sent to the engine that holds the copy, or back to its source, without asking whether these have announced to leave; the copy may take two seconds. A request whose connection takes 300 ms to open is not checked again either.

UpstreamNotices keeps when this daemon learned of each notice. Right before a request is written it may be no longer ago than 0.4 of the upstream's own time; the view may be 0.45 of it old. Otherwise the attempt ends as not run.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -24,6 +24,9 @@
 // TCP retransmits a lost handshake packet only after a second; trying another upstream is faster.
 constexpr Duration kConnectTimeout = 300ms;
 constexpr int kMaxConnectionAttempts = 4;
+// Time after an upstream's notice was learned in which a request that was chosen before is still
+// sent, as a fraction of the upstream's own. A view may be 0.45 of that time old.
+constexpr double kSendGraceFraction = 0.4;
 // Upstreams that may reject a request as not run before the gateway rejects it.
 constexpr int kMaxSends = 3;
 // Idle time after which a connection is not reused for a request that must not be retried.
@@ -280,6 +283,13 @@
     attempt.end = AttemptEnd::kCancelled;
     co_return RelayOutcome::kFinished;
   }
+  const Duration grace =
+      FromSeconds(ToSeconds(fleet_.settings.bounds.upstream_drain) * kSendGraceFraction);
+  if (!fleet_.notices.MayReceive(attempt.placement.upstream.id, grace, BootNow())) {
+    attempt.failure = "The upstream's notice is too old for another request.";
+    attempt.end = AttemptEnd::kCancelled;
+    co_return RelayOutcome::kNotRun;
+  }
   HttpConnection* const connection = attempt.connection.get();
   attempt.registration.emplace(open_attempts_, attempt.placement.upstream.id, *connection);
   call.caller.OnDisconnect([connection] { connection->Close(); });
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -13,6 +13,7 @@
 #include "gateway/gateway_settings.h"
 #include "membership/fleet_clock.h"
 #include "membership/fleet_groups.h"
+#include "membership/upstream_notices.h"
 #include "metrics/registry.h"
 #include "recovery/crash_registry.h"
 #include "recovery/drain_policy.h"
@@ -98,6 +99,7 @@
   capacity::UsageLedger usage;
   capacity::WorkMeter work;
   FleetClock clock;
+  UpstreamNotices notices;
   FleetGroups groups;
   DrainPolicy drain_policy;
   // Set once the daemon has been told to stop.
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -268,6 +268,7 @@
       kLog.Info("An upstream was removed.", {{"upstream", change.id.value()}});
       fleet_.load_balancer.Remove(change.id);
       connections_.Drop(change.id);
+      fleet_.notices.OnLeaving(change.id, BootNow());
       callbacks_.on_upstream_leaving(change.id);
       continue;
     }
@@ -286,7 +287,10 @@
     }
     fleet_.load_balancer.Update(*change.record);
     if (change.record->leaving) {
+      fleet_.notices.OnLeaving(change.id, BootNow());
       callbacks_.on_upstream_leaving(change.id);
+    } else {
+      fleet_.notices.OnAvailable(change.id);
     }
   }
 }
