Reproduce a store that returns from an older copy

The emulated store can return to a copy of itself, with the header Store-Era, and gives versions out again. The gateway then misses routes that are written under a version it has passed, ignores a notice whose version is lower than an earlier one, and reads all registrations every 20 ms.

--- a/packages/emulator/store_service.cc
+++ b/packages/emulator/store_service.cc
@@ -55,6 +55,29 @@
   rows_[{table, key}] = {.version = ++version_, .removed = true};
 }
 
+std::shared_ptr<const StoreService::Copy> StoreService::MakeCopy() const {
+  const std::lock_guard lock(mutex_);
+  return std::make_shared<const Copy>(Copy{.rows = rows_, .version = version_});
+}
+
+void StoreService::ReturnTo(const Copy& copy, const std::string& table,
+                            const std::map<std::string, std::string>& writes) {
+  const std::lock_guard lock(mutex_);
+  rows_ = copy.rows;
+  version_ = copy.version;
+  ++era_;
+  for (const auto& [key, value] : writes) {
+    rows_[{table, key}] = {.value = value, .version = ++version_};
+  }
+}
+
+HttpHeaders StoreService::ResponseHeaders() const {
+  const std::lock_guard lock(mutex_);
+  HttpHeaders headers = ContentType("application/json");
+  headers.emplace_back("Store-Era", std::to_string(era_));
+  return headers;
+}
+
 std::map<std::string, std::string> StoreService::Rows(const std::string& table) const {
   const std::lock_guard lock(mutex_);
   std::map<std::string, std::string> rows;
@@ -133,7 +156,7 @@
   bool empty = false;
   std::string page = SerializeRows(QueryParameter(target, "table"), QueryParameter(target, "from"),
                                    QueryParameter(target, "to"), 0, &empty);
-  co_await exchange.Respond(200, ContentType("application/json"), std::move(page));
+  co_await exchange.Respond(200, ResponseHeaders(), std::move(page));
 }
 
 asio::awaitable<void> StoreService::ReadFeed(HttpExchange& exchange) {
@@ -142,11 +165,20 @@
                              std::chrono::milliseconds(NumericQueryParameter(target, "wait_ms"));
   asio::steady_timer timer(co_await asio::this_coro::executor);
   while (true) {
+    bool is_known = false;
+    {
+      const std::lock_guard lock(mutex_);
+      is_known = NumericQueryParameter(target, "after_rev") <= version_;
+    }
+    if (!is_known) {
+      co_await exchange.Respond(410, ResponseHeaders(), {});
+      co_return;
+    }
     bool empty = false;
     std::string page = SerializeRows(QueryParameter(target, "table"), {}, {},
                                      NumericQueryParameter(target, "after_rev"), &empty);
     if (!empty || std::chrono::steady_clock::now() >= deadline) {
-      co_await exchange.Respond(200, ContentType("application/json"), std::move(page));
+      co_await exchange.Respond(200, ResponseHeaders(), std::move(page));
       co_return;
     }
     timer.expires_after(kFeedPollInterval);
@@ -191,7 +223,7 @@
     exchange.Abort();
     co_return;
   }
-  co_await exchange.Respond(status, ContentType("application/json"), json::serialize(response));
+  co_await exchange.Respond(status, ResponseHeaders(), json::serialize(response));
 }
 
 }  // namespace savoryglade
--- a/packages/emulator/store_service.h
+++ b/packages/emulator/store_service.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <utility>
@@ -35,6 +36,13 @@
   // Writes a row as an operator or an upstream does. The value is not Base64-encoded.
   void Put(const std::string& table, const std::string& key, const std::string& value);
   void Remove(const std::string& table, const std::string& key);
+  // State that the store can return to.
+  struct Copy;
+  std::shared_ptr<const Copy> MakeCopy() const;
+  // Returns to an older copy, as after the loss of newer data, and writes rows to a table before
+  // the next request is served. Versions after the copy are assigned again.
+  void ReturnTo(const Copy& copy, const std::string& table,
+                const std::map<std::string, std::string>& writes);
   // Returns the keys and values of the rows of a table.
   std::map<std::string, std::string> Rows(const std::string& table) const;
   // Returns the number of requests received, including those without a response.
@@ -48,6 +56,7 @@
   };
   using RowName = std::pair<std::string, std::string>;
 
+  HttpHeaders ResponseHeaders() const;
   boost::asio::awaitable<void> ReadRows(HttpExchange& exchange);
   boost::asio::awaitable<void> ReadFeed(HttpExchange& exchange);
   boost::asio::awaitable<void> Transact(HttpExchange& exchange);
@@ -58,7 +67,14 @@
   StoreFaults faults_;
   std::map<RowName, StoredRow> rows_;
   std::uint64_t version_ = 0;
+  // Number of the returns to an older copy, plus one.
+  std::uint64_t era_ = 1;
   std::uint64_t calls_ = 0;
 };
 
+struct StoreService::Copy {
+  std::map<RowName, StoredRow> rows;
+  std::uint64_t version = 0;
+};
+
 }  // namespace savoryglade
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -87,21 +87,26 @@
   }
 
   void RegisterUpstream(const std::string& name, const Endpoint& endpoint, const char* state) {
-    store_.service.Put(
-        "servers", name,
-        fmt::format(R"({{"service":"s","address":"{}","zone":"verona","slots":4,"state":"{}"}})",
-                    ToString(endpoint), state));
+    store_.service.Put("servers", name, Registration(endpoint, state));
+  }
+
+  static std::string Registration(const Endpoint& endpoint, const char* state) {
+    return fmt::format(R"({{"service":"s","address":"{}","zone":"verona","slots":4,"state":"{}"}})",
+                       ToString(endpoint), state);
   }
 
   void PutRoutes(int version, const std::string& more_routes = {}) {
-    store_.service.Put("op", "config",
-                       fmt::format(R"({{"version":{},"routes":[
+    store_.service.Put("op", "config", RouteDocumentText(version, more_routes));
+  }
+
+  static std::string RouteDocumentText(int version, const std::string& more_routes) {
+    return fmt::format(R"({{"version":{},"routes":[
 {{"name":"reads","host":"h","prefix":"/reads/","route_kind":"idempotent","timeout_ms":3000,"goal_ms":1000,"service":"s","max_attempts":2}},
 {{"name":"orders","host":"h","prefix":"/orders/","route_kind":"non_idempotent","timeout_ms":3000,"service":"s","max_attempts":1}},
 {{"name":"chats","host":"h","prefix":"/stream/","route_kind":"streaming","timeout_ms":5000,"service":"s","max_attempts":2,"resumable":true}},
 {{"name":"once","host":"h","prefix":"/once/","route_kind":"streaming","timeout_ms":5000,"service":"s","max_attempts":1}}{}],
 "services":[{{"name":"s","engine":{{"slots":4,"moves":true}}}}],"tenants":[{{"name":"drivers","api_keys":["{}"]}}]}})",
-                                   version, more_routes, kApiKey));
+                       version, more_routes, kApiKey);
   }
 
   // Waits until the gateway's readiness check succeeds.
