--- a/packages/gateway/adapter.h
+++ b/packages/gateway/adapter.h
@@ -102,7 +102,8 @@
   virtual HttpHeaders GatewayResponseHeaders(const std::string& attempt_id) const = 0;
 };
 
-// Position in the change history of a watched table. Zero requests a full snapshot.
+// Position in the change history of a watched table. Zero requests a full snapshot. Positions and
+// the versions of rows only increase, even if the store returns from an older copy.
 using FeedPosition = std::uint64_t;
 
 // New routes, if any, and the position from which to continue.
@@ -118,6 +119,9 @@
   std::vector<RegistrationChange> changes;
   // Whether the changes list every registered upstream.
   bool is_snapshot = false;
+  // Whether the store has returned from an older copy since the snapshot before, so that upstreams
+  // may be missing until they register again.
+  bool store_returned = false;
   FeedPosition position = 0;
 };
 
--- a/packages/gateway/crash_record_store.cc
+++ b/packages/gateway/crash_record_store.cc
@@ -159,6 +159,11 @@
     position_ = update->position;
     loaded_ = true;
     const TimePoint now = BootNow();
+    if (full_read) {
+      // The store may have returned from a copy that lacks records.
+      fleet_.crash_registry.ForgetStored();
+      fleet_.part_crash_registry.ForgetStored();
+    }
     for (const auto& [key, row] : update->rows) {
       ApplyRow(key, row, now);
     }
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -232,6 +232,9 @@
     registrations_.OnStoreFailure();
     co_return false;
   }
+  if (update->store_returned) {
+    registrations_.OnStoreFailure();
+  }
   std::vector<RegistrationChange> changes =
       registrations_.Apply(update->changes, update->is_snapshot, now, update->position);
   ApplyUpstreams(changes);
--- a/packages/membership/registration_view.cc
+++ b/packages/membership/registration_view.cc
@@ -17,9 +17,14 @@
     // so it schedules the removal here.
     entry.remove_at =
         change.record->doubtful ? std::optional(now + options_.settle_time) : std::nullopt;
-    if (entry.record != change.record) {
-      entry.record = change.record;
-      applied.push_back(change);
+    std::optional<UpstreamRecord> record = change.record;
+    // An older copy of the store may lack the notice of a process that has announced to leave.
+    record->leaving = record->leaving ||
+                      (entry.record && entry.record->leaving && entry.record->started_ms != 0 &&
+                       entry.record->started_ms == record->started_ms);
+    if (entry.record != record) {
+      entry.record = record;
+      applied.push_back({.id = change.id, .record = record, .version = change.version});
     }
     return;
   }
--- a/packages/recovery/crash_registry.h
+++ b/packages/recovery/crash_registry.h
@@ -95,6 +95,12 @@
   // loss that are not stored completely. A record without losses means that the stored one is to be
   // removed.
   std::vector<CrashRecord> SelectForStorage(TimePoint now) const;
+  // Forgets which records are stored, before all stored ones are read again.
+  void ForgetStored() {
+    for (auto& [request, entry] : records_) {
+      entry.stored.clear();
+    }
+  }
   // Records that a record has been stored, or removed if it has no losses.
   void OnStored(const CrashRecord& record);
 
--- a/tests/membership/registration_view_test.cc
+++ b/tests/membership/registration_view_test.cc
@@ -118,5 +118,20 @@
   EXPECT_TRUE(view.Apply({Registered(4)}, false, At(0s)).empty());
 }
 
+// Guards against sending work to an upstream whose notice an older copy of the store lacks.
+TEST(RegistrationViewTest, AnOlderCopyDoesNotTakeBackANotice) {
+  RegistrationView view({});
+  RegistrationChange leaving = Registered(5, true);
+  leaving.record->started_ms = 70;
+  RegistrationChange ready = Registered(6);
+  ready.record->started_ms = 70;
+  view.Apply({leaving}, false, At(0s));
+  EXPECT_TRUE(view.Apply({ready}, true, At(1s)).empty());
+  // A later process under the same name may be ready.
+  ready.record->started_ms = 71;
+  ready.version = 7;
+  EXPECT_EQ(view.Apply({ready}, false, At(2s)).size(), 1U);
+}
+
 }  // namespace
 }  // namespace savoryglade
