Do not repeat fencing tokens after the store returns from an older copy

A lease knows the greatest token that was used, from the rows it has read and from the reports of peers, which relay it. A row with a smaller token states no lease of this daemon, a new token is greater than all known ones, and a row that was lost is waited for like one of another holder.

--- a/packages/capacity/lease.cc
+++ b/packages/capacity/lease.cc
@@ -67,24 +67,28 @@
   if (deadline_ && now >= *deadline_) {
     deadline_.reset();
   }
-  if (releasing_ && !IsOwnRow(row_)) {
+  if (releasing_ && !StatesOwnLease(row_)) {
     // Another daemon holds the lease already.
     releasing_ = false;
     return std::nullopt;
   }
-  if (row_version_ != 0 && IsOwnRow(row_)) {
+  if (row_version_ != 0 && StatesOwnLease(row_)) {
     // Renews the lease even after it expired: the write's condition fails if another daemon has
     // acquired it since.
     return StartWrite(row_, now);
   }
-  if (row_version_ != 0 && now - row_first_seen_ < row_.duration) {
-    // Another daemon or an earlier incarnation of this one holds the lease; reads the row again to
-    // see whether it was renewed.
+  const bool row_was_lost = row_version_ == 0 && highest_fencing_ > 0;
+  if ((row_version_ != 0 && now - row_first_seen_ < row_.duration) ||
+      (row_was_lost && now - row_first_seen_ < options_.duration)) {
+    // Another daemon or an earlier incarnation of this one holds the lease, or may hold it under a
+    // row that the table has lost; reads the row again to see whether it was renewed.
     row_is_current_ = false;
     operation_pending_ = true;
     return ReadRow{};
   }
-  return StartWrite({.holder = holder_, .incarnation = incarnation_, .fencing = row_.fencing + 1},
+  return StartWrite({.holder = holder_,
+                     .incarnation = incarnation_,
+                     .fencing = std::max(row_.fencing, highest_fencing_) + 1},
                     now);
 }
 
@@ -102,20 +106,21 @@
     }
   }
   row_is_current_ = true;
-  if (result->version != row_version_ || !result->exists()) {
+  if (result->version != row_version_ || row_first_seen_ == TimePoint{}) {
     row_first_seen_ = now;
   }
   row_version_ = result->version;
   row_ = std::move(*row);
-  if (result->exists() && row_ == pending_row_ && IsOwnRow(row_)) {
+  RaiseFencing(row_.fencing);
+  if (result->exists() && row_ == pending_row_ && StatesOwnLease(row_)) {
     // This daemon's write took effect although its response was lost.
     ExtendDeadline(write_started_);
     return;
   }
-  if (!result->exists() || IsOwnRow(row_)) {
+  if ((!result->exists() && highest_fencing_ == 0) || StatesOwnLease(row_)) {
     next_operation_at_ = now;
   }
-  if (!IsOwnRow(row_)) {
+  if (!StatesOwnLease(row_)) {
     deadline_.reset();
   }
 }
@@ -137,8 +142,9 @@
   switch (status) {
     case provider::CommitStatus::kCommitted:
       row_ = pending_row_;
+      RaiseFencing(row_.fencing);
       releasing_ = releasing_ && row_.duration != kReleasedDuration;
-      if (candidate_ && IsOwnRow(row_)) {
+      if (candidate_ && StatesOwnLease(row_)) {
         ExtendDeadline(write_started_);
       }
       // The new version of the row is not known here until it is read.
--- a/packages/capacity/lease.h
+++ b/packages/capacity/lease.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -67,6 +68,12 @@
   void OnRead(const provider::ReadResult& result, TimePoint now);
   void OnCommit(provider::CommitStatus status, TimePoint now);
 
+  // Makes later fencing tokens of this daemon greater than this one, which a peer has used. The row
+  // may lack it if the table has returned from an older copy.
+  void RaiseFencing(std::uint64_t fencing) {
+    highest_fencing_ = std::max(highest_fencing_, fencing);
+  }
+
   // Sets a higher incarnation after this daemon was declared dead. A held lease ends.
   void SetIncarnation(std::uint64_t incarnation);
 
@@ -96,6 +103,10 @@
  private:
   provider::Transaction MakeTransaction(const LeaseRow& row) const;
   bool IsOwnRow(const LeaseRow& row) const;
+  // Returns true if the row states that this daemon holds the lease, and no later holder is known.
+  bool StatesOwnLease(const LeaseRow& row) const {
+    return IsOwnRow(row) && row.fencing >= highest_fencing_;
+  }
   CommitRow StartWrite(LeaseRow row, TimePoint now);
   void ExtendDeadline(TimePoint counted_from);
 
@@ -111,6 +122,8 @@
   TimePoint next_operation_at_{};
   LeaseRow row_;
   std::uint64_t row_version_ = 0;
+  // Greatest fencing token known to have been used.
+  std::uint64_t highest_fencing_ = 0;
   // Instant at which this version of the row was first seen.
   TimePoint row_first_seen_{};
   // Deadline of this daemon's own lease; empty while it holds none.
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -113,6 +113,7 @@
     digest.holder_incarnation = report.holder_announcement.incarnation;
     digest.holder_time_ms = report.holder_announcement.time / 1ms;
   }
+  digest.highest_fencing = report.highest_fencing;
   digest.requests_port = report.requests_port;
   digest.routes_version = report.routes_version;
   digest.routes_age_ms = Milliseconds(report.routes_age);
@@ -162,6 +163,7 @@
                      .daemons = digest.daemons,
                      .time_of_day = digest.time_of_day_ms * 1ms,
                      .leaving = digest.leaving,
+                     .highest_fencing = digest.highest_fencing,
                      .requests_port = digest.requests_port,
                      .routes_version = digest.routes_version,
                      .routes_age = digest.routes_age_ms * 1ms};
--- a/packages/gateway/duty_runner.cc
+++ b/packages/gateway/duty_runner.cc
@@ -108,6 +108,7 @@
       co_await Sleep(kLeaseTickInterval);
       continue;
     }
+    lease_.RaiseFencing(fleet_.highest_fencing);
     const auto order = lease_.Tick(BootNow());
     if (order) {
       if (std::holds_alternative<capacity::Lease::ReadRow>(*order)) {
@@ -119,6 +120,9 @@
         lease_.OnCommit(status, BootNow());
       }
     }
+    if (holds_lease()) {
+      fleet_.highest_fencing = std::max(fleet_.highest_fencing, lease_.fencing());
+    }
     if (fleet_.holds_duties != holds_lease()) {
       fleet_.holds_duties = !fleet_.holds_duties;
       kLog.Info(fleet_.holds_duties ? "This daemon acquired the lease on the duties."
--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -41,6 +41,8 @@
   // Time since the start of 1970 by the sender's clock.
   Duration time_of_day = Duration::zero();
   bool leaving = false;
+  // Greatest fencing token of the duties that the sender knows of.
+  std::uint64_t highest_fencing = 0;
   // TCP port on which the sender responds to requests of other daemons; zero if there is none.
   std::uint16_t requests_port = 0;
   // Time since the holder of the duties last reported that it holds them, if a report is known.
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -29,7 +29,6 @@
   std::uint64_t incarnation = 0;
   // The holder's clock at the announcement.
   Duration time = Duration::zero();
-
   friend auto operator<=>(const HolderAnnouncement&, const HolderAnnouncement&) = default;
 };
 
@@ -114,6 +113,8 @@
   // usage reports and capacity orders to the platform.
   TimePoint holder_last_reported{};
   HolderAnnouncement holder_announcement;
+  // Greatest fencing token of the duties that this daemon knows of.
+  std::uint64_t highest_fencing = 0;
   // Number of peers with lower ids, which contend for the lease on the fleet's duties before this
   // daemon does.
   int lower_id_peers = 0;
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -97,6 +97,7 @@
       .daemons = fleet_.rate_limiter.ReportingDaemonsOf(scope, now),
       .time_of_day = fleet_.clock.OwnTime(now),
       .leaving = fleet_.draining,
+      .highest_fencing = fleet_.highest_fencing,
       .requests_port = fleet_.requests_port,
       .loads = fleet_.load_balancer.AggregateLoad(scope, now),
       .crashes = fleet_.crash_registry.SelectForReport(kMaxReportedCrashes, now),
@@ -139,6 +140,7 @@
       fleet_.holder_announcement = reported;
     }
   }
+  fleet_.highest_fencing = std::max(fleet_.highest_fencing, report.highest_fencing);
   fleet_.clock.OnPeerTime(report.sender.id, report.time_of_day, now);
   fleet_.peer_routes_version = std::max(fleet_.peer_routes_version, report.routes_version);
   if (fleet_.routes != nullptr && report.routes_version == fleet_.routes->version()) {
--- a/tests/capacity/lease_test.cc
+++ b/tests/capacity/lease_test.cc
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "core/event_queue.h"
@@ -53,6 +56,12 @@
     });
   }
 
+  // Replaces the row of the lease, or removes it.
+  void WriteRow(std::optional<std::string> value) {
+    platform_.Commit({.writes = {{"lease/verona", std::move(value)}}},
+                     [](CommitStatus status) { EXPECT_EQ(status, CommitStatus::kCommitted); });
+  }
+
   void RunFor(Duration duration) { clock_.RunUntil(clock_.now() + duration); }
   bool IsHeldBy(std::size_t i) { return leases_[i]->IsHeld(clock_.now()); }
 
@@ -191,5 +200,41 @@
   EXPECT_FALSE(ParseLeaseRow("").has_value());
 }
 
+// Guards against fencing tokens that are used twice after the store has returned from a copy in
+// which an earlier holder has the lease.
+TEST_F(LeaseTest, RowOfAnEarlierHolderThatReturnsDoesNotRepeatTokens) {
+  RunFor(20s);
+  ASSERT_TRUE(IsHeldBy(0));
+  const std::string earlier = FormatLeaseRow(leases_[0]->row());
+  paused_[0] = true;
+  RunFor(25s);
+  ASSERT_EQ(leases_[1]->fencing(), 2U);
+  paused_[0] = false;
+  RunFor(5s);
+  WriteRow(earlier);
+  RunFor(60s);
+  EXPECT_TRUE(IsHeldBy(0) || IsHeldBy(1));
+  EXPECT_GT(leases_[IsHeldBy(0) ? 0 : 1]->fencing(), 2U);
+}
+
+// As above, with a copy from before the first holder.
+TEST_F(LeaseTest, RowThatIsLostDoesNotRepeatTokens) {
+  RunFor(20s);
+  ASSERT_EQ(leases_[0]->fencing(), 1U);
+  WriteRow(std::nullopt);
+  RunFor(60s);
+  EXPECT_TRUE(IsHeldBy(0) || IsHeldBy(1));
+  EXPECT_GT(leases_[IsHeldBy(0) ? 0 : 1]->fencing(), 1U);
+}
+
+// Guards against a candidate that never read the row of the last holder and repeats its token.
+TEST_F(LeaseTest, TokensOfPeersAreNotRepeated) {
+  paused_[1] = true;
+  leases_[0]->RaiseFencing(41);
+  RunFor(30s);
+  ASSERT_TRUE(IsHeldBy(0));
+  EXPECT_EQ(leases_[0]->fencing(), 42U);
+}
+
 }  // namespace
 }  // namespace savoryglade::capacity
