Bound the ages and times of a decoded digest

With the undefined behaviour sanitizer, DigestCodecTest.MalformedDatagramsDoNotCrash ended: a malformed time of 62,205,970,853,055,976 ms overflows when it is turned into nanoseconds. Any host that can send to the peers' port could cause it.

--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -13,6 +13,16 @@
 constexpr int kMaxRunning = std::numeric_limits<std::uint16_t>::max();
 constexpr int kMaxDaemons = std::numeric_limits<std::uint16_t>::max();
 
+// Bounds of decoded values, so that sums of malformed ones do not overflow.
+constexpr std::int64_t kMaxAgeMs = 365LL * 24 * 3600 * 1000;
+constexpr std::int64_t kMaxTimeOfDayMs = 100 * kMaxAgeMs;
+
+Duration DecodeAge(std::int64_t ms) { return std::clamp<std::int64_t>(ms, 0, kMaxAgeMs) * 1ms; }
+
+Duration DecodeTimeOfDay(std::int64_t ms) {
+  return std::clamp(ms, -kMaxTimeOfDayMs, kMaxTimeOfDayMs) * 1ms;
+}
+
 std::uint32_t Milliseconds(Duration duration) {
   return static_cast<std::uint32_t>(
       std::clamp<std::int64_t>(duration / 1ms, 0, std::numeric_limits<std::uint32_t>::max()));
@@ -86,10 +96,10 @@
   for (const auto& item : items) {
     CrashRecord record{.request = item->request};
     for (const wire::LossItem& loss : item->losses) {
-      record.losses.push_back({.upstream = loss.upstream(), .age = loss.age_ms() * 1ms});
+      record.losses.push_back({.upstream = loss.upstream(), .age = DecodeAge(loss.age_ms())});
     }
     if (item->answer_age_ms >= 0) {
-      record.answer_age = item->answer_age_ms * 1ms;
+      record.answer_age = DecodeAge(item->answer_age_ms);
     }
     records.push_back(std::move(record));
   }
@@ -161,16 +171,16 @@
                      .incarnation = digest.incarnation,
                      .scope = static_cast<ReportScope>(digest.scope),
                      .daemons = digest.daemons,
-                     .time_of_day = digest.time_of_day_ms * 1ms,
+                     .time_of_day = DecodeTimeOfDay(digest.time_of_day_ms),
                      .leaving = digest.leaving,
                      .highest_fencing = digest.highest_fencing,
                      .requests_port = digest.requests_port,
                      .routes_version = digest.routes_version,
-                     .routes_age = digest.routes_age_ms * 1ms};
+                     .routes_age = DecodeAge(digest.routes_age_ms)};
   if (digest.holder_age_ms >= 0) {
-    report.holder_age = digest.holder_age_ms * 1ms;
+    report.holder_age = DecodeAge(digest.holder_age_ms);
     report.holder_announcement = {.incarnation = digest.holder_incarnation,
-                                  .time = digest.holder_time_ms * 1ms};
+                                  .time = DecodeTimeOfDay(digest.holder_time_ms)};
   }
   for (const wire::UpstreamLoadItem& item : digest.loads) {
     report.loads.push_back({.upstream = item.upstream(),
@@ -194,7 +204,7 @@
   report.part_crashes = DecodeCrashRecords(digest.part_crashes);
   if (digest.feed) {
     report.feed_update = DecodeFeedUpdate(*digest.feed);
-    report.feed_update_age = digest.feed->age_ms * 1ms;
+    report.feed_update_age = DecodeAge(digest.feed->age_ms);
   }
   return report;
 }
