Reproduce requests that are accepted and cut off at the end of a drain

A daemon that has finished draining still runs requests until its main thread stops it, ends while a request is half read, and cuts calls that outlast the grace period. The time until the load balancer has noticed a stop becomes a bound, so that the tests need not wait for three seconds.

--- a/packages/emulator/caller_connection.cc
+++ b/packages/emulator/caller_connection.cc
@@ -25,9 +25,8 @@
 
 }  // namespace
 
-CallerConnection::CallerConnection(const Endpoint& endpoint)
-    : socket_(context_), parser_(std::make_unique<Parser>()) {
-  parser_->body_limit(boost::none);
+CallerConnection::CallerConnection(const Endpoint& endpoint) : socket_(context_) {
+  StartNextResponse();
   socket_.connect(tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port));
 }
 
@@ -40,6 +39,20 @@
 
 void CallerConnection::Close() { socket_.close(); }
 
+void CallerConnection::StartNextResponse() {
+  parser_ = std::make_unique<Parser>();
+  parser_->body_limit(boost::none);
+}
+
+bool CallerConnection::ClosedByPeer() {
+  socket_.non_blocking(true);
+  char byte = 0;
+  beast::error_code error;
+  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  socket_.non_blocking(false);
+  return error.failed() && error != asio::error::would_block;
+}
+
 void CallerConnection::ReadUntil(const std::function<bool(const std::string&)>& condition) {
   while (!ended_ && !parser_->is_done() && !condition(parser_->get().body())) {
     beast::error_code error;
--- a/packages/emulator/caller_connection.h
+++ b/packages/emulator/caller_connection.h
@@ -25,12 +25,17 @@
   void ShutdownSend();
   void Close();
 
+  // Discards the current response, so that the next one on the connection can be read.
+  void StartNextResponse();
+
   // Reads until the body received so far satisfies the condition or the response ends.
   void ReadUntil(const std::function<bool(const std::string&)>& condition);
   // Reads until the body holds at least this number of token events or the response ends.
   void ReadUntilTokenCount(std::size_t count);
   // Reads to the end of the response. Returns false if the connection closed before it.
   bool ReadAll();
+  // Returns true if the peer has closed the connection. Does not wait.
+  bool ClosedByPeer();
 
   unsigned status() const { return parser_->get().result_int(); }
   std::string Header(std::string_view name) const;
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -57,7 +57,8 @@
     retry_budget.SetOptions({.window = bounds.retry_window,
                              .ratio = bounds.retry_ratio,
                              .allowance = bounds.retry_allowance});
-    drain_policy = DrainPolicy({.grace_period = bounds.stop_grace});
+    drain_policy = DrainPolicy(
+        {.grace_period = bounds.stop_grace, .load_balancer_delay = bounds.balancer_delay});
   }
 
   FleetDaemon Self() const {
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -17,6 +17,8 @@
   Duration upstream_drain = 2s;
   // Time from the SIGTERM that tells a daemon to shut down until its SIGKILL.
   Duration stop_grace = 8s;
+  // Time from that SIGTERM until the load balancer sends no new connections.
+  Duration balancer_delay = 3s;
   double retry_ratio = 0.2;
   Duration retry_window = 10s;
   double retry_allowance = 0;
--- /dev/null
+++ b/tests/gateway/drain_test.cc
@@ -0,0 +1,93 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "emulator/caller_connection.h"
+#include "emulator/worker_service.h"
+#include "gateway/gateway.h"
+#include "tests/gateway/gateway_fixture.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+class GatewayDrainTest : public GatewayFixture {
+ protected:
+  // Starts a gateway whose drain takes at most the grace period.
+  void StartDrainingSoon(Duration grace_period) {
+    FleetBounds bounds = TestBounds();
+    bounds.stop_grace = grace_period;
+    bounds.balancer_delay = 100ms;
+    gateway_ = MakeGateway("daemon-1", store_.endpoint, bounds);
+    PutRoutes(1);
+    WaitUntilReady();
+  }
+
+  void AwaitDrainFinished() const {
+    while (!gateway_->DrainFinished()) {
+      std::this_thread::yield();
+    }
+  }
+};
+
+// Guards against requests that are accepted after the decision to exit and then cut off.
+TEST_F(GatewayDrainTest, RunsNoRequestAfterItHasFinishedDraining) {
+  StartDrainingSoon(8s);
+  CallerConnection kept(gateway_->callers_endpoint());
+  ASSERT_EQ(SendText(kept, FormatRequest("GET", "/reads/1", "a1")).status, 200U);
+  gateway_->BeginDrain();
+  AwaitDrainFinished();
+  kept.StartNextResponse();
+  SendText(kept, FormatRequest("GET", "/reads/1", "a2"));
+  EXPECT_EQ(RunCount("a2"), 0);
+}
+
+// Guards against the end of a daemon in the middle of a request that it is reading.
+TEST_F(GatewayDrainTest, RefusesARequestThatIsHalfReadWhenItStopsToAcceptRequests) {
+  StartDrainingSoon(8s);
+  CallerConnection idle(gateway_->callers_endpoint());
+  ASSERT_EQ(SendText(idle, FormatRequest("GET", "/reads/1", "a1")).status, 200U);
+  const std::string request = FormatRequest("POST", "/orders/1", "a2", kApiKey, "order");
+  CallerConnection half_sent(gateway_->callers_endpoint());
+  half_sent.Send(request.substr(0, request.size() / 2));
+  // The response to a later request shows that the gateway has read the first half.
+  ASSERT_EQ(SendRequest("GET", "/reads/1", "a3").status, 200U);
+  gateway_->BeginDrain();
+  // A gateway that accepts no requests any more closes its idle connections.
+  while (!idle.ClosedByPeer() && !gateway_->DrainFinished()) {
+    std::this_thread::yield();
+  }
+  EXPECT_FALSE(gateway_->DrainFinished());
+  const Response response = SendText(half_sent, request.substr(request.size() / 2));
+  EXPECT_EQ(response.status, 503U);
+  EXPECT_EQ(response.reason, "draining");
+  EXPECT_NE(response.retry_after, "");
+  EXPECT_EQ(RunCount("a2"), 0);
+  AwaitDrainFinished();
+}
+
+// Guards against calls that get no answer because their upstream takes longer than the grace
+// period.
+TEST_F(GatewayDrainTest, AnswersACallThatIsInFlightWhenTheGracePeriodEnds) {
+  StartDrainingSoon(300ms);
+  SetFaults(WorkerFault::kNoResponse, 1);
+  CallerConnection connection(gateway_->callers_endpoint());
+  connection.Send(FormatRequest("POST", "/orders/1", "a1"));
+  while (RunCount("a1") == 0) {
+    std::this_thread::yield();
+  }
+  gateway_->BeginDrain();
+  const std::jthread stopper([this] {
+    AwaitDrainFinished();
+    gateway_->Stop();
+    gateway_.reset();
+  });
+  EXPECT_TRUE(connection.ReadAll());
+  EXPECT_EQ(connection.status(), 502U);
+  EXPECT_EQ(connection.Header("Savoryglade-Verdict"), "may_have_run");
+  EXPECT_EQ(RunCount("a1"), 1);
+}
+
+}  // namespace
+}  // namespace savoryglade::gateway
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -56,8 +56,11 @@
     gateway_ = MakeGateway("daemon-1", store_.endpoint);
   }
 
+  static FleetBounds TestBounds() { return {.upstream_drain = 50ms, .retry_allowance = 100}; }
+
   // Starts a gateway that reads the store at this endpoint.
-  static std::unique_ptr<Gateway> MakeGateway(const std::string& daemon, const Endpoint& store) {
+  static std::unique_ptr<Gateway> MakeGateway(const std::string& daemon, const Endpoint& store,
+                                              const FleetBounds& bounds = TestBounds()) {
     GatewaySettings settings{.daemon = DaemonId(daemon),
                              .failure_domain = FailureDomainId("verona")};
     for (Endpoint* endpoint :
@@ -66,8 +69,7 @@
     }
     settings.store = store;
     settings.duties = store;
-    settings.bounds.retry_allowance = 100;
-    settings.bounds.upstream_drain = 50ms;
+    settings.bounds = bounds;
     auto gateway = std::make_unique<Gateway>(
         settings, [settings](boost::asio::io_context&, MetricRegistry& metrics) {
           return GatewayAdapters{
