Add an orderly close of an HTTP server

A listener could stop to accept connections, but its open connections ended only with the process, whatever they were reading. Close ends idle connections and lets each other one end with its response, which announces the close. Connections are counted, so that a process can wait for the last one.

--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -7,6 +7,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <iterator>
+#include <map>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -148,7 +150,7 @@
     while (true) {
       asio::io_context& context = pool.Next();
       auto [error, socket] = co_await acceptor->async_accept(context, kAwait);
-      if (error == asio::error::operation_aborted) {
+      if (error == asio::error::operation_aborted || !acceptor->is_open()) {
         co_return;
       }
       if (error) {
@@ -219,6 +221,59 @@
     }
   }
 
+  // Registers a connection that waits for a request, so that Close can end the wait.
+  class IdleRegistration {
+   public:
+    IdleRegistration(State& state, std::uint64_t connection_id, beast::tcp_stream& stream)
+        : state_(state), connection_id_(connection_id) {
+      const std::lock_guard lock(state_.idle_mutex);
+      state_.idle_connections.emplace(connection_id, &stream);
+    }
+    ~IdleRegistration() {
+      const std::lock_guard lock(state_.idle_mutex);
+      state_.idle_connections.erase(connection_id_);
+    }
+    IdleRegistration(const IdleRegistration&) = delete;
+    IdleRegistration& operator=(const IdleRegistration&) = delete;
+
+   private:
+    State& state_;
+    std::uint64_t connection_id_;
+  };
+
+  // Waits for the next request. Returns false if the connection ended, or if the server closes and
+  // no byte of a request has arrived.
+  static asio::awaitable<bool> AwaitRequest(State& state, std::uint64_t connection_id,
+                                            beast::tcp_stream& stream) {
+    beast::error_code error;
+    const IdleRegistration registration(state, connection_id, stream);
+    if (!state.closing) {
+      stream.expires_after(state.limits.idle_timeout);
+      std::tie(error) = co_await stream.socket().async_wait(tcp::socket::wait_read, kAwait);
+      if (!error) {
+        co_return true;
+      }
+    }
+    beast::error_code ignored;
+    co_return state.closing&& stream.socket().available(ignored) > 0;
+  }
+
+  void CloseIdleConnections() {
+    const std::lock_guard lock(idle_mutex);
+    for (const auto& [id, stream] : idle_connections) {
+      // A socket may be used on its own worker only, where the connection may have a request by
+      // then.
+      asio::post(stream->get_executor(), [self = shared_from_this(), id = id] {
+        const std::lock_guard idle_lock(self->idle_mutex);
+        const auto found = self->idle_connections.find(id);
+        if (found != self->idle_connections.end()) {
+          beast::error_code ignored;
+          found->second->socket().cancel(ignored);
+        }
+      });
+    }
+  }
+
   static asio::awaitable<void> Serve(std::shared_ptr<State> state, beast::tcp_stream stream) {
     const std::uint64_t connection_id = state->next_connection_id.fetch_add(1);
     beast::flat_buffer buffer;
@@ -226,13 +281,8 @@
       std::optional<RequestParser> parser(std::in_place);
       parser->header_limit(static_cast<std::uint32_t>(state->limits.header_size));
       parser->body_limit(state->limits.body_size);
-      if (buffer.size() == 0) {
-        stream.expires_after(state->limits.idle_timeout);
-        const auto [wait_error] =
-            co_await stream.socket().async_wait(tcp::socket::wait_read, kAwait);
-        if (wait_error) {
-          break;
-        }
+      if (buffer.size() == 0 && !co_await AwaitRequest(*state, connection_id, stream)) {
+        break;
       }
       stream.expires_after(state->limits.read_timeout);
       auto [error, size] = co_await http::async_read_header(stream, buffer, *parser, kAwait);
@@ -255,6 +305,9 @@
       if (buffer.size() == 0) {
         buffer.shrink_to_fit();
       }
+      if (state->closing) {
+        exchange.CloseAfterResponse();
+      }
       ++state->exchanges;
       try {
         co_await state->handler(exchange);
@@ -280,6 +333,10 @@
   std::atomic<std::size_t> exchanges{0};
   std::atomic<std::size_t> rejected{0};
   std::atomic<std::uint64_t> next_connection_id{1};
+  std::atomic<bool> closing{false};
+  std::mutex idle_mutex;
+  // Connections that wait for a request, by their ids.
+  std::map<std::uint64_t, beast::tcp_stream*> idle_connections;
 };
 
 HttpServer::HttpServer(WorkerPool& pool, HttpLimits limits, HttpHandler handler)
@@ -319,6 +376,14 @@
   });
 }
 
+void HttpServer::Close() {
+  state_->closing = true;
+  StopAccepting();
+  state_->CloseIdleConnections();
+}
+
+std::size_t HttpServer::open_connections() const { return state_->connections.load(); }
+
 std::size_t HttpServer::active_exchanges() const { return state_->exchanges.load(); }
 
 std::size_t HttpServer::rejected_connections() const { return state_->rejected.load(); }
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -120,6 +120,13 @@
   // Stops accepting connections; open ones stay open.
   void StopAccepting();
 
+  // Stops accepting connections and closes the open ones: those without a request at once, the
+  // others after the response to the request that is being read or answered. Returns immediately.
+  void Close();
+
+  // Returns the number of open connections.
+  std::size_t open_connections() const;
+
   // Returns the number of requests in progress.
   std::size_t active_exchanges() const;
 
