Decide on admission and on the exit of a daemon in one place

Callers saw requests that a daemon took about three seconds after its SIGTERM end with a closed connection and no answer (LOST).

Cause: the exit and the admission of requests were two decisions. Once no request was in progress, the drain ended, but nothing stopped requests until the main thread noticed, up to 50 ms later. Requests that were half read counted as nothing, and what still ran at the end was cut off.

Change: DrainSequence has stages that only advance, and the stage decides on both. While it closes, all requests are refused, the listener and idle connections are closed, and the process exits once no connection is left. Calls that outlast the grace period get a final answer. Calls whose timeout ends too late are refused. A request in progress is counted by scope, so that an exception can't leave the count raised. The tests of DrainPolicy are kept with their times; ShouldExit became the advance to kClosing.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -55,6 +55,18 @@
   }
 }
 
+// Counts a request in progress for as long as it lives.
+class ActiveRequest {
+ public:
+  explicit ActiveRequest(int& count) : count_(count) { ++count_; }
+  ~ActiveRequest() { --count_; }
+  ActiveRequest(const ActiveRequest&) = delete;
+  ActiveRequest& operator=(const ActiveRequest&) = delete;
+
+ private:
+  int& count_;
+};
+
 // Returns a factor for the retry delay, so that callers rejected together do not retry together.
 double RetryJitterFactor(const std::string& attempt_id) {
   constexpr std::uint64_t kSteps = 64;
@@ -86,8 +98,9 @@
   if (call.route == nullptr || call.route->services.empty()) {
     return reject(Reason::kUnknownService, "No route matches the host and path.");
   }
-  if (fleet_.draining &&
-      !fleet_.drain_policy.Accepts(call.route->kind, now - fleet_.drain_started_at)) {
+  const Duration timeout =
+      std::min(call.metadata.caller_timeout.value_or(call.route->timeout), call.route->timeout);
+  if (!fleet_.drain.Accepts(call.route->kind, timeout, now)) {
     return reject(Reason::kDraining, "The daemon is shutting down.", kDrainingRetryAfter);
   }
   if (!call.route->is_public && !call.routes->document().accounts.empty()) {
@@ -98,10 +111,7 @@
   }
   call.service = RouteTable::ChooseService(*call.route, Fnv1aHash(call.metadata.attempt_id));
   call.metadata.work.service = call.service;
-  call.deadline =
-      now +
-      std::min(call.metadata.caller_timeout.value_or(call.route->timeout), call.route->timeout) -
-      kResponseMargin;
+  call.deadline = now + timeout - kResponseMargin;
   CrashDetector::Identify(call);
   if (const Duration refusal = crash_detector_.RemainingRefusal(call, now);
       refusal > Duration::zero()) {
@@ -129,21 +139,18 @@
 }
 
 asio::awaitable<void> CallRelay::Handle(HttpExchange& exchange) {
-  ++fleet_.active_requests;
-  {
-    Call call(exchange);
-    Verdict verdict;
-    const Result<void> admitted = AdmitRequest(call, verdict);
-    if (!admitted) {
-      co_await Reject(call, verdict);
-    } else {
-      co_await SendUntilAnswered(call);
-      if (call.account != nullptr && call.unrejected_sends == 0) {
-        fleet_.rate_limiter.Refund(call.account->name, call.units);
-      }
-    }
+  const ActiveRequest active(fleet_.active_requests);
+  Call call(exchange);
+  Verdict verdict;
+  const Result<void> admitted = AdmitRequest(call, verdict);
+  if (!admitted) {
+    co_await Reject(call, verdict);
+    co_return;
+  }
+  co_await SendUntilAnswered(call);
+  if (call.account != nullptr && call.unrejected_sends == 0) {
+    fleet_.rate_limiter.Refund(call.account->name, call.units);
   }
-  --fleet_.active_requests;
 }
 
 bool CallRelay::CanRetry(const Call& call) const {
@@ -179,6 +186,12 @@
 asio::awaitable<void> CallRelay::SendUntilAnswered(Call& call) {
   while (!call.caller.disconnected()) {
     const TimePoint now = BootNow();
+    if (fleet_.drain.interrupted()) {
+      co_await Reject(call, {.run_state = call.run_state,
+                             .reason = Reason::kDraining,
+                             .retry_after = kDrainingRetryAfter});
+      co_return;
+    }
     if (call.RemainingTime(now) < kMinRemainingTime) {
       co_await Reject(call, {.run_state = call.run_state,
                              .reason = Reason::kDeadlineExceeded,
@@ -227,7 +240,7 @@
     if (outcome != RelayOutcome::kNotRun || moved) {
       ++call.possible_runs;
       call.run_state = outcome == RelayOutcome::kFailed ? RunState::kRan : RunState::kMayHaveRun;
-      if (!CanRetry(call)) {
+      if (!fleet_.drain.interrupted() && !CanRetry(call)) {
         co_await Reject(call, {.run_state = call.run_state,
                                .reason = call.RemainingTime(BootNow()) < kMinRemainingTime
                                              ? Reason::kDeadlineExceeded
@@ -247,7 +260,11 @@
   call.last_upstream = id;
   fleet_.load_balancer.OnSent(id, call.metadata.work, placement.uncached_tokens, attempt.sent_at);
   const RelayOutcome outcome = co_await SendAttempt(call, attempt);
-  if (outcome == RelayOutcome::kResponseLost && call.RemainingTime(BootNow()) > kMinRemainingTime) {
+  if (fleet_.drain.interrupted() && outcome != RelayOutcome::kFinished) {
+    // This daemon closed the connection, so the upstream has not failed.
+    attempt.end = AttemptEnd::kCancelled;
+  } else if (outcome == RelayOutcome::kResponseLost &&
+             call.RemainingTime(BootNow()) > kMinRemainingTime) {
     crash_detector_.OnAttemptLost(call, attempt, BootNow());
   }
   fleet_.load_balancer.OnEnd(id, placement.uncached_tokens, attempt.first_byte, attempt.end,
@@ -383,7 +400,7 @@
     call.exchange.Abort();
     co_return;
   }
-  if (fleet_.draining) {
+  if (fleet_.drain.has_begun()) {
     call.exchange.CloseAfterResponse();
   }
   if (call.failed_response) {
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -16,7 +16,7 @@
 #include "membership/upstream_notices.h"
 #include "metrics/registry.h"
 #include "recovery/crash_registry.h"
-#include "recovery/drain_policy.h"
+#include "recovery/drain_sequence.h"
 #include "recovery/window_retry_budget.h"
 #include "routing/fleet_load_balancer.h"
 #include "scheduling/account_rate_limiter.h"
@@ -45,7 +45,7 @@
         retry_budget(WindowRetryBudgetOptions{}, now),
         clock(time_of_day, now),
         groups(Self(), FleetGroupOptions{}),
-        drain_policy(DrainOptions{}) {
+        drain(DrainOptions{}) {
     ApplyBounds();
   }
 
@@ -57,7 +57,7 @@
     retry_budget.SetOptions({.window = bounds.retry_window,
                              .ratio = bounds.retry_ratio,
                              .allowance = bounds.retry_allowance});
-    drain_policy = DrainPolicy(
+    drain.SetOptions(
         {.grace_period = bounds.stop_grace, .load_balancer_delay = bounds.balancer_delay});
   }
 
@@ -101,10 +101,7 @@
   FleetClock clock;
   UpstreamNotices notices;
   FleetGroups groups;
-  DrainPolicy drain_policy;
-  // Set once the daemon has been told to stop.
-  bool draining = false;
-  TimePoint drain_started_at{};
+  DrainSequence drain;
   // Time between two rounds of reports to peers; grows with the size of this daemon's peer group.
   Duration digest_interval = 150ms;
   // True while this daemon holds the lease on the fleet's duties: usage reports and capacity orders
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -134,7 +134,8 @@
 }
 
 asio::awaitable<void> Gateway::HandleReadiness(HttpExchange& exchange) {
-  const bool ready = store_watcher_.has_synced() && crash_records_.loaded() && !fleet_.draining;
+  const bool ready =
+      store_watcher_.has_synced() && crash_records_.loaded() && !fleet_.drain.has_begun();
   co_await exchange.Respond(ready ? 200 : 503, {}, {});
 }
 
@@ -179,23 +180,45 @@
 
 void Gateway::BeginDrain() {
   asio::post(pool_.context(0), [this] {
-    if (fleet_.draining) {
+    if (fleet_.drain.has_begun()) {
       return;
     }
-    kLog.Info("The gateway starts to drain.", {{"active", fleet_.active_requests}});
-    fleet_.draining = true;
-    fleet_.drain_started_at = BootNow();
+    fleet_.drain.Begin(BootNow());
+    LogDrain("The gateway starts to drain.");
     duty_runner_.Release();
-    asio::co_spawn(pool_.context(0), DrainLoop(), asio::detached);
+    asio::co_spawn(pool_.context(0), DrainLoop(), [](const std::exception_ptr& failure) {
+      if (failure) {
+        std::rethrow_exception(failure);
+      }
+    });
   });
 }
 
+void Gateway::LogDrain(std::string_view message) const {
+  kLog.Info(message, {{"requests", fleet_.active_requests},
+                      {"connections", callers_.open_connections()},
+                      {"ms", fleet_.drain.Elapsed(BootNow()) / 1ms}});
+}
+
 asio::awaitable<void> Gateway::DrainLoop() {
-  while (!fleet_.drain_policy.ShouldExit(BootNow() - fleet_.drain_started_at,
-                                         fleet_.active_requests)) {
+  bool closing = false;
+  bool interrupted = false;
+  while (fleet_.drain.Advance(
+             {.requests = fleet_.active_requests, .connections = callers_.open_connections()},
+             BootNow()) != DrainStage::kFinished) {
+    if (!closing && fleet_.drain.stage() == DrainStage::kClosing) {
+      closing = true;
+      LogDrain("The gateway accepts no more requests and closes its connections.");
+      callers_.Close();
+    }
+    if (!interrupted && fleet_.drain.interrupted()) {
+      interrupted = true;
+      LogDrain("The gateway interrupts the requests in progress.");
+      open_attempts_.CloseAll();
+    }
     co_await Sleep(kDrainCheckInterval);
   }
-  kLog.Info("The gateway has finished draining.", {{"active", fleet_.active_requests}});
+  LogDrain("The gateway has finished draining.");
   drained_ = true;
 }
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "core/error.h"
 #include "gateway/adapter.h"
@@ -55,10 +56,11 @@
   // need a restart.
   void ApplySettings(const GatewaySettings& settings);
 
-  // Starts to drain: the readiness check fails, and requests are still admitted until the load
-  // balancer has noticed.
+  // Starts to drain: the readiness check fails, and requests are accepted until the load balancer
+  // has noticed. Then all connections are closed.
   void BeginDrain();
-  // Returns true once no requests are in progress, or the time to drain is over.
+  // Returns true once no connection of a caller is open and none is accepted, or the time to drain
+  // is over.
   bool DrainFinished() const;
   void Stop();
 
@@ -68,6 +70,8 @@
   boost::asio::awaitable<void> HandleReadiness(HttpExchange& exchange);
   boost::asio::awaitable<void> HandleMetrics(HttpExchange& exchange);
   boost::asio::awaitable<void> DrainLoop();
+  // Logs a step of the drain with the work that is in progress.
+  void LogDrain(std::string_view message) const;
   boost::asio::awaitable<void> HousekeepingLoop();
 
   WorkerPool pool_;
--- a/packages/gateway/open_attempts.cc
+++ b/packages/gateway/open_attempts.cc
@@ -36,6 +36,14 @@
   }
 }
 
+void OpenAttempts::CloseAll() {
+  for (const auto& [upstream, connections] : *connections_) {
+    for (HttpConnection* const connection : connections) {
+      connection->Close();
+    }
+  }
+}
+
 boost::asio::awaitable<void> OpenAttempts::CloseUnacknowledged(UpstreamId upstream) {
   co_await Sleep(kAcknowledgementTimeout);
   const auto found = connections_->find(upstream);
--- a/packages/gateway/open_attempts.h
+++ b/packages/gateway/open_attempts.h
@@ -42,6 +42,9 @@
   // requests have not reached it.
   void OnUpstreamLeaving(const UpstreamId& upstream);
 
+  // Closes all connections, so that the attempts end at once without a response.
+  void CloseAll();
+
  private:
   boost::asio::awaitable<void> CloseUnacknowledged(UpstreamId upstream);
 
--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -252,7 +252,7 @@
     }
     const std::vector<DaemonId> group = fleet_.groups.Group();
     co_await Send(exchange_.BuildReport(ReportScope::kDaemon, full, now), group);
-    if (representative_ && !fleet_.draining) {
+    if (representative_ && !fleet_.drain.has_begun()) {
       co_await Send(exchange_.BuildReport(ReportScope::kDomain, full, now),
                     fleet_.groups.Representatives(now));
       co_await Send(exchange_.BuildReport(ReportScope::kBeyond, full, now), group);
@@ -393,7 +393,7 @@
   TimePoint read_at = write_at;
   int reads = 0;
   while (true) {
-    if (!fleet_.draining && BootNow() >= write_at) {
+    if (!fleet_.drain.has_begun() && BootNow() >= write_at) {
       const provider::CommitStatus status = co_await store_.Commit(registration);
       const bool written = status == provider::CommitStatus::kCommitted;
       write_at = BootNow() + (written ? RegisterInterval() : kRegisterRetryDelay);
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -96,7 +96,7 @@
       .scope = scope,
       .daemons = fleet_.rate_limiter.ReportingDaemonsOf(scope, now),
       .time_of_day = fleet_.clock.OwnTime(now),
-      .leaving = fleet_.draining,
+      .leaving = fleet_.drain.has_begun(),
       .highest_fencing = fleet_.highest_fencing,
       .requests_port = fleet_.requests_port,
       .loads = fleet_.load_balancer.AggregateLoad(scope, now),
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -179,7 +179,7 @@
   }
   attempt.end = status >= 500 ? AttemptEnd::kFailed : AttemptEnd::kAnswered;
   if (response.body.size() >= kMaxBufferedBytes) {
-    if (fleet_.draining) {
+    if (fleet_.drain.has_begun()) {
       call.exchange.CloseAfterResponse();
     }
     bool open =
@@ -214,7 +214,7 @@
     co_return RelayOutcome::kFailed;
   }
   crash_detector_.OnAnswer(call, attempt, status, BootNow());
-  if (fleet_.draining) {
+  if (fleet_.drain.has_begun()) {
     call.exchange.CloseAfterResponse();
   }
   co_await call.exchange.Respond(status, std::move(response.headers), std::move(response.body));
@@ -284,7 +284,7 @@
     bool open = true;
     if (!call.stream_started) {
       call.stream_started = true;
-      if (fleet_.draining) {
+      if (fleet_.drain.has_begun()) {
         call.exchange.CloseAfterResponse();
       }
       open = co_await call.exchange.StartStream(status, headers, events);
--- a/packages/recovery/drain_sequence.h
+++ b/packages/recovery/drain_sequence.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
+
 #include "config/route_table.h"
 #include "core/time.h"
 
@@ -10,41 +13,68 @@
   Duration grace_period = 8s;
   // Time until the load balancer has noticed the stop and sends no new connections.
   Duration load_balancer_delay = 3s;
-  // Fraction of the grace period after which requests in flight are cut off.
+  // Fraction of the grace period after which requests in flight are interrupted.
   double in_flight_grace_fraction = 0.92;
-  // Fraction of the grace period during which calls that usually end within one or two seconds are
-  // accepted.
+  // Fraction of the grace period during which calls that end in time are accepted.
   double short_call_grace_fraction = 0.5;
+  // Fraction of the grace period after which the process exits, even if connections are open.
+  double exit_grace_fraction = 0.97;
+};
+
+// Stage of a planned stop. Stages only advance.
+enum class DrainStage : std::uint8_t {
+  kServing,
+  // The daemon is not ready for new connections, but accepts requests that complete in time.
+  kDraining,
+  // All requests are refused, and connections end as soon as they are idle.
+  kClosing,
+  // The process may exit.
+  kFinished,
 };
 
-// Decides which requests a daemon still accepts after the stop order, and when the process exits.
-// Requests keep arriving on keep-alive connections until the end. A request that may not complete
-// in time is refused rather than cut off, because the caller can safely repeat a refused request at
-// another daemon.
-class DrainPolicy {
+// Work that a daemon has in progress.
+struct OpenWork {
+  int requests = 0;
+  // Connections of callers, with or without a request.
+  std::size_t connections = 0;
+};
+
+// Decides which requests a daemon accepts during a planned stop, and when its process may exit.
+// Requests keep arriving on open connections until these are closed, so the process exits only
+// after a stage in which all requests are refused and no connection is left. A request that may not
+// complete in time is refused rather than interrupted, because its caller can safely repeat it at
+// another daemon. Not thread-safe.
+class DrainSequence {
  public:
-  explicit DrainPolicy(DrainOptions options) : options_(options) {}
-
-  // Returns true if a request that arrives this long after the stop order is accepted.
-  bool Accepts(CallKind kind, Duration since_order) const {
-    if (kind == CallKind::kStream) {
-      return since_order < options_.load_balancer_delay;
-    }
-    return ToSeconds(since_order) <
-           ToSeconds(options_.grace_period) * options_.short_call_grace_fraction;
-  }
+  explicit DrainSequence(DrainOptions options) : options_(options) {}
 
-  // Returns true if the process should exit. `active` is the number of requests in flight.
-  bool ShouldExit(Duration since_order, int active) const {
-    if (ToSeconds(since_order) >=
-        ToSeconds(options_.grace_period) * options_.in_flight_grace_fraction) {
-      return true;
-    }
-    return active == 0 && since_order >= options_.load_balancer_delay;
-  }
+  void SetOptions(DrainOptions options) { options_ = options; }
+
+  // Starts the stop. Does nothing if it has started.
+  void Begin(TimePoint now);
+  // Moves on to the stage that the open work and the time allow, and returns it.
+  DrainStage Advance(const OpenWork& work, TimePoint now);
+
+  DrainStage stage() const { return stage_; }
+  bool has_begun() const { return stage_ != DrainStage::kServing; }
+  // True once the time of the requests in flight is over: each then ends at once, with a response
+  // that states whether it may have run.
+  bool interrupted() const { return interrupted_; }
+  // Returns the time since the stop order.
+  Duration Elapsed(TimePoint now) const { return now - began_at_; }
+
+  // Returns true if a request with this timeout is accepted.
+  bool Accepts(CallKind kind, Duration timeout, TimePoint now) const;
 
  private:
+  Duration GraceFraction(double fraction) const {
+    return FromSeconds(ToSeconds(options_.grace_period) * fraction);
+  }
+
   DrainOptions options_;
+  DrainStage stage_ = DrainStage::kServing;
+  TimePoint began_at_{};
+  bool interrupted_ = false;
 };
 
 }  // namespace savoryglade
--- a/tests/gateway/report_exchange_test.cc
+++ b/tests/gateway/report_exchange_test.cc
@@ -145,7 +145,7 @@
   GroupedFleet fleet(1, 2);
   AccountRateLimiter& limiter = fleet.fleet(0).rate_limiter;
   fleet.ExchangeReports(At(0s));
-  fleet.fleet(1).draining = true;
+  fleet.fleet(1).drain.Begin(At(0s));
   limiter.SetDaemonCount(1);
   double taken = 0;
   for (Duration time = kReportInterval; time < 2s; time += kReportInterval) {
--- a/tests/recovery/drain_sequence_test.cc
+++ b/tests/recovery/drain_sequence_test.cc
@@ -1,37 +1,97 @@
-#include "recovery/drain_policy.h"
+#include "recovery/drain_sequence.h"
 
 #include <gtest/gtest.h>
 
 namespace savoryglade {
 namespace {
 
+constexpr TimePoint kStart{100s};
+constexpr OpenWork kNone{};
+constexpr OpenWork kIdleConnections{.requests = 0, .connections = 3};
+constexpr OpenWork kBusy{.requests = 5, .connections = 8};
+
+class DrainSequenceTest : public testing::Test {
+ protected:
+  DrainSequenceTest() { drain_.Begin(kStart); }
+
+  DrainSequence drain_{DrainOptions{.grace_period = 8s}};
+};
+
 // Guards against accepting a stream on a keep-alive connection five seconds after the stop order,
 // which is then cut off at the end of the grace period.
-TEST(DrainPolicyTest, RefusesStreamThatMayBeCutOff) {
-  const DrainPolicy policy({.grace_period = 8s});
-  EXPECT_TRUE(policy.Accepts(CallKind::kStream, 2900ms));
-  EXPECT_FALSE(policy.Accepts(CallKind::kStream, 3s));
-  EXPECT_FALSE(policy.Accepts(CallKind::kStream, 5s));
+TEST_F(DrainSequenceTest, RefusesStreamThatMayBeCutOff) {
+  EXPECT_TRUE(drain_.Accepts(CallKind::kStream, 15s, kStart + 2900ms));
+  EXPECT_FALSE(drain_.Accepts(CallKind::kStream, 15s, kStart + 3s));
+  EXPECT_FALSE(drain_.Accepts(CallKind::kStream, 15s, kStart + 5s));
+}
+
+TEST_F(DrainSequenceTest, AcceptsShortCallsUntilTheyCouldBeCutOff) {
+  EXPECT_TRUE(drain_.Accepts(CallKind::kAtMostOnce, 2500ms, kStart + 3900ms));
+  EXPECT_FALSE(drain_.Accepts(CallKind::kAtMostOnce, 2500ms, kStart + 4s));
+  EXPECT_FALSE(drain_.Accepts(CallKind::kIdempotent, 2500ms, kStart + 4s));
+}
+
+// Guards against calls whose timeout ends after the time of requests in flight.
+TEST_F(DrainSequenceTest, RefusesCallWhoseTimeoutEndsTooLate) {
+  EXPECT_TRUE(drain_.Accepts(CallKind::kAtMostOnce, 4s, kStart + 3300ms));
+  EXPECT_FALSE(drain_.Accepts(CallKind::kAtMostOnce, 4s, kStart + 3400ms));
+}
+
+// Guards against two decisions on the same moment: one to exit, one to accept a request.
+TEST_F(DrainSequenceTest, AcceptsNothingOnceItCloses) {
+  EXPECT_TRUE(drain_.Accepts(CallKind::kIdempotent, 1s, kStart + 3s));
+  EXPECT_EQ(drain_.Advance(kIdleConnections, kStart + 3s), DrainStage::kClosing);
+  EXPECT_FALSE(drain_.Accepts(CallKind::kIdempotent, 1s, kStart + 3s));
+  EXPECT_FALSE(drain_.Accepts(CallKind::kIdempotent, 1s, kStart + 2s));
+}
+
+TEST_F(DrainSequenceTest, ClosesWhenLoadBalancerHasNoticedAndNothingIsInFlight) {
+  EXPECT_EQ(drain_.Advance(kIdleConnections, kStart + 1s), DrainStage::kDraining);
+  EXPECT_EQ(drain_.Advance(kBusy, kStart + 3s), DrainStage::kDraining);
+  EXPECT_EQ(drain_.Advance(kNone, kStart + 3s), DrainStage::kClosing);
+}
+
+TEST_F(DrainSequenceTest, FinishesWhenNoConnectionIsLeft) {
+  EXPECT_EQ(drain_.Advance(kIdleConnections, kStart + 3s), DrainStage::kClosing);
+  EXPECT_EQ(drain_.Advance(kIdleConnections, kStart + 4s), DrainStage::kClosing);
+  EXPECT_EQ(drain_.Advance(kNone, kStart + 4s), DrainStage::kFinished);
+}
+
+TEST_F(DrainSequenceTest, InterruptsRequestsAndFinishesBeforeProcessIsKilled) {
+  EXPECT_EQ(drain_.Advance(kBusy, kStart + 7300ms), DrainStage::kDraining);
+  EXPECT_FALSE(drain_.interrupted());
+  EXPECT_EQ(drain_.Advance(kBusy, kStart + 7400ms), DrainStage::kClosing);
+  EXPECT_TRUE(drain_.interrupted());
+  EXPECT_EQ(drain_.Advance(kBusy, kStart + 7700ms), DrainStage::kClosing);
+  EXPECT_EQ(drain_.Advance(kBusy, kStart + 7800ms), DrainStage::kFinished);
+}
+
+// Guards against a process that exits before interrupted requests have their responses.
+TEST_F(DrainSequenceTest, DoesNotFinishInTheStepThatInterruptsRequests) {
+  EXPECT_EQ(drain_.Advance(kBusy, kStart + 7900ms), DrainStage::kClosing);
+  EXPECT_TRUE(drain_.interrupted());
+  EXPECT_EQ(drain_.Advance(kBusy, kStart + 7950ms), DrainStage::kFinished);
 }
 
-TEST(DrainPolicyTest, AcceptsShortCallsUntilTheyCouldBeCutOff) {
-  const DrainPolicy policy({.grace_period = 8s});
-  EXPECT_TRUE(policy.Accepts(CallKind::kAtMostOnce, 3900ms));
-  EXPECT_FALSE(policy.Accepts(CallKind::kAtMostOnce, 4s));
-  EXPECT_FALSE(policy.Accepts(CallKind::kIdempotent, 4s));
+// A request that was half read when the daemon began to close is in progress while it is refused.
+TEST_F(DrainSequenceTest, InterruptsRequestThatIsInFlightWhileItCloses) {
+  EXPECT_EQ(drain_.Advance(kNone, kStart + 3s), DrainStage::kClosing);
+  EXPECT_EQ(drain_.Advance(kBusy, kStart + 4s), DrainStage::kClosing);
+  EXPECT_FALSE(drain_.interrupted());
+  EXPECT_EQ(drain_.Advance(kBusy, kStart + 7400ms), DrainStage::kClosing);
+  EXPECT_TRUE(drain_.interrupted());
 }
 
-TEST(DrainPolicyTest, ExitsWhenLoadBalancerHasNoticedAndNothingIsInFlight) {
-  const DrainPolicy policy({.grace_period = 8s});
-  EXPECT_FALSE(policy.ShouldExit(1s, 0));
-  EXPECT_TRUE(policy.ShouldExit(3s, 0));
-  EXPECT_FALSE(policy.ShouldExit(3s, 1));
+// Guards against a second stop order that starts the grace period anew.
+TEST_F(DrainSequenceTest, SecondStopOrderChangesNothing) {
+  drain_.Begin(kStart + 3s);
+  EXPECT_EQ(drain_.Advance(kNone, kStart + 3s), DrainStage::kClosing);
 }
 
-TEST(DrainPolicyTest, ExitsBeforeProcessIsKilled) {
-  const DrainPolicy policy({.grace_period = 8s});
-  EXPECT_FALSE(policy.ShouldExit(7300ms, 5));
-  EXPECT_TRUE(policy.ShouldExit(7400ms, 5));
+TEST(IdleDrainSequenceTest, AcceptsEverythingUntilItBegins) {
+  DrainSequence drain(DrainOptions{.grace_period = 8s});
+  EXPECT_EQ(drain.Advance(kNone, kStart + 100s), DrainStage::kServing);
+  EXPECT_TRUE(drain.Accepts(CallKind::kStream, 15s, kStart + 100s));
 }
 
 }  // namespace
