emulator: Give emulated workers a software version

Upstreams do not check that a stream goes on at the version that began it, so a test or soak can't see a stream of two versions.

A worker has an optional version, adds it to its Response-Seal and counts the events that each version wrote for an attempt. Workers that share a StreamVersionLog record which version began each stream, named by Resumes or else by the attempt, and the runs that continue one at another version. A run without Last-Event-Id begins the stream again.

--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -54,6 +54,39 @@
   crashing_part_ = std::move(part);
 }
 
+void WorkerService::SetVersion(std::string version) {
+  const std::lock_guard lock(mutex_);
+  version_ = std::move(version);
+}
+
+std::string WorkerService::version() const {
+  const std::lock_guard lock(mutex_);
+  return version_;
+}
+
+void WorkerService::SetStreamVersionLog(std::shared_ptr<StreamVersionLog> log) {
+  const std::lock_guard lock(mutex_);
+  stream_version_log_ = std::move(log);
+}
+
+std::map<std::string, int> WorkerService::EventCounts(const std::string& attempt) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = events_by_attempt_.find(attempt);
+  return found == events_by_attempt_.end() ? std::map<std::string, int>() : found->second;
+}
+
+void WorkerService::RecordEvent(const HttpExchange& exchange, const std::string& version,
+                                bool first_of_run) {
+  const std::lock_guard lock(mutex_);
+  const std::string attempt(exchange.Header("Attempt-Id"));
+  ++events_by_attempt_[attempt][version];
+  if (first_of_run && stream_version_log_ != nullptr) {
+    const std::string resumed(exchange.Header("Resumes"));
+    stream_version_log_->OnRunStarted(resumed.empty() ? attempt : resumed, version,
+                                      !exchange.Header("Last-Event-Id").empty());
+  }
+}
+
 bool WorkerService::CrashesOn(const HttpExchange& exchange) const {
   const std::lock_guard lock(mutex_);
   return !crashing_part_.empty() &&
@@ -105,7 +138,9 @@
   headers.emplace_back("Server-Load", "1,0,4,100");
   headers.emplace_back("Keep-Alive", "timeout=5");
   if (with_seal) {
-    headers.emplace_back("Response-Seal", "seal-of-" + instance_);
+    const std::string version = this->version();
+    headers.emplace_back("Response-Seal",
+                         "seal-of-" + instance_ + (version.empty() ? "" : "/" + version));
   }
   return headers;
 }
@@ -244,6 +279,7 @@
 asio::awaitable<void> WorkerService::Stream(HttpExchange& exchange, WorkerFault fault) {
   const std::string last_event_id(exchange.Header("Last-Event-Id"));
   const int first_event = last_event_id.empty() ? 1 : std::stoi(last_event_id) + 1;
+  const std::string version = this->version();
   HttpHeaders headers = ResponseHeaders(exchange, fault != WorkerFault::kMissingSeal);
   headers.emplace_back("Content-Type", "text/event-stream");
   bool open = co_await exchange.StartStream(200, std::move(headers));
@@ -259,6 +295,7 @@
       exchange.Abort();
       co_return;
     }
+    RecordEvent(exchange, version, event == first_event);
     open = co_await exchange.WriteChunk(text);
   }
   if (open) {
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "emulator/stream_version_log.h"
 #include "net/http_server.h"
 
 namespace savoryglade {
@@ -63,6 +64,15 @@
   // connections break after the header of the response.
   void CrashOnPromptPart(std::string part);
 
+  // Sets the version of the worker's software; empty by default. Runs that have begun keep theirs.
+  // A worker with a version adds it to its Response-Seal, after a slash.
+  void SetVersion(std::string version);
+  std::string version() const;
+  // Sets where the versions that write the events of streams are recorded.
+  void SetStreamVersionLog(std::shared_ptr<StreamVersionLog> log);
+  // Returns the number of events that each version of this worker wrote for an attempt.
+  std::map<std::string, int> EventCounts(const std::string& attempt) const;
+
   // Returns the number of runs of an attempt.
   int RunCount(const std::string& attempt) const;
   // Returns the number of runs of all attempts.
@@ -85,9 +95,15 @@
   WorkerFault ConsumeFault();
   bool CrashesOn(const HttpExchange& exchange) const;
   HttpHeaders ResponseHeaders(const HttpExchange& exchange, bool with_seal) const;
+  // Counts an event that is about to be written, and records the first event of a run. The stream
+  // is named by the Resumes header, or else by the attempt.
+  void RecordEvent(const HttpExchange& exchange, const std::string& version, bool first_of_run);
 
   std::string instance_;
   mutable std::mutex mutex_;
+  std::string version_;
+  std::shared_ptr<StreamVersionLog> stream_version_log_;
+  std::map<std::string, std::map<std::string, int>> events_by_attempt_;
   std::map<std::string, int> runs_by_attempt_;
   HttpRequest last_request_;
   WorkerFault fault_ = WorkerFault::kNone;
