routing: Read upstreams' software versions and choose by them

The `version` of a registration was read nowhere, so every choice of an upstream was blind to it.

UpstreamRecord has `software_version`, empty if the registration has none or one of another type. Reports between daemons carry it at the end of RegistrationItem, and the lines of registrations name it. FleetLoadBalancer::Choose honours WorkEstimate::required_version, a key by SoftwareVersionKey; HasVersion and OnlyVersion tell which versions a service has. Nothing requires a version yet.

--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -47,6 +47,7 @@
       item->reclaimable = change.record->reclaimable;
       item->doubtful = change.record->doubtful;
       item->started_ms = change.record->started_ms;
+      item->software_version = change.record->software_version;
     }
     encoded->changes.push_back(std::move(item));
   }
@@ -66,7 +67,8 @@
                                      .leaving = item->leaving,
                                      .reclaimable = item->reclaimable,
                                      .doubtful = item->doubtful,
-                                     .started_ms = item->started_ms};
+                                     .started_ms = item->started_ms,
+                                     .software_version = item->software_version};
     }
     feed_update.changes.push_back(std::move(change));
   }
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -276,10 +276,12 @@
       continue;
     }
     if (held == nullptr || held->leaving != change.record->leaving ||
-        held->doubtful != change.record->doubtful) {
+        held->doubtful != change.record->doubtful ||
+        held->software_version != change.record->software_version) {
       kLog.Info("An upstream registered or changed.",
                 {{"upstream", change.id.value()},
                  {"service", change.record->service.value()},
+                 {"version", change.record->software_version},
                  {"leaving", change.record->leaving},
                  {"doubtful", change.record->doubtful},
                  {"reclaimable", change.record->reclaimable}});
--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 
 #include "core/prefix_hash.h"
+#include "routing/software_version.h"
 
 namespace savoryglade {
 namespace {
@@ -56,6 +57,7 @@
   }
   entry.record = record;
   entry.key = KeyOf(record.id);
+  entry.version = SoftwareVersionKey(record.software_version);
   entry.reported = {};
   for (const auto& [source, report] : reports_) {
     for (const ReportedLoad& reported_load : report.loads) {
@@ -177,7 +179,9 @@
   std::vector<const Entry*> usable;
   std::vector<const Entry*> fallback;
   for (const Entry* entry : by_service_[work.service]) {
-    if (entry->record.leaving || std::ranges::find(excluded, entry->record.id) != excluded.end()) {
+    if (entry->record.leaving ||
+        (work.required_version && entry->version != *work.required_version) ||
+        std::ranges::find(excluded, entry->record.id) != excluded.end()) {
       continue;
     }
     const bool unhealthy =
@@ -222,6 +226,25 @@
                    .expected = FromSeconds(prompt_time)};
 }
 
+bool FleetLoadBalancer::HasVersion(const ServiceId& service, std::uint64_t version) const {
+  const auto found = by_service_.find(service);
+  return found != by_service_.end() &&
+         std::ranges::any_of(found->second, [version](const Entry* entry) {
+           return !entry->record.leaving && entry->version == version;
+         });
+}
+
+std::optional<std::uint64_t> FleetLoadBalancer::OnlyVersion(const ServiceId& service) const {
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end() || found->second.empty()) {
+    return std::nullopt;
+  }
+  const std::uint64_t version = found->second.front()->version;
+  const bool same = std::ranges::all_of(
+      found->second, [version](const Entry* entry) { return entry->version == version; });
+  return same ? std::optional(version) : std::nullopt;
+}
+
 int FleetLoadBalancer::FreeSlots(const ServiceId& service, TimePoint now) {
   ExpireReports(now);
   int free = 0;
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -34,6 +34,8 @@
   bool doubtful = false;
   // Start time of its process in milliseconds of Unix time; 0 if unknown.
   std::int64_t started_ms = 0;
+  // Version of its software, any text; empty if unknown.
+  std::string software_version;
 
   friend auto operator<=>(const UpstreamRecord&, const UpstreamRecord&) = default;
 };
@@ -53,6 +55,8 @@
   double prompt_tokens = 0;
   double output_tokens = 0;
   std::vector<PromptPart> parts;
+  // Key of the only software version that may run the request, by SoftwareVersionKey.
+  std::optional<std::uint64_t> required_version;
 
   bool IsGeneration() const { return prompt_tokens > 0; }
 };
@@ -138,10 +142,17 @@
   const UpstreamRecord* Find(const UpstreamId& id) const;
   std::vector<UpstreamRecord> Records() const;
 
-  // Chooses an upstream of the service that is not excluded. Returns nothing if none accepts work.
+  // Chooses an upstream of the service that is not excluded and has the required version. Returns
+  // nothing if none accepts work.
   std::optional<Placement> Choose(const WorkEstimate& work, const std::vector<UpstreamId>& excluded,
                                   TimePoint now);
 
+  // Returns true if an upstream of the service that does not leave has this version.
+  bool HasVersion(const ServiceId& service, std::uint64_t version) const;
+  // Returns the version of all upstreams of the service, those that leave included, or nothing if
+  // there are several versions or no upstreams.
+  std::optional<std::uint64_t> OnlyVersion(const ServiceId& service) const;
+
   // Returns the estimated engine time of a request, in seconds.
   double WorkSeconds(const WorkEstimate& work, double uncached_tokens) const {
     return uncached_tokens / options_.prompt_tokens_per_s +
@@ -189,6 +200,7 @@
   struct Entry {
     UpstreamRecord record;
     std::uint64_t key = 0;
+    std::uint64_t version = 0;
     UpstreamLoad own;
     Reported reported;
     int failures = 0;
--- a/tests/gateway/digest_codec_test.cc
+++ b/tests/gateway/digest_codec_test.cc
@@ -70,7 +70,8 @@
                               .slots = 4,
                               .leaving = true,
                               .reclaimable = true,
-                              .started_ms = 77};
+                              .started_ms = 77,
+                              .software_version = "2.1-rc"};
   report.feed_update = FeedUpdate{.after = 3,
                                   .position = 9,
                                   .changes = {{.id = kEngine, .record = record, .version = 8},
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -55,7 +55,8 @@
 
 TEST(DocumentsTest, ParsesAWorkersRegistration) {
   const auto record = ParseUpstream("i-1", R"({"service":"s1","address":"10.128.0.9:8080",
-      "zone":"x","slots":64,"state":"draining","use_spot":true,"born":1700000000000,"seq_no":4})");
+      "zone":"x","slots":64,"state":"draining","use_spot":true,"born":1700000000000,"seq_no":4,
+      "version":"2.1-rc"})");
   ASSERT_TRUE(record) << record.error().message;
   EXPECT_EQ(*record, (UpstreamRecord{.id = UpstreamId("i-1"),
                                      .service = ServiceId("s1"),
@@ -64,7 +65,22 @@
                                      .slots = 64,
                                      .leaving = true,
                                      .reclaimable = true,
-                                     .started_ms = 1'700'000'000'000}));
+                                     .started_ms = 1'700'000'000'000,
+                                     .software_version = "2.1-rc"}));
+}
+
+// Guards against losing an upstream whose registration lacks its software version or holds another
+// type there.
+TEST(DocumentsTest, AnUpstreamMayHaveNoVersion) {
+  for (const char* version : {"", R"(,"version":7)", R"(,"version":null)", R"(,"version":{})"}) {
+    const auto record = ParseUpstream(
+        "i-1",
+        std::string(
+            R"({"service":"s1","address":"10.0.0.1:1","zone":"x","slots":1,"state":"ready")") +
+            version + "}");
+    ASSERT_TRUE(record) << version;
+    EXPECT_EQ(record->software_version, "") << version;
+  }
 }
 
 // Guards against accepting malformed entries of other writers as upstreams.
--- a/tests/routing/fleet_load_balancer_test.cc
+++ b/tests/routing/fleet_load_balancer_test.cc
@@ -5,6 +5,8 @@
 #include <map>
 #include <string>
 
+#include "routing/software_version.h"
+
 namespace savoryglade {
 namespace {
 
@@ -213,5 +215,44 @@
   EXPECT_EQ(balancer_.FreeSlots(kModel, At(0s)), 64);
 }
 
+// Guards against a stream that goes on at another version than the one that began it.
+TEST_F(FleetLoadBalancerTest, ChoosesOnlyUpstreamsOfTheRequiredVersion) {
+  UpstreamRecord old_engine = Engine("engine-old");
+  old_engine.software_version = "v1";
+  UpstreamRecord new_engine = Engine("engine-new");
+  new_engine.software_version = "v2";
+  balancer_.Update(old_engine);
+  balancer_.Update(new_engine);
+  WorkEstimate work = Prompt(1, 2);
+  work.required_version = SoftwareVersionKey("v1");
+  EXPECT_EQ(Send(work, At(0s)), old_engine.id);
+  EXPECT_EQ(Send(work, At(0s)), old_engine.id);
+  EXPECT_FALSE(balancer_.Choose(work, {old_engine.id}, At(0s)));
+  EXPECT_TRUE(balancer_.HasVersion(kModel, SoftwareVersionKey("v1")));
+  EXPECT_FALSE(balancer_.OnlyVersion(kModel));
+
+  old_engine.leaving = true;
+  balancer_.Update(old_engine);
+  EXPECT_FALSE(balancer_.Choose(work, {}, At(0s)));
+  EXPECT_FALSE(balancer_.HasVersion(kModel, SoftwareVersionKey("v1")));
+  EXPECT_FALSE(balancer_.OnlyVersion(kModel));
+}
+
+// Guards against an upstream that counts as one of the version that it had before it started again
+// under its id.
+TEST_F(FleetLoadBalancerTest, AnUpstreamThatStartsAgainHasTheVersionOfItsNewProcess) {
+  UpstreamRecord engine = Engine("engine");
+  engine.software_version = "v1";
+  balancer_.Update(engine);
+  EXPECT_EQ(balancer_.OnlyVersion(kModel), SoftwareVersionKey("v1"));
+  engine.started_ms = 2;
+  engine.software_version = "v2";
+  balancer_.Update(engine);
+  EXPECT_EQ(balancer_.OnlyVersion(kModel), SoftwareVersionKey("v2"));
+  WorkEstimate work = Prompt(1, 2);
+  work.required_version = SoftwareVersionKey("v1");
+  EXPECT_FALSE(balancer_.Choose(work, {}, At(0s)));
+}
+
 }  // namespace
 }  // namespace savoryglade
