gateway: Move streams only to upstreams of their version

Cause: a stream whose upstream gave notice moved to any upstream of the service. Another version can continue neither the stream nor its KV cache. A destination was also chosen while only a part of the changes of one read had been applied.

Change: a destination has the version of the source, also after the copy has arrived. All changes of a read are applied before streams move. The line of a migration names both versions, that of a registration the key.

The test of an upstream that starts again now also expects that no stream was stopped.

--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -1,5 +1,7 @@
 #include "gateway/fleet_store_watcher.h"
 
+#include <fmt/format.h>
+
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 #include <utility>
@@ -8,6 +10,7 @@
 #include "logging/logger.h"
 #include "net/http_client.h"
 #include "net/sleep.h"
+#include "routing/software_version.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -265,6 +268,8 @@
 }
 
 void FleetStoreWatcher::ApplyUpstreams(const std::vector<RegistrationChange>& changes) {
+  // Streams of upstreams that leave move to others, so all changes are applied first.
+  std::vector<UpstreamId> leaving;
   for (const RegistrationChange& change : changes) {
     const UpstreamRecord* held = fleet_.load_balancer.Find(change.id);
     if (!change.record) {
@@ -272,7 +277,7 @@
       fleet_.load_balancer.Remove(change.id);
       connections_.Drop(change.id);
       fleet_.notices.OnLeaving(change.id, BootNow());
-      callbacks_.on_upstream_leaving(change.id);
+      leaving.push_back(change.id);
       continue;
     }
     if (held == nullptr || held->leaving != change.record->leaving ||
@@ -282,6 +287,8 @@
                 {{"upstream", change.id.value()},
                  {"service", change.record->service.value()},
                  {"version", change.record->software_version},
+                 {"version_key",
+                  fmt::format("{:016x}", SoftwareVersionKey(change.record->software_version))},
                  {"leaving", change.record->leaving},
                  {"doubtful", change.record->doubtful},
                  {"reclaimable", change.record->reclaimable}});
@@ -293,11 +300,14 @@
     fleet_.load_balancer.Update(*change.record);
     if (change.record->leaving) {
       fleet_.notices.OnLeaving(change.id, BootNow());
-      callbacks_.on_upstream_leaving(change.id);
+      leaving.push_back(change.id);
     } else {
       fleet_.notices.OnAvailable(change.id);
     }
   }
+  for (const UpstreamId& id : leaving) {
+    callbacks_.on_upstream_leaving(id);
+  }
 }
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/stream_migrator.cc
+++ b/packages/gateway/stream_migrator.cc
@@ -5,6 +5,7 @@
 
 #include "core/boot_clock.h"
 #include "logging/logger.h"
+#include "routing/software_version.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -75,6 +76,8 @@
   // The whole KV cache is copied, so prompt parts cached elsewhere do not matter.
   WorkEstimate work = stream.work_;
   work.parts.clear();
+  // Neither the KV cache nor the stream can be continued by another version.
+  work.required_version = SoftwareVersionKey(stream.source_.software_version);
   for (int i = 0; i < kMaxDestinations && !stream.ended_; ++i) {
     const std::optional<Placement> placement =
         fleet_.load_balancer.Choose(work, excluded, BootNow());
@@ -101,8 +104,16 @@
   co_return false;
 }
 
+bool StreamMigrator::CanContinueAt(const MigratableStream& stream,
+                                   const UpstreamRecord& destination) const {
+  const UpstreamRecord* const record = fleet_.load_balancer.Find(destination.id);
+  return record != nullptr && record->software_version == stream.source_.software_version;
+}
+
 asio::awaitable<void> StreamMigrator::Migrate(std::shared_ptr<MigratableStream> stream) {
   const bool copied = co_await CopyToAvailableEngine(*stream);
+  // The destination may have started again at another version while it received the copy.
+  const bool can_continue = copied && CanContinueAt(*stream, stream->destination_);
   stream->state_ = MigratableStream::State::kFailed;
   if (copied && stream->ended_) {
     const Result<void> dropped = co_await engines_.FreeKvCacheCopy(stream->kv_copy());
@@ -114,7 +125,7 @@
     co_return;
   }
   // Resuming the stream costs a second request, so it is charged to the retry budget.
-  if (copied && fleet_.retry_budget.TryConsume(stream->work_.service, BootNow())) {
+  if (can_continue && fleet_.retry_budget.TryConsume(stream->work_.service, BootNow())) {
     stream->state_ = MigratableStream::State::kStopping;
     const Result<KvCopyResult> kv_copy = co_await engines_.CopyKvCache(
         stream->source_, stream->attempt_id_, stream->destination_, true);
@@ -131,7 +142,9 @@
   kLog.Info("The migration of a stream has ended.",
             {{"request", stream->attempt_id_},
              {"upstream", stream->source_.id.value()},
+             {"version", stream->source_.software_version},
              {"destination", stream->destination_.id.value()},
+             {"destination_version", stream->destination_.software_version},
              {"copied", copied},
              {"moved", stream->stopped()}});
   stream->stop_done_.cancel();
--- a/packages/gateway/stream_migrator.h
+++ b/packages/gateway/stream_migrator.h
@@ -90,6 +90,9 @@
   // fails.
   boost::asio::awaitable<bool> CopyToAvailableEngine(MigratableStream& stream);
 
+  // Returns true if the destination is registered at the version of the stream's source.
+  bool CanContinueAt(const MigratableStream& stream, const UpstreamRecord& destination) const;
+
   FleetState& fleet_;
   EngineApi& engines_;
   boost::asio::io_context& context_;
--- a/tests/gateway/stream_version_test.cc
+++ b/tests/gateway/stream_version_test.cc
@@ -143,12 +143,12 @@
   CallerConnection connection(gateway_->callers_endpoint());
   connection.Send(FormatRequest("POST", "/once/stream/1", "a1", kApiKey, "prompt"));
   ReadThreeEvents(connection);
-  // The store reports changes in their order.
   RegisterVersion(1, "v2", "ready");
   RegisterVersion(0, "v1", "draining");
   WaitForMetric("savoryglade_gateway_moves_total{outcome=");
   EXPECT_NE(Metrics().find(R"(savoryglade_gateway_moves_total{outcome="failed"} 1)"),
             std::string::npos);
+  EXPECT_EQ(Metrics().find(R"(outcome="moved")"), std::string::npos);
   EXPECT_EQ(Worker(1).migrated_runs(), 0);
 }
 
