gateway: Continue a broken stream at the version that began it

Cause: an attempt of a started stream that was lost was followed by one at any upstream of the service. Two versions do not write the same text.

Change: the first whole event binds a call to the version of its upstream, as registered when the attempt was sent; an attempt without an event binds nobody. An upstream that registered at another version since it was chosen gets no request of the stream. If the version serves no longer, a started stream is broken off as before, with the reason stream_version_unavailable in log and counter. StreamVersionLookup is told of each new stream before its first event is written.

--- a/packages/core/verdict.cc
+++ b/packages/core/verdict.cc
@@ -33,6 +33,8 @@
     "too_many_connections",
     "answer_not_kept",
     "allowance_exhausted",
+    "stream_version_unknown",
+    "stream_version_unavailable",
 };
 
 }  // namespace
--- a/packages/core/verdict.h
+++ b/packages/core/verdict.h
@@ -42,6 +42,8 @@
   kTooManyConnections,
   kAnswerNotKept,
   kAllowanceExhausted,
+  kStreamVersionUnknown,
+  kStreamVersionUnavailable,
   kCount,
 };
 
--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -92,6 +92,10 @@
   }
   Duration RemainingTime(TimePoint now) const { return deadline - now; }
   AccountId account_id() const { return account == nullptr ? AccountId() : account->name; }
+  // Returns true if the caller holds events of the stream from an earlier response.
+  bool resumes_stream() const {
+    return route->kind == CallKind::kStream && !metadata.last_event_id.empty();
+  }
   int rank() const { return account != nullptr && account->rank ? *account->rank : route->rank; }
 };
 
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -11,6 +11,7 @@
 #include "core/boot_clock.h"
 #include "core/prefix_hash.h"
 #include "logging/logger.h"
+#include "routing/software_version.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -152,11 +153,14 @@
 }
 
 Verdict CallRelay::NoUpstreamVerdict(const Call& call, TimePoint now) const {
-  return Verdict{.run_state = call.run_state,
-                 .reason = fleet_.load_balancer.FreeSlots(call.service, now) > 0
-                               ? Reason::kNoUpstream
-                               : Reason::kQueueFull,
-                 .retry_after = kRetryAfter};
+  const std::optional<std::uint64_t> required = call.metadata.work.required_version;
+  Reason reason = Reason::kQueueFull;
+  if (required && !fleet_.load_balancer.HasVersion(call.service, *required)) {
+    reason = Reason::kStreamVersionUnavailable;
+  } else if (fleet_.load_balancer.FreeSlots(call.service, now, required) > 0) {
+    reason = Reason::kNoUpstream;
+  }
+  return Verdict{.run_state = call.run_state, .reason = reason, .retry_after = kRetryAfter};
 }
 
 std::string_view CallRelay::OutcomeName(RelayOutcome outcome) {
@@ -257,6 +261,7 @@
               {{"request", call.metadata.attempt_id},
                {"route", call.route->name},
                {"upstream", id.value()},
+               {"version", attempt.placement.upstream.software_version},
                {"outcome", OutcomeName(outcome)},
                {"end", static_cast<int>(attempt.end)},
                {"first_byte", attempt.first_byte},
@@ -290,6 +295,17 @@
     attempt.end = AttemptEnd::kCancelled;
     co_return RelayOutcome::kNotRun;
   }
+  if (const UpstreamRecord* const record = fleet_.load_balancer.Find(attempt.placement.upstream.id);
+      record != nullptr) {
+    // The upstream may have started again since it was chosen.
+    attempt.placement.upstream.software_version = record->software_version;
+    const std::optional<std::uint64_t> required = call.metadata.work.required_version;
+    if (required && *required != SoftwareVersionKey(record->software_version)) {
+      attempt.failure = "The upstream has another version than the stream.";
+      attempt.end = AttemptEnd::kCancelled;
+      co_return RelayOutcome::kNotRun;
+    }
+  }
   HttpConnection* const connection = attempt.connection.get();
   attempt.registration.emplace(open_attempts_, attempt.placement.upstream.id, *connection);
   call.caller.OnDisconnect([connection] { connection->Close(); });
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -16,6 +16,7 @@
 #include "gateway/open_attempts.h"
 #include "gateway/response_relay.h"
 #include "gateway/stream_migrator.h"
+#include "gateway/stream_version_lookup.h"
 #include "gateway/upstream_connection_pool.h"
 #include "net/http_server.h"
 #include "routing/fleet_load_balancer.h"
@@ -29,13 +30,14 @@
   // The callback is called when the crash registry has changed.
   CallRelay(FleetState& fleet, const MessageCodec& codec, UpstreamConnectionPool& connections,
             StreamMigrator& migrator, OpenAttempts& open_attempts,
-            std::function<void()> on_crash_record)
+            StreamVersionLookup& stream_versions, std::function<void()> on_crash_record)
       : fleet_(fleet),
         codec_(codec),
         connections_(connections),
         open_attempts_(open_attempts),
+        stream_versions_(stream_versions),
         crash_detector_(fleet, std::move(on_crash_record)),
-        response_relay_(fleet, codec, connections, migrator, crash_detector_) {}
+        response_relay_(fleet, codec, connections, migrator, crash_detector_, stream_versions) {}
 
   // Handles one request and sends its response.
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
@@ -67,6 +69,7 @@
   const MessageCodec& codec_;
   UpstreamConnectionPool& connections_;
   OpenAttempts& open_attempts_;
+  StreamVersionLookup& stream_versions_;
   CrashDetector crash_detector_;
   ResponseRelay response_relay_;
 };
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "gateway/open_attempts.h"
 #include "gateway/peer_report_transport.h"
 #include "gateway/stream_migrator.h"
+#include "gateway/stream_version_lookup.h"
 #include "gateway/upstream_connection_pool.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -81,6 +82,7 @@
   PeerReportTransport report_transport_;
   DutyRunner duty_runner_;
   CapacityController capacity_controller_;
+  RegisteredVersionLookup stream_versions_;
   CallRelay relay_;
   HttpServer callers_;
   HttpServer readiness_;
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -10,6 +10,7 @@
 
 #include "core/boot_clock.h"
 #include "logging/logger.h"
+#include "routing/software_version.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -59,6 +60,7 @@
                                           {"route", call.route->name},
                                           {"account", call.account_id().value()},
                                           {"upstream", attempt.placement.upstream.id.value()},
+                                          {"version", attempt.placement.upstream.software_version},
                                           {"status", status},
                                           {"sent", call.sends},
                                           {"prompt_tokens", call.metadata.work.prompt_tokens},
@@ -249,6 +251,14 @@
   co_return RelayOutcome::kMigrated;
 }
 
+void ResponseRelay::OnFirstEvent(Call& call, const Attempt& attempt) {
+  const std::uint64_t version = SoftwareVersionKey(attempt.placement.upstream.software_version);
+  call.metadata.work.required_version = version;
+  if (!call.resumes_stream()) {
+    stream_versions_.OnStreamBegan(call.metadata.attempt_id, version, BootNow());
+  }
+}
+
 asio::awaitable<RelayOutcome> ResponseRelay::RelayEvents(Call& call, Attempt& attempt,
                                                          unsigned status) {
   HttpConnection& connection = *attempt.connection;
@@ -284,6 +294,7 @@
     bool open = true;
     if (!call.stream_started) {
       call.stream_started = true;
+      OnFirstEvent(call, attempt);
       if (fleet_.draining) {
         call.exchange.CloseAfterResponse();
       }
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -8,6 +8,7 @@
 #include "gateway/crash_detector.h"
 #include "gateway/fleet_state.h"
 #include "gateway/stream_migrator.h"
+#include "gateway/stream_version_lookup.h"
 #include "gateway/upstream_connection_pool.h"
 
 namespace savoryglade::gateway {
@@ -18,12 +19,14 @@
 class ResponseRelay {
  public:
   ResponseRelay(FleetState& fleet, const MessageCodec& codec, UpstreamConnectionPool& connections,
-                StreamMigrator& migrator, CrashDetector& crash_detector)
+                StreamMigrator& migrator, CrashDetector& crash_detector,
+                StreamVersionLookup& stream_versions)
       : fleet_(fleet),
         codec_(codec),
         connections_(connections),
         migrator_(migrator),
-        crash_detector_(crash_detector) {}
+        crash_detector_(crash_detector),
+        stream_versions_(stream_versions) {}
 
   // Reads response headers until one belongs to the attempt. Returns its status, or zero if none
   // arrives.
@@ -38,6 +41,9 @@
  private:
   // Relays events until the upstream's stream completes, breaks or stalls.
   boost::asio::awaitable<RelayOutcome> RelayEvents(Call& call, Attempt& attempt, unsigned status);
+  // Limits later attempts to the version that has written the first event, and records that it
+  // began the stream, unless the caller holds events of an earlier response.
+  void OnFirstEvent(Call& call, const Attempt& attempt);
   // Appends the next bytes of the body. Returns false at its end, and kTimeout once the deadline
   // has passed, even if bytes still arrive.
   static boost::asio::awaitable<Result<bool>> ReadBody(const Call& call, const Attempt& attempt,
@@ -58,6 +64,7 @@
   UpstreamConnectionPool& connections_;
   StreamMigrator& migrator_;
   CrashDetector& crash_detector_;
+  StreamVersionLookup& stream_versions_;
 };
 
 }  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/gateway/stream_version_lookup.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/time.h"
+#include "gateway/call.h"
+#include "gateway/fleet_state.h"
+
+namespace savoryglade::gateway {
+
+// Software version at which a call may run, as far as its stream determines it.
+struct StreamVersion {
+  enum class State : std::uint8_t {
+    // The call resumes no stream.
+    kNotResumed,
+    // The stream that the call resumes may continue only at the version `key`.
+    kKnown,
+    // The stream may continue at any version, because only one has served.
+    kAnyVersion,
+    // The version that began the stream is not known.
+    kUnknown,
+  };
+
+  State state = State::kNotResumed;
+  // Key by SoftwareVersionKey.
+  std::uint64_t key = 0;
+};
+
+// Finds the versions that began streams. Not thread-safe.
+class StreamVersionLookup {
+ public:
+  virtual ~StreamVersionLookup() = default;
+
+  // Returns the version at which the stream of a call that resumes one may continue. The call's
+  // service is known.
+  virtual StreamVersion Find(const Call& call, TimePoint now) = 0;
+  // Records the version that begins a stream. Called before the first event of the stream is sent
+  // to its caller.
+  virtual void OnStreamBegan(const std::string& attempt_id, std::uint64_t version,
+                             TimePoint now) = 0;
+};
+
+// Looks no stream up: a stream continues if all upstreams of its service have one version.
+class RegisteredVersionLookup : public StreamVersionLookup {
+ public:
+  explicit RegisteredVersionLookup(const FleetState& fleet) : fleet_(fleet) {}
+
+  StreamVersion Find(const Call& call, TimePoint now) override;
+  void OnStreamBegan(const std::string& attempt_id, std::uint64_t version, TimePoint now) override;
+
+ private:
+  const FleetState& fleet_;
+};
+
+}  // namespace savoryglade::gateway
--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -245,11 +245,13 @@
   return same ? std::optional(version) : std::nullopt;
 }
 
-int FleetLoadBalancer::FreeSlots(const ServiceId& service, TimePoint now) {
+int FleetLoadBalancer::FreeSlots(const ServiceId& service, TimePoint now,
+                                 std::optional<std::uint64_t> required_version) {
   ExpireReports(now);
   int free = 0;
   for (const Entry* entry : by_service_[service]) {
-    if (!entry->record.leaving && now >= entry->paused_until) {
+    const bool usable = !required_version || entry->version == *required_version;
+    if (usable && !entry->record.leaving && now >= entry->paused_until) {
       free += std::max(0, entry->record.slots - FleetLoad(*entry, now).running);
     }
   }
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -162,9 +162,10 @@
   // Returns the load of the service as a number of fully occupied upstreams.
   double BusyUpstreams(const ServiceId& service, TimePoint now);
 
-  // Returns the number of requests that can be admitted until all upstreams of the service are
-  // full.
-  int FreeSlots(const ServiceId& service, TimePoint now);
+  // Returns the number of requests that can be admitted until all upstreams of the service, or all
+  // of those that have the required version, are full.
+  int FreeSlots(const ServiceId& service, TimePoint now,
+                std::optional<std::uint64_t> required_version = std::nullopt);
 
   // Record the progress of one attempt to run a request on an upstream, in this order: sent, first
   // byte, end.
--- a/tests/routing/fleet_load_balancer_test.cc
+++ b/tests/routing/fleet_load_balancer_test.cc
@@ -229,6 +229,8 @@
   EXPECT_EQ(Send(work, At(0s)), old_engine.id);
   EXPECT_FALSE(balancer_.Choose(work, {old_engine.id}, At(0s)));
   EXPECT_TRUE(balancer_.HasVersion(kModel, SoftwareVersionKey("v1")));
+  EXPECT_EQ(balancer_.FreeSlots(kModel, At(0s)), 126);
+  EXPECT_EQ(balancer_.FreeSlots(kModel, At(0s), SoftwareVersionKey("v1")), 62);
   EXPECT_FALSE(balancer_.OnlyVersion(kModel));
 
   old_engine.leaving = true;
