gateway: Refuse resumed streams that can't keep to their version

Cause: Resumes was read nowhere, so a stream that its caller resumed went on at any upstream of the service.

Change: HeaderCodec decodes Resumes. A request with Last-Event-Id on a route of streams is limited to the version that StreamVersionLookup returns, and refused at once as not run, with Retry-After, if it is not known (stream_version_unknown) or no upstream has it and stays (stream_version_unavailable). The line "A caller resumes a stream." has the stream, its version and the decision. The only lookup so far, RegisteredVersionLookup, knows a version while all upstreams of the service have the same one; a version that has gone completely is not noticed yet.

--- a/packages/admin/explain.cc
+++ b/packages/admin/explain.cc
@@ -34,6 +34,12 @@
                       "All upstreams of the service were at their concurrency limit."},
     ReasonExplanation{"no_upstream",
                       "No upstream was available: each was excluded, leaving, or already tried."},
+    ReasonExplanation{"stream_version_unknown",
+                      "The caller resumed a stream, and it is not known which version of the "
+                      "upstreams' software began it."},
+    ReasonExplanation{"stream_version_unavailable",
+                      "The version of the upstreams' software that began the stream no longer "
+                      "serves."},
     ReasonExplanation{"draining",
                       "The daemon was draining and could not guarantee to finish the request."},
     ReasonExplanation{"deadline_exceeded",
--- a/packages/gateway/adapter.h
+++ b/packages/gateway/adapter.h
@@ -35,6 +35,9 @@
   WorkEstimate work;
   // Id of the last event that the caller received in an earlier response.
   std::string last_event_id;
+  // Attempt id of the earlier response that brought the first event of the stream that this request
+  // resumes, if the caller names it.
+  std::string resumed_attempt;
 };
 
 // Handle to the KV cache of a stopped request at the engine that ran it.
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -109,6 +109,9 @@
     return reject(Reason::kRequestCrashesUpstreams, "The request has crashed several upstreams.",
                   refusal);
   }
+  if (const Reason reason = BindToStreamVersion(call, now); reason != Reason::kNone) {
+    return reject(reason, "The stream can't continue at the version that began it.", kRetryAfter);
+  }
   if (call.account != nullptr) {
     call.units = call.account->counts_tokens
                      ? call.metadata.declared_tokens.value_or(call.account->default_tokens)
@@ -129,6 +132,36 @@
   return {};
 }
 
+Reason CallRelay::BindToStreamVersion(Call& call, TimePoint now) {
+  if (!call.resumes_stream()) {
+    return Reason::kNone;
+  }
+  const StreamVersion version = stream_versions_.Find(call, now);
+  Reason reason = Reason::kNone;
+  std::string wanted = "any";
+  if (version.state == StreamVersion::State::kKnown) {
+    wanted = fmt::format("{:016x}", version.key);
+    call.metadata.work.required_version = version.key;
+    if (!fleet_.load_balancer.HasVersion(call.service, version.key)) {
+      reason = Reason::kStreamVersionUnavailable;
+    }
+  } else if (version.state == StreamVersion::State::kUnknown) {
+    wanted = "unknown";
+    reason = Reason::kStreamVersionUnknown;
+  }
+  if (reason != Reason::kNone) {
+    call.rejection_detail =
+        fmt::format("resumes {}, version {}", call.metadata.resumed_attempt, wanted);
+  }
+  kLog.Info("A caller resumes a stream.", {{"request", call.metadata.attempt_id},
+                                           {"route", call.route->name},
+                                           {"resumes", call.metadata.resumed_attempt},
+                                           {"last_event", call.metadata.last_event_id},
+                                           {"version_key", wanted},
+                                           {"refused", reason != Reason::kNone}});
+  return reason;
+}
+
 asio::awaitable<void> CallRelay::Handle(HttpExchange& exchange) {
   ++fleet_.active_requests;
   {
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -48,6 +48,9 @@
   // Decodes the request, matches its route and account and charges the account's allowance. On
   // failure, sets the verdict with which to reject the request.
   Result<void> AdmitRequest(Call& call, Verdict& verdict);
+  // Limits a call that resumes a stream to the version that began it. Returns the reason with which
+  // to reject the call, or kNone.
+  Reason BindToStreamVersion(Call& call, TimePoint now);
   // Makes attempts until the caller has a response or the request must be rejected.
   boost::asio::awaitable<void> SendUntilAnswered(Call& call);
   // Makes one attempt and reports its load and outcome to the upstream selection.
--- a/tests/platform/header_codec_test.cc
+++ b/tests/platform/header_codec_test.cc
@@ -36,6 +36,19 @@
   EXPECT_EQ(metadata->work.prompt_tokens, 1460);
   ASSERT_EQ(metadata->work.parts.size(), 3U);
   EXPECT_EQ(metadata->work.parts[1], (PromptPart{.id = 0x91bd3f06, .tokens = 410}));
+  EXPECT_EQ(metadata->resumed_attempt, "");
+}
+
+// Guards against a resumed stream whose version can't be found, because the attempt that began it
+// is not read.
+TEST(HeaderCodecTest, DecodesTheAttemptThatACallerResumes) {
+  HttpRequest request = MakeRequest();
+  request.set("Last-Event-Id", "17");
+  request.set("Resumes", "5f20b1c7a9d0e364");
+  const auto metadata = HeaderCodec().DecodeRequest(request);
+  ASSERT_TRUE(metadata) << metadata.error().message;
+  EXPECT_EQ(metadata->last_event_id, "17");
+  EXPECT_EQ(metadata->resumed_attempt, "5f20b1c7a9d0e364");
 }
 
 TEST(HeaderCodecTest, RejectsMissingOrMalformedHeaders) {
