--- a/tests/gateway/stream_version_test.cc
+++ b/tests/gateway/stream_version_test.cc
@@ -171,5 +171,21 @@
   EXPECT_EQ(RunCount("a2"), 0);
 }
 
+// Guards against a resumption that waits for an upstream of a version that serves no longer, or
+// that is refused as if its upstreams were full.
+TEST_F(StreamVersionTest, RefusesAResumptionWhoseVersionLeaves) {
+  StartWorkers({"v1"});
+  RegisterVersion(0, "v1", "draining");
+  Response response;
+  int attempts = 0;
+  do {
+    response = Resume("a1", fmt::format("r{}", ++attempts));
+  } while (response.status == 200U);
+  EXPECT_EQ(response.status, 503U);
+  EXPECT_EQ(response.reason, "stream_version_unavailable");
+  EXPECT_FALSE(response.retry_after.empty());
+  EXPECT_EQ(RunCount(fmt::format("r{}", attempts)), 0);
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
