--- a/tests/gateway/drain_test.cc
+++ b/tests/gateway/drain_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <boost/asio.hpp>
 #include <memory>
 #include <string>
 #include <thread>
@@ -89,5 +90,42 @@
   EXPECT_EQ(RunCount("a1"), 1);
 }
 
+// Upstream that sends the first part of a large body and then waits for the end of the connection.
+struct UnfinishedBodyService {
+  // Larger than what the gateway buffers before it relays a response.
+  static constexpr std::size_t kSentBytes = 600 * 1024;
+
+  static boost::asio::awaitable<void> Handle(HttpExchange& exchange) {
+    HttpHeaders headers;
+    headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
+    headers.emplace_back("Response-Seal", "seal");
+    co_await exchange.StartStream(200, std::move(headers), std::string(kSentBytes, 'x'));
+    char byte = 0;
+    co_await exchange.stream().async_read_some(boost::asio::buffer(&byte, 1),
+                                               boost::asio::as_tuple(boost::asio::use_awaitable));
+    exchange.Abort();
+  }
+};
+
+// Guards against the record of a crash of an upstream whose connection this daemon has closed.
+TEST_F(GatewayDrainTest, AnInterruptedResponseIsNoCrashOfItsUpstream) {
+  ServiceServer<UnfinishedBodyService> unfinished;
+  RegisterWorker(0, "draining");
+  RegisterWorker(1, "draining");
+  RegisterUpstream("worker-unfinished", unfinished.endpoint, "ready");
+  StartDrainingSoon(300ms);
+  CallerConnection connection(gateway_->callers_endpoint());
+  connection.Send(FormatRequest("GET", "/reads/1", "a1"));
+  connection.ReadUntil([](const std::string& body) { return !body.empty(); });
+  ASSERT_EQ(connection.status(), 200U);
+  const std::jthread reader([&connection] { EXPECT_FALSE(connection.ReadAll()); });
+  gateway_->BeginDrain();
+  AwaitDrainFinished();
+  EXPECT_EQ(Metrics().find(R"(event="recorded")"), std::string::npos);
+  EXPECT_TRUE(store_.service.Rows("savoryglade-crashes").empty());
+  gateway_->Stop();
+  gateway_.reset();
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
