Close attempts that connect while a drain interrupts requests

Callers saw a request run with no answer. Cause: an attempt that was connecting when the drain closed all attempts was not registered yet, so it sent its request afterwards and nothing closed it. Connections that register later are now closed at once, and a request that was not sent is refused as not run. OpenAttemptsTest failed before and passes.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -338,6 +338,11 @@
     attempt.end = AttemptEnd::kCancelled;
     co_return RelayOutcome::kFinished;
   }
+  if (fleet_.drain.interrupted()) {
+    attempt.failure = "The daemon interrupts its requests.";
+    attempt.end = AttemptEnd::kCancelled;
+    co_return RelayOutcome::kNotRun;
+  }
   const Duration grace =
       FromSeconds(ToSeconds(fleet_.settings.bounds.upstream_drain) * kSendGraceFraction);
   if (!fleet_.notices.MayReceive(attempt.placement.upstream.id, grace, BootNow())) {
--- a/packages/gateway/open_attempts.cc
+++ b/packages/gateway/open_attempts.cc
@@ -20,6 +20,9 @@
                                          HttpConnection& connection)
     : connections_(attempts.connections_), upstream_(std::move(upstream)), connection_(connection) {
   (*connections_)[upstream_].insert(&connection_);
+  if (attempts.closed_) {
+    connection_.Close();
+  }
 }
 
 OpenAttempts::Registration::~Registration() {
@@ -37,6 +40,7 @@
 }
 
 void OpenAttempts::CloseAll() {
+  closed_ = true;
   for (const auto& [upstream, connections] : *connections_) {
     for (HttpConnection* const connection : connections) {
       connection->Close();
--- a/packages/gateway/open_attempts.h
+++ b/packages/gateway/open_attempts.h
@@ -42,7 +42,8 @@
   // requests have not reached it.
   void OnUpstreamLeaving(const UpstreamId& upstream);
 
-  // Closes all connections, so that the attempts end at once without a response.
+  // Closes all connections, and those that register from now on, so that the attempts end at once
+  // without a response.
   void CloseAll();
 
  private:
@@ -50,6 +51,7 @@
 
   boost::asio::io_context& context_;
   std::shared_ptr<Connections> connections_ = std::make_shared<Connections>();
+  bool closed_ = false;
 };
 
 }  // namespace savoryglade::gateway
