Do not record an interrupted response as a crash of its upstream

Cause: a response of more than 256 KiB that the drain cuts off ended like one whose upstream broke the connection, so the upstream counted as lost; three such records refuse a sound request. Found by review; new with the interruption. GatewayDrainTest.AnInterruptedResponseIsNoCrashOfItsUpstream recorded one crash before and passes.

--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -193,7 +193,7 @@
       if (!has_more) {
         attempt.failure = has_more.error().message;
         attempt.end = AttemptEnd::kFailed;
-        if (has_more.error().code != ErrorCode::kTimeout) {
+        if (has_more.error().code != ErrorCode::kTimeout && !fleet_.drain.interrupted()) {
           crash_detector_.OnAttemptLost(call, attempt, BootNow());
         }
         call.exchange.Abort();
