Count a stream that was stopped to be moved as run

Cause: a stream without an event yet that its upstream has stopped, and that then ends at its deadline or with a drain, was refused as not run although its upstream ran it. Found by review, by reading only; no run shows it.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -258,6 +258,8 @@
       co_return;
     }
     if (outcome == RelayOutcome::kMigrated) {
+      // The upstream that stopped the stream has run it.
+      call.run_state = RunState::kMayHaveRun;
       continue;
     }
     if (moved && outcome == RelayOutcome::kNotRun && call.migration_source) {
