Allow for a stop order that is noticed late

Requests that are sent more than three seconds after the stop order and cut off at the end of the grace period count as lost. The daemon counts from the instant at which it notices the order, so on a busy VM it accepted streams too late. DrainSequenceTest.RefusesStreamAtTheEndOfTheLoadBalancersDelay is new; its second check fails without the allowance.

--- a/packages/recovery/drain_sequence.cc
+++ b/packages/recovery/drain_sequence.cc
@@ -38,7 +38,7 @@
     return stage_ == DrainStage::kServing;
   }
   const Duration elapsed = Elapsed(now);
-  if (elapsed < options_.load_balancer_delay) {
+  if (elapsed + options_.notice_delay < options_.load_balancer_delay) {
     return true;
   }
   return kind != CallKind::kStream && elapsed < GraceFraction(options_.short_call_grace_fraction) &&
--- a/packages/recovery/drain_sequence.h
+++ b/packages/recovery/drain_sequence.h
@@ -13,6 +13,8 @@
   Duration grace_period = 8s;
   // Time until the load balancer has noticed the stop and sends no new connections.
   Duration load_balancer_delay = 3s;
+  // Time by which the daemon may notice the stop order late.
+  Duration notice_delay = 50ms;
   // Fraction of the grace period after which requests in flight are interrupted.
   double in_flight_grace_fraction = 0.92;
   // Fraction of the grace period during which calls that end in time are accepted.
--- a/tests/recovery/drain_sequence_test.cc
+++ b/tests/recovery/drain_sequence_test.cc
@@ -25,6 +25,13 @@
   EXPECT_FALSE(drain_.Accepts(CallKind::kStream, 15s, kStart + 5s));
 }
 
+// Guards against a stream that is accepted more than the load balancer's delay after the stop
+// order, because the daemon noticed the order late.
+TEST_F(DrainSequenceTest, RefusesStreamAtTheEndOfTheLoadBalancersDelay) {
+  EXPECT_TRUE(drain_.Accepts(CallKind::kStream, 15s, kStart + 2949ms));
+  EXPECT_FALSE(drain_.Accepts(CallKind::kStream, 15s, kStart + 2951ms));
+}
+
 TEST_F(DrainSequenceTest, AcceptsShortCallsUntilTheyCouldBeCutOff) {
   EXPECT_TRUE(drain_.Accepts(CallKind::kAtMostOnce, 2500ms, kStart + 3900ms));
   EXPECT_FALSE(drain_.Accepts(CallKind::kAtMostOnce, 2500ms, kStart + 4s));
