--- a/packages/emulator/caller_connection.cc
+++ b/packages/emulator/caller_connection.cc
@@ -1,8 +1,12 @@
 #include "emulator/caller_connection.h"
 
+#include <sys/socket.h>
+
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <cstddef>
 
 namespace savoryglade {
@@ -57,6 +61,26 @@
   return parser_->is_done();
 }
 
+void CallerConnection::StartNextResponse() {
+  parser_ = std::make_unique<Parser>();
+  parser_->body_limit(boost::none);
+}
+
+void CallerConnection::WaitForClose() {
+  std::array<char, 1024> discarded{};
+  beast::error_code error;
+  while (!error) {
+    socket_.read_some(asio::buffer(discarded), error);
+  }
+  ended_ = true;
+}
+
+bool CallerConnection::closed_by_peer() {
+  char byte = 0;
+  const auto size = ::recv(socket_.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 std::string CallerConnection::Header(std::string_view name) const {
   return std::string(parser_->get()[beast::string_view(name.data(), name.size())]);
 }
--- a/packages/emulator/caller_connection.h
+++ b/packages/emulator/caller_connection.h
@@ -31,6 +31,12 @@
   void ReadUntilTokenCount(std::size_t count);
   // Reads to the end of the response. Returns false if the connection closed before it.
   bool ReadAll();
+  // Discards the response, so that the next one on the connection can be read.
+  void StartNextResponse();
+  // Discards input until the peer closes the connection.
+  void WaitForClose();
+  // Returns true if the peer has closed the connection and all its input was read. Does not wait.
+  bool closed_by_peer();
 
   unsigned status() const { return parser_->get().result_int(); }
   std::string Header(std::string_view name) const;
