Write the ends of claims before a daemon stops

A daemon counted as drained once no request was in flight, and its process ended without the last writes to the table. A resend to another daemon then got 409 claimed_elsewhere, may_have_run, for a request that had been answered.

StopSequence now decides both what a daemon admits and when it may end: serving, draining, closing, gone, in this order only. Flush makes the writes due at once, because the commit interval of a large fleet is itself several seconds.

--- a/packages/daemon/claim_gate.h
+++ b/packages/daemon/claim_gate.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -78,6 +79,13 @@
 
   // Records that the outcome of a dispatched request is unknown and will stay unknown.
   virtual void MarkOutcomeUnknown(ClaimSubmissionId submission_id) = 0;
+
+  // Writes the ends of claims without further delay. To be called once the daemon has no request
+  // left.
+  virtual void Flush() = 0;
+
+  // Returns the number of claims that are held or whose end is not written yet.
+  virtual std::size_t unwritten_claims() const = 0;
 };
 
 }  // namespace savoryglade
--- a/packages/daemon/claim_service.cc
+++ b/packages/daemon/claim_service.cc
@@ -1,5 +1,6 @@
 #include "daemon/claim_service.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <optional>
 #include <string>
@@ -257,12 +258,21 @@
 
 void ClaimService::SetCommitInterval(Duration interval) {
   const std::lock_guard lock(mutex_);
-  committer_.SetInterval(interval);
+  if (!flushing_) {
+    committer_.SetInterval(interval);
+  }
+}
+
+void ClaimService::Flush() {
+  const std::lock_guard lock(mutex_);
+  flushing_ = true;
+  committer_.Flush();
 }
 
-bool ClaimService::idle() const {
+std::size_t ClaimService::unwritten_claims() const {
   const std::lock_guard lock(mutex_);
-  return committer_.idle() && ledger_.size() == 0;
+  // A write that the ledger has given up may still be queued or in flight.
+  return std::max<std::size_t>(ledger_.size(), committer_.idle() ? 0 : 1);
 }
 
 asio::awaitable<void> ClaimService::TickLoop() {
--- a/packages/daemon/claim_service.h
+++ b/packages/daemon/claim_service.h
@@ -55,19 +55,17 @@
   Verdict GiveUp(ClaimSubmissionId submission_id, Verdict verdict) override;
   void Complete(ClaimSubmissionId submission_id, StoredResponse response) override;
   void MarkOutcomeUnknown(ClaimSubmissionId submission_id) override;
+  void Flush() override;
+  std::size_t unwritten_claims() const override;
 
   // Handle messages of other daemons, and the death of one.
   void OnQuery(const ClaimQuery& query);
   void OnReply(const ClaimReply& reply);
   void OnDaemonDead(const DaemonId& daemon);
 
-  // Sets the interval between transactions of this daemon.
+  // Sets the interval between transactions of this daemon. Has no effect after Flush.
   void SetCommitInterval(Duration interval);
 
-  // Returns true if no write is pending and no claim is held, so that the daemon can stop without
-  // losing one.
-  bool idle() const;
-
  private:
   struct Waiter;
 
@@ -91,6 +89,7 @@
   mutable std::mutex mutex_;
   ClaimLedger ledger_;
   ClaimCommitter committer_;
+  bool flushing_ = false;
   ClaimSubmissionId next_submission_id_ = 1;
   std::map<ClaimSubmissionId, std::shared_ptr<Waiter>> waiters_;
   // Verdicts of claims whose dispatch was rejected, kept until GiveUp returns them.
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -96,6 +96,7 @@
                                  std::hash<std::string>()(settings_.daemon.value()))),
       dispatcher_({.incarnation = MakeIncarnation()}, {.local_domain = settings_.failure_domain},
                   std::hash<std::string>()(settings_.daemon.value()), metrics_),
+      stop_(dependencies_.stop_limits),
       pool_(static_cast<std::size_t>(settings_.worker_threads)),
       platform_(pool_.context(0), settings_, metrics_, configuration_),
       administration_handler_(platform_, configuration_, metrics_),
@@ -222,8 +223,9 @@
 }
 
 void Daemon::BeginDrain() {
-  draining_ = true;
-  kLog.Info("Draining.", {{"in_flight", caller_server_.active_exchanges()}});
+  if (stop_.Begin()) {
+    kLog.Info("Draining.", {{"in_flight", caller_server_.active_exchanges()}});
+  }
 }
 
 void Daemon::StartDrainTimeout(Duration timeout) {
@@ -260,6 +262,34 @@
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(asio::use_awaitable);
     dispatcher_.Tick();
+    AdvanceStop();
+  }
+}
+
+void Daemon::AdvanceStop() {
+  const StopPhase before = stop_.phase();
+  if (before == StopPhase::kServing || before == StopPhase::kGone) {
+    return;
+  }
+  const StopWork work{.requests_in_flight = caller_server_.active_exchanges(),
+                      .unwritten_claims = dependencies_.claims->unwritten_claims()};
+  const StopPhase phase = stop_.Advance(work, std::chrono::steady_clock::now());
+  if (phase == before) {
+    return;
+  }
+  if (phase == StopPhase::kClosing) {
+    kLog.Info("No request is in flight; closing the listeners.",
+              {{"unwritten_claims", work.unwritten_claims}});
+    caller_server_.StopAccepting();
+    administration_server_.StopAccepting();
+    dependencies_.claims->Flush();
+  } else if (work.unwritten_claims > 0) {
+    kLog.Warning(
+        "The time to write claims has passed; requests of these claims that are sent again get the "
+        "verdict may_have_run.",
+        {{"unwritten_claims", work.unwritten_claims}});
+  } else {
+    kLog.Info("Drained.");
   }
 }
 
@@ -284,8 +314,9 @@
 
 asio::awaitable<void> Daemon::HandleCallerRequest(HttpExchange& exchange) {
   if (exchange.target() == "/healthz" || exchange.target() == "/readyz") {
-    const bool ready = !draining_ && platform_.ready();
-    const char* text = draining_ ? "draining\n" : ready ? "ready\n" : "starting\n";
+    const bool draining = !stop_.AdmitsRequests();
+    const bool ready = !draining && platform_.ready();
+    const char* text = draining ? "draining\n" : ready ? "ready\n" : "starting\n";
     co_await exchange.Respond(ready ? 200 : 503, ContentType("text/plain"), text);
     co_return;
   }
@@ -298,7 +329,7 @@
     co_await RespondWithVerdict(exchange, key, verdict, metrics_);
     co_return;
   }
-  if (draining_) {
+  if (!stop_.AdmitsRequests()) {
     const Verdict verdict{.reason = Reason::kDraining, .retry_after = 1s};
     exchange.CloseAfterResponse();
     co_await RespondWithVerdict(exchange, key, verdict, metrics_);
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -24,6 +24,7 @@
 #include "net/endpoint.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
+#include "recovery/stop_sequence.h"
 
 namespace savoryglade {
 
@@ -33,6 +34,7 @@
   std::shared_ptr<StreamDirectory> streams;
   std::shared_ptr<ClaimGate> claims;
   std::shared_ptr<RetryStrategy> retries;
+  StopLimits stop_limits;
   // Called when an operator requests a drain. If empty, the daemon begins to drain but does not
   // stop.
   std::function<void()> on_drain_requested;
@@ -51,20 +53,22 @@
   // Starts listening. The error names what could not be read or opened.
   Result<void> Start();
 
-  // Begins to drain: health checks report draining and new requests are rejected.
+  // Begins to drain: health checks report draining and new requests are rejected. When no request
+  // is in flight, the daemon closes its listeners. Has no effect if the daemon drains already.
   void BeginDrain();
 
   // Interrupts the requests that are still in flight after this time; streams end with a resume
   // event.
   void StartDrainTimeout(Duration timeout);
 
-  // Returns true if no request is in flight.
-  bool drained() const { return caller_server_.active_exchanges() == 0; }
+  // Returns true if the daemon has drained and can stop: its listeners are closed, and the ends of
+  // all claims are written or the time for that has passed.
+  bool drained() const { return stop_.phase() == StopPhase::kGone; }
 
   // Stops the listeners and the workers.
   void Stop();
 
-  // Begins to drain, waits until no request is in flight, then stops.
+  // Begins to drain, waits until the daemon has drained, then stops.
   void Drain();
 
   // Metrics of this daemon.
@@ -78,6 +82,7 @@
  private:
   boost::asio::awaitable<void> HandleCallerRequest(HttpExchange& exchange);
   boost::asio::awaitable<void> TickLoop();
+  void AdvanceStop();
   void StartClaimsAndPeerExchange();
   RequestKey MakeRequestKey();
   RequestHandlerContext MakeHandlerContext();
@@ -89,7 +94,7 @@
   ActiveRequests active_requests_;
   ConfigHolder configuration_;
   Dispatcher dispatcher_;
-  std::atomic<bool> draining_{false};
+  StopSequence stop_;
   std::atomic<std::uint64_t> next_request_number_{1};
   Endpoint callers_endpoint_;
   Endpoint administration_endpoint_;
--- a/packages/recovery/claim_committer.h
+++ b/packages/recovery/claim_committer.h
@@ -67,6 +67,12 @@
 
   void SetInterval(Duration interval) { options_.interval = interval; }
 
+  // Makes the next transaction due at once and sets the interval to zero.
+  void Flush() {
+    SetInterval(Duration::zero());
+    next_commit_at_ = TimePoint();
+  }
+
   // Returns true if no write is queued or in flight.
   bool idle() const { return queue_.empty() && in_flight_.empty(); }
 
--- a/tests/daemon/claim_service_test.cc
+++ b/tests/daemon/claim_service_test.cc
@@ -24,10 +24,10 @@
 // A claim service of one daemon with its own context on a shared table.
 class ClaimServiceHost {
  public:
-  ClaimServiceHost(const std::string& name, provider::Table& table)
+  ClaimServiceHost(const std::string& name, provider::Table& table, Duration commit_interval = 1ms)
       : service_(pool_.context(0), table,
                  {.owner = {.daemon = DaemonId(name), .incarnation = 1, .nonce = 1},
-                  .committer = {.interval = 1ms}},
+                  .committer = {.interval = commit_interval}},
                  metrics_) {
     service_.Start();
   }
@@ -157,7 +157,7 @@
   ASSERT_TRUE(first.BeginDispatch(granted.submission_id));
   first.service().Complete(granted.submission_id,
                            {.status = 200, .body = std::string(20'000, 'x')});
-  while (!first.service().idle()) {
+  while (first.service().unwritten_claims() > 0) {
     std::this_thread::yield();
   }
   const ClaimResult resend = second.Claim(MakeSubmission());
@@ -166,6 +166,24 @@
   EXPECT_EQ(resend.verdict.reason, Reason::kAnswerNotKept);
 }
 
+// Guards against a stop that waits for the commit interval of a large fleet, or ends before it.
+TEST(ClaimServiceTest, FlushWritesTheEndsOfClaimsBeforeTheCommitInterval) {
+  provider::MemoryPlatform table;
+  ClaimServiceHost first("brescia-1", table, 1h);
+  const ClaimResult granted = first.Claim(MakeSubmission());
+  ASSERT_TRUE(first.BeginDispatch(granted.submission_id));
+  first.service().Complete(granted.submission_id,
+                           {.status = 200, .content_type = "text/plain", .body = "done"});
+  EXPECT_EQ(first.service().unwritten_claims(), 1U);
+  first.service().Flush();
+  first.service().SetCommitInterval(1h);
+  while (first.service().unwritten_claims() > 0) {
+    std::this_thread::yield();
+  }
+  ClaimServiceHost second("verona-1", table);
+  EXPECT_EQ(second.Claim(MakeSubmission()).kind, ClaimResult::Kind::kDone);
+}
+
 // Guards against two claims that share a row, and against rows that lose a field when formatted and
 // parsed.
 TEST(ClaimRowCodecTest, RowKeysAreDistinctAndRowsRoundTrip) {
--- a/tests/daemon/drain_claims_test.cc
+++ b/tests/daemon/drain_claims_test.cc
@@ -24,7 +24,8 @@
         endpoint_(*service_.Listen({.address = "127.0.0.1", .port = 0})) {}
   ~DrainClaimsTest() override { pool_.Stop(); }
 
-  void StartFleet() {
+  void StartFleet(const StopLimits& limits = {.claims = 1h}) {
+    fleet_.SetStopLimits(limits);
     fleet_.Start(2, 1);
     const std::string document = fmt::format(
         R"({{"services":[{{"name":"orders","kind":"plain","path_prefix":"/orders",
@@ -84,5 +85,18 @@
   EXPECT_EQ(resent->body(), "confirmed\n");
 }
 
+// Guards against a daemon that never stops while the platform is unavailable.
+TEST_F(DrainClaimsTest, DaemonStopsWhenTheTimeToWriteClaimsHasPassed) {
+  StartFleet({.claims = 0s});
+  ASSERT_EQ(Confirm(0)->status(), 200U);
+  fleet_.daemon(0).BeginDrain();
+  WaitFor([this] { return fleet_.daemon(0).drained(); });
+  fleet_.daemon(0).Stop();
+  fleet_.platform().SetFaults({});
+  const auto resent = Confirm(1);
+  EXPECT_EQ(resent->status(), 409U);
+  EXPECT_EQ(resent->Header("Savoryglade-Verdict"), "may_have_run");
+}
+
 }  // namespace
 }  // namespace savoryglade
--- a/tests/daemon/fleet_fixture.h
+++ b/tests/daemon/fleet_fixture.h
@@ -41,6 +41,9 @@
     return "domain-" + std::to_string(i % domains + 1);
   }
 
+  // Sets the limits of a planned stop of daemons that are started later.
+  void SetStopLimits(const StopLimits& limits) { stop_limits_ = limits; }
+
   // Starts daemons and lists them on the platform. The platform is down until all daemons listen,
   // so that none reads an incomplete list.
   void Start(std::size_t daemons, std::size_t domains, const provider::Faults& faults_after = {}) {
@@ -55,7 +58,8 @@
       settings.worker_threads = 1;
       settings.platform_kind = PlatformKind::kHttp;
       settings.platform_address = ToString(platform_endpoint_);
-      daemons_.push_back(std::make_unique<Daemon>(settings));
+      daemons_.push_back(
+          std::make_unique<Daemon>(settings, DaemonDependencies{.stop_limits = stop_limits_}));
       const Result<void> started = daemons_.back()->Start();
       if (!started) {
         throw std::runtime_error(started.error().message);
@@ -141,6 +145,7 @@
   WorkerPool platform_pool_{1};
   HttpServer platform_server_;
   Endpoint platform_endpoint_;
+  StopLimits stop_limits_;
   std::vector<std::unique_ptr<Daemon>> daemons_;
 };
 
