--- a/tests/daemon/daemon_fixture.cc
+++ b/tests/daemon/daemon_fixture.cc
@@ -51,18 +51,22 @@
              [this](HttpExchange& exchange) { return service.Handle(exchange); }),
       endpoint(*server.Listen({.address = "127.0.0.1", .port = 0})) {}
 
-std::unique_ptr<Daemon> StartDaemon(TestDaemonOptions options) {
-  static std::atomic<int> next_number{1};
-  const int number = next_number.fetch_add(1);
-  const std::string path =
-      fmt::format("{}savoryglade_path_{}_{}.json", testing::TempDir(), ::getpid(), number);
-  std::ofstream(path) << fmt::format(
+std::string MakeConfigurationJson(const TestDaemonOptions& options) {
+  return fmt::format(
       R"({{"version":1,"services":[{{"name":"assistant","deadline":"{0}"}},
           {{"name":"orders","kind":"plain","path_prefix":"/orders","deadline":"{0}",
             "may_not_repeat":[{{"method":"POST","path":"/orders/confirmations"}}]}}],
           "client_accounts":[{{"name":"drivers","key_sha256":"{1}"}}],
           "upstreams":[{2}]}})",
       options.deadline, Sha256Hex("key"), MakeUpstreamsJson(options));
+}
+
+std::unique_ptr<Daemon> StartDaemon(TestDaemonOptions options) {
+  static std::atomic<int> next_number{1};
+  const int number = next_number.fetch_add(1);
+  const std::string path =
+      fmt::format("{}savoryglade_path_{}_{}.json", testing::TempDir(), ::getpid(), number);
+  std::ofstream(path) << MakeConfigurationJson(options);
   Settings settings;
   settings.daemon = DaemonId(fmt::format("daemon-{}", number));
   settings.callers_address = "127.0.0.1:0";
--- a/tests/daemon/daemon_fixture.h
+++ b/tests/daemon/daemon_fixture.h
@@ -48,6 +48,9 @@
   CallerLimits limits;
 };
 
+// Returns the configuration of a daemon that StartDaemon starts with these options.
+std::string MakeConfigurationJson(const TestDaemonOptions& options);
+
 // Starts a daemon with the model service "assistant" and the plain service "orders", whose POST
 // /orders/confirmations is may-not-repeat.
 std::unique_ptr<Daemon> StartDaemon(TestDaemonOptions options);
--- a/tests/daemon/drain_test.cc
+++ b/tests/daemon/drain_test.cc
@@ -4,6 +4,7 @@
 
 #include "gtest/gtest.h"
 #include "tests/daemon/daemon_fixture.h"
+#include "tests/daemon/fleet_fixture.h"
 
 namespace savoryglade {
 namespace {
@@ -43,6 +44,25 @@
   daemon->Stop();
 }
 
+// Guards against a daemon that is stopped before it is ready and lets its callers keep their
+// connections, and names another reason than the stop.
+TEST(DrainTest, RequestBeforeTheDaemonIsReadyIsRejectedAsDraining) {
+  FleetFixture fleet;
+  fleet.Start(1, 1, {.outage = true});
+  CallerConnection caller(fleet.daemon(0).callers_endpoint());
+  caller.Send(MakePlainRequest("GET", "/readyz"));
+  ASSERT_TRUE(caller.ReadAll());
+  ASSERT_EQ(caller.body(), "starting\n");
+  fleet.daemon(0).BeginDrain();
+  caller.StartNextResponse();
+  caller.Send(MakePlainRequest("GET", "/orders/1"));
+  ASSERT_TRUE(caller.ReadAll());
+  EXPECT_EQ(caller.status(), 503U);
+  EXPECT_EQ(caller.Header("Savoryglade-Reason"), "draining");
+  EXPECT_EQ(caller.Header("Connection"), "close");
+  WaitFor([&] { return fleet.daemon(0).drained(); });
+}
+
 // Guards against a drain timeout that ends a stream without a resume event, or with one from which
 // the caller can't resume at another daemon.
 TEST(DrainTest, DrainTimeoutEndsStreamsWithAResumeEvent) {
