Refuse requests as draining also before the daemon is ready

A daemon that got a stop order before its platform answered replied not_ready and kept the connection, so its callers came back to a daemon that was about to end. The stop is now checked first.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -324,17 +324,17 @@
   const bool has_idempotency_key = IsValidRequestKey(caller_key);
   const RequestKey key =
       has_idempotency_key ? RequestKey(std::string(caller_key)) : MakeRequestKey();
-  if (!platform_.ready()) {
-    const Verdict verdict{.reason = Reason::kNotReady, .retry_after = 1s};
-    co_await RespondWithVerdict(exchange, key, verdict, metrics_);
-    co_return;
-  }
   if (!stop_.AdmitsRequests()) {
     const Verdict verdict{.reason = Reason::kDraining, .retry_after = 1s};
     exchange.CloseAfterResponse();
     co_await RespondWithVerdict(exchange, key, verdict, metrics_);
     co_return;
   }
+  if (!platform_.ready()) {
+    const Verdict verdict{.reason = Reason::kNotReady, .retry_after = 1s};
+    co_await RespondWithVerdict(exchange, key, verdict, metrics_);
+    co_return;
+  }
   const ConfigHolder::Snapshot configuration = configuration_.Get();
   const AccountConfig* account = FindAccountByKey(*configuration, exchange.BearerToken());
   if (account == nullptr) {
