Do not count an operator's drain request as a stop signal

An operator's drain request sent SIGTERM to the process itself. The first SIGTERM after it, as in an ordinary restart, or the same request sent again, then counted as the second signal and started the time to interrupt requests in flight. The request now begins the drain directly, and the main thread counts signals only and ends once the daemon has drained, whoever ordered it. The dependency on_drain_requested is gone; its test now waits until the daemon has drained, which holds only after the request was carried out.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -109,13 +109,7 @@
     connections_.push_back(std::make_unique<ConnectionPool>(dependencies_.path.pool,
                                                             request_metrics_.silent_connections));
   }
-  administration_handler_.SetDrainHandler([this] {
-    if (dependencies_.on_drain_requested) {
-      dependencies_.on_drain_requested();
-    } else {
-      BeginDrain();
-    }
-  });
+  administration_handler_.SetDrainHandler([this] { BeginDrain(); });
   configuration_.Subscribe(
       [this](const ConfigHolder::Snapshot& snapshot) { dispatcher_.Configure(*snapshot); });
 }
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -35,9 +35,6 @@
   std::shared_ptr<ClaimGate> claims;
   std::shared_ptr<RetryStrategy> retries;
   StopLimits stop_limits;
-  // Called when an operator requests a drain. If empty, the daemon begins to drain but does not
-  // stop.
-  std::function<void()> on_drain_requested;
 };
 
 // Daemon of one entry VM. Owns the listeners for callers and operators, the workers and the state
@@ -61,8 +58,9 @@
   // event.
   void StartDrainTimeout(Duration timeout);
 
-  // Returns true if the daemon has drained and can stop: its listeners are closed, and the ends of
-  // all claims are written or the time for that has passed.
+  // Returns true if the daemon has drained, as ordered by BeginDrain or by an operator, and can
+  // stop: its listeners are closed, and the ends of all claims are written or the time for that has
+  // passed.
   bool drained() const { return stop_.phase() == StopPhase::kGone; }
 
   // Stops the listeners and the workers.
--- a/packages/daemon/savorygladed_main.cc
+++ b/packages/daemon/savorygladed_main.cc
@@ -1,6 +1,5 @@
 #include <docopt/docopt.h>
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include <chrono>
 #include <csignal>
@@ -8,7 +7,6 @@
 #include <fstream>
 #include <iterator>
 #include <string>
-#include <utility>
 
 #include "config/settings.h"
 #include "daemon/daemon.h"
@@ -43,7 +41,8 @@
 constexpr int kExitInvalidSettings = 2;
 // Time that requests in flight have left after a second signal. Section 10 of the design page.
 constexpr savoryglade::Duration kDrainTimeout = std::chrono::seconds(30);
-constexpr timespec kDrainPollInterval{.tv_sec = 0, .tv_nsec = 10'000'000};
+// Interval at which the main thread looks whether the daemon has drained.
+constexpr timespec kPollInterval{.tv_sec = 0, .tv_nsec = 20'000'000};
 
 Result<Settings> LoadSettings(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
@@ -75,20 +74,21 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  savoryglade::DaemonDependencies dependencies;
-  // A drain that an operator requests takes the same path as a signal.
-  dependencies.on_drain_requested = [] { kill(getpid(), SIGTERM); };
-  Daemon daemon(settings, std::move(dependencies));
+  Daemon daemon(settings);
   const Result<void> started = daemon.Start();
   if (!started) {
     log.Error(started.error().message);
     return 1;
   }
-  int signal = 0;
-  sigwait(&signals, &signal);
-  daemon.BeginDrain();
+  // An operator's drain request is no signal: the first signal after it interrupts nothing.
+  int stop_signals = 0;
   while (!daemon.drained()) {
-    if (sigtimedwait(&signals, nullptr, &kDrainPollInterval) > 0) {
+    if (sigtimedwait(&signals, nullptr, &kPollInterval) <= 0) {
+      continue;
+    }
+    if (++stop_signals == 1) {
+      daemon.BeginDrain();
+    } else {
       daemon.StartDrainTimeout(kDrainTimeout);
     }
   }
--- a/tests/admin/operator_client_test.cc
+++ b/tests/admin/operator_client_test.cc
@@ -1,6 +1,5 @@
 #include "admin/operator_client.h"
 
-#include <atomic>
 #include <fstream>
 #include <memory>
 #include <string>
@@ -25,9 +24,7 @@
     settings.callers_address = "127.0.0.1:0";
     settings.administration_address = "127.0.0.1:0";
     settings.configuration_file = file;
-    DaemonDependencies parts;
-    parts.on_drain_requested = [this] { drain_requested_ = true; };
-    daemon_ = std::make_unique<Daemon>(settings, std::move(parts));
+    daemon_ = std::make_unique<Daemon>(settings);
     const Result<void> started = daemon_->Start();
     EXPECT_TRUE(started) << started.error().message;
   }
@@ -36,7 +33,6 @@
     return OperatorClient({.daemon = daemon_->administration_endpoint()});
   }
 
-  std::atomic<bool> drain_requested_{false};
   std::unique_ptr<Daemon> daemon_;
 };
 
@@ -116,7 +112,7 @@
 // Guards against a drain request that is acknowledged but not carried out.
 TEST_F(OperatorClientTest, DrainReachesTheDaemon) {
   ASSERT_TRUE(Client().Drain());
-  while (!drain_requested_) {
+  while (!daemon_->drained()) {
     std::this_thread::yield();
   }
 }
