Start the time to interrupt requests in a drain only once

Each signal after the second started another timer and wrote another line that names a time at which requests are interrupted. Only the first call of StartDrainTimeout counts now.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -223,6 +223,9 @@
 }
 
 void Daemon::StartDrainTimeout(Duration timeout) {
+  if (drain_timeout_started_.exchange(true)) {
+    return;
+  }
   kLog.Info("Requests in flight are interrupted when the drain timeout expires.",
             {{"in_flight", caller_server_.active_exchanges()}, {"seconds", ToSeconds(timeout)}});
   asio::co_spawn(
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -55,7 +55,7 @@
   void BeginDrain();
 
   // Interrupts the requests that are still in flight after this time; streams end with a resume
-  // event.
+  // event. Only the first call has an effect.
   void StartDrainTimeout(Duration timeout);
 
   // Returns true if the daemon has drained, as ordered by BeginDrain or by an operator, and can
@@ -93,6 +93,7 @@
   ConfigHolder configuration_;
   Dispatcher dispatcher_;
   StopSequence stop_;
+  std::atomic<bool> drain_timeout_started_{false};
   std::atomic<std::uint64_t> next_request_number_{1};
   Endpoint callers_endpoint_;
   Endpoint administration_endpoint_;
