--- a/packages/emulator/caller_connection.cc
+++ b/packages/emulator/caller_connection.cc
@@ -1,12 +1,9 @@
 #include "emulator/caller_connection.h"
 
-#include <sys/socket.h>
-
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <cerrno>
 #include <cstddef>
 
 namespace savoryglade {
@@ -29,9 +26,8 @@
 
 }  // namespace
 
-CallerConnection::CallerConnection(const Endpoint& endpoint)
-    : socket_(context_), parser_(std::make_unique<Parser>()) {
-  parser_->body_limit(boost::none);
+CallerConnection::CallerConnection(const Endpoint& endpoint) : socket_(context_) {
+  StartNextResponse();
   socket_.connect(tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port));
 }
 
@@ -44,6 +40,20 @@
 
 void CallerConnection::Close() { socket_.close(); }
 
+void CallerConnection::StartNextResponse() {
+  parser_ = std::make_unique<Parser>();
+  parser_->body_limit(boost::none);
+}
+
+bool CallerConnection::ClosedByPeer() {
+  socket_.non_blocking(true);
+  char byte = 0;
+  beast::error_code error;
+  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  socket_.non_blocking(false);
+  return error.failed() && error != asio::error::would_block;
+}
+
 void CallerConnection::ReadUntil(const std::function<bool(const std::string&)>& condition) {
   while (!ended_ && !parser_->is_done() && !condition(parser_->get().body())) {
     beast::error_code error;
@@ -61,11 +71,6 @@
   return parser_->is_done();
 }
 
-void CallerConnection::StartNextResponse() {
-  parser_ = std::make_unique<Parser>();
-  parser_->body_limit(boost::none);
-}
-
 void CallerConnection::WaitForClose() {
   std::array<char, 1024> discarded{};
   beast::error_code error;
@@ -75,12 +80,6 @@
   ended_ = true;
 }
 
-bool CallerConnection::closed_by_peer() {
-  char byte = 0;
-  const auto size = ::recv(socket_.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 std::string CallerConnection::Header(std::string_view name) const {
   return std::string(parser_->get()[beast::string_view(name.data(), name.size())]);
 }
