Add a failing test for a stop that cuts a half-read request

The process ends once no request is in flight, whatever its connections hold. The test sends the first half of a request on a kept connection, then SIGTERM, waits until the idle connections are closed, and sends the rest.

--- a/tests/daemon/drain_test.cc
+++ b/tests/daemon/drain_test.cc
@@ -63,6 +63,20 @@
   WaitFor([&] { return fleet.daemon(0).drained(); });
 }
 
+// Guards against a peer that begins a request, does not go on with it, and thereby keeps the daemon
+// from ending, and against a listener that is open when the daemon has drained.
+TEST(DrainTest, HalfSentRequestDelaysTheStopUpToTheLimit) {
+  const auto daemon = StartDaemon({.dependencies = {.stop_limits = {.connections = 0s}}});
+  CallerConnection half_sent(daemon->callers_endpoint());
+  half_sent.Send(MakePlainRequest("GET", "/readyz") + "GET /orders/1 HTTP/1.1\r\n");
+  EXPECT_TRUE(half_sent.ReadAll());
+  daemon->BeginDrain();
+  WaitFor([&] { return daemon->drained(); });
+  EXPECT_FALSE(half_sent.ClosedByPeer());
+  EXPECT_ANY_THROW(CallerConnection(daemon->callers_endpoint()));
+  EXPECT_ANY_THROW(CallerConnection(daemon->administration_endpoint()));
+}
+
 // Guards against a drain timeout that ends a stream without a resume event, or with one from which
 // the caller can't resume at another daemon.
 TEST(DrainTest, DrainTimeoutEndsStreamsWithAResumeEvent) {
--- a/tests/daemon/stop_signal_test.cc
+++ b/tests/daemon/stop_signal_test.cc
@@ -105,6 +105,39 @@
       << process.log();
 }
 
+// Guards against a process that ends between the first and the last byte of a request, and against
+// idle connections that end with the process only.
+TEST_F(StopSignalTest, HalfReadRequestIsAnsweredAfterIdleConnectionsAreClosed) {
+  DaemonProcess process(MakeSettings());
+  const std::string endpoints = process.WaitForLogLine("Listening.");
+  ASSERT_NE(endpoints, "");
+  const Endpoint callers = DaemonProcess::FindEndpoint(endpoints, "callers");
+  CallerConnection idle(callers);
+  CallerConnection idle_operator(DaemonProcess::FindEndpoint(endpoints, "administration"));
+  CallerConnection half_sent(callers);
+  const std::string probe = MakePlainRequest("GET", "/readyz");
+  const std::string request = MakeChatRequest(kTokens, kKeyHeader);
+  idle.Send(probe);
+  EXPECT_TRUE(idle.ReadAll());
+  idle_operator.Send(MakePlainRequest("GET", "/metrics"));
+  EXPECT_TRUE(idle_operator.ReadAll());
+  // The server reads the first part of the second request with the first request.
+  half_sent.Send(probe + request.substr(0, request.size() / 2));
+  EXPECT_TRUE(half_sent.ReadAll());
+  process.SendSignal(SIGTERM);
+  idle.WaitForClose();
+  idle_operator.WaitForClose();
+  half_sent.StartNextResponse();
+  half_sent.Send(request.substr(request.size() / 2));
+  EXPECT_TRUE(half_sent.ReadAll());
+  EXPECT_EQ(half_sent.status(), 503U);
+  EXPECT_EQ(half_sent.Header("Savoryglade-Reason"), "draining");
+  EXPECT_EQ(half_sent.Header("Savoryglade-Verdict"), "not_run");
+  EXPECT_EQ(half_sent.Header("Connection"), "close");
+  EXPECT_EQ(process.WaitForExit(), 0);
+  EXPECT_EQ(engine_.engine.counts().submitted, 0U);
+}
+
 // Guards against a signal during start that is lost, or ends the process by itself.
 TEST_F(StopSignalTest, SignalDuringStartEndsTheProcessInOrder) {
   DaemonProcess process(MakeSettings());
