Close a daemon's listeners and connections before it stops

Once no request was in flight, the daemon posted the close of its acceptors and stopped its workers at once. A request that was half read or being refused then got no answer, and idle connections ended with the process only. The close is ordered on the context of the acceptors, so they are closed before connections are counted for the last time.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -239,8 +239,6 @@
 }
 
 void Daemon::Stop() {
-  caller_server_.StopAccepting();
-  administration_server_.StopAccepting();
   pool_.Stop();
   kLog.Info("Stopped.");
 }
@@ -269,25 +267,34 @@
     return;
   }
   const StopWork work{.requests_in_flight = caller_server_.active_exchanges(),
+                      .open_connections = caller_server_.open_connections() +
+                                          administration_server_.open_connections(),
                       .unwritten_claims = dependencies_.claims->unwritten_claims()};
   const StopPhase phase = stop_.Advance(work, std::chrono::steady_clock::now());
   if (phase == before) {
     return;
   }
   if (phase == StopPhase::kClosing) {
-    kLog.Info("No request is in flight; closing the listeners.",
-              {{"unwritten_claims", work.unwritten_claims}});
-    caller_server_.StopAccepting();
-    administration_server_.StopAccepting();
+    kLog.Info(
+        "No request is in flight; closing the listeners and connections.",
+        {{"open_connections", work.open_connections}, {"unwritten_claims", work.unwritten_claims}});
+    // The acceptors run on this context, so they are closed before the next call.
+    caller_server_.Close();
+    administration_server_.Close();
     dependencies_.claims->Flush();
-  } else if (work.unwritten_claims > 0) {
+    return;
+  }
+  if (work.open_connections > 0) {
+    kLog.Warning("The time to end connections has passed; the open ones are cut off.",
+                 {{"open_connections", work.open_connections}});
+  }
+  if (work.unwritten_claims > 0) {
     kLog.Warning(
         "The time to write claims has passed; requests of these claims that are sent again get the "
         "verdict may_have_run.",
         {{"unwritten_claims", work.unwritten_claims}});
-  } else {
-    kLog.Info("Drained.");
   }
+  kLog.Info("Drained.");
 }
 
 RequestKey Daemon::MakeRequestKey() {
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -51,7 +51,9 @@
   Result<void> Start();
 
   // Begins to drain: health checks report draining and new requests are rejected. When no request
-  // is in flight, the daemon closes its listeners. Has no effect if the daemon drains already.
+  // is in flight, the daemon closes its listeners and ends its connections: idle ones at once,
+  // those with a request that is being read after its refusal. Has no effect if the daemon drains
+  // already.
   void BeginDrain();
 
   // Interrupts the requests that are still in flight after this time; streams end with a resume
@@ -63,7 +65,7 @@
   // passed.
   bool drained() const { return stop_.phase() == StopPhase::kGone; }
 
-  // Stops the listeners and the workers.
+  // Stops the workers at once. Cuts off whatever drained() would have waited for.
   void Stop();
 
   // Begins to drain, waits until the daemon has drained, then stops.
