Log exceptions that end coroutines in the background

Coroutines that nothing waits for were spawned with asio::detached, which discards an exception: a loop such as that of the claims ended without a log line. LogException takes its place in daemon, in the upstream connections of net and in the emulated engine, and writes the name of the coroutine and the error.

No test makes one of the daemon's own coroutines throw; their handlers were replaced by reading. daemon_test passes.

--- a/packages/daemon/claim_service.cc
+++ b/packages/daemon/claim_service.cc
@@ -8,6 +8,7 @@
 
 #include "daemon/claim_row_codec.h"
 #include "daemon/platform_client.h"
+#include "net/log_exception.h"
 
 namespace savoryglade {
 namespace {
@@ -106,7 +107,7 @@
 
 ClaimService::~ClaimService() = default;
 
-void ClaimService::Start() { asio::co_spawn(context_, TickLoop(), asio::detached); }
+void ClaimService::Start() { asio::co_spawn(context_, TickLoop(), LogException("claim ticks")); }
 
 void ClaimService::UpdateLedger(const std::function<ClaimActions(ClaimLedger&, TimePoint)>& call) {
   ClaimActions actions;
@@ -138,7 +139,7 @@
     }
     HandleWriteResults(rejected);
     for (const ClaimRead& read : actions.reads) {
-      asio::co_spawn(context_, ReadRow(read), asio::detached);
+      asio::co_spawn(context_, ReadRow(read), LogException("claim read"));
     }
     for (const ClaimQuery& query : actions.queries) {
       if (peer_transport_.send_query) {
@@ -290,7 +291,7 @@
     }
     HandleWriteResults(expired);
     if (transaction) {
-      asio::co_spawn(context_, Commit(std::move(*transaction)), asio::detached);
+      asio::co_spawn(context_, Commit(std::move(*transaction)), LogException("claim commit"));
     }
   }
 }
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -17,6 +17,7 @@
 #include "daemon/request_handler_context.h"
 #include "daemon/request_identity.h"
 #include "logging/logger.h"
+#include "net/log_exception.h"
 
 namespace savoryglade {
 namespace {
@@ -182,9 +183,10 @@
   }
   callers_endpoint_ = *callers_bound;
   administration_endpoint_ = *administration_bound;
-  asio::co_spawn(pool_.context(0), TickLoop(), asio::detached);
+  asio::co_spawn(pool_.context(0), TickLoop(), LogException("daemon ticks"));
   for (std::size_t i = 0; i < pool_.size(); ++i) {
-    asio::co_spawn(pool_.context(i), connections_[i]->RunHealthChecks(), asio::detached);
+    asio::co_spawn(pool_.context(i), connections_[i]->RunHealthChecks(),
+                   LogException("health checks"));
   }
   kLog.Info("Listening.", {{"daemon", settings_.daemon.value()},
                            {"failure_domain", settings_.failure_domain.value()},
@@ -235,7 +237,7 @@
         co_await timer.async_wait(asio::use_awaitable);
         active_requests_.InterruptAll(InterruptCause::kDrainLimit);
       },
-      asio::detached);
+      LogException("drain timeout"));
 }
 
 void Daemon::Stop() {
--- a/packages/daemon/model_attempt.cc
+++ b/packages/daemon/model_attempt.cc
@@ -8,6 +8,8 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "net/log_exception.h"
+
 namespace savoryglade {
 namespace {
 
@@ -264,7 +266,7 @@
       [endpoint, request = std::move(request)]() mutable -> asio::awaitable<void> {
         co_await FetchOnce(endpoint, std::move(request), kCancelTimeout);
       },
-      asio::detached);
+      LogException("cancellation"));
 }
 
 }  // namespace savoryglade
--- a/packages/daemon/peer_exchange.cc
+++ b/packages/daemon/peer_exchange.cc
@@ -7,6 +7,7 @@
 
 #include "daemon/claim_row_codec.h"
 #include "logging/logger.h"
+#include "net/log_exception.h"
 
 namespace savoryglade {
 namespace {
@@ -68,7 +69,7 @@
         {.send_query = [this](const ClaimQuery& query) { return SendClaimQuery(query); },
          .send_reply = [this](const ClaimReply& reply) { SendClaimReply(reply); }});
   }
-  asio::co_spawn(context_, UsageLoop(), asio::detached);
+  asio::co_spawn(context_, UsageLoop(), LogException("usage reports"));
 }
 
 asio::awaitable<void> PeerExchange::UsageLoop() {
--- a/packages/daemon/peer_network.cc
+++ b/packages/daemon/peer_network.cc
@@ -10,6 +10,7 @@
 #include "config/configuration_delta.h"
 #include "logging/logger.h"
 #include "net/acceptor.h"
+#include "net/log_exception.h"
 
 namespace savoryglade {
 namespace {
@@ -86,9 +87,9 @@
   }
   SetListedPeers({});
   if (acceptor_) {
-    asio::co_spawn(context_, AcceptLoop(), asio::detached);
+    asio::co_spawn(context_, AcceptLoop(), LogException("peer accepts"));
   }
-  asio::co_spawn(context_, TickLoop(), asio::detached);
+  asio::co_spawn(context_, TickLoop(), LogException("peer ticks"));
   return bound_endpoint;
 }
 
@@ -113,7 +114,7 @@
     asio::co_spawn(context_,
                    RunLink(std::make_shared<PeerLink>(std::move(socket), fleet_key_,
                                                       wire::Side::kListener, counters_)),
-                   asio::detached);
+                   LogException("peer link"));
   }
 }
 
@@ -255,7 +256,7 @@
     }
     next->second = now + kDialInterval;
     pending_dials_.insert(member.daemon);
-    asio::co_spawn(context_, Dial(member.daemon, member.address), asio::detached);
+    asio::co_spawn(context_, Dial(member.daemon, member.address), LogException("peer dial"));
   }
 }
 
@@ -334,7 +335,7 @@
   }
   const std::optional<Member> member = membership_.Find(daemon);
   if (member && !member->address.empty() && pending_dials_.insert(daemon).second) {
-    asio::co_spawn(context_, Dial(daemon, member->address), asio::detached);
+    asio::co_spawn(context_, Dial(daemon, member->address), LogException("peer dial"));
   }
   return false;
 }
--- a/packages/daemon/platform_config_service.cc
+++ b/packages/daemon/platform_config_service.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "logging/logger.h"
+#include "net/log_exception.h"
 #include "net/sleep.h"
 
 namespace savoryglade {
@@ -88,8 +89,8 @@
   }
   Result<Endpoint> bound_endpoint = network_->Start();
   if (bound_endpoint) {
-    asio::co_spawn(context_, PollLoop(), asio::detached);
-    asio::co_spawn(context_, ListVmsLoop(), asio::detached);
+    asio::co_spawn(context_, PollLoop(), LogException("configuration polls"));
+    asio::co_spawn(context_, ListVmsLoop(), LogException("VM list polls"));
   }
   return bound_endpoint;
 }
--- a/packages/emulator/engine.cc
+++ b/packages/emulator/engine.cc
@@ -12,6 +12,7 @@
 #include <optional>
 #include <utility>
 
+#include "net/log_exception.h"
 #include "net/peer_disconnect_monitor.h"
 
 namespace savoryglade {
@@ -235,7 +236,7 @@
     }
     step_loop_running_ = true;
   }
-  asio::co_spawn(co_await asio::this_coro::executor, StepLoop(), asio::detached);
+  asio::co_spawn(co_await asio::this_coro::executor, StepLoop(), LogException("engine steps"));
 }
 
 asio::awaitable<void> Engine::StepLoop() {
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -12,6 +12,8 @@
 #include <cerrno>
 #include <utility>
 
+#include "net/log_exception.h"
+
 namespace savoryglade {
 namespace {
 
@@ -172,7 +174,8 @@
     for (auto& [endpoint, idle] : idle_) {
       for (IdleConnection& entry : idle) {
         if (entry.idle_since <= limit) {
-          asio::co_spawn(executor, CheckHealth(std::move(entry.connection)), asio::detached);
+          asio::co_spawn(executor, CheckHealth(std::move(entry.connection)),
+                         LogException("health check"));
         }
       }
       std::erase_if(idle, [](const IdleConnection& entry) { return entry.connection == nullptr; });
