--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -11,6 +11,7 @@
 #include "core/boot_clock.h"
 #include "core/prefix_hash.h"
 #include "logging/logger.h"
+#include "routing/software_version.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -55,6 +56,18 @@
   }
 }
 
+// Counts a request in progress for as long as it lives.
+class ActiveRequest {
+ public:
+  explicit ActiveRequest(int& count) : count_(count) { ++count_; }
+  ~ActiveRequest() { --count_; }
+  ActiveRequest(const ActiveRequest&) = delete;
+  ActiveRequest& operator=(const ActiveRequest&) = delete;
+
+ private:
+  int& count_;
+};
+
 // Returns a factor for the retry delay, so that callers rejected together do not retry together.
 double RetryJitterFactor(const std::string& attempt_id) {
   constexpr std::uint64_t kSteps = 64;
@@ -86,8 +99,9 @@
   if (call.route == nullptr || call.route->services.empty()) {
     return reject(Reason::kUnknownService, "No route matches the host and path.");
   }
-  if (fleet_.draining &&
-      !fleet_.drain_policy.Accepts(call.route->kind, now - fleet_.drain_started_at)) {
+  const Duration timeout =
+      std::min(call.metadata.caller_timeout.value_or(call.route->timeout), call.route->timeout);
+  if (!fleet_.drain.Accepts(call.route->kind, timeout, now)) {
     return reject(Reason::kDraining, "The daemon is shutting down.", kDrainingRetryAfter);
   }
   if (!call.route->is_public && !call.routes->document().accounts.empty()) {
@@ -98,16 +112,16 @@
   }
   call.service = RouteTable::ChooseService(*call.route, Fnv1aHash(call.metadata.attempt_id));
   call.metadata.work.service = call.service;
-  call.deadline =
-      now +
-      std::min(call.metadata.caller_timeout.value_or(call.route->timeout), call.route->timeout) -
-      kResponseMargin;
+  call.deadline = now + timeout - kResponseMargin;
   CrashDetector::Identify(call);
   if (const Duration refusal = crash_detector_.RemainingRefusal(call, now);
       refusal > Duration::zero()) {
     return reject(Reason::kRequestCrashesUpstreams, "The request has crashed several upstreams.",
                   refusal);
   }
+  if (const Reason reason = BindToStreamVersion(call, now); reason != Reason::kNone) {
+    return reject(reason, "The stream can't continue at the version that began it.", kRetryAfter);
+  }
   if (call.account != nullptr) {
     call.units = call.account->counts_tokens
                      ? call.metadata.declared_tokens.value_or(call.account->default_tokens)
@@ -128,22 +142,49 @@
   return {};
 }
 
-asio::awaitable<void> CallRelay::Handle(HttpExchange& exchange) {
-  ++fleet_.active_requests;
-  {
-    Call call(exchange);
-    Verdict verdict;
-    const Result<void> admitted = AdmitRequest(call, verdict);
-    if (!admitted) {
-      co_await Reject(call, verdict);
-    } else {
-      co_await SendUntilAnswered(call);
-      if (call.account != nullptr && call.unrejected_sends == 0) {
-        fleet_.rate_limiter.Refund(call.account->name, call.units);
-      }
+Reason CallRelay::BindToStreamVersion(Call& call, TimePoint now) {
+  if (!call.resumes_stream()) {
+    return Reason::kNone;
+  }
+  const StreamVersion version = stream_versions_.Find(call, now);
+  Reason reason = Reason::kNone;
+  std::string wanted = "any";
+  if (version.state == StreamVersion::State::kKnown) {
+    wanted = fmt::format("{:016x}", version.key);
+    call.metadata.work.required_version = version.key;
+    if (!fleet_.load_balancer.HasVersion(call.service, version.key)) {
+      reason = Reason::kStreamVersionUnavailable;
     }
+  } else if (version.state == StreamVersion::State::kUnknown) {
+    wanted = "unknown";
+    reason = Reason::kStreamVersionUnknown;
+  }
+  if (reason != Reason::kNone) {
+    call.rejection_detail =
+        fmt::format("resumes {}, version {}", call.metadata.resumed_attempt, wanted);
+  }
+  kLog.Info("A caller resumes a stream.", {{"request", call.metadata.attempt_id},
+                                           {"route", call.route->name},
+                                           {"resumes", call.metadata.resumed_attempt},
+                                           {"last_event", call.metadata.last_event_id},
+                                           {"version_key", wanted},
+                                           {"refused", reason != Reason::kNone}});
+  return reason;
+}
+
+asio::awaitable<void> CallRelay::Handle(HttpExchange& exchange) {
+  const ActiveRequest active(fleet_.active_requests);
+  Call call(exchange);
+  Verdict verdict;
+  const Result<void> admitted = AdmitRequest(call, verdict);
+  if (!admitted) {
+    co_await Reject(call, verdict);
+    co_return;
+  }
+  co_await SendUntilAnswered(call);
+  if (call.account != nullptr && call.unrejected_sends == 0) {
+    fleet_.rate_limiter.Refund(call.account->name, call.units);
   }
-  --fleet_.active_requests;
 }
 
 bool CallRelay::CanRetry(const Call& call) const {
@@ -152,11 +193,14 @@
 }
 
 Verdict CallRelay::NoUpstreamVerdict(const Call& call, TimePoint now) const {
-  return Verdict{.run_state = call.run_state,
-                 .reason = fleet_.load_balancer.FreeSlots(call.service, now) > 0
-                               ? Reason::kNoUpstream
-                               : Reason::kQueueFull,
-                 .retry_after = kRetryAfter};
+  const std::optional<std::uint64_t> required = call.metadata.work.required_version;
+  Reason reason = Reason::kQueueFull;
+  if (required && !fleet_.load_balancer.HasVersion(call.service, *required)) {
+    reason = Reason::kStreamVersionUnavailable;
+  } else if (fleet_.load_balancer.FreeSlots(call.service, now, required) > 0) {
+    reason = Reason::kNoUpstream;
+  }
+  return Verdict{.run_state = call.run_state, .reason = reason, .retry_after = kRetryAfter};
 }
 
 std::string_view CallRelay::OutcomeName(RelayOutcome outcome) {
@@ -179,6 +223,12 @@
 asio::awaitable<void> CallRelay::SendUntilAnswered(Call& call) {
   while (!call.caller.disconnected()) {
     const TimePoint now = BootNow();
+    if (fleet_.drain.interrupted()) {
+      co_await Reject(call, {.run_state = call.run_state,
+                             .reason = Reason::kDraining,
+                             .retry_after = kDrainingRetryAfter});
+      co_return;
+    }
     if (call.RemainingTime(now) < kMinRemainingTime) {
       co_await Reject(call, {.run_state = call.run_state,
                              .reason = Reason::kDeadlineExceeded,
@@ -227,7 +277,7 @@
     if (outcome != RelayOutcome::kNotRun || moved) {
       ++call.possible_runs;
       call.run_state = outcome == RelayOutcome::kFailed ? RunState::kRan : RunState::kMayHaveRun;
-      if (!CanRetry(call)) {
+      if (!fleet_.drain.interrupted() && !CanRetry(call)) {
         co_await Reject(call, {.run_state = call.run_state,
                                .reason = call.RemainingTime(BootNow()) < kMinRemainingTime
                                              ? Reason::kDeadlineExceeded
@@ -247,7 +297,11 @@
   call.last_upstream = id;
   fleet_.load_balancer.OnSent(id, call.metadata.work, placement.uncached_tokens, attempt.sent_at);
   const RelayOutcome outcome = co_await SendAttempt(call, attempt);
-  if (outcome == RelayOutcome::kResponseLost && call.RemainingTime(BootNow()) > kMinRemainingTime) {
+  if (fleet_.drain.interrupted() && outcome != RelayOutcome::kFinished) {
+    // This daemon closed the connection, so the upstream has not failed.
+    attempt.end = AttemptEnd::kCancelled;
+  } else if (outcome == RelayOutcome::kResponseLost &&
+             call.RemainingTime(BootNow()) > kMinRemainingTime) {
     crash_detector_.OnAttemptLost(call, attempt, BootNow());
   }
   fleet_.load_balancer.OnEnd(id, placement.uncached_tokens, attempt.first_byte, attempt.end,
@@ -257,6 +311,7 @@
               {{"request", call.metadata.attempt_id},
                {"route", call.route->name},
                {"upstream", id.value()},
+               {"version", attempt.placement.upstream.software_version},
                {"outcome", OutcomeName(outcome)},
                {"end", static_cast<int>(attempt.end)},
                {"first_byte", attempt.first_byte},
@@ -290,6 +345,17 @@
     attempt.end = AttemptEnd::kCancelled;
     co_return RelayOutcome::kNotRun;
   }
+  if (const UpstreamRecord* const record = fleet_.load_balancer.Find(attempt.placement.upstream.id);
+      record != nullptr) {
+    // The upstream may have started again since it was chosen.
+    attempt.placement.upstream.software_version = record->software_version;
+    const std::optional<std::uint64_t> required = call.metadata.work.required_version;
+    if (required && *required != SoftwareVersionKey(record->software_version)) {
+      attempt.failure = "The upstream has another version than the stream.";
+      attempt.end = AttemptEnd::kCancelled;
+      co_return RelayOutcome::kNotRun;
+    }
+  }
   HttpConnection* const connection = attempt.connection.get();
   attempt.registration.emplace(open_attempts_, attempt.placement.upstream.id, *connection);
   call.caller.OnDisconnect([connection] { connection->Close(); });
@@ -383,7 +449,7 @@
     call.exchange.Abort();
     co_return;
   }
-  if (fleet_.draining) {
+  if (fleet_.drain.has_begun()) {
     call.exchange.CloseAfterResponse();
   }
   if (call.failed_response) {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "core/error.h"
 #include "gateway/adapter.h"
@@ -16,6 +17,7 @@
 #include "gateway/open_attempts.h"
 #include "gateway/peer_report_transport.h"
 #include "gateway/stream_migrator.h"
+#include "gateway/stream_version_lookup.h"
 #include "gateway/upstream_connection_pool.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -55,10 +57,11 @@
   // need a restart.
   void ApplySettings(const GatewaySettings& settings);
 
-  // Starts to drain: the readiness check fails, and requests are still admitted until the load
-  // balancer has noticed.
+  // Starts to drain: the readiness check fails, and requests are accepted until the load balancer
+  // has noticed. Then all connections are closed.
   void BeginDrain();
-  // Returns true once no requests are in progress, or the time to drain is over.
+  // Returns true once no connection of a caller is open and none is accepted, or the time to drain
+  // is over.
   bool DrainFinished() const;
   void Stop();
 
@@ -68,6 +71,8 @@
   boost::asio::awaitable<void> HandleReadiness(HttpExchange& exchange);
   boost::asio::awaitable<void> HandleMetrics(HttpExchange& exchange);
   boost::asio::awaitable<void> DrainLoop();
+  // Logs a step of the drain with the work that is in progress.
+  void LogDrain(std::string_view message) const;
   boost::asio::awaitable<void> HousekeepingLoop();
 
   WorkerPool pool_;
@@ -81,6 +86,7 @@
   PeerReportTransport report_transport_;
   DutyRunner duty_runner_;
   CapacityController capacity_controller_;
+  RegisteredVersionLookup stream_versions_;
   CallRelay relay_;
   HttpServer callers_;
   HttpServer readiness_;
