--- a/packages/daemon/claim_service.cc
+++ b/packages/daemon/claim_service.cc
@@ -1,5 +1,6 @@
 #include "daemon/claim_service.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <optional>
 #include <string>
@@ -7,6 +8,7 @@
 
 #include "daemon/claim_row_codec.h"
 #include "daemon/platform_client.h"
+#include "net/log_exception.h"
 
 namespace savoryglade {
 namespace {
@@ -105,7 +107,7 @@
 
 ClaimService::~ClaimService() = default;
 
-void ClaimService::Start() { asio::co_spawn(context_, TickLoop(), asio::detached); }
+void ClaimService::Start() { asio::co_spawn(context_, TickLoop(), LogException("claim ticks")); }
 
 void ClaimService::UpdateLedger(const std::function<ClaimActions(ClaimLedger&, TimePoint)>& call) {
   ClaimActions actions;
@@ -137,7 +139,7 @@
     }
     HandleWriteResults(rejected);
     for (const ClaimRead& read : actions.reads) {
-      asio::co_spawn(context_, ReadRow(read), asio::detached);
+      asio::co_spawn(context_, ReadRow(read), LogException("claim read"));
     }
     for (const ClaimQuery& query : actions.queries) {
       if (peer_transport_.send_query) {
@@ -257,12 +259,21 @@
 
 void ClaimService::SetCommitInterval(Duration interval) {
   const std::lock_guard lock(mutex_);
-  committer_.SetInterval(interval);
+  if (!flushing_) {
+    committer_.SetInterval(interval);
+  }
+}
+
+void ClaimService::Flush() {
+  const std::lock_guard lock(mutex_);
+  flushing_ = true;
+  committer_.Flush();
 }
 
-bool ClaimService::idle() const {
+std::size_t ClaimService::unwritten_claims() const {
   const std::lock_guard lock(mutex_);
-  return committer_.idle() && ledger_.size() == 0;
+  // A write that the ledger has given up may still be queued or in flight.
+  return std::max<std::size_t>(ledger_.size(), committer_.idle() ? 0 : 1);
 }
 
 asio::awaitable<void> ClaimService::TickLoop() {
@@ -280,7 +291,7 @@
     }
     HandleWriteResults(expired);
     if (transaction) {
-      asio::co_spawn(context_, Commit(std::move(*transaction)), asio::detached);
+      asio::co_spawn(context_, Commit(std::move(*transaction)), LogException("claim commit"));
     }
   }
 }
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -17,6 +17,7 @@
 #include "daemon/request_handler_context.h"
 #include "daemon/request_identity.h"
 #include "logging/logger.h"
+#include "net/log_exception.h"
 
 namespace savoryglade {
 namespace {
@@ -96,6 +97,7 @@
                                  std::hash<std::string>()(settings_.daemon.value()))),
       dispatcher_({.incarnation = MakeIncarnation()}, {.local_domain = settings_.failure_domain},
                   std::hash<std::string>()(settings_.daemon.value()), metrics_),
+      stop_(dependencies_.stop_limits),
       pool_(static_cast<std::size_t>(settings_.worker_threads)),
       platform_(pool_.context(0), settings_, metrics_, configuration_),
       administration_handler_(platform_, configuration_, metrics_),
@@ -108,13 +110,7 @@
     connections_.push_back(std::make_unique<ConnectionPool>(dependencies_.path.pool,
                                                             request_metrics_.silent_connections));
   }
-  administration_handler_.SetDrainHandler([this] {
-    if (dependencies_.on_drain_requested) {
-      dependencies_.on_drain_requested();
-    } else {
-      BeginDrain();
-    }
-  });
+  administration_handler_.SetDrainHandler([this] { BeginDrain(); });
   configuration_.Subscribe(
       [this](const ConfigHolder::Snapshot& snapshot) { dispatcher_.Configure(*snapshot); });
 }
@@ -187,9 +183,10 @@
   }
   callers_endpoint_ = *callers_bound;
   administration_endpoint_ = *administration_bound;
-  asio::co_spawn(pool_.context(0), TickLoop(), asio::detached);
+  asio::co_spawn(pool_.context(0), TickLoop(), LogException("daemon ticks"));
   for (std::size_t i = 0; i < pool_.size(); ++i) {
-    asio::co_spawn(pool_.context(i), connections_[i]->RunHealthChecks(), asio::detached);
+    asio::co_spawn(pool_.context(i), connections_[i]->RunHealthChecks(),
+                   LogException("health checks"));
   }
   kLog.Info("Listening.", {{"daemon", settings_.daemon.value()},
                            {"failure_domain", settings_.failure_domain.value()},
@@ -222,11 +219,15 @@
 }
 
 void Daemon::BeginDrain() {
-  draining_ = true;
-  kLog.Info("Draining.", {{"in_flight", caller_server_.active_exchanges()}});
+  if (stop_.Begin()) {
+    kLog.Info("Draining.", {{"in_flight", caller_server_.active_exchanges()}});
+  }
 }
 
 void Daemon::StartDrainTimeout(Duration timeout) {
+  if (drain_timeout_started_.exchange(true)) {
+    return;
+  }
   kLog.Info("Requests in flight are interrupted when the drain timeout expires.",
             {{"in_flight", caller_server_.active_exchanges()}, {"seconds", ToSeconds(timeout)}});
   asio::co_spawn(
@@ -236,12 +237,10 @@
         co_await timer.async_wait(asio::use_awaitable);
         active_requests_.InterruptAll(InterruptCause::kDrainLimit);
       },
-      asio::detached);
+      LogException("drain timeout"));
 }
 
 void Daemon::Stop() {
-  caller_server_.StopAccepting();
-  administration_server_.StopAccepting();
   pool_.Stop();
   kLog.Info("Stopped.");
 }
@@ -260,9 +259,46 @@
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(asio::use_awaitable);
     dispatcher_.Tick();
+    AdvanceStop();
   }
 }
 
+void Daemon::AdvanceStop() {
+  const StopPhase before = stop_.phase();
+  if (before == StopPhase::kServing || before == StopPhase::kGone) {
+    return;
+  }
+  const StopWork work{.requests_in_flight = caller_server_.active_exchanges(),
+                      .open_connections = caller_server_.open_connections() +
+                                          administration_server_.open_connections(),
+                      .unwritten_claims = dependencies_.claims->unwritten_claims()};
+  const StopPhase phase = stop_.Advance(work, std::chrono::steady_clock::now());
+  if (phase == before) {
+    return;
+  }
+  if (phase == StopPhase::kClosing) {
+    kLog.Info(
+        "No request is in flight; closing the listeners and connections.",
+        {{"open_connections", work.open_connections}, {"unwritten_claims", work.unwritten_claims}});
+    // The acceptors run on this context, so they are closed before the next call.
+    caller_server_.Close();
+    administration_server_.Close();
+    dependencies_.claims->Flush();
+    return;
+  }
+  if (work.open_connections > 0) {
+    kLog.Warning("The time to end connections has passed; the open ones are cut off.",
+                 {{"open_connections", work.open_connections}});
+  }
+  if (work.unwritten_claims > 0) {
+    kLog.Warning(
+        "The time to write claims has passed; requests of these claims that are sent again get the "
+        "verdict may_have_run.",
+        {{"unwritten_claims", work.unwritten_claims}});
+  }
+  kLog.Info("Drained.");
+}
+
 RequestKey Daemon::MakeRequestKey() {
   const auto start = std::chrono::system_clock::now().time_since_epoch().count();
   return RequestKey(fmt::format("{}-{:x}-{:x}", settings_.daemon.value(), start,
@@ -284,8 +320,9 @@
 
 asio::awaitable<void> Daemon::HandleCallerRequest(HttpExchange& exchange) {
   if (exchange.target() == "/healthz" || exchange.target() == "/readyz") {
-    const bool ready = !draining_ && platform_.ready();
-    const char* text = draining_ ? "draining\n" : ready ? "ready\n" : "starting\n";
+    const bool draining = !stop_.AdmitsRequests();
+    const bool ready = !draining && platform_.ready();
+    const char* text = draining ? "draining\n" : ready ? "ready\n" : "starting\n";
     co_await exchange.Respond(ready ? 200 : 503, ContentType("text/plain"), text);
     co_return;
   }
@@ -293,14 +330,14 @@
   const bool has_idempotency_key = IsValidRequestKey(caller_key);
   const RequestKey key =
       has_idempotency_key ? RequestKey(std::string(caller_key)) : MakeRequestKey();
-  if (!platform_.ready()) {
-    const Verdict verdict{.reason = Reason::kNotReady, .retry_after = 1s};
+  if (!stop_.AdmitsRequests()) {
+    const Verdict verdict{.reason = Reason::kDraining, .retry_after = 1s};
+    exchange.CloseAfterResponse();
     co_await RespondWithVerdict(exchange, key, verdict, metrics_);
     co_return;
   }
-  if (draining_) {
-    const Verdict verdict{.reason = Reason::kDraining, .retry_after = 1s};
-    exchange.CloseAfterResponse();
+  if (!platform_.ready()) {
+    const Verdict verdict{.reason = Reason::kNotReady, .retry_after = 1s};
     co_await RespondWithVerdict(exchange, key, verdict, metrics_);
     co_return;
   }
