Exchange the versions of streams between daemons

Cause: which version began a stream is known to its daemon only, and is lost when that daemon is killed.

The watcher of the store passes on how fresh the view of the registrations is, the longest timeout of a resumable stream, and which services replace others on a route. Nothing calls OnStreamBegan yet.

A record takes 8 bytes of a report.

--- a/packages/config/route_table.h
+++ b/packages/config/route_table.h
@@ -45,10 +45,10 @@
   bool resumable = false;
   std::vector<WeightedService> services;
 
+  // Returns true for a stream that an upstream can continue after the last event received.
+  bool IsResumableStream() const { return kind == CallKind::kStream && resumable; }
   // Returns true if a request may be sent to a second upstream after the first may have run it.
-  bool Repeatable() const {
-    return kind == CallKind::kIdempotent || (kind == CallKind::kStream && resumable);
-  }
+  bool Repeatable() const { return kind == CallKind::kIdempotent || IsResumableStream(); }
 
   friend auto operator<=>(const Route&, const Route&) = default;
 };
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <memory>
 #include <utility>
 
@@ -106,6 +107,50 @@
   return records;
 }
 
+// Groups the records by version, so that each takes the bytes of its attempt only.
+std::vector<std::unique_ptr<wire::StreamVersionItemT>> EncodeStreamVersions(
+    const std::vector<StreamVersionRecord>& records) {
+  std::map<std::uint64_t, std::unique_ptr<wire::StreamVersionItemT>> by_version;
+  for (const StreamVersionRecord& record : records) {
+    auto& item = by_version[record.version];
+    if (item == nullptr) {
+      item = std::make_unique<wire::StreamVersionItemT>();
+      item->version = record.version;
+    }
+    item->attempts.push_back(record.attempt);
+  }
+  std::vector<std::unique_ptr<wire::StreamVersionItemT>> items;
+  items.reserve(by_version.size());
+  for (auto& [version, item] : by_version) {
+    items.push_back(std::move(item));
+  }
+  return items;
+}
+
+std::vector<StreamVersionRecord> DecodeStreamVersions(
+    const std::vector<std::unique_ptr<wire::StreamVersionItemT>>& items) {
+  std::vector<StreamVersionRecord> records;
+  for (const auto& item : items) {
+    for (const std::uint64_t attempt : item->attempts) {
+      records.push_back({.attempt = attempt, .version = item->version});
+    }
+  }
+  return records;
+}
+
+template <typename Table>
+std::string Serialize(const typename Table::NativeTableType& message) {
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(Table::Pack(builder, &message));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+template <typename Table>
+bool IsValid(std::string_view text) {
+  flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(text.data()), text.size());
+  return verifier.VerifyBuffer<Table>(nullptr);
+}
+
 }  // namespace
 
 std::string EncodeDigest(const FleetReport& report) {
@@ -147,15 +192,12 @@
   if (report.feed_update) {
     digest.feed = EncodeFeedUpdate(*report.feed_update, report.feed_update_age);
   }
-  flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(wire::FleetDigest::Pack(builder, &digest));
-  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+  digest.streams = EncodeStreamVersions(report.streams);
+  return Serialize<wire::FleetDigest>(digest);
 }
 
 Result<FleetReport> DecodeDigest(std::string_view datagram) {
-  flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(datagram.data()),
-                                 datagram.size());
-  if (!verifier.VerifyBuffer<wire::FleetDigest>(nullptr)) {
+  if (!IsValid<wire::FleetDigest>(datagram)) {
     return tl::make_unexpected(
         Error{.code = ErrorCode::kInvalid, .message = "The datagram is not a valid digest."});
   }
@@ -206,7 +248,52 @@
     report.feed_update = DecodeFeedUpdate(*digest.feed);
     report.feed_update_age = DecodeAge(digest.feed->age_ms);
   }
+  report.streams = DecodeStreamVersions(digest.streams);
   return report;
 }
 
+std::string EncodeStreamSnapshot(const StreamVersionSnapshot& snapshot) {
+  wire::StreamSnapshotT encoded;
+  if (snapshot.known_age) {
+    encoded.known_age_ms = *snapshot.known_age / 1ms;
+  }
+  for (const KnownVersionAge& age : snapshot.versions) {
+    auto item = std::make_unique<wire::KnownVersionItemT>();
+    item->service = age.service.value();
+    item->version = age.version;
+    if (age.absent_age) {
+      // Rounded up, so that the version is not taken for newer than it is.
+      item->absent_age_ms = *age.absent_age / 1ms + 1;
+    }
+    item->present_age_ms = age.present_age / 1ms;
+    encoded.versions.push_back(std::move(item));
+  }
+  encoded.streams = EncodeStreamVersions(snapshot.records);
+  return Serialize<wire::StreamSnapshot>(encoded);
+}
+
+Result<StreamVersionSnapshot> DecodeStreamSnapshot(std::string_view text) {
+  if (!IsValid<wire::StreamSnapshot>(text)) {
+    return tl::make_unexpected(
+        Error{.code = ErrorCode::kInvalid, .message = "The text is not a valid snapshot."});
+  }
+  wire::StreamSnapshotT encoded;
+  flatbuffers::GetRoot<wire::StreamSnapshot>(text.data())->UnPackTo(&encoded);
+  StreamVersionSnapshot snapshot;
+  if (encoded.known_age_ms >= 0) {
+    snapshot.known_age = DecodeAge(encoded.known_age_ms);
+  }
+  for (const auto& item : encoded.versions) {
+    KnownVersionAge& age = snapshot.versions.emplace_back();
+    age.service = ServiceId(item->service);
+    age.version = item->version;
+    if (item->absent_age_ms >= 0) {
+      age.absent_age = DecodeAge(item->absent_age_ms);
+    }
+    age.present_age = DecodeAge(item->present_age_ms);
+  }
+  snapshot.records = DecodeStreamVersions(encoded.streams);
+  return snapshot;
+}
+
 }  // namespace savoryglade::gateway
--- a/packages/gateway/digest_codec.h
+++ b/packages/gateway/digest_codec.h
@@ -5,6 +5,7 @@
 
 #include "core/error.h"
 #include "gateway/fleet_report.h"
+#include "recovery/stream_version_directory.h"
 
 namespace savoryglade::gateway {
 
@@ -14,4 +15,10 @@
 // Decodes a datagram. Returns kInvalid if it is malformed.
 Result<FleetReport> DecodeDigest(std::string_view datagram);
 
+// Encodes the response to a daemon that asks for the versions of streams.
+std::string EncodeStreamSnapshot(const StreamVersionSnapshot& snapshot);
+
+// Decodes such a response. Returns kInvalid if it is malformed.
+Result<StreamVersionSnapshot> DecodeStreamSnapshot(std::string_view text);
+
 }  // namespace savoryglade::gateway
--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -15,6 +15,7 @@
 #include "membership/fleet_groups.h"
 #include "membership/registration_view.h"
 #include "recovery/crash_registry.h"
+#include "recovery/stream_version_directory.h"
 #include "routing/fleet_load_balancer.h"
 #include "scheduling/account_rate_limiter.h"
 
@@ -62,6 +63,8 @@
   // Registration changes that the sender has read from the store, and time since that read began.
   std::optional<FeedUpdate> feed_update;
   Duration feed_update_age = Duration::zero();
+  // Streams that the sender has begun; empty in reports on several daemons.
+  std::vector<StreamVersionRecord> streams;
 
   // Adds the time that the report was under way to the ages in it.
   void AddDelay(Duration delay) {
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -17,6 +17,7 @@
 #include "metrics/registry.h"
 #include "recovery/crash_registry.h"
 #include "recovery/drain_policy.h"
+#include "recovery/stream_version_directory.h"
 #include "recovery/window_retry_budget.h"
 #include "routing/fleet_load_balancer.h"
 #include "scheduling/account_rate_limiter.h"
@@ -32,6 +33,12 @@
   friend auto operator<=>(const HolderAnnouncement&, const HolderAnnouncement&) = default;
 };
 
+// Time for which a version that is new to a daemon gets no work, and age of the oldest view from
+// which versions are inferred, as fractions of the time in which an upstream's notice must be
+// known.
+inline constexpr double kVersionHoldFraction = 0.6;
+inline constexpr double kVersionViewFraction = 0.5;
+
 // Shared state of the gateway on one VM: its view of the fleet and the objects that make decisions
 // for requests, store watches, peer reports and the fleet's duties, which are usage reports and
 // capacity orders to the platform. Not thread-safe; used on one thread.
@@ -58,6 +65,9 @@
                              .ratio = bounds.retry_ratio,
                              .allowance = bounds.retry_allowance});
     drain_policy = DrainPolicy({.grace_period = bounds.stop_grace});
+    const double drain = ToSeconds(bounds.upstream_drain);
+    stream_versions.SetHoldTime(FromSeconds(drain * kVersionHoldFraction),
+                                FromSeconds(drain * kVersionViewFraction));
   }
 
   FleetDaemon Self() const {
@@ -95,6 +105,7 @@
   WindowRetryBudget retry_budget;
   CrashRegistry crash_registry;
   CrashRegistry part_crash_registry{kPartCrashPolicy};
+  StreamVersionDirectory stream_versions{StreamVersionOptions{}};
   capacity::UsageLedger usage;
   capacity::WorkMeter work;
   FleetClock clock;
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -36,6 +36,8 @@
 constexpr Duration kPeerRoutesDelay = 200ms;
 constexpr Duration kPeerRoutesTimeout = 500ms;
 constexpr const char* kRoutesTarget = "/routes";
+// Time for which a daemon may send streams to an upstream that is no longer registered.
+constexpr Duration kStreamLifetimeMargin = 10s;
 // Shortest time between two reads of one table.
 constexpr Duration kMinReadInterval = 20ms;
 
@@ -130,12 +132,45 @@
                                        {"routes", document.routes.size()},
                                        {"accounts", document.accounts.size()}});
   fleet_.rate_limiter.Configure(document.accounts, BootNow());
-  fleet_.routes = std::make_shared<const RouteTable>(std::move(document));
+  auto routes = std::make_shared<const RouteTable>(std::move(document));
+  UpdateStreamRoutes(*routes);
+  fleet_.routes = std::move(routes);
   fleet_.routes_text = std::move(text);
   callbacks_.on_routes(*fleet_.routes);
   callbacks_.publish(std::nullopt);
 }
 
+void FleetStoreWatcher::UpdateStreamRoutes(const RouteTable& routes) {
+  const TimePoint now = BootNow();
+  Duration longest_timeout = Duration::zero();
+  for (const Route& route : routes.document().routes) {
+    if (route.IsResumableStream()) {
+      longest_timeout = std::max(longest_timeout, route.timeout);
+    }
+  }
+  fleet_.stream_versions.SetLifetime(longest_timeout + kStreamLifetimeMargin);
+  if (fleet_.routes == nullptr) {
+    return;
+  }
+  // A path may have another route now because a longer prefix was added or removed.
+  for (const RouteTable* table : {&routes, fleet_.routes.get()}) {
+    for (const Route& route : table->document().routes) {
+      const Route* const before = fleet_.routes->Match(route.host, route.prefix);
+      const Route* const after = routes.Match(route.host, route.prefix);
+      if (!route.IsResumableStream() || before == nullptr || after == nullptr) {
+        continue;
+      }
+      for (const WeightedService& from : before->services) {
+        for (const WeightedService& to : after->services) {
+          if (before->services != after->services && from.service != to.service) {
+            fleet_.stream_versions.OnServiceReplaced(from.service, to.service, now);
+          }
+        }
+      }
+    }
+  }
+}
+
 asio::awaitable<void> FleetStoreWatcher::HandleRoutesRequest(HttpExchange& exchange) const {
   if (exchange.target() != kRoutesTarget || fleet_.routes_text.empty()) {
     co_await exchange.Respond(404, {}, {});
@@ -195,13 +230,18 @@
   for (const FeedUpdate& update : updates) {
     ApplyUpstreams(registrations_.Apply(update.changes, false, BootNow()));
     upstreams_position_ = std::max(upstreams_position_, update.position);
-    upstream_schedule_.OnConfirmed(update.as_of);
+    ConfirmUpstreams(update.as_of);
   }
   if (!updates.empty()) {
     upstreams_timer_.cancel();
   }
 }
 
+void FleetStoreWatcher::ConfirmUpstreams(TimePoint as_of) {
+  upstream_schedule_.OnConfirmed(as_of);
+  fleet_.stream_versions.OnViewConfirmed(as_of);
+}
+
 asio::awaitable<void> FleetStoreWatcher::WaitUntilUpstreamsDue() {
   while (true) {
     const TimePoint now = BootNow();
@@ -241,7 +281,7 @@
   full_read_needed_ = false;
   const FeedPosition after = upstreams_position_;
   upstreams_position_ = std::max(upstreams_position_, update->position);
-  upstream_schedule_.OnConfirmed(read_started_at);
+  ConfirmUpstreams(read_started_at);
   if (upstreams_loaded_) {
     callbacks_.publish(FeedUpdate{.after = after,
                                   .position = upstreams_position_,
--- a/packages/gateway/fleet_store_watcher.h
+++ b/packages/gateway/fleet_store_watcher.h
@@ -54,6 +54,8 @@
   // Reads and applies changed registrations. Returns false if the store call failed.
   boost::asio::awaitable<bool> ReadUpstreams();
   void ApplyRoutes(RouteDocument document, std::string text);
+  // Records how long streams can be resumed, and which services replace others on their routes.
+  void UpdateStreamRoutes(const RouteTable& routes);
   // Returns true if a peer has reported newer routes than this daemon holds.
   bool IsBehindPeers() const;
   // Fetches the routes from peers that hold newer ones, until this daemon holds them too.
@@ -64,6 +66,8 @@
   }
   // Records that the store held no newer routes at this instant.
   void ConfirmRoutes(TimePoint as_of);
+  // Records that the registrations held are those of this instant.
+  void ConfirmUpstreams(TimePoint as_of);
   void ApplyUpstreams(const std::vector<RegistrationChange>& changes);
   // Applies peers' updates that continue from this daemon's position.
   void ApplyFeedUpdates(const std::vector<FeedUpdate>& updates);
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -61,13 +61,16 @@
                                                report_transport_.Publish(std::move(feed_update));
                                              }}),
       crash_records_(fleet_, *adapters_.store, pool_.context(0)),
-      report_transport_(fleet_, *adapters_.store,
-                        [this](const FleetReport& report) {
-                          store_watcher_.OnReport(report);
-                          if (!report.crashes.empty() || !report.part_crashes.empty()) {
-                            crash_records_.OnRegistryChanged();
-                          }
-                        }),
+      stream_snapshots_(fleet_, pool_.context(0)),
+      report_transport_(
+          fleet_, *adapters_.store,
+          [this](const FleetReport& report) {
+            store_watcher_.OnReport(report);
+            if (!report.crashes.empty() || !report.part_crashes.empty()) {
+              crash_records_.OnRegistryChanged();
+            }
+          },
+          [this](const Endpoint& peer) { stream_snapshots_.OnPeerReturned(peer); }),
       duty_runner_(fleet_, *adapters_.store, *adapters_.duties),
       capacity_controller_(fleet_, *adapters_.store, *adapters_.duties, duty_runner_),
       relay_(fleet_, *adapters_.codec, connections_, migrator_, open_attempts_,
@@ -76,9 +79,8 @@
                [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
       readiness_(pool_, {}, [this](HttpExchange& exchange) { return HandleReadiness(exchange); }),
       metrics_(pool_, {}, [this](HttpExchange& exchange) { return HandleMetrics(exchange); }),
-      peer_requests_(pool_, {}, [this](HttpExchange& exchange) {
-        return store_watcher_.HandleRoutesRequest(exchange);
-      }) {}
+      peer_requests_(pool_, {},
+                     [this](HttpExchange& exchange) { return HandlePeerRequest(exchange); }) {}
 
 Gateway::~Gateway() { Stop(); }
 
@@ -119,6 +121,7 @@
   spawn(store_watcher_.UpstreamsLoop());
   spawn(crash_records_.ReadLoop());
   spawn(crash_records_.WriteLoop());
+  spawn(stream_snapshots_.Loop());
   spawn(report_transport_.ReceiveLoop());
   spawn(report_transport_.SendLoop());
   spawn(report_transport_.RegisterLoop());
@@ -133,6 +136,14 @@
   return {};
 }
 
+asio::awaitable<void> Gateway::HandlePeerRequest(HttpExchange& exchange) {
+  if (exchange.target() == StreamSnapshotExchange::kTarget) {
+    co_await stream_snapshots_.HandleRequest(exchange);
+    co_return;
+  }
+  co_await store_watcher_.HandleRoutesRequest(exchange);
+}
+
 asio::awaitable<void> Gateway::HandleReadiness(HttpExchange& exchange) {
   const bool ready = store_watcher_.has_synced() && crash_records_.loaded() && !fleet_.draining;
   co_await exchange.Respond(ready ? 200 : 503, {}, {});
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "gateway/open_attempts.h"
 #include "gateway/peer_report_transport.h"
 #include "gateway/stream_migrator.h"
+#include "gateway/stream_snapshot_exchange.h"
 #include "gateway/upstream_connection_pool.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -65,6 +66,8 @@
  private:
   // Applies the operators' request limits to the callers' listener.
   void ApplyRequestLimits(const RequestLimits& request_limits);
+  // Responds to a request of another daemon.
+  boost::asio::awaitable<void> HandlePeerRequest(HttpExchange& exchange);
   boost::asio::awaitable<void> HandleReadiness(HttpExchange& exchange);
   boost::asio::awaitable<void> HandleMetrics(HttpExchange& exchange);
   boost::asio::awaitable<void> DrainLoop();
@@ -78,6 +81,7 @@
   OpenAttempts open_attempts_;
   FleetStoreWatcher store_watcher_;
   CrashRecordStore crash_records_;
+  StreamSnapshotExchange stream_snapshots_;
   PeerReportTransport report_transport_;
   DutyRunner duty_runner_;
   CapacityController capacity_controller_;
--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -101,8 +101,13 @@
 }  // namespace
 
 PeerReportTransport::PeerReportTransport(FleetState& fleet, FleetStore& store,
-                                         ReportCallback on_report)
-    : fleet_(fleet), store_(store), exchange_(fleet), on_report_(std::move(on_report)) {}
+                                         ReportCallback on_report,
+                                         PeerReturnedCallback on_peer_returned)
+    : fleet_(fleet),
+      store_(store),
+      exchange_(fleet),
+      on_report_(std::move(on_report)),
+      on_peer_returned_(std::move(on_peer_returned)) {}
 
 Result<void> PeerReportTransport::Open(asio::io_context& context) {
   const Endpoint& endpoint = fleet_.settings.peers;
@@ -191,6 +196,10 @@
   exchange_.RemoveDaemon(daemon);
 }
 
+Duration PeerReportTransport::SilenceTimeout() const {
+  return std::max(kMinSilenceTimeout, kSilenceDigestIntervals * fleet_.digest_interval);
+}
+
 void PeerReportTransport::ExpirePeers(TimePoint now) {
   const Duration lifetime =
       std::max(kPeerLifetime, FromSeconds(ToSeconds(RegisterInterval()) * kMaxMissedRegistrations));
@@ -209,8 +218,7 @@
   fleet_.rate_limiter.SetDaemonCount(daemons);
   const auto group = static_cast<int>(fleet_.groups.Group().size()) + 1;
   fleet_.digest_interval = std::max(kMinDigestInterval, kDigestIntervalPerPeer * group);
-  const Duration silence =
-      std::max(kMinSilenceTimeout, kSilenceDigestIntervals * fleet_.digest_interval);
+  const Duration silence = SilenceTimeout();
   fleet_.rate_limiter.SetPeerSilenceTimeout(silence);
   fleet_.load_balancer.SetReportLifetime(silence);
   fleet_.groups.SetReportTimeout(silence);
@@ -290,12 +298,13 @@
     return;
   }
   Peer& peer = peers_[daemon];
+  const bool restarted = peer.incarnation != report.incarnation;
   if (peer.endpoint != from) {
     kLog.Info("Discovered a peer or its new address.",
               {{"daemon", daemon.value()}, {"address", from.address().to_string()}});
     peer.endpoint = from;
   }
-  if (peer.incarnation != report.incarnation) {
+  if (restarted) {
     peer.incarnation = report.incarnation;
     // The peer has restarted without state, so the next report is a full one.
     full_report_sent_at_ = {};
@@ -309,9 +318,15 @@
   if (!IsRelevant(report, now)) {
     return;
   }
+  const Endpoint requests{.address = from.address().to_string(), .port = report.requests_port};
   if (report.requests_port != 0 && report.routes_version >= fleet_.peer_routes_version) {
-    fleet_.peer_routes_source =
-        Endpoint{.address = from.address().to_string(), .port = report.requests_port};
+    fleet_.peer_routes_source = requests;
+  }
+  if (report.requests_port != 0 && report.scope == ReportScope::kDaemon) {
+    if (restarted || now - peer.last_report > SilenceTimeout()) {
+      on_peer_returned_(requests);
+    }
+    peer.last_report = now;
   }
   exchange_.Apply(report, now);
   on_report_(report);
--- a/packages/gateway/peer_report_transport.h
+++ b/packages/gateway/peer_report_transport.h
@@ -24,7 +24,12 @@
   // Called with each report that has been applied to the fleet state.
   using ReportCallback = std::function<void(const FleetReport&)>;
 
-  PeerReportTransport(FleetState& fleet, FleetStore& store, ReportCallback on_report);
+  // Called when reports of a daemon of the group arrive for the first time or after a pause, with
+  // the endpoint at which it responds to requests.
+  using PeerReturnedCallback = std::function<void(const Endpoint&)>;
+
+  PeerReportTransport(FleetState& fleet, FleetStore& store, ReportCallback on_report,
+                      PeerReturnedCallback on_peer_returned);
 
   // Binds the socket. The error names the endpoint.
   Result<void> Open(boost::asio::io_context& context);
@@ -44,6 +49,8 @@
     boost::asio::ip::udp::endpoint endpoint;
     // Time at which a report of the peer or a new version of its row was last received.
     TimePoint last_seen{};
+    // Time of the last report that was applied.
+    TimePoint last_report{};
     std::uint64_t incarnation = 0;
     std::uint64_t row_version = 0;
   };
@@ -54,6 +61,8 @@
   boost::asio::awaitable<void> Send(const FleetReport& report, std::vector<DaemonId> receivers);
   // Returns false if the receiver is unknown or the datagram cannot be sent.
   bool SendDatagram(const std::string& datagram, const DaemonId& receiver);
+  // Returns the time after which a daemon without reports counts as silent.
+  Duration SilenceTimeout() const;
   // Removes peers that have been silent for too long, and adapts to the size of the fleet.
   void ExpirePeers(TimePoint now);
   // Removes a daemon from the peers that receive reports.
@@ -76,6 +85,7 @@
   ReportExchange exchange_;
   ReportDelay report_delay_;
   ReportCallback on_report_;
+  PeerReturnedCallback on_peer_returned_;
   std::unique_ptr<boost::asio::ip::udp::socket> socket_;
   std::map<DaemonId, Peer> peers_;
   bool grouped_ = false;
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -15,6 +15,8 @@
 // Windows before the current one whose counts are sent; these can still change or be reported.
 constexpr capacity::WindowNumber kReportedPastWindows = 2;
 constexpr std::size_t kMaxReportedCrashes = 48;
+// Streams in one report, at 8 bytes each.
+constexpr std::size_t kMaxReportedStreams = 512;
 
 const Logger kLog("peers");
 
@@ -114,6 +116,9 @@
     report.routes_age =
         fleet_.routes_read_at == TimePoint{} ? Duration::max() : now - fleet_.routes_read_at;
   }
+  if (scope == ReportScope::kDaemon) {
+    report.streams = fleet_.stream_versions.SelectForReport(kMaxReportedStreams, now);
+  }
   AddAllowanceUsage(full, now, last_reported_[scope], report);
   AddUsageCounts(full, now, last_reported_[scope], report);
   if (full) {
@@ -178,6 +183,7 @@
   }
   MergeCrashRecords(report.crashes, report.sender.id, fleet_.crash_registry, now);
   MergeCrashRecords(report.part_crashes, report.sender.id, fleet_.part_crash_registry, now);
+  fleet_.stream_versions.OnPeerRecords(report.streams, now);
 }
 
 void ReportExchange::MergeCrashRecords(const std::vector<CrashRecord>& records,
--- a/packages/recovery/stream_version_directory.cc
+++ b/packages/recovery/stream_version_directory.cc
@@ -48,7 +48,7 @@
 
 void StreamVersionDirectory::OnViewConfirmed(TimePoint as_of) {
   view_confirmed_at_ = std::max(view_confirmed_at_.value_or(as_of), as_of);
-  known_since_ = std::min(known_since_.value_or(as_of), as_of);
+  known_since_ = known_since_.value_or(as_of);
 }
 
 void StreamVersionDirectory::OnServiceReplaced(const ServiceId& from, const ServiceId& to,
--- a/tests/gateway/digest_codec_test.cc
+++ b/tests/gateway/digest_codec_test.cc
@@ -88,6 +88,61 @@
   EXPECT_FALSE(read->feed_update->changes[1].record);
 }
 
+TEST(DigestCodecTest, RoundTripsTheVersionsOfStreams) {
+  FleetReport report{.sender = {.id = DaemonId("there")}};
+  report.streams = {{.attempt = 1, .version = 5}, {.attempt = 2, .version = 6}};
+  const Result<FleetReport> read = DecodeDigest(EncodeDigest(report));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->streams, report.streams);
+}
+
+// Guards against reports that grow by more than the eight bytes of each attempt.
+TEST(DigestCodecTest, StreamTakesEightBytesOfAReport) {
+  FleetReport report{.sender = {.id = DaemonId("there")}};
+  report.streams = {{.attempt = 1, .version = 5}};
+  const std::size_t size = EncodeDigest(report).size();
+  for (std::uint64_t attempt = 2; attempt <= 101; ++attempt) {
+    report.streams.push_back({.attempt = attempt, .version = 5});
+  }
+  EXPECT_EQ(EncodeDigest(report).size(), size + 800);
+}
+
+TEST(DigestCodecTest, RoundTripsASnapshotOfStreams) {
+  StreamVersionSnapshot snapshot{.known_age = 40s};
+  snapshot.versions.push_back({.service = kModel, .version = 5, .present_age = 20ms});
+  snapshot.versions.push_back({.service = kModel, .version = 6, .absent_age = 3s});
+  snapshot.records = {{.attempt = 1, .version = 5}, {.attempt = 2, .version = 6}};
+  Result<StreamVersionSnapshot> read = DecodeStreamSnapshot(EncodeStreamSnapshot(snapshot));
+  ASSERT_TRUE(read);
+  // Rounded up to the next millisecond.
+  snapshot.versions[1].absent_age = 3001ms;
+  EXPECT_EQ(*read, snapshot);
+  snapshot.known_age.reset();
+  read = DecodeStreamSnapshot(EncodeStreamSnapshot(snapshot));
+  ASSERT_TRUE(read);
+  EXPECT_FALSE(read->known_age);
+}
+
+TEST(DigestCodecTest, MalformedSnapshotsDoNotCrash) {
+  StreamVersionSnapshot snapshot{.known_age = 40s};
+  snapshot.versions.push_back({.service = kModel, .version = 6, .absent_age = 3s});
+  snapshot.records = {{.attempt = 1, .version = 5}, {.attempt = 2, .version = 6}};
+  const std::string text = EncodeStreamSnapshot(snapshot);
+  StreamVersionDirectory directory({});
+  Random random(20261204);
+  for (int i = 0; i < 2000; ++i) {
+    std::string bytes = text;
+    for (std::uint64_t change = random.UniformInt(8) + 1; change > 0; --change) {
+      bytes[random.UniformInt(bytes.size())] = static_cast<char>(random.UniformInt(256));
+    }
+    bytes.resize(random.UniformInt(bytes.size()) + 1);
+    if (const Result<StreamVersionSnapshot> read = DecodeStreamSnapshot(bytes)) {
+      directory.OnPeerSnapshot(*read, 1ms, At(1s));
+    }
+  }
+  EXPECT_FALSE(DecodeStreamSnapshot(""));
+}
+
 // Guards against counting a daemon's own requests twice when it receives its own datagram.
 TEST(DigestCodecTest, IgnoresTheDaemonsOwnDatagram) {
   const auto local = MakeFleet("here");
