Identify versions of streams by their hashes

Cause: the key of a version is computed where registrations are held, and a second place would have to agree with it.

Change: StreamVersionDirectory takes the keys of versions instead of their names.

--- a/packages/recovery/stream_version_directory.cc
+++ b/packages/recovery/stream_version_directory.cc
@@ -11,19 +11,18 @@
 }  // namespace
 
 TimePoint StreamVersionDirectory::OnUpstream(const UpstreamId& upstream, const ServiceId& service,
-                                             std::string_view version, TimePoint now) {
-  const std::uint64_t key = KeyOf(version);
-  const std::pair<ServiceId, std::uint64_t> registered(service, key);
+                                             std::uint64_t version, TimePoint now) {
+  const std::pair<ServiceId, std::uint64_t> registered(service, version);
   const auto [found, is_new] = upstreams_.try_emplace(upstream, registered);
   if (!is_new && found->second != registered) {
     ReleaseUpstream(found->second.first, found->second.second, now);
     found->second = registered;
   } else if (!is_new) {
-    return versions_[service][key].held_until;
+    return versions_[service][version].held_until;
   }
   Versions& versions = versions_[service];
   std::erase_if(versions, [&](const auto& item) { return !IsPresent(item.second, now); });
-  const auto [known, added] = versions.try_emplace(key);
+  const auto [known, added] = versions.try_emplace(version);
   if (added && view_confirmed_at_) {
     known->second.absent_at = view_confirmed_at_;
     known->second.held_until = now + options_.hold_time;
@@ -127,8 +126,8 @@
 }
 
 void StreamVersionDirectory::OnStreamBegan(std::string_view attempt, const ServiceId& service,
-                                           std::string_view version, TimePoint now) {
-  const StreamVersionRecord record{.attempt = KeyOf(attempt), .version = KeyOf(version)};
+                                           std::uint64_t version, TimePoint now) {
+  const StreamVersionRecord record{.attempt = KeyOf(attempt), .version = version};
   AddRecord(record, now);
   if (NeedsRecords(service, now)) {
     pending_.push_back({.record = record, .reports_left = options_.reports_per_record});
--- a/packages/recovery/stream_version_directory.h
+++ b/packages/recovery/stream_version_directory.h
@@ -83,15 +83,16 @@
 };
 
 // Knows which software version of a service began a stream, so that it can be resumed at any daemon
-// of a group. Daemons report the streams that they begin, unless the version can be inferred: that
-// is while only one version of the service has been registered for the lifetime of a stream. Two
-// different versions for one attempt leave its version unknown. Not thread-safe.
+// of a group. Versions are identified by the hashes of their names. Daemons report the streams that
+// they begin, unless the version can be inferred: that is while only one version of the service has
+// been registered for the lifetime of a stream. Two different versions for one attempt leave its
+// version unknown. Not thread-safe.
 class StreamVersionDirectory {
  public:
   explicit StreamVersionDirectory(StreamVersionOptions options) : options_(options) {}
 
-  // Returns the key of a version or of an attempt in records.
-  static std::uint64_t KeyOf(std::string_view text) { return Fnv1aHash(text); }
+  // Returns the key of an attempt in records.
+  static std::uint64_t KeyOf(std::string_view attempt) { return Fnv1aHash(attempt); }
 
   void SetLifetime(Duration lifetime) { options_.lifetime = lifetime; }
   // Sets the hold time, and the age of the view that belongs to it.
@@ -101,8 +102,8 @@
   }
 
   // Records a registration. Returns the instant until which the upstream must get no work.
-  TimePoint OnUpstream(const UpstreamId& upstream, const ServiceId& service,
-                       std::string_view version, TimePoint now);
+  TimePoint OnUpstream(const UpstreamId& upstream, const ServiceId& service, std::uint64_t version,
+                       TimePoint now);
   void OnUpstreamRemoved(const UpstreamId& upstream, TimePoint now);
   // Records that the registrations passed in so far are those of this instant.
   void OnViewConfirmed(TimePoint as_of);
@@ -111,7 +112,7 @@
   void OnServiceReplaced(const ServiceId& from, const ServiceId& to, TimePoint now);
 
   // Records that this daemon is about to relay the first event of a stream.
-  void OnStreamBegan(std::string_view attempt, const ServiceId& service, std::string_view version,
+  void OnStreamBegan(std::string_view attempt, const ServiceId& service, std::uint64_t version,
                      TimePoint now);
   void OnPeerRecords(const std::vector<StreamVersionRecord>& records, TimePoint now);
 
--- a/tests/gateway/report_exchange_test.cc
+++ b/tests/gateway/report_exchange_test.cc
@@ -349,10 +349,13 @@
   EXPECT_LT(static_cast<double>(large.datagrams()), 2.3 * static_cast<double>(small.datagrams()));
 }
 
+constexpr std::uint64_t kV1 = Fnv1aHash("v1");
+constexpr std::uint64_t kV2 = Fnv1aHash("v2");
+
 // Lets two versions of the service serve at a daemon, so that it reports its streams.
 void RegisterVersions(FleetState& fleet) {
-  fleet.stream_versions.OnUpstream(kEngine, kModel, "v1", At(0s));
-  fleet.stream_versions.OnUpstream(UpstreamId("engine-2"), kModel, "v2", At(0s));
+  fleet.stream_versions.OnUpstream(kEngine, kModel, kV1, At(0s));
+  fleet.stream_versions.OnUpstream(UpstreamId("engine-2"), kModel, kV2, At(0s));
   fleet.stream_versions.OnViewConfirmed(At(0s));
 }
 
@@ -366,14 +369,14 @@
   for (std::size_t i = 0; i < fleet.size(); ++i) {
     RegisterVersions(fleet.fleet(i));
   }
-  fleet.fleet(0).stream_versions.OnStreamBegan("a1", kModel, "v2", At(1s));
+  fleet.fleet(0).stream_versions.OnStreamBegan("a1", kModel, kV2, At(1s));
   fleet.ExchangeReports(At(1s));
   fleet.Kill(0);
   for (std::size_t i = 1; i < fleet.size(); ++i) {
     const StreamOrigin origin = OriginAt(fleet.fleet(i), "a1", At(2s));
     // Daemons of another failure domain hear of sums only, and refuse.
     EXPECT_EQ(origin.known(), i < 12) << i;
-    EXPECT_EQ(origin.version, i < 12 ? StreamVersionDirectory::KeyOf("v2") : 0) << i;
+    EXPECT_EQ(origin.version, i < 12 ? kV2 : 0) << i;
   }
 }
 
@@ -384,7 +387,7 @@
   RegisterVersions(fleet.fleet(0));
   RegisterVersions(fleet.fleet(1));
   fleet.ExchangeReports(At(1s));
-  fleet.fleet(0).stream_versions.OnStreamBegan("a1", kModel, "v2", At(1s));
+  fleet.fleet(0).stream_versions.OnStreamBegan("a1", kModel, kV2, At(1s));
   fleet.Kill(0);
   fleet.ExchangeReports(At(1s + kReportInterval));
   EXPECT_FALSE(OriginAt(fleet.fleet(1), "a1", At(2s)).known());
@@ -396,12 +399,12 @@
   RegisterVersions(fleet.fleet(0));
   ReportExchange exchange(fleet.fleet(0));
   ReportExchange other(fleet.fleet(1));
-  fleet.fleet(0).stream_versions.OnStreamBegan("a1", kModel, "v2", At(1s));
+  fleet.fleet(0).stream_versions.OnStreamBegan("a1", kModel, kV2, At(1s));
   exchange.BuildReport(ReportScope::kDaemon, true, At(1s));
   exchange.BuildReport(ReportScope::kDaemon, false, At(1s + kReportInterval));
   const TimePoint now = At(1s + 2 * kReportInterval);
   other.Apply(exchange.BuildReport(ReportScope::kDaemon, false, now), now);
-  EXPECT_EQ(OriginAt(fleet.fleet(1), "a1", now).version, StreamVersionDirectory::KeyOf("v2"));
+  EXPECT_EQ(OriginAt(fleet.fleet(1), "a1", now).version, kV2);
 }
 
 // Guards against records that are sent to daemons that receive a sum of many daemons only.
@@ -409,7 +412,7 @@
   GroupedFleet fleet(2, 12);
   RegisterVersions(fleet.fleet(0));
   ReportExchange exchange(fleet.fleet(0));
-  fleet.fleet(0).stream_versions.OnStreamBegan("a1", kModel, "v2", At(1s));
+  fleet.fleet(0).stream_versions.OnStreamBegan("a1", kModel, kV2, At(1s));
   EXPECT_TRUE(exchange.BuildReport(ReportScope::kDomain, true, At(1s)).streams.empty());
   EXPECT_TRUE(exchange.BuildReport(ReportScope::kBeyond, true, At(1s)).streams.empty());
   EXPECT_EQ(exchange.BuildReport(ReportScope::kDaemon, true, At(1s)).streams.size(), 1U);
--- a/tests/recovery/stream_version_directory_test.cc
+++ b/tests/recovery/stream_version_directory_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <string>
 
 namespace savoryglade {
@@ -19,14 +20,18 @@
 // Views follow each other at this interval.
 constexpr Duration kViewInterval = 500ms;
 
+constexpr std::uint64_t kV1 = Fnv1aHash("v1");
+constexpr std::uint64_t kV2 = Fnv1aHash("v2");
+constexpr std::uint64_t kS9 = Fnv1aHash("s9");
+
 TimePoint At(Duration time) { return TimePoint(1000s) + time; }
 
-StreamOrigin Recorded(const std::string& version) {
-  return {.source = Source::kRecorded, .version = StreamVersionDirectory::KeyOf(version)};
+StreamOrigin Recorded(std::uint64_t version) {
+  return {.source = Source::kRecorded, .version = version};
 }
 
-StreamOrigin Inferred(const std::string& version) {
-  return {.source = Source::kInferred, .version = StreamVersionDirectory::KeyOf(version)};
+StreamOrigin Inferred(std::uint64_t version) {
+  return {.source = Source::kInferred, .version = version};
 }
 
 StreamVersionOptions Options() {
@@ -39,7 +44,7 @@
   StreamVersionDirectoryTest() { Start(directory_); }
 
   static void Start(StreamVersionDirectory& directory, Duration time = 0s) {
-    directory.OnUpstream(kOld, kChat, "v1", At(time));
+    directory.OnUpstream(kOld, kChat, kV1, At(time));
     directory.OnViewConfirmed(At(time));
   }
 
@@ -56,24 +61,24 @@
 TEST_F(StreamVersionDirectoryTest, StreamOfAPeerIsKnownAfterItsReport) {
   StreamVersionDirectory peer(Options());
   Start(peer);
-  peer.OnUpstream(kNew, kChat, "v2", At(1s));
-  peer.OnStreamBegan("a1", kChat, "v2", At(3s));
-  peer.OnStreamBegan("a2", kChat, "v1", At(3s));
+  peer.OnUpstream(kNew, kChat, kV2, At(1s));
+  peer.OnStreamBegan("a1", kChat, kV2, At(3s));
+  peer.OnStreamBegan("a2", kChat, kV1, At(3s));
   ReportTo(peer, directory_, At(3s));
-  EXPECT_EQ(directory_.Find("a1", kChat, At(4s)), Recorded("v2"));
-  EXPECT_EQ(directory_.Find("a2", kChat, At(4s)), Recorded("v1"));
+  EXPECT_EQ(directory_.Find("a1", kChat, At(4s)), Recorded(kV2));
+  EXPECT_EQ(directory_.Find("a2", kChat, At(4s)), Recorded(kV1));
 }
 
 // Guards against going on at any version when the record of the stream was never received.
 TEST_F(StreamVersionDirectoryTest, StreamWithoutARecordIsUnknownWhileTwoVersionsServe) {
-  directory_.OnUpstream(kNew, kChat, "v2", At(40s));
+  directory_.OnUpstream(kNew, kChat, kV2, At(40s));
   directory_.OnViewConfirmed(At(50s));
   EXPECT_EQ(directory_.Find("a1", kChat, At(50s)), StreamOrigin{});
 }
 
 TEST_F(StreamVersionDirectoryTest, OnlyVersionOfTheLifetimeIsInferred) {
   directory_.OnViewConfirmed(At(kLifetime));
-  EXPECT_EQ(directory_.Find("a1", kChat, At(kLifetime)), Inferred("v1"));
+  EXPECT_EQ(directory_.Find("a1", kChat, At(kLifetime)), Inferred(kV1));
 }
 
 // Guards against a daemon that has just started and takes the only version that it sees for the
@@ -92,11 +97,11 @@
 
 // Guards against streams of a version that left shortly before and go on at the one that stayed.
 TEST_F(StreamVersionDirectoryTest, VersionThatHasLeftCountsForTheLifetimeOfAStream) {
-  directory_.OnUpstream(kNew, kChat, "v2", At(40s));
+  directory_.OnUpstream(kNew, kChat, kV2, At(40s));
   directory_.OnUpstreamRemoved(kOld, At(50s));
   directory_.OnViewConfirmed(At(50s) + kLifetime);
   EXPECT_FALSE(directory_.Find("a1", kChat, At(50s) + kLifetime).known());
-  EXPECT_EQ(directory_.Find("a1", kChat, At(50s) + kLifetime + 1ms), Inferred("v2"));
+  EXPECT_EQ(directory_.Find("a1", kChat, At(50s) + kLifetime + 1ms), Inferred(kV2));
 }
 
 // Guards against a daemon that sends streams to a new version before all others, whose views are a
@@ -105,7 +110,7 @@
   StreamVersionDirectory behind(Options());
   Start(behind);
   directory_.OnViewConfirmed(At(40s));
-  const TimePoint held_until = directory_.OnUpstream(kNew, kChat, "v2", At(40s));
+  const TimePoint held_until = directory_.OnUpstream(kNew, kChat, kV2, At(40s));
   EXPECT_EQ(held_until, At(40s) + kHold);
   // The oldest view that may lack the version.
   behind.OnViewConfirmed(At(40s));
@@ -115,23 +120,23 @@
 // Guards against refusals of streams that were begun before a second version served.
 TEST_F(StreamVersionDirectoryTest, VersionIsInferredUntilTheNewOneBegins) {
   directory_.OnViewConfirmed(At(40s));
-  directory_.OnUpstream(kNew, kChat, "v2", At(40s + kViewInterval));
+  directory_.OnUpstream(kNew, kChat, kV2, At(40s + kViewInterval));
   directory_.OnViewConfirmed(At(40s + kViewInterval));
-  EXPECT_EQ(directory_.Find("a1", kChat, At(41s)), Inferred("v1"));
+  EXPECT_EQ(directory_.Find("a1", kChat, At(41s)), Inferred(kV1));
   directory_.OnViewConfirmed(At(41s));
   EXPECT_FALSE(directory_.Find("a1", kChat, At(40s) + kHold).known());
 }
 
 TEST_F(StreamVersionDirectoryTest, UpstreamsOfTheFirstViewAreNotHeld) {
   StreamVersionDirectory started(Options());
-  EXPECT_LE(started.OnUpstream(kOld, kChat, "v1", At(0s)), At(0s));
-  EXPECT_LE(started.OnUpstream(kNew, kChat, "v2", At(0s)), At(0s));
+  EXPECT_LE(started.OnUpstream(kOld, kChat, kV1, At(0s)), At(0s));
+  EXPECT_LE(started.OnUpstream(kNew, kChat, kV2, At(0s)), At(0s));
 }
 
 // Guards against reports that grow with the number of streams although all have one version.
 TEST_F(StreamVersionDirectoryTest, StreamsOfTheOnlyVersionAreNotReported) {
   directory_.OnViewConfirmed(At(40s));
-  directory_.OnStreamBegan("a1", kChat, "v1", At(40s));
+  directory_.OnStreamBegan("a1", kChat, kV1, At(40s));
   EXPECT_TRUE(directory_.SelectForReport(kLimit, At(40s)).empty());
 }
 
@@ -140,23 +145,23 @@
   StreamVersionDirectory peer(Options());
   Start(peer);
   directory_.OnViewConfirmed(At(40s));
-  directory_.OnStreamBegan("a1", kChat, "v1", At(40s));
+  directory_.OnStreamBegan("a1", kChat, kV1, At(40s));
   directory_.SelectForReport(kLimit, At(40s));
-  directory_.OnUpstream(kNew, kChat, "v2", At(40500ms));
+  directory_.OnUpstream(kNew, kChat, kV2, At(40500ms));
   EXPECT_EQ(ReportTo(directory_, peer, At(40500ms)), 1U);
-  EXPECT_EQ(peer.Find("a1", kChat, At(50s)), Recorded("v1"));
+  EXPECT_EQ(peer.Find("a1", kChat, At(50s)), Recorded(kV1));
 }
 
 TEST_F(StreamVersionDirectoryTest, StreamsAreReportedWhileTheViewIsOld) {
   directory_.OnViewConfirmed(At(40s));
-  directory_.OnStreamBegan("a1", kChat, "v1", At(40s));
+  directory_.OnStreamBegan("a1", kChat, kV1, At(40s));
   EXPECT_EQ(directory_.SelectForReport(kLimit, At(42s)).size(), 1U);
 }
 
 // Guards against streams that nobody knows because one datagram was lost.
 TEST_F(StreamVersionDirectoryTest, EachRecordIsReportedThreeTimes) {
-  directory_.OnUpstream(kNew, kChat, "v2", At(1s));
-  directory_.OnStreamBegan("a1", kChat, "v1", At(3s));
+  directory_.OnUpstream(kNew, kChat, kV2, At(1s));
+  directory_.OnStreamBegan("a1", kChat, kV1, At(3s));
   for (int i = 0; i < 3; ++i) {
     EXPECT_EQ(directory_.SelectForReport(kLimit, At(3s)).size(), 1U) << i;
   }
@@ -166,9 +171,9 @@
 // Guards against a backlog in which records are left out when a report has no room for all.
 TEST_F(StreamVersionDirectoryTest, RecordsBeyondTheLimitFollowInLaterReports) {
   StreamVersionDirectory peer(Options());
-  directory_.OnUpstream(kNew, kChat, "v2", At(1s));
+  directory_.OnUpstream(kNew, kChat, kV2, At(1s));
   for (int i = 0; i < 100; ++i) {
-    directory_.OnStreamBegan("a" + std::to_string(i), kChat, "v1", At(3s));
+    directory_.OnStreamBegan("a" + std::to_string(i), kChat, kV1, At(3s));
   }
   std::size_t reported = 0;
   for (int i = 0; i < 30; ++i) {
@@ -184,19 +189,18 @@
 // Guards against one attempt id of two callers, whose streams have different versions.
 TEST_F(StreamVersionDirectoryTest, ContradictingRecordsLeaveTheVersionUnknown) {
   directory_.OnViewConfirmed(At(40s));
-  directory_.OnStreamBegan("a1", kChat, "v1", At(40s));
-  const StreamVersionRecord other{.attempt = StreamVersionDirectory::KeyOf("a1"),
-                                  .version = StreamVersionDirectory::KeyOf("v2")};
+  directory_.OnStreamBegan("a1", kChat, kV1, At(40s));
+  const StreamVersionRecord other{.attempt = StreamVersionDirectory::KeyOf("a1"), .version = kV2};
   directory_.OnPeerRecords({other}, At(40s));
   EXPECT_FALSE(directory_.Find("a1", kChat, At(40s)).known());
 }
 
 // Guards against a stream that was resumed twice and is forgotten before its third part.
 TEST_F(StreamVersionDirectoryTest, ResumedStreamIsRememberedForAnotherLifetime) {
-  directory_.OnUpstream(kNew, kChat, "v2", At(1s));
-  directory_.OnStreamBegan("a1", kChat, "v1", At(3s));
-  directory_.OnStreamBegan("a1", kChat, "v1", At(3s) + kLifetime / 2);
-  EXPECT_EQ(directory_.Find("a1", kChat, At(4s) + kLifetime), Recorded("v1"));
+  directory_.OnUpstream(kNew, kChat, kV2, At(1s));
+  directory_.OnStreamBegan("a1", kChat, kV1, At(3s));
+  directory_.OnStreamBegan("a1", kChat, kV1, At(3s) + kLifetime / 2);
+  EXPECT_EQ(directory_.Find("a1", kChat, At(4s) + kLifetime), Recorded(kV1));
   EXPECT_FALSE(directory_.Find("a1", kChat, At(4s) + 2 * kLifetime).known());
 }
 
@@ -205,7 +209,7 @@
   options.max_streams = 10;
   StreamVersionDirectory small(options);
   for (int i = 0; i < 1000; ++i) {
-    small.OnStreamBegan("a" + std::to_string(i), kChat, "v1", At(3s));
+    small.OnStreamBegan("a" + std::to_string(i), kChat, kV1, At(3s));
   }
   EXPECT_EQ(small.size(), 10U);
   EXPECT_TRUE(small.Find("a999", kChat, At(3s)).known());
@@ -213,14 +217,14 @@
 
 // Guards against a restart after which every resumption is refused, or goes on at any version.
 TEST_F(StreamVersionDirectoryTest, RestartedDaemonKnowsWhatItsPeerKnows) {
-  directory_.OnUpstream(kNew, kChat, "v2", At(40s));
-  directory_.OnStreamBegan("a1", kChat, "v2", At(45s));
+  directory_.OnUpstream(kNew, kChat, kV2, At(40s));
+  directory_.OnStreamBegan("a1", kChat, kV2, At(45s));
   directory_.OnViewConfirmed(At(50s));
   StreamVersionDirectory started(Options());
   Start(started, 50s);
-  started.OnUpstream(kNew, kChat, "v2", At(50s));
+  started.OnUpstream(kNew, kChat, kV2, At(50s));
   started.OnPeerSnapshot(directory_.MakeSnapshot(At(50s)), 10ms, At(50s));
-  EXPECT_EQ(started.Find("a1", kChat, At(51s)), Recorded("v2"));
+  EXPECT_EQ(started.Find("a1", kChat, At(51s)), Recorded(kV2));
   EXPECT_FALSE(started.Find("a2", kChat, At(51s)).known());
 }
 
@@ -230,12 +234,12 @@
   started.OnPeerSnapshot(directory_.MakeSnapshot(At(50s)), 10ms, At(50s));
   EXPECT_FALSE(started.Find("a1", kChat, At(50s)).known());
   Start(started, 50s);
-  EXPECT_EQ(started.Find("a1", kChat, At(50s)), Inferred("v1"));
+  EXPECT_EQ(started.Find("a1", kChat, At(50s)), Inferred(kV1));
 }
 
 // Guards against a restarted daemon that doesn't know of a version that left before it started.
 TEST_F(StreamVersionDirectoryTest, RestartedDaemonLearnsOfAVersionThatHasLeft) {
-  directory_.OnUpstream(kNew, kChat, "v2", At(40s));
+  directory_.OnUpstream(kNew, kChat, kV2, At(40s));
   directory_.OnUpstreamRemoved(kNew, At(45s));
   directory_.OnViewConfirmed(At(50s));
   StreamVersionDirectory started(Options());
@@ -243,7 +247,7 @@
   started.OnPeerSnapshot(directory_.MakeSnapshot(At(50s)), 10ms, At(50s));
   EXPECT_FALSE(started.Find("a1", kChat, At(50s)).known());
   started.OnViewConfirmed(At(46s) + kLifetime);
-  EXPECT_EQ(started.Find("a1", kChat, At(46s) + kLifetime), Inferred("v1"));
+  EXPECT_EQ(started.Find("a1", kChat, At(46s) + kLifetime), Inferred(kV1));
 }
 
 // Guards against a peer that is cut off from the store and passes on that it knows all versions.
@@ -259,12 +263,12 @@
 // its route leads now.
 TEST_F(StreamVersionDirectoryTest, VersionsOfTheServiceBeforeOnTheRouteCount) {
   const UpstreamId other("engine-3");
-  directory_.OnUpstream(other, kSearch, "s9", At(0s));
+  directory_.OnUpstream(other, kSearch, kS9, At(0s));
   directory_.OnServiceReplaced(kChat, kSearch, At(40s));
   directory_.OnViewConfirmed(At(41s));
   EXPECT_FALSE(directory_.Find("a1", kSearch, At(41s)).known());
   directory_.OnViewConfirmed(At(41s) + kLifetime);
-  EXPECT_EQ(directory_.Find("a1", kSearch, At(41s) + kLifetime), Inferred("s9"));
+  EXPECT_EQ(directory_.Find("a1", kSearch, At(41s) + kLifetime), Inferred(kS9));
 }
 
 }  // namespace
