Hold upstreams of a version that peers may not know

Cause: a daemon that has read the registration of a new version may begin a stream there while another one, whose view is up to 0.45 of the time of an upstream's notice older, still infers the only version that it knows.

Change: FleetLoadBalancer::Hold keeps an upstream from being chosen; the directory says until when. The first version of a service is not held.

--- a/packages/recovery/stream_version_directory.cc
+++ b/packages/recovery/stream_version_directory.cc
@@ -23,9 +23,12 @@
   Versions& versions = versions_[service];
   std::erase_if(versions, [&](const auto& item) { return !IsPresent(item.second, now); });
   const auto [known, added] = versions.try_emplace(version);
-  if (added && view_confirmed_at_) {
+  if (added) {
     known->second.absent_at = view_confirmed_at_;
-    known->second.held_until = now + options_.hold_time;
+    // Nothing is inferred from a view without any version.
+    if (view_confirmed_at_ && versions.size() > 1) {
+      known->second.held_until = now + options_.hold_time;
+    }
   }
   ++known->second.upstreams;
   return known->second.held_until;
--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -72,6 +72,12 @@
       &entry);
 }
 
+void FleetLoadBalancer::Hold(const UpstreamId& id, TimePoint until) {
+  if (const auto found = entries_.find(id); found != entries_.end()) {
+    found->second.held_until = until;
+  }
+}
+
 void FleetLoadBalancer::Remove(const UpstreamId& id) {
   const auto found = entries_.find(id);
   if (found != entries_.end()) {
@@ -180,6 +186,9 @@
     if (entry->record.leaving || std::ranges::find(excluded, entry->record.id) != excluded.end()) {
       continue;
     }
+    if (now < entry->held_until) {
+      continue;
+    }
     const bool unhealthy =
         entry->record.doubtful || now < entry->paused_until || IsSilent(*entry, now);
     (unhealthy ? fallback : usable).push_back(entry);
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -135,6 +135,8 @@
   // Adds or updates an upstream. A changed start time or address discards its learned state.
   void Update(const UpstreamRecord& record);
   void Remove(const UpstreamId& id);
+  // Prevents an upstream from being chosen before this instant.
+  void Hold(const UpstreamId& id, TimePoint until);
   const UpstreamRecord* Find(const UpstreamId& id) const;
   std::vector<UpstreamRecord> Records() const;
 
@@ -193,6 +195,7 @@
     Reported reported;
     int failures = 0;
     TimePoint paused_until{};
+    TimePoint held_until{};
     TimePoint last_bytes{};
     // Dispatch times of the requests for which the upstream has not sent a first byte.
     std::deque<TimePoint> unanswered;
--- a/tests/recovery/stream_version_directory_test.cc
+++ b/tests/recovery/stream_version_directory_test.cc
@@ -133,6 +133,11 @@
   EXPECT_LE(started.OnUpstream(kNew, kChat, kV2, At(0s)), At(0s));
 }
 
+// Guards against a new service that gets no work although no other version of it can be inferred.
+TEST_F(StreamVersionDirectoryTest, FirstVersionOfAServiceIsNotHeld) {
+  EXPECT_LE(directory_.OnUpstream(kNew, kSearch, kS9, At(40s)), At(40s));
+}
+
 // Guards against reports that grow with the number of streams although all have one version.
 TEST_F(StreamVersionDirectoryTest, StreamsOfTheOnlyVersionAreNotReported) {
   directory_.OnViewConfirmed(At(40s));
--- a/tests/routing/fleet_load_balancer_test.cc
+++ b/tests/routing/fleet_load_balancer_test.cc
@@ -123,6 +123,14 @@
   EXPECT_FALSE(balancer_.Choose(Prompt(1, 2), {UpstreamId("b")}, At(0s)));
 }
 
+// Guards against a stream of a version that other daemons do not know of yet.
+TEST_F(FleetLoadBalancerTest, HeldUpstreamIsNotChosenEvenIfThereIsNoOther) {
+  AddEngines(1);
+  balancer_.Hold(UpstreamId("engine-0"), At(1s));
+  EXPECT_FALSE(balancer_.Choose(Prompt(1, 2), {}, At(1s - 1ms)));
+  EXPECT_TRUE(balancer_.Choose(Prompt(1, 2), {}, At(1s)));
+}
+
 // Guards against new work for an upstream that stopped responding while it holds requests, although
 // its record does not show it.
 TEST_F(FleetLoadBalancerTest, SilentUpstreamIsAvoidedUntilItSendsBytes) {
