Feed the registrations to the directory of stream versions

Cause: the directory infers versions from the registrations, which nothing passes to it.

Change: the watcher of the store records each registration and removal there, and holds upstreams of a version that is new to the daemon.

--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -8,6 +8,7 @@
 #include "logging/logger.h"
 #include "net/http_client.h"
 #include "net/sleep.h"
+#include "routing/software_version.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -310,6 +311,7 @@
     if (!change.record) {
       kLog.Info("An upstream was removed.", {{"upstream", change.id.value()}});
       fleet_.load_balancer.Remove(change.id);
+      fleet_.stream_versions.OnUpstreamRemoved(change.id, BootNow());
       connections_.Drop(change.id);
       fleet_.notices.OnLeaving(change.id, BootNow());
       callbacks_.on_upstream_leaving(change.id);
@@ -331,6 +333,10 @@
       connections_.Drop(change.id);
     }
     fleet_.load_balancer.Update(*change.record);
+    const TimePoint held_until = fleet_.stream_versions.OnUpstream(
+        change.id, change.record->service, SoftwareVersionKey(change.record->software_version),
+        BootNow());
+    fleet_.load_balancer.Hold(change.id, held_until);
     if (change.record->leaving) {
       fleet_.notices.OnLeaving(change.id, BootNow());
       callbacks_.on_upstream_leaving(change.id);
