Resume streams at their version at any daemon of a group

Cause: the relay looked at the registered versions only, so a stream that a caller resumed at another daemon was refused, or went on at the only version registered then, also right after a release.

Change: the relay's look-up uses StreamVersionDirectory. The first event of a resumed stream renews the record of the attempt that began it. A resumed stream stays with its service where a route leads to several.

ACallerResumesAStreamWhileOneVersionServes resumed an attempt that never began at a daemon that had just started; such a daemon can't know which versions served before it. The attempt now begins a stream first, and the same success is expected.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -97,7 +97,11 @@
       return reject(Reason::kUnknownKey, "The API key belongs to no account.");
     }
   }
-  call.service = RouteTable::ChooseService(*call.route, Fnv1aHash(call.metadata.attempt_id));
+  // A resumed stream stays with the service that began it where a route leads to several.
+  const std::string& seed = call.resumes_stream() && !call.metadata.resumed_attempt.empty()
+                                ? call.metadata.resumed_attempt
+                                : call.metadata.attempt_id;
+  call.service = RouteTable::ChooseService(*call.route, Fnv1aHash(seed));
   call.metadata.work.service = call.service;
   call.deadline =
       now +
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -86,7 +86,7 @@
   PeerReportTransport report_transport_;
   DutyRunner duty_runner_;
   CapacityController capacity_controller_;
-  RegisteredVersionLookup stream_versions_;
+  DirectoryVersionLookup stream_versions_;
   CallRelay relay_;
   HttpServer callers_;
   HttpServer readiness_;
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -254,9 +254,7 @@
 void ResponseRelay::OnFirstEvent(Call& call, const Attempt& attempt) {
   const std::uint64_t version = SoftwareVersionKey(attempt.placement.upstream.software_version);
   call.metadata.work.required_version = version;
-  if (!call.resumes_stream()) {
-    stream_versions_.OnStreamBegan(call.metadata.attempt_id, version, BootNow());
-  }
+  stream_versions_.OnStreamBegan(call, version, BootNow());
 }
 
 asio::awaitable<RelayOutcome> ResponseRelay::RelayEvents(Call& call, Attempt& attempt,
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -41,8 +41,8 @@
  private:
   // Relays events until the upstream's stream completes, breaks or stalls.
   boost::asio::awaitable<RelayOutcome> RelayEvents(Call& call, Attempt& attempt, unsigned status);
-  // Limits later attempts to the version that has written the first event, and records that it
-  // began the stream, unless the caller holds events of an earlier response.
+  // Limits later attempts to the version that has written the first event, and records the version
+  // of the stream.
   void OnFirstEvent(Call& call, const Attempt& attempt);
   // Appends the next bytes of the body. Returns false at its end, and kTimeout once the deadline
   // has passed, even if bytes still arrive.
--- a/packages/gateway/stream_version_lookup.h
+++ b/packages/gateway/stream_version_lookup.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
 
 #include "core/time.h"
 #include "gateway/call.h"
@@ -16,8 +15,6 @@
     kNotResumed,
     // The stream that the call resumes may continue only at the version `key`.
     kKnown,
-    // The stream may continue at any version, because only one has served.
-    kAnyVersion,
     // The version that began the stream is not known.
     kUnknown,
   };
@@ -35,22 +32,21 @@
   // Returns the version at which the stream of a call that resumes one may continue. The call's
   // service is known.
   virtual StreamVersion Find(const Call& call, TimePoint now) = 0;
-  // Records the version that begins a stream. Called before the first event of the stream is sent
-  // to its caller.
-  virtual void OnStreamBegan(const std::string& attempt_id, std::uint64_t version,
-                             TimePoint now) = 0;
+  // Records the version that begins a call's stream, or continues one of an earlier response.
+  // Called before the first event of the response is sent to its caller.
+  virtual void OnStreamBegan(const Call& call, std::uint64_t version, TimePoint now) = 0;
 };
 
-// Looks no stream up: a stream continues if all upstreams of its service have one version.
-class RegisteredVersionLookup : public StreamVersionLookup {
+// Looks streams up in the directory that daemons exchange.
+class DirectoryVersionLookup : public StreamVersionLookup {
  public:
-  explicit RegisteredVersionLookup(const FleetState& fleet) : fleet_(fleet) {}
+  explicit DirectoryVersionLookup(FleetState& fleet) : fleet_(fleet) {}
 
   StreamVersion Find(const Call& call, TimePoint now) override;
-  void OnStreamBegan(const std::string& attempt_id, std::uint64_t version, TimePoint now) override;
+  void OnStreamBegan(const Call& call, std::uint64_t version, TimePoint now) override;
 
  private:
-  const FleetState& fleet_;
+  FleetState& fleet_;
 };
 
 }  // namespace savoryglade::gateway
--- a/tests/gateway/stream_resumption_test.cc
+++ b/tests/gateway/stream_resumption_test.cc
@@ -61,8 +61,8 @@
     return SendText(gateway.callers_endpoint(), request);
   }
 
-  // Waits until a daemon knows the versions of this number of streams. Fails after many reads of its
-  // metrics.
+  // Waits until a daemon knows the versions of this number of streams. Fails after many reads of
+  // its metrics.
   static void WaitForStreams(const Gateway& gateway, int streams) {
     constexpr int kMaxReads = 200'000;
     const std::string metric = fmt::format("savoryglade_gateway_recorded_streams {}\n", streams);
--- a/tests/gateway/stream_version_test.cc
+++ b/tests/gateway/stream_version_test.cc
@@ -155,6 +155,12 @@
 // Guards against refusing the streams that callers resume while there is one version only.
 TEST_F(StreamVersionTest, ACallerResumesAStreamWhileOneVersionServes) {
   StartWorkers({"v1", "v1"});
+  Worker(0).SetFault(WorkerFault::kWaitForMigration, 1);
+  {
+    CallerConnection connection(gateway_->callers_endpoint());
+    connection.Send(FormatRequest("POST", "/stream/1", "a1", kApiKey, "prompt"));
+    ReadThreeEvents(connection);
+  }
   const Response response = Resume("a1", "a2");
   EXPECT_EQ(response.status, 200U);
   EXPECT_TRUE(response.complete);
