--- a/tests/gateway/stream_version_test.cc
+++ b/tests/gateway/stream_version_test.cc
@@ -66,6 +66,14 @@
         [](const std::string& body) { return body.find("id: 3\n") != std::string::npos; });
   }
 
+  // Begins a stream at the first worker. Its caller leaves after three events.
+  void BeginStream(const std::string& attempt) {
+    Worker(0).SetFault(WorkerFault::kWaitForMigration, 1);
+    CallerConnection connection(gateway_->callers_endpoint());
+    connection.Send(FormatRequest("POST", "/stream/1", attempt, kApiKey, "prompt"));
+    ReadThreeEvents(connection);
+  }
+
   // Waits until the gateway's metrics contain the text.
   void WaitForMetric(const std::string& text) const {
     while (Metrics().find(text) == std::string::npos) {
@@ -155,12 +163,7 @@
 // Guards against refusing the streams that callers resume while there is one version only.
 TEST_F(StreamVersionTest, ACallerResumesAStreamWhileOneVersionServes) {
   StartWorkers({"v1", "v1"});
-  Worker(0).SetFault(WorkerFault::kWaitForMigration, 1);
-  {
-    CallerConnection connection(gateway_->callers_endpoint());
-    connection.Send(FormatRequest("POST", "/stream/1", "a1", kApiKey, "prompt"));
-    ReadThreeEvents(connection);
-  }
+  BeginStream("a1");
   const Response response = Resume("a1", "a2");
   EXPECT_EQ(response.status, 200U);
   EXPECT_TRUE(response.complete);
@@ -181,6 +184,7 @@
 // that is refused as if its upstreams were full.
 TEST_F(StreamVersionTest, RefusesAResumptionWhoseVersionLeaves) {
   StartWorkers({"v1"});
+  BeginStream("a1");
   RegisterVersion(0, "v1", "draining");
   Response response;
   int attempts = 0;
