--- a/tests/gateway/stream_resumption_test.cc
+++ b/tests/gateway/stream_resumption_test.cc
@@ -54,8 +54,8 @@
   }
 
   static Response Resume(const Gateway& gateway, const std::string& begun,
-                         const std::string& attempt) {
-    std::string request = FormatRequest("POST", "/stream/1", attempt, kApiKey, "prompt");
+                         const std::string& attempt, const std::string& path = "/stream/1") {
+    std::string request = FormatRequest("POST", path, attempt, kApiKey, "prompt");
     request.insert(request.find("\r\n") + 2,
                    fmt::format("Last-Event-Id: 3\r\nResumes: {}\r\n", begun));
     return SendText(gateway.callers_endpoint(), request);
@@ -118,6 +118,36 @@
   EXPECT_EQ(RunCount("a2"), 0);
 }
 
+// Guards against a resumption that goes to another service of its route, whose versions have
+// nothing to do with the stream's.
+TEST_F(StreamResumptionTest, ResumedStreamStaysWithItsServiceOnASplitRoute) {
+  workers_.push_back(std::make_unique<ServiceServer<WorkerService>>(WorkerName(3)));
+  Worker(3).SetVersion("v2");
+  store_.service.Put(
+      "servers", WorkerName(3),
+      fmt::format(
+          R"({{"service":"t","address":"{}","zone":"verona","slots":4,"state":"ready","version":"v2"}})",
+          ToString(workers_.back()->endpoint)));
+  PutRoutes(
+      2,
+      R"(,{"name":"split","host":"h","prefix":"/stream/split/","route_kind":"streaming","timeout_ms":5000,)"
+      R"("max_attempts":2,"resumable":true,)"
+      R"("split":[{"service":"s","weight":1},{"service":"t","weight":1}]})");
+  // The gateway has read the registration and the routes once a stream ran at the other service.
+  int attempt = 0;
+  std::string begun;
+  do {
+    begun = fmt::format("b{}", ++attempt);
+    ASSERT_EQ(SendRequest("POST", "/stream/split/1", begun, kApiKey, "prompt").status, 200U);
+  } while (Worker(3).RunCount(begun) == 0);
+  for (int i = 0; i < 16; ++i) {
+    const std::string resumed = fmt::format("r{}", i);
+    const Response response = Resume(*gateway_, begun, resumed, "/stream/split/1");
+    EXPECT_EQ(response.status, 200U) << response.reason;
+    EXPECT_EQ(Worker(3).RunCount(resumed), 1);
+  }
+}
+
 // Guards against a restart after which a daemon refuses the streams that its peers know.
 TEST_F(StreamResumptionTest, RestartedDaemonKnowsStreamsFromItsPeer) {
   auto second = StartSecondDaemon();
