Add a soak of daemons, callers and upstreams with faults from a seed

savoryglade_soak starts daemons as processes and plays stops in series, repeated signals, kills, freezes, store faults and changes of the upstreams that are drawn from a seed. Its callers and upstreams record what they saw, and the promises LOST, TWICE, REFUSED and MIXED and the exit of stopped processes are checked on that record. Emulated workers get a time between the events of a stream.

--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -10,6 +10,8 @@
 #include <tuple>
 #include <utility>
 
+#include "net/sleep.h"
+
 namespace savoryglade {
 namespace {
 
@@ -259,6 +261,9 @@
       exchange.Abort();
       co_return;
     }
+    if (event > first_event && event_interval_ > Duration::zero()) {
+      co_await Sleep(event_interval_);
+    }
     open = co_await exchange.WriteChunk(text);
   }
   if (open) {
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/time.h"
 #include "net/http_server.h"
 
 namespace savoryglade {
@@ -63,6 +64,9 @@
   // connections break after the header of the response.
   void CrashOnPromptPart(std::string part);
 
+  // Sets the time between the events of a stream; zero by default. Must precede the first request.
+  void SetEventInterval(Duration interval) { event_interval_ = interval; }
+
   // Returns the number of runs of an attempt.
   int RunCount(const std::string& attempt) const;
   // Returns the number of runs of all attempts.
@@ -87,6 +91,7 @@
   HttpHeaders ResponseHeaders(const HttpExchange& exchange, bool with_seal) const;
 
   std::string instance_;
+  Duration event_interval_ = Duration::zero();
   mutable std::mutex mutex_;
   std::map<std::string, int> runs_by_attempt_;
   HttpRequest last_request_;
--- /dev/null
+++ b/tests/soak/caller.cc
@@ -0,0 +1,267 @@
+#include "soak/caller.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdlib>
+#include <utility>
+
+#include "emulator/worker_service.h"
+#include "net/sleep.h"
+
+namespace savoryglade::soak {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr Duration kPollInterval = 1s;
+constexpr int kMissesUntilOut = 2;
+constexpr Duration kConnectTimeout = 1s;
+constexpr Duration kCallTimeout = 4s;
+constexpr int kMaxAttempts = 4;
+constexpr Duration kRetryDelay = 50ms;
+// Time after its deadline at which a caller gives up.
+constexpr Duration kPatience = 500ms;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+std::string HeaderOf(const http::fields& fields, const char* name) {
+  return std::string(fields[name]);
+}
+
+// Returns the number of the last whole event of a stream that begins behind the event `last`, or
+// nothing if the bytes are not those of these events.
+std::optional<int> ParseEvents(const std::string& text, int last) {
+  std::string expected;
+  int events = last;
+  for (int event = last + 1; event <= WorkerService::kEventsPerStream; ++event) {
+    expected += fmt::format("id: {}\ndata: token {}\n\n", event, event);
+    events += text.size() >= expected.size() ? 1 : 0;
+  }
+  return expected.starts_with(text) ? std::optional(events) : std::nullopt;
+}
+
+bool IsPromise(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool IsFinal(unsigned status) {
+  constexpr std::array kFinal = {400U, 401U, 404U, 413U, 431U};
+  return (status >= 200 && status < 300) || std::ranges::count(kFinal, status) > 0;
+}
+
+}  // namespace
+
+LoadBalancer::LoadBalancer(std::vector<Daemon> daemons)
+    : daemons_(std::move(daemons)), misses_(daemons_.size(), kMissesUntilOut) {}
+
+asio::awaitable<void> LoadBalancer::Poll(std::size_t daemon) {
+  while (true) {
+    HttpRequest request(http::verb::get, "/v1/readyz", 11);
+    const auto response =
+        co_await FetchOnce(daemons_[daemon].readiness, std::move(request), kPollInterval);
+    {
+      const std::lock_guard lock(mutex_);
+      const bool ready = response.has_value() && response->result_int() == 200;
+      misses_[daemon] = ready ? 0 : misses_[daemon] + 1;
+    }
+    co_await Sleep(kPollInterval);
+  }
+}
+
+bool LoadBalancer::InRotation(std::size_t daemon) const {
+  return misses_[daemon] < kMissesUntilOut;
+}
+
+bool LoadBalancer::AllReady() const {
+  const std::lock_guard lock(mutex_);
+  return std::ranges::all_of(misses_, [](int misses) { return misses == 0; });
+}
+
+std::size_t LoadBalancer::Choose(const std::string& failure_domain, std::optional<std::size_t> last,
+                                 Random& random) const {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::size_t> own;
+  std::vector<std::size_t> own_ready;
+  std::vector<std::size_t> ready;
+  for (std::size_t i = 0; i < daemons_.size(); ++i) {
+    const bool in_domain = daemons_[i].failure_domain == failure_domain;
+    if (in_domain) {
+      own.push_back(i);
+    }
+    if (InRotation(i)) {
+      (in_domain ? own_ready : ready).push_back(i);
+    }
+  }
+  std::vector<std::size_t>& chosen = own_ready.empty() && !ready.empty() ? ready
+                                     : 2 * own_ready.size() < own.size() ? own
+                                                                         : own_ready;
+  if (last && chosen.size() > 1) {
+    std::erase(chosen, *last);
+  }
+  return chosen[random.UniformInt(chosen.size())];
+}
+
+asio::awaitable<void> Caller::Run(const std::atomic<bool>& stop, std::atomic<int>& active) {
+  while (!stop) {
+    co_await Sleep(FromSeconds(random_.Exponential(ToSeconds(options_.pause))));
+    if (!stop) {
+      ++active;
+      co_await MakeCall();
+      --active;
+    }
+  }
+}
+
+asio::awaitable<void> Caller::MakeCall() {
+  const std::size_t kind = random_.UniformInt(kCallTypes.size());
+  Call call{.type = &kCallTypes.at(kind),
+            .target = fmt::format("{}{}-{}", std::string(kCallTypes.at(kind).prefix), options_.name,
+                                  ++calls_),
+            .body = {},
+            .deadline = Now() + kCallTimeout,
+            .first_attempt = {}};
+  if (call.type->method == "POST") {
+    call.body = fmt::format("body of {}", call.target);
+  }
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    Duration retry_after = kRetryDelay;
+    AttemptRecord record = co_await SendAttempt(call, retry_after);
+    const bool finished = record.complete && IsFinal(record.status);
+    const bool never_sent = !record.sent && record.status == 0;
+    const bool may_repeat =
+        call.type->Repeatable() || never_sent || (record.complete && IsPromise(record.status));
+    history_.AddAttempt(std::move(record));
+    const Duration left = call.deadline - Now();
+    if (finished || !may_repeat || left <= kRetryDelay) {
+      co_return;
+    }
+    // Attempts after the first use new connections.
+    connection_.reset();
+    co_await Sleep(std::min(retry_after, left / 3));
+  }
+}
+
+HttpRequest Caller::MakeRequest(const Call& call, const AttemptRecord& record) const {
+  HttpRequest request(http::string_to_verb(std::string(call.type->method)), call.target, 11);
+  request.set(http::field::host, "h");
+  request.set("Attempt-Id", record.id);
+  request.set("Deadline-Ms", std::to_string((call.deadline - Now()) / 1ms));
+  request.set(http::field::authorization, "Bearer " + options_.api_key);
+  if (call.events > 0) {
+    request.set("Last-Event-Id", std::to_string(call.events));
+    request.set("Resumes", call.first_attempt);
+  }
+  request.body() = call.body;
+  request.prepare_payload();
+  return request;
+}
+
+asio::awaitable<AttemptRecord> Caller::SendAttempt(Call& call, Duration& retry_after) {
+  AttemptRecord record{.id = fmt::format("{}-{}", options_.name, ++attempts_),
+                       .type = call.type,
+                       .deadline = call.deadline,
+                       .failure = {},
+                       .mixed = {},
+                       .events_before = call.events,
+                       .events_after = call.events,
+                       .resumes = call.events > 0 ? call.first_attempt : std::string()};
+  record.reused_connection = connection_ != nullptr && connection_->IsOpenAndIdle();
+  if (!record.reused_connection) {
+    last_daemon_ = balancer_.Choose(options_.failure_domain, last_daemon_, random_);
+    connection_.reset();
+    calls_on_connection_ = 0;
+    auto connected =
+        co_await HttpConnection::Connect(balancer_.callers(*last_daemon_), kConnectTimeout);
+    if (connected) {
+      connection_ = std::move(*connected);
+    } else {
+      record.failure = connected.error().message;
+    }
+  }
+  record.daemon = *last_daemon_;
+  record.sent_at = Now();
+  if (connection_ != nullptr) {
+    const HttpRequest request = MakeRequest(call, record);
+    const auto sent = co_await connection_->Send(request, call.deadline - Now());
+    record.sent = sent.has_value();
+    record.sent_at = Now();
+    if (sent) {
+      co_await ReadResponse(*connection_, call, record, retry_after);
+    } else {
+      record.failure = sent.error().message;
+    }
+  }
+  record.ended_at = Now();
+  if (connection_ != nullptr && (!record.complete || !connection_->reusable() ||
+                                 ++calls_on_connection_ >= options_.calls_per_connection)) {
+    connection_.reset();
+  }
+  co_return record;
+}
+
+asio::awaitable<void> Caller::ReadResponse(HttpConnection& connection, Call& call,
+                                           AttemptRecord& record, Duration& retry_after) {
+  const TimePoint give_up = call.deadline + kPatience;
+  const Result<unsigned> status = co_await connection.ReadHeader(give_up - Now());
+  if (!status) {
+    record.failure = status.error().message;
+    co_return;
+  }
+  record.status = *status;
+  const std::string owner = HeaderOf(connection.response_header(), "Attempt-Id");
+  const std::string seal = HeaderOf(connection.response_header(), "Response-Seal");
+  const std::string wait = HeaderOf(connection.response_header(), "Retry-After");
+  if (!wait.empty()) {
+    retry_after = FromSeconds(std::strtod(wait.c_str(), nullptr));
+  }
+  std::string body;
+  while (true) {
+    const Result<bool> more = co_await connection.ReadSome(body, give_up - Now());
+    if (!more) {
+      record.failure = more.error().message;
+      break;
+    }
+    if (!*more) {
+      record.complete = true;
+      break;
+    }
+  }
+  if (!owner.empty() && owner != record.id) {
+    record.mixed = "The answer bears the attempt id " + owner + ".";
+    co_return;
+  }
+  if (record.status < 200 || record.status >= 300) {
+    record.mixed = seal.empty() ? "" : "A failure of the daemon bears a seal.";
+    co_return;
+  }
+  if (seal.empty() || owner.empty()) {
+    record.mixed = "A success bears no seal or no attempt id.";
+    co_return;
+  }
+  if (call.type->kind != CallKind::kStream) {
+    const std::string expected =
+        fmt::format("{} {} {}", std::string(call.type->method), call.target, call.body);
+    const bool fits = record.complete ? body == expected : expected.starts_with(body);
+    record.mixed = fits ? "" : "The body is not that of the request: " + body;
+    co_return;
+  }
+  const std::optional<int> events = ParseEvents(body, call.events);
+  if (!events) {
+    record.mixed = "The events are not those that follow: " + body;
+    co_return;
+  }
+  if (record.complete && *events != WorkerService::kEventsPerStream) {
+    record.mixed = fmt::format("The stream ends as complete after event {}.", *events);
+  }
+  if (call.events == 0 && *events > 0) {
+    call.first_attempt = record.id;
+  }
+  call.events = *events;
+  record.events_after = *events;
+}
+
+}  // namespace savoryglade::soak
--- /dev/null
+++ b/tests/soak/caller.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+#include "net/endpoint.h"
+#include "net/http_client.h"
+#include "soak/history.h"
+
+namespace savoryglade::soak {
+
+// Emulated load balancer of the platform: asks each daemon once per second whether it is ready, and
+// sends new connections to the ready daemons of the caller's failure domain.
+class LoadBalancer {
+ public:
+  struct Daemon {
+    Endpoint callers;
+    Endpoint readiness;
+    std::string failure_domain;
+  };
+
+  explicit LoadBalancer(std::vector<Daemon> daemons);
+
+  // Polls a daemon until its io_context stops.
+  boost::asio::awaitable<void> Poll(std::size_t daemon);
+  // Chooses a daemon for a new connection, and another one than `last` if there is one.
+  std::size_t Choose(const std::string& failure_domain, std::optional<std::size_t> last,
+                     Random& random) const;
+  const Endpoint& callers(std::size_t daemon) const { return daemons_[daemon].callers; }
+  std::size_t size() const { return daemons_.size(); }
+  // Returns true if all daemons were ready when they were asked last.
+  bool AllReady() const;
+
+ private:
+  bool InRotation(std::size_t daemon) const;
+
+  std::vector<Daemon> daemons_;
+  mutable std::mutex mutex_;
+  // Consecutive questions without a 200, for each daemon.
+  std::vector<int> misses_;
+};
+
+struct CallerOptions {
+  std::string name;
+  std::string failure_domain;
+  std::string api_key;
+  std::uint64_t seed = 0;
+  // Mean time between two calls.
+  Duration pause = 300ms;
+  // Calls after which the caller opens a new connection.
+  int calls_per_connection = 1;
+};
+
+// Emulated caller that repeats its calls by the platform's rules.
+class Caller {
+ public:
+  Caller(CallerOptions options, const LoadBalancer& balancer, History& history)
+      : options_(std::move(options)),
+        balancer_(balancer),
+        history_(history),
+        random_(options_.seed) {}
+
+  // Makes calls until told to stop. Counts itself as active during a call.
+  boost::asio::awaitable<void> Run(const std::atomic<bool>& stop, std::atomic<int>& active);
+
+ private:
+  // One call with all its attempts.
+  struct Call {
+    const CallType* type;
+    std::string target;
+    std::string body;
+    TimePoint deadline;
+    // Stream: the last event received, and the attempt that brought the first one.
+    int events = 0;
+    std::string first_attempt;
+  };
+
+  boost::asio::awaitable<void> MakeCall();
+  // Sends one attempt and returns what happened, and the wait that its answer asks for.
+  boost::asio::awaitable<AttemptRecord> SendAttempt(Call& call, Duration& retry_after);
+  boost::asio::awaitable<void> ReadResponse(HttpConnection& connection, Call& call,
+                                            AttemptRecord& record, Duration& retry_after);
+  HttpRequest MakeRequest(const Call& call, const AttemptRecord& record) const;
+
+  CallerOptions options_;
+  const LoadBalancer& balancer_;
+  History& history_;
+  Random random_;
+  std::unique_ptr<HttpConnection> connection_;
+  std::optional<std::size_t> last_daemon_;
+  int attempts_ = 0;
+  int calls_ = 0;
+  int calls_on_connection_ = 0;
+};
+
+}  // namespace savoryglade::soak
--- /dev/null
+++ b/tests/soak/history.cc
@@ -0,0 +1,103 @@
+#include "soak/history.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryglade::soak {
+namespace {
+
+// Time before and after a violation that its timeline covers.
+constexpr Duration kTimelineSpan = 12s;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+std::string Describe(const AttemptRecord& attempt) {
+  return fmt::format(
+      "{} {} at daemon {} ({} connection): status {}, {}, events {} to {}{}{}", attempt.id,
+      std::string(attempt.type->prefix), attempt.daemon, attempt.reused_connection ? "kept" : "new",
+      attempt.status, attempt.complete ? "complete" : "not complete", attempt.events_before,
+      attempt.events_after, attempt.resumes.empty() ? "" : ", resumes " + attempt.resumes,
+      attempt.failure.empty() ? "" : ", " + attempt.failure);
+}
+
+}  // namespace
+
+void History::AddAttempt(AttemptRecord attempt) {
+  const std::lock_guard lock(mutex_);
+  attempts_.push_back(std::move(attempt));
+}
+
+void History::AddEvent(EventKind kind, std::optional<std::size_t> daemon, std::string text) {
+  const std::lock_guard lock(mutex_);
+  events_.push_back({.at = Now(), .kind = kind, .daemon = daemon, .text = std::move(text)});
+}
+
+void History::AddBreak(const std::string& upstream) {
+  const std::lock_guard lock(mutex_);
+  breaks_[upstream].push_back(Now());
+}
+
+std::size_t History::BeginRun(const std::string& attempt, std::string upstream,
+                              std::string version) {
+  const std::lock_guard lock(mutex_);
+  std::vector<RunRecord>& runs = runs_[attempt];
+  runs.push_back({.upstream = std::move(upstream),
+                  .version = std::move(version),
+                  .started_at = Now(),
+                  .ended_at = std::nullopt});
+  return runs.size() - 1;
+}
+
+void History::EndRun(const std::string& attempt, std::size_t run) {
+  const std::lock_guard lock(mutex_);
+  runs_[attempt][run].ended_at = Now();
+}
+
+void History::AddViolation(std::string rule, std::string text, std::optional<std::size_t> daemon) {
+  const std::lock_guard lock(mutex_);
+  violations_.push_back(
+      {.rule = std::move(rule), .text = std::move(text), .daemon = daemon, .at = Now()});
+}
+
+std::vector<RunRecord> History::RunsOf(const std::string& attempt) const {
+  const auto found = runs_.find(attempt);
+  return found == runs_.end() ? std::vector<RunRecord>() : found->second;
+}
+
+bool History::BrokeBetween(const std::string& upstream, TimePoint from, TimePoint to) const {
+  const auto found = breaks_.find(upstream);
+  return found != breaks_.end() &&
+         std::ranges::any_of(found->second, [&](TimePoint at) { return from <= at && at <= to; });
+}
+
+std::string History::Timeline(const Violation& violation) const {
+  std::vector<std::pair<TimePoint, std::string>> lines;
+  for (const PlayEvent& event : events_) {
+    const bool concerned = !event.daemon || event.daemon == violation.daemon;
+    if (concerned && event.at > violation.at - kTimelineSpan &&
+        event.at < violation.at + kTimelineSpan) {
+      lines.emplace_back(event.at, event.text);
+    }
+  }
+  if (const AttemptRecord* attempt = violation.attempt; attempt != nullptr) {
+    lines.emplace_back(attempt->sent_at, fmt::format("request {} sent", attempt->id));
+    lines.emplace_back(attempt->ended_at, "ended: " + Describe(*attempt));
+    for (const RunRecord& run : RunsOf(attempt->id)) {
+      lines.emplace_back(run.started_at,
+                         fmt::format("began to run at {} ({})", run.upstream, run.version));
+      if (run.ended_at) {
+        lines.emplace_back(*run.ended_at, fmt::format("run ended at {}", run.upstream));
+      }
+    }
+  }
+  std::ranges::stable_sort(lines, {}, &std::pair<TimePoint, std::string>::first);
+  std::string text;
+  for (const auto& [at, line] : lines) {
+    text += fmt::format("    {:+9.3f} s  {}\n", ToSeconds(at - violation.at), line);
+  }
+  return text;
+}
+
+}  // namespace savoryglade::soak
--- /dev/null
+++ b/tests/soak/history.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/route_table.h"
+#include "core/time.h"
+
+namespace savoryglade::soak {
+
+// Kind of call that the callers make. Must match the routes of the play.
+struct CallType {
+  std::string_view prefix;
+  std::string_view method;
+  CallKind kind;
+  bool resumable = false;
+
+  bool Repeatable() const { return kind == CallKind::kIdempotent || resumable; }
+};
+
+inline constexpr std::array kCallTypes = {
+    CallType{"/reads/", "GET", CallKind::kIdempotent},
+    CallType{"/orders/", "POST", CallKind::kAtMostOnce},
+    CallType{"/chats/stream/", "POST", CallKind::kStream, true},
+    CallType{"/once/stream/", "POST", CallKind::kStream}};
+
+// One request as its caller saw it.
+struct AttemptRecord {
+  std::string id;
+  const CallType* type = nullptr;
+  std::size_t daemon = 0;
+  // True if the connection had carried a request before.
+  bool reused_connection = false;
+  // False if the connection failed before the whole request was written.
+  bool sent = false;
+  TimePoint sent_at{};
+  TimePoint ended_at{};
+  TimePoint deadline{};
+  // Zero if the connection ended before the header of a response.
+  unsigned status = 0;
+  // True if the response ended as complete.
+  bool complete = false;
+  // Error of the connection, if the response is not complete.
+  std::string failure;
+  // What is wrong with the bytes received; empty if nothing.
+  std::string mixed;
+  // Last event that the caller had before this attempt, and after it.
+  int events_before = 0;
+  int events_after = 0;
+  // Attempt that brought the first event of a stream that this attempt resumes.
+  std::string resumes;
+};
+
+// One run of a request at an upstream.
+struct RunRecord {
+  std::string upstream;
+  std::string version;
+  TimePoint started_at{};
+  std::optional<TimePoint> ended_at;
+};
+
+enum class EventKind {
+  kStart,
+  kTerm,
+  kRepeatedTerm,
+  kHangUp,
+  kKill,
+  kFreeze,
+  kThaw,
+  kExit,
+  kOther
+};
+
+// Something that was done to a daemon, or to an upstream or the store.
+struct PlayEvent {
+  TimePoint at{};
+  EventKind kind = EventKind::kOther;
+  std::optional<std::size_t> daemon;
+  std::string text;
+};
+
+// A promise that was broken.
+struct Violation {
+  std::string rule;
+  std::string text;
+  const AttemptRecord* attempt = nullptr;
+  std::optional<std::size_t> daemon;
+  TimePoint at{};
+};
+
+// All that callers and upstreams saw in one play, and what was done to the system. Thread-safe
+// until the play has ended; the accessors below are for afterwards.
+class History {
+ public:
+  void AddAttempt(AttemptRecord attempt);
+  void AddEvent(EventKind kind, std::optional<std::size_t> daemon, std::string text);
+  // Records that all connections of an upstream broke.
+  void AddBreak(const std::string& upstream);
+  // Records that an upstream began to run a request, and returns the number of the run.
+  std::size_t BeginRun(const std::string& attempt, std::string upstream, std::string version);
+  void EndRun(const std::string& attempt, std::size_t run);
+  // Records a violation that was seen during the play.
+  void AddViolation(std::string rule, std::string text, std::optional<std::size_t> daemon = {});
+
+  const std::vector<AttemptRecord>& attempts() const { return attempts_; }
+  const std::vector<PlayEvent>& events() const { return events_; }
+  const std::vector<Violation>& violations() const { return violations_; }
+  // Returns the runs of an attempt.
+  std::vector<RunRecord> RunsOf(const std::string& attempt) const;
+  // Returns true if the upstream's connections broke within this time.
+  bool BrokeBetween(const std::string& upstream, TimePoint from, TimePoint to) const;
+  // Formats the events around a violation and what is known of its attempt.
+  std::string Timeline(const Violation& violation) const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<AttemptRecord> attempts_;
+  std::vector<PlayEvent> events_;
+  std::vector<Violation> violations_;
+  std::map<std::string, std::vector<RunRecord>> runs_;
+  std::map<std::string, std::vector<TimePoint>> breaks_;
+};
+
+// Bounds of the promises.
+struct PromiseBounds {
+  // Time after a disturbance for which a daemon is not bound.
+  Duration contact = 3s;
+  // Time after its last byte within which a request may cross the daemon's close of a connection.
+  Duration loss_slack = 200ms;
+  Duration grace;
+};
+
+// Returns the promises that the history shows to be broken, including those seen during the play.
+std::vector<Violation> CheckPromises(const History& history, const PromiseBounds& bounds);
+
+}  // namespace savoryglade::soak
--- /dev/null
+++ b/tests/soak/play.cc
@@ -0,0 +1,448 @@
+#include "soak/play.h"
+
+#include <fmt/format.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <csignal>
+#include <filesystem>
+#include <thread>
+#include <utility>
+
+#include "net/sleep.h"
+
+namespace savoryglade::soak {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kTick = 5ms;
+constexpr Duration kReadyTimeout = 30s;
+constexpr Duration kLastCallsTimeout = 10s;
+constexpr Duration kUpstreamDrain = 1s;
+constexpr const char* kApiKey = "drivers-key";
+constexpr const char* kLimitedKey = "visitors-key";
+
+constexpr const char* kRoutes = R"({"version":1,"routes":[
+{"name":"reads","host":"h","prefix":"/reads/","route_kind":"idempotent","timeout_ms":3000,"goal_ms":1000,"service":"s","max_attempts":2},
+{"name":"orders","host":"h","prefix":"/orders/","route_kind":"non_idempotent","timeout_ms":3000,"service":"s","max_attempts":1},
+{"name":"chats","host":"h","prefix":"/chats/","route_kind":"streaming","timeout_ms":5000,"service":"s","max_attempts":3,"resumable":true},
+{"name":"once","host":"h","prefix":"/once/","route_kind":"streaming","timeout_ms":5000,"service":"s","max_attempts":1}],
+"services":[{"name":"s","engine":{"slots":16,"moves":true}}],
+"tenants":[{"name":"drivers","api_keys":["drivers-key"]},
+{"name":"visitors","api_keys":["visitors-key"],"rate_per_s":15,"burst":10}]})";
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+// Returns a loopback address that no other soak on this machine uses at the same time.
+std::string DaemonAddress(std::size_t daemon) {
+  constexpr int kNumbers = 250;
+  const int pid = ::getpid();
+  return fmt::format("127.{}.{}.{}", 1 + pid / kNumbers % kNumbers, pid % kNumbers, daemon + 1);
+}
+
+asio::awaitable<void> AcceptDuty(HttpExchange& exchange) { co_await exchange.Respond(200, {}, {}); }
+
+std::string DomainName(std::size_t domain) { return fmt::format("domain-{}", domain + 1); }
+
+}  // namespace
+
+Play::Play(PlayOptions options)
+    : options_(std::move(options)),
+      random_(options_.seed),
+      grace_(random_.Bernoulli(0.7) ? 8s : 5s),
+      service_time_(random_.Bernoulli(0.5) ? 60ms : 300ms),
+      event_interval_(random_.Bernoulli(0.5) ? 10ms : 150ms),
+      domain_count_(2 + random_.UniformInt(3)),
+      store_server_(platform_pool_, HttpLimits{},
+                    [this](HttpExchange& exchange) { return HandleStoreCall(exchange); }),
+      duty_server_(platform_pool_, HttpLimits{},
+                   [](HttpExchange& exchange) { return AcceptDuty(exchange); }) {}
+
+Play::~Play() {
+  caller_pool_.Stop();
+  platform_pool_.Stop();
+}
+
+asio::awaitable<void> Play::HandleStoreCall(HttpExchange& exchange) {
+  if (const Duration delay = store_delay_; delay > Duration::zero()) {
+    co_await Sleep(delay);
+  }
+  co_await store_.Handle(exchange);
+}
+
+Duration Play::RandomDuration(Duration from, Duration to) {
+  return from + FromSeconds(ToSeconds(to - from) * random_.UniformReal());
+}
+
+TimePoint Play::RandomTime(double from_share, double to_share) {
+  const double seconds = ToSeconds(options_.length);
+  return begin_ +
+         RandomDuration(FromSeconds(seconds * from_share), FromSeconds(seconds * to_share));
+}
+
+std::string Play::RandomDomain() { return DomainName(random_.UniformInt(domain_count_)); }
+
+void Play::At(TimePoint time, std::function<void()> action) {
+  actions_.emplace(time, std::move(action));
+}
+
+std::vector<Violation> Play::Run() {
+  std::filesystem::create_directories(options_.directory);
+  StartServices();
+  StartDaemons();
+  if (!RunUntil(Now() + kReadyTimeout, [this] { return balancer_->AllReady(); })) {
+    history_.AddViolation("READY", "The daemons were not ready in time.");
+    return CheckPromises(history_, {.grace = grace_});
+  }
+  begin_ = Now();
+  StartCallers();
+  PlanStops();
+  PlanUpstreamChanges();
+  // Plays without unplanned faults excuse nothing.
+  if (random_.Bernoulli(0.5)) {
+    PlanUnplannedFaults();
+  }
+  if (random_.Bernoulli(0.5)) {
+    PlanStoreFaults();
+  }
+  RunUntil(begin_ + options_.length, [] { return false; });
+  // All daemons stop while the callers go on for a while.
+  ending_ = true;
+  for (std::size_t i = 0; i < daemons_.size(); ++i) {
+    At(Now() + RandomDuration(0s, 1s), [this, i] { Stop(i); });
+  }
+  At(Now() + 3s, [this] { callers_stop_ = true; });
+  const bool ended = RunUntil(Now() + grace_ + kLastCallsTimeout, [this] {
+    return callers_stop_ && active_callers_ == 0 &&
+           std::ranges::none_of(
+               daemons_, [](const DaemonState& daemon) { return daemon.process->running(); });
+  });
+  if (!ended) {
+    history_.AddViolation("END", "Calls or daemons were still there at the end.");
+  }
+  caller_pool_.Stop();
+  for (const auto& upstream : upstreams_) {
+    upstream->Break();
+  }
+  return CheckPromises(history_, {.grace = grace_});
+}
+
+void Play::StartServices() {
+  store_.Put("op", "config", kRoutes);
+  const std::size_t count = 2 * domain_count_ + random_.UniformInt(4);
+  for (std::size_t i = 0; i < count; ++i) {
+    AddUpstream("v1", DomainName(i % domain_count_));
+  }
+}
+
+void Play::StartDaemons() {
+  const Endpoint any{.address = "127.0.0.1", .port = 0};
+  const Endpoint store = *store_server_.Listen(any);
+  const Endpoint duties = *duty_server_.Listen(any);
+  const std::size_t count = 4 + random_.UniformInt(5);
+  std::vector<LoadBalancer::Daemon> targets;
+  for (std::size_t i = 0; i < count; ++i) {
+    auto process = std::make_unique<DaemonProcess>(
+        DaemonOptions{.program = options_.daemon_program,
+                      .name = fmt::format("daemon-{}", i),
+                      .failure_domain = DomainName(i % domain_count_),
+                      .address = DaemonAddress(i),
+                      .store = store,
+                      .duties = duties,
+                      .grace = grace_,
+                      .upstream_drain = kUpstreamDrain,
+                      .directory = options_.directory});
+    targets.push_back({.callers = process->callers(),
+                       .readiness = process->readiness(),
+                       .failure_domain = process->failure_domain()});
+    process->WriteSettings(0);
+    daemons_.push_back({.process = std::move(process)});
+    StartDaemon(i);
+  }
+  balancer_ = std::make_unique<LoadBalancer>(std::move(targets));
+  for (std::size_t i = 0; i < count; ++i) {
+    asio::co_spawn(caller_pool_.context(0), balancer_->Poll(i), asio::detached);
+  }
+}
+
+void Play::StartCallers() {
+  // Busy callers learn of a stop by their next answer. Quiet ones still use their connections when
+  // the daemon is about to exit.
+  const std::size_t busy = daemons_.size() * (1 + random_.UniformInt(6));
+  const std::size_t count = busy + daemons_.size() * (5 + random_.UniformInt(20));
+  const Duration busy_pause = RandomDuration(50ms, 600ms);
+  for (std::size_t i = 0; i < count; ++i) {
+    callers_.push_back(std::make_unique<Caller>(
+        CallerOptions{.name = fmt::format("caller-{}", i),
+                      .failure_domain = DomainName(i % domain_count_),
+                      .api_key = random_.Bernoulli(0.2) ? kLimitedKey : kApiKey,
+                      .seed = random_.Next(),
+                      .pause = i < busy ? busy_pause : RandomDuration(1s, 5s),
+                      .calls_per_connection = random_.Bernoulli(0.2)
+                                                  ? 1
+                                                  : 5 + static_cast<int>(random_.UniformInt(20))},
+        *balancer_, history_));
+    asio::co_spawn(caller_pool_.context(0), callers_.back()->Run(callers_stop_, active_callers_),
+                   asio::detached);
+  }
+}
+
+void Play::PlanStops() {
+  // Stops come in series of several daemons, which may overlap.
+  const std::size_t series = 2 + random_.UniformInt(5);
+  for (std::size_t i = 0; i < series; ++i) {
+    const TimePoint start = RandomTime(0.02, 0.8);
+    const std::size_t stops = 1 + random_.UniformInt(daemons_.size());
+    const Duration spread = random_.Bernoulli(0.5) ? 200ms : 4s;
+    for (std::size_t k = 0; k < stops; ++k) {
+      const std::size_t daemon = random_.UniformInt(daemons_.size());
+      const TimePoint at = start + RandomDuration(0s, spread);
+      At(at, [this, daemon] { Stop(daemon); });
+      if (random_.Bernoulli(0.3)) {
+        At(at + RandomDuration(50ms, 4s), [this, daemon] {
+          if (daemons_[daemon].stop_ordered) {
+            history_.AddEvent(EventKind::kRepeatedTerm, daemon, "SIGTERM again");
+            daemons_[daemon].process->Signal(SIGTERM);
+          }
+        });
+      }
+      if (random_.Bernoulli(0.3)) {
+        At(at + RandomDuration(-1s, 4s), [this, daemon, revision = static_cast<int>(10 * i + k)] {
+          daemons_[daemon].process->WriteSettings(revision);
+          if (!daemons_[daemon].process->IsListening()) {
+            return;
+          }
+          history_.AddEvent(EventKind::kHangUp, daemon, "SIGHUP with other bounds");
+          daemons_[daemon].process->Signal(SIGHUP);
+        });
+      }
+    }
+  }
+}
+
+void Play::PlanUnplannedFaults() {
+  const std::size_t faults = 1 + random_.UniformInt(5);
+  for (std::size_t i = 0; i < faults; ++i) {
+    const std::size_t daemon = random_.UniformInt(daemons_.size());
+    const TimePoint at = RandomTime(0.02, 0.95);
+    if (random_.Bernoulli(0.5)) {
+      At(at, [this, daemon] { Disturb(daemon, EventKind::kKill, SIGKILL); });
+    } else {
+      At(at, [this, daemon] { Disturb(daemon, EventKind::kFreeze, SIGSTOP); });
+      At(at + RandomDuration(100ms, 3s),
+         [this, daemon] { Disturb(daemon, EventKind::kThaw, SIGCONT); });
+    }
+  }
+  const std::size_t crashes = random_.UniformInt(4);
+  for (std::size_t i = 0; i < crashes; ++i) {
+    At(RandomTime(0.02, 0.95), [this] {
+      if (const std::optional<std::string> id = PickUpstream(1)) {
+        const UpstreamOptions options = serving_.at(*id)->options();
+        RemoveUpstream(*id, false);
+        At(Now() + 2s, [this, options] { AddUpstream(options.version, options.failure_domain); });
+      }
+    });
+  }
+}
+
+void Play::PlanUpstreamChanges() {
+  const std::size_t changes = random_.UniformInt(4);
+  for (std::size_t i = 0; i < changes; ++i) {
+    At(RandomTime(0.02, 0.95), [this] { AddUpstream("v1", RandomDomain()); });
+    At(RandomTime(0.02, 0.95), [this] {
+      if (const std::optional<std::string> id = PickUpstream(3)) {
+        RemoveUpstream(*id, true);
+      }
+    });
+  }
+  if (!random_.Bernoulli(0.5)) {
+    return;
+  }
+  // A release replaces one upstream after the other by another version.
+  const TimePoint start = RandomTime(0.05, 0.4);
+  const Duration step = RandomDuration(100ms, 1s);
+  std::size_t position = 0;
+  for (const auto& [id, upstream] : serving_) {
+    const TimePoint at = start + step * static_cast<int>(position++);
+    At(at, [this, domain = upstream->options().failure_domain] { AddUpstream("v2", domain); });
+    At(at + RandomDuration(0s, 2s), [this, name = id] {
+      if (serving_.contains(name)) {
+        RemoveUpstream(name, true);
+      }
+    });
+  }
+}
+
+void Play::PlanStoreFaults() {
+  const std::size_t faults = 1 + random_.UniformInt(3);
+  for (std::size_t i = 0; i < faults; ++i) {
+    const TimePoint at = RandomTime(0.02, 0.8);
+    const TimePoint end = at + RandomDuration(200ms, 5s);
+    const std::size_t kind = random_.UniformInt(3);
+    const Duration delay = RandomDuration(50ms, 1s);
+    At(at, [this, kind, delay] {
+      static constexpr std::array kNames = {"down", "losing its answers", "slow"};
+      history_.AddEvent(EventKind::kOther, {}, fmt::format("the store is {}", kNames.at(kind)));
+      store_.SetFaults({.outage = kind == 0, .drop_responses = kind == 1});
+      store_delay_ = kind == 2 ? delay : Duration::zero();
+    });
+    At(end, [this] {
+      history_.AddEvent(EventKind::kOther, {}, "the store is sound");
+      store_.SetFaults({});
+      store_delay_ = Duration::zero();
+    });
+  }
+}
+
+bool Play::RunUntil(TimePoint end, const std::function<bool()>& condition) {
+  while (Now() < end) {
+    while (!actions_.empty() && actions_.begin()->first <= Now()) {
+      const auto action = actions_.extract(actions_.begin());
+      action.mapped()();
+    }
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      DaemonState& daemon = daemons_[i];
+      if (const std::optional<int> status = daemon.process->Poll()) {
+        OnExit(i, *status);
+      } else if (daemon.stop_ordered && !daemon.killed && Now() > *daemon.stop_ordered + grace_) {
+        if (!daemon.froze_while_stopping) {
+          history_.AddViolation("DRAIN", "The process did not exit within the grace period.", i);
+        }
+        Disturb(i, EventKind::kKill, SIGKILL);
+      }
+    }
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(kTick);
+  }
+  return condition();
+}
+
+void Play::StartDaemon(std::size_t daemon) {
+  if (ending_ || daemons_[daemon].process->running()) {
+    return;
+  }
+  daemons_[daemon].process->Start();
+  history_.AddEvent(EventKind::kStart, daemon, "daemon started");
+}
+
+void Play::Stop(std::size_t daemon) {
+  DaemonState& state = daemons_[daemon];
+  if (state.stop_ordered || state.killed || !state.process->running()) {
+    return;
+  }
+  if (!state.process->IsListening()) {
+    At(Now() + 20ms, [this, daemon] { Stop(daemon); });
+    return;
+  }
+  state.stop_ordered = Now();
+  state.froze_while_stopping = state.frozen_until.has_value();
+  history_.AddEvent(EventKind::kTerm, daemon, "SIGTERM");
+  state.process->Signal(SIGTERM);
+}
+
+void Play::Disturb(std::size_t daemon, EventKind kind, int signal) {
+  DaemonState& state = daemons_[daemon];
+  if (!state.process->running() || state.killed) {
+    return;
+  }
+  state.killed = kind == EventKind::kKill;
+  state.froze_while_stopping |= kind == EventKind::kFreeze;
+  history_.AddEvent(kind, daemon,
+                    kind == EventKind::kKill     ? "SIGKILL"
+                    : kind == EventKind::kFreeze ? "SIGSTOP"
+                                                 : "SIGCONT");
+  state.process->Signal(signal);
+}
+
+void Play::OnExit(std::size_t daemon, int status) {
+  DaemonState& state = daemons_[daemon];
+  const bool clean = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+  history_.AddEvent(EventKind::kExit, daemon, fmt::format("exited with wait status {}", status));
+  if (!state.killed && !(clean && state.stop_ordered)) {
+    history_.AddViolation("EXIT",
+                          fmt::format("The process ended with wait status {}{}.", status,
+                                      state.stop_ordered ? " after SIGTERM" : " by itself"),
+                          daemon);
+  }
+  state.killed = false;
+  state.froze_while_stopping = false;
+  state.stop_ordered.reset();
+  At(Now() + RandomDuration(50ms, 1s), [this, daemon] { StartDaemon(daemon); });
+}
+
+void Play::AddUpstream(const std::string& version, const std::string& failure_domain) {
+  const std::string id = fmt::format("upstream-{}", upstreams_.size());
+  upstreams_.push_back(
+      std::make_unique<Upstream>(UpstreamOptions{.id = id,
+                                                 .version = version,
+                                                 .failure_domain = failure_domain,
+                                                 .max_service_time = service_time_,
+                                                 .event_interval = event_interval_},
+                                 history_));
+  serving_[id] = upstreams_.back().get();
+  store_.Put("servers", id, upstreams_.back()->Registration(false));
+  history_.AddEvent(EventKind::kOther, {}, fmt::format("{} ({}) joins", id, version));
+}
+
+void Play::RemoveUpstream(const std::string& id, bool planned) {
+  Upstream* const upstream = serving_.at(id);
+  serving_.erase(id);
+  history_.AddEvent(EventKind::kOther, {}, id + (planned ? " begins to leave" : " crashes"));
+  if (!planned) {
+    upstream->Break();
+    At(Now() + RandomDuration(0s, 2s), [this, id] { store_.Remove("servers", id); });
+    return;
+  }
+  store_.Put("servers", id, upstream->Registration(true));
+  // It goes once it has answered what it had.
+  const auto leave = std::make_shared<std::function<void()>>();
+  *leave = [this, upstream, id, leave] {
+    if (upstream->running() > 0) {
+      At(Now() + 100ms, *leave);
+      return;
+    }
+    history_.AddEvent(EventKind::kOther, {}, id + " is gone");
+    store_.Remove("servers", id);
+    upstream->Break();
+  };
+  At(Now() + kUpstreamDrain + RandomDuration(300ms, 2s), *leave);
+}
+
+std::optional<std::string> Play::PickUpstream(std::size_t spare) {
+  if (serving_.size() <= spare) {
+    return std::nullopt;
+  }
+  const auto chosen =
+      std::next(serving_.begin(), static_cast<std::ptrdiff_t>(random_.UniformInt(serving_.size())));
+  return chosen->first;
+}
+
+std::string Play::Summary() const {
+  std::map<EventKind, int> events;
+  for (const PlayEvent& event : history_.events()) {
+    ++events[event.kind];
+  }
+  int succeeded = 0;
+  int refused = 0;
+  int closed = 0;
+  int resumed = 0;
+  for (const AttemptRecord& attempt : history_.attempts()) {
+    succeeded += attempt.complete && attempt.status >= 200 && attempt.status < 300 ? 1 : 0;
+    refused += attempt.status == 429 || attempt.status == 503 ? 1 : 0;
+    closed += attempt.sent && !attempt.complete ? 1 : 0;
+    resumed += attempt.events_before > 0 ? 1 : 0;
+  }
+  return fmt::format(
+      "{} daemons in {} domains, grace {} s; {} stops, {} kills, {} freezes; {} requests, {} "
+      "answered, {} refused, {} closed, {} resumptions",
+      daemons_.size(), domain_count_, ToSeconds(grace_), events[EventKind::kTerm],
+      events[EventKind::kKill], events[EventKind::kFreeze], history_.attempts().size(), succeeded,
+      refused, closed, resumed);
+}
+
+}  // namespace savoryglade::soak
--- /dev/null
+++ b/tests/soak/play.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+#include "emulator/store_service.h"
+#include "net/http_server.h"
+#include "net/worker_pool.h"
+#include "soak/caller.h"
+#include "soak/daemon_process.h"
+#include "soak/history.h"
+#include "soak/upstream.h"
+
+namespace savoryglade::soak {
+
+struct PlayOptions {
+  std::string daemon_program;
+  // Directory of the settings files and logs; created by the play.
+  std::string directory;
+  std::uint64_t seed = 0;
+  // Time from the first call until the callers are told to stop.
+  Duration length = 20s;
+};
+
+// One play of daemons, callers, upstreams and faults that are drawn from a seed. Runs in real time,
+// so two plays of a seed have the same faults but not the same interleaving.
+class Play {
+ public:
+  explicit Play(PlayOptions options);
+  ~Play();
+  Play(const Play&) = delete;
+  Play& operator=(const Play&) = delete;
+
+  // Plays to the end and returns the promises that were broken.
+  std::vector<Violation> Run();
+  const History& history() const { return history_; }
+  // Describes the play and what its callers saw in one line.
+  std::string Summary() const;
+
+ private:
+  struct DaemonState {
+    std::unique_ptr<DaemonProcess> process;
+    // Time of the stop order that the process has not yet followed.
+    std::optional<TimePoint> stop_ordered;
+    std::optional<TimePoint> frozen_until;
+    bool killed = false;
+    // True if the process was frozen after the stop order.
+    bool froze_while_stopping = false;
+  };
+
+  boost::asio::awaitable<void> HandleStoreCall(HttpExchange& exchange);
+  void StartServices();
+  void StartDaemons();
+  void StartCallers();
+  // Plans all faults of the play.
+  void PlanStops();
+  void PlanUnplannedFaults();
+  void PlanUpstreamChanges();
+  void PlanStoreFaults();
+
+  void At(TimePoint time, std::function<void()> action);
+  // Runs due actions and looks after the processes until the condition holds or the time has come.
+  bool RunUntil(TimePoint end, const std::function<bool()>& condition);
+  void OnExit(std::size_t daemon, int status);
+  void StartDaemon(std::size_t daemon);
+  void Stop(std::size_t daemon);
+  void Disturb(std::size_t daemon, EventKind kind, int signal);
+  void AddUpstream(const std::string& version, const std::string& failure_domain);
+  void RemoveUpstream(const std::string& id, bool planned);
+  // Returns the id of an upstream in service, or nothing if fewer than `spare` others are.
+  std::optional<std::string> PickUpstream(std::size_t spare);
+  std::string RandomDomain();
+  TimePoint RandomTime(double from_share, double to_share);
+  Duration RandomDuration(Duration from, Duration to);
+
+  PlayOptions options_;
+  Random random_;
+  Duration grace_;
+  // Longest service time of a call, and the time between the events of a stream.
+  Duration service_time_;
+  Duration event_interval_;
+  std::size_t domain_count_;
+  History history_;
+  StoreService store_;
+  std::atomic<Duration> store_delay_{Duration::zero()};
+  WorkerPool platform_pool_{1};
+  HttpServer store_server_;
+  HttpServer duty_server_;
+  std::vector<DaemonState> daemons_;
+  // All upstreams, also those that are gone, and the ids of those in service.
+  std::vector<std::unique_ptr<Upstream>> upstreams_;
+  std::map<std::string, Upstream*> serving_;
+  std::unique_ptr<LoadBalancer> balancer_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  std::atomic<bool> callers_stop_{false};
+  std::atomic<int> active_callers_{0};
+  bool ending_ = false;
+  TimePoint begin_{};
+  std::multimap<TimePoint, std::function<void()>> actions_;
+  // Destroyed first, so that no caller runs any more.
+  WorkerPool caller_pool_{1};
+};
+
+}  // namespace savoryglade::soak
--- /dev/null
+++ b/tests/soak/upstream.cc
@@ -0,0 +1,78 @@
+#include "soak/upstream.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio.hpp>
+#include <utility>
+
+#include "core/prefix_hash.h"
+#include "net/sleep.h"
+
+namespace savoryglade::soak {
+namespace {
+
+// One request of this many is rejected as not run.
+constexpr std::uint64_t kRequestsPerRejection = 40;
+
+}  // namespace
+
+Upstream::Upstream(UpstreamOptions options, History& history)
+    : options_(std::move(options)), history_(history), worker_(options_.id) {
+  worker_.SetEventInterval(options_.event_interval);
+  pool_ = std::make_unique<WorkerPool>(1);
+  server_ = std::make_unique<HttpServer>(
+      *pool_, HttpLimits{}, [this](HttpExchange& exchange) { return Handle(exchange); });
+  endpoint_ = *server_->Listen({.address = "127.0.0.1", .port = 0});
+}
+
+void Upstream::Break() {
+  history_.AddBreak(options_.id);
+  Close();
+}
+
+void Upstream::Close() {
+  if (pool_ == nullptr) {
+    return;
+  }
+  pool_->Stop();
+  server_.reset();
+  pool_.reset();
+}
+
+std::string Upstream::Registration(bool leaving) const {
+  return fmt::format(
+      R"({{"service":"s","address":"{}","zone":"{}","version":"{}","slots":{},"state":"{}"}})",
+      ToString(endpoint_), options_.failure_domain, options_.version, options_.slots,
+      leaving ? "draining" : "ready");
+}
+
+Duration Upstream::ServiceTime(const std::string& attempt) const {
+  constexpr std::uint64_t kSteps = 1000;
+  const double share = static_cast<double>(Fnv1aHash(attempt) % kSteps) / kSteps;
+  return options_.min_service_time +
+         FromSeconds(ToSeconds(options_.max_service_time - options_.min_service_time) * share);
+}
+
+boost::asio::awaitable<void> Upstream::Handle(HttpExchange& exchange) {
+  const std::string attempt(exchange.Header("Attempt-Id"));
+  const std::string expected(exchange.Header("Expect-Instance"));
+  if (attempt.empty() || expected != options_.id) {
+    co_await worker_.Handle(exchange);
+    co_return;
+  }
+  if (running_ >= options_.slots || Fnv1aHash(attempt + options_.id) % kRequestsPerRejection == 0) {
+    HttpHeaders headers;
+    headers.emplace_back("Attempt-Id", attempt);
+    headers.emplace_back("Not-Executed", "1");
+    co_await exchange.Respond(503, std::move(headers), {});
+    co_return;
+  }
+  const std::size_t run = history_.BeginRun(attempt, options_.id, options_.version);
+  ++running_;
+  co_await Sleep(ServiceTime(attempt));
+  co_await worker_.Handle(exchange);
+  --running_;
+  history_.EndRun(attempt, run);
+}
+
+}  // namespace savoryglade::soak
--- /dev/null
+++ b/tests/soak/upstream.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/time.h"
+#include "emulator/worker_service.h"
+#include "net/http_server.h"
+#include "net/worker_pool.h"
+#include "soak/history.h"
+
+namespace savoryglade::soak {
+
+struct UpstreamOptions {
+  std::string id;
+  std::string version;
+  std::string failure_domain;
+  int slots = 16;
+  // Bounds of the time that a call runs and that a stream takes to its first event.
+  Duration min_service_time = 20ms;
+  Duration max_service_time = 300ms;
+  Duration event_interval = 100ms;
+};
+
+// Emulated upstream that takes its time and records what it runs.
+class Upstream {
+ public:
+  Upstream(UpstreamOptions options, History& history);
+  ~Upstream() { Close(); }
+  Upstream(const Upstream&) = delete;
+  Upstream& operator=(const Upstream&) = delete;
+
+  // Closes the listener and all connections at once, and records that.
+  void Break();
+  // Text of its entry in the store.
+  std::string Registration(bool leaving) const;
+  int running() const { return running_; }
+  const UpstreamOptions& options() const { return options_; }
+
+ private:
+  void Close();
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+  Duration ServiceTime(const std::string& attempt) const;
+
+  UpstreamOptions options_;
+  History& history_;
+  WorkerService worker_;
+  std::atomic<int> running_{0};
+  Endpoint endpoint_;
+  std::unique_ptr<WorkerPool> pool_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace savoryglade::soak
