--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -19,6 +19,7 @@
 Upstream::Upstream(UpstreamOptions options, History& history)
     : options_(std::move(options)), history_(history), worker_(options_.id) {
   worker_.SetEventInterval(options_.event_interval);
+  worker_.SetVersion(options_.version);
   pool_ = std::make_unique<WorkerPool>(1);
   server_ = std::make_unique<HttpServer>(
       *pool_, HttpLimits{}, [this](HttpExchange& exchange) { return Handle(exchange); });
