Destroy the soak's callers before their pool

The connections of callers that slept at the end of a play were closed after their I/O context was gone, and the program crashed after its first play.

--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -63,6 +63,8 @@
 
 Play::~Play() {
   caller_pool_.Stop();
+  // Their connections must not outlive the pool.
+  callers_.clear();
   platform_pool_.Stop();
 }
 
