Check in the soak that streams keep to the version that began them

Callers close some resumable streams in the middle and resume them. Each run is recorded with its version and the event it goes on behind, which shows the version that brought each event.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -124,6 +124,10 @@
             .body = {},
             .deadline = Now() + kCallTimeout,
             .first_attempt = {}};
+  if (call.type->resumable && random_.Bernoulli(options_.break_share)) {
+    call.break_after =
+        1 + static_cast<int>(random_.UniformInt(WorkerService::kEventsPerStream - 1));
+  }
   if (call.type->method == "POST") {
     call.body = fmt::format("body of {}", call.target);
   }
@@ -229,6 +233,11 @@
       record.complete = true;
       break;
     }
+    if (call.break_after > 0 && ParseEvents(body, call.events).value_or(0) >= call.break_after) {
+      call.break_after = 0;
+      record.left_by_caller = true;
+      break;
+    }
   }
   if (!owner.empty() && owner != record.id) {
     record.mixed = "The answer bears the attempt id " + owner + ".";
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -54,6 +54,8 @@
   std::uint64_t seed = 0;
   // Mean time between two calls.
   Duration pause = 300ms;
+  // Share of resumable streams that the caller breaks in the middle and resumes.
+  double break_share = 0;
   // Calls after which the caller opens a new connection.
   int calls_per_connection = 1;
 };
@@ -77,6 +79,8 @@
     std::string target;
     std::string body;
     TimePoint deadline;
+    // Stream: the event after which the caller breaks its connection, or zero.
+    int break_after = 0;
     // Stream: the last event received, and the attempt that brought the first one.
     int events = 0;
     std::string first_attempt;
--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -176,6 +176,7 @@
   const std::size_t busy = daemons_.size() * (1 + random_.UniformInt(6));
   const std::size_t count = busy + daemons_.size() * (5 + random_.UniformInt(20));
   const Duration busy_pause = RandomDuration(50ms, 600ms);
+  const double break_share = random_.Bernoulli(0.5) ? 0.4 : 0;
   for (std::size_t i = 0; i < count; ++i) {
     callers_.push_back(std::make_unique<Caller>(
         CallerOptions{.name = fmt::format("caller-{}", i),
@@ -183,6 +184,7 @@
                       .api_key = random_.Bernoulli(0.2) ? kLimitedKey : kApiKey,
                       .seed = random_.Next(),
                       .pause = i < busy ? busy_pause : RandomDuration(1s, 5s),
+                      .break_share = break_share,
                       .calls_per_connection = random_.Bernoulli(0.2)
                                                   ? 1
                                                   : 5 + static_cast<int>(random_.UniformInt(20))},
@@ -387,6 +389,7 @@
                                                  .event_interval = event_interval_},
                                  history_));
   serving_[id] = upstreams_.back().get();
+  history_.AddServing(version, 1);
   store_.Put("servers", id, upstreams_.back()->Registration(false));
   history_.AddEvent(EventKind::kOther, {}, fmt::format("{} ({}) joins", id, version));
 }
@@ -394,6 +397,7 @@
 void Play::RemoveUpstream(const std::string& id, bool planned) {
   Upstream* const upstream = serving_.at(id);
   serving_.erase(id);
+  history_.AddServing(upstream->options().version, -1);
   history_.AddEvent(EventKind::kOther, {}, id + (planned ? " begins to leave" : " crashes"));
   if (!planned) {
     upstream->Break();
