--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -11,6 +11,7 @@
 #include "core/boot_clock.h"
 #include "core/prefix_hash.h"
 #include "logging/logger.h"
+#include "routing/software_version.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -118,6 +119,9 @@
     return reject(Reason::kRequestCrashesUpstreams, "The request has crashed several upstreams.",
                   refusal);
   }
+  if (const Reason reason = BindToStreamVersion(call, now); reason != Reason::kNone) {
+    return reject(reason, "The stream can't continue at the version that began it.", kRetryAfter);
+  }
   if (call.account != nullptr) {
     call.units = call.account->counts_tokens
                      ? call.metadata.declared_tokens.value_or(call.account->default_tokens)
@@ -138,6 +142,36 @@
   return {};
 }
 
+Reason CallRelay::BindToStreamVersion(Call& call, TimePoint now) {
+  if (!call.resumes_stream()) {
+    return Reason::kNone;
+  }
+  const StreamVersion version = stream_versions_.Find(call, now);
+  Reason reason = Reason::kNone;
+  std::string wanted = "any";
+  if (version.state == StreamVersion::State::kKnown) {
+    wanted = fmt::format("{:016x}", version.key);
+    call.metadata.work.required_version = version.key;
+    if (!fleet_.load_balancer.HasVersion(call.service, version.key)) {
+      reason = Reason::kStreamVersionUnavailable;
+    }
+  } else if (version.state == StreamVersion::State::kUnknown) {
+    wanted = "unknown";
+    reason = Reason::kStreamVersionUnknown;
+  }
+  if (reason != Reason::kNone) {
+    call.rejection_detail =
+        fmt::format("resumes {}, version {}", call.metadata.resumed_attempt, wanted);
+  }
+  kLog.Info("A caller resumes a stream.", {{"request", call.metadata.attempt_id},
+                                           {"route", call.route->name},
+                                           {"resumes", call.metadata.resumed_attempt},
+                                           {"last_event", call.metadata.last_event_id},
+                                           {"version_key", wanted},
+                                           {"refused", reason != Reason::kNone}});
+  return reason;
+}
+
 asio::awaitable<void> CallRelay::Handle(HttpExchange& exchange) {
   const ActiveRequest active(fleet_.active_requests);
   Call call(exchange);
@@ -159,11 +193,14 @@
 }
 
 Verdict CallRelay::NoUpstreamVerdict(const Call& call, TimePoint now) const {
-  return Verdict{.run_state = call.run_state,
-                 .reason = fleet_.load_balancer.FreeSlots(call.service, now) > 0
-                               ? Reason::kNoUpstream
-                               : Reason::kQueueFull,
-                 .retry_after = kRetryAfter};
+  const std::optional<std::uint64_t> required = call.metadata.work.required_version;
+  Reason reason = Reason::kQueueFull;
+  if (required && !fleet_.load_balancer.HasVersion(call.service, *required)) {
+    reason = Reason::kStreamVersionUnavailable;
+  } else if (fleet_.load_balancer.FreeSlots(call.service, now, required) > 0) {
+    reason = Reason::kNoUpstream;
+  }
+  return Verdict{.run_state = call.run_state, .reason = reason, .retry_after = kRetryAfter};
 }
 
 std::string_view CallRelay::OutcomeName(RelayOutcome outcome) {
@@ -274,6 +311,7 @@
               {{"request", call.metadata.attempt_id},
                {"route", call.route->name},
                {"upstream", id.value()},
+               {"version", attempt.placement.upstream.software_version},
                {"outcome", OutcomeName(outcome)},
                {"end", static_cast<int>(attempt.end)},
                {"first_byte", attempt.first_byte},
@@ -307,6 +345,17 @@
     attempt.end = AttemptEnd::kCancelled;
     co_return RelayOutcome::kNotRun;
   }
+  if (const UpstreamRecord* const record = fleet_.load_balancer.Find(attempt.placement.upstream.id);
+      record != nullptr) {
+    // The upstream may have started again since it was chosen.
+    attempt.placement.upstream.software_version = record->software_version;
+    const std::optional<std::uint64_t> required = call.metadata.work.required_version;
+    if (required && *required != SoftwareVersionKey(record->software_version)) {
+      attempt.failure = "The upstream has another version than the stream.";
+      attempt.end = AttemptEnd::kCancelled;
+      co_return RelayOutcome::kNotRun;
+    }
+  }
   HttpConnection* const connection = attempt.connection.get();
   attempt.registration.emplace(open_attempts_, attempt.placement.upstream.id, *connection);
   call.caller.OnDisconnect([connection] { connection->Close(); });
