--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -258,6 +258,8 @@
       co_return;
     }
     if (outcome == RelayOutcome::kMigrated) {
+      // The upstream that stopped the stream has run it.
+      call.run_state = RunState::kMayHaveRun;
       continue;
     }
     if (moved && outcome == RelayOutcome::kNotRun && call.migration_source) {
@@ -338,6 +340,11 @@
     attempt.end = AttemptEnd::kCancelled;
     co_return RelayOutcome::kFinished;
   }
+  if (fleet_.drain.interrupted()) {
+    attempt.failure = "The daemon interrupts its requests.";
+    attempt.end = AttemptEnd::kCancelled;
+    co_return RelayOutcome::kNotRun;
+  }
   const Duration grace =
       FromSeconds(ToSeconds(fleet_.settings.bounds.upstream_drain) * kSendGraceFraction);
   if (!fleet_.notices.MayReceive(attempt.placement.upstream.id, grace, BootNow())) {
