--- a/packages/emulator/caller_connection.cc
+++ b/packages/emulator/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "emulator/caller_connection.h"
 
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -70,6 +71,15 @@
   return parser_->is_done();
 }
 
+void CallerConnection::WaitForClose() {
+  std::array<char, 1024> discarded{};
+  beast::error_code error;
+  while (!error) {
+    socket_.read_some(asio::buffer(discarded), error);
+  }
+  ended_ = true;
+}
+
 std::string CallerConnection::Header(std::string_view name) const {
   return std::string(parser_->get()[beast::string_view(name.data(), name.size())]);
 }
--- a/packages/emulator/caller_connection.h
+++ b/packages/emulator/caller_connection.h
@@ -34,6 +34,8 @@
   void ReadUntilTokenCount(std::size_t count);
   // Reads to the end of the response. Returns false if the connection closed before it.
   bool ReadAll();
+  // Discards input until the peer closes the connection.
+  void WaitForClose();
   // Returns true if the peer has closed the connection. Does not wait.
   bool ClosedByPeer();
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/open_attempts.h"
 #include "gateway/peer_report_transport.h"
 #include "gateway/stream_migrator.h"
+#include "gateway/stream_snapshot_exchange.h"
 #include "gateway/stream_version_lookup.h"
 #include "gateway/upstream_connection_pool.h"
 #include "net/http_server.h"
@@ -68,6 +69,8 @@
  private:
   // Applies the operators' request limits to the callers' listener.
   void ApplyRequestLimits(const RequestLimits& request_limits);
+  // Responds to a request of another daemon.
+  boost::asio::awaitable<void> HandlePeerRequest(HttpExchange& exchange);
   boost::asio::awaitable<void> HandleReadiness(HttpExchange& exchange);
   boost::asio::awaitable<void> HandleMetrics(HttpExchange& exchange);
   boost::asio::awaitable<void> DrainLoop();
@@ -83,10 +86,11 @@
   OpenAttempts open_attempts_;
   FleetStoreWatcher store_watcher_;
   CrashRecordStore crash_records_;
+  StreamSnapshotExchange stream_snapshots_;
   PeerReportTransport report_transport_;
   DutyRunner duty_runner_;
   CapacityController capacity_controller_;
-  RegisteredVersionLookup stream_versions_;
+  DirectoryVersionLookup stream_versions_;
   CallRelay relay_;
   HttpServer callers_;
   HttpServer readiness_;
