--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/time.h"
 #include "emulator/stream_version_log.h"
 #include "net/http_server.h"
 
@@ -64,6 +65,8 @@
   // connections break after the header of the response.
   void CrashOnPromptPart(std::string part);
 
+  // Sets the time between the events of a stream; zero by default. Must precede the first request.
+  void SetEventInterval(Duration interval) { event_interval_ = interval; }
   // Sets the version of the worker's software; empty by default. Runs that have begun keep theirs.
   // A worker with a version adds it to its Response-Seal, after a slash.
   void SetVersion(std::string version);
@@ -100,6 +103,7 @@
   void RecordEvent(const HttpExchange& exchange, const std::string& version, bool first_of_run);
 
   std::string instance_;
+  Duration event_interval_ = Duration::zero();
   mutable std::mutex mutex_;
   std::string version_;
   std::shared_ptr<StreamVersionLog> stream_version_log_;
--- /dev/null
+++ b/tests/soak/promises.cc
@@ -0,0 +1,223 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <string>
+
+#include "soak/history.h"
+
+namespace savoryglade::soak {
+namespace {
+
+// A run in the last sixth of the grace period may be cut if its request was sent this early.
+constexpr Duration kEarlyRequest = 3s;
+constexpr int kGraceParts = 6;
+// A daemon ends a call this long before its deadline.
+constexpr Duration kDeadlineMargin = 50ms;
+// Resumptions are judged from this number on, if this many upstreams of their version have served
+// for this time.
+constexpr std::size_t kJudgedResumptions = 12;
+constexpr int kServingUpstreams = 2;
+constexpr Duration kServedBefore = 1s;
+// Time after the grace period for which a stop counts as planned work around a request.
+constexpr Duration kPlannedWorkSlack = 1s;
+
+bool IsUnplanned(EventKind kind) {
+  return kind == EventKind::kKill || kind == EventKind::kFreeze || kind == EventKind::kThaw;
+}
+
+class Checker {
+ public:
+  Checker(const History& history, const PromiseBounds& bounds)
+      : history_(history), bounds_(bounds), violations_(history.violations()) {}
+
+  std::vector<Violation> Check() {
+    for (const AttemptRecord& attempt : history_.attempts()) {
+      const std::vector<RunRecord> runs = history_.RunsOf(attempt.id);
+      CheckLost(attempt, runs);
+      CheckRuns(attempt, runs);
+      if (!attempt.mixed.empty()) {
+        Add("MIXED", attempt.mixed, attempt);
+      }
+    }
+    CheckOrder();
+    CheckResumptions();
+    return violations_;
+  }
+
+ private:
+  // Name of the stream that an attempt begins or resumes.
+  static const std::string& StreamOf(const AttemptRecord& attempt) {
+    return attempt.resumes.empty() ? attempt.id : attempt.resumes;
+  }
+
+  void Add(std::string rule, std::string text, const AttemptRecord& attempt) {
+    violations_.push_back({.rule = std::move(rule),
+                           .text = std::move(text),
+                           .attempt = &attempt,
+                           .daemon = attempt.daemon,
+                           .at = attempt.ended_at});
+  }
+
+  // Returns true if the daemon was killed or frozen too shortly before the request, or during it.
+  bool IsDisturbed(const AttemptRecord& attempt) const {
+    return std::ranges::any_of(history_.events(), [&](const PlayEvent& event) {
+      return event.daemon == attempt.daemon && IsUnplanned(event.kind) &&
+             event.at >= attempt.sent_at - bounds_.contact && event.at <= attempt.ended_at;
+    });
+  }
+
+  // Returns the time of the stop order that was in force when the attempt ended.
+  std::optional<TimePoint> StopOrder(const AttemptRecord& attempt) const {
+    std::optional<TimePoint> order;
+    for (const PlayEvent& event : history_.events()) {
+      if (event.daemon == attempt.daemon && event.kind == EventKind::kTerm &&
+          event.at <= attempt.ended_at &&
+          attempt.ended_at <= event.at + bounds_.grace + kPlannedWorkSlack) {
+        order = event.at;
+      }
+    }
+    return order;
+  }
+
+  // A request that was passed on to a sound upstream, or read by a daemon that was told to stop,
+  // gets a complete answer.
+  void CheckLost(const AttemptRecord& attempt, const std::vector<RunRecord>& runs) {
+    if (!attempt.sent || attempt.complete || attempt.left_by_caller ||
+        attempt.ended_at >= attempt.deadline - kDeadlineMargin || IsDisturbed(attempt)) {
+      return;
+    }
+    const bool upstream_broke = std::ranges::any_of(runs, [&](const RunRecord& run) {
+      return history_.BrokeBetween(run.upstream, run.started_at, attempt.ended_at);
+    });
+    if (upstream_broke) {
+      return;
+    }
+    const std::optional<TimePoint> order = StopOrder(attempt);
+    if (order && attempt.sent_at <= *order + kEarlyRequest) {
+      const TimePoint last_sixth = *order + bounds_.grace - bounds_.grace / kGraceParts;
+      const bool was_at_work = std::ranges::any_of(
+          runs, [&](const RunRecord& run) { return !run.ended_at || *run.ended_at >= last_sixth; });
+      if (attempt.ended_at >= last_sixth && was_at_work) {
+        return;
+      }
+    }
+    const Duration open_for = attempt.ended_at - attempt.sent_at;
+    if (!runs.empty()) {
+      Add("LOST", "The request was passed on and its connection closed without its answer.",
+          attempt);
+    } else if (order && open_for > bounds_.loss_slack) {
+      Add("LOST",
+          fmt::format("The connection closed without an answer {} ms after the request, {} ms "
+                      "after SIGTERM.",
+                      open_for / 1ms, (attempt.ended_at - *order) / 1ms),
+          attempt);
+    }
+  }
+
+  void CheckRuns(const AttemptRecord& attempt, const std::vector<RunRecord>& runs) {
+    constexpr std::array kPromises = {408U, 421U, 429U, 503U};
+    if (!attempt.type->Repeatable() && runs.size() > 1) {
+      Add("TWICE", fmt::format("The request ran {} times.", runs.size()), attempt);
+    }
+    if (std::ranges::count(kPromises, attempt.status) > 0 && !runs.empty()) {
+      Add("REFUSED", fmt::format("The request was answered {} and ran.", attempt.status), attempt);
+    }
+    if (attempt.status >= 200 && attempt.status < 300 && runs.empty()) {
+      Add("MIXED", "The request was answered with success and did not run.", attempt);
+    }
+  }
+
+  // All events of a stream come from one version, in one answer and over resumptions.
+  void CheckOrder() {
+    for (const AttemptRecord& attempt : history_.attempts()) {
+      const std::vector<RunRecord> runs = history_.RunsOf(attempt.id);
+      for (std::size_t i = 0; i < runs.size() && attempt.type->kind == CallKind::kStream; ++i) {
+        // A run brought the events up to the one that the next run is asked to go on behind.
+        const int last = i + 1 < runs.size() ? runs[i + 1].events_before : attempt.events_after;
+        if (last <= runs[i].events_before) {
+          continue;
+        }
+        const auto& [known, added] = versions_.try_emplace(StreamOf(attempt), runs[i].version);
+        if (!added && known->second != runs[i].version) {
+          Add("ORDER",
+              fmt::format("The stream {} began at version {} and has events {} to {} of {}.",
+                          StreamOf(attempt), known->second, runs[i].events_before + 1, last,
+                          runs[i].version),
+              attempt);
+        }
+      }
+    }
+  }
+
+  // Returns true if the daemon and the store were undisturbed, also by planned work, long enough.
+  bool IsInTouch(const AttemptRecord& attempt) const {
+    bool store_is_sound = true;
+    for (const PlayEvent& event : history_.events()) {
+      const bool concerns_store =
+          event.kind == EventKind::kStoreFault || event.kind == EventKind::kStoreSound;
+      const bool concerns_daemon =
+          event.daemon == attempt.daemon && event.kind != EventKind::kHangUp;
+      if (event.at > attempt.ended_at) {
+        break;
+      }
+      if (event.at >= attempt.sent_at - bounds_.contact && (concerns_store || concerns_daemon)) {
+        return false;
+      }
+      store_is_sound = concerns_store ? event.kind == EventKind::kStoreSound : store_is_sound;
+    }
+    return store_is_sound;
+  }
+
+  // Of the streams that callers resume while two upstreams of their version serve, the share that
+  // goes on is at least half of the share of new streams that begin.
+  void CheckResumptions() {
+    int begun = 0;
+    int new_streams = 0;
+    // Streams that were resumed, and whether they went on.
+    std::map<std::string, bool> resumed;
+    for (const AttemptRecord& attempt : history_.attempts()) {
+      if (!attempt.type->resumable || !attempt.sent || !IsInTouch(attempt)) {
+        continue;
+      }
+      const bool goes_on = attempt.status == 200 &&
+                           (attempt.complete || attempt.events_after > attempt.events_before);
+      if (attempt.events_before == 0) {
+        ++new_streams;
+        begun += goes_on ? 1 : 0;
+        continue;
+      }
+      const auto version = versions_.find(attempt.resumes);
+      if (version != versions_.end() &&
+          history_.ServingBetween(version->second, attempt.sent_at - kServedBefore,
+                                  attempt.ended_at) >= kServingUpstreams) {
+        resumed[attempt.resumes] |= goes_on;
+      }
+    }
+    const auto gone_on =
+        std::ranges::count_if(resumed, [](const auto& entry) { return entry.second; });
+    if (resumed.size() >= kJudgedResumptions && 2.0 * static_cast<double>(gone_on) * new_streams <
+                                                    static_cast<double>(begun * resumed.size())) {
+      violations_.push_back(
+          {.rule = "LOST",
+           .text = fmt::format("Only {} of {} resumed streams went on, and {} of {} new streams "
+                               "began.",
+                               gone_on, resumed.size(), begun, new_streams)});
+    }
+  }
+
+  const History& history_;
+  const PromiseBounds& bounds_;
+  // Version of the first event of each stream.
+  std::map<std::string, std::string> versions_;
+  std::vector<Violation> violations_;
+};
+
+}  // namespace
+
+std::vector<Violation> CheckPromises(const History& history, const PromiseBounds& bounds) {
+  return Checker(history, bounds).Check();
+}
+
+}  // namespace savoryglade::soak
