Simplify two conditions of the close and of resumptions

A state that no lookup returns any more left a word in the log line that could not appear, and the condition at the end of an idle wait read as two cases in one. Behaviour stays; gateway_test (102), net_test (6) and daemon_test (60) pass.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -151,17 +151,14 @@
     return Reason::kNone;
   }
   const StreamVersion version = stream_versions_.Find(call, now);
-  Reason reason = Reason::kNone;
-  std::string wanted = "any";
+  Reason reason = Reason::kStreamVersionUnknown;
+  std::string wanted = "unknown";
   if (version.state == StreamVersion::State::kKnown) {
     wanted = fmt::format("{:016x}", version.key);
     call.metadata.work.required_version = version.key;
-    if (!fleet_.load_balancer.HasVersion(call.service, version.key)) {
-      reason = Reason::kStreamVersionUnavailable;
-    }
-  } else if (version.state == StreamVersion::State::kUnknown) {
-    wanted = "unknown";
-    reason = Reason::kStreamVersionUnknown;
+    reason = fleet_.load_balancer.HasVersion(call.service, version.key)
+                 ? Reason::kNone
+                 : Reason::kStreamVersionUnavailable;
   }
   if (reason != Reason::kNone) {
     call.rejection_detail =
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -254,8 +254,11 @@
         co_return true;
       }
     }
-    beast::error_code ignored;
-    co_return state.closing&& stream.socket().available(ignored) > 0;
+    if (!state.closing) {
+      co_return false;
+    }
+    // Bytes that arrived just before the wait was cancelled belong to a request.
+    co_return stream.socket().available(error) > 0;
   }
 
   void CloseIdleConnections() {
