Ask the directory of stream versions without a wrapper

The relay looked versions up through an interface with one implementation, whose result copied that of the directory with other names. It was made for two implementations, of which one is gone. The relay now asks the directory in FleetState, as it does for all other decisions.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -150,13 +150,14 @@
   if (!call.resumes_stream()) {
     return Reason::kNone;
   }
-  const StreamVersion version = stream_versions_.Find(call, now);
+  const StreamOrigin origin =
+      fleet_.stream_versions.Find(call.metadata.resumed_attempt, call.service, now);
   Reason reason = Reason::kStreamVersionUnknown;
   std::string wanted = "unknown";
-  if (version.state == StreamVersion::State::kKnown) {
-    wanted = fmt::format("{:016x}", version.key);
-    call.metadata.work.required_version = version.key;
-    reason = fleet_.load_balancer.HasVersion(call.service, version.key)
+  if (origin.known()) {
+    wanted = fmt::format("{:016x}", origin.version);
+    call.metadata.work.required_version = origin.version;
+    reason = fleet_.load_balancer.HasVersion(call.service, origin.version)
                  ? Reason::kNone
                  : Reason::kStreamVersionUnavailable;
   }
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -16,7 +16,6 @@
 #include "gateway/open_attempts.h"
 #include "gateway/response_relay.h"
 #include "gateway/stream_migrator.h"
-#include "gateway/stream_version_lookup.h"
 #include "gateway/upstream_connection_pool.h"
 #include "net/http_server.h"
 #include "routing/fleet_load_balancer.h"
@@ -30,14 +29,13 @@
   // The callback is called when the crash registry has changed.
   CallRelay(FleetState& fleet, const MessageCodec& codec, UpstreamConnectionPool& connections,
             StreamMigrator& migrator, OpenAttempts& open_attempts,
-            StreamVersionLookup& stream_versions, std::function<void()> on_crash_record)
+            std::function<void()> on_crash_record)
       : fleet_(fleet),
         codec_(codec),
         connections_(connections),
         open_attempts_(open_attempts),
-        stream_versions_(stream_versions),
         crash_detector_(fleet, std::move(on_crash_record)),
-        response_relay_(fleet, codec, connections, migrator, crash_detector_, stream_versions) {}
+        response_relay_(fleet, codec, connections, migrator, crash_detector_) {}
 
   // Handles one request and sends its response.
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
@@ -72,7 +70,6 @@
   const MessageCodec& codec_;
   UpstreamConnectionPool& connections_;
   OpenAttempts& open_attempts_;
-  StreamVersionLookup& stream_versions_;
   CrashDetector crash_detector_;
   ResponseRelay response_relay_;
 };
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -18,7 +18,6 @@
 #include "gateway/peer_report_transport.h"
 #include "gateway/stream_migrator.h"
 #include "gateway/stream_snapshot_exchange.h"
-#include "gateway/stream_version_lookup.h"
 #include "gateway/upstream_connection_pool.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -90,7 +89,6 @@
   PeerReportTransport report_transport_;
   DutyRunner duty_runner_;
   CapacityController capacity_controller_;
-  DirectoryVersionLookup stream_versions_;
   CallRelay relay_;
   HttpServer callers_;
   HttpServer readiness_;
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -254,7 +254,12 @@
 void ResponseRelay::OnFirstEvent(Call& call, const Attempt& attempt) {
   const std::uint64_t version = SoftwareVersionKey(attempt.placement.upstream.software_version);
   call.metadata.work.required_version = version;
-  stream_versions_.OnStreamBegan(call, version, BootNow());
+  // Callers name the attempt that brought the first event, however often they resume the stream.
+  const std::string& first_attempt =
+      call.resumes_stream() ? call.metadata.resumed_attempt : call.metadata.attempt_id;
+  if (!first_attempt.empty()) {
+    fleet_.stream_versions.OnStreamBegan(first_attempt, call.service, version, BootNow());
+  }
 }
 
 asio::awaitable<RelayOutcome> ResponseRelay::RelayEvents(Call& call, Attempt& attempt,
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -8,7 +8,6 @@
 #include "gateway/crash_detector.h"
 #include "gateway/fleet_state.h"
 #include "gateway/stream_migrator.h"
-#include "gateway/stream_version_lookup.h"
 #include "gateway/upstream_connection_pool.h"
 
 namespace savoryglade::gateway {
@@ -19,14 +18,12 @@
 class ResponseRelay {
  public:
   ResponseRelay(FleetState& fleet, const MessageCodec& codec, UpstreamConnectionPool& connections,
-                StreamMigrator& migrator, CrashDetector& crash_detector,
-                StreamVersionLookup& stream_versions)
+                StreamMigrator& migrator, CrashDetector& crash_detector)
       : fleet_(fleet),
         codec_(codec),
         connections_(connections),
         migrator_(migrator),
-        crash_detector_(crash_detector),
-        stream_versions_(stream_versions) {}
+        crash_detector_(crash_detector) {}
 
   // Reads response headers until one belongs to the attempt. Returns its status, or zero if none
   // arrives.
@@ -64,7 +61,6 @@
   UpstreamConnectionPool& connections_;
   StreamMigrator& migrator_;
   CrashDetector& crash_detector_;
-  StreamVersionLookup& stream_versions_;
 };
 
 }  // namespace savoryglade::gateway
