Log path and query hash with crash records, and callers that leave

The logs could not show whether one request comes back with another query or method, since a record names only a hash of the whole target, nor that a caller left while an upstream ran its request. Refusals and losses now name the path and a hash of the query; a caller that leaves is one line. No change of behaviour.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -307,6 +307,9 @@
   } else if (outcome == RelayOutcome::kResponseLost &&
              call.RemainingTime(BootNow()) > kMinRemainingTime) {
     crash_detector_.OnAttemptLost(call, attempt, BootNow());
+  } else if (outcome == RelayOutcome::kFinished && attempt.end == AttemptEnd::kCancelled &&
+             attempt.registration) {
+    crash_detector_.OnCallerDisconnected(call, attempt, BootNow());
   }
   fleet_.load_balancer.OnEnd(id, placement.uncached_tokens, attempt.first_byte, attempt.end,
                              BootNow());
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -42,6 +42,17 @@
 
 std::string ToHex(std::uint64_t fingerprint) { return fmt::format("{:016x}", fingerprint); }
 
+std::string_view PathOf(const Call& call) {
+  const std::string_view target = call.exchange.target();
+  return target.substr(0, target.find('?'));
+}
+
+// Returns a hash of the query, which itself may hold secrets, or "-" if there is none.
+std::string QueryHash(const Call& call) {
+  const std::string_view query = call.exchange.target().substr(PathOf(call).size());
+  return query.empty() ? std::string("-") : ToHex(Fnv1aHash(query));
+}
+
 }  // namespace
 
 void CrashDetector::Identify(Call& call) {
@@ -65,8 +76,9 @@
   }
   const Duration remaining = fleet_.crash_registry.RemainingRefusal(call.fingerprint, now);
   if (remaining > Duration::zero()) {
-    call.rejection_detail = fmt::format("fingerprint {}, {} losses", ToHex(call.fingerprint),
-                                        fleet_.crash_registry.LossCount(call.fingerprint));
+    call.rejection_detail = fmt::format(
+        "fingerprint {}, {} losses, path {}, query hash {}", ToHex(call.fingerprint),
+        fleet_.crash_registry.LossCount(call.fingerprint), PathOf(call), QueryHash(call));
   }
   return remaining;
 }
@@ -80,6 +92,8 @@
   kLog.Info("Recorded that an upstream was lost while it ran a request.",
             {{"request", call.metadata.attempt_id},
              {"fingerprint", ToHex(call.fingerprint)},
+             {"path", PathOf(call)},
+             {"query_hash", QueryHash(call)},
              {"upstream", attempt.placement.upstream.id.value()},
              {"started_ms", attempt.placement.upstream.started_ms},
              {"losses", fleet_.crash_registry.LossCount(call.fingerprint)},
@@ -114,6 +128,17 @@
   }
 }
 
+void CrashDetector::OnCallerDisconnected(const Call& call, const Attempt& attempt, TimePoint now) {
+  kLog.Info("A caller disconnected while its request was at an upstream.",
+            {{"request", call.metadata.attempt_id},
+             {"fingerprint", ToHex(call.fingerprint)},
+             {"path", PathOf(call)},
+             {"query_hash", QueryHash(call)},
+             {"upstream", attempt.placement.upstream.id.value()},
+             {"first_byte", attempt.first_byte},
+             {"ms", (now - attempt.sent_at) / 1ms}});
+}
+
 bool CrashDetector::IsSuspected(const Call& call) const {
   return std::ranges::any_of(call.shared_parts, [this](std::uint64_t part) {
     return fleet_.part_crash_registry.LossCount(part) >= kLossesBeforeSuspicion;
--- a/packages/gateway/crash_detector.h
+++ b/packages/gateway/crash_detector.h
@@ -32,6 +32,8 @@
   // Records that an upstream was lost while it ran the request, unless it sent a response that
   // can't be used.
   void OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now);
+  // Handles the disconnection of a caller before the answer to its request.
+  void OnCallerDisconnected(const Call& call, const Attempt& attempt, TimePoint now);
   // Records that an upstream has answered the request with this status.
   void OnAnswer(const Call& call, const Attempt& attempt, unsigned status, TimePoint now);
   // Returns true if the prompt has a part that may have crashed more than one upstream, so that the
