--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -1,7 +1,13 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "emulator/worker_service.h"
@@ -16,6 +22,37 @@
 // Runs of a request after which no upstream may receive it again.
 constexpr int kRunsBeforeRefusal = 3;
 
+// Store that serves all tables but that of the crash records.
+class StoreWithoutCrashRecords {
+ public:
+  StoreService& rows() { return rows_; }
+
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange) {
+    const std::string target(exchange.target());
+    if (target.find(kCrashTable) != std::string::npos) {
+      co_await exchange.Respond(503, {}, {});
+      co_return;
+    }
+    for (const auto& [table, reads] :
+         {std::pair("table=op", &route_reads_), std::pair("table=servers", &registration_reads_)}) {
+      *reads += target.find(table) == std::string::npos ? 0 : 1;
+    }
+    co_await rows_.Handle(exchange);
+  }
+
+  // Waits until a daemon has applied its first reads of the routes and the registrations, which is
+  // before its second ones.
+  void WaitUntilLoaded() const {
+    while (route_reads_ < 2 || registration_reads_ < 2) {
+    }
+  }
+
+ private:
+  StoreService rows_;
+  std::atomic<int> route_reads_{0};
+  std::atomic<int> registration_reads_{0};
+};
+
 // Sends requests that break the connection of every worker that begins to run them.
 class CrashingRequestTest : public GatewayFixture {
  protected:
@@ -47,8 +84,37 @@
     }
   }
 
+  // Sends a request, closes the caller's connection while it runs, and returns the worker that ran
+  // it.
+  WorkerService& SendAndLeave(const std::string& path) {
+    const std::string attempt = fmt::format("left-{}", ++attempts_);
+    SetFaults(WorkerFault::kNoResponse, 1);
+    CallerConnection caller(gateway_->callers_endpoint());
+    caller.Send(FormatRequest("GET", path, attempt));
+    while (RunCount(attempt) == 0) {
+    }
+    SetFaults(WorkerFault::kNone, 0);
+    caller.Close();
+    WorkerService& worker = (*std::ranges::find_if(workers_, [&attempt](const auto& each) {
+                              return each->service.RunCount(attempt) > 0;
+                            }))->service;
+    const int abandoned = ++abandoned_[&worker];
+    while (worker.abandoned_requests() < abandoned) {
+    }
+    return worker;
+  }
+
+  // Sends other requests until the worker has run one more.
+  void SendOthersUntilRunBy(const WorkerService& worker) {
+    for (const int runs = worker.runs(); worker.runs() == runs;) {
+      const std::string number = std::to_string(++attempts_);
+      SendRequest("POST", "/orders/1", "other-" + number, kApiKey, number);
+    }
+  }
+
  private:
   int attempts_ = 0;
+  std::map<const WorkerService*, int> abandoned_;
 };
 
 // Guards against a crashing request that is not recognised because it has no body.
@@ -58,6 +124,61 @@
   EXPECT_EQ(TotalRuns(), kRunsBeforeRefusal);
 }
 
+// Guards against a crashing request that is not recognised because its query differs each time.
+TEST_F(CrashingRequestTest, RequestThatReturnsWithOtherQueriesIsRefused) {
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  std::string reason;
+  for (int i = 0; i < 8; ++i) {
+    reason =
+        SendRequest("GET", fmt::format("/reads/stock?page={}", i), fmt::format("q{}", i)).reason;
+  }
+  EXPECT_EQ(reason, "request_crashes_upstreams");
+  EXPECT_EQ(TotalRuns(), kRunsBeforeRefusal);
+}
+
+// Guards against a crashing request that stays unknown because its callers leave before the crash.
+TEST_F(CrashingRequestTest, RequestWhoseCallersLeaveBeforeTheCrashIsRefused) {
+  std::set<const WorkerService*> crashed;
+  while (crashed.size() < kRunsBeforeRefusal) {
+    WorkerService& worker = SendAndLeave("/reads/poison");
+    crashed.insert(&worker);
+    // The process has ended, as the next request to it shows.
+    worker.SetFault(WorkerFault::kCloseAfterRun, 1);
+    SendOthersUntilRunBy(worker);
+  }
+  EXPECT_EQ(SendRequest("GET", "/reads/poison", "a1").reason, "request_crashes_upstreams");
+}
+
+// Guards against a record for a request that an upstream survives although its caller has left.
+TEST_F(CrashingRequestTest, RequestWhoseCallersLeaveUpstreamsThatGoOnIsServed) {
+  for (int i = 0; i < 8; ++i) {
+    WorkerService& worker = SendAndLeave("/reads/slow");
+    SendOthersUntilRunBy(worker);
+    worker.SetFault(WorkerFault::kCloseAfterRun, 1);
+    SendOthersUntilRunBy(worker);
+  }
+  EXPECT_EQ(SendRequest("GET", "/reads/slow", "a1").status, 200U);
+}
+
+// Guards against a daemon that sends what the fleet refuses because it has restarted and can't read
+// the records yet.
+TEST_F(CrashingRequestTest, DaemonThatHasNotReadTheRecordsRejectsRequests) {
+  ServiceServer<StoreWithoutCrashRecords> store;
+  store.service.rows().Put("op", "config", RouteDocumentText(1, {}));
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    store.service.rows().Put("servers", WorkerName(static_cast<int>(i)),
+                             Registration(workers_[i]->endpoint, "ready"));
+  }
+  const std::unique_ptr<Gateway> gateway = MakeGateway("daemon-2", store.endpoint);
+  store.service.WaitUntilLoaded();
+  const Response response =
+      SendText(gateway->callers_endpoint(), FormatRequest("GET", "/reads/stock", "a1"));
+  EXPECT_EQ(response.status, 503U);
+  EXPECT_EQ(response.reason, "not_ready");
+  EXPECT_NE(response.retry_after, "");
+  EXPECT_EQ(TotalRuns(), 0);
+}
+
 // Guards against refusing one request for the crashes of others of the same account and route.
 TEST_F(CrashingRequestTest, OtherRequestsWithoutABodyAreServed) {
   SetFaults(WorkerFault::kCloseAfterRun, 100);
--- a/tests/gateway/report_exchange_test.cc
+++ b/tests/gateway/report_exchange_test.cc
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -220,6 +221,45 @@
   }
 }
 
+// Guards against a crashing request that ends one upstream after the other when a refusal is over,
+// because each daemon tests it again on its own.
+TEST(ReportExchangeTest, RequestIsTestedByOneDaemonAtATimeAfterItsRefusal) {
+  constexpr Duration kStep = 10ms;
+  constexpr Duration kRunTime = 100ms;
+  constexpr Duration kDay = 200s;
+  constexpr int kAllowedSends = 3;
+  // Interval in which callers send the request to each daemon.
+  constexpr Duration kReturnInterval = 500ms;
+  for (std::uint64_t request = 1; request <= 20; ++request) {
+    GroupedFleet fleet(2, 3);
+    std::multimap<Duration, std::size_t> runs;
+    std::uint64_t crashes = 0;
+    std::optional<Duration> third_crash;
+    int late_sends = 0;
+    Duration next_report = 0s;
+    for (Duration time = 0s; time < kDay; time += kStep) {
+      for (; !runs.empty() && runs.begin()->first <= time; runs.erase(runs.begin())) {
+        fleet.fleet(runs.begin()->second).crash_registry.OnLoss(request, ++crashes, At(time));
+        third_crash = crashes == 3 ? time : third_crash;
+      }
+      if (time >= next_report) {
+        fleet.ExchangeReports(At(time));
+        next_report += kReportInterval;
+      }
+      for (std::size_t i = 0; i < fleet.size(); ++i) {
+        const Duration phase = kReturnInterval * static_cast<int>(i) / fleet.size() / kStep * kStep;
+        if ((time + phase) % kReturnInterval == 0s &&
+            !fleet.fleet(i).crash_registry.IsRefused(request, At(time))) {
+          runs.emplace(time + kRunTime, i);
+          late_sends += third_crash && time > *third_crash + kRefusalDelay ? 1 : 0;
+        }
+      }
+    }
+    EXPECT_LE(late_sends, kAllowedSends) << "request " << request;
+    EXPECT_GE(late_sends, 1) << "request " << request;
+  }
+}
+
 // Guards against counts that are lost or counted twice on the way through the representatives.
 TEST(ReportExchangeTest, PropagatesTheCountsOfEachDaemonToAllOthersOnce) {
   GroupedFleet fleet(4, 6);
--- a/tests/recovery/crash_registry_test.cc
+++ b/tests/recovery/crash_registry_test.cc
@@ -151,6 +151,22 @@
   EXPECT_TRUE(crashes.SelectForStorage(At(0s)).empty());
 }
 
+// Guards against losses that are forgotten one at a time when all daemons are restarted.
+TEST(CrashRegistryTest, SingleLossIsStoredUnlessAnAnswerFollowsSoon) {
+  CrashRegistry crashes;
+  crashes.OnLoss(7, 1, At(0s));
+  crashes.OnLoss(8, 1, At(0s));
+  EXPECT_TRUE(crashes.OnAnswer(8, At(300ms)));
+  const std::vector<CrashRecord> selected = crashes.SelectForStorage(At(1s));
+  ASSERT_EQ(selected.size(), 1U);
+  EXPECT_EQ(selected.front().request, 7U);
+  crashes.OnStored(selected.front());
+  EXPECT_TRUE(crashes.SelectForStorage(At(2s)).empty());
+  crashes.OnAnswer(7, At(3s));
+  ASSERT_EQ(crashes.SelectForStorage(At(3s)).size(), 1U);
+  EXPECT_TRUE(crashes.SelectForStorage(At(3s)).front().losses.empty());
+}
+
 // Guards against reports that carry old records for as long as these are kept.
 TEST(CrashRegistryTest, UnchangedRecordsLeaveTheReportsUnlessRefused) {
   CrashRegistry crashes;
