Recognise a crashing request whatever its query

Cause: the fingerprint hashed the whole target and the method, but such a request comes again with the same path, caller and body only. Losses are recorded under the hash of account, path and body, and for targets with a query also under that of method and query: an answer to one query removes the record of the path, which would otherwise protect a crashing query on a path that serves others.

--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -42,8 +42,9 @@
   TimePoint received;
   // Time by which the response is due: the caller's timeout or the route's, whichever is shorter.
   TimePoint deadline;
-  // Hash that is the same for each repeat of the request, whatever its attempt id.
-  std::uint64_t fingerprint = 0;
+  // Hashes that the crash records of the request are kept under, whatever its attempt id: that of
+  // account, path and body and, if the target has a query, that of method and query too.
+  std::vector<std::uint64_t> fingerprints;
   // Hashes of the service and each part of the prompt that other requests may share.
   std::vector<std::uint64_t> shared_parts;
   // Units taken from the account's allowance.
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -21,18 +21,34 @@
 
 const Logger kLog("gateway");
 
-// Returns a hash of account, method, target and body.
-std::uint64_t Fingerprint(const Call& call) {
-  const HttpRequest& request = call.exchange.request();
-  // A separator that occurs in none of the parts before the body.
+std::string_view PathOf(const Call& call) {
+  const std::string_view target = call.exchange.target();
+  return target.substr(0, target.find('?'));
+}
+
+std::string_view QueryOf(const Call& call) {
+  return call.exchange.target().substr(PathOf(call).size());
+}
+
+// Appends a text and a separator that occurs in no text but a body to what is hashed.
+std::uint64_t AppendHash(std::string_view text, std::uint64_t hash) {
   constexpr std::string_view kSeparator("\0", 1);
-  std::uint64_t hash = Fnv1aHash(call.account_id().value());
-  hash = Fnv1aHash(kSeparator, hash);
-  hash = Fnv1aHash(std::string(request.method_string()), hash);
-  hash = Fnv1aHash(kSeparator, hash);
-  hash = Fnv1aHash(call.exchange.target(), hash);
-  hash = Fnv1aHash(kSeparator, hash);
-  return Fnv1aHash(request.body(), hash);
+  return Fnv1aHash(kSeparator, Fnv1aHash(text, hash));
+}
+
+// Returns the hashes under which the request's losses are recorded. A crashing request may come
+// again with another query, so the first hash covers none. An answer to one query removes the
+// record of its path, which says nothing about the other queries; the second hash stays.
+std::vector<std::uint64_t> FingerprintsOf(const Call& call) {
+  const HttpRequest& request = call.exchange.request();
+  std::uint64_t resource = Fnv1aHash(call.account_id().value() + '\0');
+  resource = Fnv1aHash(request.body(), AppendHash(PathOf(call), resource));
+  std::vector<std::uint64_t> fingerprints = {resource};
+  if (const std::string_view query = QueryOf(call); !query.empty()) {
+    const std::string method(request.method_string());
+    fingerprints.push_back(Fnv1aHash(query, AppendHash(method, resource)));
+  }
+  return fingerprints;
 }
 
 // Returns a hash of the upstream's process: its name and start time.
@@ -42,21 +58,16 @@
 
 std::string ToHex(std::uint64_t fingerprint) { return fmt::format("{:016x}", fingerprint); }
 
-std::string_view PathOf(const Call& call) {
-  const std::string_view target = call.exchange.target();
-  return target.substr(0, target.find('?'));
-}
-
 // Returns a hash of the query, which itself may hold secrets, or "-" if there is none.
 std::string QueryHash(const Call& call) {
-  const std::string_view query = call.exchange.target().substr(PathOf(call).size());
+  const std::string_view query = QueryOf(call);
   return query.empty() ? std::string("-") : ToHex(Fnv1aHash(query));
 }
 
 }  // namespace
 
 void CrashDetector::Identify(Call& call) {
-  call.fingerprint = Fingerprint(call);
+  call.fingerprints = FingerprintsOf(call);
   const std::vector<PromptPart>& parts = call.metadata.work.parts;
   // The last part belongs to the request itself.
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
@@ -74,30 +85,35 @@
       return remaining;
     }
   }
-  const Duration remaining = fleet_.crash_registry.RemainingRefusal(call.fingerprint, now);
-  if (remaining > Duration::zero()) {
-    call.rejection_detail = fmt::format(
-        "fingerprint {}, {} losses, path {}, query hash {}", ToHex(call.fingerprint),
-        fleet_.crash_registry.LossCount(call.fingerprint), PathOf(call), QueryHash(call));
+  for (const std::uint64_t fingerprint : call.fingerprints) {
+    const Duration remaining = fleet_.crash_registry.RemainingRefusal(fingerprint, now);
+    if (remaining > Duration::zero()) {
+      call.rejection_detail =
+          fmt::format("fingerprint {}, {} losses, path {}, query hash {}", ToHex(fingerprint),
+                      fleet_.crash_registry.LossCount(fingerprint), PathOf(call), QueryHash(call));
+      return remaining;
+    }
   }
-  return remaining;
+  return Duration::zero();
 }
 
 void CrashDetector::OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now) {
   if (attempt.response_rejected) {
     return;
   }
-  fleet_.crash_registry.OnLoss(call.fingerprint, ProcessKey(attempt.placement.upstream), now);
-  fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "recorded"}}).Add();
-  kLog.Info("Recorded that an upstream was lost while it ran a request.",
-            {{"request", call.metadata.attempt_id},
-             {"fingerprint", ToHex(call.fingerprint)},
-             {"path", PathOf(call)},
-             {"query_hash", QueryHash(call)},
-             {"upstream", attempt.placement.upstream.id.value()},
-             {"started_ms", attempt.placement.upstream.started_ms},
-             {"losses", fleet_.crash_registry.LossCount(call.fingerprint)},
-             {"refused", fleet_.crash_registry.IsRefused(call.fingerprint, now)}});
+  for (const std::uint64_t fingerprint : call.fingerprints) {
+    fleet_.crash_registry.OnLoss(fingerprint, ProcessKey(attempt.placement.upstream), now);
+    fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "recorded"}}).Add();
+    kLog.Info("Recorded that an upstream was lost while it ran a request.",
+              {{"request", call.metadata.attempt_id},
+               {"fingerprint", ToHex(fingerprint)},
+               {"path", PathOf(call)},
+               {"query_hash", QueryHash(call)},
+               {"upstream", attempt.placement.upstream.id.value()},
+               {"started_ms", attempt.placement.upstream.started_ms},
+               {"losses", fleet_.crash_registry.LossCount(fingerprint)},
+               {"refused", fleet_.crash_registry.IsRefused(fingerprint, now)}});
+  }
   RecordPartLosses(call, attempt, now);
   on_change_();
 }
@@ -131,7 +147,7 @@
 void CrashDetector::OnCallerDisconnected(const Call& call, const Attempt& attempt, TimePoint now) {
   kLog.Info("A caller disconnected while its request was at an upstream.",
             {{"request", call.metadata.attempt_id},
-             {"fingerprint", ToHex(call.fingerprint)},
+             {"fingerprint", ToHex(call.fingerprints.front())},
              {"path", PathOf(call)},
              {"query_hash", QueryHash(call)},
              {"upstream", attempt.placement.upstream.id.value()},
@@ -162,13 +178,17 @@
       }
     }
   }
-  if (!fleet_.crash_registry.OnAnswer(call.fingerprint, now)) {
-    return;
+  for (const std::uint64_t fingerprint : call.fingerprints) {
+    if (fleet_.crash_registry.OnAnswer(fingerprint, now)) {
+      fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "cleared"}}).Add();
+      kLog.Info("An answer showed that a request does not crash upstreams.",
+                {{"request", call.metadata.attempt_id},
+                 {"fingerprint", ToHex(fingerprint)},
+                 {"path", PathOf(call)},
+                 {"query_hash", QueryHash(call)}});
+      on_change_();
+    }
   }
-  fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "cleared"}}).Add();
-  kLog.Info("An answer showed that a request does not crash upstreams.",
-            {{"request", call.metadata.attempt_id}, {"fingerprint", ToHex(call.fingerprint)}});
-  on_change_();
 }
 
 }  // namespace savoryglade::gateway
