Record a crash whose caller has left

Callers that saw it: none; a request that ends upstreams after its caller has left was never refused. Cause: the attempt ends as cancelled and its connection is closed with the caller's, so the daemon does not see the crash. Such runs are kept for 3 s; if the process refuses or breaks a connection meanwhile, they count as lost there. An answer to a request sent a second later shows that the process has survived.

RequestWhoseCallersLeaveBeforeTheCrashIsRefused failed before (never refused) and passes. The gateway test of the opposite case, RequestWhoseCallersLeaveUpstreamsThatGoOnIsServed, would have to wait for that second in real time; ProcessThatAnswersLaterRequestsHasSurvivedTheRun checks the same decision on a virtual clock, with the times before and after it.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -338,6 +338,9 @@
   if (!connected) {
     attempt.failure = connected.error().message;
     attempt.end = AttemptEnd::kUnreachable;
+    if (connected.error().code != ErrorCode::kTimeout) {
+      crash_detector_.OnUpstreamEnded(attempt.placement.upstream, BootNow());
+    }
     co_return RelayOutcome::kNotRun;
   }
   attempt.connection = std::move(*connected);
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -64,6 +64,15 @@
   return query.empty() ? std::string("-") : ToHex(Fnv1aHash(query));
 }
 
+RequestRun RunOf(const Call& call) {
+  return {.attempt_id = call.metadata.attempt_id,
+          .path = std::string(PathOf(call)),
+          .query_hash = QueryHash(call),
+          .service = call.service,
+          .fingerprints = call.fingerprints,
+          .shared_parts = call.shared_parts};
+}
+
 }  // namespace
 
 void CrashDetector::Identify(Call& call) {
@@ -101,43 +110,53 @@
   if (attempt.response_rejected) {
     return;
   }
-  for (const std::uint64_t fingerprint : call.fingerprints) {
-    fleet_.crash_registry.OnLoss(fingerprint, ProcessKey(attempt.placement.upstream), now);
+  const UpstreamRecord& upstream = attempt.placement.upstream;
+  const RequestRun run = RunOf(call);
+  RecordLosses(run, upstream, now);
+  // A response that timed out, or a connection that this daemon closed, shows no crash.
+  if (attempt.connection != nullptr && attempt.connection->is_open()) {
+    RecordPartLosses(run, upstream, now);
+    OnUpstreamEnded(upstream, now);
+  }
+  on_change_();
+}
+
+void CrashDetector::RecordLosses(const RequestRun& run, const UpstreamRecord& upstream,
+                                 TimePoint now) {
+  for (const std::uint64_t fingerprint : run.fingerprints) {
+    fleet_.crash_registry.OnLoss(fingerprint, ProcessKey(upstream), now);
     fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "recorded"}}).Add();
     kLog.Info("Recorded that an upstream was lost while it ran a request.",
-              {{"request", call.metadata.attempt_id},
+              {{"request", run.attempt_id},
                {"fingerprint", ToHex(fingerprint)},
-               {"path", PathOf(call)},
-               {"query_hash", QueryHash(call)},
-               {"upstream", attempt.placement.upstream.id.value()},
-               {"started_ms", attempt.placement.upstream.started_ms},
+               {"path", run.path},
+               {"query_hash", run.query_hash},
+               {"upstream", upstream.id.value()},
+               {"started_ms", upstream.started_ms},
                {"losses", fleet_.crash_registry.LossCount(fingerprint)},
                {"refused", fleet_.crash_registry.IsRefused(fingerprint, now)}});
   }
-  RecordPartLosses(call, attempt, now);
-  on_change_();
 }
 
-void CrashDetector::RecordPartLosses(const Call& call, const Attempt& attempt, TimePoint now) {
-  // A response that timed out, or a connection that this daemon closed, shows no crash.
-  if (call.shared_parts.empty() || attempt.connection == nullptr ||
-      !attempt.connection->is_open()) {
+void CrashDetector::RecordPartLosses(const RequestRun& run, const UpstreamRecord& upstream,
+                                     TimePoint now) {
+  if (run.shared_parts.empty()) {
     return;
   }
-  const auto last_answer = last_answers_.find(call.service);
+  const auto last_answer = last_answers_.find(run.service);
   if (last_answer == last_answers_.end() || now - last_answer->second > kServiceFailureTime) {
     kLog.Info("Recorded no prompt part, because the service has not answered any request recently.",
-              {{"request", call.metadata.attempt_id}, {"service", call.service.value()}});
+              {{"request", run.attempt_id}, {"service", run.service.value()}});
     return;
   }
-  for (const std::uint64_t part : call.shared_parts) {
-    fleet_.part_crash_registry.OnLoss(part, ProcessKey(attempt.placement.upstream), now);
+  for (const std::uint64_t part : run.shared_parts) {
+    fleet_.part_crash_registry.OnLoss(part, ProcessKey(upstream), now);
     const std::size_t losses = fleet_.part_crash_registry.LossCount(part);
     if (losses > 0) {
       kLog.Info("Recorded that an upstream was lost while it ran a prompt part.",
-                {{"request", call.metadata.attempt_id},
+                {{"request", run.attempt_id},
                  {"part", ToHex(part)},
-                 {"upstream", attempt.placement.upstream.id.value()},
+                 {"upstream", upstream.id.value()},
                  {"losses", losses},
                  {"refused", fleet_.part_crash_registry.IsRefused(part, now)}});
     }
@@ -145,16 +164,29 @@
 }
 
 void CrashDetector::OnCallerDisconnected(const Call& call, const Attempt& attempt, TimePoint now) {
+  const UpstreamRecord& upstream = attempt.placement.upstream;
+  abandoned_runs_.Add(ProcessKey(upstream), RunOf(call), now);
   kLog.Info("A caller disconnected while its request was at an upstream.",
             {{"request", call.metadata.attempt_id},
              {"fingerprint", ToHex(call.fingerprints.front())},
              {"path", PathOf(call)},
              {"query_hash", QueryHash(call)},
-             {"upstream", attempt.placement.upstream.id.value()},
+             {"upstream", upstream.id.value()},
              {"first_byte", attempt.first_byte},
              {"ms", (now - attempt.sent_at) / 1ms}});
 }
 
+void CrashDetector::OnUpstreamEnded(const UpstreamRecord& upstream, TimePoint now) {
+  const std::vector<RequestRun> runs = abandoned_runs_.Take(ProcessKey(upstream), now);
+  for (const RequestRun& run : runs) {
+    RecordLosses(run, upstream, now);
+    RecordPartLosses(run, upstream, now);
+  }
+  if (!runs.empty()) {
+    on_change_();
+  }
+}
+
 bool CrashDetector::IsSuspected(const Call& call) const {
   return std::ranges::any_of(call.shared_parts, [this](std::uint64_t part) {
     return fleet_.part_crash_registry.LossCount(part) >= kLossesBeforeSuspicion;
@@ -163,6 +195,7 @@
 
 void CrashDetector::OnAnswer(const Call& call, const Attempt& attempt, unsigned status,
                              TimePoint now) {
+  abandoned_runs_.OnAnswer(ProcessKey(attempt.placement.upstream), attempt.sent_at);
   // A worker that fails a request may not have begun to run it.
   if (status >= kFirstServerErrorStatus) {
     return;
--- a/packages/gateway/crash_detector.h
+++ b/packages/gateway/crash_detector.h
@@ -8,6 +8,8 @@
 #include "gateway/attempt.h"
 #include "gateway/call.h"
 #include "gateway/fleet_state.h"
+#include "recovery/abandoned_runs.h"
+#include "routing/fleet_load_balancer.h"
 
 namespace savoryglade::gateway {
 
@@ -32,8 +34,11 @@
   // Records that an upstream was lost while it ran the request, unless it sent a response that
   // can't be used.
   void OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now);
-  // Handles the disconnection of a caller before the answer to its request.
+  // Handles the disconnection of a caller while an upstream may be running its request. The request
+  // counts as lost if the upstream ends soon.
   void OnCallerDisconnected(const Call& call, const Attempt& attempt, TimePoint now);
+  // Records that the process of an upstream has ended, because it refuses or breaks connections.
+  void OnUpstreamEnded(const UpstreamRecord& upstream, TimePoint now);
   // Records that an upstream has answered the request with this status.
   void OnAnswer(const Call& call, const Attempt& attempt, unsigned status, TimePoint now);
   // Returns true if the prompt has a part that may have crashed more than one upstream, so that the
@@ -41,11 +46,13 @@
   bool IsSuspected(const Call& call) const;
 
  private:
+  void RecordLosses(const RequestRun& run, const UpstreamRecord& upstream, TimePoint now);
   // Records the loss for each shared part of the prompt, unless the whole service fails.
-  void RecordPartLosses(const Call& call, const Attempt& attempt, TimePoint now);
+  void RecordPartLosses(const RequestRun& run, const UpstreamRecord& upstream, TimePoint now);
 
   FleetState& fleet_;
   std::function<void()> on_change_;
+  AbandonedRuns abandoned_runs_;
   // Time of the last complete answer of each service.
   std::map<ServiceId, TimePoint> last_answers_;
 };
