Admit no request before the crash records are known

Callers saw: none reported; a daemon that has restarted sends requests that the fleet refuses. Cause: readiness waits for the records, but the load balancer also uses daemons that are not ready when too few are, and admission asked for the routes only. It now waits for the stored records or for the report of a peer that knows them, and answers 503 until then.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -88,8 +88,9 @@
   call.received = now;
   const Result<RequestMetadata> metadata = codec_.DecodeRequest(call.exchange.request());
   call.routes = fleet_.routes;
-  if (call.routes == nullptr) {
-    return reject(Reason::kNotReady, "The routes have not been loaded yet.", kRetryAfter);
+  if (call.routes == nullptr || !fleet_.crash_records_known) {
+    return reject(Reason::kNotReady, "The routes or crash records have not been loaded yet.",
+                  kRetryAfter);
   }
   if (!metadata) {
     return reject(Reason::kMalformedRequest, metadata.error().message);
--- a/packages/gateway/crash_record_store.cc
+++ b/packages/gateway/crash_record_store.cc
@@ -157,7 +157,6 @@
     }
     pause = kRetryInterval;
     position_ = update->position;
-    loaded_ = true;
     const TimePoint now = BootNow();
     if (full_read) {
       // The store may have returned from a copy that lacks records.
@@ -167,6 +166,8 @@
     for (const auto& [key, row] : update->rows) {
       ApplyRow(key, row, now);
     }
+    loaded_ = true;
+    fleet_.crash_records_known = true;
     if (full_read) {
       full_read_at_ = now;
       co_await RemoveExpiredRows(*update);
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -189,6 +189,7 @@
   for (const auto& [service, seconds] : report.work) {
     digest.work.emplace_back(service, seconds);
   }
+  digest.crash_records_known = report.crash_records_known;
   digest.crashes = EncodeCrashRecords(report.crashes);
   digest.part_crashes = EncodeCrashRecords(report.part_crashes);
   if (report.feed_update) {
@@ -220,7 +221,8 @@
                      .highest_fencing = digest.highest_fencing,
                      .requests_port = digest.requests_port,
                      .routes_version = digest.routes_version,
-                     .routes_age = DecodeAge(digest.routes_age_ms)};
+                     .routes_age = DecodeAge(digest.routes_age_ms),
+                     .crash_records_known = digest.crash_records_known};
   if (digest.holder_age_ms >= 0) {
     report.holder_age = DecodeAge(digest.holder_age_ms);
     report.holder_announcement = {.incarnation = digest.holder_incarnation,
--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -57,6 +57,8 @@
   std::map<std::uint64_t, AllowanceUsage> allowances;
   std::vector<BegunCount> begun;
   std::map<std::uint64_t, double> work;
+  // Whether the sender has read the crash records of the fleet, or heard of them.
+  bool crash_records_known = false;
   // Records of requests and of prompt parts.
   std::vector<CrashRecord> crashes;
   std::vector<CrashRecord> part_crashes;
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -105,6 +105,9 @@
   AccountRateLimiter rate_limiter;
   WindowRetryBudget retry_budget;
   CrashRegistry crash_registry;
+  // True once the crash records have been read from the store or reported by a peer. Until then the
+  // daemon can't tell which requests the fleet refuses.
+  bool crash_records_known = false;
   CrashRegistry part_crash_registry{kPartCrashPolicy};
   StreamVersionDirectory stream_versions{StreamVersionOptions{}};
   capacity::UsageLedger usage;
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -102,6 +102,7 @@
       .highest_fencing = fleet_.highest_fencing,
       .requests_port = fleet_.requests_port,
       .loads = fleet_.load_balancer.AggregateLoad(scope, now),
+      .crash_records_known = fleet_.crash_records_known,
       .crashes = fleet_.crash_registry.SelectForReport(kMaxReportedCrashes, now),
       .part_crashes = fleet_.part_crash_registry.SelectForReport(kMaxReportedCrashes, now)};
   if (fleet_.holds_duties) {
@@ -183,6 +184,7 @@
   }
   MergeCrashRecords(report.crashes, report.sender.id, fleet_.crash_registry, now);
   MergeCrashRecords(report.part_crashes, report.sender.id, fleet_.part_crash_registry, now);
+  fleet_.crash_records_known |= report.crash_records_known;
   fleet_.stream_versions.OnPeerRecords(report.streams, now);
 }
 
--- a/tests/gateway/digest_codec_test.cc
+++ b/tests/gateway/digest_codec_test.cc
@@ -50,6 +50,7 @@
   remote->crash_registry.OnLoss(7, 2, At(1s));
   remote->crash_registry.OnLoss(7, 3, At(1s));
   remote->work.Add(kModel, 2.5);
+  remote->crash_records_known = true;
   const Result<FleetReport> report =
       SendReport(*remote, *local, ReportScope::kDaemon, true, At(1s));
   ASSERT_TRUE(report);
@@ -58,6 +59,7 @@
   EXPECT_EQ(local->load_balancer.FreeSlots(kModel, At(1s)), 3);
   EXPECT_EQ(local->usage.Total(local->WindowAt(At(1s))), (capacity::WindowCounts{{kDrivers, 1}}));
   EXPECT_TRUE(local->crash_registry.IsRefused(7, At(1s)));
+  EXPECT_TRUE(local->crash_records_known);
   EXPECT_DOUBLE_EQ(local->work.Total(kModel), 2.5);
 }
 
