Test a refused request at one daemon at a time when its refusal ends

Callers saw: upstreams end together a minute after the first crashes. Cause: the refusal ended at all daemons at the same time, and each sent all copies that arrived until the next crash was known. Its end is now spread over 20 s by the hash of request and daemon, and a daemon that has sent the request waits 5 s for the outcome. A refusal in the middle of a call that has not run also names when to come back.

RequestIsTestedByOneDaemonAtATimeAfterItsRefusal (six daemons, a copy each 500 ms at each, 200 s, 20 requests): 4 late sends for each request before, 3 allowed; now it passes, with one line added to it that tells the registry of each send. gateway_test: 107 pass.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -239,9 +239,12 @@
       co_return;
     }
     // The registry may have changed since the request was admitted, by this call or another one.
-    if (call.sends > 0 && crash_detector_.RemainingRefusal(call, now) > Duration::zero()) {
-      co_await Reject(call,
-                      {.run_state = call.run_state, .reason = Reason::kRequestCrashesUpstreams});
+    const Duration refusal =
+        call.sends > 0 ? crash_detector_.RemainingRefusal(call, now) : Duration::zero();
+    if (refusal > Duration::zero()) {
+      co_await Reject(call, {.run_state = call.run_state,
+                             .reason = Reason::kRequestCrashesUpstreams,
+                             .retry_after = refusal});
       co_return;
     }
     const std::optional<Placement> placement = SelectUpstream(call, now);
@@ -256,6 +259,7 @@
                              .retry_after = kRetryAfter});
       co_return;
     }
+    crash_detector_.OnSent(call, now);
     const RelayOutcome outcome = co_await TryUpstream(call, *placement);
     if (outcome == RelayOutcome::kFinished) {
       co_return;
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -106,6 +106,15 @@
   return Duration::zero();
 }
 
+void CrashDetector::OnSent(const Call& call, TimePoint now) {
+  for (const std::uint64_t fingerprint : call.fingerprints) {
+    fleet_.crash_registry.OnSent(fingerprint, now);
+  }
+  for (const std::uint64_t part : call.shared_parts) {
+    fleet_.part_crash_registry.OnSent(part, now);
+  }
+}
+
 void CrashDetector::OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now) {
   if (attempt.response_rejected) {
     return;
--- a/packages/gateway/crash_detector.h
+++ b/packages/gateway/crash_detector.h
@@ -31,6 +31,8 @@
   // crashed too many upstreams, or zero if it is not refused. Sets the detail of a refusal for the
   // log.
   Duration RemainingRefusal(Call& call, TimePoint now) const;
+  // Records that the request is sent to an upstream.
+  void OnSent(const Call& call, TimePoint now);
   // Records that an upstream was lost while it ran the request, unless it sent a response that
   // can't be used.
   void OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now);
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -9,6 +9,7 @@
 #include "capacity/usage_ledger.h"
 #include "capacity/work_meter.h"
 #include "config/route_table.h"
+#include "core/prefix_hash.h"
 #include "core/time.h"
 #include "gateway/gateway_settings.h"
 #include "membership/fleet_clock.h"
@@ -104,11 +105,11 @@
   FleetLoadBalancer load_balancer;
   AccountRateLimiter rate_limiter;
   WindowRetryBudget retry_budget;
-  CrashRegistry crash_registry;
+  CrashRegistry crash_registry{kRequestCrashPolicy, Fnv1aHash(settings.daemon.value())};
   // True once the crash records have been read from the store or reported by a peer. Until then the
   // daemon can't tell which requests the fleet refuses.
   bool crash_records_known = false;
-  CrashRegistry part_crash_registry{kPartCrashPolicy};
+  CrashRegistry part_crash_registry{kPartCrashPolicy, Fnv1aHash(settings.daemon.value())};
   StreamVersionDirectory stream_versions{StreamVersionOptions{}};
   capacity::UsageLedger usage;
   capacity::WorkMeter work;
--- a/packages/recovery/crash_registry.cc
+++ b/packages/recovery/crash_registry.cc
@@ -1,10 +1,14 @@
 #include "recovery/crash_registry.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
 #include <vector>
 
+#include "core/prefix_hash.h"
+
 namespace savoryglade {
 namespace {
 
@@ -41,6 +45,22 @@
   return until;
 }
 
+Duration CrashRegistry::RefusalExtension(std::uint64_t request) const {
+  constexpr int kSteps = 1000;
+  if (!daemon_) {
+    return Duration::zero();
+  }
+  const std::uint64_t hash = Fnv1aHash(fmt::format("{:x}", *daemon_), request);
+  return kRefusalSpread * static_cast<int>(hash % kSteps) / kSteps;
+}
+
+void CrashRegistry::OnSent(std::uint64_t request, TimePoint now) {
+  const auto found = records_.find(request);
+  if (found != records_.end() && RefusedUntil(found->second)) {
+    found->second.tested_at = now;
+  }
+}
+
 bool CrashRegistry::HasExpired(const Entry& entry, TimePoint now) const {
   if (entry.losses.empty()) {
     return !entry.answered_at || now - *entry.answered_at > kAnswerLifetime;
@@ -194,8 +214,16 @@
   if (found == records_.end()) {
     return Duration::zero();
   }
-  const std::optional<TimePoint> until = RefusedUntil(found->second);
-  return until && now < *until ? *until - now : Duration::zero();
+  const Entry& entry = found->second;
+  std::optional<TimePoint> until = RefusedUntil(entry);
+  if (!until) {
+    return Duration::zero();
+  }
+  *until += RefusalExtension(request);
+  if (entry.tested_at) {
+    until = std::max(*until, *entry.tested_at + kTestTime);
+  }
+  return std::max(*until - now, Duration::zero());
 }
 
 CrashRecord CrashRegistry::ToRecord(std::uint64_t request, const Entry& entry, TimePoint now) {
--- a/packages/recovery/crash_registry.h
+++ b/packages/recovery/crash_registry.h
@@ -55,10 +55,12 @@
 
 // Detects requests, or parts of prompts, that crash the upstreams that run them. Each upstream
 // process counts once per record. After the number of losses that the policy states the request is
-// refused for a while; then one more loss is enough to refuse it for twice as long. An answer shows
-// that the request is harmless and discards the losses before it. Daemons exchange their records,
-// so that a request that is sent again through another daemon is recognised; records can be merged
-// in any order. Not thread-safe.
+// refused for a while; then one more loss is enough to refuse it for twice as long. The refusal
+// ends at a different time at each daemon, and a daemon sends the request once before it waits for
+// the outcome, so that a crashing request does not end several upstreams at the same time. An
+// answer shows that the request is harmless and discards the losses before it. Daemons exchange
+// their records, so that a request that is sent again through another daemon is recognised; records
+// can be merged in any order. Not thread-safe.
 class CrashRegistry {
  public:
   static constexpr Duration kMaxRefusal = 1h;
@@ -71,8 +73,19 @@
   // a peer's loss is measured with the delay of the report.
   static constexpr Duration kAnswerTolerance = 1s;
 
-  explicit CrashRegistry(CrashPolicy policy = kRequestCrashPolicy) : policy_(policy) {}
+  // Time over which the ends of a refusal are spread among the daemons.
+  static constexpr Duration kRefusalSpread = 20s;
+  // Time that a daemon waits for the outcome of a request that was refused before.
+  static constexpr Duration kTestTime = 5s;
 
+  // The hash of this daemon's name decides when its refusals end; without it, they are not
+  // extended.
+  explicit CrashRegistry(CrashPolicy policy = kRequestCrashPolicy,
+                         std::optional<std::uint64_t> daemon = std::nullopt)
+      : policy_(policy), daemon_(daemon) {}
+
+  // Records that the request is sent to an upstream.
+  void OnSent(std::uint64_t request, TimePoint now);
   void OnLoss(std::uint64_t request, std::uint64_t upstream, TimePoint now);
   // Records an answer to the request. Returns true if it discards losses.
   bool OnAnswer(std::uint64_t request, TimePoint now);
@@ -111,6 +124,8 @@
     // Instants of the losses, by upstream.
     std::map<std::uint64_t, TimePoint> losses;
     std::optional<TimePoint> answered_at;
+    // Time of the last send at this daemon after a refusal.
+    std::optional<TimePoint> tested_at;
     // Whether this daemon saw one of the losses or the answer itself.
     bool own = false;
     // Number of reports with the record since it last changed.
@@ -143,6 +158,8 @@
   static CrashRecord ToRecord(std::uint64_t request, const Entry& entry, TimePoint now);
   // Returns the instant until which the request is refused, if it has been refused.
   std::optional<TimePoint> RefusedUntil(const Entry& entry) const;
+  // Returns the part of kRefusalSpread by which the request is refused longer at this daemon.
+  Duration RefusalExtension(std::uint64_t request) const;
   bool HasExpired(const Entry& entry, TimePoint now) const;
   // Remembers an answer, if answers prevent records.
   void RememberAnswer(std::uint64_t request, TimePoint now);
@@ -151,6 +168,7 @@
   }
 
   CrashPolicy policy_;
+  std::optional<std::uint64_t> daemon_;
   Records records_;
   // Answers of the current period of kAnswerLifetime and of the one before it.
   std::unordered_set<std::uint64_t> recent_answers_;
--- a/tests/gateway/report_exchange_test.cc
+++ b/tests/gateway/report_exchange_test.cc
@@ -250,6 +250,7 @@
         const Duration phase = kReturnInterval * static_cast<int>(i) / fleet.size() / kStep * kStep;
         if ((time + phase) % kReturnInterval == 0s &&
             !fleet.fleet(i).crash_registry.IsRefused(request, At(time))) {
+          fleet.fleet(i).crash_registry.OnSent(request, At(time));
           runs.emplace(time + kRunTime, i);
           late_sends += third_crash && time > *third_crash + kRefusalDelay ? 1 : 0;
         }
