Store single losses of a request that no answer follows

Callers saw: none reported; restarts of all daemons forget one loss of each request at a time, so that a request may crash more upstreams than the bound allows. Cause: a record was stored from its second loss on, because most single losses are followed by an answer. A single loss is now stored after 1 s without one. All records that are due go into one transaction, up to 100 rows, where each took a call of its own.

SingleLossIsStoredUnlessAnAnswerFollowsSoon failed before (nothing was selected) and passes; recovery_test 160, gateway_test 107 pass.

--- a/packages/gateway/crash_record_store.cc
+++ b/packages/gateway/crash_record_store.cc
@@ -31,6 +31,8 @@
 // Interval of reads of all rows, which find those that have expired.
 constexpr Duration kFullReadInterval = 600s;
 constexpr Duration kMinReadInterval = 20ms;
+// Rows that one transaction of the store may write.
+constexpr std::size_t kMaxRowsPerTransaction = 100;
 // First pause after a failed call; doubled after each further failure, up to the maximum.
 constexpr Duration kRetryInterval = 250ms;
 constexpr Duration kMaxRetryInterval = 1s;
@@ -181,55 +183,62 @@
   return subject == CrashSubject::kPromptPart ? fleet_.part_crash_registry : fleet_.crash_registry;
 }
 
-asio::awaitable<bool> CrashRecordStore::Store(CrashSubject subject, const CrashRecord& record) {
-  provider::RowWrite write{.key = CrashRowKey(subject, record.request)};
-  if (!record.losses.empty()) {
-    write.value = EncodeCrashRow(record, fleet_.clock.Now(BootNow()));
+asio::awaitable<std::optional<std::size_t>> CrashRecordStore::StoreRecords() {
+  const TimePoint now = BootNow();
+  std::vector<std::pair<CrashSubject, CrashRecord>> stored;
+  provider::Transaction transaction;
+  for (const CrashSubject subject : {CrashSubject::kPromptPart, CrashSubject::kRequest}) {
+    for (CrashRecord& record : RegistryOf(subject).SelectForStorage(now)) {
+      if (stored.size() == kMaxRowsPerTransaction) {
+        break;
+      }
+      provider::RowWrite write{.key = CrashRowKey(subject, record.request)};
+      if (!record.losses.empty()) {
+        write.value = EncodeCrashRow(record, fleet_.clock.Now(now));
+      }
+      transaction.writes.push_back(std::move(write));
+      stored.emplace_back(subject, std::move(record));
+    }
+  }
+  if (stored.empty()) {
+    co_return 0;
   }
   // Unconditional, because a daemon whose losses were overwritten reads the row and stores them
   // again.
-  const provider::Transaction transaction{.writes = {std::move(write)}};
   const provider::CommitStatus status = co_await store_.Commit(transaction);
-  const bool stored = status == provider::CommitStatus::kCommitted;
-  if (stored) {
+  if (status != provider::CommitStatus::kCommitted) {
+    kLog.Info("Storing crash records failed.",
+              {{"records", stored.size()}, {"status", static_cast<int>(status)}});
+    co_return std::nullopt;
+  }
+  for (const auto& [subject, record] : stored) {
     RegistryOf(subject).OnStored(record);
     fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "stored"}}).Add();
+    kLog.Info("Stored a crash record for all daemons.",
+              {{"key", CrashRowKey(subject, record.request)}, {"losses", record.losses.size()}});
   }
-  kLog.Info(stored ? "Stored a crash record for all daemons." : "Storing a crash record failed.",
-            {{"key", CrashRowKey(subject, record.request)},
-             {"losses", record.losses.size()},
-             {"status", static_cast<int>(status)}});
-  co_return stored;
-}
-
-asio::awaitable<std::optional<std::size_t>> CrashRecordStore::StoreRecords(CrashSubject subject) {
-  const std::vector<CrashRecord> records = RegistryOf(subject).SelectForStorage(BootNow());
-  for (const CrashRecord& record : records) {
-    if (!co_await Store(subject, record)) {
-      co_return std::nullopt;
-    }
-  }
-  co_return records.size();
+  co_return stored.size();
 }
 
 asio::awaitable<void> CrashRecordStore::WriteLoop() {
   Duration pause = kRetryInterval;
   while (true) {
-    bool failed = false;
-    std::size_t stored = 0;
-    for (const CrashSubject subject : {CrashSubject::kPromptPart, CrashSubject::kRequest}) {
-      const std::optional<std::size_t> count = co_await StoreRecords(subject);
-      failed = failed || !count;
-      stored += count.value_or(0);
-    }
-    if (failed) {
+    const std::optional<std::size_t> stored = co_await StoreRecords();
+    if (!stored) {
       co_await Sleep(pause);
       pause = std::min(2 * pause, kMaxRetryInterval);
       continue;
     }
     pause = kRetryInterval;
-    if (stored == 0) {
-      write_timer_.expires_at(asio::steady_timer::time_point::max());
+    if (*stored == 0) {
+      const TimePoint now = BootNow();
+      const TimePoint due = std::min(fleet_.crash_registry.NextStorageAt(),
+                                     fleet_.part_crash_registry.NextStorageAt());
+      if (due == TimePoint::max()) {
+        write_timer_.expires_at(asio::steady_timer::time_point::max());
+      } else {
+        write_timer_.expires_after(due - now);
+      }
       co_await write_timer_.async_wait(kAwait);
     }
   }
--- a/packages/gateway/crash_record_store.h
+++ b/packages/gateway/crash_record_store.h
@@ -19,8 +19,8 @@
 enum class CrashSubject : std::uint8_t { kRequest, kPromptPart };
 
 // Shares the records of requests and prompt parts that crash upstreams through the store, so that
-// they survive a restart of all daemons and reach daemons that are cut off from their peers. Only
-// records with more than one loss are stored. Both loops run until their context stops.
+// they survive a restart of all daemons and reach daemons that are cut off from their peers. Both
+// loops run until their context stops.
 class CrashRecordStore {
  public:
   CrashRecordStore(FleetState& fleet, FleetStore& store, boost::asio::io_context& context);
@@ -38,11 +38,9 @@
  private:
   void ApplyRow(const std::string& key, const provider::Row& row, TimePoint now);
   CrashRegistry& RegistryOf(CrashSubject subject);
-  // Stores the records that this daemon has to store. Returns how many, or nothing if a store call
-  // failed.
-  boost::asio::awaitable<std::optional<std::size_t>> StoreRecords(CrashSubject subject);
-  // Stores one record, or removes it if it has no losses. Returns false if the store call failed.
-  boost::asio::awaitable<bool> Store(CrashSubject subject, const CrashRecord& record);
+  // Stores the records that this daemon has to store, up to the size of a transaction. Returns how
+  // many, or nothing if the store call failed.
+  boost::asio::awaitable<std::optional<std::size_t>> StoreRecords();
   // Removes the rows whose losses no longer count, if this daemon holds the fleet's duties.
   boost::asio::awaitable<void> RemoveExpiredRows(const RowUpdate& update);
 
--- a/packages/recovery/crash_registry.cc
+++ b/packages/recovery/crash_registry.cc
@@ -264,25 +264,39 @@
   return selected;
 }
 
-bool CrashRegistry::NeedsStorage(const Entry& entry) {
+std::optional<TimePoint> CrashRegistry::StorageDueAt(const Entry& entry) {
+  if (!entry.own) {
+    return std::nullopt;
+  }
   if (entry.losses.empty()) {
-    return !entry.stored.empty();
+    return entry.stored.empty() ? std::nullopt : std::optional(TimePoint::min());
+  }
+  const bool stored = std::ranges::all_of(
+      entry.losses, [&entry](const auto& loss) { return entry.stored.contains(loss.first); });
+  if (stored) {
+    return std::nullopt;
   }
-  return entry.losses.size() > 1 && std::ranges::any_of(entry.losses, [&entry](const auto& loss) {
-           return !entry.stored.contains(loss.first);
-         });
+  return entry.losses.size() > 1 ? TimePoint::min() : LastLoss(entry.losses) + kStorageDelay;
 }
 
 std::vector<CrashRecord> CrashRegistry::SelectForStorage(TimePoint now) const {
   std::vector<CrashRecord> selected;
   for (const auto& [request, entry] : records_) {
-    if (entry.own && NeedsStorage(entry)) {
+    if (const auto due = StorageDueAt(entry); due && now >= *due) {
       selected.push_back(ToRecord(request, entry, now));
     }
   }
   return selected;
 }
 
+TimePoint CrashRegistry::NextStorageAt() const {
+  TimePoint next = TimePoint::max();
+  for (const auto& [request, entry] : records_) {
+    next = std::min(next, StorageDueAt(entry).value_or(TimePoint::max()));
+  }
+  return next;
+}
+
 void CrashRegistry::OnStored(const CrashRecord& record) {
   const auto found = records_.find(record.request);
   if (found == records_.end()) {
--- a/packages/recovery/crash_registry.h
+++ b/packages/recovery/crash_registry.h
@@ -73,6 +73,8 @@
   // a peer's loss is measured with the delay of the report.
   static constexpr Duration kAnswerTolerance = 1s;
 
+  // Most lost responses are followed by an answer of another upstream within this time.
+  static constexpr Duration kStorageDelay = 1s;
   // Time over which the ends of a refusal are spread among the daemons.
   static constexpr Duration kRefusalSpread = 20s;
   // Time that a daemon waits for the outcome of a request that was refused before.
@@ -104,10 +106,12 @@
   // Returns at most `limit` records for the next report to peers. Refused requests come first, then
   // this daemon's own new losses, then other records that have changed recently.
   std::vector<CrashRecord> SelectForReport(std::size_t limit, TimePoint now);
-  // Returns the records that this daemon should store for all daemons: those with more than one
-  // loss that are not stored completely. A record without losses means that the stored one is to be
-  // removed.
+  // Returns the records that this daemon should store for all daemons: those that are not stored
+  // completely and have more than one loss, or one that no answer has followed within
+  // kStorageDelay. A record without losses means that the stored one is to be removed.
   std::vector<CrashRecord> SelectForStorage(TimePoint now) const;
+  // Returns when a record has to be stored next if nothing changes, or the maximum if none has.
+  TimePoint NextStorageAt() const;
   // Forgets which records are stored, before all stored ones are read again.
   void ForgetStored() {
     for (auto& [request, entry] : records_) {
@@ -154,7 +158,8 @@
   static void DiscardAnsweredLosses(Entry& entry);
   // Adds a loss. Returns true if the upstream was not recorded yet.
   static bool AddLoss(std::uint64_t upstream, TimePoint lost_at, Entry& entry);
-  static bool NeedsStorage(const Entry& entry);
+  // Returns when the entry has to be stored, if this daemon has to store it.
+  static std::optional<TimePoint> StorageDueAt(const Entry& entry);
   static CrashRecord ToRecord(std::uint64_t request, const Entry& entry, TimePoint now);
   // Returns the instant until which the request is refused, if it has been refused.
   std::optional<TimePoint> RefusedUntil(const Entry& entry) const;
