Keep the crash records of two hosts apart

Callers saw: none reported. Cause: the fingerprint of a request covered account, path and body, but no host, so that on public routes, or for an account with services on two hosts, the crashes of one host's path refused the other's. The host of the route is hashed too.

CrashingRequestTest.SamePathOfAnotherHostIsServed failed before (503) and passes with this change.

--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -43,7 +43,7 @@
   // Time by which the response is due: the caller's timeout or the route's, whichever is shorter.
   TimePoint deadline;
   // Hashes that the crash records of the request are kept under, whatever its attempt id: that of
-  // account, path and body and, if the target has a query, that of method and query too.
+  // account, host, path and body and, if the target has a query, that of method and query too.
   std::vector<std::uint64_t> fingerprints;
   // Hashes of the service and each part of the prompt that other requests may share.
   std::vector<std::uint64_t> shared_parts;
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -41,8 +41,9 @@
 // record of its path, which says nothing about the other queries; the second hash stays.
 std::vector<std::uint64_t> FingerprintsOf(const Call& call) {
   const HttpRequest& request = call.exchange.request();
-  std::uint64_t resource = Fnv1aHash(call.account_id().value() + '\0');
-  resource = Fnv1aHash(request.body(), AppendHash(PathOf(call), resource));
+  std::uint64_t resource = AppendHash(call.account_id().value(), Fnv1aHash({}));
+  resource = AppendHash(PathOf(call), AppendHash(call.route->host, resource));
+  resource = Fnv1aHash(request.body(), resource);
   std::vector<std::uint64_t> fingerprints = {resource};
   if (const std::string_view query = QueryOf(call); !query.empty()) {
     const std::string method(request.method_string());
--- a/packages/recovery/crash_registry.h
+++ b/packages/recovery/crash_registry.h
@@ -27,7 +27,8 @@
 // What one daemon knows about a request, or a part of prompts, that may crash upstreams. Holds ages
 // instead of instants, because the clocks of daemons differ.
 struct CrashRecord {
-  // Hash of account, path and body, of these with method and query, or of service and prompt part.
+  // Hash of account, host, path and body, of these with method and query, or of service and prompt
+  // part.
   std::uint64_t request = 0;
   std::vector<UpstreamLoss> losses;
   // Time since an upstream last answered the request, if one did after a loss.
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -178,6 +178,20 @@
   EXPECT_EQ(SendRequest("POST", "/reads/stock?item=1", "b3", kApiKey, "query").status, 200U);
 }
 
+// Guards against refusing a path of one host for the crashes of another host's.
+TEST_F(CrashingRequestTest, SamePathOfAnotherHostIsServed) {
+  PutRoutes(2, R"(,{"name":"other","host":"g","prefix":"/reads/","route_kind":"idempotent",)"
+               R"("timeout_ms":3000,"goal_ms":1000,"service":"s","max_attempts":2})");
+  std::string request = FormatRequest("GET", "/reads/stock", "g1");
+  request.replace(request.find("Host: h"), 7, "Host: g");
+  while (SendText(gateway_->callers_endpoint(), request).status != 200) {
+  }
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  EXPECT_EQ(SendRepeatedly("GET", "/reads/stock", ""), "request_crashes_upstreams");
+  SetFaults(WorkerFault::kNone, 0);
+  EXPECT_EQ(SendText(gateway_->callers_endpoint(), request).status, 200U);
+}
+
 // Guards against a query that crashes upstreams and is never refused because others of its path are
 // answered, and against refusing those others.
 TEST_F(CrashingRequestTest, AnsweredQueriesOfAPathAreServedWhileACrashingOneIsRefused) {
