Judge crashing requests in the soak

Some plays have callers that send a request which crashes each upstream that runs it, from all failure domains, with or without a query that differs each time, and with or without callers that leave before the crash; beside them all daemons may be killed at once. BUDGET is broken if more than three sends by daemons in touch follow 3 s after the third crash. These plans draw from a generator of their own, so that the other faults of a seed stay as they were; planning moves to play_faults.cc.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -116,13 +116,14 @@
   }
 }
 
-asio::awaitable<void> Caller::MakeCall() {
+Caller::Call Caller::PrepareCall() {
   const std::size_t kind = random_.UniformInt(kCallTypes.size());
   Call call{.type = &kCallTypes.at(kind),
             .target = fmt::format("{}{}-{}", std::string(kCallTypes.at(kind).prefix), options_.name,
                                   ++calls_),
             .body = {},
             .deadline = Now() + kCallTimeout,
+            .leaves_at = Now() + kCallTimeout + kPatience,
             .first_attempt = {}};
   if (call.type->resumable && random_.Bernoulli(options_.break_share)) {
     call.break_after =
@@ -131,6 +132,27 @@
   if (call.type->method == "POST") {
     call.body = fmt::format("body of {}", call.target);
   }
+  return call;
+}
+
+Caller::Call Caller::PrepareCrashingCall() {
+  Call call{.type = kCallTypes.data(),
+            .target = options_.crashing_path,
+            .body = {},
+            .deadline = Now() + kCallTimeout,
+            .leaves_at = Now() + kCallTimeout + kPatience,
+            .first_attempt = {}};
+  if (options_.varies_query) {
+    call.target += fmt::format("?page={}", random_.UniformInt(100));
+  }
+  if (random_.Bernoulli(options_.leave_share)) {
+    call.leaves_at = Now() + 15ms;
+  }
+  return call;
+}
+
+asio::awaitable<void> Caller::MakeCall() {
+  Call call = options_.crashing_path.empty() ? PrepareCall() : PrepareCrashingCall();
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
     Duration retry_after = kRetryDelay;
     AttemptRecord record = co_await SendAttempt(call, retry_after);
@@ -172,7 +194,8 @@
                        .mixed = {},
                        .events_before = call.events,
                        .events_after = call.events,
-                       .resumes = call.events > 0 ? call.first_attempt : std::string()};
+                       .resumes = call.events > 0 ? call.first_attempt : std::string(),
+                       .crashing_path = options_.crashing_path};
   record.reused_connection = connection_ != nullptr && connection_->IsOpenAndIdle();
   if (!record.reused_connection) {
     last_daemon_ = balancer_.Choose(options_.failure_domain, last_daemon_, random_);
@@ -209,9 +232,10 @@
 
 asio::awaitable<void> Caller::ReadResponse(HttpConnection& connection, Call& call,
                                            AttemptRecord& record, Duration& retry_after) {
-  const TimePoint give_up = call.deadline + kPatience;
+  const TimePoint give_up = call.leaves_at;
   const Result<unsigned> status = co_await connection.ReadHeader(give_up - Now());
   if (!status) {
+    record.left_by_caller = call.leaves_at < call.deadline && Now() >= call.leaves_at;
     record.failure = status.error().message;
     co_return;
   }
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -56,6 +56,11 @@
   Duration pause = 300ms;
   // Share of resumable streams that the caller breaks in the middle and resumes.
   double break_share = 0;
+  // If set, the caller sends only this request, which crashes upstreams.
+  std::string crashing_path;
+  bool varies_query = false;
+  // Share of crashing requests whose caller leaves before the crash.
+  double leave_share = 0;
   // Calls after which the caller opens a new connection.
   int calls_per_connection = 1;
 };
@@ -79,6 +84,8 @@
     std::string target;
     std::string body;
     TimePoint deadline;
+    // When the caller leaves at the latest.
+    TimePoint leaves_at;
     // Stream: the event after which the caller breaks its connection, or zero.
     int break_after = 0;
     // Stream: the last event received, and the attempt that brought the first one.
@@ -87,6 +94,8 @@
   };
 
   boost::asio::awaitable<void> MakeCall();
+  Call PrepareCall();
+  Call PrepareCrashingCall();
   // Sends one attempt and returns what happened, and the wait that its answer asks for.
   boost::asio::awaitable<AttemptRecord> SendAttempt(Call& call, Duration& retry_after);
   boost::asio::awaitable<void> ReadResponse(HttpConnection& connection, Call& call,
--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -77,6 +77,11 @@
          std::ranges::any_of(found->second, [&](TimePoint at) { return from <= at && at <= to; });
 }
 
+std::optional<TimePoint> History::EndOf(const std::string& upstream) const {
+  const auto found = breaks_.find(upstream);
+  return found == breaks_.end() ? std::nullopt : std::optional(found->second.front());
+}
+
 int History::ServingBetween(const std::string& version, TimePoint from, TimePoint to) const {
   const auto counts = serving_.find(version);
   if (counts == serving_.end()) {
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -56,8 +56,10 @@
   int events_after = 0;
   // Attempt that brought the first event of a stream that this attempt resumes.
   std::string resumes;
-  // True if the caller closed the connection in the middle of the stream.
+  // True if the caller closed the connection before the end of the answer.
   bool left_by_caller = false;
+  // Path of a request that crashes the upstreams that run it; empty for others.
+  std::string crashing_path;
 };
 
 // One run of a request at an upstream.
@@ -124,6 +126,8 @@
   std::vector<RunRecord> RunsOf(const std::string& attempt) const;
   // Returns true if the upstream's connections broke within this time.
   bool BrokeBetween(const std::string& upstream, TimePoint from, TimePoint to) const;
+  // Returns when the upstream's connections broke first, if they did.
+  std::optional<TimePoint> EndOf(const std::string& upstream) const;
   // Returns the smallest number of upstreams of the version that served within this time.
   int ServingBetween(const std::string& version, TimePoint from, TimePoint to) const;
   // Formats the events around a violation and what is known of its attempt.
--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -22,6 +22,8 @@
 constexpr Duration kReadyTimeout = 30s;
 constexpr Duration kLastCallsTimeout = 10s;
 constexpr Duration kUpstreamDrain = 1s;
+// Keeps the other faults of a seed as they were before plays had crashing requests.
+constexpr std::uint64_t kCrashSeedOffset = 1'000'000;
 constexpr const char* kApiKey = "drivers-key";
 constexpr const char* kLimitedKey = "visitors-key";
 
@@ -52,6 +54,7 @@
 Play::Play(PlayOptions options)
     : options_(std::move(options)),
       random_(options_.seed),
+      crash_random_(options_.seed + kCrashSeedOffset),
       grace_(random_.Bernoulli(0.7) ? 8s : 5s),
       service_time_(random_.Bernoulli(0.5) ? 60ms : 300ms),
       event_interval_(random_.Bernoulli(0.5) ? 10ms : 150ms),
@@ -79,10 +82,9 @@
   return from + FromSeconds(ToSeconds(to - from) * random_.UniformReal());
 }
 
-TimePoint Play::RandomTime(double from_share, double to_share) {
-  const double seconds = ToSeconds(options_.length);
-  return begin_ +
-         RandomDuration(FromSeconds(seconds * from_share), FromSeconds(seconds * to_share));
+TimePoint Play::RandomTime(Random& random, double from_share, double to_share) const {
+  const double share = from_share + (to_share - from_share) * random.UniformReal();
+  return begin_ + FromSeconds(ToSeconds(options_.length) * share);
 }
 
 std::string Play::RandomDomain() { return DomainName(random_.UniformInt(domain_count_)); }
@@ -110,6 +112,10 @@
   if (random_.Bernoulli(0.5)) {
     PlanStoreFaults();
   }
+  if (crash_random_.Bernoulli(0.6)) {
+    StartCrashingCallers();
+    PlanHerdKills();
+  }
   RunUntil(begin_ + options_.length, [] { return false; });
   // All daemons stop while the callers go on for a while.
   ending_ = true;
@@ -194,112 +200,48 @@
   }
 }
 
-void Play::PlanStops() {
-  // Stops come in series of several daemons, which may overlap.
-  const std::size_t series = 2 + random_.UniformInt(5);
-  for (std::size_t i = 0; i < series; ++i) {
-    const TimePoint start = RandomTime(0.02, 0.8);
-    const std::size_t stops = 1 + random_.UniformInt(daemons_.size());
-    const Duration spread = random_.Bernoulli(0.5) ? 200ms : 4s;
-    for (std::size_t k = 0; k < stops; ++k) {
-      const std::size_t daemon = random_.UniformInt(daemons_.size());
-      const TimePoint at = start + RandomDuration(0s, spread);
-      At(at, [this, daemon] { Stop(daemon); });
-      if (random_.Bernoulli(0.3)) {
-        At(at + RandomDuration(50ms, 4s), [this, daemon] {
-          if (daemons_[daemon].stop_ordered) {
-            history_.AddEvent(EventKind::kRepeatedTerm, daemon, "SIGTERM again");
-            daemons_[daemon].process->Signal(SIGTERM);
-          }
-        });
-      }
-      if (random_.Bernoulli(0.3)) {
-        At(at + RandomDuration(-1s, 4s), [this, daemon, revision = static_cast<int>(10 * i + k)] {
-          daemons_[daemon].process->WriteSettings(revision);
-          if (!daemons_[daemon].process->IsListening()) {
-            return;
-          }
-          history_.AddEvent(EventKind::kHangUp, daemon, "SIGHUP with other bounds");
-          daemons_[daemon].process->Signal(SIGHUP);
-        });
-      }
-    }
-  }
-}
-
-void Play::PlanUnplannedFaults() {
-  const std::size_t faults = 1 + random_.UniformInt(5);
-  for (std::size_t i = 0; i < faults; ++i) {
-    const std::size_t daemon = random_.UniformInt(daemons_.size());
-    const TimePoint at = RandomTime(0.02, 0.95);
-    if (random_.Bernoulli(0.5)) {
-      At(at, [this, daemon] { Disturb(daemon, EventKind::kKill, SIGKILL); });
-    } else {
-      At(at, [this, daemon] { Disturb(daemon, EventKind::kFreeze, SIGSTOP); });
-      At(at + RandomDuration(100ms, 3s),
-         [this, daemon] { Disturb(daemon, EventKind::kThaw, SIGCONT); });
+void Play::StartCrashingCallers() {
+  constexpr std::size_t kMaxCrashingRequests = 2;
+  const std::size_t requests = 1 + crash_random_.UniformInt(kMaxCrashingRequests);
+  for (std::size_t request = 0; request < requests; ++request) {
+    const std::string path = fmt::format("/reads/{}-{}", Upstream::kCrashingName, request);
+    const bool has_query = crash_random_.Bernoulli(0.6);
+    const double leave_share = crash_random_.Bernoulli(0.5) ? 0.5 : 0;
+    // The request comes again from several places.
+    for (std::size_t i = 0; i < domain_count_; ++i) {
+      callers_.push_back(std::make_unique<Caller>(
+          CallerOptions{.name = fmt::format("crashing-caller-{}-{}", request, i),
+                        .failure_domain = DomainName(i),
+                        .api_key = kApiKey,
+                        .seed = crash_random_.Next(),
+                        .pause = 600ms,
+                        .crashing_path = path,
+                        .varies_query = has_query,
+                        .leave_share = leave_share},
+          *balancer_, history_));
+      asio::co_spawn(caller_pool_.context(0), callers_.back()->Run(callers_stop_, active_callers_),
+                     asio::detached);
     }
   }
-  const std::size_t crashes = random_.UniformInt(4);
-  for (std::size_t i = 0; i < crashes; ++i) {
-    At(RandomTime(0.02, 0.95), [this] {
-      if (const std::optional<std::string> id = PickUpstream(1)) {
-        const UpstreamOptions options = serving_.at(*id)->options();
-        RemoveUpstream(*id, false);
-        At(Now() + 2s, [this, options] { AddUpstream(options.version, options.failure_domain); });
-      }
-    });
-  }
 }
 
-void Play::PlanUpstreamChanges() {
-  const std::size_t changes = random_.UniformInt(4);
-  for (std::size_t i = 0; i < changes; ++i) {
-    At(RandomTime(0.02, 0.95), [this] { AddUpstream("v1", RandomDomain()); });
-    At(RandomTime(0.02, 0.95), [this] {
-      if (const std::optional<std::string> id = PickUpstream(3)) {
-        RemoveUpstream(*id, true);
-      }
-    });
-  }
-  if (!random_.Bernoulli(0.5)) {
-    return;
+void Play::ReplaceCrashedUpstreams() {
+  std::vector<std::string> crashed;
+  {
+    const std::lock_guard lock(crashed_mutex_);
+    crashed.swap(crashed_upstreams_);
   }
-  // A release replaces one upstream after the other by another version.
-  const TimePoint start = RandomTime(0.05, 0.4);
-  const Duration step = RandomDuration(100ms, 1s);
-  std::size_t position = 0;
-  for (const auto& [id, upstream] : serving_) {
-    const TimePoint at = start + step * static_cast<int>(position++);
-    At(at, [this, domain = upstream->options().failure_domain] { AddUpstream("v2", domain); });
-    At(at + RandomDuration(0s, 2s), [this, name = id] {
-      if (serving_.contains(name)) {
-        RemoveUpstream(name, true);
-      }
-    });
+  for (const std::string& id : crashed) {
+    if (serving_.contains(id)) {
+      CrashUpstream(id);
+    }
   }
 }
 
-void Play::PlanStoreFaults() {
-  const std::size_t faults = 1 + random_.UniformInt(3);
-  for (std::size_t i = 0; i < faults; ++i) {
-    const TimePoint at = RandomTime(0.02, 0.8);
-    const TimePoint end = at + RandomDuration(200ms, 5s);
-    const std::size_t kind = random_.UniformInt(3);
-    const Duration delay = RandomDuration(50ms, 1s);
-    At(at, [this, kind, delay] {
-      static constexpr std::array kNames = {"down", "losing its answers", "slow"};
-      history_.AddEvent(EventKind::kStoreFault, {},
-                        fmt::format("the store is {}", kNames.at(kind)));
-      store_.SetFaults({.outage = kind == 0, .drop_responses = kind == 1});
-      store_delay_ = kind == 2 ? delay : Duration::zero();
-    });
-    At(end, [this] {
-      history_.AddEvent(EventKind::kStoreSound, {}, "the store is sound");
-      store_.SetFaults({});
-      store_delay_ = Duration::zero();
-    });
-  }
+void Play::CrashUpstream(const std::string& id) {
+  const UpstreamOptions options = serving_.at(id)->options();
+  RemoveUpstream(id, false);
+  At(Now() + 2s, [this, options] { AddUpstream(options.version, options.failure_domain); });
 }
 
 bool Play::RunUntil(TimePoint end, const std::function<bool()>& condition) {
@@ -308,6 +250,7 @@
       const auto action = actions_.extract(actions_.begin());
       action.mapped()();
     }
+    ReplaceCrashedUpstreams();
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       DaemonState& daemon = daemons_[i];
       if (const std::optional<int> status = daemon.process->Poll()) {
@@ -389,7 +332,12 @@
                                                  .version = version,
                                                  .failure_domain = failure_domain,
                                                  .max_service_time = service_time_,
-                                                 .event_interval = event_interval_},
+                                                 .event_interval = event_interval_,
+                                                 .on_crash =
+                                                     [this, id] {
+                                                       const std::lock_guard lock(crashed_mutex_);
+                                                       crashed_upstreams_.push_back(id);
+                                                     }},
                                  history_));
   serving_[id] = upstreams_.back().get();
   history_.AddServing(version, 1);
@@ -440,18 +388,24 @@
   int refused = 0;
   int closed = 0;
   int resumed = 0;
+  int crashing = 0;
+  int crashed = 0;
   for (const AttemptRecord& attempt : history_.attempts()) {
     succeeded += attempt.complete && attempt.status >= 200 && attempt.status < 300 ? 1 : 0;
     refused += attempt.status == 429 || attempt.status == 503 ? 1 : 0;
     closed += attempt.sent && !attempt.complete ? 1 : 0;
     resumed += attempt.events_before > 0 ? 1 : 0;
+    if (!attempt.crashing_path.empty()) {
+      ++crashing;
+      crashed += static_cast<int>(history_.RunsOf(attempt.id).size());
+    }
   }
   return fmt::format(
       "{} daemons in {} domains, grace {} s; {} stops, {} kills, {} freezes; {} requests, {} "
-      "answered, {} refused, {} closed, {} resumptions",
+      "answered, {} refused, {} closed, {} resumptions; {} crashing requests, {} runs",
       daemons_.size(), domain_count_, ToSeconds(grace_), events[EventKind::kTerm],
       events[EventKind::kKill], events[EventKind::kFreeze], history_.attempts().size(), succeeded,
-      refused, closed, resumed);
+      refused, closed, resumed, crashing, crashed);
 }
 
 }  // namespace savoryglade::soak
--- a/tests/soak/play.h
+++ b/tests/soak/play.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -64,6 +65,11 @@
   void PlanUnplannedFaults();
   void PlanUpstreamChanges();
   void PlanStoreFaults();
+  // Kills all daemons at the same time.
+  void PlanHerdKills();
+  // Callers that send a request which crashes the upstreams that run it.
+  void StartCrashingCallers();
+  void ReplaceCrashedUpstreams();
 
   void At(TimePoint time, std::function<void()> action);
   // Runs due actions and looks after the processes until the condition holds or the time has come.
@@ -74,14 +80,18 @@
   void Disturb(std::size_t daemon, EventKind kind, int signal);
   void AddUpstream(const std::string& version, const std::string& failure_domain);
   void RemoveUpstream(const std::string& id, bool planned);
+  // Removes an upstream without notice; another one takes its place after a while.
+  void CrashUpstream(const std::string& id);
   // Returns the id of an upstream in service, or nothing if fewer than `spare` others are.
   std::optional<std::string> PickUpstream(std::size_t spare);
   std::string RandomDomain();
-  TimePoint RandomTime(double from_share, double to_share);
+  TimePoint RandomTime(Random& random, double from_share, double to_share) const;
   Duration RandomDuration(Duration from, Duration to);
 
   PlayOptions options_;
   Random random_;
+  // Decides on crashing requests and the kills beside them.
+  Random crash_random_;
   Duration grace_;
   // Longest service time of a call, and the time between the events of a stream.
   Duration service_time_;
@@ -97,6 +107,9 @@
   // All upstreams, also those that are gone, and the ids of those in service.
   std::vector<std::unique_ptr<Upstream>> upstreams_;
   std::map<std::string, Upstream*> serving_;
+  std::mutex crashed_mutex_;
+  // Upstreams in service that a request has crashed.
+  std::vector<std::string> crashed_upstreams_;
   std::unique_ptr<LoadBalancer> balancer_;
   std::vector<std::unique_ptr<Caller>> callers_;
   std::atomic<bool> callers_stop_{false};
--- /dev/null
+++ b/tests/soak/play_faults.cc
@@ -0,0 +1,133 @@
+#include <fmt/format.h>
+
+#include <array>
+#include <csignal>
+#include <string>
+
+#include "soak/play.h"
+
+namespace savoryglade::soak {
+namespace {
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+void Play::PlanStops() {
+  // Stops come in series of several daemons, which may overlap.
+  const std::size_t series = 2 + random_.UniformInt(5);
+  for (std::size_t i = 0; i < series; ++i) {
+    const TimePoint start = RandomTime(random_, 0.02, 0.8);
+    const std::size_t stops = 1 + random_.UniformInt(daemons_.size());
+    const Duration spread = random_.Bernoulli(0.5) ? 200ms : 4s;
+    for (std::size_t k = 0; k < stops; ++k) {
+      const std::size_t daemon = random_.UniformInt(daemons_.size());
+      const TimePoint at = start + RandomDuration(0s, spread);
+      At(at, [this, daemon] { Stop(daemon); });
+      if (random_.Bernoulli(0.3)) {
+        At(at + RandomDuration(50ms, 4s), [this, daemon] {
+          if (daemons_[daemon].stop_ordered) {
+            history_.AddEvent(EventKind::kRepeatedTerm, daemon, "SIGTERM again");
+            daemons_[daemon].process->Signal(SIGTERM);
+          }
+        });
+      }
+      if (random_.Bernoulli(0.3)) {
+        At(at + RandomDuration(-1s, 4s), [this, daemon, revision = static_cast<int>(10 * i + k)] {
+          daemons_[daemon].process->WriteSettings(revision);
+          if (!daemons_[daemon].process->IsListening()) {
+            return;
+          }
+          history_.AddEvent(EventKind::kHangUp, daemon, "SIGHUP with other bounds");
+          daemons_[daemon].process->Signal(SIGHUP);
+        });
+      }
+    }
+  }
+}
+
+void Play::PlanUnplannedFaults() {
+  const std::size_t faults = 1 + random_.UniformInt(5);
+  for (std::size_t i = 0; i < faults; ++i) {
+    const std::size_t daemon = random_.UniformInt(daemons_.size());
+    const TimePoint at = RandomTime(random_, 0.02, 0.95);
+    if (random_.Bernoulli(0.5)) {
+      At(at, [this, daemon] { Disturb(daemon, EventKind::kKill, SIGKILL); });
+    } else {
+      At(at, [this, daemon] { Disturb(daemon, EventKind::kFreeze, SIGSTOP); });
+      At(at + RandomDuration(100ms, 3s),
+         [this, daemon] { Disturb(daemon, EventKind::kThaw, SIGCONT); });
+    }
+  }
+  const std::size_t crashes = random_.UniformInt(4);
+  for (std::size_t i = 0; i < crashes; ++i) {
+    At(RandomTime(random_, 0.02, 0.95), [this] {
+      if (const std::optional<std::string> id = PickUpstream(1)) {
+        CrashUpstream(*id);
+      }
+    });
+  }
+}
+
+void Play::PlanUpstreamChanges() {
+  const std::size_t changes = random_.UniformInt(4);
+  for (std::size_t i = 0; i < changes; ++i) {
+    At(RandomTime(random_, 0.02, 0.95), [this] { AddUpstream("v1", RandomDomain()); });
+    At(RandomTime(random_, 0.02, 0.95), [this] {
+      if (const std::optional<std::string> id = PickUpstream(3)) {
+        RemoveUpstream(*id, true);
+      }
+    });
+  }
+  if (!random_.Bernoulli(0.5)) {
+    return;
+  }
+  // A release replaces one upstream after the other by another version.
+  const TimePoint start = RandomTime(random_, 0.05, 0.4);
+  const Duration step = RandomDuration(100ms, 1s);
+  std::size_t position = 0;
+  for (const auto& [id, upstream] : serving_) {
+    const TimePoint at = start + step * static_cast<int>(position++);
+    At(at, [this, domain = upstream->options().failure_domain] { AddUpstream("v2", domain); });
+    At(at + RandomDuration(0s, 2s), [this, name = id] {
+      if (serving_.contains(name)) {
+        RemoveUpstream(name, true);
+      }
+    });
+  }
+}
+
+void Play::PlanStoreFaults() {
+  const std::size_t faults = 1 + random_.UniformInt(3);
+  for (std::size_t i = 0; i < faults; ++i) {
+    const TimePoint at = RandomTime(random_, 0.02, 0.8);
+    const TimePoint end = at + RandomDuration(200ms, 5s);
+    const std::size_t kind = random_.UniformInt(3);
+    const Duration delay = RandomDuration(50ms, 1s);
+    At(at, [this, kind, delay] {
+      static constexpr std::array kNames = {"down", "losing its answers", "slow"};
+      history_.AddEvent(EventKind::kStoreFault, {},
+                        fmt::format("the store is {}", kNames.at(kind)));
+      store_.SetFaults({.outage = kind == 0, .drop_responses = kind == 1});
+      store_delay_ = kind == 2 ? delay : Duration::zero();
+    });
+    At(end, [this] {
+      history_.AddEvent(EventKind::kStoreSound, {}, "the store is sound");
+      store_.SetFaults({});
+      store_delay_ = Duration::zero();
+    });
+  }
+}
+
+void Play::PlanHerdKills() {
+  const std::size_t kills = crash_random_.UniformInt(3);
+  for (std::size_t i = 0; i < kills; ++i) {
+    At(RandomTime(crash_random_, 0.02, 0.95), [this] {
+      for (std::size_t daemon = 0; daemon < daemons_.size(); ++daemon) {
+        Disturb(daemon, EventKind::kKill, SIGKILL);
+      }
+    });
+  }
+}
+
+}  // namespace savoryglade::soak
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "soak/history.h"
 
@@ -20,6 +23,9 @@
 constexpr std::size_t kJudgedResumptions = 12;
 constexpr int kServingUpstreams = 2;
 constexpr Duration kServedBefore = 1s;
+// Crashes after which a request is judged, and the later sends that are allowed.
+constexpr std::size_t kJudgedCrashes = 3;
+constexpr std::size_t kLateSends = 3;
 // Time after the grace period for which a stop counts as planned work around a request.
 constexpr Duration kPlannedWorkSlack = 1s;
 
@@ -43,6 +49,7 @@
     }
     CheckOrder();
     CheckResumptions();
+    CheckCrashingRequests();
     return violations_;
   }
 
@@ -151,7 +158,8 @@
     }
   }
 
-  // Returns true if the daemon and the store were undisturbed, also by planned work, long enough.
+  // Returns true if the daemon and the store were undisturbed, also by planned work, long enough
+  // before the attempt and until its end.
   bool IsInTouch(const AttemptRecord& attempt) const {
     bool store_is_sound = true;
     for (const PlayEvent& event : history_.events()) {
@@ -207,6 +215,54 @@
     }
   }
 
+  // A request that has crashed three upstreams reaches upstreams in at most three later sends.
+  void CheckCrashingRequests() {
+    std::set<std::string> paths;
+    for (const AttemptRecord& attempt : history_.attempts()) {
+      paths.insert(attempt.crashing_path);
+    }
+    paths.erase(std::string());
+    for (const std::string& path : paths) {
+      CheckCrashingRequest(path);
+    }
+  }
+
+  void CheckCrashingRequest(const std::string& path) {
+    std::vector<std::pair<TimePoint, const AttemptRecord*>> runs;
+    std::set<std::string> upstreams;
+    std::vector<TimePoint> crashes;
+    for (const AttemptRecord& attempt : history_.attempts()) {
+      for (const RunRecord& run : history_.RunsOf(attempt.id)) {
+        if (attempt.crashing_path != path) {
+          continue;
+        }
+        runs.emplace_back(run.started_at, &attempt);
+        const std::optional<TimePoint> end = history_.EndOf(run.upstream);
+        if (end && upstreams.insert(run.upstream).second) {
+          crashes.push_back(*end);
+        }
+      }
+    }
+    std::ranges::sort(crashes);
+    if (crashes.size() < kJudgedCrashes) {
+      return;
+    }
+    const TimePoint known = crashes[kJudgedCrashes - 1] + bounds_.contact;
+    std::vector<const AttemptRecord*> late;
+    for (const auto& [started_at, attempt] : runs) {
+      if (started_at > known && IsInTouch(*attempt)) {
+        late.push_back(attempt);
+      }
+    }
+    if (late.size() > kLateSends) {
+      Add("BUDGET",
+          fmt::format("The request {} was sent {} times more after three crashes; {} upstreams "
+                      "ended in all.",
+                      path, late.size(), crashes.size()),
+          *late[kLateSends]);
+    }
+  }
+
   const History& history_;
   const PromiseBounds& bounds_;
   // Version of the first event of each stream.
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -76,6 +76,13 @@
                                   .ended_at = std::nullopt});
   ++running_;
   co_await Sleep(ServiceTime(attempt));
+  if (exchange.target().find(kCrashingName) != std::string_view::npos) {
+    options_.on_crash();
+    // Nothing is answered any more.
+    while (true) {
+      co_await Sleep(1s);
+    }
+  }
   co_await worker_.Handle(exchange);
   --running_;
   history_.EndRun(attempt, run);
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -2,9 +2,11 @@
 
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "core/time.h"
 #include "emulator/worker_service.h"
@@ -23,11 +25,17 @@
   Duration min_service_time = 20ms;
   Duration max_service_time = 300ms;
   Duration event_interval = 100ms;
+  // Called on the upstream's thread when a request has crashed it. The connections break when
+  // Break is called.
+  std::function<void()> on_crash;
 };
 
 // Emulated upstream that takes its time and records what it runs.
 class Upstream {
  public:
+  // Part of the paths of requests that crash the upstreams that run them.
+  static constexpr std::string_view kCrashingName = "poison";
+
   Upstream(UpstreamOptions options, History& history);
   ~Upstream() { Close(); }
   Upstream(const Upstream&) = delete;
