Wait for the registration in the test of split routes

ResumedStreamStaysWithItsServiceOnASplitRoute failed once beside a soak (503, queue_full) and in 4 of 160 runs of 16 at a time. Trace: the new routes were read before the registration of the other service's worker, so that a request went to a service without upstreams.

--- a/tests/gateway/stream_resumption_test.cc
+++ b/tests/gateway/stream_resumption_test.cc
@@ -128,12 +128,15 @@
       fmt::format(
           R"({{"service":"t","address":"{}","zone":"verona","slots":4,"state":"ready","version":"v2"}})",
           ToString(workers_.back()->endpoint)));
+  // A gateway that is ready has read the registration.
+  StartGateway();
+  WaitUntilReady();
   PutRoutes(
       2,
       R"(,{"name":"split","host":"h","prefix":"/stream/split/","route_kind":"streaming","timeout_ms":5000,)"
       R"("max_attempts":2,"resumable":true,)"
       R"("split":[{"service":"s","weight":1},{"service":"t","weight":1}]})");
-  // The gateway has read the registration and the routes once a stream ran at the other service.
+  // The gateway has read the routes once a stream ran at the other service.
   int attempt = 0;
   std::string begun;
   do {
