Refuse a path for other queries only if it is not answered

Records of paths are now kept apart from those of requests, for requests with a query only, and no path that was answered within the last minute gets one, as for prompt parts. The request itself, with method and query, is recorded as before the fix.

--- a/bench/recovery/main.cc
+++ b/bench/recovery/main.cc
@@ -26,9 +26,10 @@
 }  // namespace savoryglade
 
 int main(int argc, char** argv) {
-  constexpr std::array<std::pair<std::string_view, void (*)()>, 5> kMeasures = {
+  constexpr std::array<std::pair<std::string_view, void (*)()>, 6> kMeasures = {
       {{"at-most-once", savoryglade::MeasureAtMostOnce},
        {"claim-interleavings", savoryglade::MeasureClaimInterleavings},
+       {"crash-identity", savoryglade::MeasureCrashIdentity},
        {"crashing-request", savoryglade::MeasureCrashingRequest},
        {"reclaim", savoryglade::MeasureReclaim},
        {"stream-lookup", savoryglade::MeasureStreamLookup}}};
--- a/bench/recovery/measures.h
+++ b/bench/recovery/measures.h
@@ -22,6 +22,7 @@
 
 void MeasureAtMostOnce();
 void MeasureClaimInterleavings();
+void MeasureCrashIdentity();
 void MeasureCrashingRequest();
 void MeasureReclaim();
 void MeasureStreamLookup();
--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -15,6 +15,7 @@
 #include "gateway/sse_splitter.h"
 #include "net/http_server.h"
 #include "net/peer_disconnect_monitor.h"
+#include "recovery/crash_registry.h"
 
 namespace savoryglade::gateway {
 
@@ -42,9 +43,10 @@
   TimePoint received;
   // Time by which the response is due: the caller's timeout or the route's, whichever is shorter.
   TimePoint deadline;
-  // Hashes that the crash records of the request are kept under, whatever its attempt id: that of
-  // account, host, path and body and, if the target has a query, that of method and query too.
-  std::vector<std::uint64_t> fingerprints;
+  // What losses are recorded for: the request itself and, if its target has a query, its path.
+  std::vector<CrashKey> crash_keys;
+  // Hash of account, host, path and body.
+  std::uint64_t path_hash = 0;
   // Hashes of the service and each part of the prompt that other requests may share.
   std::vector<std::uint64_t> shared_parts;
   // Units taken from the account's allowance.
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,20 +37,12 @@
   return Fnv1aHash(kSeparator, Fnv1aHash(text, hash));
 }
 
-// Returns the hashes under which the request's losses are recorded. A crashing request may come
-// again with another query, so the first hash covers none. An answer to one query removes the
-// record of its path, which says nothing about the other queries; the second hash stays.
-std::vector<std::uint64_t> FingerprintsOf(const Call& call) {
-  const HttpRequest& request = call.exchange.request();
-  std::uint64_t resource = AppendHash(call.account_id().value(), Fnv1aHash({}));
-  resource = AppendHash(PathOf(call), AppendHash(call.route->host, resource));
-  resource = Fnv1aHash(request.body(), resource);
-  std::vector<std::uint64_t> fingerprints = {resource};
-  if (const std::string_view query = QueryOf(call); !query.empty()) {
-    const std::string method(request.method_string());
-    fingerprints.push_back(Fnv1aHash(query, AppendHash(method, resource)));
-  }
-  return fingerprints;
+// Returns a hash of account, host, path and body. A crashing request may come again with another
+// query, so it covers none.
+std::uint64_t PathHash(const Call& call) {
+  const std::uint64_t account = AppendHash(call.account_id().value(), Fnv1aHash({}));
+  const std::uint64_t path = AppendHash(PathOf(call), AppendHash(call.route->host, account));
+  return Fnv1aHash(call.exchange.request().body(), path);
 }
 
 // Returns a hash of the upstream's process: its name and start time.
@@ -59,6 +52,11 @@
 
 std::string ToHex(std::uint64_t fingerprint) { return fmt::format("{:016x}", fingerprint); }
 
+std::string_view NameOf(CrashSubject subject) {
+  static constexpr std::array<std::string_view, 3> kNames = {"request", "path", "prompt_part"};
+  return kNames.at(static_cast<std::size_t>(subject));
+}
+
 // Returns a hash of the query, which itself may hold secrets, or "-" if there is none.
 std::string QueryHash(const Call& call) {
   const std::string_view query = QueryOf(call);
@@ -70,14 +68,20 @@
           .path = std::string(PathOf(call)),
           .query_hash = QueryHash(call),
           .service = call.service,
-          .fingerprints = call.fingerprints,
+          .crash_keys = call.crash_keys,
           .shared_parts = call.shared_parts};
 }
 
 }  // namespace
 
 void CrashDetector::Identify(Call& call) {
-  call.fingerprints = FingerprintsOf(call);
+  call.path_hash = PathHash(call);
+  const std::string method(call.exchange.request().method_string());
+  const std::uint64_t request = Fnv1aHash(QueryOf(call), AppendHash(method, call.path_hash));
+  call.crash_keys = {{.subject = CrashSubject::kRequest, .hash = request}};
+  if (!QueryOf(call).empty()) {
+    call.crash_keys.push_back({.subject = CrashSubject::kPath, .hash = call.path_hash});
+  }
   const std::vector<PromptPart>& parts = call.metadata.work.parts;
   // The last part belongs to the request itself.
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
@@ -95,12 +99,13 @@
       return remaining;
     }
   }
-  for (const std::uint64_t fingerprint : call.fingerprints) {
-    const Duration remaining = fleet_.crash_registry.RemainingRefusal(fingerprint, now);
+  for (const CrashKey& key : call.crash_keys) {
+    const CrashRegistry& registry = fleet_.CrashRegistryOf(key.subject);
+    const Duration remaining = registry.RemainingRefusal(key.hash, now);
     if (remaining > Duration::zero()) {
       call.rejection_detail =
-          fmt::format("fingerprint {}, {} losses, path {}, query hash {}", ToHex(fingerprint),
-                      fleet_.crash_registry.LossCount(fingerprint), PathOf(call), QueryHash(call));
+          fmt::format("{} {}, {} losses, path {}, query hash {}", NameOf(key.subject),
+                      ToHex(key.hash), registry.LossCount(key.hash), PathOf(call), QueryHash(call));
       return remaining;
     }
   }
@@ -108,8 +113,8 @@
 }
 
 void CrashDetector::OnSent(const Call& call, TimePoint now) {
-  for (const std::uint64_t fingerprint : call.fingerprints) {
-    fleet_.crash_registry.OnSent(fingerprint, now);
+  for (const CrashKey& key : call.crash_keys) {
+    fleet_.CrashRegistryOf(key.subject).OnSent(key.hash, now);
   }
   for (const std::uint64_t part : call.shared_parts) {
     fleet_.part_crash_registry.OnSent(part, now);
@@ -133,18 +138,20 @@
 
 void CrashDetector::RecordLosses(const RequestRun& run, const UpstreamRecord& upstream,
                                  TimePoint now) {
-  for (const std::uint64_t fingerprint : run.fingerprints) {
-    fleet_.crash_registry.OnLoss(fingerprint, ProcessKey(upstream), now);
+  for (const CrashKey& key : run.crash_keys) {
+    CrashRegistry& registry = fleet_.CrashRegistryOf(key.subject);
+    registry.OnLoss(key.hash, ProcessKey(upstream), now);
     fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "recorded"}}).Add();
     kLog.Info("Recorded that an upstream was lost while it ran a request.",
               {{"request", run.attempt_id},
-               {"fingerprint", ToHex(fingerprint)},
+               {"subject", NameOf(key.subject)},
+               {"fingerprint", ToHex(key.hash)},
                {"path", run.path},
                {"query_hash", run.query_hash},
                {"upstream", upstream.id.value()},
                {"started_ms", upstream.started_ms},
-               {"losses", fleet_.crash_registry.LossCount(fingerprint)},
-               {"refused", fleet_.crash_registry.IsRefused(fingerprint, now)}});
+               {"losses", registry.LossCount(key.hash)},
+               {"refused", registry.IsRefused(key.hash, now)}});
   }
 }
 
@@ -178,7 +185,7 @@
   abandoned_runs_.Add(ProcessKey(upstream), RunOf(call), now);
   kLog.Info("A caller disconnected while its request was at an upstream.",
             {{"request", call.metadata.attempt_id},
-             {"fingerprint", ToHex(call.fingerprints.front())},
+             {"fingerprint", ToHex(call.crash_keys.front().hash)},
              {"path", PathOf(call)},
              {"query_hash", QueryHash(call)},
              {"upstream", upstream.id.value()},
@@ -221,12 +228,17 @@
       }
     }
   }
-  for (const std::uint64_t fingerprint : call.fingerprints) {
-    if (fleet_.crash_registry.OnAnswer(fingerprint, now)) {
+  std::vector<CrashKey> answered = {call.crash_keys.front()};
+  if (attempt.has_framed_end) {
+    answered.push_back({.subject = CrashSubject::kPath, .hash = call.path_hash});
+  }
+  for (const CrashKey& key : answered) {
+    if (fleet_.CrashRegistryOf(key.subject).OnAnswer(key.hash, now)) {
       fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "cleared"}}).Add();
       kLog.Info("An answer showed that a request does not crash upstreams.",
                 {{"request", call.metadata.attempt_id},
-                 {"fingerprint", ToHex(fingerprint)},
+                 {"subject", NameOf(key.subject)},
+                 {"fingerprint", ToHex(key.hash)},
                  {"path", PathOf(call)},
                  {"query_hash", QueryHash(call)}});
       on_change_();
--- a/packages/gateway/crash_record_store.cc
+++ b/packages/gateway/crash_record_store.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <charconv>
@@ -23,9 +24,12 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-// Prefixes of the keys of all rows and of those that name a prompt part.
+// Prefixes of the keys of all rows, and of those that name a path or a prompt part.
 constexpr std::string_view kRowPrefix = "crash/";
+constexpr std::string_view kPathRowPrefix = "crash/path/";
 constexpr std::string_view kPartRowPrefix = "crash/part/";
+constexpr std::array kSubjects = {CrashSubject::kRequest, CrashSubject::kPath,
+                                  CrashSubject::kPromptPart};
 // Longest wait of a read for changes. Also bounds the time until a dead connection is detected.
 constexpr Duration kWatchTimeout = 10s;
 // Interval of reads of all rows, which find those that have expired.
@@ -40,7 +44,15 @@
 const Logger kLog("crashes");
 
 std::string_view PrefixOf(CrashSubject subject) {
-  return subject == CrashSubject::kPromptPart ? kPartRowPrefix : kRowPrefix;
+  switch (subject) {
+    case CrashSubject::kPath:
+      return kPathRowPrefix;
+    case CrashSubject::kPromptPart:
+      return kPartRowPrefix;
+    case CrashSubject::kRequest:
+      break;
+  }
+  return kRowPrefix;
 }
 
 bool ParseHex(std::string_view text, std::uint64_t& value) {
@@ -63,7 +75,10 @@
 }
 
 CrashSubject CrashSubjectOf(std::string_view key) {
-  return key.starts_with(kPartRowPrefix) ? CrashSubject::kPromptPart : CrashSubject::kRequest;
+  if (key.starts_with(kPartRowPrefix)) {
+    return CrashSubject::kPromptPart;
+  }
+  return key.starts_with(kPathRowPrefix) ? CrashSubject::kPath : CrashSubject::kRequest;
 }
 
 std::string EncodeCrashRow(const CrashRecord& record, Duration unix_time) {
@@ -83,7 +98,7 @@
   if (!key.starts_with(kRowPrefix) ||
       !ParseHex(std::string_view(key).substr(PrefixOf(CrashSubjectOf(key)).size()),
                 record.request)) {
-    return invalid("The key names no request and no prompt part.");
+    return invalid("The key names no request, path or prompt part.");
   }
   boost::system::error_code error;
   const json::value document = json::parse(value, error);
@@ -114,7 +129,7 @@
                  {{"key", key}, {"error", record.error().message}});
     return;
   }
-  CrashRegistry& registry = RegistryOf(CrashSubjectOf(key));
+  CrashRegistry& registry = fleet_.CrashRegistryOf(CrashSubjectOf(key));
   if (registry.OnStoredRecord(*record, now)) {
     fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "read"}}).Add();
     kLog.Info("Merged a crash record of the store.",
@@ -162,8 +177,9 @@
     const TimePoint now = BootNow();
     if (full_read) {
       // The store may have returned from a copy that lacks records.
-      fleet_.crash_registry.ForgetStored();
-      fleet_.part_crash_registry.ForgetStored();
+      for (const CrashSubject subject : kSubjects) {
+        fleet_.CrashRegistryOf(subject).ForgetStored();
+      }
     }
     for (const auto& [key, row] : update->rows) {
       ApplyRow(key, row, now);
@@ -179,16 +195,12 @@
   }
 }
 
-CrashRegistry& CrashRecordStore::RegistryOf(CrashSubject subject) {
-  return subject == CrashSubject::kPromptPart ? fleet_.part_crash_registry : fleet_.crash_registry;
-}
-
 asio::awaitable<std::optional<std::size_t>> CrashRecordStore::StoreRecords() {
   const TimePoint now = BootNow();
   std::vector<std::pair<CrashSubject, CrashRecord>> stored;
   provider::Transaction transaction;
-  for (const CrashSubject subject : {CrashSubject::kPromptPart, CrashSubject::kRequest}) {
-    for (CrashRecord& record : RegistryOf(subject).SelectForStorage(now)) {
+  for (const CrashSubject subject : kSubjects) {
+    for (CrashRecord& record : fleet_.CrashRegistryOf(subject).SelectForStorage(now)) {
       if (stored.size() == kMaxRowsPerTransaction) {
         break;
       }
@@ -212,7 +224,7 @@
     co_return std::nullopt;
   }
   for (const auto& [subject, record] : stored) {
-    RegistryOf(subject).OnStored(record);
+    fleet_.CrashRegistryOf(subject).OnStored(record);
     fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "stored"}}).Add();
     kLog.Info("Stored a crash record for all daemons.",
               {{"key", CrashRowKey(subject, record.request)}, {"losses", record.losses.size()}});
@@ -232,8 +244,10 @@
     pause = kRetryInterval;
     if (*stored == 0) {
       const TimePoint now = BootNow();
-      const TimePoint due = std::min(fleet_.crash_registry.NextStorageAt(),
-                                     fleet_.part_crash_registry.NextStorageAt());
+      TimePoint due = TimePoint::max();
+      for (const CrashSubject subject : kSubjects) {
+        due = std::min(due, fleet_.CrashRegistryOf(subject).NextStorageAt());
+      }
       if (due == TimePoint::max()) {
         write_timer_.expires_at(asio::steady_timer::time_point::max());
       } else {
--- a/packages/gateway/crash_record_store.h
+++ b/packages/gateway/crash_record_store.h
@@ -12,15 +12,13 @@
 #include "core/error.h"
 #include "gateway/adapter.h"
 #include "gateway/fleet_state.h"
+#include "recovery/crash_registry.h"
 
 namespace savoryglade::gateway {
 
-// What the records of a row or registry name.
-enum class CrashSubject : std::uint8_t { kRequest, kPromptPart };
-
-// Shares the records of requests and prompt parts that crash upstreams through the store, so that
-// they survive a restart of all daemons and reach daemons that are cut off from their peers. Both
-// loops run until their context stops.
+// Shares the records of requests, paths and prompt parts that crash upstreams through the store, so
+// that they survive a restart of all daemons and reach daemons that are cut off from their peers.
+// Both loops run until their context stops.
 class CrashRecordStore {
  public:
   CrashRecordStore(FleetState& fleet, FleetStore& store, boost::asio::io_context& context);
@@ -37,7 +35,6 @@
 
  private:
   void ApplyRow(const std::string& key, const provider::Row& row, TimePoint now);
-  CrashRegistry& RegistryOf(CrashSubject subject);
   // Stores the records that this daemon has to store, up to the size of a transaction. Returns how
   // many, or nothing if the store call failed.
   boost::asio::awaitable<std::optional<std::size_t>> StoreRecords();
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -191,6 +191,7 @@
   }
   digest.crash_records_known = report.crash_records_known;
   digest.crashes = EncodeCrashRecords(report.crashes);
+  digest.path_crashes = EncodeCrashRecords(report.path_crashes);
   digest.part_crashes = EncodeCrashRecords(report.part_crashes);
   if (report.feed_update) {
     digest.feed = EncodeFeedUpdate(*report.feed_update, report.feed_update_age);
@@ -247,6 +248,7 @@
     report.work.emplace(item.service(), item.seconds());
   }
   report.crashes = DecodeCrashRecords(digest.crashes);
+  report.path_crashes = DecodeCrashRecords(digest.path_crashes);
   report.part_crashes = DecodeCrashRecords(digest.part_crashes);
   if (digest.feed) {
     report.feed_update = DecodeFeedUpdate(*digest.feed);
--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -59,8 +59,9 @@
   std::map<std::uint64_t, double> work;
   // Whether the sender has read the crash records of the fleet, or heard of them.
   bool crash_records_known = false;
-  // Records of requests and of prompt parts.
+  // Records of requests, of paths and of prompt parts.
   std::vector<CrashRecord> crashes;
+  std::vector<CrashRecord> path_crashes;
   std::vector<CrashRecord> part_crashes;
   // Registration changes that the sender has read from the store, and time since that read began.
   std::optional<FeedUpdate> feed_update;
@@ -75,7 +76,7 @@
     if (holder_age) {
       *holder_age += delay;
     }
-    for (std::vector<CrashRecord>* records : {&crashes, &part_crashes}) {
+    for (std::vector<CrashRecord>* records : {&crashes, &path_crashes, &part_crashes}) {
       for (CrashRecord& record : *records) {
         for (UpstreamLoss& loss : record.losses) {
           loss.age += delay;
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -72,6 +72,18 @@
                                 FromSeconds(upstream_drain * kVersionViewFraction));
   }
 
+  CrashRegistry& CrashRegistryOf(CrashSubject subject) {
+    switch (subject) {
+      case CrashSubject::kPath:
+        return path_crash_registry;
+      case CrashSubject::kPromptPart:
+        return part_crash_registry;
+      case CrashSubject::kRequest:
+        break;
+    }
+    return crash_registry;
+  }
+
   FleetDaemon Self() const {
     return {.id = settings.daemon,
             .failure_domain = settings.failure_domain,
@@ -109,6 +121,7 @@
   // True once the crash records have been read from the store or reported by a peer. Until then the
   // daemon can't tell which requests the fleet refuses.
   bool crash_records_known = false;
+  CrashRegistry path_crash_registry{kPathCrashPolicy, Fnv1aHash(settings.daemon.value())};
   CrashRegistry part_crash_registry{kPartCrashPolicy, Fnv1aHash(settings.daemon.value())};
   StreamVersionDirectory stream_versions{StreamVersionOptions{}};
   capacity::UsageLedger usage;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -66,7 +66,8 @@
           fleet_, *adapters_.store,
           [this](const FleetReport& report) {
             store_watcher_.OnReport(report);
-            if (!report.crashes.empty() || !report.part_crashes.empty()) {
+            if (!report.crashes.empty() || !report.path_crashes.empty() ||
+                !report.part_crashes.empty()) {
               crash_records_.OnRegistryChanged();
             }
           },
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -104,6 +104,7 @@
       .loads = fleet_.load_balancer.AggregateLoad(scope, now),
       .crash_records_known = fleet_.crash_records_known,
       .crashes = fleet_.crash_registry.SelectForReport(kMaxReportedCrashes, now),
+      .path_crashes = fleet_.path_crash_registry.SelectForReport(kMaxReportedCrashes, now),
       .part_crashes = fleet_.part_crash_registry.SelectForReport(kMaxReportedCrashes, now)};
   if (fleet_.holds_duties) {
     report.holder_age = Duration::zero();
@@ -183,6 +184,7 @@
     fleet_.work.OnReport(source, report.incarnation, work);
   }
   MergeCrashRecords(report.crashes, report.sender.id, fleet_.crash_registry, now);
+  MergeCrashRecords(report.path_crashes, report.sender.id, fleet_.path_crash_registry, now);
   MergeCrashRecords(report.part_crashes, report.sender.id, fleet_.part_crash_registry, now);
   fleet_.crash_records_known |= report.crash_records_known;
   fleet_.stream_versions.OnPeerRecords(report.streams, now);
--- a/packages/recovery/abandoned_runs.h
+++ b/packages/recovery/abandoned_runs.h
@@ -7,6 +7,7 @@
 
 #include "core/strong_id.h"
 #include "core/time.h"
+#include "recovery/crash_registry.h"
 
 namespace savoryglade {
 
@@ -17,7 +18,8 @@
   std::string path;
   std::string query_hash;
   ServiceId service;
-  std::vector<std::uint64_t> fingerprints;
+  // What the request's losses are recorded for.
+  std::vector<CrashKey> crash_keys;
   std::vector<std::uint64_t> shared_parts;
 };
 
--- a/packages/recovery/crash_registry.h
+++ b/packages/recovery/crash_registry.h
@@ -24,11 +24,22 @@
   friend auto operator<=>(const UpstreamLoss&, const UpstreamLoss&) = default;
 };
 
-// What one daemon knows about a request, or a part of prompts, that may crash upstreams. Holds ages
-// instead of instants, because the clocks of daemons differ.
+// What crash records name: a request, a path that was requested with a query, or a part of prompts.
+enum class CrashSubject : std::uint8_t { kRequest, kPath, kPromptPart };
+
+// Names the record of a request, path or part of prompts by its hash.
+struct CrashKey {
+  CrashSubject subject = CrashSubject::kRequest;
+  std::uint64_t hash = 0;
+
+  friend auto operator<=>(const CrashKey&, const CrashKey&) = default;
+};
+
+// What one daemon knows about a request, path or part of prompts that may crash upstreams. Holds
+// ages instead of instants, because the clocks of daemons differ.
 struct CrashRecord {
-  // Hash of account, host, path and body, of these with method and query, or of service and prompt
-  // part.
+  // Hash of account, host, method, target and body, of account, host, path and body, or of service
+  // and prompt part.
   std::uint64_t request = 0;
   std::vector<UpstreamLoss> losses;
   // Time since an upstream last answered the request, if one did after a loss.
@@ -48,6 +59,9 @@
 
 // Records name whole requests.
 inline constexpr CrashPolicy kRequestCrashPolicy{};
+// Records name paths. Requests of one path with different queries may differ in what they do, so an
+// answer to one of them shows that the path is not the cause.
+inline constexpr CrashPolicy kPathCrashPolicy{.answers_prevent_records = true};
 // Records name parts of prompts. A crash ends all requests of an engine, so parts of sound requests
 // collect losses too; a part that was answered recently is not the cause. Refusals are long,
 // because each request that tests a refused part may end another engine.
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -192,6 +192,17 @@
   EXPECT_EQ(SendText(gateway_->callers_endpoint(), request).status, 200U);
 }
 
+// Guards against refusing all queries of a path that is known to be answered for the crashes of
+// one.
+TEST_F(CrashingRequestTest, OtherQueriesOfAnAnsweredPathAreServed) {
+  EXPECT_EQ(SendRequest("GET", "/reads/stock?item=2", "b1").status, 200U);
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  EXPECT_EQ(SendRepeatedly("GET", "/reads/stock?item=1", ""), "request_crashes_upstreams");
+  SetFaults(WorkerFault::kNone, 0);
+  EXPECT_EQ(SendRequest("GET", "/reads/stock?item=2", "b2").status, 200U);
+  EXPECT_EQ(SendRequest("GET", "/reads/stock?item=3", "b3").status, 200U);
+}
+
 // Guards against a query that crashes upstreams and is never refused because others of its path are
 // answered, and against refusing those others.
 TEST_F(CrashingRequestTest, AnsweredQueriesOfAPathAreServedWhileACrashingOneIsRefused) {
@@ -266,6 +277,18 @@
   EXPECT_EQ(TotalRuns(), kRunsBeforeRefusal);
 }
 
+TEST_F(CrashingRequestTest, RestartedDaemonRefusesTheRequestWithAnotherQuery) {
+  SetFaults(WorkerFault::kCloseAfterRun, 100);
+  SendRequest("GET", "/reads/stock?page=1", "a1");
+  SendRequest("GET", "/reads/stock?page=2", "a2");
+  ASSERT_EQ(TotalRuns(), kRunsBeforeRefusal);
+  WaitUntilStored(kRunsBeforeRefusal);
+  StartGateway();
+  WaitUntilReady();
+  EXPECT_EQ(SendRequest("GET", "/reads/stock?page=3", "a3").reason, "request_crashes_upstreams");
+  EXPECT_EQ(TotalRuns(), kRunsBeforeRefusal);
+}
+
 // Guards against a daemon that hears nothing from its peers and sends what they refuse.
 TEST_F(CrashingRequestTest, DaemonLearnsOfTheRequestFromTheStoreWhileItRuns) {
   SetFaults(WorkerFault::kCloseAfterRun, 100);
@@ -322,6 +345,12 @@
 
 TEST(CrashRowTest, RejectsMalformedRows) {
   const std::string value = R"({"lost_ms":{"01":5}})";
+  for (const CrashSubject subject :
+       {CrashSubject::kRequest, CrashSubject::kPath, CrashSubject::kPromptPart}) {
+    const std::string key = CrashRowKey(subject, 1);
+    EXPECT_EQ(CrashSubjectOf(key), subject);
+    EXPECT_TRUE(DecodeCrashRow(key, value, 1s));
+  }
   EXPECT_TRUE(DecodeCrashRow("crash/01", value, 1s));
   EXPECT_FALSE(DecodeCrashRow("crash/", value, 1s));
   EXPECT_FALSE(DecodeCrashRow("crash/zz", value, 1s));
--- a/tests/gateway/digest_codec_test.cc
+++ b/tests/gateway/digest_codec_test.cc
@@ -51,6 +51,9 @@
   remote->crash_registry.OnLoss(7, 3, At(1s));
   remote->work.Add(kModel, 2.5);
   remote->crash_records_known = true;
+  for (std::uint64_t upstream = 1; upstream <= 3; ++upstream) {
+    remote->path_crash_registry.OnLoss(8, upstream, At(1s));
+  }
   const Result<FleetReport> report =
       SendReport(*remote, *local, ReportScope::kDaemon, true, At(1s));
   ASSERT_TRUE(report);
@@ -59,6 +62,7 @@
   EXPECT_EQ(local->load_balancer.FreeSlots(kModel, At(1s)), 3);
   EXPECT_EQ(local->usage.Total(local->WindowAt(At(1s))), (capacity::WindowCounts{{kDrivers, 1}}));
   EXPECT_TRUE(local->crash_registry.IsRefused(7, At(1s)));
+  EXPECT_TRUE(local->path_crash_registry.IsRefused(8, At(1s)));
   EXPECT_TRUE(local->crash_records_known);
   EXPECT_DOUBLE_EQ(local->work.Total(kModel), 2.5);
 }
