--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -61,6 +61,11 @@
   version_ = std::move(version);
 }
 
+void WorkerService::SetRateLimits(std::vector<std::string> rate_limits) {
+  const std::lock_guard lock(mutex_);
+  rate_limits_ = std::move(rate_limits);
+}
+
 std::string WorkerService::version() const {
   const std::lock_guard lock(mutex_);
   return version_;
@@ -139,6 +144,12 @@
   headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
   headers.emplace_back("Server-Load", "1,0,4,100");
   headers.emplace_back("Keep-Alive", "timeout=5");
+  {
+    const std::lock_guard lock(mutex_);
+    for (const std::string& rate_limit : rate_limits_) {
+      headers.emplace_back("Server-Limit", rate_limit);
+    }
+  }
   if (with_seal) {
     const std::string version = this->version();
     headers.emplace_back("Response-Seal",
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -65,6 +65,10 @@
   // connections break after the header of the response.
   void CrashOnPromptPart(std::string part);
 
+  // Makes the worker name these rate limits in its answers, each in a header of its own; none by
+  // default.
+  void SetRateLimits(std::vector<std::string> rate_limits);
+
   // Sets the time between the events of a stream; zero by default. Must precede the first request.
   void SetEventInterval(Duration interval) { event_interval_ = interval; }
   // Sets the version of the worker's software; empty by default. Runs that have begun keep theirs.
@@ -113,6 +117,7 @@
   WorkerFault fault_ = WorkerFault::kNone;
   int remaining_fault_count_ = 0;
   std::string crashing_part_;
+  std::vector<std::string> rate_limits_;
   int abandoned_requests_ = 0;
   int migrated_runs_ = 0;
   // Timers of streams that wait for migration, by attempt; cancelled by the final copy.
