Keep to the rates that upstreams name

Cause: nothing read the header.

A limit is the upstream's for all daemons together. UpstreamRateLimits decides who may send: as many daemons as the limit has whole requests a second, those that come first by a hash of daemon and upstream, each with an equal share and the time between two requests that this takes, so that k daemons send at most k requests above the rate. In a grouped fleet they are daemons of the upstream's failure domain. Limits travel in the reports with their ages; an answer without a limit to a request sent after the limit was seen ends it. Every send counts: retries, resumed streams, and moved ones when their destination is chosen. A limited upstream that may not get a request now is not chosen and has no free slot; for orders of capacity it counts as fully occupied. The lowest of several limits applies; unreadable ones are ignored with a log line, less than 0.1/s counts as 0.1/s, more than 100,000/s as none.

--- a/packages/gateway/adapter.h
+++ b/packages/gateway/adapter.h
@@ -82,6 +82,10 @@
     double slowness = 1;
   };
   std::optional<Load> load;
+  // Requests per second that the upstream takes from all daemons together, if it names a limit.
+  std::optional<double> rate_limit;
+  // A named limit that can't be read, for the log; empty if there is none.
+  std::string invalid_rate_limit;
   // Time for which the upstream keeps an idle connection open.
   std::optional<Duration> idle_timeout;
 };
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -439,6 +439,36 @@
   if (!call.counted_window && !attempt.response.not_run) {
     RecordUsage(call, now);
   }
+  RecordRateLimit(attempt, now);
+}
+
+void CallRelay::RecordRateLimit(const Attempt& attempt, TimePoint now) {
+  const ResponseMetadata& response = attempt.response;
+  const std::string& upstream = attempt.placement.upstream.id.value();
+  if (response.owner != ResponseOwner::kThisAttempt) {
+    return;
+  }
+  if (!response.invalid_rate_limit.empty()) {
+    kLog.Warning("Ignored a rate limit that can't be read.",
+                 {{"upstream", upstream}, {"limit", response.invalid_rate_limit}});
+    if (!response.rate_limit) {
+      return;
+    }
+  }
+  // An upstream that rejects a request may do so without a word on its limit.
+  if (!response.rate_limit && !response.has_seal) {
+    return;
+  }
+  UpstreamRateLimits& limits = fleet_.load_balancer.rate_limits();
+  const std::uint64_t process = FleetLoadBalancer::ProcessKeyOf(attempt.placement.upstream);
+  if (limits.OnAnswer(process, response.rate_limit, attempt.sent_at, now)) {
+    const std::optional<double> rate = limits.RateOf(process);
+    kLog.Info(
+        rate ? "An upstream names a rate limit." : "An upstream no longer names a rate limit.",
+        {{"upstream", upstream},
+         {"process", fmt::format("{:016x}", process)},
+         {"rate_per_s", rate.value_or(0)}});
+  }
 }
 
 void CallRelay::RecordUsage(Call& call, TimePoint now) {
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -58,6 +58,8 @@
   // Returns the upstream of the next attempt, or nothing if the request must be rejected.
   std::optional<Placement> SelectUpstream(Call& call, TimePoint now);
   void RecordFirstByte(Call& call, Attempt& attempt);
+  // Records the rate limit that an answer names, or that it names none.
+  void RecordRateLimit(const Attempt& attempt, TimePoint now);
   // Counts the request in the usage window of its account, if usage is reported.
   void RecordUsage(Call& call, TimePoint now);
   // Returns true if the request may be sent again after an upstream may have run it.
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -45,11 +45,6 @@
   return Fnv1aHash(call.exchange.request().body(), path);
 }
 
-// Returns a hash of the upstream's process: its name and start time.
-std::uint64_t ProcessKey(const UpstreamRecord& upstream) {
-  return Fnv1aHash(upstream.id.value()) + static_cast<std::uint64_t>(upstream.started_ms);
-}
-
 std::string ToHex(std::uint64_t fingerprint) { return fmt::format("{:016x}", fingerprint); }
 
 std::string_view NameOf(CrashSubject subject) {
@@ -140,7 +135,7 @@
                                  TimePoint now) {
   for (const CrashKey& key : run.crash_keys) {
     CrashRegistry& registry = fleet_.CrashRegistryOf(key.subject);
-    registry.OnLoss(key.hash, ProcessKey(upstream), now);
+    registry.OnLoss(key.hash, FleetLoadBalancer::ProcessKeyOf(upstream), now);
     fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "recorded"}}).Add();
     kLog.Info("Recorded that an upstream was lost while it ran a request.",
               {{"request", run.attempt_id},
@@ -167,7 +162,7 @@
     return;
   }
   for (const std::uint64_t part : run.shared_parts) {
-    fleet_.part_crash_registry.OnLoss(part, ProcessKey(upstream), now);
+    fleet_.part_crash_registry.OnLoss(part, FleetLoadBalancer::ProcessKeyOf(upstream), now);
     const std::size_t losses = fleet_.part_crash_registry.LossCount(part);
     if (losses > 0) {
       kLog.Info("Recorded that an upstream was lost while it ran a prompt part.",
@@ -182,7 +177,7 @@
 
 void CrashDetector::OnCallerDisconnected(const Call& call, const Attempt& attempt, TimePoint now) {
   const UpstreamRecord& upstream = attempt.placement.upstream;
-  abandoned_runs_.Add(ProcessKey(upstream), RunOf(call), now);
+  abandoned_runs_.Add(FleetLoadBalancer::ProcessKeyOf(upstream), RunOf(call), now);
   kLog.Info("A caller disconnected while its request was at an upstream.",
             {{"request", call.metadata.attempt_id},
              {"fingerprint", ToHex(call.crash_keys.front().hash)},
@@ -194,7 +189,8 @@
 }
 
 void CrashDetector::OnUpstreamEnded(const UpstreamRecord& upstream, TimePoint now) {
-  const std::vector<RequestRun> runs = abandoned_runs_.Take(ProcessKey(upstream), now);
+  const std::vector<RequestRun> runs =
+      abandoned_runs_.Take(FleetLoadBalancer::ProcessKeyOf(upstream), now);
   for (const RequestRun& run : runs) {
     RecordLosses(run, upstream, now);
     RecordPartLosses(run, upstream, now);
@@ -212,7 +208,8 @@
 
 void CrashDetector::OnAnswer(const Call& call, const Attempt& attempt, unsigned status,
                              TimePoint now) {
-  abandoned_runs_.OnAnswer(ProcessKey(attempt.placement.upstream), attempt.sent_at);
+  abandoned_runs_.OnAnswer(FleetLoadBalancer::ProcessKeyOf(attempt.placement.upstream),
+                           attempt.sent_at);
   // A worker that fails a request may not have begun to run it.
   if (status >= kFirstServerErrorStatus) {
     return;
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -11,6 +11,8 @@
 namespace savoryglade::gateway {
 namespace {
 
+// Encodes the end of a rate limit.
+constexpr double kNoRateLimit = -1;
 constexpr int kMaxRunning = std::numeric_limits<std::uint16_t>::max();
 constexpr int kMaxDaemons = std::numeric_limits<std::uint16_t>::max();
 
@@ -193,6 +195,10 @@
   digest.crashes = EncodeCrashRecords(report.crashes);
   digest.path_crashes = EncodeCrashRecords(report.path_crashes);
   digest.part_crashes = EncodeCrashRecords(report.part_crashes);
+  for (const ReportedRateLimit& limit : report.rate_limits) {
+    digest.rate_limits.emplace_back(limit.upstream, limit.rate.value_or(kNoRateLimit),
+                                    Milliseconds(limit.age));
+  }
   if (report.feed_update) {
     digest.feed = EncodeFeedUpdate(*report.feed_update, report.feed_update_age);
   }
@@ -250,6 +256,16 @@
   report.crashes = DecodeCrashRecords(digest.crashes);
   report.path_crashes = DecodeCrashRecords(digest.path_crashes);
   report.part_crashes = DecodeCrashRecords(digest.part_crashes);
+  for (const wire::RateLimitItem& item : digest.rate_limits) {
+    ReportedRateLimit& limit = report.rate_limits.emplace_back();
+    limit.upstream = item.upstream();
+    limit.age = DecodeAge(item.age_ms());
+    // Also drops values that are not numbers.
+    if (item.rate_per_s() >= 0) {
+      limit.rate =
+          std::clamp(item.rate_per_s(), UpstreamRateLimits::kMinRate, UpstreamRateLimits::kMaxRate);
+    }
+  }
   if (digest.feed) {
     report.feed_update = DecodeFeedUpdate(*digest.feed);
     report.feed_update_age = DecodeAge(digest.feed->age_ms);
--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -63,6 +63,8 @@
   std::vector<CrashRecord> crashes;
   std::vector<CrashRecord> path_crashes;
   std::vector<CrashRecord> part_crashes;
+  // Limits that upstreams name, and those that have ended recently.
+  std::vector<ReportedRateLimit> rate_limits;
   // Registration changes that the sender has read from the store, and time since that read began.
   std::optional<FeedUpdate> feed_update;
   Duration feed_update_age = Duration::zero();
@@ -76,6 +78,9 @@
     if (holder_age) {
       *holder_age += delay;
     }
+    for (ReportedRateLimit& limit : rate_limits) {
+      limit.age += delay;
+    }
     for (std::vector<CrashRecord>* records : {&crashes, &path_crashes, &part_crashes}) {
       for (CrashRecord& record : *records) {
         for (UpstreamLoss& loss : record.losses) {
--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -248,11 +248,27 @@
   }
 }
 
+void PeerReportTransport::UpdateRateLimitPeers(TimePoint now) {
+  RateLimitPeers peers{.self = fleet_.settings.daemon,
+                       .failure_domain = fleet_.settings.failure_domain,
+                       .live = fleet_.groups.LiveGroup(now),
+                       .domains = {}};
+  // The other daemons no longer count a daemon that shuts down.
+  if (!fleet_.drain.has_begun()) {
+    peers.live.push_back(peers.self);
+  }
+  if (fleet_.groups.grouped()) {
+    peers.domains = fleet_.groups.Domains();
+  }
+  fleet_.load_balancer.rate_limits().SetPeers(std::move(peers));
+}
+
 asio::awaitable<void> PeerReportTransport::SendLoop() {
   while (true) {
     const TimePoint now = BootNow();
     ExpirePeers(now);
     UpdateRole(now);
+    UpdateRateLimitPeers(now);
     fleet_.rate_limiter.UpdateRates(now);
     const bool full = now - full_report_sent_at_ >= kFullReportInterval;
     if (full) {
--- a/packages/gateway/peer_report_transport.h
+++ b/packages/gateway/peer_report_transport.h
@@ -71,6 +71,8 @@
   void RemovePeer(const DaemonId& daemon);
   // Updates this daemon's role in the groups and discards the reports of its previous role.
   void UpdateRole(TimePoint now);
+  // Tells the rate limits of upstreams which daemons share them.
+  void UpdateRateLimitPeers(TimePoint now);
   // Returns true if this daemon's role makes it a receiver of the report.
   bool IsRelevant(const FleetReport& report, TimePoint now) const;
   // Updates the sender's peer entry and applies the report if it is relevant.
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -15,6 +15,7 @@
 // Windows before the current one whose counts are sent; these can still change or be reported.
 constexpr capacity::WindowNumber kReportedPastWindows = 2;
 constexpr std::size_t kMaxReportedCrashes = 48;
+constexpr std::size_t kMaxReportedRateLimits = 256;
 // Streams in one report, at 8 bytes each.
 constexpr std::size_t kMaxReportedStreams = 512;
 
@@ -105,7 +106,9 @@
       .crash_records_known = fleet_.crash_records_known,
       .crashes = fleet_.crash_registry.SelectForReport(kMaxReportedCrashes, now),
       .path_crashes = fleet_.path_crash_registry.SelectForReport(kMaxReportedCrashes, now),
-      .part_crashes = fleet_.part_crash_registry.SelectForReport(kMaxReportedCrashes, now)};
+      .part_crashes = fleet_.part_crash_registry.SelectForReport(kMaxReportedCrashes, now),
+      .rate_limits =
+          fleet_.load_balancer.rate_limits().SelectForReport(kMaxReportedRateLimits, now)};
   if (fleet_.holds_duties) {
     report.holder_age = Duration::zero();
     report.holder_announcement = {.incarnation = fleet_.incarnation, .time = report.time_of_day};
@@ -186,6 +189,15 @@
   MergeCrashRecords(report.crashes, report.sender.id, fleet_.crash_registry, now);
   MergeCrashRecords(report.path_crashes, report.sender.id, fleet_.path_crash_registry, now);
   MergeCrashRecords(report.part_crashes, report.sender.id, fleet_.part_crash_registry, now);
+  for (const ReportedRateLimit& limit : report.rate_limits) {
+    if (fleet_.load_balancer.rate_limits().OnReport(limit, now)) {
+      kLog.Info("A peer reported the rate limit of an upstream, or its end.",
+                {{"process", fmt::format("{:016x}", limit.upstream)},
+                 {"daemon", report.sender.id.value()},
+                 {"rate_per_s", limit.rate.value_or(0)},
+                 {"age_ms", limit.age / 1ms}});
+    }
+  }
   fleet_.crash_records_known |= report.crash_records_known;
   fleet_.stream_versions.OnPeerRecords(report.streams, now);
 }
--- a/packages/membership/fleet_groups.cc
+++ b/packages/membership/fleet_groups.cc
@@ -61,6 +61,24 @@
   return group;
 }
 
+std::vector<DaemonId> FleetGroups::LiveGroup(TimePoint now) const {
+  std::vector<DaemonId> live;
+  for (const auto& [id, known] : daemons_) {
+    if (InGroup(id) && IsRecent(known.last_report, now)) {
+      live.push_back(id);
+    }
+  }
+  return live;
+}
+
+std::set<FailureDomainId> FleetGroups::Domains() const {
+  std::set<FailureDomainId> domains = {self_.failure_domain};
+  for (const auto& [id, known] : daemons_) {
+    domains.insert(known.daemon.failure_domain);
+  }
+  return domains;
+}
+
 int FleetGroups::Rank(TimePoint now) const {
   int rank = 0;
   for (const auto& [id, known] : daemons_) {
--- a/packages/membership/fleet_groups.h
+++ b/packages/membership/fleet_groups.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "core/strong_id.h"
@@ -54,6 +55,11 @@
   // Returns the other daemons of this daemon's group.
   std::vector<DaemonId> Group() const;
 
+  // Returns the daemons of this daemon's group that have reported recently, without this one.
+  std::vector<DaemonId> LiveGroup(TimePoint now) const;
+  // Returns the failure domains with known daemons, including this daemon's.
+  std::set<FailureDomainId> Domains() const;
+
   // Returns the number of live daemons of the group that precede this one.
   int Rank(TimePoint now) const;
   bool IsRepresentative(TimePoint now) const { return grouped_ && Rank(now) == 0; }
--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -57,6 +57,7 @@
   }
   entry.record = record;
   entry.key = KeyOf(record.id);
+  entry.process = ProcessKeyOf(record);
   entry.version = SoftwareVersionKey(record.software_version);
   entry.reported = {};
   for (const auto& [source, report] : reports_) {
@@ -190,7 +191,7 @@
         std::ranges::find(excluded, entry->record.id) != excluded.end()) {
       continue;
     }
-    if (now < entry->held_until) {
+    if (now < entry->held_until || !MaySend(*entry, now)) {
       continue;
     }
     const bool unhealthy =
@@ -260,8 +261,9 @@
   int free = 0;
   for (const Entry* entry : by_service_[service]) {
     const bool usable = !required_version || entry->version == *required_version;
-    if (usable && !entry->record.leaving && now >= entry->paused_until) {
-      free += std::max(0, entry->record.slots - FleetLoad(*entry, now).running);
+    if (usable && !entry->record.leaving && now >= entry->paused_until && MaySend(*entry, now)) {
+      const int slots = std::max(0, entry->record.slots - FleetLoad(*entry, now).running);
+      free += rate_limits_.RateOf(entry->process) ? std::min(slots, 1) : slots;
     }
   }
   return free;
@@ -271,7 +273,9 @@
   ExpireReports(now);
   double busy = 0;
   for (const Entry* entry : by_service_[service]) {
-    busy += static_cast<double>(FleetLoad(*entry, now).running) / entry->record.slots;
+    busy += rate_limits_.RateOf(entry->process)
+                ? 1
+                : static_cast<double>(FleetLoad(*entry, now).running) / entry->record.slots;
   }
   return busy;
 }
@@ -283,6 +287,7 @@
     return;
   }
   Entry& entry = found->second;
+  rate_limits_.OnSent(entry.process, now);
   ++entry.own.running;
   entry.own.waiting_tokens += uncached_tokens;
   entry.unanswered.push_back(now);
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -14,6 +14,7 @@
 #include "core/report_source.h"
 #include "core/strong_id.h"
 #include "core/time.h"
+#include "routing/upstream_rate_limits.h"
 
 namespace savoryglade {
 
@@ -133,6 +134,15 @@
   // Returns the key of an upstream in load reports.
   static std::uint64_t KeyOf(const UpstreamId& id) { return Fnv1aHash(id.value()); }
 
+  // Returns a key of the upstream's process, which changes when it starts again under its id.
+  static std::uint64_t ProcessKeyOf(const UpstreamRecord& record) {
+    return KeyOf(record.id) + static_cast<std::uint64_t>(record.started_ms);
+  }
+
+  // Limits that the upstreams name, by ProcessKeyOf. An upstream that may not be sent to now is not
+  // chosen and has no free slots.
+  UpstreamRateLimits& rate_limits() { return rate_limits_; }
+
   // Sets the maximum age of load reports from peers.
   void SetReportLifetime(Duration lifetime) { options_.report_lifetime = lifetime; }
 
@@ -161,7 +171,8 @@
            work.output_tokens * options_.output_token_s;
   }
 
-  // Returns the load of the service as a number of fully occupied upstreams.
+  // Returns the load of the service as a number of fully occupied upstreams. One with a rate limit
+  // takes no more than it gets, so it counts as fully occupied.
   double BusyUpstreams(const ServiceId& service, TimePoint now);
 
   // Returns the number of requests that can be admitted until all upstreams of the service, or all
@@ -203,6 +214,7 @@
   struct Entry {
     UpstreamRecord record;
     std::uint64_t key = 0;
+    std::uint64_t process = 0;
     std::uint64_t version = 0;
     UpstreamLoad own;
     Reported reported;
@@ -230,6 +242,9 @@
   bool IsSilent(const Entry& entry, TimePoint now) const;
   // Returns the last reported slowness, or 1 (normal speed) if the report has expired.
   double CurrentSlowness(const Entry& entry, TimePoint now) const;
+  bool MaySend(const Entry& entry, TimePoint now) const {
+    return rate_limits_.MaySend(entry.process, entry.record.failure_domain, now);
+  }
   // Returns the number of requests that an upstream accepts at the same time.
   int CapacityOf(const Entry& entry, const WorkEstimate& work) const;
   double UncachedTokens(const Entry& entry, const WorkEstimate& work, bool affinity_upstream) const;
@@ -237,6 +252,7 @@
                double uncached, TimePoint now) const;
 
   FleetLoadBalancerOptions options_;
+  UpstreamRateLimits rate_limits_;
   std::map<UpstreamId, Entry> entries_;
   std::unordered_map<std::uint64_t, Entry*> by_key_;
   // Sorted by upstream id.
--- a/tests/membership/fleet_groups_test.cc
+++ b/tests/membership/fleet_groups_test.cc
@@ -54,6 +54,17 @@
   EXPECT_EQ(groups.Representatives(At(0s)).size(), 27U);
 }
 
+TEST(FleetGroupsTest, LiveDaemonsOfAGroupAreThoseThatReportedRecently) {
+  FleetGroups groups = MakeGroups(3, 8);
+  EXPECT_EQ(groups.Domains().size(), 3U);
+  EXPECT_TRUE(groups.LiveGroup(At(0s)).empty());
+  groups.OnReport(Id(0, 1), At(0s));
+  groups.OnReport(Id(0, 2), At(600ms));
+  groups.OnReport(Id(1, 1), At(600ms));
+  EXPECT_EQ(groups.LiveGroup(At(1s)), (std::vector<DaemonId>{Id(0, 1), Id(0, 2)}));
+  EXPECT_EQ(groups.LiveGroup(At(1500ms)), (std::vector<DaemonId>{Id(0, 2)}));
+}
+
 TEST(FleetGroupsTest, TheFirstLiveDaemonRepresentsItsDomain) {
   FleetGroups groups = MakeGroups(2, 10, 3);
   EXPECT_TRUE(groups.IsRepresentative(At(0s)));
--- a/tests/platform/header_codec_test.cc
+++ b/tests/platform/header_codec_test.cc
@@ -125,6 +125,34 @@
   EXPECT_TRUE(HeaderCodec().DecodeResponse("a", 503, header).not_run);
 }
 
+TEST(HeaderCodecTest, DecodesTheLowestRateLimit) {
+  const HeaderCodec codec;
+  http::fields header;
+  EXPECT_EQ(codec.DecodeResponse("a1", 200, header).rate_limit, std::nullopt);
+  header.insert("Server-Limit", " 2.5 ");
+  EXPECT_EQ(codec.DecodeResponse("a1", 200, header).rate_limit, 2.5);
+  header.insert("Server-Limit", "0.5");
+  header.insert("Server-Limit", "7");
+  const gateway::ResponseMetadata decoded = codec.DecodeResponse("a1", 200, header);
+  EXPECT_EQ(decoded.rate_limit, 0.5);
+  EXPECT_EQ(decoded.invalid_rate_limit, "");
+  EXPECT_TRUE(codec.CallerResponseHeaders(header).empty());
+}
+
+// Guards against a malformed limit that is taken for none or for zero.
+TEST(HeaderCodecTest, ReportsRateLimitsThatCannotBeRead) {
+  const HeaderCodec codec;
+  for (const char* malformed : {"", "-1", "nan", "inf", "1e999", "1,5", "2/s", "fast"}) {
+    http::fields header;
+    header.insert("Server-Limit", malformed);
+    const gateway::ResponseMetadata decoded = codec.DecodeResponse("a1", 200, header);
+    EXPECT_EQ(decoded.rate_limit, std::nullopt) << malformed;
+    EXPECT_EQ(decoded.invalid_rate_limit, '"' + std::string(malformed) + '"');
+    header.insert("Server-Limit", "3");
+    EXPECT_EQ(codec.DecodeResponse("a1", 200, header).rate_limit, 3) << malformed;
+  }
+}
+
 TEST(HeaderCodecTest, DecodesLoadAndIdleTimeout) {
   http::fields header;
   header.set("Server-Load", "3, 1,8,250");
--- a/tests/routing/fleet_load_balancer_test.cc
+++ b/tests/routing/fleet_load_balancer_test.cc
@@ -264,5 +264,38 @@
   EXPECT_FALSE(balancer_.Choose(work, {}, At(0s)));
 }
 
+// Guards against a limited upstream that counts as free capacity, or is chosen as a last resort.
+TEST_F(FleetLoadBalancerTest, LimitedUpstreamCountsAsWhatItTakes) {
+  const DaemonId self("a");
+  balancer_.rate_limits().SetPeers(
+      {.self = self, .failure_domain = FailureDomainId("verona"), .live = {self}, .domains = {}});
+  AddEngines(2);
+  EXPECT_EQ(balancer_.FreeSlots(kModel, At(0s)), 2 * 64);
+  for (const UpstreamRecord& record : balancer_.Records()) {
+    balancer_.rate_limits().OnAnswer(FleetLoadBalancer::ProcessKeyOf(record), 1.0, At(0s), At(0s));
+  }
+  EXPECT_EQ(balancer_.FreeSlots(kModel, At(0s)), 2);
+  EXPECT_DOUBLE_EQ(balancer_.BusyUpstreams(kModel, At(0s)), 2);
+  for (int i = 0; i < 2; ++i) {
+    const auto placement = balancer_.Choose(Prompt(1, 2), {}, At(0s));
+    ASSERT_TRUE(placement);
+    balancer_.OnSent(placement->upstream.id, Prompt(1, 2), 1, At(0s));
+  }
+  EXPECT_FALSE(balancer_.Choose(Prompt(1, 2), {}, At(900ms)));
+  EXPECT_EQ(balancer_.FreeSlots(kModel, At(900ms)), 0);
+  EXPECT_TRUE(balancer_.Choose(Prompt(1, 2), {}, At(1s)));
+}
+
+// Guards against the limit of a process that holds for the one that started in its place.
+TEST_F(FleetLoadBalancerTest, LimitEndsWithItsProcess) {
+  AddEngines(1);
+  UpstreamRecord record = balancer_.Records().front();
+  balancer_.rate_limits().OnAnswer(FleetLoadBalancer::ProcessKeyOf(record), 1.0, At(0s), At(0s));
+  EXPECT_FALSE(balancer_.Choose(Prompt(1, 2), {}, At(0s)));
+  ++record.started_ms;
+  balancer_.Update(record);
+  EXPECT_TRUE(balancer_.Choose(Prompt(1, 2), {}, At(0s)));
+}
+
 }  // namespace
 }  // namespace savoryglade
