--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -47,6 +47,17 @@
   counts[Now()] = before + change;
 }
 
+void History::AddRateLimit(const std::string& upstream, std::optional<double> rate) {
+  const std::lock_guard lock(mutex_);
+  rate_limits_[upstream].push_back({.from = Now(), .rate = rate});
+  arrivals_[upstream];
+}
+
+void History::AddArrival(const std::string& upstream, const std::string& attempt) {
+  const std::lock_guard lock(mutex_);
+  arrivals_[upstream].push_back({.at = Now(), .attempt = attempt});
+}
+
 std::size_t History::BeginRun(const std::string& attempt, RunRecord run) {
   const std::lock_guard lock(mutex_);
   std::vector<RunRecord>& runs = runs_[attempt];
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -86,6 +86,18 @@
   kOther
 };
 
+// Rate limit that an upstream named from a time on; nothing if it named none.
+struct NamedRateLimit {
+  TimePoint from{};
+  std::optional<double> rate;
+};
+
+// Request that reached an upstream.
+struct Arrival {
+  TimePoint at{};
+  std::string attempt;
+};
+
 // Something that was done to a daemon, or to an upstream or the store.
 struct PlayEvent {
   TimePoint at{};
@@ -113,6 +125,9 @@
   void AddServing(const std::string& version, int change);
   // Records that all connections of an upstream broke.
   void AddBreak(const std::string& upstream);
+  void AddRateLimit(const std::string& upstream, std::optional<double> rate);
+  // Records that a request reached an upstream, whether it runs or not.
+  void AddArrival(const std::string& upstream, const std::string& attempt);
   // Records that an upstream began to run a request, and returns the number of the run.
   std::size_t BeginRun(const std::string& attempt, RunRecord run);
   void EndRun(const std::string& attempt, std::size_t run);
@@ -122,6 +137,14 @@
   const std::vector<AttemptRecord>& attempts() const { return attempts_; }
   const std::vector<PlayEvent>& events() const { return events_; }
   const std::vector<Violation>& violations() const { return violations_; }
+  // Limits of each upstream that named one, in order of time.
+  const std::map<std::string, std::vector<NamedRateLimit>>& rate_limits() const {
+    return rate_limits_;
+  }
+  // Returns the requests that reached an upstream, in order of time.
+  const std::vector<Arrival>& ArrivalsAt(const std::string& upstream) const {
+    return arrivals_.at(upstream);
+  }
   // Returns the runs of an attempt.
   std::vector<RunRecord> RunsOf(const std::string& attempt) const;
   // Returns true if the upstream's connections broke within this time.
@@ -139,6 +162,8 @@
   std::vector<PlayEvent> events_;
   std::vector<Violation> violations_;
   std::map<std::string, std::vector<RunRecord>> runs_;
+  std::map<std::string, std::vector<NamedRateLimit>> rate_limits_;
+  std::map<std::string, std::vector<Arrival>> arrivals_;
   std::map<std::string, std::vector<TimePoint>> breaks_;
   // Number of upstreams that serve from a time on, by version.
   std::map<std::string, std::map<TimePoint, int>> serving_;
--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -22,8 +22,9 @@
 constexpr Duration kReadyTimeout = 30s;
 constexpr Duration kLastCallsTimeout = 10s;
 constexpr Duration kUpstreamDrain = 1s;
-// Keeps the other faults of a seed as they were before plays had crashing requests.
+// Keep the other faults of a seed as they were before plays had crashing requests and limits.
 constexpr std::uint64_t kCrashSeedOffset = 1'000'000;
+constexpr std::uint64_t kLimitSeedOffset = 2'000'000;
 constexpr const char* kApiKey = "drivers-key";
 constexpr const char* kLimitedKey = "visitors-key";
 
@@ -55,6 +56,7 @@
     : options_(std::move(options)),
       random_(options_.seed),
       crash_random_(options_.seed + kCrashSeedOffset),
+      limit_random_(options_.seed + kLimitSeedOffset),
       grace_(random_.Bernoulli(0.7) ? 8s : 5s),
       service_time_(random_.Bernoulli(0.5) ? 60ms : 300ms),
       event_interval_(random_.Bernoulli(0.5) ? 10ms : 150ms),
@@ -116,6 +118,9 @@
     StartCrashingCallers();
     PlanHerdKills();
   }
+  if (limit_random_.Bernoulli(0.6)) {
+    PlanRateLimits();
+  }
   RunUntil(begin_ + options_.length, [] { return false; });
   // All daemons stop while the callers go on for a while.
   ending_ = true;
@@ -370,12 +375,12 @@
   At(Now() + kUpstreamDrain + RandomDuration(300ms, 2s), *leave);
 }
 
-std::optional<std::string> Play::PickUpstream(std::size_t spare) {
+std::optional<std::string> Play::PickUpstream(Random& random, std::size_t spare) {
   if (serving_.size() <= spare) {
     return std::nullopt;
   }
   const auto chosen =
-      std::next(serving_.begin(), static_cast<std::ptrdiff_t>(random_.UniformInt(serving_.size())));
+      std::next(serving_.begin(), static_cast<std::ptrdiff_t>(random.UniformInt(serving_.size())));
   return chosen->first;
 }
 
--- a/tests/soak/play.h
+++ b/tests/soak/play.h
@@ -67,6 +67,8 @@
   void PlanStoreFaults();
   // Kills all daemons at the same time.
   void PlanHerdKills();
+  // Lets upstreams name rate limits for a while.
+  void PlanRateLimits();
   // Callers that send a request which crashes the upstreams that run it.
   void StartCrashingCallers();
   void ReplaceCrashedUpstreams();
@@ -83,7 +85,7 @@
   // Removes an upstream without notice; another one takes its place after a while.
   void CrashUpstream(const std::string& id);
   // Returns the id of an upstream in service, or nothing if fewer than `spare` others are.
-  std::optional<std::string> PickUpstream(std::size_t spare);
+  std::optional<std::string> PickUpstream(Random& random, std::size_t spare);
   std::string RandomDomain();
   TimePoint RandomTime(Random& random, double from_share, double to_share) const;
   Duration RandomDuration(Duration from, Duration to);
@@ -92,6 +94,7 @@
   Random random_;
   // Decides on crashing requests and the kills beside them.
   Random crash_random_;
+  Random limit_random_;
   Duration grace_;
   // Longest service time of a call, and the time between the events of a stream.
   Duration service_time_;
--- a/tests/soak/play_faults.cc
+++ b/tests/soak/play_faults.cc
@@ -7,12 +7,6 @@
 #include "soak/play.h"
 
 namespace savoryglade::soak {
-namespace {
-
-TimePoint Now() { return std::chrono::steady_clock::now(); }
-
-}  // namespace
-
 void Play::PlanStops() {
   // Stops come in series of several daemons, which may overlap.
   const std::size_t series = 2 + random_.UniformInt(5);
@@ -62,7 +56,7 @@
   const std::size_t crashes = random_.UniformInt(4);
   for (std::size_t i = 0; i < crashes; ++i) {
     At(RandomTime(random_, 0.02, 0.95), [this] {
-      if (const std::optional<std::string> id = PickUpstream(1)) {
+      if (const std::optional<std::string> id = PickUpstream(random_, 1)) {
         CrashUpstream(*id);
       }
     });
@@ -74,7 +68,7 @@
   for (std::size_t i = 0; i < changes; ++i) {
     At(RandomTime(random_, 0.02, 0.95), [this] { AddUpstream("v1", RandomDomain()); });
     At(RandomTime(random_, 0.02, 0.95), [this] {
-      if (const std::optional<std::string> id = PickUpstream(3)) {
+      if (const std::optional<std::string> id = PickUpstream(random_, 3)) {
         RemoveUpstream(*id, true);
       }
     });
@@ -119,6 +113,30 @@
   }
 }
 
+void Play::PlanRateLimits() {
+  constexpr double kMinRate = 0.3;
+  constexpr double kRateRange = 1.7;
+  const std::size_t limits = 1 + limit_random_.UniformInt(4);
+  for (std::size_t i = 0; i < limits; ++i) {
+    const double rate = kMinRate + kRateRange * limit_random_.UniformReal();
+    const TimePoint from = RandomTime(limit_random_, 0.05, 0.4);
+    const TimePoint to = RandomTime(limit_random_, 0.7, 1.0);
+    At(from, [this, rate, to] {
+      const std::optional<std::string> id = PickUpstream(limit_random_, 1);
+      if (!id) {
+        return;
+      }
+      Upstream* const upstream = serving_.at(*id);
+      upstream->SetRateLimit(rate);
+      history_.AddEvent(EventKind::kOther, {}, fmt::format("{} names {:.1f}/s", *id, rate));
+      At(to, [this, upstream] {
+        upstream->SetRateLimit(std::nullopt);
+        history_.AddEvent(EventKind::kOther, {}, upstream->options().id + " names no limit");
+      });
+    });
+  }
+}
+
 void Play::PlanHerdKills() {
   const std::size_t kills = crash_random_.UniformInt(3);
   for (std::size_t i = 0; i < kills; ++i) {
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -26,6 +27,11 @@
 // Crashes after which a request is judged, and the later sends that are allowed.
 constexpr std::size_t kJudgedCrashes = 3;
 constexpr std::size_t kLateSends = 3;
+// Requests that an upstream may get in a window, as a multiple of what its limit allows, and
+// beyond.
+constexpr Duration kRateLimitWindow = 4s;
+constexpr double kRateLimitFactor = 1.5;
+constexpr double kRateLimitSlack = 5;
 // Time after the grace period for which a stop counts as planned work around a request.
 constexpr Duration kPlannedWorkSlack = 1s;
 
@@ -50,6 +56,7 @@
     CheckOrder();
     CheckResumptions();
     CheckCrashingRequests();
+    CheckRateLimits();
     return violations_;
   }
 
@@ -263,6 +270,60 @@
     }
   }
 
+  // Returns true if the daemon was not started, stopped, killed or frozen too shortly before.
+  bool IsCalm(std::size_t daemon, TimePoint at) const {
+    return std::ranges::none_of(history_.events(), [&](const PlayEvent& event) {
+      return event.daemon == daemon && event.kind != EventKind::kHangUp &&
+             event.at >= at - bounds_.contact && event.at <= at;
+    });
+  }
+
+  // An upstream that names a limit gets at most one and a half times what it allows, and some
+  // requests more, in each window that begins some time after it first named it.
+  void CheckRateLimits() {
+    std::map<std::string, const AttemptRecord*> attempts;
+    for (const AttemptRecord& attempt : history_.attempts()) {
+      attempts.emplace(attempt.id, &attempt);
+    }
+    for (const auto& [upstream, limits] : history_.rate_limits()) {
+      std::vector<std::pair<TimePoint, const AttemptRecord*>> counted;
+      for (const Arrival& arrival : history_.ArrivalsAt(upstream)) {
+        const auto attempt = attempts.find(arrival.attempt);
+        if (attempt != attempts.end() && IsCalm(attempt->second->daemon, arrival.at)) {
+          counted.emplace_back(arrival.at, attempt->second);
+        }
+      }
+      for (std::size_t i = 0; i < limits.size(); ++i) {
+        if (limits[i].rate) {
+          const TimePoint to = i + 1 < limits.size() ? limits[i + 1].from : TimePoint::max();
+          CheckRateLimit(upstream, *limits[i].rate, limits[i].from + bounds_.contact, to, counted);
+        }
+      }
+    }
+  }
+
+  void CheckRateLimit(const std::string& upstream, double rate, TimePoint from, TimePoint to,
+                      const std::vector<std::pair<TimePoint, const AttemptRecord*>>& arrivals) {
+    const double allowed = kRateLimitFactor * rate * ToSeconds(kRateLimitWindow) + kRateLimitSlack;
+    std::deque<TimePoint> window;
+    for (const auto& [at, attempt] : arrivals) {
+      if (at < from || at >= to) {
+        continue;
+      }
+      window.push_back(at);
+      while (at - window.front() >= kRateLimitWindow) {
+        window.pop_front();
+      }
+      if (static_cast<double>(window.size()) > allowed) {
+        Add("LIMIT",
+            fmt::format("{} named {:.1f}/s and got {} requests in {} s; {:.0f} allowed.", upstream,
+                        rate, window.size(), ToSeconds(kRateLimitWindow), allowed),
+            *attempt);
+        return;
+      }
+    }
+  }
+
   const History& history_;
   const PromiseBounds& bounds_;
   // Version of the first event of each stream.
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <utility>
+#include <vector>
 
 #include "core/prefix_hash.h"
 #include "net/sleep.h"
@@ -40,6 +41,12 @@
   pool_.reset();
 }
 
+void Upstream::SetRateLimit(std::optional<double> rate) {
+  worker_.SetRateLimits(rate ? std::vector{fmt::format("{:.1f}", *rate)}
+                             : std::vector<std::string>());
+  history_.AddRateLimit(options_.id, rate);
+}
+
 std::string Upstream::Registration(bool leaving) const {
   return fmt::format(
       R"({{"service":"s","address":"{}","zone":"{}","version":"{}","slots":{},"state":"{}"}})",
@@ -61,6 +68,7 @@
     co_await worker_.Handle(exchange);
     co_return;
   }
+  history_.AddArrival(options_.id, attempt);
   if (running_ >= options_.slots || Fnv1aHash(attempt + options_.id) % kRequestsPerRejection == 0) {
     HttpHeaders headers;
     headers.emplace_back("Attempt-Id", attempt);
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -43,6 +43,8 @@
 
   // Closes the listener and all connections at once, and records that.
   void Break();
+  // Makes the upstream name a limit in its answers, in requests per second, or none.
+  void SetRateLimit(std::optional<double> rate);
   // Text of its entry in the store.
   std::string Registration(bool leaving) const;
   int running() const { return running_; }
