--- a/tests/daemon/plain_test.cc
+++ b/tests/daemon/plain_test.cc
@@ -1,5 +1,7 @@
+#include <array>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gtest/gtest.h"
 #include "tests/daemon/daemon_fixture.h"
@@ -47,6 +49,32 @@
   EXPECT_EQ(a.service.RunCount("delivery-1") + b.service.RunCount("delivery-1"), 1U);
 }
 
+// Guards against a request that ends one upstream after the other.
+TEST(PlainTest, RequestThatLosesThreeUpstreamsIsRefused) {
+  std::array<PlainServiceServer, 5> hosts;
+  std::vector<Endpoint> endpoints;
+  for (PlainServiceServer& host : hosts) {
+    host.service.SetFault(PlainFault::kCloseAfter, 100);
+    endpoints.push_back(host.endpoint);
+  }
+  const auto daemon = StartDaemon({.plain = endpoints});
+  TestResponse response;
+  for (int i = 0; i < 8; ++i) {
+    response =
+        SendRequest(*daemon, MakePlainRequest("GET", "/orders/7?page=" + std::to_string(i)));
+  }
+  EXPECT_EQ(response.status, 422U);
+  EXPECT_EQ(response.reason, "request_crashes_upstreams");
+  EXPECT_EQ(response.verdict, "not_run");
+  std::uint64_t runs = 0;
+  for (PlainServiceServer& host : hosts) {
+    runs += host.service.runs();
+    host.service.SetFault(PlainFault::kNone, 0);
+  }
+  EXPECT_EQ(runs, 3U);
+  EXPECT_EQ(SendRequest(*daemon, MakePlainRequest("GET", "/orders/8")).status, 200U);
+}
+
 // Guards against a confirmation that can't be identified when it is resent.
 TEST(PlainTest, MayNotRepeatRequestWithoutIdentityIsRejected) {
   PlainServiceServer host;
