--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -15,7 +15,7 @@
 #include "gateway/sse_splitter.h"
 #include "net/http_server.h"
 #include "net/peer_disconnect_monitor.h"
-#include "recovery/crash_registry.h"
+#include "recovery/request_fingerprint.h"
 
 namespace savoryglade::gateway {
 
@@ -43,10 +43,7 @@
   TimePoint received;
   // Time by which the response is due: the caller's timeout or the route's, whichever is shorter.
   TimePoint deadline;
-  // What losses are recorded for: the request itself and, if its target has a query, its path.
-  std::vector<CrashKey> crash_keys;
-  // Hash of account, host, path and body.
-  std::uint64_t path_hash = 0;
+  RequestFingerprint fingerprint;
   // Hashes of the service and each part of the prompt that other requests may share.
   std::vector<std::uint64_t> shared_parts;
   // Units taken from the account's allowance.
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -22,29 +22,6 @@
 
 const Logger kLog("gateway");
 
-std::string_view PathOf(const Call& call) {
-  const std::string_view target = call.exchange.target();
-  return target.substr(0, target.find('?'));
-}
-
-std::string_view QueryOf(const Call& call) {
-  return call.exchange.target().substr(PathOf(call).size());
-}
-
-// Appends a text and a separator that occurs in no text but a body to what is hashed.
-std::uint64_t AppendHash(std::string_view text, std::uint64_t hash) {
-  constexpr std::string_view kSeparator("\0", 1);
-  return Fnv1aHash(kSeparator, Fnv1aHash(text, hash));
-}
-
-// Returns a hash of account, host, path and body. A crashing request may come again with another
-// query, so it covers none.
-std::uint64_t PathHash(const Call& call) {
-  const std::uint64_t account = AppendHash(call.account_id().value(), Fnv1aHash({}));
-  const std::uint64_t path = AppendHash(PathOf(call), AppendHash(call.route->host, account));
-  return Fnv1aHash(call.exchange.request().body(), path);
-}
-
 std::string ToHex(std::uint64_t fingerprint) { return fmt::format("{:016x}", fingerprint); }
 
 std::string_view NameOf(CrashSubject subject) {
@@ -54,29 +31,31 @@
 
 // Returns a hash of the query, which itself may hold secrets, or "-" if there is none.
 std::string QueryHash(const Call& call) {
-  const std::string_view query = QueryOf(call);
+  const std::string_view target = call.exchange.target();
+  const std::string_view query = target.substr(PathOf(target).size());
   return query.empty() ? std::string("-") : ToHex(Fnv1aHash(query));
 }
 
 RequestRun RunOf(const Call& call) {
   return {.attempt_id = call.metadata.attempt_id,
-          .path = std::string(PathOf(call)),
+          .path = std::string(PathOf(call.exchange.target())),
           .query_hash = QueryHash(call),
           .service = call.service,
-          .crash_keys = call.crash_keys,
+          .crash_keys = call.fingerprint.LossKeys(),
           .shared_parts = call.shared_parts};
 }
 
 }  // namespace
 
 void CrashDetector::Identify(Call& call) {
-  call.path_hash = PathHash(call);
-  const std::string method(call.exchange.request().method_string());
-  const std::uint64_t request = Fnv1aHash(QueryOf(call), AppendHash(method, call.path_hash));
-  call.crash_keys = {{.subject = CrashSubject::kRequest, .hash = request}};
-  if (!QueryOf(call).empty()) {
-    call.crash_keys.push_back({.subject = CrashSubject::kPath, .hash = call.path_hash});
-  }
+  const HttpRequest& request = call.exchange.request();
+  const AccountId account = call.account_id();
+  const std::string method(request.method_string());
+  call.fingerprint = FingerprintOf({.account = account.value(),
+                                    .scope = call.route->host,
+                                    .method = method,
+                                    .target = call.exchange.target(),
+                                    .body = request.body()});
   const std::vector<PromptPart>& parts = call.metadata.work.parts;
   // The last part belongs to the request itself.
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
@@ -94,13 +73,13 @@
       return remaining;
     }
   }
-  for (const CrashKey& key : call.crash_keys) {
+  for (const CrashKey& key : call.fingerprint.LossKeys()) {
     const CrashRegistry& registry = fleet_.CrashRegistryOf(key.subject);
     const Duration remaining = registry.RemainingRefusal(key.hash, now);
     if (remaining > Duration::zero()) {
-      call.rejection_detail =
-          fmt::format("{} {}, {} losses, path {}, query hash {}", NameOf(key.subject),
-                      ToHex(key.hash), registry.LossCount(key.hash), PathOf(call), QueryHash(call));
+      call.rejection_detail = fmt::format(
+          "{} {}, {} losses, path {}, query hash {}", NameOf(key.subject), ToHex(key.hash),
+          registry.LossCount(key.hash), PathOf(call.exchange.target()), QueryHash(call));
       return remaining;
     }
   }
@@ -108,7 +87,7 @@
 }
 
 void CrashDetector::OnSent(const Call& call, TimePoint now) {
-  for (const CrashKey& key : call.crash_keys) {
+  for (const CrashKey& key : call.fingerprint.LossKeys()) {
     fleet_.CrashRegistryOf(key.subject).OnSent(key.hash, now);
   }
   for (const std::uint64_t part : call.shared_parts) {
@@ -180,8 +159,8 @@
   abandoned_runs_.Add(FleetLoadBalancer::ProcessKeyOf(upstream), RunOf(call), now);
   kLog.Info("A caller disconnected while its request was at an upstream.",
             {{"request", call.metadata.attempt_id},
-             {"fingerprint", ToHex(call.crash_keys.front().hash)},
-             {"path", PathOf(call)},
+             {"fingerprint", ToHex(call.fingerprint.request)},
+             {"path", PathOf(call.exchange.target())},
              {"query_hash", QueryHash(call)},
              {"upstream", upstream.id.value()},
              {"first_byte", attempt.first_byte},
@@ -225,9 +204,10 @@
       }
     }
   }
-  std::vector<CrashKey> answered = {call.crash_keys.front()};
+  std::vector<CrashKey> answered = {
+      {.subject = CrashSubject::kRequest, .hash = call.fingerprint.request}};
   if (attempt.has_framed_end) {
-    answered.push_back({.subject = CrashSubject::kPath, .hash = call.path_hash});
+    answered.push_back({.subject = CrashSubject::kPath, .hash = call.fingerprint.path});
   }
   for (const CrashKey& key : answered) {
     if (fleet_.CrashRegistryOf(key.subject).OnAnswer(key.hash, now)) {
@@ -236,7 +216,7 @@
                 {{"request", call.metadata.attempt_id},
                  {"subject", NameOf(key.subject)},
                  {"fingerprint", ToHex(key.hash)},
-                 {"path", PathOf(call)},
+                 {"path", PathOf(call.exchange.target())},
                  {"query_hash", QueryHash(call)}});
       on_change_();
     }
--- a/packages/gateway/crash_detector.h
+++ b/packages/gateway/crash_detector.h
@@ -25,7 +25,7 @@
   CrashDetector(FleetState& fleet, std::function<void()> on_change)
       : fleet_(fleet), on_change_(std::move(on_change)) {}
 
-  // Sets what the call's losses are recorded for, and the hashes of the shared parts of its prompt.
+  // Sets the call's fingerprint and the hashes of the shared parts of its prompt.
   static void Identify(Call& call);
   // Returns the time for which the request is refused because it, or a part of its prompt, has
   // crashed too many upstreams, or zero if it is not refused. Sets the detail of a refusal for the
