Refuse crashing requests at the product's own interface

Callers saw: none reported. CrashGuard keeps the crash registries of requests and paths for plain and model requests, asks them before a request is queued and again before it is sent, and daemons send each other their records twice a second. The configuration names no start time of an upstream, so its losses within 5 s count as one.

Not done: records in the store, callers that leave.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -97,6 +97,7 @@
                                  std::hash<std::string>()(settings_.daemon.value()))),
       dispatcher_({.incarnation = MakeIncarnation()}, {.local_domain = settings_.failure_domain},
                   std::hash<std::string>()(settings_.daemon.value()), metrics_),
+      crashes_(settings_.daemon, metrics_),
       stop_(dependencies_.stop_limits),
       pool_(static_cast<std::size_t>(settings_.worker_threads)),
       platform_(pool_.context(0), settings_, metrics_, configuration_),
@@ -210,8 +211,9 @@
         metrics_);
     dependencies_.claims = claims;
   }
-  peer_exchange_ = std::make_unique<PeerExchange>(pool_.context(0), platform_.network(),
-                                                  dispatcher_, claims, settings_.failure_domain);
+  peer_exchange_ =
+      std::make_unique<PeerExchange>(pool_.context(0), platform_.network(), dispatcher_, claims,
+                                     crashes_, settings_.failure_domain);
   peer_exchange_->Start();
   if (claims) {
     claims->Start();
@@ -315,7 +317,8 @@
           .streams = *dependencies_.streams,
           .claims = *dependencies_.claims,
           .retries = *dependencies_.retries,
-          .active_requests = active_requests_};
+          .active_requests = active_requests_,
+          .crashes = crashes_};
 }
 
 asio::awaitable<void> Daemon::HandleCallerRequest(HttpExchange& exchange) {
@@ -372,10 +375,16 @@
     co_await RespondWithVerdict(exchange, key, verdict, metrics_);
     co_return;
   }
+  const std::string method(exchange.request().method_string());
   AuthenticatedRequest request{.configuration = configuration,
                                .account = *account,
                                .service = *service,
                                .key = key,
+                               .fingerprint = FingerprintOf({.account = account->name.value(),
+                                                             .scope = service->name.value(),
+                                                             .method = method,
+                                                             .target = exchange.target(),
+                                                             .body = exchange.request().body()}),
                                .has_idempotency_key = has_idempotency_key};
   if (is_model) {
     co_await HandleModelRequest(exchange, std::move(request), std::move(*chat),
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -12,6 +12,7 @@
 #include "daemon/administration_handler.h"
 #include "daemon/claim_gate.h"
 #include "daemon/config_holder.h"
+#include "daemon/crash_guard.h"
 #include "daemon/dispatcher.h"
 #include "daemon/peer_exchange.h"
 #include "daemon/platform_config_service.h"
@@ -94,6 +95,7 @@
   ActiveRequests active_requests_;
   ConfigHolder configuration_;
   Dispatcher dispatcher_;
+  CrashGuard crashes_;
   StopSequence stop_;
   std::atomic<bool> drain_timeout_started_{false};
   std::atomic<std::uint64_t> next_request_number_{1};
--- a/packages/daemon/model_handler.cc
+++ b/packages/daemon/model_handler.cc
@@ -80,6 +80,9 @@
   // Waits for an upstream that the scheduler and the router select, and runs one attempt there.
   // Returns true if a response has been sent.
   asio::awaitable<bool> RunAttempt() {
+    if (co_await RejectIfItCrashesUpstreams()) {
+      co_return true;
+    }
     const Ticket ticket = context_.dispatcher.NewTicket();
     const auto upstream = co_await AcquireUpstream(ticket);
     if (interrupt_->raised()) {
@@ -103,6 +106,11 @@
       co_await FailRequest(verdict);
       co_return true;
     }
+    // The request may have been refused while it was queued.
+    if (co_await RejectIfItCrashesUpstreams()) {
+      context_.dispatcher.Finish(ticket, upstream->name, {.result = AttemptResult::kCancelled});
+      co_return true;
+    }
     if (upstream_to_cancel_ && upstream_to_cancel_->name == upstream->name) {
       // The new attempt attaches to the generation that the upstream still holds.
       upstream_to_cancel_.reset();
@@ -113,12 +121,30 @@
                           .upstream = upstream->name,
                           .generation = digests_.generation});
     ModelAttempt attempt(context_, *upstream, model_request_, writer_, *interrupt_);
+    context_.crashes.OnSent(request_.fingerprint, Now());
     const ModelAttemptStatus status = co_await attempt.Generate();
+    if (status == ModelAttemptStatus::kComplete) {
+      context_.crashes.OnAnswer(request_.fingerprint, Now());
+    } else if (attempt.outcome().result == AttemptResult::kLost) {
+      context_.crashes.OnLoss(request_.fingerprint, upstream->name, Now());
+    }
     context_.dispatcher.Finish(ticket, upstream->name, attempt.outcome());
     tried_upstreams_.push_back(upstream->name);
     co_return co_await HandleAttemptStatus(status, attempt.verdict(), *upstream, true);
   }
 
+  // Rejects the request while it is refused. Returns true if a response has been sent.
+  asio::awaitable<bool> RejectIfItCrashesUpstreams() {
+    const Duration refusal = context_.crashes.RemainingRefusal(request_.fingerprint, Now());
+    if (refusal == Duration::zero()) {
+      co_return false;
+    }
+    co_await FailRequest({.run_state = run_state_,
+                          .reason = Reason::kRequestCrashesUpstreams,
+                          .retry_after = refusal});
+    co_return true;
+  }
+
   asio::awaitable<tl::expected<UpstreamConfig, Verdict>> AcquireUpstream(Ticket ticket) {
     const QueuedRequest queued{.ticket = ticket,
                                .account = request_.account.name,
--- a/packages/daemon/peer_exchange.cc
+++ b/packages/daemon/peer_exchange.cc
@@ -1,6 +1,8 @@
 #include "daemon/peer_exchange.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
+#include <chrono>
 #include <cstdint>
 #include <set>
 #include <utility>
@@ -21,6 +23,9 @@
 // claim transactions per second.
 constexpr Duration kCommitIntervalPerDomain = 12500us;
 
+// Bound of decoded ages, so that sums of malformed ones do not overflow.
+constexpr std::uint64_t kMaxAgeMs = 24ULL * 3600 * 1000;
+
 const Logger kLog("peers");
 
 wire::MessageT ToMessage(const UsageSummary& summary) {
@@ -56,11 +61,13 @@
 }  // namespace
 
 PeerExchange::PeerExchange(asio::io_context& context, PeerNetwork& network, Dispatcher& dispatcher,
-                           std::shared_ptr<ClaimService> claims, FailureDomainId failure_domain)
+                           std::shared_ptr<ClaimService> claims, CrashGuard& crashes,
+                           FailureDomainId failure_domain)
     : context_(context),
       network_(network),
       dispatcher_(dispatcher),
       claims_(std::move(claims)),
+      crashes_(crashes),
       failure_domain_(std::move(failure_domain)) {}
 
 void PeerExchange::Start() {
@@ -86,6 +93,7 @@
     timer.expires_after(kUsageInterval);
     co_await timer.async_wait(asio::use_awaitable);
     SendDaemonUsage();
+    SendCrashRecords();
     if (interval % kIntervalsPerDomainUsage == 0) {
       SendDomainUsage();
     }
@@ -140,11 +148,51 @@
   }
 }
 
+void PeerExchange::SendCrashRecords() {
+  const TimePoint now = std::chrono::steady_clock::now();
+  for (const CrashSubject subject : {CrashSubject::kRequest, CrashSubject::kPath}) {
+    for (const CrashRecord& record : crashes_.SelectForReport(subject, now)) {
+      wire::CrashMarkT mark;
+      mark.is_path = subject == CrashSubject::kPath;
+      mark.hash = record.request;
+      for (const UpstreamLoss& loss : record.losses) {
+        mark.losses.emplace_back(loss.upstream, static_cast<std::uint64_t>(loss.age / 1ms));
+      }
+      mark.answer_age_ms = record.answer_age ? *record.answer_age / 1ms : -1;
+      const wire::MessageT message = wire::MakeMessage(std::move(mark));
+      for (const membership::Member& member : network_.membership().Members()) {
+        if (member.daemon != network_.membership().daemon() &&
+            member.state == membership::MemberState::kAlive) {
+          network_.Send(member.daemon, message);
+        }
+      }
+    }
+  }
+}
+
+void PeerExchange::OnCrashMark(const wire::CrashMarkT& message) {
+  CrashRecord record{.request = message.hash};
+  const auto age = [](std::uint64_t ms) {
+    return static_cast<std::int64_t>(std::min(ms, kMaxAgeMs)) * Duration(1ms);
+  };
+  for (const wire::CrashLoss& loss : message.losses) {
+    record.losses.push_back({.upstream = loss.upstream(), .age = age(loss.age_ms())});
+  }
+  if (message.answer_age_ms >= 0) {
+    record.answer_age = age(static_cast<std::uint64_t>(message.answer_age_ms));
+  }
+  crashes_.OnPeerRecord(message.is_path ? CrashSubject::kPath : CrashSubject::kRequest, record,
+                        std::chrono::steady_clock::now());
+}
+
 void PeerExchange::HandleMessage(const DaemonId& from, const wire::MessageT& message) {
   switch (message.body.type) {
     case wire::Body_UsageSummary:
       OnUsageSummary(from, *message.body.AsUsageSummary());
       break;
+    case wire::Body_CrashMark:
+      OnCrashMark(*message.body.AsCrashMark());
+      break;
     case wire::Body_ClaimQuery:
       OnClaimQuery(from, *message.body.AsClaimQuery());
       break;
--- a/packages/daemon/plain_handler.cc
+++ b/packages/daemon/plain_handler.cc
@@ -23,6 +23,7 @@
 
 constexpr double kPredictedSeconds = 0.05;
 constexpr Duration kRetryAfter = 1s;
+constexpr unsigned kFirstServerErrorStatus = 500;
 constexpr std::size_t kMaxResponseBytes = 16 * 1024 * 1024;
 
 // Headers that apply to one connection only, or that are set anew for the forwarded message.
@@ -118,6 +119,9 @@
 
   // Waits for an upstream and runs one attempt there. Returns true if a response has been sent.
   asio::awaitable<bool> RunAttempt() {
+    if (co_await RejectIfItCrashesUpstreams()) {
+      co_return true;
+    }
     const Ticket ticket = context_.dispatcher.NewTicket();
     const auto upstream = co_await AcquireUpstream(ticket);
     if (interrupt_->raised()) {
@@ -137,12 +141,23 @@
       co_await FailRequest(upstream.error());
       co_return true;
     }
+    // The request may have been refused while it was queued.
+    if (co_await RejectIfItCrashesUpstreams()) {
+      context_.dispatcher.Finish(ticket, upstream->name, {.result = AttemptResult::kCancelled});
+      co_return true;
+    }
     if (may_not_repeat_rule_ != nullptr && claim_submission_id_ == 0 && !co_await Claim()) {
       context_.dispatcher.Finish(ticket, upstream->name, {.result = AttemptResult::kCancelled});
       co_return true;
     }
     const TimePoint start = Now();
+    context_.crashes.OnSent(request_.fingerprint, start);
     PlainAttemptResult attempt = co_await Send(*upstream);
+    if (attempt.result == AttemptResult::kLost) {
+      context_.crashes.OnLoss(request_.fingerprint, upstream->name, Now());
+    } else if (attempt.response && attempt.response->result_int() < kFirstServerErrorStatus) {
+      context_.crashes.OnAnswer(request_.fingerprint, Now());
+    }
     context_.dispatcher.Finish(ticket, upstream->name,
                                {.result = attempt.result, .total = Now() - start});
     tried_upstreams_.push_back(upstream->name);
@@ -159,6 +174,16 @@
     co_return co_await RetryOrFail(attempt.verdict);
   }
 
+  // Rejects the request while it is refused. Returns true if a response has been sent.
+  asio::awaitable<bool> RejectIfItCrashesUpstreams() {
+    const Duration refusal = context_.crashes.RemainingRefusal(request_.fingerprint, Now());
+    if (refusal == Duration::zero()) {
+      co_return false;
+    }
+    co_await FailRequest({.reason = Reason::kRequestCrashesUpstreams, .retry_after = refusal});
+    co_return true;
+  }
+
   asio::awaitable<tl::expected<UpstreamConfig, Verdict>> AcquireUpstream(Ticket ticket) {
     const QueuedRequest queued{.ticket = ticket,
                                .account = request_.account.name,
--- a/packages/daemon/request_handler_context.h
+++ b/packages/daemon/request_handler_context.h
@@ -9,6 +9,7 @@
 #include "daemon/active_requests.h"
 #include "daemon/claim_gate.h"
 #include "daemon/config_holder.h"
+#include "daemon/crash_guard.h"
 #include "daemon/dispatcher.h"
 #include "daemon/request_metrics.h"
 #include "daemon/retry_strategy.h"
@@ -33,6 +34,7 @@
   ClaimGate& claims;
   RetryStrategy& retries;
   ActiveRequests& active_requests;
+  CrashGuard& crashes;
 };
 
 // An authenticated request and the configuration that applies to it.
@@ -41,6 +43,8 @@
   const AccountConfig& account;
   const ServiceConfig& service;
   RequestKey key;
+  // By which the request is recognised if it crashes upstreams.
+  RequestFingerprint fingerprint;
   // True if the caller sent the key, and can thus resume or resend the request.
   bool has_idempotency_key = false;
 };
--- a/tests/daemon/plain_test.cc
+++ b/tests/daemon/plain_test.cc
@@ -60,8 +60,7 @@
   const auto daemon = StartDaemon({.plain = endpoints});
   TestResponse response;
   for (int i = 0; i < 8; ++i) {
-    response =
-        SendRequest(*daemon, MakePlainRequest("GET", "/orders/7?page=" + std::to_string(i)));
+    response = SendRequest(*daemon, MakePlainRequest("GET", "/orders/7?page=" + std::to_string(i)));
   }
   EXPECT_EQ(response.status, 422U);
   EXPECT_EQ(response.reason, "request_crashes_upstreams");
