Store single losses outside the watched table

Rows of single losses now have keys of their own in the daemons' table, which is read when a daemon starts and then every ten minutes, and are left to expire.

--- a/packages/gateway/crash_record_store.cc
+++ b/packages/gateway/crash_record_store.cc
@@ -28,6 +28,8 @@
 constexpr std::string_view kRowPrefix = "crash/";
 constexpr std::string_view kPathRowPrefix = "crash/path/";
 constexpr std::string_view kPartRowPrefix = "crash/part/";
+// Precedes the prefixes above in the keys of rows with a single loss.
+constexpr std::string_view kSingleLossPrefix = "loss/";
 constexpr std::array kSubjects = {CrashSubject::kRequest, CrashSubject::kPath,
                                   CrashSubject::kPromptPart};
 // Longest wait of a read for changes. Also bounds the time until a dead connection is detected.
@@ -43,6 +45,10 @@
 
 const Logger kLog("crashes");
 
+std::string_view WithoutSingleLossPrefix(std::string_view key) {
+  return key.starts_with(kSingleLossPrefix) ? key.substr(kSingleLossPrefix.size()) : key;
+}
+
 std::string_view PrefixOf(CrashSubject subject) {
   switch (subject) {
     case CrashSubject::kPath:
@@ -70,11 +76,13 @@
 
 }  // namespace
 
-std::string CrashRowKey(CrashSubject subject, std::uint64_t request) {
-  return fmt::format("{}{:016x}", PrefixOf(subject), request);
+std::string CrashRowKey(CrashSubject subject, std::uint64_t request, std::size_t losses) {
+  return fmt::format("{}{}{:016x}", losses == 1 ? kSingleLossPrefix : "", PrefixOf(subject),
+                     request);
 }
 
 CrashSubject CrashSubjectOf(std::string_view key) {
+  key = WithoutSingleLossPrefix(key);
   if (key.starts_with(kPartRowPrefix)) {
     return CrashSubject::kPromptPart;
   }
@@ -89,15 +97,15 @@
   return json::serialize(json::object{{"lost_ms", std::move(losses)}});
 }
 
-Result<CrashRecord> DecodeCrashRow(const std::string& key, const std::string& value,
+Result<CrashRecord> DecodeCrashRow(const std::string& row_key, const std::string& value,
                                    Duration unix_time) {
+  const std::string_view key = WithoutSingleLossPrefix(row_key);
   const auto invalid = [](const char* detail) {
     return tl::make_unexpected(Error{.code = ErrorCode::kInvalid, .message = detail});
   };
   CrashRecord record;
   if (!key.starts_with(kRowPrefix) ||
-      !ParseHex(std::string_view(key).substr(PrefixOf(CrashSubjectOf(key)).size()),
-                record.request)) {
+      !ParseHex(key.substr(PrefixOf(CrashSubjectOf(key)).size()), record.request)) {
     return invalid("The key names no request, path or prompt part.");
   }
   boost::system::error_code error;
@@ -140,8 +148,23 @@
   }
 }
 
-asio::awaitable<void> CrashRecordStore::RemoveExpiredRows(const RowUpdate& update) {
-  for (const auto& [key, row] : update.rows) {
+asio::awaitable<bool> CrashRecordStore::ReadSingleLosses() {
+  const auto rows = co_await store_.ReadRows(std::string(kSingleLossPrefix));
+  if (!rows) {
+    kLog.Warning("Reading the single losses from the store failed.",
+                 {{"error", rows.error().message}});
+    co_return false;
+  }
+  for (const auto& [key, row] : *rows) {
+    ApplyRow(key, row, BootNow());
+  }
+  co_await RemoveExpiredRows(*rows);
+  co_return true;
+}
+
+asio::awaitable<void> CrashRecordStore::RemoveExpiredRows(
+    const std::map<std::string, provider::Row>& rows) {
+  for (const auto& [key, row] : rows) {
     const Result<CrashRecord> record = DecodeCrashRow(key, row.value, fleet_.clock.Now(BootNow()));
     if (!fleet_.holds_duties || (record && !HasExpired(*record))) {
       continue;
@@ -181,6 +204,12 @@
         fleet_.CrashRegistryOf(subject).ForgetStored();
       }
     }
+    // First, so that the records with more losses decide which losses count as stored.
+    if (full_read && !co_await ReadSingleLosses()) {
+      position_ = 0;
+      co_await Sleep(kRetryInterval);
+      continue;
+    }
     for (const auto& [key, row] : update->rows) {
       ApplyRow(key, row, now);
     }
@@ -188,7 +217,7 @@
     fleet_.crash_records_known = true;
     if (full_read) {
       full_read_at_ = now;
-      co_await RemoveExpiredRows(*update);
+      co_await RemoveExpiredRows(update->rows);
     }
     OnRegistryChanged();
     co_await Sleep(position_ == 0 ? kRetryInterval : kMinReadInterval);
@@ -204,7 +233,7 @@
       if (stored.size() == kMaxRowsPerTransaction) {
         break;
       }
-      provider::RowWrite write{.key = CrashRowKey(subject, record.request)};
+      provider::RowWrite write{.key = CrashRowKey(subject, record.request, record.losses.size())};
       if (!record.losses.empty()) {
         write.value = EncodeCrashRow(record, fleet_.clock.Now(now));
       }
@@ -227,7 +256,8 @@
     fleet_.CrashRegistryOf(subject).OnStored(record);
     fleet_.metrics.GetCounter(kCrashRecordsMetric, {{"event", "stored"}}).Add();
     kLog.Info("Stored a crash record for all daemons.",
-              {{"key", CrashRowKey(subject, record.request)}, {"losses", record.losses.size()}});
+              {{"key", CrashRowKey(subject, record.request, record.losses.size())},
+               {"losses", record.losses.size()}});
   }
   co_return stored.size();
 }
--- a/packages/gateway/crash_record_store.h
+++ b/packages/gateway/crash_record_store.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -35,11 +36,14 @@
 
  private:
   void ApplyRow(const std::string& key, const provider::Row& row, TimePoint now);
+  // Reads the rows of single losses and merges them into the registries. Returns false if the store
+  // call failed.
+  boost::asio::awaitable<bool> ReadSingleLosses();
   // Stores the records that this daemon has to store, up to the size of a transaction. Returns how
   // many, or nothing if the store call failed.
   boost::asio::awaitable<std::optional<std::size_t>> StoreRecords();
   // Removes the rows whose losses no longer count, if this daemon holds the fleet's duties.
-  boost::asio::awaitable<void> RemoveExpiredRows(const RowUpdate& update);
+  boost::asio::awaitable<void> RemoveExpiredRows(const std::map<std::string, provider::Row>& rows);
 
   FleetState& fleet_;
   FleetStore& store_;
@@ -52,8 +56,10 @@
 
 // Encodes the losses of a record as the value of its row, with their Unix times.
 std::string EncodeCrashRow(const CrashRecord& record, Duration unix_time);
-// Returns the key of a record's row.
-std::string CrashRowKey(CrashSubject subject, std::uint64_t request);
+// Returns the key of the row of a record with this number of losses. Rows of single losses are read
+// when a daemon starts but not watched, because most requests that lose an upstream are harmless
+// and each change of a watched row wakes all daemons.
+std::string CrashRowKey(CrashSubject subject, std::uint64_t request, std::size_t losses);
 // Returns what a row's key names.
 CrashSubject CrashSubjectOf(std::string_view key);
 // Decodes a row. Returns kInvalid if the key or the value is malformed.
--- a/packages/recovery/crash_registry.cc
+++ b/packages/recovery/crash_registry.cc
@@ -269,7 +269,7 @@
     return std::nullopt;
   }
   if (entry.losses.empty()) {
-    return entry.stored.empty() ? std::nullopt : std::optional(TimePoint::min());
+    return entry.stored.size() > 1 ? std::optional(TimePoint::min()) : std::nullopt;
   }
   const bool stored = std::ranges::all_of(
       entry.losses, [&entry](const auto& loss) { return entry.stored.contains(loss.first); });
--- a/packages/recovery/crash_registry.h
+++ b/packages/recovery/crash_registry.h
@@ -123,7 +123,8 @@
   std::vector<CrashRecord> SelectForReport(std::size_t limit, TimePoint now);
   // Returns the records that this daemon should store for all daemons: those that are not stored
   // completely and have more than one loss, or one that no answer has followed within
-  // kStorageDelay. A record without losses means that the stored one is to be removed.
+  // kStorageDelay. A record without losses means that the stored one is to be removed; a stored
+  // single loss is left to expire.
   std::vector<CrashRecord> SelectForStorage(TimePoint now) const;
   // Returns when a record has to be stored next if nothing changes, or the maximum if none has.
   TimePoint NextStorageAt() const;
