Close connections that idle beyond their timeout

Cause: the timeout of beast::tcp_stream covers its own operations only, and the wait for a request is one of the socket. The wait has a timer of its own now, which ends it as a planned stop does; bytes that have arrived by then are still read as a request.

--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -241,24 +241,37 @@
     std::uint64_t connection_id_;
   };
 
-  // Waits for the next request. Returns false if the connection ended, or if the server closes and
-  // no byte of a request has arrived.
+  // Waits for the next request. Returns false if the connection ended, or if no byte of a request
+  // has arrived when the server closes or the idle timeout has passed.
   static asio::awaitable<bool> AwaitRequest(State& state, std::uint64_t connection_id,
                                             beast::tcp_stream& stream) {
-    beast::error_code error;
     const IdleRegistration registration(state, connection_id, stream);
     if (!state.closing) {
-      stream.expires_after(state.limits.idle_timeout);
-      std::tie(error) = co_await stream.socket().async_wait(tcp::socket::wait_read, kAwait);
+      // The timeout of the stream does not apply to a wait of its socket.
+      asio::steady_timer timer(stream.get_executor(), state.limits.idle_timeout);
+      timer.async_wait([self = state.shared_from_this(), connection_id](beast::error_code expired) {
+        if (!expired) {
+          self->CancelIdleWait(connection_id);
+        }
+      });
+      const auto [error] = co_await stream.socket().async_wait(tcp::socket::wait_read, kAwait);
       if (!error) {
         co_return true;
       }
     }
-    if (!state.closing) {
-      co_return false;
-    }
     // Bytes that arrived just before the wait was cancelled belong to a request.
-    co_return stream.socket().available(error) > 0;
+    beast::error_code ignored;
+    co_return stream.socket().available(ignored) > 0;
+  }
+
+  // Ends the wait of a connection for its next request. Runs on the connection's worker.
+  void CancelIdleWait(std::uint64_t connection_id) {
+    const std::lock_guard lock(idle_mutex);
+    const auto found = idle_connections.find(connection_id);
+    if (found != idle_connections.end()) {
+      beast::error_code ignored;
+      found->second->socket().cancel(ignored);
+    }
   }
 
   void CloseIdleConnections() {
@@ -266,14 +279,8 @@
     for (const auto& [id, stream] : idle_connections) {
       // A socket may be used on its own worker only, where the connection may have a request by
       // then.
-      asio::post(stream->get_executor(), [self = shared_from_this(), id = id] {
-        const std::lock_guard idle_lock(self->idle_mutex);
-        const auto found = self->idle_connections.find(id);
-        if (found != self->idle_connections.end()) {
-          beast::error_code ignored;
-          found->second->socket().cancel(ignored);
-        }
-      });
+      asio::post(stream->get_executor(),
+                 [self = shared_from_this(), id = id] { self->CancelIdleWait(id); });
     }
   }
 
