Relate a peer's usage to 100 ms at least

Cause: the rate at which a peer takes units was the usage between two of its reports, divided by the time between them. A report may follow the one before at once, because new registrations are published when they are read, or because both waited; one request in 20 us is 50,000 a second, and what a peer is expected to take until its next report is subtracted from the level. The time between two reports now counts as 100 ms at least.

ReportsInQuickSuccessionShowNoHigherRate failed before (level -2992) and passes. scheduling_test 56, gateway_test 116 pass.

--- a/packages/scheduling/account_rate_limiter.cc
+++ b/packages/scheduling/account_rate_limiter.cc
@@ -8,6 +8,8 @@
 
 // Smoothing factor of the rate at which a peer takes units, for each report.
 constexpr double kTakenRateSmoothing = 0.3;
+// Shortest time to which the usage between two reports is related.
+constexpr Duration kMinRateInterval = 100ms;
 // Smoothing factor of the requested rate, for each report.
 constexpr double kAskedRateSmoothing = 0.5;
 // Multiple of the rate from which each daemon is limited to its own part. UniformInt it, the units
@@ -303,12 +305,12 @@
     if (last != source.taken.end() || source.counts_from_zero) {
       const double taken = totals.taken - (last == source.taken.end() ? 0 : last->second);
       const double asked = std::max(totals.asked - source.asked[account], 0.0);
-      if (const Duration interval = now - source.last_report_at; interval > Duration::zero()) {
-        double& rate = source.taken_rates[account];
-        rate += kTakenRateSmoothing * (std::max(taken, 0.0) / ToSeconds(interval) - rate);
-        double& asked_rate = source.asked_rates[account];
-        asked_rate += kAskedRateSmoothing * (asked / ToSeconds(interval) - asked_rate);
-      }
+      // Two reports may be handled within microseconds of each other.
+      const double interval = ToSeconds(std::max(now - source.last_report_at, kMinRateInterval));
+      double& rate = source.taken_rates[account];
+      rate += kTakenRateSmoothing * (std::max(taken, 0.0) / interval - rate);
+      double& asked_rate = source.asked_rates[account];
+      asked_rate += kAskedRateSmoothing * (asked / interval - asked_rate);
       bucket.level = std::min(bucket.level + source.estimated_taken[account] - taken, bucket.burst);
       source.estimated_taken[account] = 0;
       AllowanceUsage& sum = bucket.reported.at(static_cast<std::size_t>(report.source.scope));
--- a/tests/scheduling/account_rate_limiter_test.cc
+++ b/tests/scheduling/account_rate_limiter_test.cc
@@ -205,6 +205,23 @@
   EXPECT_LE(most, (4 * kRatePerSecond * 8 + 4 * kBurstUnits) * 1.1 + 140'000);
 }
 
+// Guards against a refusal for the usage that a peer seems to have, if two of its reports are
+// handled one right after the other.
+TEST(AccountRateLimiterTest, ReportsInQuickSuccessionShowNoHigherRate) {
+  AccountRateLimiter limiter(RateLimiterOptions{});
+  limiter.Configure(Policy(15, 10), At(0s));
+  limiter.SetDaemonCount(2);
+  AllowanceReport report{.source = ReportSource::Daemon(DaemonId("peer")), .incarnation = 1};
+  for (const Duration time : {Duration(0s), Duration(1s), Duration(1s) + 20us}) {
+    report.use[kDrivers].asked += 1;
+    report.use[kDrivers].taken += 1;
+    report.use[kDrivers].level = 10;
+    limiter.OnReport(report, At(time));
+  }
+  EXPECT_GT(limiter.StateOf(kDrivers, At(1200ms)).level, 5);
+  EXPECT_TRUE(limiter.TryAcquire(kDrivers, 1, At(1200ms)));
+}
+
 TEST(AccountRateLimiterTest, AccountsWithoutLimitAreAlwaysAdmitted) {
   AccountRateLimiter limiter({});
   limiter.Configure({{.name = kDrivers}}, At(0s));
