--- a/bench/recovery/crash_identity.cc
+++ b/bench/recovery/crash_identity.cc
@@ -14,7 +14,7 @@
 constexpr Duration kLength = 100s;
 constexpr Duration kStep = 5ms;
 constexpr Duration kRunTime = 80ms;
-constexpr std::uint64_t kPath = 1;
+constexpr std::uint64_t kOnlyPath = 1;
 constexpr std::uint64_t kFirstQuery = 1000;
 constexpr std::uint64_t kSeeds = 20;
 
@@ -56,15 +56,15 @@
 
   bool IsRefused(std::uint64_t query, TimePoint now) const {
     return (uses_requests() && requests_.IsRefused(query, now)) ||
-           (uses_paths() && paths_.IsRefused(kPath, now));
+           (uses_paths() && paths_.IsRefused(kOnlyPath, now));
   }
   void OnLoss(std::uint64_t query, std::uint64_t upstream, TimePoint now) {
     requests_.OnLoss(query, upstream, now);
-    paths_.OnLoss(kPath, upstream, now);
+    paths_.OnLoss(kOnlyPath, upstream, now);
   }
   void OnAnswer(std::uint64_t query, TimePoint now) {
     requests_.OnAnswer(query, now);
-    paths_.OnAnswer(kPath, now);
+    paths_.OnAnswer(kOnlyPath, now);
   }
 
  private:
