Limit large responses by their progress

Cause: a call that reads the routes ends after a fixed time, 1 s at the store and 0.5 s at a peer, whatever has arrived. 2,850 routes take longer on a link of 10 Mbit/s that others use too, what arrived is thrown away, and the next try begins anew. The class: a limit on the whole of a transfer whose size grows with the fleet or the configuration.

Change: HttpConnection::ReadLargeResponse limits the first byte, each pause and the average rate. Ruled out: longer limits, because a dead connection would be noticed as late.

--- a/packages/daemon/platform_client.cc
+++ b/packages/daemon/platform_client.cc
@@ -107,7 +107,8 @@
   // A conditional expression with co_await in it is miscompiled by g++ 12.
   Result<HttpResponse> response = tl::make_unexpected(Error{});
   if (sent) {
-    response = co_await (*connection)->ReadResponse(kMaxResponseBytes, kResponseTimeout);
+    response = co_await (*connection)
+                   ->ReadLargeResponse(kMaxResponseBytes, kResponseTimeout, kResponseTimeout);
   } else {
     response = tl::make_unexpected(sent.error());
   }
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -5,6 +5,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -120,6 +121,30 @@
   co_return parser.release();
 }
 
+asio::awaitable<Result<HttpResponse>> HttpConnection::ReadLargeResponse(std::size_t body_limit,
+                                                                        Duration timeout,
+                                                                        Duration progress_timeout) {
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(body_limit);
+  parser.eager(true);
+  const TimePoint begun_at = std::chrono::steady_clock::now();
+  std::size_t received = 0;
+  while (!parser.is_done()) {
+    const TimePoint give_up_at =
+        begun_at + timeout + FromSeconds(static_cast<double>(received) / kMinTransferRate);
+    const Duration remaining = give_up_at - std::chrono::steady_clock::now();
+    stream_.expires_after(received == 0 ? remaining : std::min(remaining, progress_timeout));
+    const auto [error, size] = co_await http::async_read_some(stream_, buffer_, parser, kAwait);
+    stream_.expires_never();
+    if (error) {
+      co_return tl::make_unexpected(MakeError("Reading from", endpoint_, error));
+    }
+    received += size;
+  }
+  reusable_ = parser.keep_alive();
+  co_return parser.release();
+}
+
 const http::fields& HttpConnection::response_header() const { return parser_->get().base(); }
 
 std::optional<std::size_t> HttpConnection::UnacknowledgedBytes() {
@@ -216,7 +241,7 @@
   if (!sent) {
     co_return tl::make_unexpected(sent.error());
   }
-  co_return co_await (*connection)->ReadResponse(kMaxFetchBodyBytes, timeout);
+  co_return co_await (*connection)->ReadLargeResponse(kMaxFetchBodyBytes, timeout, timeout);
 }
 
 }  // namespace savoryglade
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -26,6 +26,9 @@
 // Complete response including its body.
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
+// Slowest transfer of a large response that is read to its end, in bytes per second.
+inline constexpr double kMinTransferRate = 32.0 * 1024;
+
 // HTTP client connection. The request must not be considered "not run" once Send has been called.
 // Closing the connection resets it, so that the kernel discards what the peer has not received yet.
 // Used by one coroutine at a time.
@@ -56,6 +59,14 @@
   boost::asio::awaitable<Result<HttpResponse>> ReadResponse(std::size_t body_limit,
                                                             Duration timeout);
 
+  // Reads a complete response whose size, and so its duration, has no useful bound. The timeout
+  // applies to the first byte and the progress timeout to each pause after it. The whole response
+  // may take the timeout and the time that its bytes take at kMinTransferRate, so that one that
+  // trickles is given up.
+  boost::asio::awaitable<Result<HttpResponse>> ReadLargeResponse(std::size_t body_limit,
+                                                                 Duration timeout,
+                                                                 Duration progress_timeout);
+
   // Returns the number of bytes sent that the peer's host has not acknowledged, or nothing if the
   // connection is closed.
   std::optional<std::size_t> UnacknowledgedBytes();
@@ -132,7 +143,8 @@
   std::map<Endpoint, std::vector<IdleConnection>> idle_;
 };
 
-// Sends one request on a new connection and reads the complete response.
+// Sends one request on a new connection and reads the complete response. The timeout applies to
+// each step: connecting, sending, the first byte of the response and each pause after it.
 boost::asio::awaitable<Result<HttpResponse>> FetchOnce(const Endpoint& endpoint,
                                                        HttpRequest request, Duration timeout);
 
