Fetch routes from any peer that holds them, compressed

Cause: all daemons that were behind asked the one peer that had told them last, and the store as well, and each transfer carried the whole text. A source with a link of 10 Mbit/s needs half a minute for 62 copies of 0.5 MB, and transfers that were given up went on filling its link.

Change: a daemon that is behind asks a random one of the peers that report the version (membership/document_sources); a peer serves two transfers at once and turns others away for a moment, so that the number of holders multiplies. The store is read after 0.6 s without a transfer. Versions of peers that no longer report are forgotten. Weighed and not chosen: changes instead of documents (300 bytes instead of 46 KB for a small change, but the sender must hold the base, and the growth by 1,400 routes stays 25 KB), ranges, a fixed tree.

--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -12,6 +13,7 @@
 #include "core/prefix_hash.h"
 #include "core/time.h"
 #include "gateway/gateway_settings.h"
+#include "membership/document_sources.h"
 #include "membership/fleet_clock.h"
 #include "membership/fleet_groups.h"
 #include "membership/upstream_notices.h"
@@ -106,12 +108,10 @@
   // Latest instant at which a read by this daemon showed that. Only this is reported to peers: the
   // age of a relayed confirmation would lack the transit time of each report.
   TimePoint routes_read_at{};
-  // Document from which the routes were parsed, for peers that can't read the store.
-  std::string routes_text;
-  // Newest version of the routes that a peer has reported.
-  std::uint64_t peer_routes_version = 0;
-  // Where the peer that reported it last responds to requests, if it does.
-  std::optional<Endpoint> peer_routes_source;
+  // Peers by the versions of the routes that they hold.
+  DocumentSources route_sources{DocumentSourceOptions{}};
+  // Endpoints at which the peers respond to requests.
+  std::map<DaemonId, Endpoint> peer_requests;
   // TCP port on which this daemon responds to requests of other daemons.
   std::uint16_t requests_port = 0;
   FleetLoadBalancer load_balancer;
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -8,7 +8,9 @@
 
 #include "core/boot_clock.h"
 #include "logging/logger.h"
+#include "net/compression.h"
 #include "net/http_client.h"
+#include "net/log_exception.h"
 #include "net/sleep.h"
 #include "routing/software_version.h"
 
@@ -35,10 +37,17 @@
 // First pause after a failed call; doubled after each further failure, up to the maximum.
 constexpr Duration kRetryInterval = 250ms;
 constexpr Duration kMaxRetryInterval = 1s;
-// Time that the store has to return newer routes before they are fetched from a peer.
-constexpr Duration kPeerRoutesDelay = 200ms;
+// Time that the peers have to send newer routes before this daemon also reads the store.
+constexpr Duration kPeerRoutesHeadStart = 600ms;
 constexpr Duration kPeerRoutesTimeout = 500ms;
+// Pause before a daemon looks again for a peer that can send the routes.
+constexpr Duration kPeerRoutesRetryInterval = 20ms;
+// Transfers of the routes that a daemon serves at once. More would share its link and each take
+// longer; the others find a peer that has received the routes meanwhile.
+constexpr int kMaxRouteTransfers = 2;
+constexpr std::size_t kMaxRouteDocumentBytes = 16 * 1024 * 1024;
 constexpr const char* kRoutesTarget = "/routes";
+constexpr std::string_view kDeflate = "deflate";
 // Time for which a daemon may send streams to an upstream that is no longer registered.
 constexpr Duration kStreamLifetimeMargin = 10s;
 // Shortest time between two reads of one table.
@@ -65,14 +74,17 @@
       routes_timer_(context),
       upstreams_timer_(context),
       registrations_({}),
-      upstream_schedule_(UpstreamSchedule(fleet.settings.bounds)) {}
+      upstream_schedule_(UpstreamSchedule(fleet.settings.bounds)),
+      random_(fleet.incarnation) {}
 
 asio::awaitable<Duration> FleetStoreWatcher::WaitUntilRoutesDue() {
   while (true) {
     const TimePoint now = BootNow();
-    const bool behind = fleet_.routes == nullptr || IsBehindPeers();
-    const TimePoint due = fleet_.routes_confirmed_at + kMaxRouteAge;
-    if (behind || now >= due) {
+    TimePoint due = fleet_.routes_confirmed_at + kMaxRouteAge;
+    if (behind_since_ && !receiving_routes_) {
+      due = std::min(due, *behind_since_ + kPeerRoutesHeadStart);
+    }
+    if (fleet_.routes == nullptr || now >= due) {
       co_return Duration::zero();
     }
     if (fleet_.groups.Rank(now) < kRouteWatchersPerGroup) {
@@ -105,8 +117,7 @@
       }
       pause = kRetryInterval;
       // A peer holds a version that the store has not returned yet: pause before reading again.
-      const bool behind = fleet_.routes != nullptr && IsBehindPeers();
-      co_await Sleep(behind ? kRetryInterval : kMinReadInterval);
+      co_await Sleep(behind_since_ ? kRetryInterval : kMinReadInterval);
       continue;
     }
     kLog.Warning("Reading the routes from the store failed.",
@@ -138,7 +149,11 @@
   auto routes = std::make_shared<const RouteTable>(std::move(document));
   UpdateStreamRoutes(*routes);
   fleet_.routes = std::move(routes);
-  fleet_.routes_text = std::move(text);
+  routes_text_ = std::move(text);
+  compressed_routes_.clear();
+  if (!IsBehindPeers()) {
+    behind_since_.reset();
+  }
   callbacks_.on_routes(*fleet_.routes);
   callbacks_.publish(std::nullopt);
 }
@@ -174,53 +189,119 @@
   }
 }
 
-asio::awaitable<void> FleetStoreWatcher::HandleRoutesRequest(HttpExchange& exchange) const {
-  if (exchange.target() != kRoutesTarget || fleet_.routes_text.empty()) {
+asio::awaitable<void> FleetStoreWatcher::HandleRoutesRequest(HttpExchange& exchange) {
+  if (exchange.target() != kRoutesTarget || fleet_.routes == nullptr) {
     co_await exchange.Respond(404, {}, {});
     co_return;
   }
-  co_await exchange.Respond(200, ContentType("application/octet-stream"), fleet_.routes_text);
+  if (route_transfers_ >= kMaxRouteTransfers) {
+    co_await exchange.Respond(503, {}, {});
+    co_return;
+  }
+  ++route_transfers_;
+  HttpHeaders headers = ContentType("application/json");
+  headers.emplace_back("Content-Encoding", std::string(kDeflate));
+  if (compressed_routes_.empty()) {
+    compressed_routes_ = Compress(std::exchange(routes_text_, {}));
+  }
+  std::string document = compressed_routes_;
+  co_await exchange.Respond(200, std::move(headers), std::move(document));
+  --route_transfers_;
 }
 
 bool FleetStoreWatcher::IsBehindPeers() const {
-  return fleet_.peer_routes_version > held_version();
+  return fleet_.route_sources.HasNewer(held_version(), BootNow());
+}
+
+asio::awaitable<Result<HttpResponse>> FleetStoreWatcher::RequestRoutes(const DaemonId& peer) {
+  const auto endpoint = fleet_.peer_requests.find(peer);
+  if (endpoint == fleet_.peer_requests.end()) {
+    co_return tl::make_unexpected(Error{.code = ErrorCode::kUnavailable,
+                                        .message = "The peer does not respond to requests."});
+  }
+  HttpRequest request(http::verb::get, kRoutesTarget, 11);
+  request.set(http::field::accept_encoding, std::string(kDeflate));
+  receiving_routes_ = true;
+  Result<HttpResponse> response =
+      co_await FetchOnce(endpoint->second, std::move(request), kPeerRoutesTimeout);
+  receiving_routes_ = false;
+  co_return response;
+}
+
+asio::awaitable<bool> FleetStoreWatcher::FetchRoutesFrom(const DaemonId& peer) {
+  const TimePoint begun_at = BootNow();
+  Result<HttpResponse> response = co_await RequestRoutes(peer);
+  if (response && response->result() == http::status::service_unavailable) {
+    fleet_.route_sources.OnBusy(peer, BootNow());
+    co_return false;
+  }
+  Result<std::string> text = tl::make_unexpected(
+      Error{.code = ErrorCode::kNotFound, .message = "The peer holds no routes."});
+  std::string compressed;
+  if (!response) {
+    text = tl::make_unexpected(response.error());
+  } else if (response->result() == http::status::ok) {
+    const bool is_compressed = (*response)[http::field::content_encoding] == kDeflate;
+    compressed = is_compressed ? response->body() : std::string();
+    text = is_compressed ? Decompress(response->body(), kMaxRouteDocumentBytes)
+                         : Result<std::string>(std::move(response->body()));
+  }
+  Result<RouteDocument> document = tl::make_unexpected(Error{});
+  if (text) {
+    document = store_.ParseRoutes(*text);
+  } else {
+    document = tl::make_unexpected(text.error());
+  }
+  if (!document) {
+    kLog.Warning("Fetching the routes from a peer failed.", {{"peer", peer.value()},
+                                                             {"ms", (BootNow() - begun_at) / 1ms},
+                                                             {"error", document.error().message}});
+    fleet_.route_sources.OnFailure(peer, BootNow());
+    co_return false;
+  }
+  kLog.Info("A peer sent its routes.",
+            {{"version", document->version},
+             {"peer", peer.value()},
+             {"bytes", compressed.empty() ? text->size() : compressed.size()},
+             {"ms", (BootNow() - begun_at) / 1ms}});
+  fleet_.route_sources.OnTransferred(peer);
+  const bool is_newer = document->version > held_version();
+  ApplyRoutes(std::move(*document), std::move(*text));
+  if (is_newer && !compressed.empty()) {
+    // The peers that ask this daemon get the same bytes.
+    compressed_routes_ = std::move(compressed);
+    routes_text_.clear();
+  }
+  co_return true;
 }
 
 asio::awaitable<void> FleetStoreWatcher::FetchRoutesFromPeers() {
   fetching_routes_ = true;
-  // The store usually responds earlier.
-  co_await Sleep(kPeerRoutesDelay);
-  while (IsBehindPeers() && fleet_.peer_routes_source) {
-    const Endpoint source = *fleet_.peer_routes_source;
-    HttpRequest request(http::verb::get, kRoutesTarget, 11);
-    const Result<HttpResponse> response =
-        co_await FetchOnce(source, std::move(request), kPeerRoutesTimeout);
-    Result<RouteDocument> document = tl::make_unexpected(
-        Error{.code = ErrorCode::kNotFound, .message = "The peer holds no routes."});
-    if (!response) {
-      document = tl::make_unexpected(response.error());
-    } else if (response->result() == http::status::ok) {
-      document = store_.ParseRoutes(response->body());
+  while (IsBehindPeers()) {
+    const std::optional<DaemonId> peer =
+        fleet_.route_sources.Choose(held_version(), BootNow(), random_);
+    bool fetched = false;
+    if (peer) {
+      fetched = co_await FetchRoutesFrom(*peer);
+      // The store may have to be read now that no peer sends the routes.
+      routes_timer_.cancel();
     }
-    if (document) {
-      kLog.Info("A peer sent its routes.",
-                {{"version", document->version}, {"peer", ToString(source)}});
-      ApplyRoutes(std::move(*document), response->body());
-    } else {
-      kLog.Warning("Fetching the routes from a peer failed.",
-                   {{"peer", ToString(source)}, {"error", document.error().message}});
+    if (!fetched) {
+      co_await Sleep(kPeerRoutesRetryInterval);
     }
-    co_await Sleep(kRetryInterval);
   }
+  behind_since_.reset();
   fetching_routes_ = false;
 }
 
 void FleetStoreWatcher::OnReport(const FleetReport& report) {
-  if (fleet_.routes != nullptr && report.routes_version > fleet_.routes->version()) {
+  if (IsBehindPeers() && !behind_since_) {
+    behind_since_ = BootNow();
+    // The routes are due earlier now.
     routes_timer_.cancel();
   }
-  if (IsBehindPeers() && !fetching_routes_) {
-    asio::co_spawn(context_, FetchRoutesFromPeers(), asio::detached);
+  if (behind_since_ && !fetching_routes_) {
+    asio::co_spawn(context_, FetchRoutesFromPeers(), LogException("fetch of routes"));
   }
   if (report.feed_update) {
     FeedUpdate feed_update = *report.feed_update;
--- a/packages/gateway/fleet_store_watcher.h
+++ b/packages/gateway/fleet_store_watcher.h
@@ -4,7 +4,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <optional>
+#include <string>
 
+#include "core/random.h"
 #include "gateway/adapter.h"
 #include "gateway/fleet_report.h"
 #include "gateway/fleet_state.h"
@@ -12,6 +14,7 @@
 #include "membership/feed_reorder_buffer.h"
 #include "membership/feed_schedule.h"
 #include "membership/registration_view.h"
+#include "net/http_client.h"
 #include "net/http_server.h"
 
 namespace savoryglade::gateway {
@@ -35,8 +38,8 @@
   FleetStoreWatcher(FleetState& fleet, FleetStore& store, UpstreamConnectionPool& connections,
                     boost::asio::io_context& context, StoreWatchCallbacks callbacks);
 
-  // Responds to another daemon's request for the routes.
-  boost::asio::awaitable<void> HandleRoutesRequest(HttpExchange& exchange) const;
+  // Responds to another daemon's request for the routes, with 503 if enough others receive them.
+  boost::asio::awaitable<void> HandleRoutesRequest(HttpExchange& exchange);
 
   boost::asio::awaitable<void> RoutesLoop();
   boost::asio::awaitable<void> UpstreamsLoop();
@@ -60,6 +63,10 @@
   bool IsBehindPeers() const;
   // Fetches the routes from peers that hold newer ones, until this daemon holds them too.
   boost::asio::awaitable<void> FetchRoutesFromPeers();
+  // Fetches and applies the routes of one peer. Returns false if that failed.
+  boost::asio::awaitable<bool> FetchRoutesFrom(const DaemonId& peer);
+  // Sends the request for the routes to a peer.
+  boost::asio::awaitable<Result<HttpResponse>> RequestRoutes(const DaemonId& peer);
   // Returns the version of the routes that this daemon holds, or zero.
   std::uint64_t held_version() const {
     return fleet_.routes == nullptr ? 0 : fleet_.routes->version();
@@ -84,12 +91,23 @@
   FeedReorderBuffer reorder_buffer_;
   FeedSchedule upstream_schedule_;
   FeedPosition routes_position_ = 0;
+  // Document from which the routes were parsed, for peers: as text until it is compressed for the
+  // first peer that asks.
+  std::string routes_text_;
+  std::string compressed_routes_;
+  // Transfers of the routes to peers in progress.
+  int route_transfers_ = 0;
+  // Time at which a peer first reported newer routes than this daemon still holds.
+  std::optional<TimePoint> behind_since_;
   bool fetching_routes_ = false;
+  // True while a peer sends its routes.
+  bool receiving_routes_ = false;
   FeedPosition upstreams_position_ = 0;
   // Whether the next read must fetch all registrations, because none were read yet or the store
   // has discarded the history after the position.
   bool full_read_needed_ = true;
   bool upstreams_loaded_ = false;
+  Random random_;
 };
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -21,6 +21,8 @@
 // Longest time from the first byte of a request until all of it has arrived.
 constexpr Duration kReadTimeout = 10s;
 constexpr Duration kIdleTimeout = 15s;
+// Longest time for which a peer that reads slowly, or no longer, occupies a transfer.
+constexpr Duration kPeerWriteTimeout = 5s;
 
 const Logger kLog("gateway");
 
@@ -80,7 +82,7 @@
                [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
       readiness_(pool_, {}, [this](HttpExchange& exchange) { return HandleReadiness(exchange); }),
       metrics_(pool_, {}, [this](HttpExchange& exchange) { return HandleMetrics(exchange); }),
-      peer_requests_(pool_, {},
+      peer_requests_(pool_, HttpLimits{.write_timeout = kPeerWriteTimeout},
                      [this](HttpExchange& exchange) { return HandlePeerRequest(exchange); }) {}
 
 Gateway::~Gateway() { Stop(); }
--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -188,6 +188,7 @@
 void PeerReportTransport::ForgetPeer(const DaemonId& daemon) {
   peers_.erase(daemon);
   report_delay_.Remove(daemon);
+  fleet_.peer_requests.erase(daemon);
   fleet_.groups.Remove(daemon);
 }
 
@@ -222,6 +223,7 @@
   fleet_.rate_limiter.SetPeerSilenceTimeout(silence);
   fleet_.load_balancer.SetReportLifetime(silence);
   fleet_.groups.SetReportTimeout(silence);
+  fleet_.route_sources.SetReportLifetime(silence);
   fleet_.lower_id_peers = static_cast<int>(std::ranges::count_if(
       peers_, [this](const auto& peer) { return peer.first < fleet_.settings.daemon; }));
 }
@@ -335,8 +337,8 @@
     return;
   }
   const Endpoint requests{.address = from.address().to_string(), .port = report.requests_port};
-  if (report.requests_port != 0 && report.routes_version >= fleet_.peer_routes_version) {
-    fleet_.peer_routes_source = requests;
+  if (report.requests_port != 0) {
+    fleet_.peer_requests[daemon] = requests;
   }
   if (report.requests_port != 0 && report.scope == ReportScope::kDaemon) {
     if (restarted || now - peer.last_report > SilenceTimeout()) {
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -152,7 +152,7 @@
   }
   fleet_.highest_fencing = std::max(fleet_.highest_fencing, report.highest_fencing);
   fleet_.clock.OnPeerTime(report.sender.id, report.time_of_day, now);
-  fleet_.peer_routes_version = std::max(fleet_.peer_routes_version, report.routes_version);
+  fleet_.route_sources.OnReport(report.sender.id, report.routes_version, now);
   if (fleet_.routes != nullptr && report.routes_version == fleet_.routes->version()) {
     fleet_.routes_confirmed_at = std::max(fleet_.routes_confirmed_at, now - report.routes_age);
   }
