--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -339,7 +339,7 @@
   ++call.connection_attempts;
   auto connected = co_await connections_.Acquire(
       attempt.placement.upstream, at_most_once ? kMaxIdleTimeNoRetry : kMaxIdleTime,
-      std::min(kConnectTimeout, call.RemainingTime(BootNow())));
+      std::min(kConnectTimeout, call.RemainingTime(BootNow())), fleet_.settings.source_address);
   if (!connected) {
     attempt.failure = connected.error().message;
     attempt.end = AttemptEnd::kUnreachable;
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -51,6 +51,8 @@
   Endpoint metrics;
   Endpoint store;
   Endpoint duties;
+  // Address from which the daemon connects to upstreams; empty lets the system choose it.
+  std::string source_address;
   bool reports_usage = false;
   bool orders_capacity = false;
   std::size_t max_descriptors = 1024;
--- a/packages/gateway/upstream_connection_pool.cc
+++ b/packages/gateway/upstream_connection_pool.cc
@@ -21,7 +21,8 @@
 }  // namespace
 
 boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> UpstreamConnectionPool::Acquire(
-    const UpstreamRecord& upstream, Duration max_idle_time, Duration timeout) {
+    const UpstreamRecord& upstream, Duration max_idle_time, Duration timeout,
+    const std::string& source_address) {
   const Result<Endpoint> endpoint = ParseEndpoint(upstream.address);
   if (!endpoint) {
     co_return tl::make_unexpected(endpoint.error());
@@ -40,7 +41,7 @@
       co_return std::move(last.connection);
     }
   }
-  co_return co_await HttpConnection::Connect(*endpoint, timeout);
+  co_return co_await HttpConnection::Connect(*endpoint, timeout, source_address);
 }
 
 std::size_t UpstreamConnectionPool::MaxIdleConnections(int max_connections, int daemons) {
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -47,10 +47,23 @@
 }  // namespace
 
 asio::awaitable<Result<std::unique_ptr<HttpConnection>>> HttpConnection::Connect(
-    const Endpoint& endpoint, Duration timeout) {
+    const Endpoint& endpoint, Duration timeout, std::string source_address) {
   beast::tcp_stream stream(co_await asio::this_coro::executor);
   beast::error_code parse_error;
   const tcp::endpoint address(asio::ip::make_address(endpoint.address, parse_error), endpoint.port);
+  if (!source_address.empty()) {
+    beast::error_code bind_error;
+    const tcp::endpoint source(asio::ip::make_address(source_address, bind_error), 0);
+    if (!bind_error) {
+      stream.socket().open(source.protocol(), bind_error);
+    }
+    if (!bind_error) {
+      stream.socket().bind(source, bind_error);
+    }
+    if (bind_error) {
+      co_return tl::make_unexpected(MakeError("Binding a socket for", endpoint, bind_error));
+    }
+  }
   stream.expires_after(timeout);
   const auto [error] = co_await stream.async_connect(address, kAwait);
   if (error) {
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -40,9 +40,10 @@
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
-  // Opens a connection within the timeout. Returns kUnavailable or kTimeout on failure.
+  // Opens a connection within the timeout, from the source address if there is one. Returns
+  // kUnavailable or kTimeout on failure.
   static boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> Connect(
-      const Endpoint& endpoint, Duration timeout);
+      const Endpoint& endpoint, Duration timeout, std::string source_address = {});
 
   // Sends a complete request. After an error the request may still have arrived.
   boost::asio::awaitable<Result<void>> Send(const HttpRequest& request, Duration timeout);
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -60,9 +60,11 @@
 
   // Starts a gateway that reads the store at this endpoint.
   static std::unique_ptr<Gateway> MakeGateway(const std::string& daemon, const Endpoint& store,
-                                              const FleetBounds& bounds = TestBounds()) {
+                                              const FleetBounds& bounds = TestBounds(),
+                                              const std::string& source_address = {}) {
     GatewaySettings settings{.daemon = DaemonId(daemon),
-                             .failure_domain = FailureDomainId("verona")};
+                             .failure_domain = FailureDomainId("verona"),
+                             .source_address = source_address};
     for (Endpoint* endpoint :
          {&settings.callers, &settings.readiness, &settings.peers, &settings.metrics}) {
       *endpoint = {.address = kLocal, .port = 0};
