Send requests through a peer when an upstream is out of reach

What callers saw: daemons that were partitioned from all upstreams refused most requests (8 of 39 first tries served, 351 of 353 elsewhere), with 503 queue_full.

Cause: a daemon connects to upstreams itself or refuses. Each upstream is tried and paused on its own, and that peers reach all of them decides nothing.

Change: routing/upstream_paths decides by upstream and service whether a daemon connects itself or through a peer, which peer, and when to probe; gateway/upstream_connector and gateway/peer_tunnels do it with HTTP CONNECT on the peers' port. One hop; the daemon that holds the request keeps the at-most-once mark, the deadline, all limits and the verdict.

--- a/packages/gateway/attempt.h
+++ b/packages/gateway/attempt.h
@@ -33,8 +33,12 @@
   Placement placement;
   TimePoint sent_at;
   std::unique_ptr<HttpConnection> connection;
+  // Peer that relays the connection; empty for a direct one.
+  DaemonId peer;
   // Set while the attempt owns the connection.
   std::optional<OpenAttempts::Registration> registration;
+  // True if the connection was closed because the request had not reached the upstream's host.
+  bool undelivered = false;
   bool first_byte = false;
   ResponseMetadata response;
   // Set while a stream is relayed.
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -10,6 +10,7 @@
 
 #include "core/boot_clock.h"
 #include "core/prefix_hash.h"
+#include "core/scoped_count.h"
 #include "logging/logger.h"
 #include "routing/software_version.h"
 
@@ -22,8 +23,6 @@
 constexpr Duration kMinRemainingTime = 10ms;
 // The gateway's deadline for a response precedes the caller's by this margin.
 constexpr Duration kResponseMargin = 20ms;
-// TCP retransmits a lost handshake packet only after a second; trying another upstream is faster.
-constexpr Duration kConnectTimeout = 300ms;
 constexpr int kMaxConnectionAttempts = 4;
 // Time after an upstream's notice was learned in which a request that was chosen before is still
 // sent, as a fraction of the upstream's own. A view may be 0.45 of that time old.
@@ -56,18 +55,6 @@
   }
 }
 
-// Counts a request in progress for as long as it lives.
-class ActiveRequest {
- public:
-  explicit ActiveRequest(int& count) : count_(count) { ++count_; }
-  ~ActiveRequest() { --count_; }
-  ActiveRequest(const ActiveRequest&) = delete;
-  ActiveRequest& operator=(const ActiveRequest&) = delete;
-
- private:
-  int& count_;
-};
-
 // Returns a factor for the retry delay, so that callers rejected together do not retry together.
 double RetryJitterFactor(const std::string& attempt_id) {
   constexpr std::uint64_t kSteps = 64;
@@ -176,7 +163,7 @@
 }
 
 asio::awaitable<void> CallRelay::Handle(HttpExchange& exchange) {
-  const ActiveRequest active(fleet_.active_requests);
+  const ScopedCount active(fleet_.active_requests);
   Call call(exchange);
   Verdict verdict;
   const Result<void> admitted = AdmitRequest(call, verdict);
@@ -309,6 +296,9 @@
   if (fleet_.drain.interrupted() && outcome != RelayOutcome::kFinished) {
     // This daemon closed the connection, so the upstream has not failed.
     attempt.end = AttemptEnd::kCancelled;
+  } else if (outcome == RelayOutcome::kResponseLost && attempt.undelivered) {
+    // The next request takes another path.
+    attempt.end = AttemptEnd::kCancelled;
   } else if (outcome == RelayOutcome::kResponseLost &&
              call.RemainingTime(BootNow()) > kMinRemainingTime) {
     crash_detector_.OnAttemptLost(call, attempt, BootNow());
@@ -324,6 +314,7 @@
                {"route", call.route->name},
                {"upstream", id.value()},
                {"version", attempt.placement.upstream.software_version},
+               {"peer", attempt.peer.value()},
                {"outcome", OutcomeName(outcome)},
                {"end", static_cast<int>(attempt.end)},
                {"first_byte", attempt.first_byte},
@@ -337,18 +328,20 @@
 asio::awaitable<RelayOutcome> CallRelay::SendAttempt(Call& call, Attempt& attempt) {
   const bool at_most_once = !call.route->Repeatable();
   ++call.connection_attempts;
-  auto connected = co_await connections_.Acquire(
-      attempt.placement.upstream, at_most_once ? kMaxIdleTimeNoRetry : kMaxIdleTime,
-      std::min(kConnectTimeout, call.RemainingTime(BootNow())), fleet_.settings.source_address);
+  auto connected = co_await connector_.Connect(attempt.placement.upstream,
+                                               at_most_once ? kMaxIdleTimeNoRetry : kMaxIdleTime,
+                                               call.RemainingTime(BootNow()));
   if (!connected) {
     attempt.failure = connected.error().message;
-    attempt.end = AttemptEnd::kUnreachable;
+    const bool is_lost = fleet_.upstream_paths.IsServiceLost(call.service, BootNow());
+    attempt.end = is_lost ? AttemptEnd::kNoPath : AttemptEnd::kUnreachable;
     if (connected.error().code != ErrorCode::kTimeout) {
       crash_detector_.OnUpstreamEnded(attempt.placement.upstream, BootNow());
     }
     co_return RelayOutcome::kNotRun;
   }
-  attempt.connection = std::move(*connected);
+  attempt.connection = std::move(connected->connection);
+  attempt.peer = std::move(connected->peer);
   if (call.caller.disconnected()) {
     attempt.end = AttemptEnd::kCancelled;
     co_return RelayOutcome::kFinished;
@@ -402,7 +395,12 @@
   if (!sent) {
     attempt.failure = sent.error().message;
   }
+  // On a relayed connection, the peer acknowledges the request.
+  if (sent && attempt.peer.empty()) {
+    attempt.registration->AwaitAnswer(call.route->Repeatable(), BootNow());
+  }
   const unsigned status = sent ? co_await response_relay_.ReadHeader(call, attempt) : 0;
+  attempt.undelivered = attempt.registration->OnAnswer();
   if (call.caller.disconnected()) {
     attempt.end = AttemptEnd::kCancelled;
     co_return RelayOutcome::kFinished;
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -17,6 +17,7 @@
 #include "gateway/response_relay.h"
 #include "gateway/stream_migrator.h"
 #include "gateway/upstream_connection_pool.h"
+#include "gateway/upstream_connector.h"
 #include "net/http_server.h"
 #include "routing/fleet_load_balancer.h"
 
@@ -27,12 +28,12 @@
 class CallRelay {
  public:
   // The callback is called when the crash registry has changed.
-  CallRelay(FleetState& fleet, const MessageCodec& codec, UpstreamConnectionPool& connections,
-            StreamMigrator& migrator, OpenAttempts& open_attempts,
-            std::function<void()> on_crash_record)
+  CallRelay(FleetState& fleet, const MessageCodec& codec, UpstreamConnector& connector,
+            UpstreamConnectionPool& connections, StreamMigrator& migrator,
+            OpenAttempts& open_attempts, std::function<void()> on_crash_record)
       : fleet_(fleet),
         codec_(codec),
-        connections_(connections),
+        connector_(connector),
         open_attempts_(open_attempts),
         crash_detector_(fleet, std::move(on_crash_record)),
         response_relay_(fleet, codec, connections, migrator, crash_detector_) {}
@@ -70,7 +71,7 @@
 
   FleetState& fleet_;
   const MessageCodec& codec_;
-  UpstreamConnectionPool& connections_;
+  UpstreamConnector& connector_;
   OpenAttempts& open_attempts_;
   CrashDetector crash_detector_;
   ResponseRelay response_relay_;
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -23,6 +23,7 @@
 #include "recovery/stream_version_directory.h"
 #include "recovery/window_retry_budget.h"
 #include "routing/fleet_load_balancer.h"
+#include "routing/upstream_paths.h"
 #include "scheduling/account_rate_limiter.h"
 
 namespace savoryglade::gateway {
@@ -115,6 +116,7 @@
   // TCP port on which this daemon responds to requests of other daemons.
   std::uint16_t requests_port = 0;
   FleetLoadBalancer load_balancer;
+  UpstreamPaths upstream_paths{UpstreamPathOptions{}};
   AccountRateLimiter rate_limiter;
   WindowRetryBudget retry_budget;
   CrashRegistry crash_registry{kRequestCrashPolicy, Fnv1aHash(settings.daemon.value())};
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -396,6 +396,7 @@
     if (!change.record) {
       kLog.Info("An upstream was removed.", {{"upstream", change.id.value()}});
       fleet_.load_balancer.Remove(change.id);
+      fleet_.upstream_paths.Remove(change.id);
       fleet_.stream_versions.OnUpstreamRemoved(change.id, BootNow());
       connections_.Drop(change.id);
       fleet_.notices.OnLeaving(change.id, BootNow());
@@ -415,9 +416,11 @@
                  {"doubtful", change.record->doubtful},
                  {"reclaimable", change.record->reclaimable}});
     }
-    if (held != nullptr && (held->started_ms != change.record->started_ms ||
-                            held->address != change.record->address)) {
+    const bool is_same_process = held != nullptr && held->started_ms == change.record->started_ms &&
+                                 held->address == change.record->address;
+    if (!is_same_process) {
       connections_.Drop(change.id);
+      fleet_.upstream_paths.Add(change.id, change.record->service);
     }
     fleet_.load_balancer.Update(*change.record);
     const TimePoint held_until = fleet_.stream_versions.OnUpstream(
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -76,7 +76,9 @@
           [this](const Endpoint& peer) { stream_snapshots_.OnPeerReturned(peer); }),
       duty_runner_(fleet_, *adapters_.store, *adapters_.duties),
       capacity_controller_(fleet_, *adapters_.store, *adapters_.duties, duty_runner_),
-      relay_(fleet_, *adapters_.codec, connections_, migrator_, open_attempts_,
+      connector_(fleet_, connections_),
+      tunnels_(fleet_, open_attempts_),
+      relay_(fleet_, *adapters_.codec, connector_, connections_, migrator_, open_attempts_,
              [this] { crash_records_.OnRegistryChanged(); }),
       callers_(pool_, CallerLimits(fleet_.settings),
                [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
@@ -131,6 +133,11 @@
   spawn(duty_runner_.LeaseLoop());
   spawn(duty_runner_.UsageLoop());
   spawn(capacity_controller_.Loop());
+  spawn(connector_.ProbeLoop());
+  spawn(open_attempts_.WatchLoop([this](const UpstreamId& id) {
+    fleet_.upstream_paths.OnUnreached(id, BootNow());
+    fleet_.load_balancer.OnPathLost(id);
+  }));
   spawn(HousekeepingLoop());
   kLog.Info("The gateway has started.", {{"daemon", settings.daemon.value()},
                                          {"failure_domain", settings.failure_domain.value()},
@@ -140,6 +147,10 @@
 }
 
 asio::awaitable<void> Gateway::HandlePeerRequest(HttpExchange& exchange) {
+  if (exchange.request().method() == boost::beast::http::verb::connect) {
+    co_await tunnels_.HandleRequest(exchange);
+    co_return;
+  }
   if (exchange.target() == StreamSnapshotExchange::kTarget) {
     co_await stream_snapshots_.HandleRequest(exchange);
     co_return;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -16,9 +16,11 @@
 #include "gateway/fleet_store_watcher.h"
 #include "gateway/open_attempts.h"
 #include "gateway/peer_report_transport.h"
+#include "gateway/peer_tunnels.h"
 #include "gateway/stream_migrator.h"
 #include "gateway/stream_snapshot_exchange.h"
 #include "gateway/upstream_connection_pool.h"
+#include "gateway/upstream_connector.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
 
@@ -89,6 +91,8 @@
   PeerReportTransport report_transport_;
   DutyRunner duty_runner_;
   CapacityController capacity_controller_;
+  UpstreamConnector connector_;
+  PeerTunnels tunnels_;
   CallRelay relay_;
   HttpServer callers_;
   HttpServer readiness_;
--- a/packages/gateway/open_attempts.cc
+++ b/packages/gateway/open_attempts.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio.hpp>
 
+#include "core/boot_clock.h"
 #include "logging/logger.h"
 #include "net/sleep.h"
 
@@ -11,6 +12,7 @@
 // Exceeds TCP's shortest retransmission timeout of 200 ms, so that one lost packet does not end an
 // attempt.
 constexpr Duration kAcknowledgementTimeout = 300ms;
+constexpr Duration kWatchInterval = 150ms;
 
 const Logger kLog("gateway");
 
@@ -19,7 +21,7 @@
 OpenAttempts::Registration::Registration(const OpenAttempts& attempts, UpstreamId upstream,
                                          HttpConnection& connection)
     : connections_(attempts.connections_), upstream_(std::move(upstream)), connection_(connection) {
-  (*connections_)[upstream_].insert(&connection_);
+  (*connections_)[upstream_].emplace(&connection_, OpenAttempt{});
   if (attempts.closed_) {
     connection_.Close();
   }
@@ -33,6 +35,46 @@
   }
 }
 
+void OpenAttempts::Registration::AwaitAnswer(bool may_be_repeated, TimePoint now) {
+  attempt().awaiting_since = now;
+  attempt().may_be_repeated = may_be_repeated;
+}
+
+bool OpenAttempts::Registration::OnAnswer() {
+  attempt().awaiting_since.reset();
+  return attempt().undelivered;
+}
+
+boost::asio::awaitable<void> OpenAttempts::WatchLoop(
+    std::function<void(const UpstreamId&)> on_undelivered) {
+  while (true) {
+    co_await Sleep(kWatchInterval);
+    const TimePoint sent_before = BootNow() - kAcknowledgementTimeout;
+    for (auto& [upstream, attempts] : *connections_) {
+      for (auto& [connection, attempt] : attempts) {
+        if (!attempt.awaiting_since || *attempt.awaiting_since > sent_before) {
+          continue;
+        }
+        const std::size_t bytes = connection->UnacknowledgedBytes().value_or(0);
+        if (bytes == 0) {
+          // The upstream's host has the request, so the path worked.
+          attempt.awaiting_since.reset();
+          continue;
+        }
+        kLog.Info("A request has not reached an upstream.", {{"upstream", upstream.value()},
+                                                             {"unacknowledged_bytes", bytes},
+                                                             {"closed", attempt.may_be_repeated}});
+        on_undelivered(upstream);
+        attempt.awaiting_since.reset();
+        if (attempt.may_be_repeated) {
+          attempt.undelivered = true;
+          connection->Close();
+        }
+      }
+    }
+  }
+}
+
 void OpenAttempts::OnUpstreamLeaving(const UpstreamId& upstream) {
   if (connections_->contains(upstream)) {
     boost::asio::co_spawn(context_, CloseUnacknowledged(upstream), boost::asio::detached);
@@ -42,7 +84,7 @@
 void OpenAttempts::CloseAll() {
   closed_ = true;
   for (const auto& [upstream, connections] : *connections_) {
-    for (HttpConnection* const connection : connections) {
+    for (const auto& [connection, attempt] : connections) {
       connection->Close();
     }
   }
@@ -54,7 +96,7 @@
   if (found == connections_->end()) {
     co_return;
   }
-  for (HttpConnection* const connection : found->second) {
+  for (const auto& [connection, attempt] : found->second) {
     const std::size_t bytes = connection->UnacknowledgedBytes().value_or(0);
     if (bytes > 0) {
       kLog.Info("Closed a connection whose request has not reached an upstream that leaves.",
--- a/packages/gateway/open_attempts.h
+++ b/packages/gateway/open_attempts.h
@@ -2,12 +2,14 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <utility>
 
 #include "core/strong_id.h"
+#include "core/time.h"
 #include "net/http_client.h"
 
 namespace savoryglade::gateway {
@@ -17,7 +19,13 @@
 // announced to leave may receive requests. Not thread-safe.
 class OpenAttempts {
  public:
-  using Connections = std::map<UpstreamId, std::set<HttpConnection*>>;
+  struct OpenAttempt {
+    // Time since which the request awaits its answer on a direct connection.
+    std::optional<TimePoint> awaiting_since;
+    bool may_be_repeated = false;
+    bool undelivered = false;
+  };
+  using Connections = std::map<UpstreamId, std::map<HttpConnection*, OpenAttempt>>;
 
   // Registers a connection for as long as this object lives, which must not exceed the connection's
   // lifetime.
@@ -28,7 +36,15 @@
     Registration(const Registration&) = delete;
     Registration& operator=(const Registration&) = delete;
 
+    // Records that the request was sent, so that WatchLoop looks after it.
+    void AwaitAnswer(bool may_be_repeated, TimePoint now);
+    // Records that the answer began or the attempt ended. Returns true if WatchLoop closed the
+    // connection.
+    bool OnAnswer();
+
    private:
+    OpenAttempt& attempt() { return connections_->at(upstream_).at(&connection_); }
+
     // Shared, because the calls in progress are destroyed after the gateway's members when it
     // stops.
     std::shared_ptr<Connections> connections_;
@@ -42,6 +58,11 @@
   // requests have not reached it.
   void OnUpstreamLeaving(const UpstreamId& upstream);
 
+  // Looks for requests that have not reached their upstreams, as when the path to them is cut,
+  // until the context stops. Calls the callback with each such upstream, and closes the connections
+  // of requests that may be sent again elsewhere.
+  boost::asio::awaitable<void> WatchLoop(std::function<void(const UpstreamId&)> on_undelivered);
+
   // Closes all connections, and those that register from now on, so that the attempts end at once
   // without a response.
   void CloseAll();
--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -408,6 +408,8 @@
     found->second.row_version = row.version;
     found->second.last_seen = now;
   }
+  // Reports of the daemon name the port if it differs.
+  fleet_.peer_requests.try_emplace(daemon, read->endpoint);
   fleet_.groups.AddDaemon(
       {.id = daemon, .failure_domain = read->failure_domain, .memory_bytes = read->memory_bytes});
 }
--- /dev/null
+++ b/packages/gateway/peer_tunnels.cc
@@ -0,0 +1,79 @@
+#include "gateway/peer_tunnels.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+
+#include "core/boot_clock.h"
+#include "core/scoped_count.h"
+#include "logging/logger.h"
+#include "net/http_client.h"
+#include "net/tunnel.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+// Shorter than that of an attempt, so that the peer can try another upstream.
+constexpr Duration kPeerConnectTimeout = 150ms;
+constexpr int kMaxTunnels = 256;
+constexpr Duration kMaxLifetime = 600s;
+
+const Logger kLog("paths");
+
+Duration LifetimeOf(const HttpExchange& exchange) {
+  const std::string_view text = exchange.Header(kTunnelLifetimeHeader);
+  std::int64_t milliseconds = 0;
+  std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  constexpr std::int64_t kMaxMilliseconds = kMaxLifetime / 1ms;
+  return std::clamp<std::int64_t>(milliseconds, 1, kMaxMilliseconds) * 1ms;
+}
+
+}  // namespace
+
+unsigned PeerTunnels::RejectionStatus(const UpstreamRecord* upstream,
+                                      std::string_view target) const {
+  if (upstream == nullptr || upstream->leaving || upstream->address != target) {
+    return 404;
+  }
+  const bool relays = !fleet_.drain.has_begun() && open_tunnels_ < kMaxTunnels &&
+                      fleet_.upstream_paths.IsDirect(upstream->id, BootNow());
+  return relays ? 0 : 503;
+}
+
+boost::asio::awaitable<void> PeerTunnels::HandleRequest(HttpExchange& exchange) {
+  exchange.CloseAfterResponse();
+  const UpstreamId id(std::string(exchange.Header(kTunnelTargetHeader)));
+  const UpstreamRecord* const record = fleet_.load_balancer.Find(id);
+  if (const unsigned status = RejectionStatus(record, exchange.target()); status != 0) {
+    co_await exchange.Respond(status, {}, {});
+    co_return;
+  }
+  const ServiceId service = record->service;
+  const ScopedCount tunnel(open_tunnels_);
+  // A daemon that drains waits for the requests that it relays.
+  const ScopedCount request(fleet_.active_requests);
+  const Result<Endpoint> endpoint = ParseEndpoint(exchange.target());
+  if (!endpoint) {
+    co_await exchange.Respond(404, {}, {});
+    co_return;
+  }
+  const auto connected = co_await HttpConnection::Connect(*endpoint, kPeerConnectTimeout,
+                                                          fleet_.settings.source_address);
+  if (!connected) {
+    fleet_.upstream_paths.OnUnreached(id, BootNow());
+    kLog.Info("An upstream does not accept the connection that a peer asked for.",
+              {{"upstream", id.value()}, {"error", connected.error().message}});
+    // The upstream is not to blame if this daemon reaches none of its service.
+    const bool lost = fleet_.upstream_paths.IsServiceLost(service, BootNow());
+    co_await exchange.Respond(lost ? 503 : 502, {}, {});
+    co_return;
+  }
+  fleet_.upstream_paths.OnReached(id, BootNow());
+  HttpConnection& upstream = **connected;
+  const OpenAttempts::Registration registration(open_attempts_, id, upstream);
+  if (co_await exchange.Respond(200, {}, {})) {
+    co_await RelayBytes(exchange.stream(), upstream.stream(), LifetimeOf(exchange));
+  }
+}
+
+}  // namespace savoryglade::gateway
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -47,6 +47,12 @@
 void ResponseRelay::ReleaseConnection(Call& call, Attempt& attempt) {
   attempt.has_framed_end = !attempt.connection->ends_with_connection();
   attempt.registration.reset();
+  if (!attempt.peer.empty()) {
+    // The peer ends the tunnel after this response.
+    attempt.connection.reset();
+    call.caller.OnDisconnect({});
+    return;
+  }
   connections_.Release(attempt.placement.upstream.id, std::move(attempt.connection),
                        attempt.response.idle_timeout, MaxIdleConnections(call));
   call.caller.OnDisconnect({});
@@ -61,6 +67,7 @@
                                           {"account", call.account_id().value()},
                                           {"upstream", attempt.placement.upstream.id.value()},
                                           {"version", attempt.placement.upstream.software_version},
+                                          {"peer", attempt.peer.value()},
                                           {"status", status},
                                           {"sent", call.sends},
                                           {"prompt_tokens", call.metadata.work.prompt_tokens},
--- a/packages/gateway/upstream_connection_pool.cc
+++ b/packages/gateway/upstream_connection_pool.cc
@@ -20,28 +20,24 @@
 
 }  // namespace
 
-boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> UpstreamConnectionPool::Acquire(
-    const UpstreamRecord& upstream, Duration max_idle_time, Duration timeout,
-    const std::string& source_address) {
-  const Result<Endpoint> endpoint = ParseEndpoint(upstream.address);
-  if (!endpoint) {
-    co_return tl::make_unexpected(endpoint.error());
-  }
-  std::vector<IdleEntry>& idle = idle_[upstream.id];
+std::unique_ptr<HttpConnection> UpstreamConnectionPool::Take(const UpstreamId& upstream,
+                                                             const Endpoint& endpoint,
+                                                             Duration max_idle_time) {
+  std::vector<IdleEntry>& idle = idle_[upstream];
   const TimePoint now = BootNow();
   while (!idle.empty()) {
     IdleEntry last = std::move(idle.back());
     idle.pop_back();
     if (now >= last.until || now - last.since > max_idle_time ||
-        last.connection->endpoint() != *endpoint) {
+        last.connection->endpoint() != endpoint) {
       continue;
     }
     // Otherwise the peer closed the connection, or a late response is waiting on it.
     if (last.connection->IsOpenAndIdle()) {
-      co_return std::move(last.connection);
+      return std::move(last.connection);
     }
   }
-  co_return co_await HttpConnection::Connect(*endpoint, timeout, source_address);
+  return nullptr;
 }
 
 std::size_t UpstreamConnectionPool::MaxIdleConnections(int max_connections, int daemons) {
--- a/packages/gateway/upstream_connection_pool.h
+++ b/packages/gateway/upstream_connection_pool.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
-#include <string>
 #include <vector>
 
 #include "core/error.h"
@@ -21,12 +19,9 @@
 // would close it, because a request sent during the close may or may not have run. Not thread-safe.
 class UpstreamConnectionPool {
  public:
-  // Returns a connection that has been idle for at most the given time, or a new one from the
-  // source address. Fails if the
-  // address is invalid or the connection cannot be made within the timeout.
-  boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> Acquire(
-      const UpstreamRecord& upstream, Duration max_idle_time, Duration timeout,
-      const std::string& source_address);
+  // Returns a connection to the endpoint that has been idle for at most the given time, or null.
+  std::unique_ptr<HttpConnection> Take(const UpstreamId& upstream, const Endpoint& endpoint,
+                                       Duration max_idle_time);
 
   // Returns a connection whose response was read completely to the pool. Closes it instead if it is
   // not reusable or the upstream already has max_idle idle connections.
--- /dev/null
+++ b/packages/gateway/upstream_connector.cc
@@ -0,0 +1,133 @@
+#include "gateway/upstream_connector.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/boot_clock.h"
+#include "logging/logger.h"
+#include "net/sleep.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+// TCP retransmits a lost handshake packet only after a second; trying another upstream is faster.
+constexpr Duration kConnectTimeout = 300ms;
+// A peer connects to an upstream within kPeerConnectTimeout of peer_tunnels.cc.
+constexpr Duration kTunnelTimeout = 250ms;
+constexpr Duration kProbeCheckInterval = 100ms;
+constexpr unsigned kUpstreamDown = 502;
+
+const Logger kLog("paths");
+
+}  // namespace
+
+boost::asio::awaitable<Result<UpstreamConnection>> UpstreamConnector::Connect(
+    const UpstreamRecord& upstream, Duration max_idle_time, Duration remaining) {
+  if (!fleet_.upstream_paths.IsDirect(upstream.id, BootNow())) {
+    Error out_of_reach{.code = ErrorCode::kTimeout, .message = "The upstream is out of reach."};
+    co_return co_await ConnectThroughPeer(upstream, std::move(out_of_reach), remaining);
+  }
+  const Result<Endpoint> endpoint = ParseEndpoint(upstream.address);
+  if (endpoint) {
+    auto idle = idle_connections_.Take(upstream.id, *endpoint, max_idle_time);
+    if (idle != nullptr) {
+      co_return UpstreamConnection{.connection = std::move(idle), .peer = {}};
+    }
+  }
+  auto direct = co_await ConnectDirectly(upstream, std::min(kConnectTimeout, remaining));
+  if (direct) {
+    co_return UpstreamConnection{.connection = std::move(*direct), .peer = {}};
+  }
+  Error error = std::move(direct.error());
+  co_return co_await ConnectThroughPeer(upstream, std::move(error), remaining);
+}
+
+boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> UpstreamConnector::ConnectDirectly(
+    const UpstreamRecord& upstream, Duration timeout) {
+  const Result<Endpoint> endpoint = ParseEndpoint(upstream.address);
+  if (!endpoint) {
+    co_return tl::make_unexpected(endpoint.error());
+  }
+  auto connected =
+      co_await HttpConnection::Connect(*endpoint, timeout, fleet_.settings.source_address);
+  if (connected) {
+    fleet_.upstream_paths.OnReached(upstream.id, BootNow());
+  } else {
+    fleet_.upstream_paths.OnUnreached(upstream.id, BootNow());
+  }
+  co_return connected;
+}
+
+std::vector<RelayPeer> UpstreamConnector::RelayPeers(TimePoint now) const {
+  const std::vector<DaemonId> live = fleet_.groups.LiveGroup(now);
+  std::vector<RelayPeer> peers;
+  for (const auto& [daemon, endpoint] : fleet_.peer_requests) {
+    if (fleet_.groups.InGroup(daemon) && std::ranges::find(live, daemon) == live.end()) {
+      continue;
+    }
+    peers.push_back(
+        {.daemon = daemon,
+         .same_domain = fleet_.groups.DomainOf(daemon) == fleet_.settings.failure_domain});
+  }
+  return peers;
+}
+
+boost::asio::awaitable<Result<UpstreamConnection>> UpstreamConnector::ConnectThroughPeer(
+    const UpstreamRecord& upstream, Error direct_error, Duration remaining) {
+  const TimePoint begun_at = BootNow();
+  const std::optional<DaemonId> peer =
+      fleet_.upstream_paths.ChoosePeer(upstream.id, RelayPeers(begun_at), begun_at, random_);
+  const Result<Endpoint> target = ParseEndpoint(upstream.address);
+  if (!peer || !target) {
+    co_return tl::make_unexpected(std::move(direct_error));
+  }
+  const Endpoint relay = fleet_.peer_requests.at(*peer);
+  std::string name = upstream.id.value();
+  TunnelReply reply = co_await OpenTunnel(relay, *target, std::move(name),
+                                          std::min(kTunnelTimeout, remaining), remaining);
+  const TimePoint now = BootNow();
+  const char* outcome = "failed";
+  if (reply.connection != nullptr) {
+    outcome = "connected";
+    fleet_.upstream_paths.OnPeerConnected(upstream.id, *peer, now);
+  } else if (reply.status == kUpstreamDown) {
+    outcome = "upstream_down";
+    fleet_.upstream_paths.OnUpstreamDown(upstream.id, now);
+  } else {
+    fleet_.upstream_paths.OnPeerFailed(upstream.id, *peer, now);
+  }
+  fleet_.metrics.GetCounter("savoryglade_gateway_tunnels_total", {{"outcome", outcome}}).Add();
+  if (reply.connection != nullptr) {
+    co_return UpstreamConnection{.connection = std::move(reply.connection), .peer = *peer};
+  }
+  kLog.Info("A peer did not connect to an upstream for this daemon.",
+            {{"upstream", upstream.id.value()},
+             {"peer", peer->value()},
+             {"outcome", outcome},
+             {"direct_error", direct_error.message},
+             {"error", reply.failure},
+             {"ms", (now - begun_at) / 1ms}});
+  if (reply.status != kUpstreamDown) {
+    // Neither this daemon nor the peer shows whether the upstream is up.
+    direct_error.code = ErrorCode::kTimeout;
+  }
+  co_return tl::make_unexpected(std::move(direct_error));
+}
+
+boost::asio::awaitable<void> UpstreamConnector::ProbeLoop() {
+  while (true) {
+    const std::optional<UpstreamId> probed = fleet_.upstream_paths.TakeProbe(BootNow());
+    const UpstreamRecord* const found = probed ? fleet_.load_balancer.Find(*probed) : nullptr;
+    if (found == nullptr) {
+      co_await Sleep(kProbeCheckInterval);
+      continue;
+    }
+    const UpstreamRecord upstream = *found;
+    const auto connected = co_await ConnectDirectly(upstream, kConnectTimeout);
+    if (connected) {
+      kLog.Info("An upstream is within reach again.", {{"upstream", upstream.id.value()}});
+    }
+  }
+}
+
+}  // namespace savoryglade::gateway
--- a/packages/membership/fleet_groups.cc
+++ b/packages/membership/fleet_groups.cc
@@ -51,6 +51,12 @@
          (!grouped_ || found->second.daemon.failure_domain == self_.failure_domain);
 }
 
+std::optional<FailureDomainId> FleetGroups::DomainOf(const DaemonId& daemon) const {
+  const auto found = daemons_.find(daemon);
+  return found == daemons_.end() ? std::nullopt
+                                 : std::optional(found->second.daemon.failure_domain);
+}
+
 std::vector<DaemonId> FleetGroups::Group() const {
   std::vector<DaemonId> group;
   for (const auto& [id, known] : daemons_) {
--- a/packages/membership/fleet_groups.h
+++ b/packages/membership/fleet_groups.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -52,6 +53,8 @@
   int daemons() const { return static_cast<int>(daemons_.size()) + 1; }
   bool grouped() const { return grouped_; }
   bool InGroup(const DaemonId& daemon) const;
+  // Returns the failure domain of a daemon, or nothing if the daemon is unknown.
+  std::optional<FailureDomainId> DomainOf(const DaemonId& daemon) const;
   // Returns the other daemons of this daemon's group.
   std::vector<DaemonId> Group() const;
 
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -78,6 +78,7 @@
   // Returns true if the last response allows reuse of the connection.
   bool reusable() const { return reusable_; }
   const Endpoint& endpoint() const { return endpoint_; }
+  boost::beast::tcp_stream& stream() { return stream_; }
   // Header that was read last.
   const boost::beast::http::fields& response_header() const;
   // Returns true if the last response has neither a length nor chunks, so that the end of the
--- /dev/null
+++ b/packages/net/tunnel.cc
@@ -0,0 +1,95 @@
+#include "net/tunnel.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <utility>
+
+namespace savoryglade {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kRelayChunkBytes = 8 * 1024;
+
+// Copies bytes until the source ends. Returns true if it ended in order and the target has taken
+// all bytes.
+asio::awaitable<bool> CopyBytes(beast::tcp_stream& from, beast::tcp_stream& to) {
+  std::array<char, kRelayChunkBytes> chunk;
+  while (true) {
+    const auto [read_error, size] = co_await from.async_read_some(asio::buffer(chunk), kAwait);
+    if (read_error) {
+      co_return read_error == asio::error::eof;
+    }
+    const auto [write_error, written] =
+        co_await asio::async_write(to, asio::buffer(chunk.data(), size), kAwait);
+    if (write_error) {
+      co_return false;
+    }
+  }
+}
+
+void Reset(beast::tcp_stream& stream) {
+  beast::error_code ignored;
+  stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  stream.close();
+}
+
+}  // namespace
+
+asio::awaitable<TunnelReply> OpenTunnel(Endpoint relay, Endpoint target, std::string name,
+                                        Duration timeout, Duration lifetime) {
+  TunnelReply reply;
+  auto connection = co_await HttpConnection::Connect(relay, timeout);
+  if (!connection) {
+    reply.failure = connection.error().message;
+    co_return reply;
+  }
+  HttpRequest request(http::verb::connect, ToString(target), 11);
+  request.set(http::field::host, ToString(target));
+  request.set(kTunnelTargetHeader, name);
+  request.set(kTunnelLifetimeHeader, std::to_string(lifetime / 1ms));
+  const Result<void> sent = co_await (*connection)->Send(request, timeout);
+  if (!sent) {
+    reply.failure = sent.error().message;
+    co_return reply;
+  }
+  const Result<unsigned> status = co_await (*connection)->ReadHeader(timeout);
+  if (!status) {
+    reply.failure = status.error().message;
+    co_return reply;
+  }
+  reply.status = *status;
+  if (*status == 200) {
+    reply.connection = std::move(*connection);
+  } else {
+    reply.failure = fmt::format("{} answered {} for {}.", ToString(relay), *status, name);
+  }
+  co_return reply;
+}
+
+asio::awaitable<void> RelayBytes(beast::tcp_stream& caller, beast::tcp_stream& target,
+                                 Duration lifetime) {
+  caller.expires_after(lifetime);
+  target.expires_after(lifetime);
+  using asio::experimental::awaitable_operators::operator||;
+  const auto ended = co_await (CopyBytes(caller, target) || CopyBytes(target, caller));
+  const bool target_ended = ended.index() == 1 && std::get<1>(ended);
+  if (target_ended) {
+    beast::error_code ignored;
+    caller.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  } else {
+    Reset(caller);
+  }
+  Reset(target);
+}
+
+}  // namespace savoryglade
--- /dev/null
+++ b/packages/net/tunnel.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <memory>
+#include <string>
+
+#include "core/time.h"
+#include "net/endpoint.h"
+#include "net/http_client.h"
+
+namespace savoryglade {
+
+// Reply to a request for a tunnel.
+struct TunnelReply {
+  // Connection to the target, or null.
+  std::unique_ptr<HttpConnection> connection;
+  // Status of the relay's response; zero if none arrived in time.
+  unsigned status = 0;
+  // Why there is no connection.
+  std::string failure;
+};
+
+// Asks a relay with HTTP CONNECT for a connection to the target, which the relay knows by this
+// name. The timeout applies to the connection to the relay and to its response.
+// The relay keeps the tunnel open for the lifetime at most.
+boost::asio::awaitable<TunnelReply> OpenTunnel(Endpoint relay, Endpoint target, std::string name,
+                                               Duration timeout, Duration lifetime);
+
+// Headers with the name of a tunnel's target and with its lifetime in milliseconds.
+inline constexpr const char* kTunnelTargetHeader = "Savoryglade-Upstream";
+inline constexpr const char* kTunnelLifetimeHeader = "Savoryglade-Lifetime-Ms";
+
+// Relays bytes in both directions until one side ends or the lifetime is over. An orderly end is
+// passed on after all bytes; any other end resets the other side, so that a response that ends with
+// its connection does not look complete.
+boost::asio::awaitable<void> RelayBytes(boost::beast::tcp_stream& caller,
+                                        boost::beast::tcp_stream& target, Duration lifetime);
+
+}  // namespace savoryglade
--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -132,7 +132,7 @@
 }
 
 bool FleetLoadBalancer::IsSilent(const Entry& entry, TimePoint now) const {
-  if (entry.unanswered.empty()) {
+  if (entry.unanswered.empty() || entry.path_lost) {
     return false;
   }
   const Duration prompt_time =
@@ -334,8 +334,12 @@
     }
   }
   if (end == AttemptEnd::kAnswered) {
+    entry.path_lost = false;
     entry.failures = 0;
     entry.paused_until = TimePoint{};
+  } else if (end == AttemptEnd::kNoPath) {
+    entry.path_lost = true;
+    entry.paused_until = now + options_.initial_pause;
   } else if (end == AttemptEnd::kFailed || end == AttemptEnd::kUnreachable) {
     entry.failures = std::min(entry.failures + 1, 8);
     // A single failed answer does not show that the upstream is down; a refused connection does.
@@ -350,6 +354,12 @@
   }
 }
 
+void FleetLoadBalancer::OnPathLost(const UpstreamId& id) {
+  if (const auto found = entries_.find(id); found != entries_.end()) {
+    found->second.path_lost = true;
+  }
+}
+
 void FleetLoadBalancer::OnReport(const ReportSource& source, std::vector<ReportedLoad> loads,
                                  TimePoint now) {
   Report& report = reports_[source];
@@ -374,7 +384,7 @@
   if (scope != ReportScope::kBeyond) {
     for (const auto& [id, entry] : entries_) {
       UpstreamLoad load = entry.own;
-      load.suspect = now < entry.paused_until || IsSilent(entry, now);
+      load.suspect = (now < entry.paused_until && !entry.path_lost) || IsSilent(entry, now);
       if (load != UpstreamLoad{}) {
         sums.emplace(entry.key, load);
       }
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -84,7 +84,15 @@
 };
 
 // Outcome of an attempt to run a request on an upstream, as far as it shows the upstream's state.
-enum class AttemptEnd : std::uint8_t { kAnswered, kFailed, kUnreachable, kRefused, kCancelled };
+// kNoPath means that this daemon does not reach the upstream, which may be sound.
+enum class AttemptEnd : std::uint8_t {
+  kAnswered,
+  kFailed,
+  kUnreachable,
+  kRefused,
+  kCancelled,
+  kNoPath
+};
 
 // Throughput of a model engine, and cost weights and timeouts of the load balancer.
 struct FleetLoadBalancerOptions {
@@ -190,6 +198,9 @@
   void OnEnd(const UpstreamId& id, double uncached_tokens, bool first_byte, AttemptEnd end,
              TimePoint now);
 
+  // Records that this daemon does not reach the upstream, which may be sound.
+  void OnPathLost(const UpstreamId& id);
+
   // Replaces the last load report of a daemon or of a group of daemons. Upstreams that the new
   // report does not list have no load from these daemons.
   void OnReport(const ReportSource& source, std::vector<ReportedLoad> loads, TimePoint now);
@@ -220,6 +231,9 @@
     Reported reported;
     int failures = 0;
     TimePoint paused_until{};
+    // True since this daemon lost its path to the upstream, until the upstream answers. What the
+    // daemon sees of the upstream meanwhile does not show the upstream's state.
+    bool path_lost = false;
     TimePoint held_until{};
     TimePoint last_bytes{};
     // Dispatch times of the requests for which the upstream has not sent a first byte.
