Cut daemons off from the upstreams in the soak, and judge RECOVER

Cause: the soak could not cut a daemon from upstreams alone.

Change: each upstream is behind an emulated link. Half of the plays have one or two partitions of a domain or of some daemons, with connections that hang or are reset. While it lasts, first tries there are served at least two thirds as often as elsewhere, or at most 10 + 1 in 50 of all fail.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -156,6 +156,7 @@
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
     Duration retry_after = kRetryDelay;
     AttemptRecord record = co_await SendAttempt(call, retry_after);
+    record.is_first = attempt == 0;
     const bool finished = record.complete && IsFinal(record.status);
     const bool never_sent = !record.sent && record.status == 0;
     const bool may_repeat =
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -58,6 +58,8 @@
   std::string resumes;
   // True if the caller closed the connection before the end of the answer.
   bool left_by_caller = false;
+  // True for the first attempt of a call.
+  bool is_first = false;
   // Path of a request that crashes the upstreams that run it; empty for others.
   std::string crashing_path;
 };
@@ -83,6 +85,8 @@
   kExit,
   kStoreFault,
   kStoreSound,
+  kPartition,
+  kPartitionEnd,
   kOther
 };
 
--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -25,6 +25,7 @@
 // Keep the other faults of a seed as they were before plays had crashing requests and limits.
 constexpr std::uint64_t kCrashSeedOffset = 1'000'000;
 constexpr std::uint64_t kLimitSeedOffset = 2'000'000;
+constexpr std::uint64_t kPartitionSeedOffset = 3'000'000;
 constexpr const char* kApiKey = "drivers-key";
 constexpr const char* kLimitedKey = "visitors-key";
 
@@ -57,6 +58,7 @@
       random_(options_.seed),
       crash_random_(options_.seed + kCrashSeedOffset),
       limit_random_(options_.seed + kLimitSeedOffset),
+      partition_random_(options_.seed + kPartitionSeedOffset),
       grace_(random_.Bernoulli(0.7) ? 8s : 5s),
       service_time_(random_.Bernoulli(0.5) ? 60ms : 300ms),
       event_interval_(random_.Bernoulli(0.5) ? 10ms : 150ms),
@@ -121,6 +123,9 @@
   if (limit_random_.Bernoulli(0.6)) {
     PlanRateLimits();
   }
+  if (partition_random_.Bernoulli(0.5)) {
+    PlanPartitions();
+  }
   RunUntil(begin_ + options_.length, [] { return false; });
   // All daemons stop while the callers go on for a while.
   ending_ = true;
@@ -345,6 +350,7 @@
                                                      }},
                                  history_));
   serving_[id] = upstreams_.back().get();
+  upstreams_.back()->SetPartitioned(partitioned_, false);
   history_.AddServing(version, 1);
   store_.Put("servers", id, upstreams_.back()->Registration(false));
   history_.AddEvent(EventKind::kOther, {}, fmt::format("{} ({}) joins", id, version));
--- a/tests/soak/play.h
+++ b/tests/soak/play.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,9 @@
   void PlanStoreFaults();
   // Kills all daemons at the same time.
   void PlanHerdKills();
+  // Cuts some daemons off from all upstreams for a while.
+  void PlanPartitions();
+  void SetPartitioned(const std::vector<std::size_t>& daemons, bool reset);
   // Lets upstreams name rate limits for a while.
   void PlanRateLimits();
   // Callers that send a request which crashes the upstreams that run it.
@@ -95,6 +99,7 @@
   // Decides on crashing requests and the kills beside them.
   Random crash_random_;
   Random limit_random_;
+  Random partition_random_;
   Duration grace_;
   // Longest service time of a call, and the time between the events of a stream.
   Duration service_time_;
@@ -110,6 +115,8 @@
   // All upstreams, also those that are gone, and the ids of those in service.
   std::vector<std::unique_ptr<Upstream>> upstreams_;
   std::map<std::string, Upstream*> serving_;
+  // Addresses of the daemons that are cut off from all upstreams.
+  std::set<std::string> partitioned_;
   std::mutex crashed_mutex_;
   // Upstreams in service that a request has crashed.
   std::vector<std::string> crashed_upstreams_;
--- a/tests/soak/play_faults.cc
+++ b/tests/soak/play_faults.cc
@@ -137,6 +137,50 @@
   }
 }
 
+void Play::SetPartitioned(const std::vector<std::size_t>& daemons, bool reset) {
+  partitioned_.clear();
+  for (const std::size_t daemon : daemons) {
+    partitioned_.insert(daemons_[daemon].process->callers().address);
+  }
+  for (const auto& upstream : upstreams_) {
+    upstream->SetPartitioned(partitioned_, reset);
+  }
+}
+
+void Play::PlanPartitions() {
+  const std::size_t partitions = 1 + partition_random_.UniformInt(2);
+  TimePoint from = RandomTime(partition_random_, 0.05, 0.3);
+  for (std::size_t i = 0; i < partitions; ++i) {
+    // One domain, or some daemons of any; the others reach the upstreams.
+    std::vector<std::size_t> daemons;
+    const bool is_domain = partition_random_.Bernoulli(0.5);
+    const std::size_t domain = partition_random_.UniformInt(domain_count_);
+    for (std::size_t daemon = 0; daemon < daemons_.size(); ++daemon) {
+      if (is_domain ? daemon % domain_count_ == domain
+                    : daemons.size() + 1 < daemons_.size() && partition_random_.Bernoulli(0.4)) {
+        daemons.push_back(daemon);
+      }
+    }
+    const bool reset = partition_random_.Bernoulli(0.5);
+    const TimePoint to = from + 5s + FromSeconds(3 * partition_random_.UniformReal());
+    At(from, [this, daemons, reset] {
+      SetPartitioned(daemons, reset);
+      for (const std::size_t daemon : daemons) {
+        history_.AddEvent(EventKind::kPartition, daemon,
+                          reset ? "cut off from all upstreams, connections reset"
+                                : "cut off from all upstreams, connections hang");
+      }
+    });
+    At(to, [this, daemons] {
+      SetPartitioned({}, false);
+      for (const std::size_t daemon : daemons) {
+        history_.AddEvent(EventKind::kPartitionEnd, daemon, "reaches the upstreams again");
+      }
+    });
+    from = to + 1s;
+  }
+}
+
 void Play::PlanHerdKills() {
   const std::size_t kills = crash_random_.UniformInt(3);
   for (std::size_t i = 0; i < kills; ++i) {
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -32,6 +32,13 @@
 constexpr Duration kRateLimitWindow = 4s;
 constexpr double kRateLimitFactor = 1.5;
 constexpr double kRateLimitSlack = 5;
+// Share of the first tries elsewhere that daemons without a path to the upstreams must serve, and
+// the failures there that are allowed: a number and a share of all first tries.
+constexpr double kPartitionedShare = 2.0 / 3;
+constexpr double kPartitionFailures = 10;
+constexpr double kPartitionFailureShare = 1.0 / 50;
+// Events of several daemons that happen at one moment.
+constexpr Duration kSameMoment = 500ms;
 // Time after the grace period for which a stop counts as planned work around a request.
 constexpr Duration kPlannedWorkSlack = 1s;
 
@@ -57,6 +64,7 @@
     CheckResumptions();
     CheckCrashingRequests();
     CheckRateLimits();
+    CheckPartitions();
     return violations_;
   }
 
@@ -95,6 +103,29 @@
     return order;
   }
 
+  // Returns true if the path to the upstreams was cut while the attempt used it, or the daemon is
+  // partitioned and one that may relay the attempt was killed or frozen.
+  bool IsCutByPartition(const AttemptRecord& attempt) const {
+    bool partitioned = false;
+    for (const PlayEvent& event : history_.events()) {
+      if (event.at > attempt.ended_at) {
+        break;
+      }
+      const bool meanwhile = event.at >= attempt.sent_at;
+      if (event.daemon == attempt.daemon && event.kind == EventKind::kPartition) {
+        partitioned = true;
+        if (meanwhile) {
+          return true;
+        }
+      } else if (event.daemon == attempt.daemon && event.kind == EventKind::kPartitionEnd) {
+        partitioned = meanwhile;
+      } else if (partitioned && meanwhile && IsUnplanned(event.kind)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   // A request that was passed on to a sound upstream, or read by a daemon that was told to stop,
   // gets a complete answer.
   void CheckLost(const AttemptRecord& attempt, const std::vector<RunRecord>& runs) {
@@ -105,7 +136,7 @@
     const bool upstream_broke = std::ranges::any_of(runs, [&](const RunRecord& run) {
       return history_.BrokeBetween(run.upstream, run.started_at, attempt.ended_at);
     });
-    if (upstream_broke) {
+    if (upstream_broke || IsCutByPartition(attempt)) {
       return;
     }
     const std::optional<TimePoint> order = StopOrder(attempt);
@@ -324,6 +355,78 @@
     }
   }
 
+  // First tries at daemons in touch, and how many of them were served.
+  struct Tries {
+    double sent = 0;
+    double served = 0;
+    const AttemptRecord* last_failure = nullptr;
+
+    void Add(const AttemptRecord& attempt) {
+      const bool is_served = attempt.status == 200 && attempt.complete;
+      ++sent;
+      served += is_served ? 1 : 0;
+      last_failure = is_served ? last_failure : &attempt;
+    }
+  };
+
+  // Returns true if the daemon and the store were undisturbed, but for partitions.
+  bool IsInTouchBesidesPartitions(const AttemptRecord& attempt) const {
+    return std::ranges::none_of(history_.events(), [&](const PlayEvent& event) {
+      const bool counts = event.kind != EventKind::kPartition &&
+                          event.kind != EventKind::kPartitionEnd &&
+                          event.kind != EventKind::kHangUp && event.kind != EventKind::kOther;
+      const bool concerns = event.daemon == attempt.daemon || !event.daemon;
+      return counts && concerns && event.at >= attempt.sent_at - bounds_.contact &&
+             event.at <= attempt.ended_at;
+    });
+  }
+
+  // While some daemons are partitioned from all upstreams, they serve first tries almost as often
+  // as the others.
+  void CheckPartitions() {
+    for (const PlayEvent& begin : history_.events()) {
+      if (begin.kind == EventKind::kPartition && begin.daemon) {
+        CheckPartition(begin);
+      }
+    }
+  }
+
+  void CheckPartition(const PlayEvent& begin) {
+    std::set<std::size_t> partitioned;
+    TimePoint end = TimePoint::max();
+    for (const PlayEvent& event : history_.events()) {
+      if (event.kind == EventKind::kPartition && event.at - begin.at < kSameMoment &&
+          begin.at - event.at < kSameMoment) {
+        partitioned.insert(*event.daemon);
+      } else if (event.kind == EventKind::kPartitionEnd && event.at > begin.at) {
+        end = std::min(end, event.at);
+      }
+    }
+    // Each partition is judged once.
+    if (*partitioned.begin() != *begin.daemon) {
+      return;
+    }
+    Tries cut;
+    Tries others;
+    for (const AttemptRecord& attempt : history_.attempts()) {
+      if (attempt.is_first && attempt.crashing_path.empty() && !attempt.left_by_caller &&
+          attempt.status != 429 && attempt.sent_at >= begin.at + bounds_.contact &&
+          attempt.ended_at <= end && IsInTouchBesidesPartitions(attempt)) {
+        (partitioned.contains(attempt.daemon) ? cut : others).Add(attempt);
+      }
+    }
+    const double allowed_failures =
+        kPartitionFailures + kPartitionFailureShare * (cut.sent + others.sent);
+    if (cut.sent - cut.served > allowed_failures &&
+        cut.served * others.sent < kPartitionedShare * others.served * cut.sent) {
+      Add("RECOVER",
+          fmt::format("Daemons without a path to the upstreams served {} of {} first tries, the "
+                      "others {} of {}.",
+                      cut.served, cut.sent, others.served, others.sent),
+          *cut.last_failure);
+    }
+  }
+
   const History& history_;
   const PromiseBounds& bounds_;
   // Version of the first event of each stream.
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -24,7 +24,8 @@
   pool_ = std::make_unique<WorkerPool>(1);
   server_ = std::make_unique<HttpServer>(
       *pool_, HttpLimits{}, [this](HttpExchange& exchange) { return Handle(exchange); });
-  endpoint_ = *server_->Listen({.address = "127.0.0.1", .port = 0});
+  link_ = std::make_unique<EmulatedLink>(*server_->Listen({.address = "127.0.0.1", .port = 0}));
+  endpoint_ = link_->endpoint();
 }
 
 void Upstream::Break() {
@@ -36,6 +37,7 @@
   if (pool_ == nullptr) {
     return;
   }
+  link_.reset();
   pool_->Stop();
   server_.reset();
   pool_.reset();
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -5,10 +5,12 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
 #include "core/time.h"
+#include "emulator/emulated_link.h"
 #include "emulator/worker_service.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -45,6 +47,12 @@
   void Break();
   // Makes the upstream name a limit in its answers, in requests per second, or none.
   void SetRateLimit(std::optional<double> rate);
+  // Cuts the path from these addresses, and from no others. See EmulatedLink.
+  void SetPartitioned(const std::set<std::string>& source_addresses, bool reset) {
+    if (link_ != nullptr) {
+      link_->SetPartitioned(source_addresses, reset);
+    }
+  }
   // Text of its entry in the store.
   std::string Registration(bool leaving) const;
   int running() const { return running_; }
@@ -62,6 +70,8 @@
   Endpoint endpoint_;
   std::unique_ptr<WorkerPool> pool_;
   std::unique_ptr<HttpServer> server_;
+  // Path on which the daemons reach the upstream.
+  std::unique_ptr<EmulatedLink> link_;
 };
 
 }  // namespace savoryglade::soak
