Wait for a configuration that is arriving in packages/daemon

A daemon asks again after 2 s without the whole configuration, whatever has arrived. On a slow link each answer is 500 KB more behind the first one, until the sender closes the connection of a peer that reads too slowly, and all of it is lost.

Change: the replica's fetch counts as under way while bytes arrive from its peer, for 10 s at most.

--- a/packages/daemon/peer_network.cc
+++ b/packages/daemon/peer_network.cc
@@ -409,6 +409,9 @@
 }
 
 void PeerNetwork::FetchIfBehind(TimePoint now) {
+  for (const auto& [daemon, link] : links_) {
+    replica_.OnFetchProgress(daemon, link->last_received_at());
+  }
   const std::optional<DaemonId> peer = replica_.StartFetch(now);
   if (!peer) {
     return;
--- a/packages/membership/config_replica.cc
+++ b/packages/membership/config_replica.cc
@@ -57,8 +57,15 @@
   return highest;
 }
 
+void ConfigReplica::OnFetchProgress(const DaemonId& peer, TimePoint received_at) {
+  if (fetch_started_ && peer == fetch_peer_) {
+    fetch_progress_ = std::max(fetch_progress_, received_at);
+  }
+}
+
 std::optional<DaemonId> ConfigReplica::StartFetch(TimePoint now) {
-  if (fetch_started_ && now - *fetch_started_ < options_.fetch_timeout) {
+  if (fetch_started_ && now - *fetch_started_ < options_.max_fetch_time &&
+      now - std::max(*fetch_started_, fetch_progress_) < options_.fetch_timeout) {
     return std::nullopt;
   }
   const std::uint64_t highest = HighestPeerVersion();
--- a/packages/membership/config_replica.h
+++ b/packages/membership/config_replica.h
@@ -25,8 +25,10 @@
   // Time that a starting daemon without the table waits for the listed peers of its failure domain
   // to respond.
   Duration peer_timeout = 5s;
-  // Time after which an unanswered fetch is retried, with another peer if possible.
+  // Time without progress after which a fetch is retried, with another peer if possible.
   Duration fetch_timeout = 2s;
+  // Time after which a fetch is retried in any case.
+  Duration max_fetch_time = 10s;
 };
 
 // Replica of the configuration in one daemon. Holds the active version, decides when the daemon is
@@ -54,6 +56,10 @@
   // Sets the peers of the failure domain that are listed and not dead.
   void SetExpectedPeers(std::set<DaemonId> peers) { expected_peers_ = std::move(peers); }
 
+  // Records when bytes were last received from the peer of the current fetch. A large configuration
+  // may take longer than the fetch timeout on a slow link.
+  void OnFetchProgress(const DaemonId& peer, TimePoint received_at);
+
   // Returns the peer from which to fetch a newer version now, or nothing. Records the fetch as
   // started.
   std::optional<DaemonId> StartFetch(TimePoint now);
@@ -90,6 +96,7 @@
   std::map<DaemonId, std::uint64_t> peer_versions_;
   std::set<DaemonId> expected_peers_;
   std::optional<TimePoint> fetch_started_;
+  TimePoint fetch_progress_{};
   DaemonId fetch_peer_;
 };
 
--- a/tests/membership/config_replica_test.cc
+++ b/tests/membership/config_replica_test.cc
@@ -88,6 +88,29 @@
   EXPECT_EQ(replica.StartFetch(kStart + 2s), *first);
 }
 
+// Guards against a large configuration that is requested again and again while it arrives over a
+// slow link.
+TEST(ConfigReplica, AFetchThatMakesProgressIsNotRepeated) {
+  ConfigReplica replica({}, kStart);
+  replica.OnPeerVersion(kPeer, 5);
+  EXPECT_EQ(replica.StartFetch(kStart), kPeer);
+  for (Duration time = 1s; time < 8s; time += 1s) {
+    replica.OnFetchProgress(kPeer, kStart + time);
+    replica.OnFetchProgress(kOtherPeer, kStart + time);
+    EXPECT_EQ(replica.StartFetch(kStart + time), std::nullopt);
+  }
+  EXPECT_EQ(replica.StartFetch(kStart + 8500ms), std::nullopt);
+  EXPECT_EQ(replica.StartFetch(kStart + 9s), kPeer);
+}
+
+TEST(ConfigReplica, AFetchIsRepeatedInTheEndWhateverThePeerSends) {
+  ConfigReplica replica({}, kStart);
+  replica.OnPeerVersion(kPeer, 5);
+  EXPECT_EQ(replica.StartFetch(kStart), kPeer);
+  replica.OnFetchProgress(kPeer, kStart + 10s);
+  EXPECT_EQ(replica.StartFetch(kStart + 10s), kPeer);
+}
+
 // Guards against a status that reports a daemon as up to date without a confirmation by the table.
 TEST(ConfigReplica, StalenessCountsFromTheLastConfirmationByTheTable) {
   ConfigReplica replica({}, kStart);
