--- a/packages/core/time.h
+++ b/packages/core/time.h
@@ -16,8 +16,13 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-// Returns the duration of this many seconds, rounded towards zero to whole nanoseconds.
+// Returns the duration of this many seconds, rounded towards zero to whole nanoseconds and limited
+// to 126 years, so that the sum of two such durations can be represented; zero for NaN.
 constexpr Duration FromSeconds(double seconds) {
+  constexpr double kMaxSeconds = 4e9;
+  if (!(seconds > -kMaxSeconds && seconds < kMaxSeconds)) {
+    seconds = seconds > 0 ? kMaxSeconds : seconds < 0 ? -kMaxSeconds : 0;
+  }
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <string>
 
 #include "core/random.h"
@@ -97,12 +98,48 @@
       R"({"service":"s1","address":"10.0.0.1:1","zone":"x","slots":0,"state":"ready"})",
       R"({"service":"s1","address":"10.0.0.1:1","zone":"x","slots":1,"state":"asleep"})",
       R"({"service":"","address":"10.0.0.1:1","zone":"x","slots":1,"state":"ready"})",
+      R"({"service":"s1","address":"10.0.0.1:0","zone":"x","slots":1,"state":"ready"})",
+      R"({"service":"s1","address":"10.0.0.1:65536","zone":"x","slots":1,"state":"ready"})",
+      R"({"service":"s1","address":"10.0.0.1:1","zone":"x","slots":1e300,"state":"ready"})",
+      R"({"service":"s1","address":"10.0.0.1:1","zone":"x","slots":3e9,"state":"ready"})",
+      R"({"service":"s1","address":"10.0.0.1:1","zone":"x","slots":1,"state":"ready","born":1e300})",
+      R"({"service":"s1","address":"10.0.0.1:1","zone":"x","slots":1,"state":"ready","born":-1e300})",
   };
   for (const char* entry : entries) {
     EXPECT_FALSE(ParseUpstream("i-1", entry)) << entry;
   }
 }
 
+// Guards against a process that ends because one entry is nested too deeply.
+TEST(DocumentsTest, RejectsDeeplyNestedEntries) {
+  constexpr std::size_t kDepth = 100'000;
+  for (const char open : {'[', '{'}) {
+    std::string text = R"({"service":)";
+    for (std::size_t i = 0; i < kDepth; ++i) {
+      text += open == '[' ? "[" : R"({"a":)";
+    }
+    EXPECT_FALSE(ParseUpstream("i-1", text));
+    EXPECT_FALSE(ParseRouteDocument(text));
+  }
+}
+
+// Guards against numbers that do not fit their type, whose conversion differs between processors.
+TEST(DocumentsTest, NumbersOfRoutesAreLimitedToTheirTypes) {
+  const auto document = ParseRouteDocument(
+      R"({"version":1e300,"routes":[{"host":"h","prefix":"/","priority":-1e300,"max_attempts":1e300,)"
+      R"("timeout_ms":1e300,"split":[{"service":"s","weight":1e300}]}],)"
+      R"("limits":{"max_body_bytes":-5,"max_header_bytes":1e300,"idle_timeout_ms":1e300}})");
+  ASSERT_TRUE(document);
+  EXPECT_EQ(document->version, std::numeric_limits<std::uint64_t>::max());
+  EXPECT_EQ(document->routes[0].rank, std::numeric_limits<int>::min());
+  EXPECT_EQ(document->routes[0].max_attempts, std::numeric_limits<int>::max());
+  EXPECT_EQ(document->routes[0].services[0].weight, std::numeric_limits<std::int64_t>::max());
+  EXPECT_EQ(document->bounds.body_size, 0U);
+  // An instant this far ahead can still be represented.
+  EXPECT_GT(TimePoint{} + 1h + document->routes[0].timeout, TimePoint{});
+  EXPECT_GT(TimePoint{} + 1h + document->bounds.idle_timeout, TimePoint{});
+}
+
 TEST(DocumentsTest, MalformedDocumentsDoNotCrash) {
   Random random(20261204);
   const std::string manifest = kManifest;
--- a/tests/platform/header_codec_test.cc
+++ b/tests/platform/header_codec_test.cc
@@ -208,5 +208,29 @@
   }
 }
 
+// Guards against numbers that do not fit their type, whose conversion differs between processors.
+TEST(HeaderCodecTest, NumbersOfResponsesAreLimited) {
+  http::fields header;
+  header.set("Attempt-Id", "a1");
+  header.set("Server-Load", "1e30,1e30,8,1e30");
+  header.set("Keep-Alive", "timeout=1e300");
+  const auto metadata = HeaderCodec().DecodeResponse("a1", 200, header);
+  ASSERT_TRUE(metadata.load);
+  EXPECT_GT(metadata.load->running + metadata.load->waiting, 0);
+  EXPECT_GT(TimePoint{} + 1h + *metadata.idle_timeout, TimePoint{});
+  header.set("Server-Load", "nan,1,8");
+  header.set("Keep-Alive", "timeout=inf");
+  EXPECT_FALSE(HeaderCodec().DecodeResponse("a1", 200, header).load);
+  EXPECT_FALSE(HeaderCodec().DecodeResponse("a1", 200, header).idle_timeout);
+}
+
+TEST(HeaderCodecTest, DeadlinesOfCallersAreLimited) {
+  HttpRequest request = MakeRequest();
+  request.set("Deadline-Ms", "1e300");
+  const auto metadata = HeaderCodec().DecodeRequest(request);
+  ASSERT_TRUE(metadata);
+  EXPECT_GT(TimePoint{} + 1h + *metadata->caller_timeout, TimePoint{});
+}
+
 }  // namespace
 }  // namespace savoryglade::platform
