Believe only rejections that name the request

What operators reported: a faulty worker wrote an earlier refusal once more on a kept connection; callers were told "not run" for requests that ran (REFUSED), or such a request ran at a second worker (TWICE).

Cause: a late answer is recognised by the attempt id of another request. A rejection without any id counted as that of the request in progress.

Change: a rejection counts as not run only if it names the request; otherwise the request may have run. Two equal branches after an attempt that this daemon closed are one now.

--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -198,6 +198,7 @@
   const std::string expected_instance(exchange.Header("Expect-Instance"));
   if (!expected_instance.empty() && expected_instance != instance_) {
     HttpHeaders headers;
+    headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
     headers.emplace_back("Instance-Id", instance_);
     co_await exchange.Respond(421, std::move(headers), {});
     co_return;
@@ -205,6 +206,7 @@
   const WorkerFault fault = ConsumeFault();
   if (fault == WorkerFault::kRejectNotExecuted) {
     HttpHeaders headers;
+    headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
     headers.emplace_back("Not-Executed", "1");
     co_await exchange.Respond(503, std::move(headers), {});
     co_return;
@@ -245,7 +247,20 @@
         std::string(bytes->repeated));
     co_return;
   }
-  if (exchange.target().find("/stream/") != std::string_view::npos) {
+  if (fault == WorkerFault::kRepeatedRejection) {
+    const std::string rejection =
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    co_await asio::async_write(exchange.stream(), asio::buffer(rejection),
+                               asio::as_tuple(asio::use_awaitable));
+  }
+  if (fault == WorkerFault::kJsonForStream) {
+    HttpHeaders json_headers = ResponseHeaders(exchange, true);
+    json_headers.emplace_back("Content-Type", "application/json");
+    co_await exchange.Respond(200, std::move(json_headers), "{\"error\":\"overloaded\"}\n\n");
+    co_return;
+  }
+  const bool is_stream = exchange.target().find("/stream/") != std::string_view::npos;
+  if (is_stream && fault != WorkerFault::kInternalError) {
     co_await Stream(exchange, fault);
     co_return;
   }
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -29,8 +29,12 @@
   kTruncateBody,
   // Runs the request and sends the response twice on the same connection.
   kDuplicateResponse,
+  // Writes an earlier rejection once more, without the id of an attempt, and runs the request.
+  kRepeatedRejection,
   // Runs the request and responds with 500.
   kInternalError,
+  // Runs the request and responds with a complete JSON text where a stream is due.
+  kJsonForStream,
   // Runs the request and sends nothing until the peer closes the connection.
   kNoResponse,
   // Sends half of the events and closes the connection in the middle of the next one.
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -293,11 +293,9 @@
   call.last_upstream = id;
   fleet_.load_balancer.OnSent(id, call.metadata.work, placement.uncached_tokens, attempt.sent_at);
   const RelayOutcome outcome = co_await SendAttempt(call, attempt);
-  if (fleet_.drain.interrupted() && outcome != RelayOutcome::kFinished) {
-    // This daemon closed the connection, so the upstream has not failed.
-    attempt.end = AttemptEnd::kCancelled;
-  } else if (outcome == RelayOutcome::kResponseLost && attempt.undelivered) {
-    // The next request takes another path.
+  const bool closed_by_this_daemon = fleet_.drain.interrupted() || attempt.undelivered;
+  if (closed_by_this_daemon && outcome != RelayOutcome::kFinished) {
+    // The upstream has not failed.
     attempt.end = AttemptEnd::kCancelled;
   } else if (outcome == RelayOutcome::kResponseLost &&
              call.RemainingTime(BootNow()) > kMinRemainingTime) {
@@ -409,6 +407,12 @@
     co_return RelayOutcome::kResponseLost;
   }
   RecordFirstByte(call, attempt);
+  if (attempt.response.not_run && attempt.response.owner != ResponseOwner::kThisAttempt) {
+    // A rejection that an upstream repeats may be that of an earlier request.
+    attempt.response_rejected = true;
+    attempt.failure = "The rejection does not name the request.";
+    co_return RelayOutcome::kResponseLost;
+  }
   if (attempt.response.not_run) {
     attempt.end = AttemptEnd::kRefused;
     --call.unrejected_sends;
