Continue a stream with events only

What operators reported: a stream broke off, the next worker answered with an error, and callers found its text in their stream, or a stream that ended as complete.

Cause: answers with an error status were rejected already. One with status 200 that is no series of events, such as a JSON text, was relayed as the rest of the stream.

Change: a stream that has begun goes on only with text/event-stream; anything else counts as a lost response.

Result: FaultyWorkerTest.ErrorOfTheNextWorkerIsNotPartOfTheStream failed before for a JSON text (in the stream, which ended as complete) and passes, also for status 500 and 503.

--- a/packages/gateway/adapter.h
+++ b/packages/gateway/adapter.h
@@ -73,6 +73,8 @@
   bool not_run = false;
   // Whether the response carries the seal of a worker.
   bool has_seal = false;
+  // Whether the body is a series of events.
+  bool is_event_stream = false;
   // Whether an intermediary encoded the body, so that it differs from the worker's.
   bool content_encoded = false;
   struct Load {
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -240,6 +240,11 @@
     attempt.failure = "The stream's header has no seal, or not this request's id.";
     co_return RelayOutcome::kResponseLost;
   }
+  if (call.stream_started && !attempt.response.is_event_stream) {
+    attempt.response_rejected = true;
+    attempt.failure = "The response does not continue the stream.";
+    co_return RelayOutcome::kResponseLost;
+  }
   attempt.stream =
       migrator_.Track(call.metadata.attempt_id, attempt.placement.upstream, call.metadata.work);
   const RelayOutcome outcome = co_await RelayEvents(call, attempt, status);
--- a/tests/gateway/faulty_worker_test.cc
+++ b/tests/gateway/faulty_worker_test.cc
@@ -15,6 +15,22 @@
     PutRoutes(1);
     WaitUntilReady();
   }
+
+  // Breaks off streams at the first worker, and lets the other one answer with the fault. Returns
+  // what the caller gets whose stream begins at the first worker.
+  Response SendStreamThatIsContinuedWith(WorkerFault fault) {
+    for (int i = 0;; ++i) {
+      const std::string attempt = fmt::format("a{}-{}", static_cast<int>(fault), i);
+      workers_[0]->service.SetFault(WorkerFault::kTruncateStream, 1);
+      workers_[1]->service.SetFault(fault, 1);
+      Response response = SendRequest("POST", "/stream/1", attempt);
+      if (workers_[0]->service.RunCount(attempt) == 1 &&
+          workers_[1]->service.RunCount(attempt) == 1 && !response.body.empty() &&
+          response.status == 200 && response.seal.ends_with("worker-0")) {
+        return response;
+      }
+    }
+  }
 };
 
 // Guards against a request that is reported as not run, or sent to a second worker, because a
@@ -26,5 +42,16 @@
   EXPECT_EQ(response.status, 502U);
 }
 
+// Guards against the text of an error in the middle of a stream.
+TEST_F(FaultyWorkerTest, ErrorOfTheNextWorkerIsNotPartOfTheStream) {
+  for (const WorkerFault fault : {WorkerFault::kInternalError, WorkerFault::kJsonForStream,
+                                  WorkerFault::kUnavailableAfterRun}) {
+    const Response response = SendStreamThatIsContinuedWith(fault);
+    EXPECT_EQ(response.status, 200U);
+    EXPECT_TRUE(CompleteStream().starts_with(response.body)) << response.body;
+    EXPECT_EQ(response.complete, response.body == CompleteStream());
+  }
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
