Add thousands of routes in the soak, over slow links, and judge CONFIG

Cause: the soak's configuration was small, and its links had no rate. That is why it missed the late routes.

Change: each daemon reaches the store over a link of 500 KB/s. Half of the plays add 3,000 routes, whose transfer takes over a second; 3 s later callers use one of them, and a daemon in touch that answers 404 breaks CONFIG.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -117,10 +117,14 @@
 }
 
 Caller::Call Caller::PrepareCall() {
-  const std::size_t kind = random_.UniformInt(kCallTypes.size());
-  Call call{.type = &kCallTypes.at(kind),
-            .target = fmt::format("{}{}-{}", std::string(kCallTypes.at(kind).prefix), options_.name,
-                                  ++calls_),
+  constexpr double kAddedShare = 0.2;
+  const CallType* type = &kCallTypes.at(random_.UniformInt(kCallTypes.size()));
+  if (options_.routes_added != nullptr && *options_.routes_added &&
+      random_.Bernoulli(kAddedShare)) {
+    type = &kAddedCallType;
+  }
+  Call call{.type = type,
+            .target = fmt::format("{}{}-{}", std::string(type->prefix), options_.name, ++calls_),
             .body = {},
             .deadline = Now() + kCallTimeout,
             .leaves_at = Now() + kCallTimeout + kPatience,
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -61,6 +61,8 @@
   bool varies_query = false;
   // Share of crashing requests whose caller leaves before the crash.
   double leave_share = 0;
+  // Set once the added routes must be in force everywhere.
+  const std::atomic<bool>* routes_added = nullptr;
   // Calls after which the caller opens a new connection.
   int calls_per_connection = 1;
 };
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -31,6 +31,9 @@
     CallType{"/chats/stream/", "POST", CallKind::kStream, true},
     CallType{"/once/stream/", "POST", CallKind::kStream}};
 
+// Call on one of the routes that are added during a play.
+inline constexpr CallType kAddedCallType = {"/added-0/", "GET", CallKind::kIdempotent};
+
 // One request as its caller saw it.
 struct AttemptRecord {
   std::string id;
--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -26,17 +26,30 @@
 constexpr std::uint64_t kCrashSeedOffset = 1'000'000;
 constexpr std::uint64_t kLimitSeedOffset = 2'000'000;
 constexpr std::uint64_t kPartitionSeedOffset = 3'000'000;
+constexpr std::uint64_t kRouteSeedOffset = 4'000'000;
+// Rate of a daemon's link to the store. The added routes take longer than 1 s on it.
+constexpr double kStoreLinkBytesPerSecond = 500'000;
 constexpr const char* kApiKey = "drivers-key";
 constexpr const char* kLimitedKey = "visitors-key";
 
-constexpr const char* kRoutes = R"({"version":1,"routes":[
+// Returns the route document with this many added routes.
+std::string RouteDocumentText(int version, int added) {
+  std::string text = fmt::format(R"({{"version":{},"routes":[)", version);
+  text += R"(
 {"name":"reads","host":"h","prefix":"/reads/","route_kind":"idempotent","timeout_ms":3000,"goal_ms":1000,"service":"s","max_attempts":2},
 {"name":"orders","host":"h","prefix":"/orders/","route_kind":"non_idempotent","timeout_ms":3000,"service":"s","max_attempts":1},
 {"name":"chats","host":"h","prefix":"/chats/","route_kind":"streaming","timeout_ms":5000,"service":"s","max_attempts":3,"resumable":true},
-{"name":"once","host":"h","prefix":"/once/","route_kind":"streaming","timeout_ms":5000,"service":"s","max_attempts":1}],
+{"name":"once","host":"h","prefix":"/once/","route_kind":"streaming","timeout_ms":5000,"service":"s","max_attempts":1})";
+  for (int i = 0; i < added; ++i) {
+    text += fmt::format(R"(,
+{{"name":"added-{0}","host":"h","prefix":"/added-{0}/","route_kind":"idempotent","timeout_ms":3000,"goal_ms":1000,"service":"s","max_attempts":2}})",
+                        i);
+  }
+  return text + R"(],
 "services":[{"name":"s","engine":{"slots":16,"moves":true}}],
 "tenants":[{"name":"drivers","api_keys":["drivers-key"]},
 {"name":"visitors","api_keys":["visitors-key"],"rate_per_s":15,"burst":10}]})";
+}
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
@@ -59,6 +72,7 @@
       crash_random_(options_.seed + kCrashSeedOffset),
       limit_random_(options_.seed + kLimitSeedOffset),
       partition_random_(options_.seed + kPartitionSeedOffset),
+      route_random_(options_.seed + kRouteSeedOffset),
       grace_(random_.Bernoulli(0.7) ? 8s : 5s),
       service_time_(random_.Bernoulli(0.5) ? 60ms : 300ms),
       event_interval_(random_.Bernoulli(0.5) ? 10ms : 150ms),
@@ -126,6 +140,9 @@
   if (partition_random_.Bernoulli(0.5)) {
     PlanPartitions();
   }
+  if (route_random_.Bernoulli(0.5)) {
+    PlanRouteGrowth();
+  }
   RunUntil(begin_ + options_.length, [] { return false; });
   // All daemons stop while the callers go on for a while.
   ending_ = true;
@@ -149,7 +166,7 @@
 }
 
 void Play::StartServices() {
-  store_.Put("op", "config", kRoutes);
+  store_.Put("op", "config", RouteDocumentText(1, 0));
   const std::size_t count = 2 * domain_count_ + random_.UniformInt(4);
   for (std::size_t i = 0; i < count; ++i) {
     AddUpstream("v1", DomainName(i % domain_count_));
@@ -163,12 +180,13 @@
   const std::size_t count = 4 + random_.UniformInt(5);
   std::vector<LoadBalancer::Daemon> targets;
   for (std::size_t i = 0; i < count; ++i) {
+    store_links_.push_back(std::make_unique<EmulatedLink>(store, kStoreLinkBytesPerSecond));
     auto process = std::make_unique<DaemonProcess>(
         DaemonOptions{.program = options_.daemon_program,
                       .name = fmt::format("daemon-{}", i),
                       .failure_domain = DomainName(i % domain_count_),
                       .address = DaemonAddress(i),
-                      .store = store,
+                      .store = store_links_.back()->endpoint(),
                       .duties = duties,
                       .grace = grace_,
                       .upstream_drain = kUpstreamDrain,
@@ -201,6 +219,7 @@
                       .seed = random_.Next(),
                       .pause = i < busy ? busy_pause : RandomDuration(1s, 5s),
                       .break_share = break_share,
+                      .routes_added = &routes_added_,
                       .calls_per_connection = random_.Bernoulli(0.2)
                                                   ? 1
                                                   : 5 + static_cast<int>(random_.UniformInt(20))},
@@ -254,6 +273,18 @@
   At(Now() + 2s, [this, options] { AddUpstream(options.version, options.failure_domain); });
 }
 
+void Play::PlanRouteGrowth() {
+  static constexpr int kAddedRoutes = 3000;
+  // Time in which a change of the routes must be in force.
+  constexpr Duration kApplyTime = 3s;
+  const TimePoint at = RandomTime(route_random_, 0.1, 0.6);
+  At(at, [this] {
+    store_.Put("op", "config", RouteDocumentText(2, kAddedRoutes));
+    history_.AddEvent(EventKind::kOther, {}, fmt::format("{} routes are added", kAddedRoutes));
+  });
+  At(at + kApplyTime, [this] { routes_added_ = true; });
+}
+
 bool Play::RunUntil(TimePoint end, const std::function<bool()>& condition) {
   while (Now() < end) {
     while (!actions_.empty() && actions_.begin()->first <= Now()) {
--- a/tests/soak/play.h
+++ b/tests/soak/play.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/random.h"
+#include "emulator/emulated_link.h"
 #include "emulator/store_service.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -71,6 +72,8 @@
   // Cuts some daemons off from all upstreams for a while.
   void PlanPartitions();
   void SetPartitioned(const std::vector<std::size_t>& daemons, bool reset);
+  // Adds thousands of routes.
+  void PlanRouteGrowth();
   // Lets upstreams name rate limits for a while.
   void PlanRateLimits();
   // Callers that send a request which crashes the upstreams that run it.
@@ -100,6 +103,7 @@
   Random crash_random_;
   Random limit_random_;
   Random partition_random_;
+  Random route_random_;
   Duration grace_;
   // Longest service time of a call, and the time between the events of a stream.
   Duration service_time_;
@@ -111,6 +115,10 @@
   WorkerPool platform_pool_{1};
   HttpServer store_server_;
   HttpServer duty_server_;
+  // Links of the daemons to the store.
+  std::vector<std::unique_ptr<EmulatedLink>> store_links_;
+  // True once the added routes must be in force everywhere.
+  std::atomic<bool> routes_added_{false};
   std::vector<DaemonState> daemons_;
   // All upstreams, also those that are gone, and the ids of those in service.
   std::vector<std::unique_ptr<Upstream>> upstreams_;
--- a/tests/soak/play_faults.cc
+++ b/tests/soak/play_faults.cc
@@ -164,12 +164,12 @@
     const bool reset = partition_random_.Bernoulli(0.5);
     const TimePoint to = from + 5s + FromSeconds(3 * partition_random_.UniformReal());
     At(from, [this, daemons, reset] {
-      SetPartitioned(daemons, reset);
       for (const std::size_t daemon : daemons) {
         history_.AddEvent(EventKind::kPartition, daemon,
                           reset ? "cut off from all upstreams, connections reset"
                                 : "cut off from all upstreams, connections hang");
       }
+      SetPartitioned(daemons, reset);
     });
     At(to, [this, daemons] {
       SetPartitioned({}, false);
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -46,6 +46,10 @@
   return kind == EventKind::kKill || kind == EventKind::kFreeze || kind == EventKind::kThaw;
 }
 
+bool IsPartition(EventKind kind) {
+  return kind == EventKind::kPartition || kind == EventKind::kPartitionEnd;
+}
+
 class Checker {
  public:
   Checker(const History& history, const PromiseBounds& bounds)
@@ -56,6 +60,9 @@
       const std::vector<RunRecord> runs = history_.RunsOf(attempt.id);
       CheckLost(attempt, runs);
       CheckRuns(attempt, runs);
+      if (attempt.type == &kAddedCallType && attempt.status == 404 && IsInTouch(attempt, false)) {
+        Add("CONFIG", "A route that was added earlier is not in force.", attempt);
+      }
       if (!attempt.mixed.empty()) {
         Add("MIXED", attempt.mixed, attempt);
       }
@@ -197,14 +204,15 @@
   }
 
   // Returns true if the daemon and the store were undisturbed, also by planned work, long enough
-  // before the attempt and until its end.
-  bool IsInTouch(const AttemptRecord& attempt) const {
+  // before the attempt and until its end. Partitions from the upstreams may be left out.
+  bool IsInTouch(const AttemptRecord& attempt, bool partitions_count = true) const {
     bool store_is_sound = true;
     for (const PlayEvent& event : history_.events()) {
       const bool concerns_store =
           event.kind == EventKind::kStoreFault || event.kind == EventKind::kStoreSound;
-      const bool concerns_daemon =
-          event.daemon == attempt.daemon && event.kind != EventKind::kHangUp;
+      const bool concerns_daemon = event.daemon == attempt.daemon &&
+                                   event.kind != EventKind::kHangUp &&
+                                   (partitions_count || !IsPartition(event.kind));
       if (event.at > attempt.ended_at) {
         break;
       }
@@ -369,18 +377,6 @@
     }
   };
 
-  // Returns true if the daemon and the store were undisturbed, but for partitions.
-  bool IsInTouchBesidesPartitions(const AttemptRecord& attempt) const {
-    return std::ranges::none_of(history_.events(), [&](const PlayEvent& event) {
-      const bool counts = event.kind != EventKind::kPartition &&
-                          event.kind != EventKind::kPartitionEnd &&
-                          event.kind != EventKind::kHangUp && event.kind != EventKind::kOther;
-      const bool concerns = event.daemon == attempt.daemon || !event.daemon;
-      return counts && concerns && event.at >= attempt.sent_at - bounds_.contact &&
-             event.at <= attempt.ended_at;
-    });
-  }
-
   // While some daemons are partitioned from all upstreams, they serve first tries almost as often
   // as the others.
   void CheckPartitions() {
@@ -411,7 +407,7 @@
     for (const AttemptRecord& attempt : history_.attempts()) {
       if (attempt.is_first && attempt.crashing_path.empty() && !attempt.left_by_caller &&
           attempt.status != 429 && attempt.sent_at >= begin.at + bounds_.contact &&
-          attempt.ended_at <= end && IsInTouchBesidesPartitions(attempt)) {
+          attempt.ended_at <= end && IsInTouch(attempt, false)) {
         (partitioned.contains(attempt.daemon) ? cut : others).Add(attempt);
       }
     }
