--- a/packages/emulator/emulated_link.cc
+++ b/packages/emulator/emulated_link.cc
@@ -74,7 +74,7 @@
   }
   program.push_back(BPF_STMT(BPF_RET | BPF_K, ~0U));
   program.push_back(BPF_STMT(BPF_RET | BPF_K, 0));
-  const sock_fprog filter{.len = static_cast<unsigned short>(program.size()),
+  const sock_fprog filter{.len = static_cast<decltype(sock_fprog::len)>(program.size()),
                           .filter = program.data()};
   if (::setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter)) != 0) {
     throw std::system_error(errno, std::generic_category(), "SO_ATTACH_FILTER");
