Let the soak's links be slow enough to show late routes

Change: 200 KB/s, 5 s until callers use the added routes, and one more check: a daemon that started or whose store recovered 9 s ago holds routes.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -195,6 +195,7 @@
   AttemptRecord record{.id = fmt::format("{}-{}", options_.name, ++attempts_),
                        .type = call.type,
                        .deadline = call.deadline,
+                       .reason = {},
                        .failure = {},
                        .mixed = {},
                        .events_before = call.events,
@@ -247,6 +248,7 @@
   record.status = *status;
   const std::string owner = HeaderOf(connection.response_header(), "Attempt-Id");
   const std::string seal = HeaderOf(connection.response_header(), "Response-Seal");
+  record.reason = HeaderOf(connection.response_header(), "Savoryglade-Reason");
   const std::string wait = HeaderOf(connection.response_header(), "Retry-After");
   if (!wait.empty()) {
     retry_after = FromSeconds(std::strtod(wait.c_str(), nullptr));
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -48,6 +48,8 @@
   TimePoint deadline{};
   // Zero if the connection ended before the header of a response.
   unsigned status = 0;
+  // Reason that the daemon gives for a response of its own.
+  std::string reason;
   // True if the response ended as complete.
   bool complete = false;
   // Error of the connection, if the response is not complete.
--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -27,8 +27,8 @@
 constexpr std::uint64_t kLimitSeedOffset = 2'000'000;
 constexpr std::uint64_t kPartitionSeedOffset = 3'000'000;
 constexpr std::uint64_t kRouteSeedOffset = 4'000'000;
-// Rate of a daemon's link to the store. The added routes take longer than 1 s on it.
-constexpr double kStoreLinkBytesPerSecond = 500'000;
+// Rate of a daemon's link to the store. The added routes take 3 s on it.
+constexpr double kStoreLinkBytesPerSecond = 200'000;
 constexpr const char* kApiKey = "drivers-key";
 constexpr const char* kLimitedKey = "visitors-key";
 
@@ -276,8 +276,8 @@
 void Play::PlanRouteGrowth() {
   static constexpr int kAddedRoutes = 3000;
   // Time in which a change of the routes must be in force.
-  constexpr Duration kApplyTime = 3s;
-  const TimePoint at = RandomTime(route_random_, 0.1, 0.6);
+  constexpr Duration kApplyTime = 5s;
+  const TimePoint at = RandomTime(route_random_, 0.05, 0.4);
   At(at, [this] {
     store_.Put("op", "config", RouteDocumentText(2, kAddedRoutes));
     history_.AddEvent(EventKind::kOther, {}, fmt::format("{} routes are added", kAddedRoutes));
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -37,6 +37,8 @@
 constexpr double kPartitionedShare = 2.0 / 3;
 constexpr double kPartitionFailures = 10;
 constexpr double kPartitionFailureShare = 1.0 / 50;
+// Time after its start, and after a fault of the store, in which a daemon reads the routes.
+constexpr Duration kLoadTime = 9s;
 // Events of several daemons that happen at one moment.
 constexpr Duration kSameMoment = 500ms;
 // Time after the grace period for which a stop counts as planned work around a request.
@@ -60,9 +62,7 @@
       const std::vector<RunRecord> runs = history_.RunsOf(attempt.id);
       CheckLost(attempt, runs);
       CheckRuns(attempt, runs);
-      if (attempt.type == &kAddedCallType && attempt.status == 404 && IsInTouch(attempt, false)) {
-        Add("CONFIG", "A route that was added earlier is not in force.", attempt);
-      }
+      CheckRoutes(attempt);
       if (!attempt.mixed.empty()) {
         Add("MIXED", attempt.mixed, attempt);
       }
@@ -181,6 +181,18 @@
     }
   }
 
+  // Daemons in touch serve the routes that were added earlier, and hold routes some time after
+  // their start.
+  void CheckRoutes(const AttemptRecord& attempt) {
+    if (attempt.type == &kAddedCallType && attempt.status == 404 &&
+        IsInTouch(attempt, false, bounds_.contact)) {
+      Add("CONFIG", "A route that was added earlier is not in force.", attempt);
+    }
+    if (attempt.reason == "not_ready" && IsInTouch(attempt, false, kLoadTime)) {
+      Add("CONFIG", "A daemon that started long before holds no routes.", attempt);
+    }
+  }
+
   // All events of a stream come from one version, in one answer and over resumptions.
   void CheckOrder() {
     for (const AttemptRecord& attempt : history_.attempts()) {
@@ -205,7 +217,7 @@
 
   // Returns true if the daemon and the store were undisturbed, also by planned work, long enough
   // before the attempt and until its end. Partitions from the upstreams may be left out.
-  bool IsInTouch(const AttemptRecord& attempt, bool partitions_count = true) const {
+  bool IsInTouch(const AttemptRecord& attempt, bool partitions_count, Duration contact) const {
     bool store_is_sound = true;
     for (const PlayEvent& event : history_.events()) {
       const bool concerns_store =
@@ -216,7 +228,7 @@
       if (event.at > attempt.ended_at) {
         break;
       }
-      if (event.at >= attempt.sent_at - bounds_.contact && (concerns_store || concerns_daemon)) {
+      if (event.at >= attempt.sent_at - contact && (concerns_store || concerns_daemon)) {
         return false;
       }
       store_is_sound = concerns_store ? event.kind == EventKind::kStoreSound : store_is_sound;
@@ -232,7 +244,7 @@
     // Streams that were resumed, and whether they went on.
     std::map<std::string, bool> resumed;
     for (const AttemptRecord& attempt : history_.attempts()) {
-      if (!attempt.type->resumable || !attempt.sent || !IsInTouch(attempt)) {
+      if (!attempt.type->resumable || !attempt.sent || !IsInTouch(attempt, true, bounds_.contact)) {
         continue;
       }
       const bool goes_on = attempt.status == 200 &&
@@ -296,7 +308,7 @@
     const TimePoint known = crashes[kJudgedCrashes - 1] + bounds_.contact;
     std::vector<const AttemptRecord*> late;
     for (const auto& [started_at, attempt] : runs) {
-      if (started_at > known && IsInTouch(*attempt)) {
+      if (started_at > known && IsInTouch(*attempt, true, bounds_.contact)) {
         late.push_back(attempt);
       }
     }
@@ -407,7 +419,7 @@
     for (const AttemptRecord& attempt : history_.attempts()) {
       if (attempt.is_first && attempt.crashing_path.empty() && !attempt.left_by_caller &&
           attempt.status != 429 && attempt.sent_at >= begin.at + bounds_.contact &&
-          attempt.ended_at <= end && IsInTouch(attempt, false)) {
+          attempt.ended_at <= end && IsInTouch(attempt, false, bounds_.contact)) {
         (partitioned.contains(attempt.daemon) ? cut : others).Add(attempt);
       }
     }
