--- a/tests/routing/upstream_paths_test.cc
+++ b/tests/routing/upstream_paths_test.cc
@@ -106,8 +106,10 @@
 // Guards against a daemon that waits for its peers on every request while it reaches nobody.
 TEST_F(UpstreamPathsTest, NoPeerIsAskedForAWhileAfterThreeFailedInARow) {
   paths_.OnUnreached(Upstream(0), now_);
+  constexpr int kPeerCount = 20;
   std::vector<RelayPeer> peers;
-  for (int i = 0; i < 20; ++i) {
+  peers.reserve(kPeerCount);
+  for (int i = 0; i < kPeerCount; ++i) {
     peers.push_back({.daemon = DaemonId("peer-" + std::to_string(i)), .same_domain = true});
   }
   for (int i = 0; i < 3; ++i) {
