Reset both sides of a tunnel whose lifetime is over

Cause: the timer of a stream closes its socket in order. A response that ends with its connection would have looked complete to the daemon that asked for the tunnel.

Change: both sockets reset when they are closed, except the caller's after an orderly end of the target. Tests of the relayed bytes and ends.

--- a/packages/net/tunnel.cc
+++ b/packages/net/tunnel.cc
@@ -37,10 +37,10 @@
   }
 }
 
-void Reset(beast::tcp_stream& stream) {
+// Sets whether closing the connection resets it, also when its lifetime is over.
+void SetResetOnClose(beast::tcp_stream& stream, bool reset) {
   beast::error_code ignored;
-  stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-  stream.close();
+  stream.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
 }
 
 }  // namespace
@@ -78,18 +78,21 @@
 
 asio::awaitable<void> RelayBytes(beast::tcp_stream& caller, beast::tcp_stream& target,
                                  Duration lifetime) {
+  SetResetOnClose(caller, true);
+  SetResetOnClose(target, true);
   caller.expires_after(lifetime);
   target.expires_after(lifetime);
   using asio::experimental::awaitable_operators::operator||;
   const auto ended = co_await (CopyBytes(caller, target) || CopyBytes(target, caller));
   const bool target_ended = ended.index() == 1 && std::get<1>(ended);
   if (target_ended) {
+    SetResetOnClose(caller, false);
     beast::error_code ignored;
     caller.socket().shutdown(tcp::socket::shutdown_send, ignored);
   } else {
-    Reset(caller);
+    caller.close();
   }
-  Reset(target);
+  target.close();
 }
 
 }  // namespace savoryglade
