Ask other domains after two refusals, and another peer after each

Cause: the peers of the own domain come first, and all of them were cut off too. Each refusal counted as a failure, three paused all tunnels for up to 4 s, and an attempt asked one peer only. A cut peer also blamed the first upstreams that it did not reach, which then counted as down.

Change: a refusal passes the peer over for 2 s without a pause, and the attempt asks up to four peers; after two refusals in the own domain other domains are asked. If this daemon reaches none of the service, a peer's word that an upstream is down counts as a refusal.

--- a/packages/gateway/upstream_connector.cc
+++ b/packages/gateway/upstream_connector.cc
@@ -1,6 +1,8 @@
 #include "gateway/upstream_connector.h"
 
 #include <algorithm>
+#include <array>
+#include <string>
 #include <utility>
 
 #include "core/boot_clock.h"
@@ -16,11 +18,17 @@
 constexpr Duration kTunnelTimeout = 250ms;
 constexpr Duration kProbeCheckInterval = 100ms;
 constexpr unsigned kUpstreamDown = 502;
+constexpr int kMaxPeersPerAttempt = 4;
 
 const Logger kLog("paths");
 
 }  // namespace
 
+std::string UpstreamConnector::NameOf(TunnelOutcome outcome) {
+  static constexpr std::array kNames = {"connected", "upstream_down", "refused", "failed"};
+  return kNames.at(static_cast<std::size_t>(outcome));
+}
+
 boost::asio::awaitable<Result<UpstreamConnection>> UpstreamConnector::Connect(
     const UpstreamRecord& upstream, Duration max_idle_time, Duration remaining) {
   if (!fleet_.upstream_paths.IsDirect(upstream.id, BootNow())) {
@@ -74,44 +82,61 @@
 
 boost::asio::awaitable<Result<UpstreamConnection>> UpstreamConnector::ConnectThroughPeer(
     const UpstreamRecord& upstream, Error direct_error, Duration remaining) {
-  const TimePoint begun_at = BootNow();
-  const std::optional<DaemonId> peer =
-      fleet_.upstream_paths.ChoosePeer(upstream.id, RelayPeers(begun_at), begun_at, random_);
   const Result<Endpoint> target = ParseEndpoint(upstream.address);
-  if (!peer || !target) {
-    co_return tl::make_unexpected(std::move(direct_error));
+  for (int asked = 0; target && asked < kMaxPeersPerAttempt; ++asked) {
+    const TimePoint begun_at = BootNow();
+    const std::optional<DaemonId> peer =
+        fleet_.upstream_paths.ChoosePeer(upstream.id, RelayPeers(begun_at), begun_at, random_);
+    if (!peer) {
+      break;
+    }
+    const Endpoint relay = fleet_.peer_requests.at(*peer);
+    std::string name = upstream.id.value();
+    TunnelReply reply = co_await OpenTunnel(relay, *target, std::move(name),
+                                            std::min(kTunnelTimeout, remaining), remaining);
+    const TunnelOutcome outcome = RecordReply(upstream, *peer, reply);
+    fleet_.metrics.GetCounter("savoryglade_gateway_tunnels_total", {{"outcome", NameOf(outcome)}})
+        .Add();
+    if (outcome == TunnelOutcome::kConnected) {
+      co_return UpstreamConnection{.connection = std::move(reply.connection), .peer = *peer};
+    }
+    kLog.Info("A peer did not connect to an upstream for this daemon.",
+              {{"upstream", upstream.id.value()},
+               {"peer", peer->value()},
+               {"outcome", NameOf(outcome)},
+               {"direct_error", direct_error.message},
+               {"error", reply.failure},
+               {"ms", (BootNow() - begun_at) / 1ms}});
+    // Neither this daemon nor the peer shows whether the upstream is up.
+    direct_error.code =
+        outcome == TunnelOutcome::kUpstreamDown ? direct_error.code : ErrorCode::kTimeout;
+    if (outcome != TunnelOutcome::kRefused) {
+      break;
+    }
   }
-  const Endpoint relay = fleet_.peer_requests.at(*peer);
-  std::string name = upstream.id.value();
-  TunnelReply reply = co_await OpenTunnel(relay, *target, std::move(name),
-                                          std::min(kTunnelTimeout, remaining), remaining);
+  co_return tl::make_unexpected(std::move(direct_error));
+}
+
+UpstreamConnector::TunnelOutcome UpstreamConnector::RecordReply(const UpstreamRecord& upstream,
+                                                                const DaemonId& peer,
+                                                                const TunnelReply& reply) {
   const TimePoint now = BootNow();
-  const char* outcome = "failed";
+  UpstreamPaths& paths = fleet_.upstream_paths;
   if (reply.connection != nullptr) {
-    outcome = "connected";
-    fleet_.upstream_paths.OnPeerConnected(upstream.id, *peer, now);
-  } else if (reply.status == kUpstreamDown) {
-    outcome = "upstream_down";
-    fleet_.upstream_paths.OnUpstreamDown(upstream.id, now);
-  } else {
-    fleet_.upstream_paths.OnPeerFailed(upstream.id, *peer, now);
+    paths.OnPeerConnected(upstream.id, peer, now);
+    return TunnelOutcome::kConnected;
   }
-  fleet_.metrics.GetCounter("savoryglade_gateway_tunnels_total", {{"outcome", outcome}}).Add();
-  if (reply.connection != nullptr) {
-    co_return UpstreamConnection{.connection = std::move(reply.connection), .peer = *peer};
+  if (reply.status == 0) {
+    paths.OnPeerFailed(upstream.id, peer, now);
+    return TunnelOutcome::kFailed;
   }
-  kLog.Info("A peer did not connect to an upstream for this daemon.",
-            {{"upstream", upstream.id.value()},
-             {"peer", peer->value()},
-             {"outcome", outcome},
-             {"direct_error", direct_error.message},
-             {"error", reply.failure},
-             {"ms", (now - begun_at) / 1ms}});
-  if (reply.status != kUpstreamDown) {
-    // Neither this daemon nor the peer shows whether the upstream is up.
-    direct_error.code = ErrorCode::kTimeout;
+  // A peer that is partitioned as well blames the first upstreams that it does not reach.
+  if (reply.status == kUpstreamDown && !paths.IsServiceLost(upstream.service, now)) {
+    paths.OnUpstreamDown(upstream.id, now);
+    return TunnelOutcome::kUpstreamDown;
   }
-  co_return tl::make_unexpected(std::move(direct_error));
+  paths.OnPeerRefused(upstream.id, peer, now);
+  return TunnelOutcome::kRefused;
 }
 
 boost::asio::awaitable<void> UpstreamConnector::ProbeLoop() {
--- a/packages/gateway/upstream_connector.h
+++ b/packages/gateway/upstream_connector.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/error.h"
@@ -43,6 +44,12 @@
   boost::asio::awaitable<void> ProbeLoop();
 
  private:
+  // What became of a request for a tunnel.
+  enum class TunnelOutcome { kConnected, kUpstreamDown, kRefused, kFailed };
+
+  static std::string NameOf(TunnelOutcome outcome);
+  TunnelOutcome RecordReply(const UpstreamRecord& upstream, const DaemonId& peer,
+                            const TunnelReply& reply);
   boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> ConnectDirectly(
       const UpstreamRecord& upstream, Duration timeout);
   boost::asio::awaitable<Result<UpstreamConnection>> ConnectThroughPeer(
--- a/packages/routing/upstream_paths.cc
+++ b/packages/routing/upstream_paths.cc
@@ -50,6 +50,12 @@
   std::erase_if(peers.passed_over, [now](const auto& entry) { return now >= entry.second; });
 }
 
+void UpstreamPaths::OnPeerRefused(const UpstreamId& upstream, const DaemonId& peer, TimePoint now) {
+  if (const auto found = paths_.find(upstream); found != paths_.end()) {
+    peers_[found->second.service].passed_over[peer] = now + options_.refusal_time;
+  }
+}
+
 void UpstreamPaths::OnPeerFailed(const UpstreamId& upstream, const DaemonId& peer, TimePoint now) {
   const auto found = paths_.find(upstream);
   if (found == paths_.end()) {
@@ -112,22 +118,25 @@
   if (known != peers_.end() && now < known->second.paused_until) {
     return std::nullopt;
   }
-  std::vector<const RelayPeer*> candidates;
+  std::vector<const RelayPeer*> own_domain;
+  std::vector<const RelayPeer*> other_domains;
+  int own_domain_passed_over = 0;
   for (const RelayPeer& peer : peers) {
+    bool passed_over = false;
     if (known != peers_.end()) {
-      const auto passed_over = known->second.passed_over.find(peer.daemon);
-      if (passed_over != known->second.passed_over.end() && now < passed_over->second) {
-        continue;
-      }
+      const auto entry = known->second.passed_over.find(peer.daemon);
+      passed_over = entry != known->second.passed_over.end() && now < entry->second;
     }
-    if (!candidates.empty() && candidates.front()->same_domain != peer.same_domain) {
-      if (!peer.same_domain) {
-        continue;
-      }
-      candidates.clear();
+    if (!passed_over) {
+      (peer.same_domain ? own_domain : other_domains).push_back(&peer);
+    } else if (peer.same_domain) {
+      ++own_domain_passed_over;
     }
-    candidates.push_back(&peer);
   }
+  const bool prefers_others =
+      own_domain.empty() ||
+      (!other_domains.empty() && own_domain_passed_over >= options_.max_domain_refusals);
+  const std::vector<const RelayPeer*>& candidates = prefers_others ? other_domains : own_domain;
   if (candidates.empty()) {
     return std::nullopt;
   }
--- a/packages/routing/upstream_paths.h
+++ b/packages/routing/upstream_paths.h
@@ -19,8 +19,13 @@
   // Time for which an upstream that neither this daemon nor a peer reaches counts as down. Its path
   // is then not the fault, and no peer is asked.
   Duration down_time = 1s;
-  // Failures of peers in a row, for one service, after which no peer is asked for a pause. It
-  // doubles with each further failure, up to the maximum.
+  // Time for which a peer that refused is not asked again.
+  Duration refusal_time = 2s;
+  // Peers of the own failure domain that refuse at the same time after which those of other domains
+  // are asked first, because the whole domain may be partitioned.
+  int max_domain_refusals = 2;
+  // Peers in a row that did not respond, for one service, after which no peer is asked for a pause.
+  // It doubles with each further failure, up to the maximum.
   int max_peer_failures = 3;
   Duration peer_pause = 500ms;
   Duration max_peer_pause = 4s;
@@ -52,9 +57,11 @@
   void OnReached(const UpstreamId& upstream, TimePoint now);
   void OnUnreached(const UpstreamId& upstream, TimePoint now);
 
-  // Record whether a peer connected to an upstream for this daemon. A peer that reports that the
-  // upstream does not respond to it has not failed itself.
+  // Record whether a peer connected to an upstream for this daemon. A peer that refuses has no path
+  // either, or drains; one that failed did not respond. A peer that reports that the upstream does
+  // not respond to it has neither refused nor failed.
   void OnPeerConnected(const UpstreamId& upstream, const DaemonId& peer, TimePoint now);
+  void OnPeerRefused(const UpstreamId& upstream, const DaemonId& peer, TimePoint now);
   void OnPeerFailed(const UpstreamId& upstream, const DaemonId& peer, TimePoint now);
   void OnUpstreamDown(const UpstreamId& upstream, TimePoint now);
 
@@ -84,7 +91,7 @@
   struct ServicePeers {
     int failures = 0;
     TimePoint paused_until{};
-    // Peers that did not connect, with the time until which they are passed over.
+    // Peers that refused or failed, with the time until which they are passed over.
     std::map<DaemonId, TimePoint> passed_over;
   };
 
--- a/tests/routing/upstream_paths_test.cc
+++ b/tests/routing/upstream_paths_test.cc
@@ -103,6 +103,43 @@
   EXPECT_EQ(Choose(kPeers), DaemonId("remote-1"));
 }
 
+// Guards against requests that are refused while a daemon asks one peer of its partitioned domain
+// after the other.
+TEST_F(UpstreamPathsTest, OtherDomainsAreAskedAfterTwoPeersOfALargeDomainRefused) {
+  paths_.OnUnreached(Upstream(0), now_);
+  std::vector<RelayPeer> peers = {{.daemon = DaemonId("remote"), .same_domain = false}};
+  constexpr int kPeerCount = 16;
+  for (int i = 0; i < kPeerCount; ++i) {
+    peers.push_back({.daemon = DaemonId("local-" + std::to_string(i)), .same_domain = true});
+  }
+  for (int i = 0; i < 2; ++i) {
+    const DaemonId peer = Choose(peers);
+    EXPECT_NE(peer, DaemonId("remote"));
+    paths_.OnPeerRefused(Upstream(0), peer, now_);
+  }
+  EXPECT_EQ(Choose(peers), DaemonId("remote"));
+  EXPECT_NE(Choose({peers.begin() + 1, peers.end()}), DaemonId());
+  now_ += 2s;
+  EXPECT_NE(Choose(peers), DaemonId("remote"));
+}
+
+// Guards against a pause while peers respond, which only the next one needs to be asked instead.
+TEST_F(UpstreamPathsTest, PeersThatRefuseCauseNoPause) {
+  paths_.OnUnreached(Upstream(0), now_);
+  std::vector<RelayPeer> peers;
+  constexpr int kPeerCount = 10;
+  peers.reserve(kPeerCount);
+  for (int i = 0; i < kPeerCount; ++i) {
+    peers.push_back({.daemon = DaemonId("peer-" + std::to_string(i)), .same_domain = false});
+  }
+  for (int i = 0; i < kPeerCount; ++i) {
+    const DaemonId peer = Choose(peers);
+    ASSERT_NE(peer, DaemonId());
+    paths_.OnPeerRefused(Upstream(0), peer, now_);
+  }
+  EXPECT_EQ(Choose(peers), DaemonId());
+}
+
 // Guards against a daemon that waits for its peers on every request while it reaches nobody.
 TEST_F(UpstreamPathsTest, NoPeerIsAskedForAWhileAfterThreeFailedInARow) {
   paths_.OnUnreached(Upstream(0), now_);
