Pass over a peer that sends older routes than it reports

Cause: such an answer counted as a transfer, and the daemon asked again at once, for as long as the peer's last report counts (1 s).

Change: it counts as a failure without a warning; the store may simply have been faster.

--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -259,15 +259,19 @@
     fleet_.route_sources.OnFailure(peer, BootNow());
     co_return false;
   }
+  if (document->version <= held_version()) {
+    // The store was faster, or the peer no longer holds what it reported.
+    fleet_.route_sources.OnFailure(peer, BootNow());
+    co_return false;
+  }
   kLog.Info("A peer sent its routes.",
             {{"version", document->version},
              {"peer", peer.value()},
              {"bytes", compressed.empty() ? text->size() : compressed.size()},
              {"ms", (BootNow() - begun_at) / 1ms}});
   fleet_.route_sources.OnTransferred(peer);
-  const bool is_newer = document->version > held_version();
   ApplyRoutes(std::move(*document), std::move(*text));
-  if (is_newer && !compressed.empty()) {
+  if (!compressed.empty()) {
     // The peers that ask this daemon get the same bytes.
     compressed_routes_ = std::move(compressed);
     routes_text_.clear();
--- a/tests/gateway/slow_link_test.cc
+++ b/tests/gateway/slow_link_test.cc
@@ -119,5 +119,24 @@
   }
 }
 
+// Guards against a daemon that asks again and again without a pause, because a peer reports a newer
+// version than it sends.
+TEST_F(SlowLinkTest, APeerThatSendsOldRoutesIsNotAskedAgainAtOnce) {
+  PutRoutes(1);
+  const auto gateway = MakeGateway("daemon-2", store_.endpoint);
+  WaitUntilReady(*gateway);
+  const Endpoint reports = ReportsEndpoint("daemon-2");
+  ServiceServer<RoutesPeer> peer(RouteDocumentText(1, {}));
+  ReportRoutes(reports, 2, peer.endpoint);
+  while (peer.service.transfers() == 0) {
+  }
+  // The daemon answers these while it passes the peer over.
+  constexpr int kRequests = 300;
+  for (int i = 0; i < kRequests; ++i) {
+    EXPECT_EQ(StatusOfNewRoute(*gateway), 404U);
+  }
+  EXPECT_LE(peer.service.transfers(), kMaxTransfers);
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
