Correct comments that a rename by tool changed

Cause: a rename replaced words in comments (UniformInt, MemberChange, UsageKey, ShowRunCount). Change: the comments say what they meant. Result: comments only.

--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -25,7 +25,7 @@
   Duration max_tick_gap = 1s;
 };
 
-// MemberChange of a member's state or incarnation. Holds the member after the change.
+// Change of a member's state or incarnation. Holds the member after the change.
 struct MemberChange {
   Member member;
 
--- a/packages/scheduling/account_rate_limiter.cc
+++ b/packages/scheduling/account_rate_limiter.cc
@@ -12,7 +12,7 @@
 constexpr Duration kMinRateInterval = 100ms;
 // Smoothing factor of the requested rate, for each report.
 constexpr double kAskedRateSmoothing = 0.5;
-// Multiple of the rate from which each daemon is limited to its own part. UniformInt it, the units
+// Multiple of the rate from which each daemon is limited to its own part. Below it, the units
 // that are taken before the reports arrive stay within the tolerance reserved for the propagation
 // delay.
 constexpr double kContentionRatio = 1.8;
--- a/packages/scheduling/usage_summary.h
+++ b/packages/scheduling/usage_summary.h
@@ -14,7 +14,7 @@
 // Usage of one client account at one service. 12 bytes, because a daemon may send 8 KB/s in total
 // and sends a summary to each daemon of its failure domain twice a second.
 struct AccountUsage {
-  // UsageKey of the account and the service.
+  // Key of the account and the service.
   std::uint32_t key = 0;
   // Cost served since the sender started, in milliseconds of one slot, modulo 2^32. It is
   // cumulative, so that lost summaries do not matter.
--- a/tests/golden/session_environment.h
+++ b/tests/golden/session_environment.h
@@ -17,7 +17,7 @@
 
 namespace savoryglade {
 
-// ShowRunCount the steps of a session against daemons and emulated upstreams inside the test
+// Runs the steps of a session against daemons and emulated upstreams inside the test
 // process. The system chooses the ports; the output contains names instead, so that it does not
 // vary between runs.
 class SessionEnvironment {
@@ -27,7 +27,7 @@
   SessionEnvironment(const SessionEnvironment&) = delete;
   SessionEnvironment& operator=(const SessionEnvironment&) = delete;
 
-  // ShowRunCount one step and returns its output, which is an error text for an unknown step.
+  // Runs one step and returns its output, which is an error text for an unknown step.
   std::string Run(const SessionStep& step);
 
  private:
--- a/tests/golden/session_script.h
+++ b/tests/golden/session_script.h
@@ -32,7 +32,7 @@
 // Function that runs one step and returns its output.
 using SessionStepRunner = std::function<std::string(const SessionStep&)>;
 
-// ShowRunCount all steps and returns the golden file text with the actual output.
+// Runs all steps and returns the golden file text with the actual output.
 std::string RunSession(std::string_view text, const SessionStepRunner& run);
 
 }  // namespace savoryglade
