--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -200,7 +200,7 @@
   std::set<std::pair<TimePoint, Ticket>> by_settlement_;
   std::vector<ExpiredRequest> expired_;
   // Cost served by the other daemons of this failure domain, in seconds of one upstream slot, by
-  // Key of client account and service.
+  // the key of client account and service.
   std::unordered_map<std::uint32_t, double> domain_served_;
   std::uint32_t daemon_sequence_ = 0;
   std::uint32_t domain_sequence_ = 0;
