Log callers that leave and event loops that are held up

Change: a line and the counter savoryglade_gateway_callers_left_total for each call whose caller left, with the stage and the time since the last send; EventLoopMonitor measures the delay of the loop five times a second (savoryglade_gateway_loop_delay_seconds) and logs delays from 100 ms on with the longest task. savoryctl explain names the stage.

Result: GatewayTest.OperationsPageListsAllMetrics passes with the new metrics. No decision is changed.

--- a/packages/admin/explain.cc
+++ b/packages/admin/explain.cc
@@ -74,6 +74,9 @@
 }
 
 std::string DescribeOutcome(const std::map<std::string, std::string>& fields) {
+  if (const auto stage = fields.find("stage"); stage != fields.end()) {
+    return fmt::format("The caller left before its answer, at stage {}.\n", stage->second);
+  }
   const auto reason = fields.find("reason");
   if (reason == fields.end()) {
     const auto status = fields.find("status");
--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -73,6 +73,10 @@
 
   // Whether the header of a streamed response has been sent.
   bool stream_started = false;
+  // Whether the call has its final answer.
+  bool answered = false;
+  // When the request was last sent to an upstream.
+  TimePoint last_sent_at{};
   SseSplitter sse_splitter;
   // Time from receipt to the first event, and the longest gap between two events.
   Duration time_to_first_event = Duration::zero();
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -172,6 +172,9 @@
     co_return;
   }
   co_await SendUntilAnswered(call);
+  if (!call.answered && call.caller.disconnected()) {
+    RecordCallerLeft(call);
+  }
   if (call.account != nullptr && call.unrejected_sends == 0) {
     fleet_.rate_limiter.Refund(call.account->name, call.units);
   }
@@ -381,6 +384,7 @@
                                  .kv_copy = call.kv_copy};
   ++call.sends;
   ++call.unrejected_sends;
+  call.last_sent_at = now;
   if (!call.kv_copy) {
     fleet_.work.Add(call.service, fleet_.load_balancer.WorkSeconds(
                                       call.metadata.work, attempt.placement.uncached_tokens));
@@ -481,7 +485,24 @@
   fleet_.usage.OnRequestStarted(*call.counted_window, call.account->name);
 }
 
+void CallRelay::RecordCallerLeft(const Call& call) {
+  const char* const stage = call.sends == 0       ? "before_send"
+                            : call.stream_started ? "in_stream"
+                                                  : "at_upstream";
+  fleet_.metrics.GetCounter("savoryglade_gateway_callers_left_total", {{"stage", stage}}).Add();
+  const TimePoint now = BootNow();
+  kLog.Info("A caller left before its answer.",
+            {{"request", call.metadata.attempt_id},
+             {"route", call.route->name},
+             {"stage", stage},
+             {"upstream", call.last_upstream ? call.last_upstream->value() : std::string("-")},
+             {"sent", call.sends},
+             {"ms_since_send", call.sends == 0 ? 0 : (now - call.last_sent_at) / 1ms},
+             {"ms", (now - call.received) / 1ms}});
+}
+
 asio::awaitable<void> CallRelay::Reject(Call& call, Verdict verdict) {
+  call.answered = true;
   const std::string reason(ToString(verdict.reason));
   fleet_.metrics.GetCounter("savoryglade_gateway_refusals_total", {{"reason", reason}}).Add();
   const std::string run_state(ToString(verdict.run_state));
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -65,6 +65,8 @@
   void RecordUsage(Call& call, TimePoint now);
   // Returns true if the request may be sent again after an upstream may have run it.
   bool CanRetry(const Call& call) const;
+  // Logs and counts that the caller closed its connection before its answer.
+  void RecordCallerLeft(const Call& call);
   // Logs and counts the rejection and sends the response, or aborts a stream that has started.
   boost::asio::awaitable<void> Reject(Call& call, Verdict verdict);
   Verdict NoUpstreamVerdict(const Call& call, TimePoint now) const;
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -18,6 +18,7 @@
 #include "membership/fleet_groups.h"
 #include "membership/upstream_notices.h"
 #include "metrics/registry.h"
+#include "net/event_loop_monitor.h"
 #include "recovery/crash_registry.h"
 #include "recovery/drain_sequence.h"
 #include "recovery/stream_version_directory.h"
@@ -101,6 +102,7 @@
   GatewaySettings settings;
   const std::uint64_t incarnation;
   MetricRegistry metrics;
+  EventLoopMonitor loop_monitor{metrics.GetTiming("savoryglade_gateway_loop_delay_seconds")};
   // Null until the first routes have been read.
   std::shared_ptr<const RouteTable> routes;
   // Latest instant at which these routes were known to be the newest, from this daemon's own reads
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -141,6 +141,7 @@
   if (fleet_.routes != nullptr && document.version <= held) {
     return;
   }
+  const EventLoopMonitor::Task task(fleet_.loop_monitor, "apply_routes");
   kLog.Info("New routes are active.", {{"version", document.version},
                                        {"previous", held},
                                        {"routes", document.routes.size()},
@@ -202,6 +203,7 @@
   HttpHeaders headers = ContentType("application/json");
   headers.emplace_back("Content-Encoding", std::string(kDeflate));
   if (compressed_routes_.empty()) {
+    const EventLoopMonitor::Task task(fleet_.loop_monitor, "compress_routes");
     compressed_routes_ = Compress(std::exchange(routes_text_, {}));
   }
   std::string document = compressed_routes_;
@@ -248,6 +250,7 @@
   }
   Result<RouteDocument> document = tl::make_unexpected(Error{});
   if (text) {
+    const EventLoopMonitor::Task task(fleet_.loop_monitor, "parse_routes");
     document = store_.ParseRoutes(*text);
   } else {
     document = tl::make_unexpected(text.error());
@@ -393,6 +396,7 @@
 }
 
 void FleetStoreWatcher::ApplyUpstreams(const std::vector<RegistrationChange>& changes) {
+  const EventLoopMonitor::Task task(fleet_.loop_monitor, "apply_registrations");
   // Streams of upstreams that leave move to others, so all changes are applied first.
   std::vector<UpstreamId> leaving;
   for (const RegistrationChange& change : changes) {
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -138,6 +138,7 @@
     fleet_.upstream_paths.OnUnreached(id, BootNow());
     fleet_.load_balancer.OnPathLost(id);
   }));
+  spawn(fleet_.loop_monitor.Run());
   spawn(HousekeepingLoop());
   kLog.Info("The gateway has started.", {{"daemon", settings.daemon.value()},
                                          {"failure_domain", settings.failure_domain.value()},
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -58,7 +58,8 @@
   call.caller.OnDisconnect({});
 }
 
-void ResponseRelay::RecordResponse(const Call& call, const Attempt& attempt, unsigned status) {
+void ResponseRelay::RecordResponse(Call& call, const Attempt& attempt, unsigned status) {
+  call.answered = true;
   const Duration total = BootNow() - call.received;
   fleet_.metrics.GetTiming("savoryglade_gateway_answer_seconds", {{"route", call.route->name}})
       .Record(total);
@@ -210,6 +211,7 @@
         attempt.has_framed_end = !connection.ends_with_connection();
         crash_detector_.OnAnswer(call, attempt, status, BootNow());
         open = co_await call.exchange.EndStream();
+        call.answered = open;
         break;
       }
       open = co_await call.exchange.WriteChunk(response.body);
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -54,7 +54,7 @@
   // Returns the connection of a completely answered attempt to the pool.
   void ReleaseConnection(Call& call, Attempt& attempt);
   // Logs a completely answered request and records its latency.
-  void RecordResponse(const Call& call, const Attempt& attempt, unsigned status);
+  void RecordResponse(Call& call, const Attempt& attempt, unsigned status);
 
   FleetState& fleet_;
   const MessageCodec& codec_;
