--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -58,10 +59,17 @@
 
   static FleetBounds TestBounds() { return {.upstream_drain = 50ms, .retry_allowance = 100}; }
 
+  using CodecFactory = std::function<std::unique_ptr<MessageCodec>()>;
+
+  static std::unique_ptr<MessageCodec> MakeHeaderCodec() {
+    return std::make_unique<platform::HeaderCodec>();
+  }
+
   // Starts a gateway that reads the store at this endpoint.
   static std::unique_ptr<Gateway> MakeGateway(const std::string& daemon, const Endpoint& store,
                                               const FleetBounds& bounds = TestBounds(),
-                                              const std::string& source_address = {}) {
+                                              const std::string& source_address = {},
+                                              const CodecFactory& make_codec = MakeHeaderCodec) {
     GatewaySettings settings{.daemon = DaemonId(daemon),
                              .failure_domain = FailureDomainId("verona"),
                              .source_address = source_address};
@@ -73,9 +81,9 @@
     settings.duties = store;
     settings.bounds = bounds;
     auto gateway = std::make_unique<Gateway>(
-        settings, [settings](boost::asio::io_context&, MetricRegistry& metrics) {
+        settings, [settings, make_codec](boost::asio::io_context&, MetricRegistry& metrics) {
           return GatewayAdapters{
-              .codec = std::make_unique<platform::HeaderCodec>(),
+              .codec = make_codec(),
               .store = std::make_unique<platform::StoreClient>(settings.store, metrics),
               .duties = std::make_unique<platform::DutyClient>(settings.duties, metrics),
               .engines = std::make_unique<platform::EngineClient>(metrics)};
--- a/tests/net/tunnel_test.cc
+++ b/tests/net/tunnel_test.cc
@@ -91,6 +91,14 @@
   EXPECT_EQ(ReadToEnd(target_).second, asio::error::connection_reset);
 }
 
+// Guards against a relay that reads late and passes on what its caller has withdrawn.
+TEST_F(TunnelTest, BytesOfACallerThatHasResetAreNotPassedOn) {
+  asio::write(caller_, asio::buffer(std::string("request")));
+  Reset(caller_);
+  Relay();
+  EXPECT_EQ(ReadToEnd(target_).first, "");
+}
+
 // Guards against tunnels that stay open for ever because both sides are silent.
 TEST_F(TunnelTest, TunnelEndsAfterItsLifetime) {
   Relay(1ms);
