Look for the caller's close directly before each send

Callers saw nothing; upstreams got requests of callers that had left (GONE).

Cause: PeerDisconnectMonitor learned of a close by an asynchronous wait, which completes in the next round of the event loop at the earliest. A request that is sent over an idle connection goes from its parsing to its send without one, so a daemon that reads late sent what its callers had given up. Bytes behind a request ended the wait for good.

Change: Check asks the kernel, with POLLRDHUP if unread bytes hide the end of the stream, before each attempt and before each send of the gateway, and through Interrupt::Check before each send of packages/daemon. A close that arrives between the question and the send still lets the request through, as does one that is still on the way.

--- a/packages/daemon/active_requests.h
+++ b/packages/daemon/active_requests.h
@@ -30,12 +30,24 @@
     }
   }
 
+  // Sets the function that looks for a cause that the event loop has not delivered yet.
+  void SetProbe(std::function<void()> probe) { probe_ = std::move(probe); }
+  // Looks for such a cause, and returns true if one is set. To be called directly before a send,
+  // which must not follow the cause.
+  bool Check() {
+    if (probe_) {
+      probe_();
+    }
+    return raised();
+  }
+
   // Sets the callback that ends the current wait of the request; empty if it can't be ended.
   void SetCallback(std::function<void()> callback) { callback_ = std::move(callback); }
 
  private:
   InterruptCause cause_ = InterruptCause::kNone;
   std::function<void()> callback_;
+  std::function<void()> probe_;
 };
 
 // Sets the callback of an interrupt for a scope. Runs it at once if the interrupt is raised.
--- a/packages/daemon/model_attempt.cc
+++ b/packages/daemon/model_attempt.cc
@@ -103,7 +103,7 @@
   if (!connection) {
     co_return Fail(AttemptResult::kConnectFailed, Reason::kUpstreamLost, RunState::kNotRun);
   }
-  if (interrupt_.raised()) {
+  if (interrupt_.Check()) {
     co_return Fail(AttemptResult::kCancelled, Reason::kDraining, RunState::kNotRun);
   }
   ModelAttemptStatus end = ModelAttemptStatus::kFailed;
--- a/packages/daemon/model_handler.cc
+++ b/packages/daemon/model_handler.cc
@@ -46,6 +46,7 @@
     PeerDisconnectMonitor disconnect_monitor(exchange_.stream());
     disconnect_monitor.OnDisconnect(
         [interrupt = interrupt_] { interrupt->Raise(InterruptCause::kCallerGone); });
+    interrupt_->SetProbe([&disconnect_monitor] { disconnect_monitor.Check(); });
     context_.retries.OnRequest(request_.account.name, request_.service.name);
     bool finished = false;
     if (request_.has_idempotency_key) {
--- a/packages/daemon/plain_handler.cc
+++ b/packages/daemon/plain_handler.cc
@@ -105,6 +105,7 @@
     PeerDisconnectMonitor disconnect_monitor(exchange_.stream());
     disconnect_monitor.OnDisconnect(
         [interrupt = interrupt_] { interrupt->Raise(InterruptCause::kCallerGone); });
+    interrupt_->SetProbe([&disconnect_monitor] { disconnect_monitor.Check(); });
     context_.retries.OnRequest(request_.account.name, request_.service.name);
     upstream_request_ = MakeUpstreamRequest(exchange_.request(), idempotency_key);
     while (!co_await RunAttempt()) {
@@ -241,7 +242,7 @@
   asio::awaitable<PlainAttemptResult> Send(const UpstreamConfig& upstream) {
     const Endpoint endpoint{.address = upstream.address, .port = upstream.port};
     auto connection = co_await Connect(endpoint);
-    if (!connection || interrupt_->raised()) {
+    if (!connection || interrupt_->Check()) {
       co_return PlainAttemptResult{
           .verdict = {.run_state = RunState::kNotRun,
                       .reason = connection ? Reason::kDraining : Reason::kUpstreamLost,
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -214,7 +214,7 @@
 }
 
 asio::awaitable<void> CallRelay::SendUntilAnswered(Call& call) {
-  while (!call.caller.disconnected()) {
+  while (!call.caller.Check()) {
     const TimePoint now = BootNow();
     if (fleet_.drain.interrupted()) {
       co_await Reject(call, {.run_state = call.run_state,
@@ -285,9 +285,6 @@
       }
     }
   }
-  if (call.stream_started) {
-    call.exchange.Abort();
-  }
 }
 
 asio::awaitable<RelayOutcome> CallRelay::TryUpstream(Call& call, const Placement& placement) {
@@ -343,7 +340,7 @@
   }
   attempt.connection = std::move(connected->connection);
   attempt.peer = std::move(connected->peer);
-  if (call.caller.disconnected()) {
+  if (call.caller.Check()) {
     attempt.end = AttemptEnd::kCancelled;
     co_return RelayOutcome::kFinished;
   }
--- a/tests/daemon/stream_test.cc
+++ b/tests/daemon/stream_test.cc
@@ -201,6 +201,21 @@
             1U);
 }
 
+// Guards against a daemon that does not see a disconnect behind bytes that it has not read yet.
+TEST(StreamTest, GenerationIsCancelledWhenACallerDisconnectsAfterFurtherBytes) {
+  EngineServer engine;
+  const auto daemon = StartDaemon({.engines = {engine.endpoint}});
+  engine.engine.SetFault(EngineFault::kStall, 1);
+  CallerConnection caller(daemon->callers_endpoint());
+  caller.Send(MakeChatRequest(4));
+  caller.ReadUntilTokenCount(1);
+  caller.Send("\r\n");
+  caller.Close();
+  Counter& disconnected =
+      daemon->metrics().GetCounter("savoryglade_callers_gone_total", {{"stage", "running"}});
+  WaitFor([&] { return disconnected.value() == 1; });
+}
+
 // Guards against running a request whose caller disconnected while it was queued.
 TEST(StreamTest, QueuedRequestOfADisconnectedCallerIsNeverDispatched) {
   EngineServer engine;
--- a/tests/gateway/caller_left_test.cc
+++ b/tests/gateway/caller_left_test.cc
@@ -51,7 +51,8 @@
   void Leave() {
     socket_.shutdown(tcp::socket::shutdown_send);
     tcp_info info{};
-    while (info.tcpi_state != TCP_FIN_WAIT2) {
+    info.tcpi_state = TCP_FIN_WAIT1;
+    while (info.tcpi_state == TCP_FIN_WAIT1) {
       socklen_t size = sizeof(info);
       ASSERT_EQ(::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size), 0);
     }
