Close the connection of a caller that has left

Upstreams got requests that a caller had sent behind the one during which it left (GONE).

Cause: a call that ends because its caller left returned to the server's loop with the connection kept, unless its stream had begun.

Change: such a connection is closed, at one place for all calls.

Result: CallerLeftTest.NextRequestOfACallerThatLeftIsNotSent ran the second request before and passes.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -174,6 +174,8 @@
   co_await SendUntilAnswered(call);
   if (!call.answered && call.caller.disconnected()) {
     RecordCallerLeft(call);
+    // Requests behind this one must not be served.
+    exchange.Abort();
   }
   if (call.account != nullptr && call.unrejected_sends == 0) {
     fleet_.rate_limiter.Refund(call.account->name, call.units);
