Pass nothing on through a tunnel whose caller has disconnected

Upstreams got requests through a peer after the daemon that asked for the tunnel had withdrawn them (GONE).

Cause: the bytes that arrived before a reset stay readable, and the relay copied them without asking whether their sender still was there. While a write to the target was blocked, the end of the caller was not seen at all, up to the lifetime of the tunnel.

Change: RelayBytes watches the caller, and copies nothing of a caller that has disconnected.

--- a/packages/net/tunnel.cc
+++ b/packages/net/tunnel.cc
@@ -9,6 +9,8 @@
 #include <boost/beast/http.hpp>
 #include <utility>
 
+#include "net/peer_disconnect_monitor.h"
+
 namespace savoryglade {
 namespace {
 
@@ -21,14 +23,18 @@
 constexpr std::size_t kRelayChunkBytes = 8 * 1024;
 
 // Copies bytes until the source ends. Returns true if it ended in order and the target has taken
-// all bytes.
-asio::awaitable<bool> CopyBytes(beast::tcp_stream& from, beast::tcp_stream& to) {
+// all bytes. With a monitor, the bytes of a source that has disconnected are not copied.
+asio::awaitable<bool> CopyBytes(beast::tcp_stream& from, beast::tcp_stream& to,
+                                PeerDisconnectMonitor* source) {
   std::array<char, kRelayChunkBytes> chunk;
   while (true) {
     const auto [read_error, size] = co_await from.async_read_some(asio::buffer(chunk), kAwait);
     if (read_error) {
       co_return read_error == asio::error::eof;
     }
+    if (source != nullptr && source->Check()) {
+      co_return false;
+    }
     const auto [write_error, written] =
         co_await asio::async_write(to, asio::buffer(chunk.data(), size), kAwait);
     if (write_error) {
@@ -82,8 +88,12 @@
   SetResetOnClose(target, true);
   caller.expires_after(lifetime);
   target.expires_after(lifetime);
+  PeerDisconnectMonitor caller_monitor(caller);
+  // A write to a target that does not read would otherwise go on without its caller.
+  caller_monitor.OnDisconnect([&target] { target.close(); });
   using asio::experimental::awaitable_operators::operator||;
-  const auto ended = co_await (CopyBytes(caller, target) || CopyBytes(target, caller));
+  const auto ended =
+      co_await (CopyBytes(caller, target, &caller_monitor) || CopyBytes(target, caller, nullptr));
   const bool target_ended = ended.index() == 1 && std::get<1>(ended);
   if (target_ended) {
     SetResetOnClose(caller, false);
--- a/packages/net/tunnel.h
+++ b/packages/net/tunnel.h
@@ -31,9 +31,10 @@
 inline constexpr const char* kTunnelTargetHeader = "Savoryglade-Upstream";
 inline constexpr const char* kTunnelLifetimeHeader = "Savoryglade-Lifetime-Ms";
 
-// Relays bytes in both directions until one side ends or the lifetime is over. An orderly end is
-// passed on after all bytes; any other end resets the other side, so that a response that ends with
-// its connection does not look complete.
+// Relays bytes in both directions until one side ends or the lifetime is over. An orderly end of
+// the target is passed on after all bytes; any other end resets the other side, so that a response
+// that ends with its connection does not look complete. Once the caller has disconnected, nothing
+// more is passed on to the target.
 boost::asio::awaitable<void> RelayBytes(boost::beast::tcp_stream& caller,
                                         boost::beast::tcp_stream& target, Duration lifetime);
 
--- a/tests/net/tunnel_test.cc
+++ b/tests/net/tunnel_test.cc
@@ -99,6 +99,21 @@
   EXPECT_EQ(ReadToEnd(target_).first, "");
 }
 
+// Guards against a relay that waits for a target that does not read, although its caller has left.
+TEST_F(TunnelTest, ResetOfTheCallerEndsAWriteThatTheTargetBlocks) {
+  caller_.non_blocking(true);
+  const std::string block(kBytes, 'x');
+  asio::co_spawn(context_, RelayBytes(relay_caller_, relay_target_, 60s), LogException("tunnel"));
+  boost::system::error_code error;
+  while (!error) {
+    caller_.write_some(asio::buffer(block), error);
+    context_.poll();
+  }
+  Reset(caller_);
+  context_.run();
+  EXPECT_EQ(ReadToEnd(target_).second, asio::error::connection_reset);
+}
+
 // Guards against tunnels that stay open for ever because both sides are silent.
 TEST_F(TunnelTest, TunnelEndsAfterItsLifetime) {
   Relay(1ms);
