--- a/bench/routing/measures.h
+++ b/bench/routing/measures.h
@@ -13,4 +13,8 @@
 // Measures the time of one selection among 200 upstreams in one failure domain, on the real clock.
 void MeasureSelection();
 
+// Measures a lookup of a route and the comparison of two versions, against a comparison of each
+// path with all routes, on the real clock.
+void MeasureRouteTables();
+
 }  // namespace savoryglade
--- a/bench/routing/routing_bench_main.cc
+++ b/bench/routing/routing_bench_main.cc
@@ -12,9 +12,9 @@
   void (*run)();
 };
 
-constexpr std::array kMeasures = {Measure{"stragglers", MeasureStragglers},
-                                  Measure{"recompute", MeasureRecompute},
-                                  Measure{"selection", MeasureSelection}};
+constexpr std::array kMeasures = {
+    Measure{"stragglers", MeasureStragglers}, Measure{"recompute", MeasureRecompute},
+    Measure{"selection", MeasureSelection}, Measure{"route-tables", MeasureRouteTables}};
 
 int Run(int argc, char** argv) {
   const std::string_view name = argc > 1 ? argv[1] : "";
--- a/packages/config/route_table.cc
+++ b/packages/config/route_table.cc
@@ -4,6 +4,8 @@
 #include <cctype>
 #include <utility>
 
+#include "core/prefix_hash.h"
+
 namespace savoryglade {
 namespace {
 
@@ -19,13 +21,43 @@
 
 }  // namespace
 
+void RouteTable::HostRoutes::Add(const Route& route) {
+  if (lengths.size() <= route.prefix.size()) {
+    lengths.resize(route.prefix.size() + 1);
+  }
+  lengths[route.prefix.size()] = true;
+  const std::uint64_t hash = Fnv1aHash(route.prefix);
+  const auto [begin, end] = by_prefix.equal_range(hash);
+  // The first of several routes with the same prefix holds.
+  if (std::none_of(begin, end,
+                   [&](const auto& entry) { return entry.second->prefix == route.prefix; })) {
+    by_prefix.emplace(hash, &route);
+  }
+}
+
+const Route* RouteTable::HostRoutes::Match(std::string_view path) const {
+  const Route* longest = nullptr;
+  std::uint64_t hash = Fnv1aHash({});
+  std::size_t hashed = 0;
+  for (std::size_t length = 0; length < lengths.size() && length <= path.size(); ++length) {
+    if (!lengths[length]) {
+      continue;
+    }
+    hash = Fnv1aHash(path.substr(hashed, length - hashed), hash);
+    hashed = length;
+    const auto [begin, end] = by_prefix.equal_range(hash);
+    for (auto entry = begin; entry != end; ++entry) {
+      if (path.substr(0, length) == entry->second->prefix) {
+        longest = entry->second;
+      }
+    }
+  }
+  return longest;
+}
+
 RouteTable::RouteTable(RouteDocument document) : document_(std::move(document)) {
   for (const Route& route : document_.routes) {
-    by_host_[NormalizeHost(route.host)].push_back(&route);
-  }
-  for (auto& [host, routes] : by_host_) {
-    std::ranges::stable_sort(
-        routes, [](const Route* a, const Route* b) { return a->prefix.size() > b->prefix.size(); });
+    by_host_[NormalizeHost(route.host)].Add(route);
   }
   for (const AccountPolicy& account : document_.accounts) {
     for (const std::string& key : account.keys) {
@@ -39,13 +71,7 @@
   if (found == by_host_.end()) {
     return nullptr;
   }
-  const std::string_view path = target.substr(0, target.find('?'));
-  for (const Route* route : found->second) {
-    if (path.starts_with(route->prefix)) {
-      return route;
-    }
-  }
-  return nullptr;
+  return found->second.Match(target.substr(0, target.find('?')));
 }
 
 const AccountPolicy* RouteTable::FindByKey(std::string_view key) const {
--- a/packages/config/route_table.h
+++ b/packages/config/route_table.h
@@ -124,7 +124,8 @@
   std::uint64_t version() const { return document_.version; }
 
   // Returns the route of the host with the longest matching prefix, or nullptr. Ignores a port in
-  // the host and the query of the target.
+  // the host and the query of the target. The time grows with the length of the path, not with the
+  // number of routes.
   const Route* Match(std::string_view host, std::string_view target) const;
   // Returns the account with the key, or nullptr.
   const AccountPolicy* FindByKey(std::string_view key) const;
@@ -134,9 +135,19 @@
   static const ServiceId& ChooseService(const Route& route, std::uint64_t seed);
 
  private:
+  // The routes of one host.
+  struct HostRoutes {
+    // Routes by the hashes of their prefixes.
+    std::unordered_multimap<std::uint64_t, const Route*> by_prefix;
+    // Whether a prefix of each length exists.
+    std::vector<bool> lengths;
+
+    void Add(const Route& route);
+    const Route* Match(std::string_view path) const;
+  };
+
   RouteDocument document_;
-  // Routes by host, longest prefix first.
-  std::unordered_map<std::string, std::vector<const Route*>> by_host_;
+  std::unordered_map<std::string, HostRoutes> by_host_;
   std::unordered_map<std::string, const AccountPolicy*> by_key_;
 };
 
--- a/tests/config/route_table_test.cc
+++ b/tests/config/route_table_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+
 namespace savoryglade {
 namespace {
 
@@ -28,6 +30,28 @@
   EXPECT_EQ(table.Match("other.example", "/briefs/4"), nullptr);
 }
 
+// Guards against an index of prefixes that differs from a comparison with each of them.
+TEST(RouteTableTest, MatchIsThatOfAComparisonWithAllPrefixes) {
+  RouteDocument document;
+  for (const char* prefix : {"", "/", "/a", "/a/", "/a/b", "/a/b/c/", "/ab/", "/a/"}) {
+    document.routes.push_back({.name = std::to_string(document.routes.size()),
+                               .host = "h",
+                               .prefix = prefix,
+                               .services = {{.service = ServiceId("s")}}});
+  }
+  const RouteTable table(document);
+  for (const std::string path : {"", "/", "/a", "/a/", "/a/b", "/a/b/c", "/a/b/c/d", "/abc", "b"}) {
+    const Route* longest = nullptr;
+    for (const Route& route : table.document().routes) {
+      if (path.starts_with(route.prefix) &&
+          (longest == nullptr || route.prefix.size() > longest->prefix.size())) {
+        longest = &route;
+      }
+    }
+    EXPECT_EQ(table.Match("h", path), longest) << path;
+  }
+}
+
 TEST(RouteTableTest, HostsMatchRegardlessOfPortAndCase) {
   const RouteTable table(MakeDocument());
   EXPECT_NE(table.Match("Orders.Example:8080", "/briefs/4"), nullptr);
