Parse, index and compress routes off the event loop

Callers got late answers, or gave up, while a daemon applied a new version of thousands of routes, and what they gave up was then read and sent (GONE).

Cause: decoding, parsing, indexing, comparing and compressing the routes held the event loop of a daemon, which has 0.12 to 0.25 of a core.

Change: BackgroundWorker runs functions on a second thread. The store client parses large responses there, and the watcher parses, indexes, compares and compresses the routes there. The event loop only replaces the table. The adapters get the worker instead of an I/O context that none of them used. Routes count as confirmed once they are applied, as before.

--- a/packages/gateway/adapter.h
+++ b/packages/gateway/adapter.h
@@ -115,11 +115,9 @@
 // the versions of rows only increase, even if the store returns from an older copy.
 using FeedPosition = std::uint64_t;
 
-// New routes, if any, and the position from which to continue.
+// Text of the new route document, if there is one, and the position from which to continue.
 struct RouteUpdate {
-  std::optional<RouteDocument> document;
-  // Text from which the document was parsed.
-  std::string text;
+  std::optional<std::string> text;
   FeedPosition position = 0;
 };
 
@@ -151,7 +149,8 @@
   // Returns as soon as the routes change after the position, or once the wait has passed.
   virtual boost::asio::awaitable<Result<RouteUpdate>> WatchRoutes(FeedPosition after,
                                                                   Duration wait) = 0;
-  // Parses the text of a route document. Returns kInvalid if it is malformed.
+  // Parses the text of a route document. Returns kInvalid if it is malformed. Safe to use from all
+  // threads.
   virtual Result<RouteDocument> ParseRoutes(const std::string& text) const = 0;
   // Returns the registrations that changed after the position, without waiting.
   virtual boost::asio::awaitable<Result<UpstreamUpdate>> WatchUpstreams(FeedPosition after) = 0;
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/boot_clock.h"
+#include "core/scoped_count.h"
 #include "logging/logger.h"
 #include "net/compression.h"
 #include "net/http_client.h"
@@ -48,6 +49,8 @@
 constexpr std::size_t kMaxRouteDocumentBytes = 16 * 1024 * 1024;
 constexpr const char* kRoutesTarget = "/routes";
 constexpr std::string_view kDeflate = "deflate";
+// Usual ratio of the size of a route document to its compressed size.
+constexpr std::size_t kCompressionRatio = 8;
 // Time for which a daemon may send streams to an upstream that is no longer registered.
 constexpr Duration kStreamLifetimeMargin = 10s;
 // Shortest time between two reads of one table.
@@ -65,12 +68,13 @@
 
 FleetStoreWatcher::FleetStoreWatcher(FleetState& fleet, FleetStore& store,
                                      UpstreamConnectionPool& connections, asio::io_context& context,
-                                     StoreWatchCallbacks callbacks)
+                                     BackgroundWorker& background, StoreWatchCallbacks callbacks)
     : fleet_(fleet),
       store_(store),
       connections_(connections),
       callbacks_(std::move(callbacks)),
       context_(context),
+      background_(background),
       routes_timer_(context),
       upstreams_timer_(context),
       registrations_({}),
@@ -103,11 +107,19 @@
     Result<RouteUpdate> update = co_await store_.WatchRoutes(routes_position_, wait);
     if (update) {
       routes_position_ = update->position;
-      if (update->document) {
-        if (update->document->version >= held_version()) {
-          ConfirmRoutes(read_started_at);
+      if (update->text) {
+        auto bytes =
+            std::make_shared<const RouteBytes>(RouteBytes{.text = std::move(*update->text)});
+        const auto routes = co_await ParseRoutes(bytes);
+        if (!routes) {
+          kLog.Error("The operators' route document is invalid; it is ignored.",
+                     {{"position", routes_position_}, {"error", routes.error().message}});
+        } else {
+          co_await ApplyRoutes(*routes, std::move(bytes));
+          if ((*routes)->version() >= held_version()) {
+            ConfirmRoutes(read_started_at);
+          }
         }
-        ApplyRoutes(std::move(*update->document), std::move(update->text));
       } else if (fleet_.routes == nullptr) {
         routes_position_ = 0;
         co_await Sleep(kRetryInterval);
@@ -136,31 +148,62 @@
   fleet_.routes_confirmed_at = std::max(fleet_.routes_confirmed_at, as_of);
 }
 
-void FleetStoreWatcher::ApplyRoutes(RouteDocument document, std::string text) {
-  const std::uint64_t held = held_version();
-  if (fleet_.routes != nullptr && document.version <= held) {
-    return;
-  }
-  const EventLoopMonitor::Task task(fleet_.loop_monitor, "apply_routes");
-  kLog.Info("New routes are active.", {{"version", document.version},
-                                       {"previous", held},
-                                       {"routes", document.routes.size()},
-                                       {"accounts", document.accounts.size()}});
-  fleet_.rate_limiter.Configure(document.accounts, BootNow());
-  auto routes = std::make_shared<const RouteTable>(std::move(document));
-  UpdateStreamRoutes(*routes);
-  fleet_.routes = std::move(routes);
-  routes_text_ = std::move(text);
-  compressed_routes_.clear();
-  if (!IsBehindPeers()) {
-    behind_since_.reset();
+asio::awaitable<Result<std::shared_ptr<const RouteTable>>> FleetStoreWatcher::ParseRoutes(
+    std::shared_ptr<const RouteBytes> bytes) {
+  const std::size_t size = bytes->text.size() * (bytes->compressed ? kCompressionRatio : 1);
+  auto parse = [bytes = std::move(bytes),
+                &store = store_]() -> Result<std::shared_ptr<const RouteTable>> {
+    Result<std::string> decompressed;
+    if (bytes->compressed) {
+      decompressed = Decompress(bytes->text, kMaxRouteDocumentBytes);
+      if (!decompressed) {
+        return tl::make_unexpected(decompressed.error());
+      }
+    }
+    Result<RouteDocument> document =
+        store.ParseRoutes(bytes->compressed ? *decompressed : bytes->text);
+    if (!document) {
+      return tl::make_unexpected(document.error());
+    }
+    return std::make_shared<const RouteTable>(std::move(*document));
+  };
+  co_return co_await background_.Run(size, std::move(parse));
+}
+
+asio::awaitable<void> FleetStoreWatcher::ApplyRoutes(std::shared_ptr<const RouteTable> routes,
+                                                     std::shared_ptr<const RouteBytes> bytes) {
+  while (fleet_.routes == nullptr || routes->version() > held_version()) {
+    const std::shared_ptr<const RouteTable> held = fleet_.routes;
+    std::vector<ServiceReplacement> replacements;
+    if (held != nullptr) {
+      auto compare = [held, routes] { return FindServiceReplacements(*held, *routes); };
+      replacements = co_await background_.Run(bytes->text.size(), std::move(compare));
+    }
+    if (fleet_.routes != held) {
+      // Other routes were applied meanwhile.
+      continue;
+    }
+    const EventLoopMonitor::Task task(fleet_.loop_monitor, "apply_routes");
+    const RouteDocument& document = routes->document();
+    kLog.Info("New routes are active.", {{"version", document.version},
+                                         {"previous", held_version()},
+                                         {"routes", document.routes.size()},
+                                         {"accounts", document.accounts.size()}});
+    fleet_.rate_limiter.Configure(document.accounts, BootNow());
+    UpdateStreamRoutes(*routes, replacements);
+    fleet_.routes = std::move(routes);
+    route_bytes_ = std::move(bytes);
+    if (!IsBehindPeers()) {
+      behind_since_.reset();
+    }
+    callbacks_.on_routes(*fleet_.routes);
+    callbacks_.publish(std::nullopt);
+    co_return;
   }
-  callbacks_.on_routes(*fleet_.routes);
-  callbacks_.publish(std::nullopt);
 }
 
-void FleetStoreWatcher::UpdateStreamRoutes(const RouteTable& routes) {
-  const TimePoint now = BootNow();
+void FleetStoreWatcher::UpdateStreamRoutes(const RouteTable& routes,
+                                           const std::vector<ServiceReplacement>& replacements) {
   Duration longest_timeout = Duration::zero();
   for (const Route& route : routes.document().routes) {
     if (route.IsResumableStream()) {
@@ -168,25 +211,8 @@
     }
   }
   fleet_.stream_versions.SetLifetime(longest_timeout + kStreamLifetimeMargin);
-  if (fleet_.routes == nullptr) {
-    return;
-  }
-  // A path may have another route now because a longer prefix was added or removed.
-  for (const RouteTable* table : {&routes, fleet_.routes.get()}) {
-    for (const Route& route : table->document().routes) {
-      const Route* const before = fleet_.routes->Match(route.host, route.prefix);
-      const Route* const after = routes.Match(route.host, route.prefix);
-      if (!route.IsResumableStream() || before == nullptr || after == nullptr) {
-        continue;
-      }
-      for (const WeightedService& from : before->services) {
-        for (const WeightedService& to : after->services) {
-          if (before->services != after->services && from.service != to.service) {
-            fleet_.stream_versions.OnServiceReplaced(from.service, to.service, now);
-          }
-        }
-      }
-    }
+  for (const ServiceReplacement& replacement : replacements) {
+    fleet_.stream_versions.OnServiceReplaced(replacement.from, replacement.to, BootNow());
   }
 }
 
@@ -195,20 +221,28 @@
     co_await exchange.Respond(404, {}, {});
     co_return;
   }
-  if (route_transfers_ >= kMaxRouteTransfers) {
+  if (route_transfers_ >= kMaxRouteTransfers || compressing_routes_) {
     co_await exchange.Respond(503, {}, {});
     co_return;
   }
-  ++route_transfers_;
+  const ScopedCount transfer(route_transfers_);
+  std::shared_ptr<const RouteBytes> bytes = route_bytes_;
+  if (!bytes->compressed) {
+    compressing_routes_ = true;
+    auto compress = [bytes] {
+      return std::make_shared<const RouteBytes>(
+          RouteBytes{.text = Compress(bytes->text), .compressed = true});
+    };
+    const auto compressed = co_await background_.Run(bytes->text.size(), std::move(compress));
+    compressing_routes_ = false;
+    if (route_bytes_ == bytes) {
+      route_bytes_ = compressed;
+    }
+    bytes = compressed;
+  }
   HttpHeaders headers = ContentType("application/json");
   headers.emplace_back("Content-Encoding", std::string(kDeflate));
-  if (compressed_routes_.empty()) {
-    const EventLoopMonitor::Task task(fleet_.loop_monitor, "compress_routes");
-    compressed_routes_ = Compress(std::exchange(routes_text_, {}));
-  }
-  std::string document = compressed_routes_;
-  co_await exchange.Respond(200, std::move(headers), std::move(document));
-  --route_transfers_;
+  co_await exchange.Respond(200, std::move(headers), bytes->text);
 }
 
 bool FleetStoreWatcher::IsBehindPeers() const {
@@ -237,48 +271,35 @@
     fleet_.route_sources.OnBusy(peer, BootNow());
     co_return false;
   }
-  Result<std::string> text = tl::make_unexpected(
+  Result<std::shared_ptr<const RouteTable>> routes = tl::make_unexpected(
       Error{.code = ErrorCode::kNotFound, .message = "The peer holds no routes."});
-  std::string compressed;
+  std::shared_ptr<const RouteBytes> bytes;
   if (!response) {
-    text = tl::make_unexpected(response.error());
+    routes = tl::make_unexpected(response.error());
   } else if (response->result() == http::status::ok) {
-    const bool is_compressed = (*response)[http::field::content_encoding] == kDeflate;
-    compressed = is_compressed ? response->body() : std::string();
-    text = is_compressed ? Decompress(response->body(), kMaxRouteDocumentBytes)
-                         : Result<std::string>(std::move(response->body()));
-  }
-  Result<RouteDocument> document = tl::make_unexpected(Error{});
-  if (text) {
-    const EventLoopMonitor::Task task(fleet_.loop_monitor, "parse_routes");
-    document = store_.ParseRoutes(*text);
-  } else {
-    document = tl::make_unexpected(text.error());
+    const bool compressed = (*response)[http::field::content_encoding] == kDeflate;
+    bytes = std::make_shared<const RouteBytes>(
+        RouteBytes{.text = std::move(response->body()), .compressed = compressed});
+    routes = co_await ParseRoutes(bytes);
   }
-  if (!document) {
+  if (!routes) {
     kLog.Warning("Fetching the routes from a peer failed.", {{"peer", peer.value()},
                                                              {"ms", (BootNow() - begun_at) / 1ms},
-                                                             {"error", document.error().message}});
+                                                             {"error", routes.error().message}});
     fleet_.route_sources.OnFailure(peer, BootNow());
     co_return false;
   }
-  if (document->version <= held_version()) {
+  if ((*routes)->version() <= held_version()) {
     // The store was faster, or the peer no longer holds what it reported.
     fleet_.route_sources.OnFailure(peer, BootNow());
     co_return false;
   }
-  kLog.Info("A peer sent its routes.",
-            {{"version", document->version},
-             {"peer", peer.value()},
-             {"bytes", compressed.empty() ? text->size() : compressed.size()},
-             {"ms", (BootNow() - begun_at) / 1ms}});
+  kLog.Info("A peer sent its routes.", {{"version", (*routes)->version()},
+                                        {"peer", peer.value()},
+                                        {"bytes", bytes->text.size()},
+                                        {"ms", (BootNow() - begun_at) / 1ms}});
   fleet_.route_sources.OnTransferred(peer);
-  ApplyRoutes(std::move(*document), std::move(*text));
-  if (!compressed.empty()) {
-    // The peers that ask this daemon get the same bytes.
-    compressed_routes_ = std::move(compressed);
-    routes_text_.clear();
-  }
+  co_await ApplyRoutes(std::move(*routes), std::move(bytes));
   co_return true;
 }
 
--- a/packages/gateway/fleet_store_watcher.h
+++ b/packages/gateway/fleet_store_watcher.h
@@ -3,9 +3,12 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "config/route_changes.h"
 #include "core/random.h"
 #include "gateway/adapter.h"
 #include "gateway/fleet_report.h"
@@ -14,6 +17,7 @@
 #include "membership/feed_reorder_buffer.h"
 #include "membership/feed_schedule.h"
 #include "membership/registration_view.h"
+#include "net/background_worker.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 
@@ -36,7 +40,8 @@
 class FleetStoreWatcher {
  public:
   FleetStoreWatcher(FleetState& fleet, FleetStore& store, UpstreamConnectionPool& connections,
-                    boost::asio::io_context& context, StoreWatchCallbacks callbacks);
+                    boost::asio::io_context& context, BackgroundWorker& background,
+                    StoreWatchCallbacks callbacks);
 
   // Responds to another daemon's request for the routes, with 503 if enough others receive them.
   boost::asio::awaitable<void> HandleRoutesRequest(HttpExchange& exchange);
@@ -51,14 +56,26 @@
   bool has_synced() const { return fleet_.routes != nullptr && upstreams_loaded_; }
 
  private:
+  // A route document as it was received.
+  struct RouteBytes {
+    std::string text;
+    bool compressed = false;
+  };
+
   // Waits until the routes have to be read. Returns how long that read may wait for a change.
   boost::asio::awaitable<Duration> WaitUntilRoutesDue();
   boost::asio::awaitable<void> WaitUntilUpstreamsDue();
   // Reads and applies changed registrations. Returns false if the store call failed.
   boost::asio::awaitable<bool> ReadUpstreams();
-  void ApplyRoutes(RouteDocument document, std::string text);
+  // Parses and indexes routes on the background worker. The error names the fault of the document.
+  boost::asio::awaitable<Result<std::shared_ptr<const RouteTable>>> ParseRoutes(
+      std::shared_ptr<const RouteBytes> bytes);
+  // Applies the routes if they are newer than those held.
+  boost::asio::awaitable<void> ApplyRoutes(std::shared_ptr<const RouteTable> routes,
+                                           std::shared_ptr<const RouteBytes> bytes);
   // Records how long streams can be resumed, and which services replace others on their routes.
-  void UpdateStreamRoutes(const RouteTable& routes);
+  void UpdateStreamRoutes(const RouteTable& routes,
+                          const std::vector<ServiceReplacement>& replacements);
   // Returns true if a peer has reported newer routes than this daemon holds.
   bool IsBehindPeers() const;
   // Fetches the routes from peers that hold newer ones, until this daemon holds them too.
@@ -84,6 +101,7 @@
   UpstreamConnectionPool& connections_;
   StoreWatchCallbacks callbacks_;
   boost::asio::io_context& context_;
+  BackgroundWorker& background_;
   // Cancelled when a report changes when the next read is due.
   boost::asio::steady_timer routes_timer_;
   boost::asio::steady_timer upstreams_timer_;
@@ -91,10 +109,10 @@
   FeedReorderBuffer reorder_buffer_;
   FeedSchedule upstream_schedule_;
   FeedPosition routes_position_ = 0;
-  // Document from which the routes were parsed, for peers: as text until it is compressed for the
-  // first peer that asks.
-  std::string routes_text_;
-  std::string compressed_routes_;
+  // Document from which the routes were parsed, for peers: as it was received until it is
+  // compressed for the first peer that asks. Never null.
+  std::shared_ptr<const RouteBytes> route_bytes_ = std::make_shared<RouteBytes>();
+  bool compressing_routes_ = false;
   // Transfers of the routes to peers in progress.
   int route_transfers_ = 0;
   // Time at which a peer first reported newer routes than this daemon still holds.
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -45,10 +45,10 @@
 Gateway::Gateway(GatewaySettings settings, const AdapterFactory& make_adapters)
     : pool_(1),
       fleet_(std::move(settings), RandomIncarnation(), TimeOfDay(), BootNow()),
-      adapters_(make_adapters(pool_.context(0), fleet_.metrics)),
+      adapters_(make_adapters(background_, fleet_.metrics)),
       migrator_(fleet_, *adapters_.engines, pool_.context(0)),
       open_attempts_(pool_.context(0)),
-      store_watcher_(fleet_, *adapters_.store, connections_, pool_.context(0),
+      store_watcher_(fleet_, *adapters_.store, connections_, pool_.context(0), background_,
                      StoreWatchCallbacks{.on_routes =
                                              [this](const RouteTable& routes) {
                                                ApplyRequestLimits(routes.document().bounds);
@@ -252,6 +252,9 @@
 
 bool Gateway::DrainFinished() const { return drained_.load(); }
 
-void Gateway::Stop() { pool_.Stop(); }
+void Gateway::Stop() {
+  pool_.Stop();
+  background_.Stop();
+}
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "gateway/stream_snapshot_exchange.h"
 #include "gateway/upstream_connection_pool.h"
 #include "gateway/upstream_connector.h"
+#include "net/background_worker.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
 
@@ -34,11 +35,11 @@
   std::unique_ptr<EngineApi> engines;
 };
 
-// Creates the adapters once the gateway's I/O context exists.
-using AdapterFactory = std::function<GatewayAdapters(boost::asio::io_context&, MetricRegistry&)>;
+// Creates the adapters, which may use the worker for as long as they live.
+using AdapterFactory = std::function<GatewayAdapters(BackgroundWorker&, MetricRegistry&)>;
 
-// Gateway daemon of one entry VM: serves callers by the operators' routes. Runs on one worker
-// thread.
+// Gateway daemon of one entry VM: serves callers by the operators' routes. Runs on one thread, and
+// parses large documents on a second one.
 class Gateway {
  public:
   Gateway(GatewaySettings settings, const AdapterFactory& make_adapters);
@@ -80,6 +81,7 @@
   boost::asio::awaitable<void> HousekeepingLoop();
 
   WorkerPool pool_;
+  BackgroundWorker background_;
   FleetState fleet_;
   GatewayAdapters adapters_;
   UpstreamConnectionPool connections_;
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -81,10 +81,10 @@
     settings.duties = store;
     settings.bounds = bounds;
     auto gateway = std::make_unique<Gateway>(
-        settings, [settings, make_codec](boost::asio::io_context&, MetricRegistry& metrics) {
+        settings, [settings, make_codec](BackgroundWorker& background, MetricRegistry& metrics) {
           return GatewayAdapters{
               .codec = make_codec(),
-              .store = std::make_unique<platform::StoreClient>(settings.store, metrics),
+              .store = std::make_unique<platform::StoreClient>(settings.store, background, metrics),
               .duties = std::make_unique<platform::DutyClient>(settings.duties, metrics),
               .engines = std::make_unique<platform::EngineClient>(metrics)};
         });
