Judge GONE in the soak

Cause: the soak's callers left only while their requests were at an upstream, closed by a reset, and sent nothing behind a request, and no promise counted what happened after they had left.

Change: in most plays, callers give up calls early, some after further bytes, by a reset or in order; in half of these every daemon is frozen once for so long that requests and closes wait unread. More than three requests that reach an upstream over half a second after their caller left break GONE, and so does work that goes on for more than a quarter of the runs that would have lasted so long. Freezes excuse no such send. Upstreams end a run whose connection ends.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -25,6 +25,8 @@
 constexpr Duration kRetryDelay = 50ms;
 // Time after its deadline at which a caller gives up.
 constexpr Duration kPatience = 500ms;
+// Longest time until a caller that gives up early leaves.
+constexpr Duration kMaxPatience = 600ms;
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
@@ -136,6 +138,11 @@
   if (call.type->method == "POST") {
     call.body = fmt::format("body of {}", call.target);
   }
+  if (give_up_random_.Bernoulli(options_.give_up_share)) {
+    call.leaves_at = Now() + FromSeconds(ToSeconds(kMaxPatience) * give_up_random_.UniformReal());
+    call.sends_more = give_up_random_.Bernoulli(0.3);
+    call.closes_in_order = give_up_random_.Bernoulli(0.5);
+  }
   return call;
 }
 
@@ -167,7 +174,8 @@
         call.type->Repeatable() || never_sent || (record.complete && IsPromise(record.status));
     history_.AddAttempt(std::move(record));
     const Duration left = call.deadline - Now();
-    if (finished || !may_repeat || left <= kRetryDelay) {
+    const bool gave_up = options_.crashing_path.empty() && Now() >= call.leaves_at;
+    if (gave_up || finished || !may_repeat || left <= kRetryDelay) {
       co_return;
     }
     // Attempts after the first use new connections.
@@ -222,6 +230,10 @@
     const auto sent = co_await connection_->Send(request, call.deadline - Now());
     record.sent = sent.has_value();
     record.sent_at = Now();
+    if (sent && call.sends_more) {
+      boost::system::error_code ignored;
+      connection_->stream().socket().send(asio::buffer("\r\n", 2), 0, ignored);
+    }
     if (sent) {
       co_await ReadResponse(*connection_, call, record, retry_after);
     } else {
@@ -229,6 +241,10 @@
     }
   }
   record.ended_at = Now();
+  if (record.left_by_caller && call.closes_in_order) {
+    boost::system::error_code ignored;
+    connection_->stream().socket().set_option(asio::socket_base::linger(false, 0), ignored);
+  }
   if (connection_ != nullptr && (!record.complete || !connection_->reusable() ||
                                  ++calls_on_connection_ >= options_.calls_per_connection)) {
     connection_.reset();
@@ -257,6 +273,7 @@
   while (true) {
     const Result<bool> more = co_await connection.ReadSome(body, give_up - Now());
     if (!more) {
+      record.left_by_caller = call.leaves_at < call.deadline && Now() >= call.leaves_at;
       record.failure = more.error().message;
       break;
     }
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -61,6 +61,8 @@
   bool varies_query = false;
   // Share of crashing requests whose caller leaves before the crash.
   double leave_share = 0;
+  // Share of other calls that the caller gives up early.
+  double give_up_share = 0;
   // Set once the added routes must be in force everywhere.
   const std::atomic<bool>* routes_added = nullptr;
   // Calls after which the caller opens a new connection.
@@ -74,7 +76,8 @@
       : options_(std::move(options)),
         balancer_(balancer),
         history_(history),
-        random_(options_.seed) {}
+        random_(options_.seed),
+        give_up_random_(options_.seed + 1) {}
 
   // Makes calls until told to stop. Counts itself as active during a call.
   boost::asio::awaitable<void> Run(const std::atomic<bool>& stop, std::atomic<int>& active);
@@ -88,6 +91,9 @@
     TimePoint deadline;
     // When the caller leaves at the latest.
     TimePoint leaves_at;
+    // Whether the caller sends further bytes before it leaves, and closes in order.
+    bool sends_more = false;
+    bool closes_in_order = false;
     // Stream: the event after which the caller breaks its connection, or zero.
     int break_after = 0;
     // Stream: the last event received, and the attempt that brought the first one.
@@ -108,6 +114,8 @@
   const LoadBalancer& balancer_;
   History& history_;
   Random random_;
+  // Keeps the other draws as they are without callers that give up.
+  Random give_up_random_;
   std::unique_ptr<HttpConnection> connection_;
   std::optional<std::size_t> last_daemon_;
   int attempts_ = 0;
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -77,6 +77,8 @@
   int events_before = 0;
   TimePoint started_at{};
   std::optional<TimePoint> ended_at;
+  // Time that the run takes if nothing ends it.
+  Duration length = Duration::zero();
 };
 
 enum class EventKind {
--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -27,6 +27,7 @@
 constexpr std::uint64_t kLimitSeedOffset = 2'000'000;
 constexpr std::uint64_t kPartitionSeedOffset = 3'000'000;
 constexpr std::uint64_t kRouteSeedOffset = 4'000'000;
+constexpr std::uint64_t kGiveUpSeedOffset = 5'000'000;
 // Rate of a daemon's link to the store. The added routes take 3 s on it.
 constexpr double kStoreLinkBytesPerSecond = 200'000;
 constexpr const char* kApiKey = "drivers-key";
@@ -73,6 +74,7 @@
       limit_random_(options_.seed + kLimitSeedOffset),
       partition_random_(options_.seed + kPartitionSeedOffset),
       route_random_(options_.seed + kRouteSeedOffset),
+      give_up_random_(options_.seed + kGiveUpSeedOffset),
       grace_(random_.Bernoulli(0.7) ? 8s : 5s),
       service_time_(random_.Bernoulli(0.5) ? 60ms : 300ms),
       event_interval_(random_.Bernoulli(0.5) ? 10ms : 150ms),
@@ -211,6 +213,10 @@
   const std::size_t count = busy + daemons_.size() * (5 + random_.UniformInt(20));
   const Duration busy_pause = RandomDuration(50ms, 600ms);
   const double break_share = random_.Bernoulli(0.5) ? 0.4 : 0;
+  const double give_up_share = give_up_random_.Bernoulli(0.7) ? 0.4 : 0;
+  if (give_up_share > 0 && give_up_random_.Bernoulli(0.5)) {
+    PlanFreezesWhileCallersLeave();
+  }
   for (std::size_t i = 0; i < count; ++i) {
     callers_.push_back(std::make_unique<Caller>(
         CallerOptions{.name = fmt::format("caller-{}", i),
@@ -219,6 +225,7 @@
                       .seed = random_.Next(),
                       .pause = i < busy ? busy_pause : RandomDuration(1s, 5s),
                       .break_share = break_share,
+                      .give_up_share = give_up_share,
                       .routes_added = &routes_added_,
                       .calls_per_connection = random_.Bernoulli(0.2)
                                                   ? 1
--- a/tests/soak/play.h
+++ b/tests/soak/play.h
@@ -69,6 +69,8 @@
   void PlanStoreFaults();
   // Kills all daemons at the same time.
   void PlanHerdKills();
+  // Freezes daemons for so long that callers give up requests that are not read.
+  void PlanFreezesWhileCallersLeave();
   // Cuts some daemons off from all upstreams for a while.
   void PlanPartitions();
   void SetPartitioned(const std::vector<std::size_t>& daemons, bool reset);
@@ -104,6 +106,7 @@
   Random limit_random_;
   Random partition_random_;
   Random route_random_;
+  Random give_up_random_;
   Duration grace_;
   // Longest service time of a call, and the time between the events of a stream.
   Duration service_time_;
--- a/tests/soak/play_faults.cc
+++ b/tests/soak/play_faults.cc
@@ -63,6 +63,15 @@
   }
 }
 
+void Play::PlanFreezesWhileCallersLeave() {
+  for (std::size_t daemon = 0; daemon < daemons_.size(); ++daemon) {
+    const TimePoint at = RandomTime(give_up_random_, 0.1, 0.8);
+    const Duration length = 1200ms + FromSeconds(give_up_random_.UniformReal());
+    At(at, [this, daemon] { Disturb(daemon, EventKind::kFreeze, SIGSTOP); });
+    At(at + length, [this, daemon] { Disturb(daemon, EventKind::kThaw, SIGCONT); });
+  }
+}
+
 void Play::PlanUpstreamChanges() {
   const std::size_t changes = random_.UniformInt(4);
   for (std::size_t i = 0; i < changes; ++i) {
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -41,6 +41,11 @@
 constexpr Duration kLoadTime = 9s;
 // Events of several daemons that happen at one moment.
 constexpr Duration kSameMoment = 500ms;
+// Time after a caller has left from which its request must not reach an upstream, or still run.
+// Requests that may do so, and the share of the repeatable runs that would have lasted so long.
+constexpr Duration kGoneSlack = 500ms;
+constexpr std::size_t kSentAfterLeaving = 3;
+constexpr double kRunningAfterLeavingShare = 0.25;
 // Time after the grace period for which a stop counts as planned work around a request.
 constexpr Duration kPlannedWorkSlack = 1s;
 
@@ -72,6 +77,7 @@
     CheckCrashingRequests();
     CheckRateLimits();
     CheckPartitions();
+    CheckCallersThatLeft();
     return violations_;
   }
 
@@ -435,6 +441,53 @@
     }
   }
 
+  // No request is sent, and few runs go on, for callers that have left. A daemon that was frozen
+  // finds the close when it goes on, so freezes excuse no send.
+  void CheckCallersThatLeft() {
+    std::vector<const AttemptRecord*> sent;
+    std::vector<const AttemptRecord*> running;
+    std::size_t long_runs = 0;
+    for (const AttemptRecord& attempt : history_.attempts()) {
+      if (!attempt.left_by_caller || !attempt.crashing_path.empty()) {
+        continue;
+      }
+      const TimePoint late = attempt.ended_at + kGoneSlack;
+      const bool is_calm = IsInTouch(attempt, true, bounds_.contact);
+      for (const RunRecord& run : history_.RunsOf(attempt.id)) {
+        if (run.started_at > late && !IsNearPartition(attempt)) {
+          sent.push_back(&attempt);
+        } else if (is_calm && attempt.type->Repeatable() && run.started_at + run.length > late) {
+          ++long_runs;
+          if (!run.ended_at || *run.ended_at > late) {
+            running.push_back(&attempt);
+          }
+        }
+      }
+    }
+    if (sent.size() > kSentAfterLeaving) {
+      Add("GONE", fmt::format("{} requests were sent after their callers had left.", sent.size()),
+          *sent.back());
+    }
+    if (running.size() > kSentAfterLeaving &&
+        static_cast<double>(running.size()) >
+            kRunningAfterLeavingShare * static_cast<double>(long_runs)) {
+      Add("GONE",
+          fmt::format("{} of {} runs went on after their callers had left.", running.size(),
+                      long_runs),
+          *running.back());
+    }
+  }
+
+  // Returns true if the daemon's path to the upstreams was cut around the attempt, so that bytes on
+  // the way to an upstream may have been held up.
+  bool IsNearPartition(const AttemptRecord& attempt) const {
+    return std::ranges::any_of(history_.events(), [&](const PlayEvent& event) {
+      return event.daemon == attempt.daemon && IsPartition(event.kind) &&
+             event.at >= attempt.sent_at - bounds_.contact &&
+             event.at <= attempt.ended_at + bounds_.contact;
+    });
+  }
+
   const History& history_;
   const PromiseBounds& bounds_;
   // Version of the first event of each stream.
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/prefix_hash.h"
+#include "net/peer_disconnect_monitor.h"
 #include "net/sleep.h"
 
 namespace savoryglade::soak {
@@ -63,6 +64,14 @@
          FromSeconds(ToSeconds(options_.max_service_time - options_.min_service_time) * share);
 }
 
+boost::asio::awaitable<bool> Upstream::Serve(HttpExchange& exchange, Duration service_time) {
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, service_time);
+  PeerDisconnectMonitor daemon(exchange.stream());
+  daemon.OnDisconnect([&timer] { timer.cancel(); });
+  co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+  co_return !daemon.disconnected();
+}
+
 boost::asio::awaitable<void> Upstream::Handle(HttpExchange& exchange) {
   const std::string attempt(exchange.Header("Attempt-Id"));
   const std::string expected(exchange.Header("Expect-Instance"));
@@ -79,21 +88,30 @@
     co_return;
   }
   const std::string last_event(exchange.Header("Last-Event-Id"));
-  const std::size_t run =
-      history_.BeginRun(attempt, {.upstream = options_.id,
-                                  .version = options_.version,
-                                  .events_before = last_event.empty() ? 0 : std::stoi(last_event),
-                                  .ended_at = std::nullopt});
+  const int events_before = last_event.empty() ? 0 : std::stoi(last_event);
+  const bool is_stream = exchange.target().find("/stream/") != std::string_view::npos;
+  const Duration stream_time =
+      options_.event_interval * (WorkerService::kEventsPerStream - 1 - events_before);
+  const std::size_t run = history_.BeginRun(
+      attempt, {.upstream = options_.id,
+                .version = options_.version,
+                .events_before = events_before,
+                .ended_at = std::nullopt,
+                .length = ServiceTime(attempt) + (is_stream ? stream_time : Duration::zero())});
   ++running_;
-  co_await Sleep(ServiceTime(attempt));
   if (exchange.target().find(kCrashingName) != std::string_view::npos) {
+    co_await Sleep(ServiceTime(attempt));
     options_.on_crash();
     // Nothing is answered any more.
     while (true) {
       co_await Sleep(1s);
     }
   }
-  co_await worker_.Handle(exchange);
+  if (co_await Serve(exchange, ServiceTime(attempt))) {
+    co_await worker_.Handle(exchange);
+  } else {
+    exchange.Abort();
+  }
   --running_;
   history_.EndRun(attempt, run);
 }
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -62,6 +62,8 @@
   void Close();
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
   Duration ServiceTime(const std::string& attempt) const;
+  // Waits for the service time. Returns false if the connection has ended before.
+  static boost::asio::awaitable<bool> Serve(HttpExchange& exchange, Duration service_time);
 
   UpstreamOptions options_;
   History& history_;
