Reproduce requests that are accepted late in a planned stop

Cause: operators of other systems report requests that were passed on late in the grace period and cut at its end without an answer (LOST).

Change: DrainModelTest goes through all moments of grace periods from 1 s to 30 s; GatewayDrainTest.GracePeriodCountsFromTheStopOrder lets a gateway notice its stop order late. Gateway::BeginDrain takes the time of the order, which it does not use yet.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -206,8 +206,8 @@
   });
 }
 
-void Gateway::BeginDrain() {
-  asio::post(pool_.context(0), [this] {
+void Gateway::BeginDrain(TimePoint ordered_at) {
+  asio::post(pool_.context(0), [this, ordered_at] {
     if (fleet_.drain.has_begun()) {
       return;
     }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -60,9 +60,9 @@
   // need a restart.
   void ApplySettings(const GatewaySettings& settings);
 
-  // Starts to drain: the readiness check fails, and requests are accepted until the load balancer
-  // has noticed. Then all connections are closed.
-  void BeginDrain();
+  // Starts to drain after a stop order of this time: the readiness check fails, and requests are
+  // accepted until the load balancer has noticed. Then all connections are closed.
+  void BeginDrain(TimePoint ordered_at);
   // Returns true once no connection of a caller is open and none is accepted, or the time to drain
   // is over.
   bool DrainFinished() const;
--- a/tests/gateway/drain_test.cc
+++ b/tests/gateway/drain_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <thread>
 
+#include "core/boot_clock.h"
 #include "emulator/caller_connection.h"
 #include "emulator/worker_service.h"
 #include "gateway/gateway.h"
@@ -37,7 +38,7 @@
   StartDrainingSoon(8s);
   CallerConnection kept(gateway_->callers_endpoint());
   ASSERT_EQ(SendText(kept, FormatRequest("GET", "/reads/1", "a1")).status, 200U);
-  gateway_->BeginDrain();
+  gateway_->BeginDrain(BootNow());
   AwaitDrainFinished();
   kept.StartNextResponse();
   SendText(kept, FormatRequest("GET", "/reads/1", "a2"));
@@ -54,7 +55,7 @@
   half_sent.Send(request.substr(0, request.size() / 2));
   // The response to a later request shows that the gateway has read the first half.
   ASSERT_EQ(SendRequest("GET", "/reads/1", "a3").status, 200U);
-  gateway_->BeginDrain();
+  gateway_->BeginDrain(BootNow());
   // A gateway that accepts no requests any more closes its idle connections.
   while (!idle.ClosedByPeer() && !gateway_->DrainFinished()) {
     std::this_thread::yield();
@@ -78,7 +79,7 @@
   while (RunCount("a1") == 0) {
     std::this_thread::yield();
   }
-  gateway_->BeginDrain();
+  gateway_->BeginDrain(BootNow());
   const std::jthread stopper([this] {
     AwaitDrainFinished();
     gateway_->Stop();
@@ -90,6 +91,22 @@
   EXPECT_EQ(RunCount("a1"), 1);
 }
 
+// Guards against a daemon that counts the grace period from the moment at which it notices the stop
+// order, and accepts what it can't end before it is killed.
+TEST_F(GatewayDrainTest, GracePeriodCountsFromTheStopOrder) {
+  StartDrainingSoon(8s);
+  SetFaults(WorkerFault::kNoResponse, 1);
+  CallerConnection running(gateway_->callers_endpoint());
+  running.Send(FormatRequest("POST", "/orders/1", "a1"));
+  while (RunCount("a1") == 0) {
+    std::this_thread::yield();
+  }
+  gateway_->BeginDrain(BootNow() - 5s);
+  EXPECT_EQ(SendRequest("POST", "/stream/1", "a2").reason, "draining");
+  EXPECT_EQ(RunCount("a2"), 0);
+  running.Close();
+}
+
 // Upstream that sends the first part of a large body and then waits for the end of the connection.
 struct UnfinishedBodyService {
   // Larger than what the gateway buffers before it relays a response.
@@ -119,7 +136,7 @@
   connection.ReadUntil([](const std::string& body) { return !body.empty(); });
   ASSERT_EQ(connection.status(), 200U);
   const std::jthread reader([&connection] { EXPECT_FALSE(connection.ReadAll()); });
-  gateway_->BeginDrain();
+  gateway_->BeginDrain(BootNow());
   AwaitDrainFinished();
   EXPECT_EQ(Metrics().find(R"(event="recorded")"), std::string::npos);
   EXPECT_TRUE(store_.service.Rows("savoryglade-crashes").empty());
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -8,6 +8,7 @@
 #include <regex>
 #include <string>
 
+#include "core/boot_clock.h"
 #include "emulator/caller_connection.h"
 #include "emulator/worker_service.h"
 #include "tests/gateway/gateway_fixture.h"
@@ -310,7 +311,7 @@
 TEST_F(GatewayTest, ADrainingDaemonIsNotReadyButServesRequests) {
   PutRoutes(1);
   WaitUntilReady();
-  gateway_->BeginDrain();
+  gateway_->BeginDrain(BootNow());
   while (
       SendText(gateway_->readiness_endpoint(), "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").status ==
       200) {
--- a/tests/recovery/drain_sequence_test.cc
+++ b/tests/recovery/drain_sequence_test.cc
@@ -44,6 +44,32 @@
   EXPECT_FALSE(drain_.Accepts(CallKind::kAtMostOnce, 4s, kStart + 3400ms));
 }
 
+// Guards against requests that are accepted late in a short grace period and cut off at its end. A
+// model of all moments, for grace periods that are shorter and longer than the load balancer's
+// delay.
+TEST(DrainModelTest, RequestsThatAreAcceptedLateEndBeforeTheInterruption) {
+  for (Duration grace = 1s; grace <= 30s; grace += 500ms) {
+    const DrainOptions options{.grace_period = grace};
+    DrainSequence drain(options);
+    drain.Begin(kStart);
+    const Duration interrupted_at =
+        FromSeconds(ToSeconds(grace) * options.in_flight_grace_fraction);
+    for (Duration elapsed = 0s; elapsed < grace; elapsed += 50ms) {
+      drain.Advance(kBusy, kStart + elapsed);
+      for (const CallKind kind :
+           {CallKind::kIdempotent, CallKind::kAtMostOnce, CallKind::kStream}) {
+        for (const Duration timeout :
+             {Duration(100ms), Duration(1s), Duration(4s), Duration(60s)}) {
+          const bool is_late = elapsed >= grace / 2 || elapsed >= options.load_balancer_delay;
+          if (drain.Accepts(kind, timeout, kStart + elapsed) && is_late) {
+            EXPECT_LE(elapsed + timeout, interrupted_at) << ToSeconds(grace);
+          }
+        }
+      }
+    }
+  }
+}
+
 // Guards against two decisions on the same moment: one to exit, one to accept a request.
 TEST_F(DrainSequenceTest, AcceptsNothingOnceItCloses) {
   EXPECT_TRUE(drain_.Accepts(CallKind::kIdempotent, 1s, kStart + 3s));
