Count the grace period from the stop order

Callers of a daemon that was stopped while its event loop was behind could get no answer: it accepted requests late and was killed before it had interrupted them.

Cause: the stop began when the event loop came to it, not when the signal arrived, so all times of the stop were late by the delay of the loop.

Change: the thread that receives the signal takes the time.

Result: GatewayDrainTest.GracePeriodCountsFromTheStopOrder failed before (the stream was accepted and ran into its deadline) and passes.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -211,7 +211,7 @@
     if (fleet_.drain.has_begun()) {
       return;
     }
-    fleet_.drain.Begin(BootNow());
+    fleet_.drain.Begin(ordered_at);
     LogDrain("The gateway starts to drain.");
     duty_runner_.Release();
     asio::co_spawn(pool_.context(0), DrainLoop(), [](const std::exception_ptr& failure) {
