Accept no long request in the second half of a short grace period

Callers of a stopped daemon with a grace period of up to 5.5 s got 502, or a broken stream, for requests that were accepted shortly before the interruption, also for calls that may not be repeated (LOST).

Cause: all requests were accepted for the load balancer's delay of 3 s, whatever the grace period. With 3 s, for example, until the interruption at 2.76 s.

Change: all requests are accepted for at most half of the grace period, then calls that end in time until half of it, then none. What is not accepted is rejected as not run, with Retry-After. Grace periods from 6 s on are as before.

--- a/packages/recovery/drain_sequence.cc
+++ b/packages/recovery/drain_sequence.cc
@@ -17,7 +17,7 @@
       break;
     case DrainStage::kDraining:
       if (elapsed >= GraceFraction(options_.in_flight_grace_fraction) ||
-          (work.requests == 0 && elapsed >= options_.load_balancer_delay)) {
+          (work.requests == 0 && elapsed >= NoticeTime())) {
         stage_ = DrainStage::kClosing;
         interrupted_ = work.requests > 0;
       }
@@ -38,10 +38,10 @@
     return stage_ == DrainStage::kServing;
   }
   const Duration elapsed = Elapsed(now);
-  if (elapsed + options_.notice_delay < options_.load_balancer_delay) {
+  if (elapsed + options_.notice_delay < NoticeTime()) {
     return true;
   }
-  return kind != CallKind::kStream && elapsed < GraceFraction(options_.short_call_grace_fraction) &&
+  return kind != CallKind::kStream && elapsed < GraceFraction(options_.accepting_grace_fraction) &&
          elapsed + timeout <= GraceFraction(options_.in_flight_grace_fraction);
 }
 
--- a/packages/recovery/drain_sequence.h
+++ b/packages/recovery/drain_sequence.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 
@@ -17,8 +18,9 @@
   Duration notice_delay = 50ms;
   // Fraction of the grace period after which requests in flight are interrupted.
   double in_flight_grace_fraction = 0.92;
-  // Fraction of the grace period during which calls that end in time are accepted.
-  double short_call_grace_fraction = 0.5;
+  // Fraction of the grace period during which requests are accepted: all of them until the load
+  // balancer has noticed the stop, then calls that end in time.
+  double accepting_grace_fraction = 0.5;
   // Fraction of the grace period after which the process exits, even if connections are open.
   double exit_grace_fraction = 0.97;
 };
@@ -69,6 +71,10 @@
   bool Accepts(CallKind kind, Duration timeout, TimePoint now) const;
 
  private:
+  // Returns the time until new connections are no longer expected, or may no longer be served.
+  Duration NoticeTime() const {
+    return std::min(options_.load_balancer_delay, GraceFraction(options_.accepting_grace_fraction));
+  }
   Duration GraceFraction(double fraction) const {
     return FromSeconds(ToSeconds(options_.grace_period) * fraction);
   }
