--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -55,6 +55,7 @@
   const Endpoint& callers_endpoint() const { return callers_endpoint_; }
   const Endpoint& readiness_endpoint() const { return readiness_endpoint_; }
   const Endpoint& metrics_endpoint() const { return metrics_endpoint_; }
+  const Endpoint& peers_endpoint() const { return peer_requests_endpoint_; }
 
   // Applies changed bounds immediately. Logs a warning if other settings have changed, because they
   // need a restart.
