Send plain routes to daemons that accept no compressed ones

Cause: the routes were compressed whether or not the request had Accept-Encoding: deflate.

Change: the routes are sent as the request accepts them, and converted on the background worker. 503 (busy) is answered while they are converted.

Result: EarlierBuildTest.DaemonThatAcceptsNoCompressedRoutesGetsThemPlain failed before and passes.

--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -221,28 +221,50 @@
     co_await exchange.Respond(404, {}, {});
     co_return;
   }
-  if (route_transfers_ >= kMaxRouteTransfers || compressing_routes_) {
+  if (route_transfers_ >= kMaxRouteTransfers || converting_routes_) {
     co_await exchange.Respond(503, {}, {});
     co_return;
   }
   const ScopedCount transfer(route_transfers_);
-  std::shared_ptr<const RouteBytes> bytes = route_bytes_;
-  if (!bytes->compressed) {
-    compressing_routes_ = true;
-    auto compress = [bytes] {
-      return std::make_shared<const RouteBytes>(
-          RouteBytes{.text = Compress(bytes->text), .compressed = true});
-    };
-    const auto compressed = co_await background_.Run(bytes->text.size(), std::move(compress));
-    compressing_routes_ = false;
-    if (route_bytes_ == bytes) {
-      route_bytes_ = compressed;
-    }
-    bytes = compressed;
+  const bool accepts_compressed =
+      exchange.Header("Accept-Encoding").find(kDeflate) != std::string_view::npos;
+  const auto bytes = co_await GetRouteBytes(accepts_compressed);
+  if (!bytes) {
+    kLog.Error("The routes held can't be decompressed.", {{"error", bytes.error().message}});
+    co_await exchange.Respond(503, {}, {});
+    co_return;
   }
   HttpHeaders headers = ContentType("application/json");
-  headers.emplace_back("Content-Encoding", std::string(kDeflate));
-  co_await exchange.Respond(200, std::move(headers), bytes->text);
+  if (accepts_compressed) {
+    headers.emplace_back("Content-Encoding", std::string(kDeflate));
+  }
+  co_await exchange.Respond(200, std::move(headers), (*bytes)->text);
+}
+
+asio::awaitable<Result<std::shared_ptr<const FleetStoreWatcher::RouteBytes>>>
+FleetStoreWatcher::GetRouteBytes(bool compressed) {
+  const std::shared_ptr<const RouteBytes> held = route_bytes_;
+  if (held->compressed == compressed) {
+    co_return held;
+  }
+  auto convert = [held, compressed]() -> Result<std::shared_ptr<const RouteBytes>> {
+    Result<std::string> text = compressed ? Result<std::string>(Compress(held->text))
+                                          : Decompress(held->text, kMaxRouteDocumentBytes);
+    if (!text) {
+      return tl::make_unexpected(text.error());
+    }
+    return std::make_shared<const RouteBytes>(
+        RouteBytes{.text = std::move(*text), .compressed = compressed});
+  };
+  converting_routes_ = true;
+  Result<std::shared_ptr<const RouteBytes>> converted = co_await background_.Run(
+      held->text.size() * (compressed ? 1 : kCompressionRatio), std::move(convert));
+  converting_routes_ = false;
+  // Daemons of earlier builds, which accept plain routes only, are few and go away.
+  if (converted && compressed && route_bytes_ == held) {
+    route_bytes_ = *converted;
+  }
+  co_return converted;
 }
 
 bool FleetStoreWatcher::IsBehindPeers() const {
--- a/packages/gateway/fleet_store_watcher.h
+++ b/packages/gateway/fleet_store_watcher.h
@@ -67,6 +67,8 @@
   boost::asio::awaitable<void> WaitUntilUpstreamsDue();
   // Reads and applies changed registrations. Returns false if the store call failed.
   boost::asio::awaitable<bool> ReadUpstreams();
+  // Returns the routes held, compressed or not. Converts them on the background worker if needed.
+  boost::asio::awaitable<Result<std::shared_ptr<const RouteBytes>>> GetRouteBytes(bool compressed);
   // Parses and indexes routes on the background worker. The error names the fault of the document.
   boost::asio::awaitable<Result<std::shared_ptr<const RouteTable>>> ParseRoutes(
       std::shared_ptr<const RouteBytes> bytes);
@@ -112,7 +114,7 @@
   // Document from which the routes were parsed, for peers: as it was received until it is
   // compressed for the first peer that asks. Never null.
   std::shared_ptr<const RouteBytes> route_bytes_ = std::make_shared<RouteBytes>();
-  bool compressing_routes_ = false;
+  bool converting_routes_ = false;
   // Transfers of the routes to peers in progress.
   int route_transfers_ = 0;
   // Time at which a peer first reported newer routes than this daemon still holds.
