Share the stand-in for a peer that serves routes

Cause: two tests had the same stand-in and the same report.

Change: both use tests/gateway/routes_peer.h; no assertion changes.

--- a/tests/gateway/slow_link_test.cc
+++ b/tests/gateway/slow_link_test.cc
@@ -1,14 +1,10 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include <atomic>
-#include <boost/asio.hpp>
-#include <boost/json.hpp>
 #include <string>
 
 #include "emulator/emulated_link.h"
-#include "gateway/digest_codec.h"
-#include "tests/gateway/gateway_fixture.h"
+#include "tests/gateway/routes_peer.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -32,60 +28,11 @@
 
 constexpr double kLinkBytesPerSecond = 250'000;
 
-// Holds the routes and serves them to daemons that ask.
-class RoutesPeer {
- public:
-  explicit RoutesPeer(std::string document) : document_(std::move(document)) {}
-
-  boost::asio::awaitable<void> Handle(HttpExchange& exchange) {
-    if (exchange.target() != "/routes") {
-      co_await exchange.Respond(404, {}, {});
-      co_return;
-    }
-    ++transfers_;
-    co_await exchange.Respond(200, ContentType("application/octet-stream"), document_);
-  }
-
-  // Returns the number of transfers that have begun.
-  int transfers() const { return transfers_; }
-
- private:
-  std::string document_;
-  std::atomic<int> transfers_{0};
-};
-
-class SlowLinkTest : public GatewayFixture {
+class SlowLinkTest : public RoutesPeerFixture {
  protected:
   static unsigned StatusOfNewRoute(const Gateway& gateway) {
     return SendText(gateway.callers_endpoint(), FormatRequest("GET", "/more-1/1", "a1")).status;
   }
-
-  // Returns the endpoint at which a daemon receives reports.
-  Endpoint ReportsEndpoint(const std::string& daemon) {
-    while (true) {
-      const auto rows = store_.service.Rows("savoryglade");
-      if (const auto row = rows.find("daemon/" + daemon); row != rows.end()) {
-        return *ParseEndpoint(boost::json::parse(row->second).at("endpoint").as_string());
-      }
-    }
-  }
-
-  // Reports to a daemon that a peer holds this version and serves it at the endpoint.
-  static void ReportRoutes(const Endpoint& receiver, std::uint64_t version,
-                           const Endpoint& server) {
-    namespace asio = boost::asio;
-    asio::io_context context;
-    asio::ip::udp::socket socket(context,
-                                 asio::ip::udp::endpoint(asio::ip::make_address(kLocal), 0));
-    const FleetReport report{
-        .sender = {.id = DaemonId("peer"), .failure_domain = FailureDomainId("verona")},
-        .incarnation = 1,
-        .requests_port = server.port,
-        .routes_version = version,
-        .crash_records_known = true};
-    socket.send_to(asio::buffer(EncodeDigest(report)),
-                   {asio::ip::make_address(receiver.address), receiver.port});
-  }
 };
 
 // Guards against routes that are never read because their transfer from the store takes longer than
