Count a peer that does not respond once

Callers of a daemon without a path to the upstreams were refused although peers could have served them (RECOVER).

Cause: requests that asked one frozen peer at the same time each counted as a failure. After three, no peer was asked for a pause, which each further one doubled. The log of the soak has four failures of one peer, then 41 refusals with queue_full.

Change: failures of a peer that is passed over already do not count.

Result: UpstreamPathsTest.FailuresOfOnePeerCountOnce failed before and passes.

--- a/packages/routing/upstream_paths.cc
+++ b/packages/routing/upstream_paths.cc
@@ -62,7 +62,13 @@
     return;
   }
   ServicePeers& peers = peers_[found->second.service];
-  peers.passed_over[peer] = now + options_.max_peer_pause;
+  TimePoint& passed_over_until = peers.passed_over[peer];
+  // Requests that asked the peer at the same time have met the same failure.
+  const bool is_known = now < passed_over_until;
+  passed_over_until = now + options_.max_peer_pause;
+  if (is_known) {
+    return;
+  }
   ++peers.failures;
   if (const int excess = peers.failures - options_.max_peer_failures; excess >= 0) {
     peers.paused_until =
--- a/tests/routing/upstream_paths_test.cc
+++ b/tests/routing/upstream_paths_test.cc
@@ -195,5 +195,14 @@
   EXPECT_TRUE(paths_.IsDirect(Upstream(0), now_));
 }
 
+// Guards against a daemon that asks no peer at all because several requests at once have met one
+// that is frozen.
+TEST_F(UpstreamPathsTest, FailuresOfOnePeerCountOnce) {
+  for (int i = 0; i < 10; ++i) {
+    paths_.OnPeerFailed(Upstream(0), DaemonId("local-1"), now_);
+  }
+  EXPECT_EQ(Choose(kPeers), DaemonId("local-2"));
+}
+
 }  // namespace
 }  // namespace savoryglade
