Admit cheap requests of an exhausted allowance first, refund a daemon's part

From second 9 on its bucket was nearly full (up to 950,000 units) and every daemon refused its requests, because requests that were charged and then not sent gave their units back to the bucket but not to the daemon's part. Requests of 200 units were refused as often as requests of 9,000. Change: a refund also returns the units of the part. While more than the rate is asked, expensive requests leave a reserve in the bucket, and cheap ones may overdraw the part.

--- a/packages/scheduling/account_rate_limiter.cc
+++ b/packages/scheduling/account_rate_limiter.cc
@@ -22,6 +22,15 @@
 constexpr double kMaxSilentPeerFraction = 0.3;
 // Multiple of its part that a daemon may take; the bucket of the fleet still limits the total.
 constexpr double kLocalFractionSlack = 1.2;
+// Smoothing factor of the mean request size, for each request.
+constexpr double kMeanUnitsSmoothing = 0.02;
+// While more than the rate is requested, units of the bucket, as a fraction of the units added in
+// a second, that the most expensive requests leave to others.
+constexpr double kReservedSeconds = 0.5;
+// Units by which the cheapest requests may overdraw a daemon's part, in seconds of the part and in
+// requests of the mean size, whichever is more.
+constexpr double kOverdraftSeconds = 0.5;
+constexpr double kOverdraftRequests = 3;
 
 }  // namespace
 
@@ -163,6 +172,11 @@
   return level;
 }
 
+double AccountRateLimiter::RelativeCost(const Bucket& bucket, double units) {
+  const double sum = units + bucket.mean_units;
+  return sum > 0 ? units / sum : 0;
+}
+
 bool AccountRateLimiter::TryAcquire(const AccountId& account, double units, TimePoint now) {
   const auto found = buckets_.find(account);
   if (found == buckets_.end()) {
@@ -172,12 +186,20 @@
   Bucket& bucket = found->second;
   Refill(bucket, now);
   bucket.asked += units;
-  if (bucket.local_level <= 0 && bucket.local_fraction) {
-    return false;
+  bucket.mean_units += kMeanUnitsSmoothing * (units - bucket.mean_units);
+  double reserved = 0;
+  if (bucket.local_fraction) {
+    const double cost = RelativeCost(bucket, units);
+    const double overdraft = std::max(kOverdraftSeconds * bucket.rate * *bucket.local_fraction,
+                                      kOverdraftRequests * bucket.mean_units);
+    if (bucket.local_level <= -overdraft * std::max(1 - 2 * cost, 0.0)) {
+      return false;
+    }
+    reserved = kReservedSeconds * bucket.rate * cost;
   }
   // Limits the required level to the burst, so that a request larger than the burst is admitted by
   // a full bucket.
-  if (ExpectedLevel(account, bucket, now) < std::min(units, bucket.burst)) {
+  if (ExpectedLevel(account, bucket, now) < std::min(units + reserved, bucket.burst)) {
     return false;
   }
   bucket.level -= units;
@@ -189,8 +211,11 @@
 void AccountRateLimiter::Refund(const AccountId& account, double units) {
   const auto found = buckets_.find(account);
   if (found != buckets_.end()) {
-    found->second.level = std::min(found->second.level + units, found->second.burst);
-    found->second.taken -= units;
+    Bucket& bucket = found->second;
+    bucket.level = std::min(bucket.level + units, bucket.burst);
+    bucket.local_level =
+        std::min(bucket.local_level + units, bucket.burst * bucket.local_fraction.value_or(1));
+    bucket.taken -= units;
   }
 }
 
--- a/packages/scheduling/account_rate_limiter.h
+++ b/packages/scheduling/account_rate_limiter.h
@@ -69,8 +69,9 @@
 // when it receives their reports. Between two reports a peer is assumed to continue at its recent
 // rate. While more than the rate is requested, each daemon takes only its part of the rate, in
 // proportion to its local requests; otherwise all daemons would take the same units and then wait
-// for the bucket to refill together. A peer that stops reporting is charged an even part of the
-// rate, so that the sides of a network partition together stay within the allowance. Not
+// for the bucket to refill together. Of what is left then, cheap requests get more than expensive
+// ones, so that most requests are served. A peer that stops reporting is charged an even part of
+// the rate, so that the sides of a network partition together stay within the allowance. Not
 // thread-safe.
 class AccountRateLimiter {
  public:
@@ -130,6 +131,8 @@
     // Usage reported by others since the start of this daemon, by the scope of the report.
     std::array<AllowanceUsage, 3> reported{};
     TimePoint refilled_at{};
+    // Mean units of the recent requests.
+    double mean_units = 0;
     // Units left of this daemon's part of the rate; negative after a large request.
     double local_level = 0;
     // Fraction of the rate that this daemon may take while more than the rate is requested, or
@@ -168,6 +171,8 @@
   double FleetSize() const;
   std::optional<double> LocalFraction(const AccountId& account, const Bucket& bucket,
                                       TimePoint now) const;
+  // Returns how expensive a request is, from 0 to 1; 0.5 for a request of the mean size.
+  static double RelativeCost(const Bucket& bucket, double units);
   // Returns the level of the bucket less the expected usage of others since their last report.
   double ExpectedLevel(const AccountId& account, const Bucket& bucket, TimePoint now) const;
 
--- a/tests/scheduling/account_rate_limiter_test.cc
+++ b/tests/scheduling/account_rate_limiter_test.cc
@@ -66,6 +66,9 @@
     return daemons_[daemon]->TryAcquire(kDrivers, units, At(time));
   }
 
+  // Puts the units of a request that did not run back.
+  void RefundAt(std::size_t daemon, double units) { daemons_[daemon]->Refund(kDrivers, units); }
+
   void ExchangeReportsIfDue(Duration time) {
     if (time % exchange_interval_ == 0ms) {
       ExchangeReports(At(time), [](TimePoint, int, int) { return true; });
@@ -269,5 +272,62 @@
   EXPECT_TRUE(limiter.TryAcquire(kDrivers, 50, At(2s)));
 }
 
+// Guards against requests that are refused for another reason after they were charged, and use up
+// the daemon's part of an allowance of which the fleet has enough left.
+TEST(AccountRateLimiterTest, RefundedUnitsAreAvailableToAnOverloadedAccount) {
+  constexpr std::size_t kDaemons = 8;
+  constexpr double kRate = 100'000;
+  constexpr double kUnits = 2'000;
+  Fleet fleet(kDaemons, kRate, kRate, {});
+  double taken = 0;
+  int asked = 0;
+  for (Duration time = 0s; time < 20s; time += 10ms) {
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      // Four times the rate.
+      if (time % 40ms == 0ms && fleet.TakeAt(daemon, kUnits, time)) {
+        if (++asked % 2 == 0) {
+          fleet.RefundAt(daemon, kUnits);
+        } else if (time >= 5s) {
+          taken += kUnits;
+        }
+      }
+    }
+    fleet.ExchangeReportsIfDue(time);
+  }
+  EXPECT_GT(taken, 0.85 * kRate * 15);
+}
+
+// Guards against expensive requests that use up an exhausted allowance, so that requests which cost
+// a fraction of them are refused.
+TEST(AccountRateLimiterTest, CheapRequestsOfAnOverloadedAccountAreAdmittedFirst) {
+  constexpr std::size_t kDaemons = 8;
+  constexpr double kRate = 80'000;
+  constexpr double kCheap = 200;
+  constexpr double kExpensive = 9'000;
+  Fleet fleet(kDaemons, kRate, kRate, {});
+  Random random(5);
+  int cheap = 0;
+  int admitted_cheap = 0;
+  double taken = 0;
+  for (Duration time = 0s; time < 20s; time += 10ms) {
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      const bool counts = time >= 5s;
+      if (random.Bernoulli(0.05)) {
+        const bool admitted = fleet.TakeAt(daemon, kCheap, time);
+        cheap += counts ? 1 : 0;
+        admitted_cheap += admitted && counts ? 1 : 0;
+        taken += admitted && counts ? kCheap : 0;
+      }
+      // More than three times the rate.
+      if (random.Bernoulli(0.035) && fleet.TakeAt(daemon, kExpensive, time) && counts) {
+        taken += kExpensive;
+      }
+    }
+    fleet.ExchangeReportsIfDue(time);
+  }
+  EXPECT_GT(admitted_cheap, 0.95 * cheap);
+  EXPECT_GT(taken, 0.8 * kRate * 15);
+}
+
 }  // namespace
 }  // namespace savoryglade
