Learn the time until first events, and compare few engines in a large fleet

Cause: the expected time until a first event came from a constant of 55,000 tokens a second and the tokens that peers report. Change: PromptTimeModel learns a constant time, a time per own token and one per token that waits ahead. An engine counts as silent only if it is slower than that. A daemon of a grouped fleet compares two random engines beside those that are likely to hold the prompt.

--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -18,6 +18,8 @@
 // Factor on the expected prompt time before an upstream counts as silent; allows for short
 // slowdowns.
 constexpr double kPromptTimeoutFactor = 3;
+// Factor on the learned time of an empty prompt before an upstream counts as silent.
+constexpr double kSharedDelayTimeoutFactor = 2;
 
 std::uint64_t RendezvousHash(std::uint64_t upstream, std::uint64_t key) {
   std::uint64_t hash = upstream ^ (key * 0x9E3779B97F4A7C15ULL);
@@ -59,6 +61,7 @@
   entry.key = KeyOf(record.id);
   entry.process = ProcessKeyOf(record);
   entry.version = SoftwareVersionKey(record.software_version);
+  entry.prompt_time = &FindOrCreateModel(record.service);
   entry.reported = {};
   for (const auto& [source, report] : reports_) {
     for (const ReportedLoad& reported_load : report.loads) {
@@ -75,6 +78,34 @@
       &entry);
 }
 
+PromptTimeModel& FleetLoadBalancer::FindOrCreateModel(const ServiceId& service) {
+  return prompt_times_
+      .try_emplace(service, PromptTimeOptions{.initial_token_s = 1 / options_.prompt_tokens_per_s})
+      .first->second;
+}
+
+Duration FleetLoadBalancer::PredictFirstEvent(const ServiceId& service, double uncached_tokens,
+                                              TimePoint now) {
+  const double ahead = MeanTokensAhead(by_service_[service], now);
+  return FindOrCreateModel(service).Predict({.own_tokens = uncached_tokens, .tokens_ahead = ahead},
+                                            now);
+}
+
+double FleetLoadBalancer::MeanTokensAhead(const std::vector<Entry*>& entries, TimePoint now) const {
+  double tokens = 0;
+  int sound = 0;
+  for (const Entry* entry : entries) {
+    // Tokens that wait at an upstream that is stuck do not delay others.
+    if (entry->record.leaving || entry->record.doubtful || entry->reported.suspect_reports > 0 ||
+        now < entry->paused_until) {
+      continue;
+    }
+    tokens += entry->own.waiting_tokens + entry->reported.waiting_tokens;
+    ++sound;
+  }
+  return sound == 0 ? 0 : tokens / sound;
+}
+
 void FleetLoadBalancer::Hold(const UpstreamId& id, TimePoint until) {
   if (const auto found = entries_.find(id); found != entries_.end()) {
     found->second.held_until = until;
@@ -135,10 +166,11 @@
   if (entry.unanswered.empty() || entry.path_lost) {
     return false;
   }
-  const Duration prompt_time =
-      FromSeconds(entry.own.waiting_tokens / options_.prompt_tokens_per_s * kPromptTimeoutFactor);
+  const double prompt_time =
+      entry.own.waiting_tokens / options_.prompt_tokens_per_s * kPromptTimeoutFactor +
+      ToSeconds(entry.prompt_time->Predict({}, now)) * kSharedDelayTimeoutFactor;
   const TimePoint last_response = std::max(entry.last_bytes, entry.unanswered.front());
-  return now - last_response > options_.silence_timeout + prompt_time;
+  return now - last_response > options_.silence_timeout + FromSeconds(prompt_time);
 }
 
 double FleetLoadBalancer::UncachedTokens(const Entry& entry, const WorkEstimate& work,
@@ -179,6 +211,46 @@
          one_way_latency + suspect_penalty;
 }
 
+std::vector<const FleetLoadBalancer::Entry*> FleetLoadBalancer::SelectCandidates(
+    const WorkEstimate& work, const Entry* affinity_upstream,
+    const std::vector<const Entry*>& usable) {
+  const auto wanted = static_cast<std::size_t>(options_.random_candidates);
+  if (wanted == 0 || usable.size() <= wanted + 1) {
+    return usable;
+  }
+  std::vector<const Entry*> candidates = usable;
+  const auto others = std::partition(candidates.begin(), candidates.end(), [&](const Entry* entry) {
+    return entry == affinity_upstream ||
+           (work.parts.size() >= 2 && entry->parts.contains(AffinityKey(work)));
+  });
+  const auto holders = static_cast<std::size_t>(others - candidates.begin());
+  const std::size_t count = std::min(holders + wanted, candidates.size());
+  for (std::size_t i = holders; i < count; ++i) {
+    std::swap(candidates[i], candidates[i + random_.UniformInt(candidates.size() - i)]);
+  }
+  candidates.resize(count);
+  return candidates;
+}
+
+FleetLoadBalancer::Choice FleetLoadBalancer::FindBest(const std::vector<const Entry*>& candidates,
+                                                      const WorkEstimate& work,
+                                                      const Entry* affinity_upstream,
+                                                      TimePoint now) const {
+  Choice best;
+  for (const Entry* entry : candidates) {
+    const UpstreamLoad load = FleetLoad(*entry, now);
+    if (load.running >= CapacityOf(*entry, work)) {
+      continue;
+    }
+    const double uncached = UncachedTokens(*entry, work, entry == affinity_upstream);
+    const double score = Score(*entry, work, load, uncached, now);
+    if (best.entry == nullptr || score < best.score) {
+      best = {.entry = entry, .score = score, .uncached = uncached};
+    }
+  }
+  return best;
+}
+
 std::optional<Placement> FleetLoadBalancer::Choose(const WorkEstimate& work,
                                                    const std::vector<UpstreamId>& excluded,
                                                    TimePoint now) {
@@ -208,32 +280,28 @@
         usable, {}, [key](const Entry* entry) { return RendezvousHash(entry->key, key); });
     affinity_upstream = best == usable.end() ? nullptr : *best;
   }
-  const Entry* chosen = nullptr;
-  double best_score = 0;
-  double best_uncached = 0;
-  for (const Entry* entry : usable) {
-    const UpstreamLoad load = FleetLoad(*entry, now);
-    if (load.running >= CapacityOf(*entry, work)) {
-      continue;
-    }
-    const double uncached = UncachedTokens(*entry, work, entry == affinity_upstream);
-    const double score = Score(*entry, work, load, uncached, now);
-    if (chosen == nullptr || score < best_score) {
-      chosen = entry;
-      best_score = score;
-      best_uncached = uncached;
-    }
+  const std::vector<const Entry*> candidates = SelectCandidates(work, affinity_upstream, usable);
+  Choice choice = FindBest(candidates, work, affinity_upstream, now);
+  if (choice.entry == nullptr && candidates.size() < usable.size()) {
+    choice = FindBest(usable, work, affinity_upstream, now);
   }
+  const Entry* const chosen = choice.entry;
   if (chosen == nullptr) {
     return std::nullopt;
   }
-  const double prompt_time = work.IsGeneration()
-                                 ? (FleetLoad(*chosen, now).waiting_tokens + best_uncached) /
-                                       options_.prompt_tokens_per_s * CurrentSlowness(*chosen, now)
-                                 : 0;
+  if (!work.IsGeneration()) {
+    return Placement{.upstream = chosen->record};
+  }
+  const Duration by_reports =
+      FromSeconds((FleetLoad(*chosen, now).waiting_tokens + choice.uncached) /
+                  options_.prompt_tokens_per_s * CurrentSlowness(*chosen, now));
+  const double ahead = MeanTokensAhead(by_service_[work.service], now);
+  const Duration learned =
+      chosen->prompt_time->Predict({.own_tokens = choice.uncached, .tokens_ahead = ahead}, now);
   return Placement{.upstream = chosen->record,
-                   .uncached_tokens = work.IsGeneration() ? best_uncached : 0,
-                   .expected = FromSeconds(prompt_time)};
+                   .uncached_tokens = choice.uncached,
+                   .tokens_ahead = ahead,
+                   .expected = std::max(by_reports, learned)};
 }
 
 bool FleetLoadBalancer::HasVersion(const ServiceId& service, std::uint64_t version) const {
@@ -319,6 +387,11 @@
   }
 }
 
+void FleetLoadBalancer::OnFirstEvent(const ServiceId& service, const PromptWork& work,
+                                     Duration taken, TimePoint now) {
+  FindOrCreateModel(service).OnFirstEvent(work, taken, now);
+}
+
 void FleetLoadBalancer::OnEnd(const UpstreamId& id, double uncached_tokens, bool first_byte,
                               AttemptEnd end, TimePoint now) {
   const auto found = entries_.find(id);
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -11,9 +11,11 @@
 #include <vector>
 
 #include "core/prefix_hash.h"
+#include "core/random.h"
 #include "core/report_source.h"
 #include "core/strong_id.h"
 #include "core/time.h"
+#include "routing/prompt_time_model.h"
 #include "routing/upstream_rate_limits.h"
 
 namespace savoryglade {
@@ -97,7 +99,8 @@
 // Throughput of a model engine, and cost weights and timeouts of the load balancer.
 struct FleetLoadBalancerOptions {
   FailureDomainId local_domain;
-  // Prompt tokens that an engine processes per second; from the operators' engine specification.
+  // Prompt tokens that an engine without other work processes per second; from the operators'
+  // engine specification. What loaded engines reach is learned; see PromptTimeModel.
   double prompt_tokens_per_s = 55'000;
   // Engine time of one output token in a batch of usual size, in seconds.
   double output_token_s = 0.0001;
@@ -120,12 +123,19 @@
   int plain_requests_per_slot = 2;
   // Maximum age of load reports from other daemons.
   Duration report_lifetime = 1500ms;
+  // Upstreams drawn at random that are compared for each choice, beside those that are likely to
+  // hold the prompt; zero to compare all. Daemons that hold the same reports choose the same
+  // upstream if each compares all.
+  int random_candidates = 0;
+  std::uint64_t seed = 1;
 };
 
 // The chosen upstream and the number of prompt tokens that it must process.
 struct Placement {
   UpstreamRecord upstream;
   double uncached_tokens = 0;
+  // Prompt tokens that wait at an upstream of the service, on average.
+  double tokens_ahead = 0;
   // Expected time to the first token, or to the answer of a plain service.
   Duration expected = Duration::zero();
 };
@@ -137,7 +147,8 @@
 // prompt again. Not thread-safe.
 class FleetLoadBalancer {
  public:
-  explicit FleetLoadBalancer(FleetLoadBalancerOptions options) : options_(std::move(options)) {}
+  explicit FleetLoadBalancer(FleetLoadBalancerOptions options)
+      : options_(std::move(options)), random_(options_.seed) {}
 
   // Returns the key of an upstream in load reports.
   static std::uint64_t KeyOf(const UpstreamId& id) { return Fnv1aHash(id.value()); }
@@ -151,6 +162,9 @@
   // chosen and has no free slots.
   UpstreamRateLimits& rate_limits() { return rate_limits_; }
 
+  // Sets the number of upstreams that are compared for each choice; see the options.
+  void SetRandomCandidates(int candidates) { options_.random_candidates = candidates; }
+
   // Sets the maximum age of load reports from peers.
   void SetReportLifetime(Duration lifetime) { options_.report_lifetime = lifetime; }
 
@@ -179,6 +193,10 @@
            work.output_tokens * options_.output_token_s;
   }
 
+  // Returns the expected time until the first event of a request with this many uncached tokens
+  // that is sent now.
+  Duration PredictFirstEvent(const ServiceId& service, double uncached_tokens, TimePoint now);
+
   // Returns the load of the service as a number of fully occupied upstreams. One with a rate limit
   // takes no more than it gets, so it counts as fully occupied.
   double BusyUpstreams(const ServiceId& service, TimePoint now);
@@ -194,6 +212,9 @@
               TimePoint now);
   void OnFirstByte(const UpstreamId& id, double uncached_tokens, TimePoint now);
   void OnBytes(const UpstreamId& id, TimePoint now);
+  // Records the time from the send of a request to the first event of its stream.
+  void OnFirstEvent(const ServiceId& service, const PromptWork& work, Duration taken,
+                    TimePoint now);
   // first_byte is true if OnFirstByte was called for the attempt.
   void OnEnd(const UpstreamId& id, double uncached_tokens, bool first_byte, AttemptEnd end,
              TimePoint now);
@@ -227,6 +248,8 @@
     std::uint64_t key = 0;
     std::uint64_t process = 0;
     std::uint64_t version = 0;
+    // Model of the service; owned by the balancer.
+    PromptTimeModel* prompt_time = nullptr;
     UpstreamLoad own;
     Reported reported;
     int failures = 0;
@@ -249,11 +272,14 @@
     std::vector<ReportedLoad> loads;
   };
 
+  PromptTimeModel& FindOrCreateModel(const ServiceId& service);
   void AddReport(const Report& report, int sign);
   void ExpireReports(TimePoint now);
   void RemoveFromIndexes(const Entry& entry);
   UpstreamLoad FleetLoad(const Entry& entry, TimePoint now) const;
   bool IsSilent(const Entry& entry, TimePoint now) const;
+  // Returns the prompt tokens that wait at a sound upstream of the service, on average.
+  double MeanTokensAhead(const std::vector<Entry*>& entries, TimePoint now) const;
   // Returns the last reported slowness, or 1 (normal speed) if the report has expired.
   double CurrentSlowness(const Entry& entry, TimePoint now) const;
   bool MaySend(const Entry& entry, TimePoint now) const {
@@ -265,13 +291,30 @@
   double Score(const Entry& entry, const WorkEstimate& work, const UpstreamLoad& load,
                double uncached, TimePoint now) const;
 
+  // Upstream with the best score, or none.
+  struct Choice {
+    const Entry* entry = nullptr;
+    double score = 0;
+    double uncached = 0;
+  };
+
+  // Returns the upstreams that are compared: a random selection, and those that are likely to hold
+  // the shared part of the prompt.
+  std::vector<const Entry*> SelectCandidates(const WorkEstimate& work,
+                                             const Entry* affinity_upstream,
+                                             const std::vector<const Entry*>& usable);
+  Choice FindBest(const std::vector<const Entry*>& candidates, const WorkEstimate& work,
+                  const Entry* affinity_upstream, TimePoint now) const;
+
   FleetLoadBalancerOptions options_;
+  Random random_;
   UpstreamRateLimits rate_limits_;
   std::map<UpstreamId, Entry> entries_;
   std::unordered_map<std::uint64_t, Entry*> by_key_;
   // Sorted by upstream id.
   std::map<ServiceId, std::vector<Entry*>> by_service_;
   std::map<ReportSource, Report> reports_;
+  std::map<ServiceId, PromptTimeModel> prompt_times_;
 };
 
 }  // namespace savoryglade
--- a/tests/routing/fleet_load_balancer_test.cc
+++ b/tests/routing/fleet_load_balancer_test.cc
@@ -2,8 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "routing/software_version.h"
 
@@ -297,5 +299,54 @@
   EXPECT_TRUE(balancer_.Choose(Prompt(1, 2), {}, At(0s)));
 }
 
+// Guards against loaded engines that all count as silent, so that the few others get everything.
+TEST_F(FleetLoadBalancerTest, EnginesThatAreAsSlowAsTheOthersAreNotSilent) {
+  AddEngines(2);
+  const WorkEstimate work = Prompt(1, 2);
+  for (int i = 0; i < 50; ++i) {
+    balancer_.OnFirstEvent(kModel, {.own_tokens = 1'000}, 1500ms, At(i * 20ms));
+  }
+  const UpstreamId first = Send(work, At(1s));
+  EXPECT_EQ(Send(Prompt(1, 3), At(2500ms)), first);
+}
+
+// Guards against a herd: daemons with the same reports that choose the same engine.
+TEST_F(FleetLoadBalancerTest, RandomCandidatesSpreadTheChoicesOfDaemonsWithTheSameReports) {
+  constexpr int kDaemons = 50;
+  constexpr int kEngines = 40;
+  std::map<UpstreamId, int> chosen;
+  for (int daemon = 0; daemon < kDaemons; ++daemon) {
+    FleetLoadBalancer balancer({.local_domain = FailureDomainId("verona"),
+                                .random_candidates = 2,
+                                .seed = static_cast<std::uint64_t>(daemon)});
+    std::vector<ReportedLoad> loads;
+    for (int i = 0; i < kEngines; ++i) {
+      const UpstreamRecord engine = Engine("engine-" + std::to_string(i));
+      balancer.Update(engine);
+      loads.push_back(
+          {.upstream = FleetLoadBalancer::KeyOf(engine.id), .load = {.running = i == 7 ? 0 : 20}});
+    }
+    balancer.OnReport(ReportSource::Beyond(), loads, At(0s));
+    ++chosen[balancer.Choose(Prompt(daemon, 1'000 + daemon, 10, 1'000), {}, At(0s))->upstream.id];
+  }
+  int most = 0;
+  for (const auto& [engine, count] : chosen) {
+    most = std::max(most, count);
+  }
+  EXPECT_LT(most, kDaemons / 4);
+}
+
+// Guards against a refusal because the upstreams that were drawn are full.
+TEST_F(FleetLoadBalancerTest, FullCandidatesLeaveTheOtherUpstreams) {
+  balancer_.SetRandomCandidates(1);
+  for (int i = 0; i < 20; ++i) {
+    balancer_.Update(Plain("plain-" + std::to_string(i), "verona"));
+  }
+  for (int i = 0; i < 20 * 12; ++i) {
+    Send(Call(), At(0s));
+  }
+  EXPECT_FALSE(balancer_.Choose(Call(), {}, At(0s)));
+}
+
 }  // namespace
 }  // namespace savoryglade
