Hold requests back by urgency and cost when first events are late

Cause: a request found an engine as long as it had a place, so under load all waited at the engines and all were late; a request without a place was refused at once with one second. Change: AdmissionQueue decides for each service: while the predicted first event is early enough, everything starts; above that, less urgent ranks and within them expensive requests are held back, wait if they can start in time, or are refused at once as not run. Retry-After is the predicted time until such a request is served, one after another. Time-outs of streams follow the prediction, and what is turned away counts as demand for capacity.

--- /dev/null
+++ b/packages/gateway/admission_gate.cc
@@ -0,0 +1,105 @@
+#include "gateway/admission_gate.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio.hpp>
+
+#include "core/boot_clock.h"
+#include "core/prefix_hash.h"
+#include "logging/logger.h"
+#include "net/sleep.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+// Interval at which a waiting call checks whether it may be sent.
+constexpr Duration kCheckInterval = 20ms;
+
+const Logger kLog("gateway");
+
+}  // namespace
+
+ServiceLoad AdmissionGate::LoadOf(const ServiceId& service, bool has_place, TimePoint now) {
+  constexpr double kTokens = 1'000;
+  const Duration delay = fleet_.load_balancer.PredictFirstEvent(service, 0, now);
+  const Duration with_tokens = fleet_.load_balancer.PredictFirstEvent(service, kTokens, now);
+  return {
+      .delay = delay, .cost_s = ToSeconds(with_tokens - delay) / kTokens, .has_place = has_place};
+}
+
+void AdmissionGate::Update(const ServiceId& service, TimePoint now) {
+  AdmissionQueue& queue = fleet_.AdmissionQueueOf(service);
+  for (const Ticket ticket : queue.Expire(now)) {
+    waiters_[ticket] = WaiterState::kExpired;
+  }
+  if (queue.waiting() == 0) {
+    return;
+  }
+  const bool has_place = fleet_.load_balancer.FreeSlots(service, now) > 0;
+  for (const Ticket ticket : queue.Release(LoadOf(service, has_place, now), now)) {
+    waiters_[ticket] = WaiterState::kReleased;
+  }
+}
+
+AdmissionGate::Result AdmissionGate::Refuse(Call& call, const AdmissionRequest& request,
+                                            const ServiceLoad& load, Duration retry_after) {
+  call.rejection_detail = fmt::format(
+      "delay {} ms, rank {}, cost {:.0f}, waiting {}, waited {} ms", load.delay / 1ms, request.rank,
+      request.cost, fleet_.AdmissionQueueOf(call.service).waiting(), call.admission_wait / 1ms);
+  // What is turned away is demand as well.
+  fleet_.work.Add(call.service, fleet_.load_balancer.WorkSeconds(call.metadata.work, request.cost));
+  return {.outcome = Outcome::kRefuse,
+          .verdict = {.reason = load.has_place ? Reason::kDeadlineUnreachable : Reason::kQueueFull,
+                      .retry_after = retry_after}};
+}
+
+asio::awaitable<AdmissionGate::Result> AdmissionGate::Admit(Call& call,
+                                                            std::optional<Placement> placement) {
+  const TimePoint begun_at = BootNow();
+  const WorkEstimate& work = call.metadata.work;
+  AdmissionQueue& queue = fleet_.AdmissionQueueOf(call.service);
+  // Without a placement the cached part of the prompt is unknown.
+  const double uncached = placement ? placement->uncached_tokens : work.prompt_tokens;
+  const AdmissionRequest request{.ticket = next_ticket_++,
+                                 .rank = call.rank(),
+                                 .cost = work.IsGeneration() ? uncached : 1,
+                                 .objective = call.route->latency_objective,
+                                 .arrived = call.received,
+                                 .spread = Fnv1aHash(call.metadata.attempt_id)};
+  const ServiceLoad load = LoadOf(call.service, placement.has_value(), begun_at);
+  const AdmissionDecision decision = queue.Offer(request, load, begun_at);
+  if (decision.verdict == AdmissionVerdict::kStart) {
+    co_return Result{};
+  }
+  if (decision.verdict == AdmissionVerdict::kRefuse) {
+    co_return Refuse(call, request, load, decision.retry_after);
+  }
+  waiters_[request.ticket] = WaiterState::kWaiting;
+  while (waiters_[request.ticket] == WaiterState::kWaiting && !call.caller.Check() &&
+         !fleet_.drain.interrupted()) {
+    co_await Sleep(kCheckInterval);
+    Update(call.service, BootNow());
+  }
+  const WaiterState state = waiters_[request.ticket];
+  waiters_.erase(request.ticket);
+  queue.Remove(request.ticket);
+  const TimePoint now = BootNow();
+  call.admission_wait += now - begun_at;
+  kLog.Info("A request has waited for an upstream.", {{"request", call.metadata.attempt_id},
+                                                      {"route", call.route->name},
+                                                      {"service", call.service.value()},
+                                                      {"cost", request.cost},
+                                                      {"delay_ms", load.delay / 1ms},
+                                                      {"had_place", load.has_place},
+                                                      {"released", state == WaiterState::kReleased},
+                                                      {"ms", (now - begun_at) / 1ms}});
+  if (state == WaiterState::kExpired) {
+    const ServiceLoad last = LoadOf(call.service, load.has_place, now);
+    co_return Refuse(call, request, last, queue.RefusalDelay(request, last, now));
+  }
+  co_return Result{.outcome = Outcome::kChooseAgain};
+}
+
+}  // namespace savoryglade::gateway
--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -51,6 +51,10 @@
   // Values behind a rejection, for the log.
   std::string rejection_detail;
 
+  // Whether the call may be sent without another admission, and how long it waited for that.
+  bool is_admitted = false;
+  Duration admission_wait = Duration::zero();
+
   // Connections acquired and requests sent so far.
   int connection_attempts = 0;
   int sends = 0;
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -215,6 +215,17 @@
   return fleet_.load_balancer.Choose(call.metadata.work, call.tried_upstreams, now);
 }
 
+bool CallRelay::NeedsAdmission(const Call& call, bool has_placement, TimePoint now) const {
+  // Work that was begun is continued, and a call that failed has used part of its time.
+  if (call.connection_attempts > 0 || call.migration_target || call.resumes_stream()) {
+    return false;
+  }
+  if (!has_placement) {
+    return NoUpstreamVerdict(call, now).reason == Reason::kQueueFull;
+  }
+  return !call.is_admitted;
+}
+
 asio::awaitable<void> CallRelay::SendUntilAnswered(Call& call) {
   while (!call.caller.Check()) {
     const TimePoint now = BootNow();
@@ -240,6 +251,17 @@
       co_return;
     }
     const std::optional<Placement> placement = SelectUpstream(call, now);
+    if (NeedsAdmission(call, placement.has_value(), now)) {
+      const AdmissionGate::Result admission = co_await admission_.Admit(call, placement);
+      if (admission.outcome == AdmissionGate::Outcome::kRefuse) {
+        co_await Reject(call, admission.verdict);
+        co_return;
+      }
+      call.is_admitted = true;
+      if (admission.outcome == AdmissionGate::Outcome::kChooseAgain) {
+        continue;
+      }
+    }
     if (!placement) {
       co_await Reject(call, NoUpstreamVerdict(call, now));
       co_return;
@@ -436,6 +458,8 @@
   const UpstreamId& id = attempt.placement.upstream.id;
   attempt.first_byte = true;
   fleet_.load_balancer.OnFirstByte(id, attempt.placement.uncached_tokens, now);
+  fleet_.AdmissionQueueOf(call.service)
+      .OnServed(call.metadata.work.IsGeneration() ? attempt.placement.uncached_tokens : 1, now);
   if (attempt.response.load) {
     fleet_.load_balancer.OnLoadReport(id, attempt.response.load->running,
                                       attempt.response.load->waiting,
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -9,6 +9,7 @@
 
 #include "core/verdict.h"
 #include "gateway/adapter.h"
+#include "gateway/admission_gate.h"
 #include "gateway/attempt.h"
 #include "gateway/call.h"
 #include "gateway/crash_detector.h"
@@ -35,6 +36,7 @@
         codec_(codec),
         connector_(connector),
         open_attempts_(open_attempts),
+        admission_(fleet),
         crash_detector_(fleet, std::move(on_crash_record)),
         response_relay_(fleet, codec, connections, migrator, crash_detector_) {}
 
@@ -58,6 +60,9 @@
   boost::asio::awaitable<RelayOutcome> SendAttempt(Call& call, Attempt& attempt);
   // Returns the upstream of the next attempt, or nothing if the request must be rejected.
   std::optional<Placement> SelectUpstream(Call& call, TimePoint now);
+  // Returns true if the admission queue decides when the call is sent, given whether an upstream
+  // accepts it now.
+  bool NeedsAdmission(const Call& call, bool has_placement, TimePoint now) const;
   void RecordFirstByte(Call& call, Attempt& attempt);
   // Records the rate limit that an answer names, or that it names none.
   void RecordRateLimit(const Attempt& attempt, TimePoint now);
@@ -75,6 +80,7 @@
   const MessageCodec& codec_;
   UpstreamConnector& connector_;
   OpenAttempts& open_attempts_;
+  AdmissionGate admission_;
   CrashDetector crash_detector_;
   ResponseRelay response_relay_;
 };
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -26,6 +26,7 @@
 #include "routing/fleet_load_balancer.h"
 #include "routing/upstream_paths.h"
 #include "scheduling/account_rate_limiter.h"
+#include "scheduling/admission_queue.h"
 
 namespace savoryglade::gateway {
 
@@ -52,7 +53,8 @@
              Duration time_of_day, TimePoint now)
       : settings(std::move(gateway_settings)),
         incarnation(daemon_incarnation),
-        load_balancer(FleetLoadBalancerOptions{.local_domain = settings.failure_domain}),
+        load_balancer(
+            FleetLoadBalancerOptions{.local_domain = settings.failure_domain, .seed = incarnation}),
         rate_limiter(RateLimiterOptions{}),
         retry_budget(WindowRetryBudgetOptions{}, now),
         clock(time_of_day, now),
@@ -88,6 +90,10 @@
     return crash_registry;
   }
 
+  AdmissionQueue& AdmissionQueueOf(const ServiceId& service) {
+    return admission_queues.try_emplace(service, AdmissionOptions{}).first->second;
+  }
+
   FleetDaemon Self() const {
     return {.id = settings.daemon,
             .failure_domain = settings.failure_domain,
@@ -119,6 +125,8 @@
   std::uint16_t requests_port = 0;
   FleetLoadBalancer load_balancer;
   UpstreamPaths upstream_paths{UpstreamPathOptions{}};
+  // Queues of the requests that this daemon holds back, by service.
+  std::map<ServiceId, AdmissionQueue> admission_queues;
   AccountRateLimiter rate_limiter;
   WindowRetryBudget retry_budget;
   CrashRegistry crash_registry{kRequestCrashPolicy, Fnv1aHash(settings.daemon.value())};
--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -51,6 +51,9 @@
 // is longer.
 constexpr int kSilenceDigestIntervals = 4;
 constexpr Duration kMinSilenceTimeout = 1s;
+// Upstreams that a daemon of a grouped fleet compares for each choice. Its reports are as old as a
+// request, so that all daemons would choose the same upstream if each compared all.
+constexpr int kGroupedCandidates = 2;
 constexpr std::size_t kMaxDatagramBytes = 60'000;
 // Registration changes in one datagram, at about 150 bytes each.
 constexpr std::size_t kMaxChangesPerDatagram = 200;
@@ -231,6 +234,7 @@
 void PeerReportTransport::UpdateRole(TimePoint now) {
   if (!grouped_ && fleet_.groups.grouped()) {
     grouped_ = true;
+    fleet_.load_balancer.SetRandomCandidates(kGroupedCandidates);
     kLog.Info("The fleet is now grouped by failure domain.",
               {{"daemons", fleet_.groups.daemons()}});
     // Reports on the other failure domains now include their daemons.
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -33,6 +33,9 @@
 // Wait for a response, or the first event of a stream, as a multiple of the route's objective,
 // before the request is retried.
 constexpr int kRetryObjectiveMultiple = 3;
+// Added to that wait for the first event of a stream, as a multiple of its predicted time. A retry
+// at a loaded service loses the work of the first attempt and waits as long again.
+constexpr int kRetryPredictionMultiple = 2;
 
 const Logger kLog("gateway");
 
@@ -74,22 +77,27 @@
                                           {"prompt_tokens", call.metadata.work.prompt_tokens},
                                           {"uncached_tokens", attempt.placement.uncached_tokens},
                                           {"expected_ms", attempt.placement.expected / 1ms},
+                                          {"waited_ms", call.admission_wait / 1ms},
                                           {"first_event_ms", call.time_to_first_event / 1ms},
                                           {"longest_pause_ms", call.longest_event_gap / 1ms},
                                           {"ms", total / 1ms}});
 }
 
-Duration ResponseRelay::ResponseTimeout(const Call& call, const Attempt& attempt, TimePoint now) {
+Duration ResponseRelay::ResponseTimeout(const Call& call, const Attempt& attempt,
+                                        TimePoint now) const {
   const Duration remaining = std::max(call.RemainingTime(now), Duration(1ms));
   if (call.possible_runs + 1 >= call.route->max_attempts || !call.route->Repeatable()) {
     return remaining;
   }
   if (call.route->kind == CallKind::kStream) {
-    const Duration pause = kStallPauseMultiple * call.route->longest_pause;
-    return std::min(remaining, attempt.first_byte
-                                   ? pause
-                                   : kRetryObjectiveMultiple * call.route->latency_objective +
-                                         attempt.placement.expected);
+    if (attempt.first_byte) {
+      return std::min(remaining, kStallPauseMultiple * call.route->longest_pause);
+    }
+    const Duration predicted = std::max(attempt.placement.expected,
+                                        fleet_.load_balancer.PredictFirstEvent(
+                                            call.service, attempt.placement.uncached_tokens, now));
+    return std::min(remaining, kRetryObjectiveMultiple * call.route->latency_objective +
+                                   kRetryPredictionMultiple * predicted);
   }
   return std::min(remaining, kRetryObjectiveMultiple * call.route->latency_objective);
 }
@@ -266,6 +274,17 @@
 }
 
 void ResponseRelay::OnFirstEvent(Call& call, const Attempt& attempt) {
+  if (!call.kv_copy) {
+    const TimePoint now = BootNow();
+    const Duration taken = now - attempt.sent_at;
+    const Duration error = taken > attempt.placement.expected ? taken - attempt.placement.expected
+                                                              : attempt.placement.expected - taken;
+    fleet_.metrics.GetTiming("savoryglade_gateway_first_event_error_seconds").Record(error);
+    fleet_.load_balancer.OnFirstEvent(call.service,
+                                      {.own_tokens = attempt.placement.uncached_tokens,
+                                       .tokens_ahead = attempt.placement.tokens_ahead},
+                                      taken, now);
+  }
   const std::uint64_t version = SoftwareVersionKey(attempt.placement.upstream.software_version);
   call.metadata.work.required_version = version;
   // Callers name the attempt that brought the first event, however often they resume the stream.
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -46,9 +46,9 @@
   static boost::asio::awaitable<Result<bool>> ReadBody(const Call& call, const Attempt& attempt,
                                                        std::string& bytes, Duration timeout);
   // Reads over a response to another attempt. Returns false if it does not end.
-  static boost::asio::awaitable<bool> DiscardBody(const Call& call, Attempt& attempt);
+  boost::asio::awaitable<bool> DiscardBody(const Call& call, Attempt& attempt);
   // Returns the longest wait for the next bytes of a response.
-  static Duration ResponseTimeout(const Call& call, const Attempt& attempt, TimePoint now);
+  Duration ResponseTimeout(const Call& call, const Attempt& attempt, TimePoint now) const;
   // Returns the number of idle connections to keep to each upstream of the call's service.
   std::size_t MaxIdleConnections(const Call& call) const;
   // Returns the connection of a completely answered attempt to the pool.
