--- a/bench/routing/measures.h
+++ b/bench/routing/measures.h
@@ -13,6 +13,10 @@
 // Measures the time of one selection among 200 upstreams in one failure domain, on the real clock.
 void MeasureSelection();
 
+// Plays load patterns of an emulated fleet of 30, 100 and 300 daemons, against first come, first
+// served with a comparison of all upstreams for each choice.
+void MeasureFleetOverload();
+
 // Measures a lookup of a route and the comparison of two versions, against a comparison of each
 // path with all routes, on the real clock.
 void MeasureRouteTables();
--- a/bench/routing/routing_bench_main.cc
+++ b/bench/routing/routing_bench_main.cc
@@ -14,7 +14,8 @@
 
 constexpr std::array kMeasures = {
     Measure{"stragglers", MeasureStragglers}, Measure{"recompute", MeasureRecompute},
-    Measure{"selection", MeasureSelection}, Measure{"route-tables", MeasureRouteTables}};
+    Measure{"selection", MeasureSelection}, Measure{"route-tables", MeasureRouteTables},
+    Measure{"overload", MeasureFleetOverload}};
 
 int Run(int argc, char** argv) {
   const std::string_view name = argc > 1 ? argv[1] : "";
