--- a/packages/emulator/fleet_load.cc
+++ b/packages/emulator/fleet_load.cc
@@ -20,18 +20,12 @@
 
 const ServiceId kService("model");
 
-// Engine: duration of a step, its growth with each running request, and prompt tokens per second.
-constexpr double kStepSeconds = 0.0029;
-constexpr double kStepSecondsPerRequest = 0.0001;
-constexpr double kPromptTokensPerSecond = 55'000;
 // Prompt tokens that an engine reads in one step.
 constexpr double kChunkTokens = 2048;
 // Tokens in an event, and tokens of shared prompts that an engine keeps.
 constexpr int kEventTokens = 15;
 constexpr double kCacheTokens = 300'000;
-// Fraction of the time in which an engine is slow, the factor, and the length of such a time.
-constexpr double kSlowFraction = 0.15;
-constexpr double kSlowFactor = 2.5;
+// Length of a time in which an engine is slow or not.
 constexpr Duration kSlowPeriod = 600ms;
 
 constexpr Duration kNetworkDelay = 1ms;
@@ -584,147 +578,10 @@
   LoadOutcome outcome_;
 };
 
-// The classes of a large deployment, for this many engines at half of their capacity.
-std::vector<LoadClass> UsualClasses(int engines) {
-  const double scale = engines / 240.0;
-  return {{.name = "briefing",
-           .rank = 1,
-           .objective = 1s,
-           .deadline = 12s,
-           .shared_tokens = 5382,
-           .shared_prompts = 200,
-           .own_tokens = 6610,
-           .output_tokens = 390,
-           .per_s = 268 * scale,
-           .benefit = 3.9,
-           .late_benefit = 0.39},
-          {.name = "recap",
-           .rank = 0,
-           .objective = 600ms,
-           .deadline = 10s,
-           .shared_tokens = 198,
-           .shared_prompts = 200,
-           .own_tokens = 628,
-           .output_tokens = 285,
-           .per_s = 313 * scale,
-           .benefit = 2.2,
-           .late_benefit = 0.22},
-          {.name = "check",
-           .rank = 2,
-           .objective = 600ms,
-           .deadline = 3s,
-           .shared_tokens = 568,
-           .shared_prompts = 200,
-           .own_tokens = 1800,
-           .output_tokens = 30,
-           .per_s = 438 * scale,
-           .benefit = 0.39,
-           .late_benefit = 0.039}};
-}
-
-// Returns a fleet whose engines are used to capacity at a load factor of 1.
-LoadPattern UsualFleet(std::string name, int daemons) {
-  LoadPattern pattern{.name = std::move(name), .daemons = daemons};
-  pattern.failure_domains = daemons >= 100 ? 6 : 3;
-  pattern.engines = std::max(pattern.failure_domains * 2, daemons * 4 / 5);
-  pattern.classes = UsualClasses(pattern.engines * 2);
-  return pattern;
-}
-
-double EngineSeconds(const LoadClass& load_class) {
-  // A token of a full batch, and the prompt without the shared part.
-  constexpr int kBatch = 16;
-  constexpr double kTokenSeconds = (kStepSeconds + kBatch * kStepSecondsPerRequest) / kBatch;
-  return load_class.own_tokens / kPromptTokensPerSecond + load_class.output_tokens * kTokenSeconds;
-}
-
 }  // namespace
 
-ClassOutcome LoadOutcome::Total() const {
-  ClassOutcome total;
-  for (const auto& [name, outcome] : classes) {
-    total.requests += outcome.requests;
-    total.on_time += outcome.on_time;
-    total.late += outcome.late;
-    total.benefit += outcome.benefit;
-    total.owed += outcome.owed;
-  }
-  return total;
-}
-
 LoadOutcome PlayLoad(const LoadPattern& pattern, const LoadPolicy& policy, std::uint64_t seed) {
   return FleetLoad(pattern, policy, seed).Play();
 }
 
-double BestBenefit(const LoadPattern& pattern, const LoadOutcome& outcome) {
-  std::vector<const LoadClass*> by_density;
-  for (const LoadClass& load_class : pattern.classes) {
-    by_density.push_back(&load_class);
-  }
-  std::ranges::sort(by_density, [](const LoadClass* a, const LoadClass* b) {
-    return a->benefit / EngineSeconds(*a) > b->benefit / EngineSeconds(*b);
-  });
-  double total_per_s = 0;
-  for (const LoadClass& load_class : pattern.classes) {
-    total_per_s += load_class.per_s;
-  }
-  double best = 0;
-  for (std::size_t second = 0; second < outcome.seconds.size(); ++second) {
-    int away = 0;
-    for (const EngineOutage& outage : pattern.outages) {
-      const Duration at = second * Duration(1s);
-      away += outage.from <= at && at < outage.to ? outage.failure_domains : 0;
-    }
-    const double present =
-        pattern.engines * (1 - static_cast<double>(away) / pattern.failure_domains);
-    constexpr double kMeanSlowness = 1 + kSlowFraction * (kSlowFactor - 1);
-    double capacity = present / kMeanSlowness;
-    for (const LoadClass* load_class : by_density) {
-      const double requests = outcome.seconds[second].requests * load_class->per_s / total_per_s;
-      const double seconds = EngineSeconds(*load_class);
-      const double served = std::min(requests, capacity / seconds);
-      capacity -= served * seconds;
-      best += served * load_class->benefit;
-    }
-  }
-  return best;
-}
-
-double BenefitBetween(const LoadOutcome& outcome, Duration from, Duration to) {
-  double benefit = 0;
-  for (std::size_t second = 0; second < outcome.seconds.size(); ++second) {
-    const Duration at = second * Duration(1s);
-    benefit += from <= at && at < to ? outcome.seconds[second].benefit : 0;
-  }
-  return benefit;
-}
-
-LoadPattern CalmPattern(int daemons) {
-  LoadPattern pattern = UsualFleet("calm", daemons);
-  pattern.phases = {{.factor = 0.6}};
-  return pattern;
-}
-
-LoadPattern OverloadPattern(int daemons, double factor) {
-  LoadPattern pattern = UsualFleet(fmt::format("overload-{:.1f}", factor), daemons);
-  pattern.phases = {{.factor = 0.8},
-                    {.from = kOverloadFrom, .factor = factor},
-                    {.from = kOverloadTo, .factor = 0.8}};
-  return pattern;
-}
-
-LoadPattern ReclaimPattern(int daemons) {
-  LoadPattern pattern = UsualFleet("reclaim", daemons);
-  pattern.phases = {{.factor = 0.8}};
-  pattern.outages = {{.from = 8s, .to = 14s, .failure_domains = pattern.failure_domains / 2}};
-  return pattern;
-}
-
-LoadPattern ShiftPattern(int daemons) {
-  LoadPattern pattern = UsualFleet("shift", daemons);
-  pattern.phases = {
-      {.factor = 0.9}, {.from = 8s, .factor = 0.9, .shift = 0.5}, {.from = 16s, .factor = 0.9}};
-  return pattern;
-}
-
 }  // namespace savoryglade
