Read the store as often as the bounds need, not once a second and daemon

Two daemons of a group watch crash records. Conclusion: a quiet second costs a number of calls for each domain, not for each daemon.

--- a/packages/gateway/crash_record_store.cc
+++ b/packages/gateway/crash_record_store.cc
@@ -32,6 +32,10 @@
 constexpr std::string_view kSingleLossPrefix = "loss/";
 constexpr std::array kSubjects = {CrashSubject::kRequest, CrashSubject::kPath,
                                   CrashSubject::kPromptPart};
+// Daemons of a group that watch the stored records; the others learn of them from reports.
+constexpr int kWatchersPerGroup = 2;
+// Interval at which the others check whether they have become watchers.
+constexpr Duration kRoleCheckInterval = 500ms;
 // Longest wait of a read for changes. Also bounds the time until a dead connection is detected.
 constexpr Duration kWatchTimeout = 10s;
 // Interval of reads of all rows, which find those that have expired.
@@ -180,6 +184,10 @@
 asio::awaitable<void> CrashRecordStore::ReadLoop() {
   Duration pause = kRetryInterval;
   while (true) {
+    if (loaded_ && fleet_.groups.Rank(BootNow()) >= kWatchersPerGroup) {
+      co_await Sleep(kRoleCheckInterval);
+      continue;
+    }
     if (BootNow() - full_read_at_ >= kFullReadInterval) {
       position_ = 0;
     }
--- a/packages/gateway/fleet_store_watcher.h
+++ b/packages/gateway/fleet_store_watcher.h
@@ -109,6 +109,7 @@
   boost::asio::steady_timer upstreams_timer_;
   RegistrationView registrations_;
   FeedReorderBuffer reorder_buffer_;
+  FeedSchedule route_schedule_;
   FeedSchedule upstream_schedule_;
   FeedPosition routes_position_ = 0;
   // Document from which the routes were parsed, for peers: as it was received until it is
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -15,6 +15,8 @@
 struct FleetBounds {
   // Longest time for which an upstream that announced its departure may still get new work.
   Duration upstream_drain = 2s;
+  // Longest time from the store's acknowledgement of new routes until they are in force.
+  Duration routes_apply = 2s;
   // Time from the SIGTERM that tells a daemon to shut down until its SIGKILL.
   Duration stop_grace = 8s;
   // Time from that SIGTERM until the load balancer sends no new connections.
--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -41,9 +41,10 @@
 constexpr Duration kPeerLifetime = 30s;
 // Writes of its row that a peer may miss before it is removed.
 constexpr double kMaxMissedRegistrations = 2.5;
-// Daemons that start together discover each other through the rows. Daemons that start later
-// announce themselves with their reports, so the rows are read less often after startup.
-constexpr int kStartupRowReads = 3;
+// A daemon that reads the rows after its own was written knows all that were written earlier. The
+// second read finds the daemons of other groups that started at the same time; daemons that start
+// later announce themselves with their reports.
+constexpr int kStartupRowReads = 2;
 constexpr Duration kStartupReadInterval = 2s;
 // Read interval of the rows after startup, as a multiple of the write interval.
 constexpr int kReadsPerRegistration = 2;
@@ -430,11 +431,14 @@
   std::map<std::string, std::uint64_t> read;
   TimePoint write_at = BootNow();
   TimePoint read_at = write_at;
+  bool is_registered = false;
+  // Reads since this daemon's row was written.
   int reads = 0;
   while (true) {
     if (!fleet_.drain.has_begun() && BootNow() >= write_at) {
       const provider::CommitStatus status = co_await store_.Commit(registration);
       const bool written = status == provider::CommitStatus::kCommitted;
+      is_registered = is_registered || written;
       write_at = BootNow() + (written ? RegisterInterval() : kRegisterRetryDelay);
       if (!written) {
         kLog.Warning("Writing this daemon's row failed; retrying.",
@@ -444,7 +448,7 @@
     if (BootNow() >= read_at) {
       const auto rows = co_await store_.ReadRows(kRowPrefix);
       if (rows) {
-        ++reads;
+        reads += is_registered ? 1 : 0;
         for (const auto& [key, row] : *rows) {
           std::uint64_t& version = read[key];
           if (version != row.version) {
