Test the schedule of reads of the routes and the pages of tables

Cause: the reads of the routes were a decision inside of the loop that performs them, and the store's stand-in returned any table as one page. Change: membership/document_watch decides when a daemon reads; the daemon that watches tells the group at once what it has confirmed. The stand-in keeps the store's limits on pages and counts reads by table.

--- a/packages/emulator/store_service.cc
+++ b/packages/emulator/store_service.cc
@@ -1,9 +1,11 @@
 #include "emulator/store_service.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <boost/url.hpp>
 #include <chrono>
+#include <limits>
 
 #include "net/base64.h"
 
@@ -14,6 +16,9 @@
 namespace json = boost::json;
 
 constexpr Duration kFeedPollInterval = 5ms;
+// Rows of a page unless the request names a limit, and the greatest limit.
+constexpr std::size_t kDefaultPageRows = 50;
+constexpr std::size_t kMaxPageRows = 500;
 
 // Returns the percent-decoded value of a query parameter, or an empty string if it is missing.
 std::string QueryParameter(std::string_view target, std::string_view name) {
@@ -94,14 +99,21 @@
   return calls_;
 }
 
+std::uint64_t StoreService::reads(const std::string& table) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = reads_.find(table);
+  return found == reads_.end() ? 0 : found->second;
+}
+
 asio::awaitable<void> StoreService::Handle(HttpExchange& exchange) {
+  const std::string_view target = exchange.target();
   StoreFaults faults;
   {
     const std::lock_guard lock(mutex_);
     ++calls_;
+    ++reads_[QueryParameter(target, "table")];
     faults = faults_;
   }
-  const std::string_view target = exchange.target();
   if (faults.outage) {
     co_await exchange.Respond(503, {}, {});
   } else if (target.starts_with("/v1/rows-get")) {
@@ -121,15 +133,20 @@
 
 std::string StoreService::SerializeRows(const std::string& table, const std::string& from,
                                         const std::string& to, std::uint64_t after,
-                                        bool* empty) const {
+                                        std::size_t limit, bool* empty) const {
   const std::lock_guard lock(mutex_);
   json::array rows;
+  bool has_more = false;
   for (const auto& [name, row] : rows_) {
     const bool in_range = name.first == table && name.second >= from &&
                           (to.empty() || name.second < to) && row.version > after;
     if (!in_range || (row.removed && after == 0)) {
       continue;
     }
+    if (rows.size() == limit) {
+      has_more = true;
+      break;
+    }
     json::object row_object;
     row_object["table"] = table;
     row_object["part"] = "";
@@ -145,7 +162,7 @@
   *empty = rows.empty();
   json::object page;
   page["rows"] = std::move(rows);
-  page["has_more"] = false;
+  page["has_more"] = has_more;
   page["ver"] = version_;
   page["now_ms"] = 0;
   return json::serialize(page);
@@ -154,8 +171,11 @@
 asio::awaitable<void> StoreService::ReadRows(HttpExchange& exchange) {
   const std::string_view target = exchange.target();
   bool empty = false;
+  const std::uint64_t wanted = NumericQueryParameter(target, "limit");
+  const std::size_t limit =
+      wanted == 0 ? kDefaultPageRows : std::min<std::size_t>(wanted, kMaxPageRows);
   std::string page = SerializeRows(QueryParameter(target, "table"), QueryParameter(target, "from"),
-                                   QueryParameter(target, "to"), 0, &empty);
+                                   QueryParameter(target, "to"), 0, limit, &empty);
   co_await exchange.Respond(200, ResponseHeaders(), std::move(page));
 }
 
@@ -176,7 +196,8 @@
     }
     bool empty = false;
     std::string page = SerializeRows(QueryParameter(target, "table"), {}, {},
-                                     NumericQueryParameter(target, "after_rev"), &empty);
+                                     NumericQueryParameter(target, "after_rev"),
+                                     std::numeric_limits<std::size_t>::max(), &empty);
     if (!empty || std::chrono::steady_clock::now() >= deadline) {
       co_await exchange.Respond(200, ResponseHeaders(), std::move(page));
       co_return;
--- a/packages/emulator/store_service.h
+++ b/packages/emulator/store_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -47,6 +48,8 @@
   std::map<std::string, std::string> Rows(const std::string& table) const;
   // Returns the number of requests received, including those without a response.
   std::uint64_t calls() const;
+  // Returns the number of reads of a table, including those of its changes.
+  std::uint64_t reads(const std::string& table) const;
 
  private:
   struct StoredRow {
@@ -60,8 +63,10 @@
   boost::asio::awaitable<void> ReadRows(HttpExchange& exchange);
   boost::asio::awaitable<void> ReadFeed(HttpExchange& exchange);
   boost::asio::awaitable<void> Transact(HttpExchange& exchange);
+  // Serializes the rows of a range that have changed after a version, up to the limit.
   std::string SerializeRows(const std::string& table, const std::string& from,
-                            const std::string& to, std::uint64_t after, bool* empty) const;
+                            const std::string& to, std::uint64_t after, std::size_t limit,
+                            bool* empty) const;
 
   mutable std::mutex mutex_;
   StoreFaults faults_;
@@ -70,6 +75,7 @@
   // Number of the returns to an older copy, plus one.
   std::uint64_t era_ = 1;
   std::uint64_t calls_ = 0;
+  std::map<std::string, std::uint64_t> reads_;
 };
 
 struct StoreService::Copy {
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -23,14 +23,6 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-// Daemons of a group that watch the store for new routes; the others learn of them from reports.
-constexpr int kRouteWatchersPerGroup = 1;
-// Longest wait of a read for new routes, which also bounds the time until a dead connection is
-// detected, and ages of the routes at which the first and at which every other daemon of a group
-// reads them itself, as fractions of the time in which new routes must be in force.
-constexpr double kRouteWatchFraction = 0.5;
-constexpr double kRouteReadAgeFraction = 0.72;
-constexpr double kMaxRouteAgeFraction = 0.8;
 // Ages of the registrations at which the first daemon of a group and at which every daemon reads
 // them, as fractions of the time in which an upstream's notice must be known.
 constexpr double kUpstreamReadAgeFraction = 0.32;
@@ -60,10 +52,10 @@
 
 const Logger kLog("feeds");
 
-FeedScheduleOptions ScheduleWithin(Duration bound, double first_read_fraction,
-                                   double max_age_fraction) {
-  return {.first_read_age = FromSeconds(ToSeconds(bound) * first_read_fraction),
-          .max_age = FromSeconds(ToSeconds(bound) * max_age_fraction)};
+FeedScheduleOptions UpstreamSchedule(const FleetBounds& bounds) {
+  const double drain = ToSeconds(bounds.upstream_drain);
+  return {.first_read_age = FromSeconds(drain * kUpstreamReadAgeFraction),
+          .max_age = FromSeconds(drain * kMaxUpstreamAgeFraction)};
 }
 
 }  // namespace
@@ -80,26 +72,24 @@
       routes_timer_(context),
       upstreams_timer_(context),
       registrations_({}),
-      route_schedule_(ScheduleWithin(fleet.settings.bounds.routes_apply, kRouteReadAgeFraction,
-                                     kMaxRouteAgeFraction)),
-      upstream_schedule_(ScheduleWithin(fleet.settings.bounds.upstream_drain,
-                                        kUpstreamReadAgeFraction, kMaxUpstreamAgeFraction)),
+      route_watch_(fleet.settings.bounds.routes_apply),
+      upstream_schedule_(UpstreamSchedule(fleet.settings.bounds)),
       random_(fleet.incarnation) {}
 
 asio::awaitable<Duration> FleetStoreWatcher::WaitUntilRoutesDue() {
   while (true) {
     const TimePoint now = BootNow();
     const int rank = fleet_.groups.Rank(now);
-    route_schedule_.OnConfirmed(fleet_.routes_confirmed_at);
-    TimePoint due = route_schedule_.DueAt(rank);
+    route_watch_.OnConfirmed(fleet_.routes_confirmed_at);
+    TimePoint due = route_watch_.DueAt(rank);
     if (behind_since_ && !receiving_routes_) {
       due = std::min(due, *behind_since_ + kPeerRoutesHeadStart);
     }
     if (fleet_.routes == nullptr || now >= due) {
       co_return Duration::zero();
     }
-    if (rank < kRouteWatchersPerGroup) {
-      co_return FromSeconds(ToSeconds(fleet_.settings.bounds.routes_apply) * kRouteWatchFraction);
+    if (const std::optional<Duration> wait = route_watch_.WaitOfRead(rank, now)) {
+      co_return *wait;
     }
     routes_timer_.expires_after(due - now);
     co_await routes_timer_.async_wait(kAwait);
@@ -131,8 +121,10 @@
         routes_position_ = 0;
         co_await Sleep(kRetryInterval);
       } else {
-        // The routes had not changed when the store sent its response.
+        // The routes had not changed when the store sent its response. The other daemons of the
+        // group read the store themselves if they learn of it too late.
         ConfirmRoutes(std::max(read_started_at, BootNow() - kMaxResponseLatency));
+        callbacks_.publish(std::nullopt);
       }
       pause = kRetryInterval;
       // A peer holds a version that the store has not returned yet: pause before reading again.
--- a/packages/gateway/fleet_store_watcher.h
+++ b/packages/gateway/fleet_store_watcher.h
@@ -14,6 +14,7 @@
 #include "gateway/fleet_report.h"
 #include "gateway/fleet_state.h"
 #include "gateway/upstream_connection_pool.h"
+#include "membership/document_watch.h"
 #include "membership/feed_reorder_buffer.h"
 #include "membership/feed_schedule.h"
 #include "membership/registration_view.h"
@@ -30,7 +31,7 @@
   // Called when an upstream announces that it leaves, or is gone.
   std::function<void(const UpstreamId&)> on_upstream_leaving;
   // Called to send an update to the group immediately: the changed registrations, or nothing if
-  // only the routes changed.
+  // only the routes changed or were confirmed.
   std::function<void(std::optional<FeedUpdate>)> publish;
 };
 
@@ -109,7 +110,7 @@
   boost::asio::steady_timer upstreams_timer_;
   RegistrationView registrations_;
   FeedReorderBuffer reorder_buffer_;
-  FeedSchedule route_schedule_;
+  DocumentWatch route_watch_;
   FeedSchedule upstream_schedule_;
   FeedPosition routes_position_ = 0;
   // Document from which the routes were parsed, for peers: as it was received until it is
