--- a/packages/emulator/fleet_load.cc
+++ b/packages/emulator/fleet_load.cc
@@ -501,7 +501,8 @@
       if (daemon.admission->waiting() == 0) {
         continue;
       }
-      const bool has_place = daemon.balancer->FreeSlots(kService, now) > 0;
+      const bool has_place = daemon.balancer->HasPlace(
+          {.service = kService, .prompt_tokens = 1, .output_tokens = 1}, now);
       for (const Ticket ticket : daemon.admission->Release(LoadOf(daemon, has_place), now)) {
         Dispatch(daemon.waiting.extract(ticket).mapped(), true);
       }
--- a/packages/gateway/admission_gate.cc
+++ b/packages/gateway/admission_gate.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 
 #include "core/boot_clock.h"
@@ -29,16 +30,16 @@
       .delay = delay, .cost_s = ToSeconds(with_tokens - delay) / kTokens, .has_place = has_place};
 }
 
-void AdmissionGate::Update(const ServiceId& service, TimePoint now) {
-  AdmissionQueue& queue = fleet_.AdmissionQueueOf(service);
+void AdmissionGate::Update(const WorkEstimate& work, TimePoint now) {
+  AdmissionQueue& queue = fleet_.AdmissionQueueOf(work.service);
   for (const Ticket ticket : queue.Expire(now)) {
     waiters_[ticket] = WaiterState::kExpired;
   }
   if (queue.waiting() == 0) {
     return;
   }
-  const bool has_place = fleet_.load_balancer.FreeSlots(service, now) > 0;
-  for (const Ticket ticket : queue.Release(LoadOf(service, has_place, now), now)) {
+  const bool has_place = fleet_.load_balancer.HasPlace(work, now);
+  for (const Ticket ticket : queue.Release(LoadOf(work.service, has_place, now), now)) {
     waiters_[ticket] = WaiterState::kReleased;
   }
 }
@@ -62,12 +63,13 @@
   AdmissionQueue& queue = fleet_.AdmissionQueueOf(call.service);
   // Without a placement the cached part of the prompt is unknown.
   const double uncached = placement ? placement->uncached_tokens : work.prompt_tokens;
-  const AdmissionRequest request{.ticket = next_ticket_++,
-                                 .rank = call.rank(),
-                                 .cost = work.IsGeneration() ? uncached : 1,
-                                 .objective = call.route->latency_objective,
-                                 .arrived = call.received,
-                                 .spread = Fnv1aHash(call.metadata.attempt_id)};
+  const AdmissionRequest request{
+      .ticket = next_ticket_++,
+      .rank = call.rank(),
+      .cost = work.IsGeneration() ? uncached : 1,
+      .objective = std::min(call.route->latency_objective, call.deadline - call.received),
+      .arrived = call.received,
+      .spread = Fnv1aHash(call.metadata.attempt_id)};
   const ServiceLoad load = LoadOf(call.service, placement.has_value(), begun_at);
   const AdmissionDecision decision = queue.Offer(request, load, begun_at);
   if (decision.verdict == AdmissionVerdict::kStart) {
@@ -80,7 +82,7 @@
   while (waiters_[request.ticket] == WaiterState::kWaiting && !call.caller.Check() &&
          !fleet_.drain.interrupted()) {
     co_await Sleep(kCheckInterval);
-    Update(call.service, BootNow());
+    Update(work, BootNow());
   }
   const WaiterState state = waiters_[request.ticket];
   waiters_.erase(request.ticket);
--- a/packages/gateway/admission_gate.h
+++ b/packages/gateway/admission_gate.h
@@ -41,9 +41,9 @@
   enum class WaiterState : std::uint8_t { kWaiting, kReleased, kExpired };
 
   ServiceLoad LoadOf(const ServiceId& service, bool has_place, TimePoint now);
-  // Starts waiting calls of a service that may be sent, and ends the wait of those that wait in
+  // Starts waiting calls of the service that may be sent, and ends the wait of those that wait in
   // vain.
-  void Update(const ServiceId& service, TimePoint now);
+  void Update(const WorkEstimate& work, TimePoint now);
   Result Refuse(Call& call, const AdmissionRequest& request, const ServiceLoad& load,
                 Duration retry_after);
 
--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -251,9 +251,8 @@
   return best;
 }
 
-std::optional<Placement> FleetLoadBalancer::Choose(const WorkEstimate& work,
-                                                   const std::vector<UpstreamId>& excluded,
-                                                   TimePoint now) {
+std::vector<const FleetLoadBalancer::Entry*> FleetLoadBalancer::UsableEntries(
+    const WorkEstimate& work, const std::vector<UpstreamId>& excluded, TimePoint now) {
   ExpireReports(now);
   std::vector<const Entry*> usable;
   std::vector<const Entry*> fallback;
@@ -273,6 +272,20 @@
   if (usable.empty()) {
     usable.swap(fallback);
   }
+  return usable;
+}
+
+bool FleetLoadBalancer::HasPlace(const WorkEstimate& work, TimePoint now) {
+  const std::vector<const Entry*> usable = UsableEntries(work, {}, now);
+  return std::ranges::any_of(usable, [&](const Entry* entry) {
+    return FleetLoad(*entry, now).running < CapacityOf(*entry, work);
+  });
+}
+
+std::optional<Placement> FleetLoadBalancer::Choose(const WorkEstimate& work,
+                                                   const std::vector<UpstreamId>& excluded,
+                                                   TimePoint now) {
+  const std::vector<const Entry*> usable = UsableEntries(work, excluded, now);
   const Entry* affinity_upstream = nullptr;
   if (!work.parts.empty()) {
     const std::uint64_t key = AffinityKey(work);
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -181,6 +181,9 @@
   std::optional<Placement> Choose(const WorkEstimate& work, const std::vector<UpstreamId>& excluded,
                                   TimePoint now);
 
+  // Returns true if Choose finds an upstream for such a request.
+  bool HasPlace(const WorkEstimate& work, TimePoint now);
+
   // Returns true if an upstream of the service that does not leave has this version.
   bool HasVersion(const ServiceId& service, std::uint64_t version) const;
   // Returns the version of all upstreams of the service, those that leave included, or nothing if
@@ -298,6 +301,10 @@
     double uncached = 0;
   };
 
+  // Returns the upstreams that may be sent such a request, or those in doubt if there are no
+  // others.
+  std::vector<const Entry*> UsableEntries(const WorkEstimate& work,
+                                          const std::vector<UpstreamId>& excluded, TimePoint now);
   // Returns the upstreams that are compared: a random selection, and those that are likely to hold
   // the shared part of the prompt.
   std::vector<const Entry*> SelectCandidates(const WorkEstimate& work,
