Hold requests back only where load causes the delay

Cause: reading: a service whose first events take as long as the objective without any load would have nine requests in ten refused for ever. Change: the queue holds requests back only if half of the places are taken, or the work that waits at an upstream takes a tenth of the tightest objective. Figures: AdmissionQueueTest.ServiceThatIsSlowWithoutLoadIsServed fails before and passes.

--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -86,24 +86,33 @@
 
 Duration FleetLoadBalancer::PredictFirstEvent(const ServiceId& service, double uncached_tokens,
                                               TimePoint now) {
-  const double ahead = MeanTokensAhead(by_service_[service], now);
+  const double ahead = MeanLoadOf(service).waiting_tokens;
   return FindOrCreateModel(service).Predict({.own_tokens = uncached_tokens, .tokens_ahead = ahead},
                                             now);
 }
 
-double FleetLoadBalancer::MeanTokensAhead(const std::vector<Entry*>& entries, TimePoint now) const {
+MeanLoad FleetLoadBalancer::MeanLoadOf(const ServiceId& service) {
+  return MeanLoadOf(by_service_[service]);
+}
+
+MeanLoad FleetLoadBalancer::MeanLoadOf(const std::vector<Entry*>& entries) {
   double tokens = 0;
+  double running = 0;
+  double slots = 0;
   int sound = 0;
   for (const Entry* entry : entries) {
-    // Tokens that wait at an upstream that is stuck do not delay others.
+    // Work that waits at an upstream which is stuck does not delay others.
     if (entry->record.leaving || entry->record.doubtful || entry->reported.suspect_reports > 0 ||
-        now < entry->paused_until) {
+        entry->failures > 0) {
       continue;
     }
     tokens += entry->own.waiting_tokens + entry->reported.waiting_tokens;
+    running += entry->own.running + entry->reported.running;
+    slots += entry->record.slots;
     ++sound;
   }
-  return sound == 0 ? 0 : tokens / sound;
+  return {.waiting_tokens = sound == 0 ? 0 : tokens / sound,
+          .slot_use = slots > 0 ? running / slots : 0};
 }
 
 void FleetLoadBalancer::Hold(const UpstreamId& id, TimePoint until) {
@@ -308,7 +317,7 @@
   const Duration by_reports =
       FromSeconds((FleetLoad(*chosen, now).waiting_tokens + choice.uncached) /
                   options_.prompt_tokens_per_s * CurrentSlowness(*chosen, now));
-  const double ahead = MeanTokensAhead(by_service_[work.service], now);
+  const double ahead = MeanLoadOf(work.service).waiting_tokens;
   const Duration learned =
       chosen->prompt_time->Predict({.own_tokens = choice.uncached, .tokens_ahead = ahead}, now);
   return Placement{.upstream = chosen->record,
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -85,6 +85,16 @@
   friend auto operator<=>(const ReportedLoad&, const ReportedLoad&) = default;
 };
 
+// Load of the upstreams of a service.
+struct MeanLoad {
+  // Prompt tokens that wait at an upstream.
+  double waiting_tokens = 0;
+  // Fraction of the slots that are taken.
+  double slot_use = 0;
+
+  friend auto operator<=>(const MeanLoad&, const MeanLoad&) = default;
+};
+
 // Outcome of an attempt to run a request on an upstream, as far as it shows the upstream's state.
 // kNoPath means that this daemon does not reach the upstream, which may be sound.
 enum class AttemptEnd : std::uint8_t {
@@ -196,6 +206,9 @@
            work.output_tokens * options_.output_token_s;
   }
 
+  // Returns the load of a sound upstream of the service, on average.
+  MeanLoad MeanLoadOf(const ServiceId& service);
+
   // Returns the expected time until the first event of a request with this many uncached tokens
   // that is sent now.
   Duration PredictFirstEvent(const ServiceId& service, double uncached_tokens, TimePoint now);
@@ -281,8 +294,7 @@
   void RemoveFromIndexes(const Entry& entry);
   UpstreamLoad FleetLoad(const Entry& entry, TimePoint now) const;
   bool IsSilent(const Entry& entry, TimePoint now) const;
-  // Returns the prompt tokens that wait at a sound upstream of the service, on average.
-  double MeanTokensAhead(const std::vector<Entry*>& entries, TimePoint now) const;
+  static MeanLoad MeanLoadOf(const std::vector<Entry*>& entries);
   // Returns the last reported slowness, or 1 (normal speed) if the report has expired.
   double CurrentSlowness(const Entry& entry, TimePoint now) const;
   bool MaySend(const Entry& entry, TimePoint now) const {
--- a/packages/scheduling/admission_queue.cc
+++ b/packages/scheduling/admission_queue.cc
@@ -75,21 +75,29 @@
   return (before + own.cost * OrderWithinRank(request, own)) / total;
 }
 
-Duration AdmissionQueue::DelayLimit(double order, TimePoint now) const {
+Duration AdmissionQueue::TightestObjective(TimePoint now) const {
   double requests = 0;
   for (const auto& [objective, demand] : demand_by_objective_) {
     requests += DemandAt(demand, now).requests;
   }
-  Duration tightest = Duration::zero();
   for (const auto& [objective, demand] : demand_by_objective_) {
     if (DemandAt(demand, now).requests >= kMinDemandFraction * requests) {
-      tightest = objective;
-      break;
+      return objective;
     }
   }
+  return Duration::zero();
+}
+
+Duration AdmissionQueue::DelayLimit(double order, const ServiceLoad& load, TimePoint now) const {
+  const double tightest = ToSeconds(TightestObjective(now));
+  const bool is_loaded = load.place_use >= options_.min_place_use ||
+                         load.waiting_s >= options_.min_waiting_fraction * tightest;
+  if (!is_loaded) {
+    return load.delay;
+  }
   const double pressure =
       options_.max_pressure - (options_.max_pressure - options_.min_pressure) * order;
-  return FromSeconds(ToSeconds(tightest) * pressure);
+  return FromSeconds(tightest * pressure);
 }
 
 bool AdmissionQueue::IsGuaranteed(const AdmissionRequest& request) const {
@@ -99,7 +107,7 @@
 bool AdmissionQueue::MayStart(const Waiting& candidate, const ServiceLoad& load,
                               TimePoint now) const {
   return load.has_place &&
-         (load.delay <= DelayLimit(candidate.order, now) || IsGuaranteed(candidate.request));
+         (load.delay <= DelayLimit(candidate.order, load, now) || IsGuaranteed(candidate.request));
 }
 
 bool AdmissionQueue::IsPreceded(const Waiting& candidate, const ServiceLoad& load,
@@ -116,7 +124,7 @@
 }
 
 void AdmissionQueue::OnStarted(const Waiting& started, const ServiceLoad& load, TimePoint now) {
-  if (load.delay > DelayLimit(started.order, now)) {
+  if (load.delay > DelayLimit(started.order, load, now)) {
     guaranteed_credit_ -= started.request.cost;
   }
 }
@@ -139,7 +147,7 @@
   }
   // Without new work the delay falls by a second each second.
   const Duration until_limit =
-      std::max(load.delay - DelayLimit(candidate.order, now), Duration::zero());
+      std::max(load.delay - DelayLimit(candidate.order, load, now), Duration::zero());
   const Duration behind_others = rate > 0 ? FromSeconds(ahead / rate) : Duration::zero();
   return now + std::max(until_limit, behind_others) < candidate.leaves_at;
 }
@@ -153,7 +161,7 @@
   candidate.position = {request.rank, now + FromSeconds(ToSeconds(max_wait) * within_rank),
                         request.ticket};
   const Duration own_time = FromSeconds(request.cost * load.cost_s);
-  const Duration delay_at_start = std::min(load.delay, DelayLimit(candidate.order, now));
+  const Duration delay_at_start = std::min(load.delay, DelayLimit(candidate.order, load, now));
   candidate.leaves_at =
       request.arrived + std::min(max_wait, request.objective - own_time - delay_at_start);
   if (MayStart(candidate, load, now) && !IsPreceded(candidate, load, now)) {
@@ -237,7 +245,7 @@
   deferred_at_ = now;
   const double ahead = waiting_cost_ + deferred_cost_;
   const Duration until_limit =
-      std::max(load.delay - DelayLimit(OrderOf(request, now), now), Duration::zero());
+      std::max(load.delay - DelayLimit(OrderOf(request, now), load, now), Duration::zero());
   Duration delay = until_limit;
   if (rate > 0) {
     delay += FromSeconds(ahead / rate);
--- a/packages/scheduling/admission_queue.h
+++ b/packages/scheduling/admission_queue.h
@@ -36,6 +36,10 @@
   Duration delay = Duration::zero();
   // Time per unit of cost, in seconds.
   double cost_s = 0;
+  // Fraction of the upstreams' places that are taken, and time of the work that waits at an
+  // upstream, in seconds.
+  double place_use = 0;
+  double waiting_s = 0;
   // Whether an upstream accepts another request.
   bool has_place = true;
 
@@ -61,6 +65,10 @@
   // and the most urgent work is sent.
   double min_pressure = 0.4;
   double max_pressure = 0.8;
+  // Place use from which, and waiting work, as a fraction of the tightest objective, from which a
+  // delay is caused by load. A service may be slow without any.
+  double min_place_use = 0.5;
+  double min_waiting_fraction = 0.1;
   // Fraction of the served work that is given to requests whatever the delay, and fraction of the
   // requests among which these are drawn, so that no class starves.
   double guaranteed_work = 0.1;
@@ -128,8 +136,10 @@
   double OrderWithinRank(const AdmissionRequest& request, const Demand& own) const;
   // Returns the fraction of the recent demand, by cost, that is served before the request.
   double OrderOf(const AdmissionRequest& request, TimePoint now) const;
+  // Returns the tightest objective in the recent demand.
+  Duration TightestObjective(TimePoint now) const;
   // Returns the longest delay at which a request with this order is sent.
-  Duration DelayLimit(double order, TimePoint now) const;
+  Duration DelayLimit(double order, const ServiceLoad& load, TimePoint now) const;
   bool IsGuaranteed(const AdmissionRequest& request) const;
   bool MayStart(const Waiting& candidate, const ServiceLoad& load, TimePoint now) const;
   // Returns true if a waiting request precedes the candidate and may start.
