--- a/packages/emulator/fleet_load.cc
+++ b/packages/emulator/fleet_load.cc
@@ -241,8 +241,13 @@
     const TimePoint now = events_.now();
     const Duration delay = daemon.balancer->PredictFirstEvent(kService, 0, now);
     const Duration with_tokens = daemon.balancer->PredictFirstEvent(kService, kTokens, now);
-    return {
-        .delay = delay, .cost_s = ToSeconds(with_tokens - delay) / kTokens, .has_place = has_place};
+    const double token_s = ToSeconds(with_tokens - delay) / kTokens;
+    const MeanLoad load = daemon.balancer->MeanLoadOf(kService);
+    return {.delay = delay,
+            .cost_s = token_s,
+            .place_use = load.slot_use,
+            .waiting_s = load.waiting_tokens * token_s,
+            .has_place = has_place};
   }
 
   // Chooses an engine and sends the attempt, or holds it back.
--- a/packages/gateway/admission_gate.cc
+++ b/packages/gateway/admission_gate.cc
@@ -26,8 +26,13 @@
   constexpr double kTokens = 1'000;
   const Duration delay = fleet_.load_balancer.PredictFirstEvent(service, 0, now);
   const Duration with_tokens = fleet_.load_balancer.PredictFirstEvent(service, kTokens, now);
-  return {
-      .delay = delay, .cost_s = ToSeconds(with_tokens - delay) / kTokens, .has_place = has_place};
+  const double token_s = ToSeconds(with_tokens - delay) / kTokens;
+  const MeanLoad load = fleet_.load_balancer.MeanLoadOf(service);
+  return {.delay = delay,
+          .cost_s = token_s,
+          .place_use = load.slot_use,
+          .waiting_s = load.waiting_tokens * token_s,
+          .has_place = has_place};
 }
 
 void AdmissionGate::Update(const WorkEstimate& work, TimePoint now) {
@@ -46,9 +51,10 @@
 
 AdmissionGate::Result AdmissionGate::Refuse(Call& call, const AdmissionRequest& request,
                                             const ServiceLoad& load, Duration retry_after) {
-  call.rejection_detail = fmt::format(
-      "delay {} ms, rank {}, cost {:.0f}, waiting {}, waited {} ms", load.delay / 1ms, request.rank,
-      request.cost, fleet_.AdmissionQueueOf(call.service).waiting(), call.admission_wait / 1ms);
+  call.rejection_detail =
+      fmt::format("delay {} ms, place use {:.2f}, rank {}, cost {:.0f}, waiting {}, waited {} ms",
+                  load.delay / 1ms, load.place_use, request.rank, request.cost,
+                  fleet_.AdmissionQueueOf(call.service).waiting(), call.admission_wait / 1ms);
   // What is turned away is demand as well.
   fleet_.work.Add(call.service, fleet_.load_balancer.WorkSeconds(call.metadata.work, request.cost));
   return {.outcome = Outcome::kRefuse,
