--- a/tests/gateway/admission_gate_test.cc
+++ b/tests/gateway/admission_gate_test.cc
@@ -48,6 +48,7 @@
   std::vector<std::unique_ptr<CallerConnection>> OccupyPlaces() {
     SetFaults(WorkerFault::kNoResponse, kPlaces);
     std::vector<std::unique_ptr<CallerConnection>> callers;
+    callers.reserve(kPlaces);
     for (int i = 0; i < kPlaces; ++i) {
       callers.push_back(Send(fmt::format("occupies-{}", i)));
     }
