Keep the time of the first event in the emulated attempt

Change: the attempt holds the time, the flag is derived, an unused include is gone. Conclusion: no change of behaviour.

--- a/packages/emulator/fleet_load.cc
+++ b/packages/emulator/fleet_load.cc
@@ -7,11 +7,11 @@
 #include <deque>
 #include <list>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
 #include "core/event_queue.h"
-#include "core/prefix_hash.h"
 #include "core/random.h"
 #include "routing/fleet_load_balancer.h"
 
@@ -56,7 +56,7 @@
   double uncached_tokens = 0;
   double tokens_ahead = 0;
   Duration expected{};
-  bool has_first_event = false;
+  std::optional<TimePoint> first_event_at;
   bool ended = false;
 };
 
@@ -353,9 +353,9 @@
 
   void EndAttempt(const AttemptPtr& attempt, AttemptEnd end) {
     attempt->ended = true;
-    daemons_[attempt->daemon].balancer->OnEnd(engines_[attempt->engine].record.id,
-                                              attempt->uncached_tokens, attempt->has_first_event,
-                                              end, events_.now());
+    daemons_[attempt->daemon].balancer->OnEnd(
+        engines_[attempt->engine].record.id, attempt->uncached_tokens,
+        attempt->first_event_at.has_value(), end, events_.now());
   }
 
   // Returns the tokens that the engine has to read, and keeps the shared part of the prompt.
@@ -415,7 +415,7 @@
       const AttemptPtr attempt = run->attempt;
       const int wanted = pattern_.classes[attempt->load_class].output_tokens;
       run->tokens += run->prompt_left <= 0 ? 1 : 0;
-      if (!attempt->has_first_event && run->tokens >= std::min(kEventTokens, wanted)) {
+      if (!attempt->first_event_at && run->tokens >= std::min(kEventTokens, wanted)) {
         OnFirstEvent(attempt);
       }
       if (run->tokens >= wanted) {
@@ -430,7 +430,6 @@
   }
 
   void OnFirstEvent(const AttemptPtr& attempt) {
-    attempt->has_first_event = true;
     Daemon& daemon = daemons_[attempt->daemon];
     const TimePoint now = events_.now();
     const Duration taken = now - attempt->sent_at;
@@ -441,13 +440,12 @@
         kService, {.own_tokens = attempt->uncached_tokens, .tokens_ahead = attempt->tokens_ahead},
         taken, now);
     daemon.admission->OnServed(attempt->uncached_tokens, now);
-    first_events_[attempt.get()] = now;
+    attempt->first_event_at = now;
   }
 
   void Count(const Attempt& attempt) {
     const LoadClass& load_class = pattern_.classes[attempt.load_class];
-    const auto first_event = first_events_.extract(&attempt);
-    const bool on_time = first_event.mapped() - attempt.first_sent <= load_class.objective;
+    const bool on_time = *attempt.first_event_at - attempt.first_sent <= load_class.objective;
     const double benefit = on_time ? load_class.benefit : load_class.late_benefit;
     for (ClassOutcome* counted :
          {&ClassOutcomeOf(attempt), &outcome_.failure_domains[attempt.failure_domain],
@@ -575,7 +573,6 @@
   Duration report_interval_{};
   std::vector<Engine> engines_;
   std::vector<Daemon> daemons_;
-  std::unordered_map<const Attempt*, TimePoint> first_events_;
   std::vector<double> errors_;
   std::uint64_t next_session_ = 0;
   Ticket next_ticket_ = 1;
