Show that callers get status 000 for an unlisted status

Cause, as far as known: HttpExchange::Respond and StartStream pass a worker's status through int_to_status, which knows only the statuses that the library lists.

--- a/review/rig/rig.cc
+++ b/review/rig/rig.cc
@@ -255,6 +255,7 @@
   if (!ReadLine(line, deadline)) {
     return false;
   }
+  message.first_line = line;
   std::istringstream first(line);
   std::string version;
   if (request) {
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -50,6 +50,7 @@
   std::string target;
   // Of a response.
   int status = 0;
+  std::string first_line;
   // Names in lower case.
   std::map<std::string, std::string> headers;
   std::string body;
