--- a/review/build.sh
+++ b/review/build.sh
@@ -5,8 +5,13 @@
 out=target/review
 mkdir -p "$out"
 flags=(-std=c++20 -O2 -g0 -Wall -Wextra -pthread -Ireview/rig)
-g++ "${flags[@]}" -c review/rig/rig.cc -o "$out/rig.o"
+objects=()
+for source in review/rig/*.cc; do
+  object="$out/$(basename "$source" .cc).o"
+  g++ "${flags[@]}" -c "$source" -o "$object"
+  objects+=("$object")
+done
 for scenario in review/[1-5]/scenario.cc; do
   number=$(basename "$(dirname "$scenario")")
-  g++ "${flags[@]}" "$scenario" "$out/rig.o" -o "$out/case$number"
+  g++ "${flags[@]}" "$scenario" "${objects[@]}" -o "$out/case$number"
 done
