--- a/review/5/scenario.cc
+++ b/review/5/scenario.cc
@@ -22,6 +22,9 @@
 // eight, two in five.
 constexpr int kCallsPerRound = 5;
 constexpr int kFailuresPerRound = 2;
+// The site's grey workers fail for 6.5 s.
+constexpr double kGreyFrom = 3;
+constexpr double kGreyTime = 6;
 // "Too early", registered, and the status with which servers of models say that they are
 // overloaded.
 constexpr std::array kStatuses = {425, 529};
@@ -29,6 +32,7 @@
 std::mutex mutex;
 std::map<std::string, int> status_of;
 std::atomic<bool> ended{false};
+std::atomic<double> begun_at{1e9};
 std::atomic<int> answered{0};
 std::atomic<int> own_failures{0};
 std::atomic<int> wrong{0};
@@ -37,8 +41,10 @@
            bool is_grey) {
   static std::atomic<int> calls{0};
   const std::string id = request.Header("Attempt-Id");
-  const int number = is_grey ? calls.fetch_add(1) : 0;
-  const bool fails = is_grey && number % kCallsPerRound < kFailuresPerRound;
+  const double grey_for = rig::Now() - begun_at - kGreyFrom;
+  const bool is_grey_now = is_grey && grey_for >= 0 && grey_for < kGreyTime;
+  const int number = is_grey_now ? calls.fetch_add(1) : 0;
+  const bool fails = is_grey_now && number % kCallsPerRound < kFailuresPerRound;
   const int status =
       fails ? kStatuses[static_cast<std::size_t>(number / kCallsPerRound) % kStatuses.size()] : 200;
   own_failures += fails ? 1 : 0;
@@ -123,6 +129,7 @@
     }
   }
   rig::SleepFor(4);
+  begun_at = rig::Now();
   std::vector<std::thread> clients;
   for (int i = 0; i < kClients; ++i) {
     clients.emplace_back(
