Limit what a message may hold unparsed

Callers of a daemon lost their answers because it was killed for its memory: one worker had sent a chunk-size line without end. The buffers of HttpConnection and HttpServer had no maximum size, and the parser limits the header and the body of a message but not the header of a chunk or the trailer.

A response now holds at most 32 KB that is not parsed yet, a request its header limit and 16 KB. More is an invalid response (502, and no crash of the upstream), or status 431. FetchOnce reads at most 64 KB within one time for the whole call, because 16 answers of 16 MB to kv-move calls filled 147 MB; documents are read by FetchDocument. packages/daemon limits an event, and what it reads after the last one.

The parser asks for more input only while its buffer has room, so the limit holds for every reader.

--- a/packages/admin/operator_client.cc
+++ b/packages/admin/operator_client.cc
@@ -121,7 +121,7 @@
   boost::asio::io_context context;
   std::optional<Result<HttpResponse>> response;
   boost::asio::co_spawn(
-      context, FetchOnce(options_.daemon, std::move(request), options_.timeout),
+      context, FetchDocument(options_.daemon, std::move(request), options_.timeout),
       [&response](const std::exception_ptr&, Result<HttpResponse> r) { response = std::move(r); });
   context.run();
   if (!*response) {
--- a/packages/daemon/model_attempt.cc
+++ b/packages/daemon/model_attempt.cc
@@ -22,6 +22,8 @@
 // Limit for reading the end of a response after its final event, so that the connection can be
 // reused.
 constexpr Duration kTrailingReadTimeout = 100ms;
+// Bytes that are read after the final event. A connection with more of them is not reused.
+constexpr std::size_t kMaxTrailingBytes = 64 * 1024;
 
 Endpoint MakeEndpoint(const UpstreamConfig& upstream) {
   return {.address = upstream.address, .port = upstream.port};
@@ -152,7 +154,7 @@
     if (!*more) {
       co_return Fail(AttemptResult::kLost, Reason::kUpstreamLost);
     }
-    if (!ProcessEvents()) {
+    if (!ProcessEvents() || reader_.HasOversizedEvent()) {
       co_return Fail(AttemptResult::kLost, Reason::kUpstreamError);
     }
     if (count_resumption_ && (done_ || next_position_ > first_position_)) {
@@ -184,12 +186,15 @@
 
 // Reads the end of the response after its final event and counts further events as late.
 asio::awaitable<void> ModelAttempt::ReadTrailingEvents(HttpConnection& connection) {
-  while (true) {
+  std::size_t received = 0;
+  while (received <= kMaxTrailingBytes) {
     reader_.Compact();
+    const std::size_t held = reader_.buffer().size();
     const Result<bool> more = co_await connection.ReadSome(reader_.buffer(), kTrailingReadTimeout);
     if (!more || !*more) {
       co_return;
     }
+    received += reader_.buffer().size() - held;
     while (reader_.Next()) {
       context_.request_metrics.late_events.Add();
     }
--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -36,6 +36,18 @@
                  "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n"
                  "Content-Type: text/event-stream\r\n\r\n",
                  "0123456789"},
+    EndlessBytes{WorkerFault::kEndlessStreamChunkHeader,
+                 "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n"
+                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n10;",
+                 "0123456789"},
+    EndlessBytes{WorkerFault::kEndlessChunkHeader,
+                 "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n10;",
+                 "0123456789"},
+    EndlessBytes{WorkerFault::kEndlessTrailer,
+                 "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+                 "X-Padding: 0123456789\r\n"},
 };
 
 const EndlessBytes* FindEndlessBytes(WorkerFault fault) {
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -50,6 +50,11 @@
   kEndlessStaleBody,
   // A server-sent event without its end.
   kEndlessEvent,
+  // The header of a chunk without its end: in a stream, and in a plain body.
+  kEndlessStreamChunkHeader,
+  kEndlessChunkHeader,
+  // Trailer fields without the end of the trailer.
+  kEndlessTrailer,
 };
 
 // Emulated worker of the operators' platform, for plain calls and for event streams. Thread-safe.
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -280,7 +280,7 @@
   request.set(http::field::accept_encoding, std::string(kDeflate));
   receiving_routes_ = true;
   Result<HttpResponse> response =
-      co_await FetchOnce(endpoint->second, std::move(request), kPeerRoutesTimeout);
+      co_await FetchDocument(endpoint->second, std::move(request), kPeerRoutesTimeout);
   receiving_routes_ = false;
   co_return response;
 }
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -102,13 +102,17 @@
   return std::min(remaining, kRetryObjectiveMultiple * call.route->latency_objective);
 }
 
-asio::awaitable<Result<bool>> ResponseRelay::ReadBody(const Call& call, const Attempt& attempt,
+asio::awaitable<Result<bool>> ResponseRelay::ReadBody(const Call& call, Attempt& attempt,
                                                       std::string& bytes, Duration timeout) {
   if (call.RemainingTime(BootNow()) <= Duration::zero()) {
     co_return tl::make_unexpected(
         Error{.code = ErrorCode::kTimeout, .message = "The response did not end in time."});
   }
-  co_return co_await attempt.connection->ReadSome(bytes, timeout);
+  Result<bool> has_more = co_await attempt.connection->ReadSome(bytes, timeout);
+  if (!has_more && has_more.error().code == ErrorCode::kInvalid) {
+    attempt.response_rejected = true;
+  }
+  co_return has_more;
 }
 
 asio::awaitable<bool> ResponseRelay::DiscardBody(const Call& call, Attempt& attempt) {
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -42,8 +42,8 @@
   // of the stream.
   void OnFirstEvent(Call& call, const Attempt& attempt);
   // Appends the next bytes of the body. Returns false at its end, and kTimeout once the deadline
-  // has passed, even if bytes still arrive.
-  static boost::asio::awaitable<Result<bool>> ReadBody(const Call& call, const Attempt& attempt,
+  // has passed, even if bytes still arrive. Bytes that belong to no body reject the response.
+  static boost::asio::awaitable<Result<bool>> ReadBody(const Call& call, Attempt& attempt,
                                                        std::string& bytes, Duration timeout);
   // Reads over a response to another attempt. Returns false if it does not end.
   boost::asio::awaitable<bool> DiscardBody(const Call& call, Attempt& attempt);
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -26,7 +26,6 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kReadChunkBytes = 8 * 1024;
 constexpr std::size_t kMaxHealthBodyBytes = 4 * 1024;
-constexpr std::size_t kMaxFetchBodyBytes = 16 * 1024 * 1024;
 
 ErrorCode CodeOf(beast::error_code error) {
   if (error == beast::error::timeout) {
@@ -241,20 +240,46 @@
   }
 }
 
+namespace {
+
+void PrepareSingleRequest(HttpRequest& request, const Endpoint& endpoint) {
+  request.set(http::field::host, ToString(endpoint));
+  request.keep_alive(false);
+  request.prepare_payload();
+}
+
+}  // namespace
+
 asio::awaitable<Result<HttpResponse>> FetchOnce(const Endpoint& endpoint, HttpRequest request,
                                                 Duration timeout) {
+  const TimePoint deadline = std::chrono::steady_clock::now() + timeout;
+  const auto remaining = [deadline] {
+    return std::max<Duration>(deadline - std::chrono::steady_clock::now(), Duration::zero());
+  };
   auto connection = co_await HttpConnection::Connect(endpoint, timeout);
   if (!connection) {
     co_return tl::make_unexpected(connection.error());
   }
-  request.set(http::field::host, ToString(endpoint));
-  request.keep_alive(false);
-  request.prepare_payload();
+  PrepareSingleRequest(request, endpoint);
+  const Result<void> sent = co_await (*connection)->Send(request, remaining());
+  if (!sent) {
+    co_return tl::make_unexpected(sent.error());
+  }
+  co_return co_await (*connection)->ReadResponse(kMaxFetchedBodyBytes, remaining());
+}
+
+asio::awaitable<Result<HttpResponse>> FetchDocument(const Endpoint& endpoint, HttpRequest request,
+                                                    Duration timeout) {
+  auto connection = co_await HttpConnection::Connect(endpoint, timeout);
+  if (!connection) {
+    co_return tl::make_unexpected(connection.error());
+  }
+  PrepareSingleRequest(request, endpoint);
   const Result<void> sent = co_await (*connection)->Send(request, timeout);
   if (!sent) {
     co_return tl::make_unexpected(sent.error());
   }
-  co_return co_await (*connection)->ReadLargeResponse(kMaxFetchBodyBytes, timeout, timeout);
+  co_return co_await (*connection)->ReadLargeResponse(kMaxDocumentBytes, timeout, timeout);
 }
 
 }  // namespace savoryglade
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -26,6 +26,16 @@
 // Complete response including its body.
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
+// Most bytes of a response that are kept unparsed: its header, the header of a chunk, or its trailer.
+// A response with a longer one is invalid.
+inline constexpr std::size_t kMaxUnparsedResponseBytes = 32 * 1024;
+
+// Largest body of a response to FetchOnce, in bytes.
+inline constexpr std::size_t kMaxFetchedBodyBytes = 64 * 1024;
+
+// Largest body of a response to FetchDocument, in bytes.
+inline constexpr std::size_t kMaxDocumentBytes = 16 * 1024 * 1024;
+
 // Slowest transfer of a large response that is read to its end, in bytes per second.
 inline constexpr double kMinTransferRate = 32.0 * 1024;
 
@@ -52,8 +62,8 @@
   // received are no HTTP response, kTimeout after the timeout, and otherwise kUnavailable.
   boost::asio::awaitable<Result<unsigned>> ReadHeader(Duration timeout);
 
-  // Appends the next chunk of the body to the text. Returns false at the end of the body. The
-  // timeout applies to this chunk alone.
+  // Appends the next chunk of the body to the text. Returns false at the end of the body, and
+  // kInvalid if the bytes received belong to no body. The timeout applies to this chunk alone.
   boost::asio::awaitable<Result<bool>> ReadSome(std::string& text, Duration timeout);
 
   // Reads a complete response with a body of at most the given size in bytes.
@@ -94,7 +104,7 @@
 
   boost::beast::tcp_stream stream_;
   Endpoint endpoint_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMaxUnparsedResponseBytes};
   std::optional<StreamParser> parser_;
   bool reusable_ = true;
   // False for a HEAD request, whose response has no body whatever its header says.
@@ -145,9 +155,14 @@
   std::map<Endpoint, std::vector<IdleConnection>> idle_;
 };
 
-// Sends one request on a new connection and reads the complete response. The timeout applies to
-// each step: connecting, sending, the first byte of the response and each pause after it.
+// Sends one request on a new connection and reads the complete response, whose body may have
+// kMaxFetchedBodyBytes. The timeout applies to the whole call.
 boost::asio::awaitable<Result<HttpResponse>> FetchOnce(const Endpoint& endpoint,
                                                        HttpRequest request, Duration timeout);
 
+// As FetchOnce, for a document of up to kMaxDocumentBytes. The timeout applies to each step:
+// connecting, sending, the first byte of the response and each pause after it.
+boost::asio::awaitable<Result<HttpResponse>> FetchDocument(const Endpoint& endpoint,
+                                                           HttpRequest request, Duration timeout);
+
 }  // namespace savoryglade
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -29,6 +29,8 @@
 
 // Holds the hexadecimal size and the line end of a chunk.
 constexpr std::size_t kMaxChunkHeaderBytes = 20;
+// Most bytes of a body that are kept unparsed: the header of a chunk, or the trailer.
+constexpr std::size_t kMaxUnparsedBodyBytes = 16 * 1024;
 // Limits on the input that is discarded after an error response before the connection is closed.
 // Closing with unread input resets the connection, and the peer could lose the response.
 constexpr std::size_t kMaxLingerBytes = 1024 * 1024;
@@ -186,7 +188,7 @@
     }
     unsigned status = 400;
     const char* reason = "malformed_request";
-    if (error == http::error::header_limit) {
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
       status = 431;
       reason = "request_too_large";
     } else if (error == http::error::body_limit) {
@@ -286,7 +288,7 @@
 
   static asio::awaitable<void> Serve(std::shared_ptr<State> state, beast::tcp_stream stream) {
     const std::uint64_t connection_id = state->next_connection_id.fetch_add(1);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(state->limits.header_size + kMaxUnparsedBodyBytes);
     while (true) {
       std::optional<RequestParser> parser(std::in_place);
       parser->header_limit(static_cast<std::uint32_t>(state->limits.header_size));
--- a/packages/net/sse_reader.h
+++ b/packages/net/sse_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,6 +11,9 @@
 // comments and all fields other than "data:".
 class SseReader {
  public:
+  // Largest event, in bytes.
+  static constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
   // Buffer to which received text is appended.
   std::string& buffer() { return buffer_; }
 
@@ -17,6 +21,9 @@
   // valid until the next call of Next or Compact or a change of the buffer.
   std::optional<std::string_view> Next();
 
+  // Returns true if an incomplete event exceeds kMaxEventBytes.
+  bool HasOversizedEvent() const { return buffer_.size() - read_position_ > kMaxEventBytes; }
+
   // Removes the text of returned events from the buffer. Must be called before appending.
   void Compact();
 
--- a/tests/daemon/fleet_fixture.h
+++ b/tests/daemon/fleet_fixture.h
@@ -125,7 +125,7 @@
     request.prepare_payload();
     boost::asio::io_context context;
     std::optional<Result<HttpResponse>> response;
-    boost::asio::co_spawn(context, FetchOnce(endpoint, std::move(request), 60s),
+    boost::asio::co_spawn(context, FetchDocument(endpoint, std::move(request), 60s),
                           [&response](const std::exception_ptr&, Result<HttpResponse> r) {
                             response = std::move(r);
                           });
--- a/tests/gateway/endless_response_test.cc
+++ b/tests/gateway/endless_response_test.cc
@@ -49,11 +49,22 @@
   EXPECT_EQ(RunCount("a1"), 1);
 }
 
+// Guards against the header of a chunk or a trailer that fills the memory of the VM, which ends the
+// requests of all its callers.
+TEST_F(EndlessResponseTest, FramingWithoutEndIsNoResponse) {
+  EXPECT_EQ(SendToEndlessWorkers(WorkerFault::kEndlessStreamChunkHeader, "/once/stream/1").status,
+            502U);
+  EXPECT_EQ(SendToEndlessWorkers(WorkerFault::kEndlessChunkHeader, "/orders/1").status, 502U);
+  EXPECT_EQ(SendToEndlessWorkers(WorkerFault::kEndlessTrailer, "/orders/1").status, 502U);
+  EXPECT_EQ(RunCount("a1"), 3);
+}
+
 // Guards against workers that send what can't be read and are taken for crashed.
 TEST_F(EndlessResponseTest, UnreadableResponsesAreNoCrashes) {
   SendToEndlessWorkers(WorkerFault::kEndlessHeader, "/orders/1");
   SendToEndlessWorkers(WorkerFault::kEndlessInterimResponses, "/orders/1");
   SendToEndlessWorkers(WorkerFault::kEndlessStaleBody, "/orders/1");
+  SendToEndlessWorkers(WorkerFault::kEndlessChunkHeader, "/orders/1");
   EXPECT_EQ(Metrics().find("savoryglade_gateway_crash_records_total"), std::string::npos);
 }
 
--- a/tests/golden/session_environment.cc
+++ b/tests/golden/session_environment.cc
@@ -224,7 +224,7 @@
   asio::io_context context;
   std::optional<Result<HttpResponse>> response;
   asio::co_spawn(
-      context, FetchOnce(endpoint, std::move(request), kCallTimeout),
+      context, FetchDocument(endpoint, std::move(request), kCallTimeout),
       [&response](const std::exception_ptr&, Result<HttpResponse> r) { response = std::move(r); });
   context.run();
   return std::move(*response);
