Treat a stream as incomplete if its stop has no known outcome

Callers got 25 of 60 events of a stream that looked complete, with the worker's seal. The daemon had asked the worker to stop the run for a move, and the answer was lost; the worker closed the stream, which had neither a length nor chunks. StreamMigrator took an unknown outcome for "was not stopped", so the end of the connection counted as the end of the stream.

The outcome of a stop is one of three now; only the statuses 404 and 409 show that a run goes on. A stream that ended with its connection under an unknown outcome is resumed elsewhere if its route allows that, and otherwise breaks off, so that its caller can resume it. The wait for the outcome ends with the request's deadline.

A length or a last chunk can't come from a stopped run, so such ends stay complete.

--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -50,6 +50,8 @@
                  "X-Padding: 0123456789\r\n"},
 };
 
+std::string EventText(int event) { return fmt::format("id: {}\ndata: token {}\n\n", event, event); }
+
 const EndlessBytes* FindEndlessBytes(WorkerFault fault) {
   const auto found = std::ranges::find(kEndlessBytes, fault, &EndlessBytes::fault);
   return found == kEndlessBytes.end() ? nullptr : &*found;
@@ -63,6 +65,11 @@
   remaining_fault_count_ = count;
 }
 
+void WorkerService::SetStopAnswer(StopAnswer answer) {
+  const std::lock_guard lock(mutex_);
+  stop_answer_ = answer;
+}
+
 void WorkerService::CrashOnPromptPart(std::string part) {
   const std::lock_guard lock(mutex_);
   crashing_part_ = std::move(part);
@@ -175,8 +182,10 @@
   const boost::json::value body = boost::json::parse(exchange.request().body(), error);
   const std::string attempt(error ? "" : body.at("id").as_string().c_str());
   std::shared_ptr<asio::steady_timer> timer;
+  StopAnswer answer = StopAnswer::kSent;
   {
     const std::lock_guard lock(mutex_);
+    answer = stop_answer_;
     const auto found = pending_migrations_.find(attempt);
     timer = found == pending_migrations_.end() ? nullptr : found->second;
   }
@@ -184,9 +193,23 @@
     co_await exchange.Respond(404, {}, {});
     co_return;
   }
-  co_await exchange.Respond(200, {}, R"({"kv_handle":"h1","created_rev":3})");
-  if (body.at("final").as_bool()) {
-    timer->cancel();
+  if (!body.at("final").as_bool()) {
+    co_await exchange.Respond(200, {}, R"({"kv_handle":"h1","created_rev":3})");
+    co_return;
+  }
+  switch (answer) {
+    case StopAnswer::kSent:
+      co_await exchange.Respond(200, {}, R"({"kv_handle":"h1","created_rev":3})");
+      timer->cancel();
+      break;
+    case StopAnswer::kLost:
+      timer->cancel();
+      exchange.Abort();
+      break;
+    case StopAnswer::kEndless:
+      timer->cancel();
+      co_await SendSlowlyWithoutEnd(exchange);
+      break;
   }
 }
 
@@ -272,6 +295,10 @@
     co_return;
   }
   const bool is_stream = exchange.target().find("/stream/") != std::string_view::npos;
+  if (fault == WorkerFault::kEndAtMigration) {
+    co_await StreamUntilStopped(exchange);
+    co_return;
+  }
   if (is_stream && fault != WorkerFault::kInternalError) {
     co_await Stream(exchange, fault);
     co_return;
@@ -316,6 +343,32 @@
   exchange.Abort();
 }
 
+asio::awaitable<void> WorkerService::SendSlowlyWithoutEnd(HttpExchange& exchange) {
+  constexpr Duration kPause = 10ms;
+  const std::string block(1024, 'x');
+  bool open = co_await exchange.StartStream(200, {});
+  while (open) {
+    co_await Sleep(kPause);
+    open = co_await exchange.WriteChunk(block);
+  }
+}
+
+asio::awaitable<void> WorkerService::StreamUntilStopped(HttpExchange& exchange) {
+  const std::string attempt(exchange.Header("Attempt-Id"));
+  std::string text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+  for (const auto& [name, value] : ResponseHeaders(exchange, true)) {
+    text += fmt::format("{}: {}\r\n", name, value);
+  }
+  text += "\r\n";
+  for (int event = 1; event <= kEventsPerStream / 2; ++event) {
+    text += EventText(event);
+  }
+  co_await asio::async_write(exchange.stream(), asio::buffer(text),
+                             asio::as_tuple(asio::use_awaitable));
+  co_await WaitForMigration(attempt);
+  exchange.CloseAfterResponse();
+}
+
 asio::awaitable<void> WorkerService::Stream(HttpExchange& exchange, WorkerFault fault) {
   const std::string last_event_id(exchange.Header("Last-Event-Id"));
   const int first_event = last_event_id.empty() ? 1 : std::stoi(last_event_id) + 1;
@@ -324,7 +377,7 @@
   headers.emplace_back("Content-Type", "text/event-stream");
   bool open = co_await exchange.StartStream(200, std::move(headers));
   for (int event = first_event; open && event <= kEventsPerStream; ++event) {
-    const std::string text = fmt::format("id: {}\ndata: token {}\n\n", event, event);
+    const std::string text = EventText(event);
     if (fault == WorkerFault::kTruncateStream && event == kEventsPerStream / 2 + 1) {
       co_await exchange.WriteChunk(text.substr(0, text.size() / 2));
       exchange.Abort();
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -41,6 +41,8 @@
   kTruncateStream,
   // Sends half of the events and then nothing until the run is migrated to another worker.
   kWaitForMigration,
+  // As kWaitForMigration, for a stream without length or chunks, whose connection ends in order.
+  kEndAtMigration,
   // The following run the request and send bytes until the peer closes the connection.
   // Header fields without the end of the header.
   kEndlessHeader,
@@ -57,6 +59,15 @@
   kEndlessTrailer,
 };
 
+// How a worker answers a request to stop a run and to copy the rest of its KV cache.
+enum class StopAnswer {
+  kSent,
+  // Closes the connection without an answer.
+  kLost,
+  // Sends a body slowly and without end, until the peer closes the connection.
+  kEndless,
+};
+
 // Emulated worker of the operators' platform, for plain calls and for event streams. Thread-safe.
 class WorkerService {
  public:
@@ -78,6 +89,9 @@
   // default.
   void SetRateLimits(std::vector<std::string> rate_limits);
 
+  // Sets how the worker answers requests to stop a run; kSent by default.
+  void SetStopAnswer(StopAnswer answer);
+
   // Sets the time between the events of a stream; zero by default. Must precede the first request.
   void SetEventInterval(Duration interval) { event_interval_ = interval; }
   // Sets the version of the worker's software; empty by default. Runs that have begun keep theirs.
@@ -102,9 +116,13 @@
 
  private:
   boost::asio::awaitable<void> Stream(HttpExchange& exchange, WorkerFault fault);
+  // Sends half of a stream that only the end of its connection can end, until its run is stopped.
+  boost::asio::awaitable<void> StreamUntilStopped(HttpExchange& exchange);
   // Sends a text and then another one again and again until the peer closes the connection.
   static boost::asio::awaitable<void> SendEndlessly(HttpExchange& exchange, std::string begin,
                                                     std::string repeated);
+  // Sends a response whose body arrives slowly and never ends.
+  static boost::asio::awaitable<void> SendSlowlyWithoutEnd(HttpExchange& exchange);
   // Responds to a request to copy a run to another worker. A final copy ends the stream of the run.
   boost::asio::awaitable<void> HandleMigration(HttpExchange& exchange);
   boost::asio::awaitable<void> WaitForMigration(const std::string& attempt);
@@ -125,6 +143,7 @@
   HttpRequest last_request_;
   WorkerFault fault_ = WorkerFault::kNone;
   int remaining_fault_count_ = 0;
+  StopAnswer stop_answer_ = StopAnswer::kSent;
   std::string crashing_part_;
   std::vector<std::string> rate_limits_;
   int abandoned_requests_ = 0;
--- a/packages/gateway/adapter.h
+++ b/packages/gateway/adapter.h
@@ -212,8 +212,8 @@
 
   // Copies the KV cache of a running request to another engine; a repeated call copies only what
   // is new. A final copy first stops the request, whose stream then closes before its last event.
-  // Returns kNotFound if the request is not running, kUnknownOutcome if no response arrives, and
-  // kUnavailable otherwise.
+  // Returns kNotFound if the request is not running, kConflict if another copy is in progress, and
+  // kUnknownOutcome otherwise; only the first two show that the request was not stopped.
   virtual boost::asio::awaitable<Result<KvCopyResult>> CopyKvCache(const UpstreamRecord& from,
                                                                    const std::string& attempt_id,
                                                                    const UpstreamRecord& to,
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -39,6 +39,11 @@
 
 const Logger kLog("gateway");
 
+// Returns the longest time that a call may wait for another process.
+Duration WaitLimit(const Call& call) {
+  return std::max(call.RemainingTime(BootNow()), Duration(1ms));
+}
+
 }  // namespace
 
 std::size_t ResponseRelay::MaxIdleConnections(const Call& call) const {
@@ -208,8 +213,8 @@
         co_await call.exchange.StartStream(status, std::move(response.headers), response.body);
     while (open) {
       response.body.clear();
-      const Result<bool> has_more = co_await ReadBody(
-          call, attempt, response.body, std::max(call.RemainingTime(BootNow()), Duration(1ms)));
+      const Result<bool> has_more =
+          co_await ReadBody(call, attempt, response.body, WaitLimit(call));
       if (!has_more) {
         attempt.failure = has_more.error().message;
         attempt.end = AttemptEnd::kFailed;
@@ -263,8 +268,16 @@
       migrator_.Track(call.metadata.attempt_id, attempt.placement.upstream, call.metadata.work);
   const RelayOutcome outcome = co_await RelayEvents(call, attempt, status);
   migrator_.Untrack(attempt.stream);
-  if (outcome != RelayOutcome::kResponseLost ||
-      !co_await migrator_.AwaitStopOutcome(attempt.stream)) {
+  if (outcome != RelayOutcome::kResponseLost) {
+    co_return outcome;
+  }
+  const StopOutcome stop =
+      co_await StreamMigrator::AwaitStopOutcome(attempt.stream, WaitLimit(call));
+  if (stop == StopOutcome::kUnknown) {
+    // The stream may have ended at this daemon's request, so that its end shows no failure.
+    attempt.response_rejected = true;
+  }
+  if (stop != StopOutcome::kStopped) {
     co_return outcome;
   }
   // The upstream did not fail; it was asked to stop the stream.
@@ -347,9 +360,16 @@
       co_return RelayOutcome::kFinished;
     }
   }
-  if (!call.sse_splitter.partial_event().empty() ||
-      co_await migrator_.AwaitStopOutcome(attempt.stream)) {
-    attempt.failure = "The stream ended within an event, or was stopped to be moved.";
+  if (!call.sse_splitter.partial_event().empty()) {
+    attempt.failure = "The stream ended within an event.";
+    co_return RelayOutcome::kResponseLost;
+  }
+  const StopOutcome stop =
+      co_await StreamMigrator::AwaitStopOutcome(attempt.stream, WaitLimit(call));
+  // The end of the connection may be that of a stopped run; a length or the last chunk may not.
+  if (stop == StopOutcome::kStopped ||
+      (stop == StopOutcome::kUnknown && connection.ends_with_connection())) {
+    attempt.failure = "The stream was stopped to be moved, or may have been.";
     co_return RelayOutcome::kResponseLost;
   }
   attempt.end = AttemptEnd::kAnswered;
--- a/packages/gateway/stream_migrator.cc
+++ b/packages/gateway/stream_migrator.cc
@@ -18,6 +18,13 @@
 
 const Logger kLog("gateway");
 
+const char* OutcomeName(const MigratableStream& stream) {
+  if (stream.stopped()) {
+    return "moved";
+  }
+  return stream.state() == MigratableStream::State::kStopUnknown ? "unknown" : "failed";
+}
+
 }  // namespace
 
 StreamMigrator::StreamMigrator(FleetState& fleet, EngineApi& engines, asio::io_context& context)
@@ -130,19 +137,9 @@
   }
   // Resuming the stream costs a second request, so it is charged to the retry budget.
   if (can_continue && fleet_.retry_budget.TryConsume(stream->work_.service, BootNow())) {
-    stream->state_ = MigratableStream::State::kStopping;
-    const Result<KvCopyResult> kv_copy = co_await engines_.CopyKvCache(
-        stream->source_, stream->attempt_id_, stream->destination_, true);
-    if (kv_copy && !kv_copy->handle.empty()) {
-      stream->handle_ = kv_copy->handle;
-      stream->state_ = kv_copy->copied ? MigratableStream::State::kMigrated
-                                       : MigratableStream::State::kKeptAtSource;
-    } else {
-      stream->state_ = MigratableStream::State::kFailed;
-    }
+    co_await StopAndCopy(*stream);
   }
-  fleet_.metrics.GetCounter(kMovesMetric, {{"outcome", stream->stopped() ? "moved" : "failed"}})
-      .Add();
+  fleet_.metrics.GetCounter(kMovesMetric, {{"outcome", OutcomeName(*stream)}}).Add();
   kLog.Info("The migration of a stream has ended.",
             {{"request", stream->attempt_id_},
              {"upstream", stream->source_.id.value()},
@@ -150,15 +147,48 @@
              {"destination", stream->destination_.id.value()},
              {"destination_version", stream->destination_.software_version},
              {"copied", copied},
-             {"moved", stream->stopped()}});
+             {"outcome", OutcomeName(*stream)}});
   stream->stop_done_.cancel();
 }
 
-asio::awaitable<bool> StreamMigrator::AwaitStopOutcome(std::shared_ptr<MigratableStream> stream) {
-  while (stream->state_ == MigratableStream::State::kStopping) {
+asio::awaitable<void> StreamMigrator::StopAndCopy(MigratableStream& stream) {
+  stream.state_ = MigratableStream::State::kStopping;
+  const Result<KvCopyResult> kv_copy =
+      co_await engines_.CopyKvCache(stream.source_, stream.attempt_id_, stream.destination_, true);
+  if (kv_copy && !kv_copy->handle.empty()) {
+    stream.handle_ = kv_copy->handle;
+    stream.state_ = kv_copy->copied ? MigratableStream::State::kMigrated
+                                    : MigratableStream::State::kKeptAtSource;
+    co_return;
+  }
+  if (kv_copy) {
+    stream.state_ = MigratableStream::State::kStopUnknown;
+    co_return;
+  }
+  const ErrorCode code = kv_copy.error().code;
+  const bool was_not_stopped = code == ErrorCode::kNotFound || code == ErrorCode::kConflict;
+  stream.state_ =
+      was_not_stopped ? MigratableStream::State::kFailed : MigratableStream::State::kStopUnknown;
+  kLog.Info(was_not_stopped ? "A stream was not stopped to be migrated."
+                            : "It is not known whether a stream was stopped to be migrated.",
+            {{"request", stream.attempt_id_},
+             {"upstream", stream.source_.id.value()},
+             {"error", kv_copy.error().message}});
+}
+
+asio::awaitable<StopOutcome> StreamMigrator::AwaitStopOutcome(
+    std::shared_ptr<MigratableStream> stream, Duration timeout) {
+  using State = MigratableStream::State;
+  if (stream->state_ == State::kStopping) {
+    stream->stop_done_.expires_after(timeout);
     co_await stream->stop_done_.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  co_return stream->stopped();
+  if (stream->stopped()) {
+    co_return StopOutcome::kStopped;
+  }
+  const bool is_unknown =
+      stream->state_ == State::kStopping || stream->state_ == State::kStopUnknown;
+  co_return is_unknown ? StopOutcome::kUnknown : StopOutcome::kNotStopped;
 }
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/stream_migrator.h
+++ b/packages/gateway/stream_migrator.h
@@ -28,8 +28,10 @@
     kMigrated,
     // The stream was stopped, and the source still holds its KV cache.
     kKeptAtSource,
-    // The stream could not be migrated.
+    // The stream could not be migrated and was not asked to stop.
     kFailed,
+    // The source was asked to stop the stream and did not say whether it did.
+    kStopUnknown,
   };
 
   MigratableStream(boost::asio::io_context& context, std::string attempt_id, UpstreamRecord source,
@@ -61,10 +63,19 @@
   bool ended_ = false;
   UpstreamRecord destination_;
   std::string handle_;
-  // Never expires; cancelled once the outcome of a stop is known.
+  // Cancelled once the outcome of a stop is known.
   boost::asio::steady_timer stop_done_;
 };
 
+// Whether the end of a stream may be that of a stop for its migration.
+enum class StopOutcome : std::uint8_t {
+  kNotStopped,
+  // The source stopped the stream, which has to resume elsewhere.
+  kStopped,
+  // The source may have stopped the stream.
+  kUnknown,
+};
+
 // Migrates streams away from upstreams that are about to leave. Copies the KV cache to another
 // engine while the stream runs, then stops the stream and copies the remainder. Not thread-safe.
 class StreamMigrator {
@@ -79,13 +90,15 @@
   // Starts migrating all streams of an upstream that leaves.
   void OnUpstreamLeaving(const UpstreamId& upstream);
 
-  // Waits until a stop in progress has an outcome. Returns true if the stream was stopped and has
-  // to resume elsewhere.
-  boost::asio::awaitable<bool> AwaitStopOutcome(std::shared_ptr<MigratableStream> stream);
+  // Waits at most for the timeout until a stop in progress has an outcome.
+  static boost::asio::awaitable<StopOutcome> AwaitStopOutcome(
+      std::shared_ptr<MigratableStream> stream, Duration timeout);
 
  private:
   void StartMigration(const std::shared_ptr<MigratableStream>& stream);
   boost::asio::awaitable<void> Migrate(std::shared_ptr<MigratableStream> stream);
+  // Stops the stream at its source and copies the rest of its KV cache to the destination.
+  boost::asio::awaitable<void> StopAndCopy(MigratableStream& stream);
   // Copies the KV cache to the first engine with room. Returns false if none has room or a copy
   // fails.
   boost::asio::awaitable<bool> CopyToAvailableEngine(MigratableStream& stream);
