Send statuses as the numbers that they are

Callers got "HTTP/1.1 000 <unknown-status>" with a worker's seal when the worker answered 425, 529 or any other status that the HTTP library does not list. HttpExchange converted the number to the library's list, where unlisted statuses are zero.

The number is written as it is, with a reason phrase of its own. Numbers below 100 are no response; they were taken for interim ones. packages/daemon forwards methods that the library does not list by their text.

--- a/packages/daemon/plain_handler.cc
+++ b/packages/daemon/plain_handler.cc
@@ -58,6 +58,8 @@
 // caller's bearer key and hop-by-hop headers.
 HttpRequest MakeUpstreamRequest(const HttpRequest& request, const std::string& idempotency_key) {
   HttpRequest copy(request.method(), request.target(), 11);
+  // Methods that the HTTP library does not list are known by their text alone.
+  copy.method_string(request.method_string());
   for (const auto& field : request) {
     if (!IsHopByHopHeader(field.name_string()) && field.name() != http::field::authorization) {
       copy.insert(field.name_string(), field.value());
--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -299,7 +299,7 @@
     co_await StreamUntilStopped(exchange);
     co_return;
   }
-  if (is_stream && fault != WorkerFault::kInternalError) {
+  if (is_stream && fault != WorkerFault::kInternalError && fault != WorkerFault::kUnlistedStatus) {
     co_await Stream(exchange, fault);
     co_return;
   }
@@ -309,6 +309,8 @@
   unsigned status = 200;
   if (fault == WorkerFault::kInternalError) {
     status = 500;
+  } else if (fault == WorkerFault::kUnlistedStatus) {
+    status = kUnlistedStatus;
   } else if (fault == WorkerFault::kUnavailableAfterRun) {
     status = 503;
   } else if (fault == WorkerFault::kTruncateBody) {
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -33,6 +33,8 @@
   kRepeatedRejection,
   // Runs the request and responds with 500.
   kInternalError,
+  // Runs the request and responds with a status that HTTP libraries may not list.
+  kUnlistedStatus,
   // Runs the request and responds with a complete JSON text where a stream is due.
   kJsonForStream,
   // Runs the request and sends nothing until the peer closes the connection.
@@ -72,6 +74,8 @@
 class WorkerService {
  public:
   static constexpr int kEventsPerStream = 6;
+  // Status of kUnlistedStatus.
+  static constexpr unsigned kUnlistedStatus = 529;
 
   explicit WorkerService(std::string instance) : instance_(std::move(instance)) {}
 
--- a/packages/gateway/stream_snapshot_exchange.cc
+++ b/packages/gateway/stream_snapshot_exchange.cc
@@ -45,7 +45,8 @@
 asio::awaitable<bool> StreamSnapshotExchange::Fetch(const Endpoint& peer) {
   const TimePoint requested_at = BootNow();
   HttpRequest request(http::verb::get, std::string(kTarget), 11);
-  const Result<HttpResponse> response = co_await FetchDocument(peer, std::move(request), kFetchTimeout);
+  const Result<HttpResponse> response =
+      co_await FetchDocument(peer, std::move(request), kFetchTimeout);
   Result<StreamVersionSnapshot> snapshot = tl::make_unexpected(
       Error{.code = ErrorCode::kNotFound, .message = "The peer has no snapshot."});
   if (!response) {
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -25,6 +25,8 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kReadChunkBytes = 8 * 1024;
+// Statuses are numbers from 100 to 999.
+constexpr unsigned kFirstStatus = 100;
 constexpr std::size_t kMaxHealthBodyBytes = 4 * 1024;
 
 ErrorCode CodeOf(beast::error_code error) {
@@ -43,6 +45,28 @@
           .message = fmt::format("{} {} failed: {}.", action, ToString(endpoint), error.message())};
 }
 
+// Returns the status of a response, or kInvalid if the protocol has no such status.
+Result<unsigned> CheckHeader(const http::response_header<>& header, const Endpoint& endpoint) {
+  const auto invalid = [&](std::string detail) {
+    return tl::make_unexpected(
+        Error{.code = ErrorCode::kInvalid,
+              .message = fmt::format("The response of {} has {}.", ToString(endpoint), detail)});
+  };
+  const unsigned status = header.result_int();
+  if (status < kFirstStatus) {
+    return invalid(fmt::format("the invalid status {:03}", status));
+  }
+  return status;
+}
+
+Result<HttpResponse> CheckResponse(HttpResponse response, const Endpoint& endpoint) {
+  const Result<unsigned> status = CheckHeader(response, endpoint);
+  if (!status) {
+    return tl::make_unexpected(status.error());
+  }
+  return response;
+}
+
 }  // namespace
 
 asio::awaitable<Result<std::unique_ptr<HttpConnection>>> HttpConnection::Connect(
@@ -97,7 +121,7 @@
   if (error) {
     co_return tl::make_unexpected(MakeError("Reading from", endpoint_, error));
   }
-  co_return parser_->get().result_int();
+  co_return CheckHeader(parser_->get(), endpoint_);
 }
 
 asio::awaitable<Result<bool>> HttpConnection::ReadSome(std::string& text, Duration timeout) {
@@ -130,7 +154,7 @@
     co_return tl::make_unexpected(MakeError("Reading from", endpoint_, error));
   }
   reusable_ = parser.keep_alive();
-  co_return parser.release();
+  co_return CheckResponse(parser.release(), endpoint_);
 }
 
 asio::awaitable<Result<HttpResponse>> HttpConnection::ReadLargeResponse(std::size_t body_limit,
@@ -154,7 +178,7 @@
     received += size;
   }
   reusable_ = parser.keep_alive();
-  co_return parser.release();
+  co_return CheckResponse(parser.release(), endpoint_);
 }
 
 const http::fields& HttpConnection::response_header() const { return parser_->get().base(); }
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -26,8 +26,8 @@
 // Complete response including its body.
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-// Most bytes of a response that are kept unparsed: its header, the header of a chunk, or its trailer.
-// A response with a longer one is invalid.
+// Most bytes of a response that are kept unparsed: its header, the header of a chunk, or its
+// trailer. A response with a longer one is invalid.
 inline constexpr std::size_t kMaxUnparsedResponseBytes = 32 * 1024;
 
 // Largest body of a response to FetchOnce, in bytes.
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -46,6 +46,20 @@
 
 const Logger kLog("net");
 
+// Reason phrase of a status that the HTTP library does not list; callers ignore reason phrases.
+constexpr const char* kUnlistedReason = "Unlisted Status";
+
+// Returns the header of a response with any status from 100 to 999.
+http::response_header<> MakeHeader(unsigned status, unsigned version) {
+  http::response_header<> header;
+  header.version(version);
+  header.result(status);
+  if (http::int_to_status(status) == http::status::unknown) {
+    header.reason(kUnlistedReason);
+  }
+  return header;
+}
+
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) { return beast::iequals(a, b); }
 
 }  // namespace
@@ -88,7 +102,7 @@
 
 asio::awaitable<bool> HttpExchange::Respond(unsigned status, HttpHeaders headers,
                                             std::string body) {
-  http::response<http::string_body> response(http::int_to_status(status), request_.version());
+  http::response<http::string_body> response(MakeHeader(status, request_.version()));
   for (const auto& [name, value] : headers) {
     response.set(name, value);
   }
@@ -107,7 +121,7 @@
 
 asio::awaitable<bool> HttpExchange::StartStream(unsigned status, HttpHeaders headers,
                                                 std::string_view first_chunk) {
-  http::response<http::empty_body> response(http::int_to_status(status), request_.version());
+  http::response<http::empty_body> response(MakeHeader(status, request_.version()));
   for (const auto& [name, value] : headers) {
     response.set(name, value);
   }
--- a/tests/daemon/plain_test.cc
+++ b/tests/daemon/plain_test.cc
@@ -191,5 +191,16 @@
   EXPECT_EQ(daemon->metrics().GetCounter("savoryglade_retries_total").value(), 0U);
 }
 
+// Guards against a method that reaches the service as another one, because the HTTP library does
+// not list it.
+TEST(PlainTest, UnlistedMethodReachesTheService) {
+  PlainServiceServer a;
+  const auto daemon = StartDaemon({.plain = {a.endpoint}});
+  const TestResponse response =
+      SendRequest(*daemon, MakePlainRequest("CONFIRM", kConfirmationsPath, "", "{}"));
+  EXPECT_EQ(response.status, 200U);
+  EXPECT_NE(response.body.find("CONFIRM"), std::string::npos) << response.body;
+}
+
 }  // namespace
 }  // namespace savoryglade
--- a/tests/gateway/faulty_worker_test.cc
+++ b/tests/gateway/faulty_worker_test.cc
@@ -53,5 +53,21 @@
   }
 }
 
+// Guards against a status that reaches the caller as another one, because the HTTP library does not
+// list it.
+TEST_F(FaultyWorkerTest, UnlistedStatusReachesTheCaller) {
+  for (const char* path : {"/orders/1", "/once/stream/1"}) {
+    SetFaults(WorkerFault::kUnlistedStatus, 1);
+    const Response response = SendRequest("POST", path, "a1");
+    EXPECT_EQ(response.status, WorkerService::kUnlistedStatus) << path;
+    EXPECT_FALSE(response.seal.empty()) << path;
+    SetFaults(WorkerFault::kNone, 0);
+  }
+}
+
+TEST_F(FaultyWorkerTest, UnlistedMethodReachesTheWorker) {
+  EXPECT_EQ(SendRequest("CONFIRM", "/orders/1", "a1", kApiKey, "b").body, "CONFIRM /orders/1 b");
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
--- a/tests/net/endless_message_test.cc
+++ b/tests/net/endless_message_test.cc
@@ -142,8 +142,8 @@
 // Guards against limits that reject long but sound framing.
 TEST(EndlessMessageTest, ResponseWithLongFramingIsRead) {
   const std::string filler(8 * 1024, 'a');
-  const std::string text = std::string(kChunkedResponse) + "1;" + filler + "\r\nx\r\n0\r\nT: " +
-                           filler + "\r\n\r\n";
+  const std::string text =
+      std::string(kChunkedResponse) + "1;" + filler + "\r\nx\r\n0\r\nT: " + filler + "\r\n\r\n";
   for (const Reader read : {&ReadPieces, &ReadWhole, &ReadDocument}) {
     EXPECT_TRUE(Receive(text, read));
   }
