Report a usage window with the same counts after the store returned

The platform accepted two reports of one window with different counts. The first holder had stored its counts in usage/<window>; the store returned from a copy without that row; the next holder found none, stored its own counts and reported them. Nothing wrote the row again, and a missing row was taken for a window that nobody had reported.

Daemons keep the counts that they have committed or read, repeat them, and write them again when the store's era has risen. A holder commits counts of its own only if no other holder can have committed any: the window closed after the fleet first saw the present era, or after this daemon took the lease. Otherwise it leaves the window out. Reports between daemons carry the era and since when it is known. A transaction during which the era has risen has an unknown outcome.

--- a/packages/gateway/adapter.h
+++ b/packages/gateway/adapter.h
@@ -15,6 +15,7 @@
 #include "core/strong_id.h"
 #include "core/time.h"
 #include "membership/registration_view.h"
+#include "membership/store_era.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "provider/table.h"
@@ -156,8 +157,12 @@
   virtual boost::asio::awaitable<Result<UpstreamUpdate>> WatchUpstreams(FeedPosition after) = 0;
   // Reads one of the daemons' own rows. Returns a row of version 0 if it does not exist.
   virtual boost::asio::awaitable<provider::ReadResult> ReadRow(const std::string& key) = 0;
+  // Returns kUnknown if the store has returned from an older copy meanwhile, because a condition
+  // may then have held in another way than meant.
   virtual boost::asio::awaitable<provider::CommitStatus> Commit(
       const provider::Transaction& transaction) = 0;
+  // Returns the latest era in the store's responses, and when the first of them arrived.
+  virtual StoreEra era() const = 0;
   // Returns the daemons' own rows whose keys begin with the prefix.
   virtual boost::asio::awaitable<Result<std::map<std::string, provider::Row>>> ReadRows(
       const std::string& prefix) = 0;
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -173,6 +173,8 @@
     digest.holder_time_ms = report.holder_announcement.time / 1ms;
   }
   digest.highest_fencing = report.highest_fencing;
+  digest.store_era = report.store_era;
+  digest.store_era_age_ms = Milliseconds(report.store_era_age);
   digest.requests_port = report.requests_port;
   digest.routes_version = report.routes_version;
   digest.routes_age_ms = Milliseconds(report.routes_age);
@@ -226,6 +228,8 @@
                      .time_of_day = DecodeTimeOfDay(digest.time_of_day_ms),
                      .leaving = digest.leaving,
                      .highest_fencing = digest.highest_fencing,
+                     .store_era = digest.store_era,
+                     .store_era_age = DecodeAge(digest.store_era_age_ms),
                      .requests_port = digest.requests_port,
                      .routes_version = digest.routes_version,
                      .routes_age = DecodeAge(digest.routes_age_ms),
--- a/packages/gateway/duty_runner.cc
+++ b/packages/gateway/duty_runner.cc
@@ -29,6 +29,8 @@
 // Time from the end of a window until its counts are committed, if all daemons report. It gives
 // their last reports time to arrive.
 constexpr Duration kCountCollectionDelay = 1500ms;
+// Difference between the clocks of two holders that is allowed for.
+constexpr Duration kMaxClockDifference = 500ms;
 // Fraction of the time until a usage report is due for which silent daemons are waited for.
 constexpr double kMaxCountDelayFraction = 0.5;
 // Time that a platform call may take. No call starts with less time than this left on the lease.
@@ -108,6 +110,7 @@
       co_await Sleep(kLeaseTickInterval);
       continue;
     }
+    fleet_.OnStoreEra(store_.era());
     lease_.RaiseFencing(fleet_.highest_fencing);
     const auto order = lease_.Tick(BootNow());
     if (order) {
@@ -125,6 +128,7 @@
     }
     if (fleet_.holds_duties != holds_lease()) {
       fleet_.holds_duties = !fleet_.holds_duties;
+      lease_since_ = BootNow();
       kLog.Info(fleet_.holds_duties ? "This daemon acquired the lease on the duties."
                                     : "This daemon lost or released the lease on the duties.",
                 {{"fencing", lease_.fencing()}});
@@ -143,6 +147,8 @@
     const TimePoint now = BootNow();
     const WindowNumber current = fleet_.WindowAt(now);
     fleet_.usage.Expire(current);
+    commits_.Expire(current - kRetainedCountRows);
+    co_await RestoreCounts();
     if (!holds_lease()) {
       first_window_.reset();
       continue;
@@ -152,12 +158,12 @@
     }
     for (WindowNumber window = *first_window_; window < current; ++window) {
       const Duration age = fleet_.clock.Now(now) - bounds.usage_window * (window + 1);
-      if (age >= CollectionDelay(now) && !reported_.contains(window)) {
+      if (age >= CollectionDelay(now) && !closed_.contains(window)) {
         co_await ReportWindow(window);
       }
     }
     first_window_ = std::max(*first_window_, current - kMaxLateWindows);
-    reported_.erase(reported_.begin(), reported_.lower_bound(current - kRetainedCountRows));
+    closed_.erase(closed_.begin(), closed_.lower_bound(current - kRetainedCountRows));
   }
 }
 
@@ -169,31 +175,108 @@
   return std::max(kCountCollectionDelay, FromSeconds(due * kMaxCountDelayFraction));
 }
 
-asio::awaitable<Result<WindowCounts>> DutyRunner::CommitCounts(WindowNumber window) {
-  const std::string key = CountsKey(window);
-  const WindowCounts counts = fleet_.usage.Total(window);
-  const provider::Transaction transaction = {
-      .conditions = {{.key = key, .version = 0}},
-      .writes = {{.key = key, .value = SerializeCounts(counts)},
-                 {.key = CountsKey(window - kRetainedCountRows), .value = std::nullopt}}};
-  const provider::CommitStatus status = co_await store_.Commit(transaction);
-  if (status == provider::CommitStatus::kCommitted) {
-    co_return counts;
-  }
-  const provider::ReadResult row = co_await store_.ReadRow(key);
+bool DutyRunner::MayCommitCounts(WindowNumber window) const {
+  const TimePoint now = BootNow();
+  const Duration age = fleet_.clock.Now(now) - fleet_.settings.bounds.usage_window * (window + 1);
+  return capacity::AreNeverCommitted(
+      {.earliest_commit = now - age + kCountCollectionDelay - kMaxClockDifference,
+       .lease_since = lease_since_,
+       .rows_lost_before = fleet_.store_era.seen_since});
+}
+
+asio::awaitable<Result<std::optional<WindowCounts>>> DutyRunner::ReadCounts(WindowNumber window) {
+  const provider::ReadResult row = co_await store_.ReadRow(CountsKey(window));
+  fleet_.OnStoreEra(store_.era());
   if (!row) {
     co_return tl::make_unexpected(row.error());
   }
   if (!row->exists()) {
+    co_return std::nullopt;
+  }
+  Result<WindowCounts> counts = ParseCounts(row->value);
+  if (!counts) {
+    co_return tl::make_unexpected(counts.error());
+  }
+  commits_.Record(window, *counts, fleet_.store_era.number);
+  co_return std::move(*counts);
+}
+
+asio::awaitable<Result<WindowCounts>> DutyRunner::CommitCounts(WindowNumber window) {
+  static const Error kMayBeReported{
+      .code = ErrorCode::kDenied,
+      .message = "The store has returned from an older copy, which may lack reported counts."};
+  if (const WindowCounts* const committed = commits_.Find(window); committed != nullptr) {
+    co_return *committed;
+  }
+  Result<std::optional<WindowCounts>> stored = co_await ReadCounts(window);
+  if (stored && !*stored) {
+    if (!MayCommitCounts(window)) {
+      co_return tl::make_unexpected(kMayBeReported);
+    }
+    const std::uint64_t era = fleet_.store_era.number;
+    const provider::Transaction transaction = {
+        .conditions = {{.key = CountsKey(window), .version = 0}},
+        .writes = {{.key = CountsKey(window), .value = SerializeCounts(fleet_.usage.Total(window))},
+                   {.key = CountsKey(window - kRetainedCountRows), .value = std::nullopt}}};
+    const provider::CommitStatus status = co_await store_.Commit(transaction);
+    if (status == provider::CommitStatus::kUnavailable) {
+      co_return tl::make_unexpected(
+          Error{.code = ErrorCode::kUnavailable,
+                .message = "Committing the counts of a usage window failed."});
+    }
+    // The row shows whether this write or that of another holder took effect.
+    stored = co_await ReadCounts(window);
+    if (fleet_.store_era.number != era) {
+      commits_.Forget(window);
+      co_return tl::make_unexpected(kMayBeReported);
+    }
+  }
+  if (!stored) {
+    co_return tl::make_unexpected(stored.error());
+  }
+  if (!*stored) {
     co_return tl::make_unexpected(
         Error{.code = ErrorCode::kUnavailable,
-              .message = "Committing the counts of a usage window failed."});
+              .message = "The store does not hold the counts of a usage window yet."});
+  }
+  co_return **stored;
+}
+
+asio::awaitable<void> DutyRunner::RestoreCounts() {
+  fleet_.OnStoreEra(store_.era());
+  const std::uint64_t era = fleet_.store_era.number;
+  for (const WindowNumber window : commits_.RecordedBefore(era)) {
+    const WindowCounts counts = *commits_.Find(window);
+    const provider::Transaction transaction = {
+        .conditions = {{.key = CountsKey(window), .version = 0}},
+        .writes = {{.key = CountsKey(window), .value = SerializeCounts(counts)}}};
+    const provider::CommitStatus status = co_await store_.Commit(transaction);
+    if (status != provider::CommitStatus::kCommitted &&
+        status != provider::CommitStatus::kConflict) {
+      kLog.Warning("Restoring the counts of a usage window failed; retrying.",
+                   {{"window", window}, {"era", era}});
+      co_return;
+    }
+    commits_.Record(window, counts, era);
+    kLog.Info("The counts of a usage window are in the store that returned from an older copy.",
+              {{"window", window},
+               {"era", era},
+               {"written", status == provider::CommitStatus::kCommitted}});
   }
-  co_return ParseCounts(row->value);
 }
 
 asio::awaitable<void> DutyRunner::ReportWindow(WindowNumber window) {
   const Result<WindowCounts> counts = co_await CommitCounts(window);
+  if (!counts && counts.error().code == ErrorCode::kDenied) {
+    closed_.insert(window);
+    kLog.Warning("A usage window is not reported.",
+                 {{"window", window},
+                  {"error", counts.error().message},
+                  {"era", fleet_.store_era.number},
+                  {"era_age_ms", (BootNow() - fleet_.store_era.seen_since) / 1ms},
+                  {"lease_age_ms", (BootNow() - lease_since_) / 1ms}});
+    co_return;
+  }
   if (!counts) {
     kLog.Warning("The counts of a usage window are unavailable; retrying.",
                  {{"window", window}, {"error", counts.error().message}});
@@ -210,7 +293,7 @@
                  {{"window", window}, {"error", sent.error().message}});
     co_return;
   }
-  reported_.insert(window);
+  closed_.insert(window);
   kLog.Info("The platform accepted a usage report.",
             {{"window", window}, {"fencing", acting.fencing_token}});
 }
--- a/packages/gateway/duty_runner.h
+++ b/packages/gateway/duty_runner.h
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "capacity/lease.h"
+#include "capacity/window_commits.h"
 #include "gateway/adapter.h"
 #include "gateway/fleet_state.h"
 
@@ -36,16 +37,27 @@
   // Commits the counts of a window and reports them to the platform.
   boost::asio::awaitable<void> ReportWindow(capacity::WindowNumber window);
   // Writes the counts of a window to the store unless they are there already, and returns the
-  // stored ones, so that all holders report the same counts.
+  // stored ones, so that all holders report the same counts. Returns kDenied if other counts may
+  // have been reported and lost by the store.
   boost::asio::awaitable<Result<capacity::WindowCounts>> CommitCounts(
       capacity::WindowNumber window);
+  // Reads the committed counts of a window; nothing if the store has none.
+  boost::asio::awaitable<Result<std::optional<capacity::WindowCounts>>> ReadCounts(
+      capacity::WindowNumber window);
+  // Returns true if no other holder can have committed the counts of a window that the store lacks.
+  bool MayCommitCounts(capacity::WindowNumber window) const;
+  // Writes the counts that the store may have lost again, so that later holders find them.
+  boost::asio::awaitable<void> RestoreCounts();
 
   FleetState& fleet_;
   FleetStore& store_;
   DutyApi& duties_;
   capacity::Lease lease_;
-  // Windows whose reports the platform has accepted.
-  std::set<capacity::WindowNumber> reported_;
+  capacity::WindowCommits commits_;
+  // Windows whose reports the platform has accepted, and those that must not be reported.
+  std::set<capacity::WindowNumber> closed_;
+  // Instant since which this daemon has held the lease; valid while fleet_.holds_duties.
+  TimePoint lease_since_{};
   // First window that this daemon reports; empty while it does not hold the lease.
   std::optional<capacity::WindowNumber> first_window_;
 };
--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -44,6 +44,10 @@
   bool leaving = false;
   // Greatest fencing token of the duties that the sender knows of.
   std::uint64_t highest_fencing = 0;
+  // Era of the store that the sender knows of, and the time for which the fleet has known it. The
+  // age does not include the time that reports were under way, so that it is never too long.
+  std::uint64_t store_era = 0;
+  Duration store_era_age = Duration::zero();
   // TCP port on which the sender responds to requests of other daemons; zero if there is none.
   std::uint16_t requests_port = 0;
   // Time since the holder of the duties last reported that it holds them, if a report is known.
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -16,6 +16,7 @@
 #include "membership/document_sources.h"
 #include "membership/fleet_clock.h"
 #include "membership/fleet_groups.h"
+#include "membership/store_era.h"
 #include "membership/upstream_notices.h"
 #include "metrics/registry.h"
 #include "net/event_loop_monitor.h"
@@ -105,6 +106,8 @@
     return clock.Now(now) / settings.bounds.usage_window;
   }
 
+  void OnStoreEra(const StoreEra& seen) { store_era = Combine(store_era, seen); }
+
   GatewaySettings settings;
   const std::uint64_t incarnation;
   MetricRegistry metrics;
@@ -153,6 +156,8 @@
   HolderAnnouncement holder_announcement;
   // Greatest fencing token of the duties that this daemon knows of.
   std::uint64_t highest_fencing = 0;
+  // Latest era of the store that this daemon or a peer has seen.
+  StoreEra store_era;
   // Number of peers with lower ids, which contend for the lease on the fleet's duties before this
   // daemon does.
   int lower_id_peers = 0;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -173,6 +173,7 @@
 asio::awaitable<void> Gateway::HousekeepingLoop() {
   while (true) {
     connections_.Expire(BootNow());
+    fleet_.OnStoreEra(adapters_.store->era());
     fleet_.metrics.GetGauge("savoryglade_gateway_active_requests").Set(fleet_.active_requests);
     fleet_.metrics.GetGauge("savoryglade_gateway_recorded_streams")
         .Set(static_cast<std::int64_t>(fleet_.stream_versions.size()));
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -101,6 +101,8 @@
       .time_of_day = fleet_.clock.OwnTime(now),
       .leaving = fleet_.drain.has_begun(),
       .highest_fencing = fleet_.highest_fencing,
+      .store_era = fleet_.store_era.number,
+      .store_era_age = now - fleet_.store_era.seen_since,
       .requests_port = fleet_.requests_port,
       .loads = fleet_.load_balancer.AggregateLoad(scope, now),
       .crash_records_known = fleet_.crash_records_known,
@@ -151,6 +153,9 @@
     }
   }
   fleet_.highest_fencing = std::max(fleet_.highest_fencing, report.highest_fencing);
+  if (report.store_era > 0) {
+    fleet_.OnStoreEra({.number = report.store_era, .seen_since = now - report.store_era_age});
+  }
   fleet_.clock.OnPeerTime(report.sender.id, report.time_of_day, now);
   fleet_.route_sources.OnReport(report.sender.id, report.routes_version, now);
   if (fleet_.routes != nullptr && report.routes_version == fleet_.routes->version()) {
