Reject transfer codings other than chunked

A request with Transfer-Encoding: gzip (or identity, x, chunked, gzip, or an empty value) and no length ran with an empty body, and the bytes of its body ran as the next request of the connection. The parser reports such a request as one without a body (RFC 9112, section 6.3), and nothing checked that.

Such a request gets 501 and the connection is closed; 400 where the parser rejects it. A response with such a coding is invalid, because its body would pass on with another meaning.

--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "net/log_exception.h"
+#include "net/transfer_coding.h"
 
 namespace savoryglade {
 namespace {
@@ -45,7 +46,8 @@
           .message = fmt::format("{} {} failed: {}.", action, ToString(endpoint), error.message())};
 }
 
-// Returns the status of a response, or kInvalid if the protocol has no such status.
+// Returns the status of a response, or kInvalid if the protocol has no such status or the length of
+// the response is ambiguous.
 Result<unsigned> CheckHeader(const http::response_header<>& header, const Endpoint& endpoint) {
   const auto invalid = [&](std::string detail) {
     return tl::make_unexpected(
@@ -56,6 +58,9 @@
   if (status < kFirstStatus) {
     return invalid(fmt::format("the invalid status {:03}", status));
   }
+  if (HasUnsupportedTransferCoding(header, header.version())) {
+    return invalid("an unsupported transfer coding");
+  }
   return status;
 }
 
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -15,6 +15,7 @@
 
 #include "logging/logger.h"
 #include "net/acceptor.h"
+#include "net/transfer_coding.h"
 
 namespace savoryglade {
 namespace {
@@ -191,16 +192,17 @@
     }
   }
 
-  // Responds to a request that can't be parsed or is truncated. Sends no response after a timeout
-  // or to a connection closed between requests.
+  // Responds to a request that can't be parsed, is truncated, or has a transfer coding that is not
+  // supported. Sends no response after a timeout or to a connection closed between requests.
   static asio::awaitable<void> RespondToBadRequest(beast::tcp_stream& stream,
                                                    const HttpLimits& limits,
-                                                   beast::error_code error) {
+                                                   beast::error_code error,
+                                                   bool has_unsupported_coding) {
     if (error.category() != make_error_code(http::error::bad_method).category() ||
         error == http::error::end_of_stream) {
       co_return;
     }
-    unsigned status = 400;
+    unsigned status = has_unsupported_coding ? 501 : 400;
     const char* reason = "malformed_request";
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
       status = 431;
@@ -312,6 +314,11 @@
       }
       stream.expires_after(state->limits.read_timeout);
       auto [error, size] = co_await http::async_read_header(stream, buffer, *parser, kAwait);
+      const bool has_unsupported_coding =
+          !error && HasUnsupportedTransferCoding(parser->get(), parser->get().version());
+      if (has_unsupported_coding) {
+        error = http::error::bad_transfer_encoding;
+      }
       if (!error && !parser->is_done()) {
         if (beast::iequals(parser->get()[http::field::expect], "100-continue")) {
           std::tie(error, size) =
@@ -323,7 +330,7 @@
       }
       stream.expires_never();
       if (error) {
-        co_await RespondToBadRequest(stream, state->limits, error);
+        co_await RespondToBadRequest(stream, state->limits, error, has_unsupported_coding);
         break;
       }
       HttpExchange exchange(stream, parser->release(), state->limits, connection_id);
