Give no fencing token twice after the store returned

Two daemons sent the same fencing token: the store had lost the row with the later one, and a daemon that had just started took the released lease of the copy, and the next token. Tokens were one more than the greatest that the row or the peers knew.

Tokens of one era of the store exceed those of all earlier eras, and within an era the store loses no row. A daemon that has just started listens for a holder before it contends. The usage loop no longer takes the time of an earlier lease for that of one that was acquired a moment ago.

--- a/packages/capacity/lease.cc
+++ b/packages/capacity/lease.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 
@@ -88,7 +89,7 @@
   }
   return StartWrite({.holder = holder_,
                      .incarnation = incarnation_,
-                     .fencing = std::max(row_.fencing, highest_fencing_) + 1},
+                     .fencing = std::max({row_.fencing, highest_fencing_, fencing_floor_}) + 1},
                     now);
 }
 
--- a/packages/capacity/lease.h
+++ b/packages/capacity/lease.h
@@ -74,6 +74,12 @@
     highest_fencing_ = std::max(highest_fencing_, fencing);
   }
 
+  // Makes the tokens of later acquisitions greater than this one. Does not affect a lease that is
+  // held.
+  void SetFencingFloor(std::uint64_t fencing) {
+    fencing_floor_ = std::max(fencing_floor_, fencing);
+  }
+
   // Sets a higher incarnation after this daemon was declared dead. A held lease ends.
   void SetIncarnation(std::uint64_t incarnation);
 
@@ -124,6 +130,8 @@
   std::uint64_t row_version_ = 0;
   // Greatest fencing token known to have been used.
   std::uint64_t highest_fencing_ = 0;
+  // Token that the tokens of acquisitions exceed.
+  std::uint64_t fencing_floor_ = 0;
   // Instant at which this version of the row was first seen.
   TimePoint row_first_seen_{};
   // Deadline of this daemon's own lease; empty while it holds none.
--- a/packages/gateway/duty_runner.cc
+++ b/packages/gateway/duty_runner.cc
@@ -25,6 +25,9 @@
 constexpr Duration kHolderSilenceTimeout = 600ms;
 constexpr int kSilenceDigestIntervals = 4;
 constexpr Duration kCandidateStagger = 500ms;
+// Fencing tokens of one era of the store. The store may lose the row with the latest token, but its
+// era rises whenever that happens, so tokens of different eras differ.
+constexpr std::uint64_t kFencingTokensPerEra = 1'000'000;
 constexpr Duration kUsageCheckInterval = 500ms;
 // Time from the end of a window until its counts are committed, if all daemons report. It gives
 // their last reports time to arrive.
@@ -87,6 +90,7 @@
     : fleet_(fleet),
       store_(store),
       duties_(duties),
+      started_at_(BootNow()),
       lease_("duties", fleet.settings.daemon, fleet.incarnation,
              MakeLeaseOptions(fleet.settings.bounds)) {}
 
@@ -95,8 +99,10 @@
 void DutyRunner::Release() { lease_.Release(BootNow()); }
 
 bool DutyRunner::ShouldContendForLease(TimePoint now) const {
+  // A daemon that has just started may not have heard of a holder yet.
+  const TimePoint holder_possible_at = std::max(fleet_.holder_last_reported, started_at_);
   return fleet_.holds_duties || lease_.releasing() ||
-         now - fleet_.holder_last_reported >
+         now - holder_possible_at >
              std::max(kHolderSilenceTimeout, kSilenceDigestIntervals * fleet_.digest_interval) +
                  kCandidateStagger * fleet_.lower_id_peers;
 }
@@ -112,6 +118,7 @@
     }
     fleet_.OnStoreEra(store_.era());
     lease_.RaiseFencing(fleet_.highest_fencing);
+    lease_.SetFencingFloor(fleet_.store_era.number * kFencingTokensPerEra);
     const auto order = lease_.Tick(BootNow());
     if (order) {
       if (std::holds_alternative<capacity::Lease::ReadRow>(*order)) {
@@ -178,9 +185,11 @@
 bool DutyRunner::MayCommitCounts(WindowNumber window) const {
   const TimePoint now = BootNow();
   const Duration age = fleet_.clock.Now(now) - fleet_.settings.bounds.usage_window * (window + 1);
+  // The usage loop may see an acquisition before the lease loop has recorded its time.
+  const TimePoint lease_since = fleet_.holds_duties ? lease_since_ : TimePoint::max();
   return capacity::AreNeverCommitted(
       {.earliest_commit = now - age + kCountCollectionDelay - kMaxClockDifference,
-       .lease_since = lease_since_,
+       .lease_since = lease_since,
        .rows_lost_before = fleet_.store_era.seen_since});
 }
 
--- a/tests/capacity/lease_test.cc
+++ b/tests/capacity/lease_test.cc
@@ -116,6 +116,22 @@
   EXPECT_EQ(leases_[1]->fencing(), 2U);
 }
 
+// Guards against a fencing token that is given twice, because the table has lost the row with it.
+TEST_F(LeaseTest, TokensOfLaterAcquisitionsExceedTheFloor) {
+  RunFor(20s);
+  ASSERT_TRUE(IsHeldBy(0));
+  for (const auto& lease : leases_) {
+    lease->SetFencingFloor(100);
+  }
+  RunFor(20s);
+  EXPECT_TRUE(IsHeldBy(0));
+  EXPECT_EQ(leases_[0]->fencing(), 1U);
+  leases_[0]->Release(clock_.now());
+  RunFor(5s);
+  EXPECT_TRUE(IsHeldBy(1));
+  EXPECT_EQ(leases_[1]->fencing(), 101U);
+}
+
 TEST_F(LeaseTest, ReleasingAnUnheldLeaseHasNoEffect) {
   RunFor(20s);
   leases_[1]->Release(clock_.now());
--- a/tests/gateway/duty_runner_test.cc
+++ b/tests/gateway/duty_runner_test.cc
@@ -237,5 +237,21 @@
   EXPECT_EQ(reports_.AmbiguousWindows(), std::vector<WindowNumber>());
 }
 
+// Guards against a fencing token that two holders send, because the store has lost the row with the
+// later one: the first holder starts again and finds the lease that it released.
+TEST_F(DutyRunnerTest, FencingTokenIsNotGivenTwiceAfterTheStoreReturned) {
+  auto first = StartDaemon("daemon-1", 3);
+  RunUntilReported(*first, 1);
+  const RowStore::Rows copy = store_.rows();
+  first.reset();
+  auto second = StartDaemon("daemon-2", 3);
+  RunUntilReported(*second, 1);
+  second.reset();
+  store_.ReturnTo(copy);
+  auto third = StartDaemon("daemon-3", 3);
+  RunUntilReported(*third, 1);
+  EXPECT_EQ(reports_.SharedTokens(), std::vector<std::uint64_t>());
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
