Keep the bounds if a changed settings file makes one impossible

A changed settings file that lacks bounds.report_window_s, or sets it to zero, made the daemon divide by zero when it next counted a request: a trap on x86-64, none on arm64. Numbers that are not finite were taken as well.

Bounds that are positive stay so: if one would not, all stay as they are, and a line names it. Numbers that are not finite are faults of the file.

Evidence: by reading; arm64 does not trap.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/boot_clock.h"
+#include "gateway/settings_change.h"
 #include "logging/logger.h"
 #include "net/sleep.h"
 
@@ -199,7 +200,10 @@
       kLog.Warning(
           "Settings other than the bounds have changed; they take effect after a restart.");
     }
-    if (settings.bounds != fleet_.settings.bounds) {
+    if (const auto bound = FindImpossibleBound(fleet_.settings.bounds, settings.bounds)) {
+      kLog.Warning("The bounds stay as they are, because a new one is impossible.",
+                   {{"bound", *bound}});
+    } else if (settings.bounds != fleet_.settings.bounds) {
       fleet_.settings.bounds = settings.bounds;
       fleet_.ApplyBounds();
       kLog.Info("Applied new bounds from the settings.");
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -54,6 +54,21 @@
             "bounds.grace_s: found \"soon\", expected a number of at least 0");
 }
 
+// Guards against numbers that no type of the settings can hold.
+TEST(NodeSettingsTest, RejectsBoundsThatAreNoNumbers) {
+  for (const char* name :
+       {"bounds.drain_ms", "bounds.config_apply_ms", "bounds.grace_s", "bounds.retry_ratio",
+        "bounds.retry_window_s", "bounds.retry_allowance", "bounds.quota_window_s",
+        "bounds.quota_overshoot", "bounds.quota_allowance", "bounds.lease_ms",
+        "bounds.report_window_s", "bounds.usage_delay_s"}) {
+    for (const char* value : {"-1", "nan", "inf", "-inf", "1e400", "5s", "0x10", " 5"}) {
+      const auto settings =
+          ParseNodeSettings(std::string(kText) + name + "=" + std::string(value) + "\n");
+      EXPECT_FALSE(settings) << name << "=" << value;
+    }
+  }
+}
+
 // Guards against requiring the duties' address in a deployment without duties.
 TEST(NodeSettingsTest, RequiresNoDutyAddressWithoutDuties) {
   std::string text = kText;
