Drop log lines instead of waiting for their reader

A daemon whose standard error is a pipe that nobody reads stopped answering: each log line was written with a call that waits until the pipe has room, on the thread that serves all requests.

LogOutput writes a line only if the descriptor takes it at once, and counts what it drops; the next line says how many. Regular files are written as before.

LogOutputTest writes a thousand lines into a pipe; with a plain write it would not end.

--- a/packages/logging/logger.cc
+++ b/packages/logging/logger.cc
@@ -1,9 +1,11 @@
 #include "logging/logger.h"
 
+#include <unistd.h>
+
 #include <array>
 #include <cstddef>
-#include <cstdio>
 
+#include "logging/log_output.h"
 #include "logging/log_rate_limiter.h"
 
 namespace savoryglade {
@@ -21,6 +23,11 @@
   return limiter;
 }
 
+LogOutput& Output() {
+  static LogOutput output(STDERR_FILENO);
+  return output;
+}
+
 std::string_view LevelName(LogLevel level) {
   static constexpr std::array<std::string_view, 4> kNames = {"debug", "info", "warning", "error"};
   return kNames.at(static_cast<std::size_t>(level));
@@ -89,8 +96,7 @@
     Sink()(line);
     return;
   }
-  line += '\n';
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  Output().Write(line);
 }
 
 }  // namespace savoryglade
