--- a/packages/daemon/savorygladed_main.cc
+++ b/packages/daemon/savorygladed_main.cc
@@ -65,14 +65,25 @@
   return 0;
 }
 
+// Blocks the signals that a supervisor sends, before any thread starts, until the daemon waits for
+// them. A signal that is not blocked ends the process.
+void BlockSupervisorSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 int Run(const Settings& settings) {
   const Logger log("main");
-  // Blocks the signals before any thread starts, so that only sigwait below receives them.
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // SIGHUP has no meaning here, and ends the process as usual.
+  pthread_sigmask(SIG_SETMASK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   Daemon daemon(settings);
   const Result<void> started = daemon.Start();
@@ -99,6 +110,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  BlockSupervisorSignals();
   const auto arguments =
       docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "savorygladed " SAVORYGLADE_VERSION);
   const bool on_platform = arguments.at("--platform").asBool();
