--- a/packages/gateway/duty_runner.cc
+++ b/packages/gateway/duty_runner.cc
@@ -90,7 +90,6 @@
     : fleet_(fleet),
       store_(store),
       duties_(duties),
-      started_at_(BootNow()),
       lease_("duties", fleet.settings.daemon, fleet.incarnation,
              MakeLeaseOptions(fleet.settings.bounds)) {}
 
@@ -99,10 +98,8 @@
 void DutyRunner::Release() { lease_.Release(BootNow()); }
 
 bool DutyRunner::ShouldContendForLease(TimePoint now) const {
-  // A daemon that has just started may not have heard of a holder yet.
-  const TimePoint holder_possible_at = std::max(fleet_.holder_last_reported, started_at_);
   return fleet_.holds_duties || lease_.releasing() ||
-         now - holder_possible_at >
+         now - fleet_.holder_last_reported >
              std::max(kHolderSilenceTimeout, kSilenceDigestIntervals * fleet_.digest_interval) +
                  kCandidateStagger * fleet_.lower_id_peers;
 }
--- a/packages/gateway/duty_runner.h
+++ b/packages/gateway/duty_runner.h
@@ -52,7 +52,6 @@
   FleetState& fleet_;
   FleetStore& store_;
   DutyApi& duties_;
-  TimePoint started_at_;
   capacity::Lease lease_;
   capacity::WindowCommits commits_;
   // Windows whose reports the platform has accepted, and those that must not be reported.
