--- a/tests/net/endless_message_test.cc
+++ b/tests/net/endless_message_test.cc
@@ -24,14 +24,14 @@
 };
 
 const std::vector<EndlessPart>& EndlessParts() {
-  static const std::vector<EndlessPart> parts = {
+  static const std::vector<EndlessPart> kParts = {
       {"chunk size", "", "0"},
       {"chunk extension", "10;", "a"},
       {"extension of a later chunk", "1\r\nx\r\n10;", "a"},
       {"extension of the last chunk", "1\r\nx\r\n0;", "a"},
       {"trailer line", "1\r\nx\r\n0\r\nT: ", "a"},
       {"trailer lines", "1\r\nx\r\n0\r\n", "T: a\r\n"}};
-  return parts;
+  return kParts;
 }
 
 constexpr const char* kChunkedResponse = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/tests/net/transfer_coding_test.cc
+++ b/tests/net/transfer_coding_test.cc
@@ -31,7 +31,7 @@
 };
 
 const std::vector<Framing>& Framings() {
-  static const std::vector<Framing> framings = {
+  static const std::vector<Framing> kFramings = {
       {"1.1", "Transfer-Encoding: chunked\r\n", 200, true},
       {"1.1", "transfer-encoding: Chunked\r\n", 200, true},
       {"1.1", "Transfer-Encoding: gzip\r\n", 501, false},
@@ -51,7 +51,7 @@
       {"1.1", "Content-Length: -3\r\n", 400, false},
       {"1.1", "Content-Length: 3x\r\n", 400, false},
       {"1.1", "Content-Length:\r\n", 400, false}};
-  return framings;
+  return kFramings;
 }
 
 constexpr const char* kSmuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
