Record what upstreams say of themselves in one place

An answer's header is now decoded into one UpstreamSignal (leaving, wait, rate limit, load), and routing/upstream_signals keeps it by the process that sent it. Each change is logged and counted (savoryglade_gateway_upstream_signals_total), and so is each request that is sent although the upstream wants none (savoryglade_gateway_unwanted_sends_total). Decisions are as before, but for one: a process without a start time is told from its predecessor by its address.

--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -85,6 +85,16 @@
   rate_limits_ = std::move(rate_limits);
 }
 
+void WorkerService::SetSignals(HttpHeaders headers) {
+  const std::lock_guard lock(mutex_);
+  signals_ = std::move(headers);
+}
+
+HttpHeaders WorkerService::signals() const {
+  const std::lock_guard lock(mutex_);
+  return signals_;
+}
+
 std::string WorkerService::version() const {
   const std::lock_guard lock(mutex_);
   return version_;
@@ -153,13 +163,18 @@
   return sum;
 }
 
+int WorkerService::arrivals() const {
+  const std::lock_guard lock(mutex_);
+  return arrivals_;
+}
+
 HttpRequest WorkerService::last_request() const {
   const std::lock_guard lock(mutex_);
   return last_request_;
 }
 
 HttpHeaders WorkerService::ResponseHeaders(const HttpExchange& exchange, bool with_seal) const {
-  HttpHeaders headers;
+  HttpHeaders headers = signals();
   headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
   headers.emplace_back("Server-Load", "1,0,4,100");
   headers.emplace_back("Keep-Alive", "timeout=5");
@@ -194,12 +209,12 @@
     co_return;
   }
   if (!body.at("final").as_bool()) {
-    co_await exchange.Respond(200, {}, R"({"kv_handle":"h1","created_rev":3})");
+    co_await exchange.Respond(200, signals(), R"({"kv_handle":"h1","created_rev":3})");
     co_return;
   }
   switch (answer) {
     case StopAnswer::kSent:
-      co_await exchange.Respond(200, {}, R"({"kv_handle":"h1","created_rev":3})");
+      co_await exchange.Respond(200, signals(), R"({"kv_handle":"h1","created_rev":3})");
       timer->cancel();
       break;
     case StopAnswer::kLost:
@@ -230,9 +245,13 @@
     co_await HandleMigration(exchange);
     co_return;
   }
+  {
+    const std::lock_guard lock(mutex_);
+    ++arrivals_;
+  }
   const std::string expected_instance(exchange.Header("Expect-Instance"));
   if (!expected_instance.empty() && expected_instance != instance_) {
-    HttpHeaders headers;
+    HttpHeaders headers = signals();
     headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
     headers.emplace_back("Instance-Id", instance_);
     co_await exchange.Respond(421, std::move(headers), {});
@@ -240,7 +259,7 @@
   }
   const WorkerFault fault = ConsumeFault();
   if (fault == WorkerFault::kRejectNotExecuted) {
-    HttpHeaders headers;
+    HttpHeaders headers = signals();
     headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
     headers.emplace_back("Not-Executed", "1");
     co_await exchange.Respond(503, std::move(headers), {});
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -92,6 +92,8 @@
   // Makes the worker name these rate limits in its answers, each in a header of its own; none by
   // default.
   void SetRateLimits(std::vector<std::string> rate_limits);
+  // Sets headers that all answers carry, also those that reject a request or copy a KV cache.
+  void SetSignals(HttpHeaders headers);
 
   // Sets how the worker answers requests to stop a run; kSent by default.
   void SetStopAnswer(StopAnswer answer);
@@ -111,6 +113,8 @@
   int RunCount(const std::string& attempt) const;
   // Returns the number of runs of all attempts.
   int runs() const;
+  // Returns the number of requests that have arrived, also those that were not run.
+  int arrivals() const;
   // Returns the number of requests with kNoResponse whose connections the peer has closed.
   int abandoned_requests() const;
   // Returns the number of runs that continued here with the KV cache of another worker.
@@ -119,6 +123,7 @@
   HttpRequest last_request() const;
 
  private:
+  HttpHeaders signals() const;
   boost::asio::awaitable<void> Stream(HttpExchange& exchange, WorkerFault fault);
   // Sends half of a stream that only the end of its connection can end, until its run is stopped.
   boost::asio::awaitable<void> StreamUntilStopped(HttpExchange& exchange);
@@ -144,12 +149,14 @@
   std::shared_ptr<StreamVersionLog> stream_version_log_;
   std::map<std::string, std::map<std::string, int>> events_by_attempt_;
   std::map<std::string, int> runs_by_attempt_;
+  int arrivals_ = 0;
   HttpRequest last_request_;
   WorkerFault fault_ = WorkerFault::kNone;
   int remaining_fault_count_ = 0;
   StopAnswer stop_answer_ = StopAnswer::kSent;
   std::string crashing_part_;
   std::vector<std::string> rate_limits_;
+  HttpHeaders signals_;
   int abandoned_requests_ = 0;
   int migrated_runs_ = 0;
   // Timers of streams that wait for migration, by attempt; cancelled by the final copy.
--- a/packages/gateway/adapter.h
+++ b/packages/gateway/adapter.h
@@ -78,17 +78,11 @@
   bool is_event_stream = false;
   // Whether an intermediary encoded the body, so that it differs from the worker's.
   bool content_encoded = false;
-  struct Load {
-    int running = 0;
-    int waiting = 0;
-    // Service time relative to normal; 1 is normal.
-    double slowness = 1;
-  };
-  std::optional<Load> load;
-  // Requests per second that the upstream takes from all daemons together, if it names a limit.
-  std::optional<double> rate_limit;
-  // A named limit that can't be read, for the log; empty if there is none.
-  std::string invalid_rate_limit;
+  // What the upstream says of itself.
+  UpstreamSignal signal;
+  // Names and values of headers on the upstream's state that can't be read, for the log; empty if
+  // there are none.
+  std::string invalid_signals;
   // Time for which the upstream keeps an idle connection open.
   std::optional<Duration> idle_timeout;
 };
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -403,6 +403,7 @@
                                                       ? call.metadata.last_event_id
                                                       : call.sse_splitter.last_id(),
                                  .kv_copy = call.kv_copy};
+  signals_.OnSend(attempt.placement.upstream, call.metadata.attempt_id);
   ++call.sends;
   ++call.unrejected_sends;
   call.last_sent_at = now;
@@ -460,44 +461,9 @@
   fleet_.load_balancer.OnFirstByte(id, attempt.placement.uncached_tokens, now);
   fleet_.AdmissionQueueOf(call.service)
       .OnServed(call.metadata.work.IsGeneration() ? attempt.placement.uncached_tokens : 1, now);
-  if (attempt.response.load) {
-    fleet_.load_balancer.OnLoadReport(id, attempt.response.load->running,
-                                      attempt.response.load->waiting,
-                                      attempt.response.load->slowness, now);
-  }
   if (!call.counted_window && !attempt.response.not_run) {
     RecordUsage(call, now);
   }
-  RecordRateLimit(attempt, now);
-}
-
-void CallRelay::RecordRateLimit(const Attempt& attempt, TimePoint now) {
-  const ResponseMetadata& response = attempt.response;
-  const std::string& upstream = attempt.placement.upstream.id.value();
-  if (response.owner != ResponseOwner::kThisAttempt) {
-    return;
-  }
-  if (!response.invalid_rate_limit.empty()) {
-    kLog.Warning("Ignored a rate limit that can't be read.",
-                 {{"upstream", upstream}, {"limit", response.invalid_rate_limit}});
-    if (!response.rate_limit) {
-      return;
-    }
-  }
-  // An upstream that rejects a request may do so without a word on its limit.
-  if (!response.rate_limit && !response.has_seal) {
-    return;
-  }
-  UpstreamRateLimits& limits = fleet_.load_balancer.rate_limits();
-  const std::uint64_t process = FleetLoadBalancer::ProcessKeyOf(attempt.placement.upstream);
-  if (limits.OnAnswer(process, response.rate_limit, attempt.sent_at, now)) {
-    const std::optional<double> rate = limits.RateOf(process);
-    kLog.Info(
-        rate ? "An upstream names a rate limit." : "An upstream no longer names a rate limit.",
-        {{"upstream", upstream},
-         {"process", fmt::format("{:016x}", process)},
-         {"rate_per_s", rate.value_or(0)}});
-  }
 }
 
 void CallRelay::RecordUsage(Call& call, TimePoint now) {
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -19,6 +19,7 @@
 #include "gateway/stream_migrator.h"
 #include "gateway/upstream_connection_pool.h"
 #include "gateway/upstream_connector.h"
+#include "gateway/upstream_signal_recorder.h"
 #include "net/http_server.h"
 #include "routing/fleet_load_balancer.h"
 
@@ -31,14 +32,16 @@
   // The callback is called when the crash registry has changed.
   CallRelay(FleetState& fleet, const MessageCodec& codec, UpstreamConnector& connector,
             UpstreamConnectionPool& connections, StreamMigrator& migrator,
-            OpenAttempts& open_attempts, std::function<void()> on_crash_record)
+            OpenAttempts& open_attempts, UpstreamSignalRecorder& signals,
+            std::function<void()> on_crash_record)
       : fleet_(fleet),
         codec_(codec),
         connector_(connector),
         open_attempts_(open_attempts),
+        signals_(signals),
         admission_(fleet),
         crash_detector_(fleet, std::move(on_crash_record)),
-        response_relay_(fleet, codec, connections, migrator, crash_detector_) {}
+        response_relay_(fleet, codec, connections, migrator, signals, crash_detector_) {}
 
   // Handles one request and sends its response.
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
@@ -64,8 +67,6 @@
   // accepts it now.
   bool NeedsAdmission(const Call& call, bool has_placement, TimePoint now) const;
   void RecordFirstByte(Call& call, Attempt& attempt);
-  // Records the rate limit that an answer names, or that it names none.
-  void RecordRateLimit(const Attempt& attempt, TimePoint now);
   // Counts the request in the usage window of its account, if usage is reported.
   void RecordUsage(Call& call, TimePoint now);
   // Returns true if the request may be sent again after an upstream may have run it.
@@ -80,6 +81,7 @@
   const MessageCodec& codec_;
   UpstreamConnector& connector_;
   OpenAttempts& open_attempts_;
+  UpstreamSignalRecorder& signals_;
   AdmissionGate admission_;
   CrashDetector crash_detector_;
   ResponseRelay response_relay_;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -80,7 +80,7 @@
       connector_(fleet_, connections_),
       tunnels_(fleet_, open_attempts_),
       relay_(fleet_, *adapters_.codec, connector_, connections_, migrator_, open_attempts_,
-             [this] { crash_records_.OnRegistryChanged(); }),
+             signals_, [this] { crash_records_.OnRegistryChanged(); }),
       callers_(pool_, CallerLimits(fleet_.settings),
                [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
       readiness_(pool_, {}, [this](HttpExchange& exchange) { return HandleReadiness(exchange); }),
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "gateway/stream_snapshot_exchange.h"
 #include "gateway/upstream_connection_pool.h"
 #include "gateway/upstream_connector.h"
+#include "gateway/upstream_signal_recorder.h"
 #include "net/background_worker.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -96,6 +97,7 @@
   CapacityController capacity_controller_;
   UpstreamConnector connector_;
   PeerTunnels tunnels_;
+  UpstreamSignalRecorder signals_{fleet_};
   CallRelay relay_;
   HttpServer callers_;
   HttpServer readiness_;
--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -267,7 +267,7 @@
   if (fleet_.groups.grouped()) {
     peers.domains = fleet_.groups.Domains();
   }
-  fleet_.load_balancer.rate_limits().SetPeers(std::move(peers));
+  fleet_.load_balancer.signals().rate_limits().SetPeers(std::move(peers));
 }
 
 asio::awaitable<void> PeerReportTransport::SendLoop() {
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -109,8 +109,8 @@
       .crashes = fleet_.crash_registry.SelectForReport(kMaxReportedCrashes, now),
       .path_crashes = fleet_.path_crash_registry.SelectForReport(kMaxReportedCrashes, now),
       .part_crashes = fleet_.part_crash_registry.SelectForReport(kMaxReportedCrashes, now),
-      .rate_limits =
-          fleet_.load_balancer.rate_limits().SelectForReport(kMaxReportedRateLimits, now)};
+      .rate_limits = fleet_.load_balancer.signals().rate_limits().SelectForReport(
+          kMaxReportedRateLimits, now)};
   if (fleet_.holds_duties) {
     report.holder_age = Duration::zero();
     report.holder_announcement = {.incarnation = fleet_.incarnation, .time = report.time_of_day};
@@ -195,7 +195,7 @@
   MergeCrashRecords(report.path_crashes, report.sender.id, fleet_.path_crash_registry, now);
   MergeCrashRecords(report.part_crashes, report.sender.id, fleet_.part_crash_registry, now);
   for (const ReportedRateLimit& limit : report.rate_limits) {
-    if (fleet_.load_balancer.rate_limits().OnReport(limit, now)) {
+    if (fleet_.load_balancer.signals().rate_limits().OnReport(limit, now)) {
       kLog.Info("A peer reported the rate limit of an upstream, or its end.",
                 {{"process", fmt::format("{:016x}", limit.upstream)},
                  {"daemon", report.sender.id.value()},
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -157,6 +157,8 @@
     }
     attempt.response =
         codec_.DecodeResponse(call.metadata.attempt_id, *status, connection.response_header());
+    signals_.OnAnswer(attempt.placement.upstream, call.metadata.attempt_id, attempt.response,
+                      attempt.sent_at);
     if (attempt.response.owner != ResponseOwner::kOtherAttempt) {
       co_return *status;
     }
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -9,6 +9,7 @@
 #include "gateway/fleet_state.h"
 #include "gateway/stream_migrator.h"
 #include "gateway/upstream_connection_pool.h"
+#include "gateway/upstream_signal_recorder.h"
 
 namespace savoryglade::gateway {
 
@@ -18,11 +19,13 @@
 class ResponseRelay {
  public:
   ResponseRelay(FleetState& fleet, const MessageCodec& codec, UpstreamConnectionPool& connections,
-                StreamMigrator& migrator, CrashDetector& crash_detector)
+                StreamMigrator& migrator, UpstreamSignalRecorder& signals,
+                CrashDetector& crash_detector)
       : fleet_(fleet),
         codec_(codec),
         connections_(connections),
         migrator_(migrator),
+        signals_(signals),
         crash_detector_(crash_detector) {}
 
   // Reads response headers until one belongs to the attempt. Returns its status, or zero if none
@@ -60,6 +63,7 @@
   const MessageCodec& codec_;
   UpstreamConnectionPool& connections_;
   StreamMigrator& migrator_;
+  UpstreamSignalRecorder& signals_;
   CrashDetector& crash_detector_;
 };
 
--- a/packages/gateway/stream_migrator.cc
+++ b/packages/gateway/stream_migrator.cc
@@ -94,8 +94,8 @@
     stream.destination_ = placement->upstream;
     // The stream reaches the destination only after the copy; a limit counts it now, so that other
     // streams do not choose the same upstream meanwhile.
-    fleet_.load_balancer.rate_limits().OnSent(FleetLoadBalancer::ProcessKeyOf(stream.destination_),
-                                              BootNow());
+    fleet_.load_balancer.signals().rate_limits().OnSent(
+        FleetLoadBalancer::ProcessKeyOf(stream.destination_), BootNow());
     excluded.push_back(stream.destination_.id);
     const Result<KvCopyResult> kv_copy = co_await engines_.CopyKvCache(
         stream.source_, stream.attempt_id_, stream.destination_, false);
--- /dev/null
+++ b/packages/gateway/upstream_signal_recorder.cc
@@ -0,0 +1,89 @@
+#include "gateway/upstream_signal_recorder.h"
+
+#include <fmt/format.h>
+
+#include <optional>
+
+#include "core/boot_clock.h"
+#include "logging/logger.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+const Logger kLog("signals");
+
+// Returns what an answer says of the upstream. A late answer to another request says nothing of the
+// load and the limits of this moment; that a process leaves stays true.
+UpstreamSignal CurrentSignal(const ResponseMetadata& response) {
+  UpstreamSignal signal = response.signal;
+  if (response.owner == ResponseOwner::kOtherAttempt) {
+    signal.load.reset();
+  }
+  if (response.owner != ResponseOwner::kThisAttempt) {
+    signal.rate_limit.reset();
+    signal.is_complete = false;
+  }
+  return signal;
+}
+
+}  // namespace
+
+void UpstreamSignalRecorder::CountChange(const char* signal) {
+  fleet_.metrics.GetCounter(kUpstreamSignalsMetric, {{"signal", signal}}).Add();
+}
+
+void UpstreamSignalRecorder::OnAnswer(const UpstreamRecord& upstream, const std::string& request,
+                                      const ResponseMetadata& response, TimePoint sent_at) {
+  const std::string process = fmt::format("{:016x}", FleetLoadBalancer::ProcessKeyOf(upstream));
+  if (!response.invalid_signals.empty()) {
+    CountChange("invalid");
+    kLog.Warning("Ignored what an upstream says of itself, because it can't be read.",
+                 {{"upstream", upstream.id.value()},
+                  {"process", process},
+                  {"request", request},
+                  {"headers", response.invalid_signals}});
+  }
+  const UpstreamSignal signal = CurrentSignal(response);
+  const UpstreamSignalChanges changes =
+      fleet_.load_balancer.OnSignal(upstream, signal, sent_at, BootNow());
+  if (changes.leaving) {
+    CountChange("leaving");
+    kLog.Info("An upstream says that it leaves.",
+              {{"upstream", upstream.id.value()}, {"process", process}, {"request", request}});
+  }
+  if (changes.wait) {
+    CountChange("wait");
+    kLog.Info("An upstream wants no requests for a while.", {{"upstream", upstream.id.value()},
+                                                             {"process", process},
+                                                             {"request", request},
+                                                             {"ms", *signal.wait / 1ms}});
+  }
+  if (changes.rate_limit) {
+    CountChange("rate_limit");
+    kLog.Info(signal.rate_limit ? "An upstream names a rate limit."
+                                : "An upstream no longer names a rate limit.",
+              {{"upstream", upstream.id.value()},
+               {"process", process},
+               {"request", request},
+               {"rate_per_s", signal.rate_limit.value_or(0)}});
+  }
+}
+
+void UpstreamSignalRecorder::OnSend(const UpstreamRecord& upstream, const std::string& request) {
+  const UpstreamSignals& signals = fleet_.load_balancer.signals();
+  const std::uint64_t process = FleetLoadBalancer::ProcessKeyOf(upstream);
+  const bool leaving = signals.IsLeaving(process);
+  const std::optional<TimePoint> wait_end = signals.WaitEnd(process, BootNow());
+  if (!leaving && !wait_end) {
+    return;
+  }
+  fleet_.metrics.GetCounter(kUnwantedSendsMetric, {{"signal", leaving ? "leaving" : "wait"}}).Add();
+  kLog.Info("A request is sent to an upstream that wants none.",
+            {{"upstream", upstream.id.value()},
+             {"process", fmt::format("{:016x}", process)},
+             {"request", request},
+             {"leaving", leaving},
+             {"wait_ms", wait_end ? (*wait_end - BootNow()) / 1ms : 0}});
+}
+
+}  // namespace savoryglade::gateway
--- /dev/null
+++ b/packages/gateway/upstream_signal_recorder.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "core/strong_id.h"
+#include "core/time.h"
+#include "gateway/adapter.h"
+#include "gateway/fleet_state.h"
+#include "routing/fleet_load_balancer.h"
+
+namespace savoryglade::gateway {
+
+inline constexpr const char* kUpstreamSignalsMetric = "savoryglade_gateway_upstream_signals_total";
+inline constexpr const char* kUnwantedSendsMetric = "savoryglade_gateway_unwanted_sends_total";
+
+// Records what upstreams say of themselves in the answers that pass through this daemon, and logs
+// what is new. The objects in FleetState decide what follows from it. Not thread-safe.
+class UpstreamSignalRecorder {
+ public:
+  explicit UpstreamSignalRecorder(FleetState& fleet) : fleet_(fleet) {}
+
+  // Records an answer to the request of this id that was sent to the upstream at `sent_at`. The
+  // record is that of the process that the connection leads to.
+  void OnAnswer(const UpstreamRecord& upstream, const std::string& request,
+                const ResponseMetadata& response, TimePoint sent_at);
+  // Logs and counts a request that is sent to an upstream although it wants none.
+  void OnSend(const UpstreamRecord& upstream, const std::string& request);
+
+ private:
+  void CountChange(const char* signal);
+
+  FleetState& fleet_;
+};
+
+}  // namespace savoryglade::gateway
--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -37,6 +37,13 @@
 
 }  // namespace
 
+std::uint64_t FleetLoadBalancer::ProcessKeyOf(const UpstreamRecord& record) {
+  // Without a start time, only another address shows that the process is a new one.
+  const std::uint64_t start = record.started_ms != 0 ? static_cast<std::uint64_t>(record.started_ms)
+                                                     : Fnv1aHash(record.address);
+  return KeyOf(record.id) + start;
+}
+
 void FleetLoadBalancer::Reported::Add(const UpstreamLoad& load, int sign) {
   running += sign * load.running;
   waiting_tokens = std::max(0.0, waiting_tokens + sign * load.waiting_tokens);
@@ -353,7 +360,7 @@
     const bool usable = !required_version || entry->version == *required_version;
     if (usable && !entry->record.leaving && now >= entry->paused_until && MaySend(*entry, now)) {
       const int slots = std::max(0, entry->record.slots - FleetLoad(*entry, now).running);
-      free += rate_limits_.RateOf(entry->process) ? std::min(slots, 1) : slots;
+      free += signals_.rate_limits().RateOf(entry->process) ? std::min(slots, 1) : slots;
     }
   }
   return free;
@@ -363,7 +370,7 @@
   ExpireReports(now);
   double busy = 0;
   for (const Entry* entry : by_service_[service]) {
-    busy += rate_limits_.RateOf(entry->process)
+    busy += signals_.rate_limits().RateOf(entry->process)
                 ? 1
                 : static_cast<double>(FleetLoad(*entry, now).running) / entry->record.slots;
   }
@@ -377,7 +384,7 @@
     return;
   }
   Entry& entry = found->second;
-  rate_limits_.OnSent(entry.process, now);
+  signals_.OnSent(entry.process, now);
   ++entry.own.running;
   entry.own.waiting_tokens += uncached_tokens;
   entry.unanswered.push_back(now);
@@ -506,18 +513,20 @@
   return loads;
 }
 
-void FleetLoadBalancer::OnLoadReport(const UpstreamId& id, int running, int waiting,
-                                     double slowness, TimePoint now) {
-  const auto found = entries_.find(id);
-  if (found == entries_.end()) {
-    return;
-  }
-  Entry& entry = found->second;
-  entry.reported_running = running + waiting;
-  entry.reported_at = now;
-  constexpr double kMinSlowness = 0.5;
-  constexpr double kMaxSlowness = 10;
-  entry.slowness = std::clamp(slowness, kMinSlowness, kMaxSlowness);
+UpstreamSignalChanges FleetLoadBalancer::OnSignal(const UpstreamRecord& upstream,
+                                                  const UpstreamSignal& signal, TimePoint sent_at,
+                                                  TimePoint now) {
+  const std::uint64_t process = ProcessKeyOf(upstream);
+  const auto found = entries_.find(upstream.id);
+  if (signal.load && found != entries_.end() && found->second.process == process) {
+    Entry& entry = found->second;
+    entry.reported_running = signal.load->running + signal.load->waiting;
+    entry.reported_at = now;
+    constexpr double kMinSlowness = 0.5;
+    constexpr double kMaxSlowness = 10;
+    entry.slowness = std::clamp(signal.load->slowness, kMinSlowness, kMaxSlowness);
+  }
+  return signals_.OnAnswer(process, signal, sent_at, now);
 }
 
 }  // namespace savoryglade
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -16,7 +16,7 @@
 #include "core/strong_id.h"
 #include "core/time.h"
 #include "routing/prompt_time_model.h"
-#include "routing/upstream_rate_limits.h"
+#include "routing/upstream_signals.h"
 
 namespace savoryglade {
 
@@ -29,7 +29,8 @@
   FailureDomainId failure_domain;
   // Number of requests that the upstream runs at the same time.
   int slots = 1;
-  // True after it announced that it leaves; it then receives no new work.
+  // True after it announced that it leaves, in its registration or in an answer; it then receives
+  // no new work.
   bool leaving = false;
   bool reclaimable = false;
   // True while its registration is missing but may come back; it is used only if no other upstream
@@ -164,13 +165,12 @@
   static std::uint64_t KeyOf(const UpstreamId& id) { return Fnv1aHash(id.value()); }
 
   // Returns a key of the upstream's process, which changes when it starts again under its id.
-  static std::uint64_t ProcessKeyOf(const UpstreamRecord& record) {
-    return KeyOf(record.id) + static_cast<std::uint64_t>(record.started_ms);
-  }
+  static std::uint64_t ProcessKeyOf(const UpstreamRecord& record);
 
-  // Limits that the upstreams name, by ProcessKeyOf. An upstream that may not be sent to now is not
-  // chosen and has no free slots.
-  UpstreamRateLimits& rate_limits() { return rate_limits_; }
+  // What the upstreams say of themselves, by ProcessKeyOf. An upstream that may not be sent to now
+  // is not chosen and has no free slots.
+  UpstreamSignals& signals() { return signals_; }
+  const UpstreamSignals& signals() const { return signals_; }
 
   // Sets the number of upstreams that are compared for each choice; see the options.
   void SetRandomCandidates(int candidates) { options_.random_candidates = candidates; }
@@ -247,8 +247,10 @@
   // those that report to it, or of the failure domains that report to it.
   std::vector<ReportedLoad> AggregateLoad(ReportScope scope, TimePoint now);
 
-  // Records the load that an upstream reports with an answer. A slowness of 1 is normal speed.
-  void OnLoadReport(const UpstreamId& id, int running, int waiting, double slowness, TimePoint now);
+  // Records what an upstream says of itself in an answer to a request that was sent at `sent_at`.
+  // The record is that of the process that the request was sent to.
+  UpstreamSignalChanges OnSignal(const UpstreamRecord& upstream, const UpstreamSignal& signal,
+                                 TimePoint sent_at, TimePoint now);
 
  private:
   // Sum of the load reports for one upstream.
@@ -298,7 +300,7 @@
   // Returns the last reported slowness, or 1 (normal speed) if the report has expired.
   double CurrentSlowness(const Entry& entry, TimePoint now) const;
   bool MaySend(const Entry& entry, TimePoint now) const {
-    return rate_limits_.MaySend(entry.process, entry.record.failure_domain, now);
+    return signals_.MaySend(entry.process, entry.record.failure_domain, now);
   }
   // Returns the number of requests that an upstream accepts at the same time.
   int CapacityOf(const Entry& entry, const WorkEstimate& work) const;
@@ -327,7 +329,7 @@
 
   FleetLoadBalancerOptions options_;
   Random random_;
-  UpstreamRateLimits rate_limits_;
+  UpstreamSignals signals_;
   std::map<UpstreamId, Entry> entries_;
   std::unordered_map<std::uint64_t, Entry*> by_key_;
   // Sorted by upstream id.
--- a/tests/gateway/digest_codec_test.cc
+++ b/tests/gateway/digest_codec_test.cc
@@ -53,9 +53,9 @@
   remote->work.Add(kModel, 2.5);
   remote->crash_records_known = true;
   remote->OnStoreEra({.number = 3, .seen_since = At(400ms)});
-  remote->load_balancer.rate_limits().OnAnswer(5, 2.5, At(500ms), At(900ms));
-  remote->load_balancer.rate_limits().OnAnswer(6, 2.5, At(0s), At(0s));
-  remote->load_balancer.rate_limits().OnAnswer(6, std::nullopt, At(500ms), At(900ms));
+  remote->load_balancer.signals().rate_limits().OnAnswer(5, 2.5, At(500ms), At(900ms));
+  remote->load_balancer.signals().rate_limits().OnAnswer(6, 2.5, At(0s), At(0s));
+  remote->load_balancer.signals().rate_limits().OnAnswer(6, std::nullopt, At(500ms), At(900ms));
   for (std::uint64_t upstream = 1; upstream <= 3; ++upstream) {
     remote->path_crash_registry.OnLoss(8, upstream, At(1s));
   }
@@ -70,7 +70,7 @@
   EXPECT_TRUE(local->path_crash_registry.IsRefused(8, At(1s)));
   EXPECT_TRUE(local->crash_records_known);
   EXPECT_EQ(local->store_era, (StoreEra{.number = 3, .seen_since = At(400ms)}));
-  EXPECT_EQ(local->load_balancer.rate_limits().RateOf(5), 2.5);
+  EXPECT_EQ(local->load_balancer.signals().rate_limits().RateOf(5), 2.5);
   EXPECT_EQ(report->rate_limits,
             (std::vector<ReportedRateLimit>{{.upstream = 5, .rate = 2.5, .age = 100ms},
                                             {.upstream = 6, .rate = std::nullopt, .age = 100ms}}));
--- a/tests/platform/header_codec_test.cc
+++ b/tests/platform/header_codec_test.cc
@@ -128,14 +128,14 @@
 TEST(HeaderCodecTest, DecodesTheLowestRateLimit) {
   const HeaderCodec codec;
   http::fields header;
-  EXPECT_EQ(codec.DecodeResponse("a1", 200, header).rate_limit, std::nullopt);
+  EXPECT_EQ(codec.DecodeResponse("a1", 200, header).signal.rate_limit, std::nullopt);
   header.insert("Server-Limit", " 2.5 ");
-  EXPECT_EQ(codec.DecodeResponse("a1", 200, header).rate_limit, 2.5);
+  EXPECT_EQ(codec.DecodeResponse("a1", 200, header).signal.rate_limit, 2.5);
   header.insert("Server-Limit", "0.5");
   header.insert("Server-Limit", "7");
   const gateway::ResponseMetadata decoded = codec.DecodeResponse("a1", 200, header);
-  EXPECT_EQ(decoded.rate_limit, 0.5);
-  EXPECT_EQ(decoded.invalid_rate_limit, "");
+  EXPECT_EQ(decoded.signal.rate_limit, 0.5);
+  EXPECT_EQ(decoded.invalid_signals, "");
   EXPECT_TRUE(codec.CallerResponseHeaders(header).empty());
 }
 
@@ -146,10 +146,10 @@
     http::fields header;
     header.insert("Server-Limit", malformed);
     const gateway::ResponseMetadata decoded = codec.DecodeResponse("a1", 200, header);
-    EXPECT_EQ(decoded.rate_limit, std::nullopt) << malformed;
-    EXPECT_EQ(decoded.invalid_rate_limit, '"' + std::string(malformed) + '"');
+    EXPECT_EQ(decoded.signal.rate_limit, std::nullopt) << malformed;
+    EXPECT_EQ(decoded.invalid_signals, "Server-Limit=\"" + std::string(malformed) + '"');
     header.insert("Server-Limit", "3");
-    EXPECT_EQ(codec.DecodeResponse("a1", 200, header).rate_limit, 3) << malformed;
+    EXPECT_EQ(codec.DecodeResponse("a1", 200, header).signal.rate_limit, 3) << malformed;
   }
 }
 
@@ -158,13 +158,13 @@
   header.set("Server-Load", "3, 1,8,250");
   header.set("Keep-Alive", "timeout=5, max=100");
   const auto metadata = HeaderCodec().DecodeResponse("a", 200, header);
-  ASSERT_TRUE(metadata.load);
-  EXPECT_EQ(metadata.load->running, 3);
-  EXPECT_EQ(metadata.load->waiting, 1);
-  EXPECT_DOUBLE_EQ(metadata.load->slowness, 2.5);
+  ASSERT_TRUE(metadata.signal.load);
+  EXPECT_EQ(metadata.signal.load->running, 3);
+  EXPECT_EQ(metadata.signal.load->waiting, 1);
+  EXPECT_DOUBLE_EQ(metadata.signal.load->slowness, 2.5);
   EXPECT_EQ(metadata.idle_timeout, 5s);
   header.set("Server-Load", "many");
-  EXPECT_FALSE(HeaderCodec().DecodeResponse("a", 200, header).load);
+  EXPECT_FALSE(HeaderCodec().DecodeResponse("a", 200, header).signal.load);
 }
 
 TEST(HeaderCodecTest, RemovesInternalHeadersFromCallerResponses) {
@@ -215,12 +215,12 @@
   header.set("Server-Load", "1e30,1e30,8,1e30");
   header.set("Keep-Alive", "timeout=1e300");
   const auto metadata = HeaderCodec().DecodeResponse("a1", 200, header);
-  ASSERT_TRUE(metadata.load);
-  EXPECT_GT(metadata.load->running + metadata.load->waiting, 0);
+  ASSERT_TRUE(metadata.signal.load);
+  EXPECT_GT(metadata.signal.load->running + metadata.signal.load->waiting, 0);
   EXPECT_GT(TimePoint{} + 1h + *metadata.idle_timeout, TimePoint{});
   header.set("Server-Load", "nan,1,8");
   header.set("Keep-Alive", "timeout=inf");
-  EXPECT_FALSE(HeaderCodec().DecodeResponse("a1", 200, header).load);
+  EXPECT_FALSE(HeaderCodec().DecodeResponse("a1", 200, header).signal.load);
   EXPECT_FALSE(HeaderCodec().DecodeResponse("a1", 200, header).idle_timeout);
 }
 
--- a/tests/routing/fleet_load_balancer_test.cc
+++ b/tests/routing/fleet_load_balancer_test.cc
@@ -198,7 +198,8 @@
   const UpstreamId affinity_upstream = balancer_.Choose(work, {}, At(0s))->upstream.id;
   balancer_.OnSent(affinity_upstream, work, 2000, At(0s));
   balancer_.OnFirstByte(affinity_upstream, 2000, At(0s));
-  balancer_.OnLoadReport(affinity_upstream, 1, 0, 8, At(0s));
+  const UpstreamSignal slow{.load = UpstreamSignal::Load{.running = 1, .slowness = 8}};
+  balancer_.OnSignal(*balancer_.Find(affinity_upstream), slow, At(0s), At(0s));
   EXPECT_NE(balancer_.Choose(work, {}, At(100ms))->upstream.id, affinity_upstream);
   EXPECT_EQ(balancer_.Choose(work, {}, At(2s))->upstream.id, affinity_upstream);
 }
@@ -269,12 +270,13 @@
 // Guards against a limited upstream that counts as free capacity, or is chosen as a last resort.
 TEST_F(FleetLoadBalancerTest, LimitedUpstreamCountsAsWhatItTakes) {
   const DaemonId self("a");
-  balancer_.rate_limits().SetPeers(
+  balancer_.signals().rate_limits().SetPeers(
       {.self = self, .failure_domain = FailureDomainId("verona"), .live = {self}, .domains = {}});
   AddEngines(2);
   EXPECT_EQ(balancer_.FreeSlots(kModel, At(0s)), 2 * 64);
   for (const UpstreamRecord& record : balancer_.Records()) {
-    balancer_.rate_limits().OnAnswer(FleetLoadBalancer::ProcessKeyOf(record), 1.0, At(0s), At(0s));
+    balancer_.signals().rate_limits().OnAnswer(FleetLoadBalancer::ProcessKeyOf(record), 1.0, At(0s),
+                                               At(0s));
   }
   EXPECT_EQ(balancer_.FreeSlots(kModel, At(0s)), 2);
   EXPECT_DOUBLE_EQ(balancer_.BusyUpstreams(kModel, At(0s)), 2);
@@ -292,7 +294,8 @@
 TEST_F(FleetLoadBalancerTest, LimitEndsWithItsProcess) {
   AddEngines(1);
   UpstreamRecord record = balancer_.Records().front();
-  balancer_.rate_limits().OnAnswer(FleetLoadBalancer::ProcessKeyOf(record), 1.0, At(0s), At(0s));
+  balancer_.signals().rate_limits().OnAnswer(FleetLoadBalancer::ProcessKeyOf(record), 1.0, At(0s),
+                                             At(0s));
   EXPECT_FALSE(balancer_.Choose(Prompt(1, 2), {}, At(0s)));
   ++record.started_ms;
   balancer_.Update(record);
