Send no requests to upstreams that say in an answer that they leave

Cause: a daemon believed the registrations alone. What an upstream says of itself in an answer was not read, although it is newer than any registration and needs no store.

FleetLoadBalancer now keeps the notice with the process that gave it (UpstreamSignals), so that all that ask a record see it: placing, moves, tunnels, versions and the capacity duty. A registration of the same process takes nothing back; another start time or address does not inherit it. Streams move as for a registered notice. Notices travel in the reports, at once when learned and for as long as the registration does not show them; a daemon that relays a tunnel reads the header of the answer itself.

--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -201,6 +201,9 @@
     digest.rate_limits.emplace_back(limit.upstream, limit.rate.value_or(kNoRateLimit),
                                     Milliseconds(limit.age));
   }
+  for (const ReportedNotice& notice : report.notices) {
+    digest.notices.emplace_back(notice.upstream, Milliseconds(notice.age));
+  }
   if (report.feed_update) {
     digest.feed = EncodeFeedUpdate(*report.feed_update, report.feed_update_age);
   }
@@ -270,6 +273,9 @@
           std::clamp(item.rate_per_s(), UpstreamRateLimits::kMinRate, UpstreamRateLimits::kMaxRate);
     }
   }
+  for (const wire::NoticeItem& item : digest.notices) {
+    report.notices.push_back({.upstream = item.upstream(), .age = DecodeAge(item.age_ms())});
+  }
   if (digest.feed) {
     report.feed_update = DecodeFeedUpdate(*digest.feed);
     report.feed_update_age = DecodeAge(digest.feed->age_ms);
--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -69,6 +69,8 @@
   std::vector<CrashRecord> part_crashes;
   // Limits that upstreams name, and those that have ended recently.
   std::vector<ReportedRateLimit> rate_limits;
+  // Upstreams that leave, by their own word.
+  std::vector<ReportedNotice> notices;
   // Registration changes that the sender has read from the store, and time since that read began.
   std::optional<FeedUpdate> feed_update;
   Duration feed_update_age = Duration::zero();
@@ -85,6 +87,9 @@
     for (ReportedRateLimit& limit : rate_limits) {
       limit.age += delay;
     }
+    for (ReportedNotice& notice : notices) {
+      notice.age += delay;
+    }
     for (std::vector<CrashRecord>* records : {&crashes, &path_crashes, &part_crashes}) {
       for (CrashRecord& record : *records) {
         for (UpstreamLoss& loss : record.losses) {
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -453,31 +453,34 @@
       leaving.push_back(change.id);
       continue;
     }
-    if (held == nullptr || held->leaving != change.record->leaving ||
-        held->doubtful != change.record->doubtful ||
-        held->software_version != change.record->software_version) {
+    const std::optional<UpstreamRecord> before =
+        held == nullptr ? std::nullopt : std::optional(*held);
+    const bool is_same_process = before && before->started_ms == change.record->started_ms &&
+                                 before->address == change.record->address;
+    fleet_.load_balancer.Update(*change.record);
+    // An answer may have shown that the upstream leaves.
+    const bool is_leaving = fleet_.load_balancer.Find(change.id)->leaving;
+    if (!before || before->leaving != is_leaving || before->doubtful != change.record->doubtful ||
+        before->software_version != change.record->software_version) {
       kLog.Info("An upstream registered or changed.",
                 {{"upstream", change.id.value()},
                  {"service", change.record->service.value()},
                  {"version", change.record->software_version},
                  {"version_key",
                   fmt::format("{:016x}", SoftwareVersionKey(change.record->software_version))},
-                 {"leaving", change.record->leaving},
+                 {"leaving", is_leaving},
                  {"doubtful", change.record->doubtful},
                  {"reclaimable", change.record->reclaimable}});
     }
-    const bool is_same_process = held != nullptr && held->started_ms == change.record->started_ms &&
-                                 held->address == change.record->address;
     if (!is_same_process) {
       connections_.Drop(change.id);
       fleet_.upstream_paths.Add(change.id, change.record->service);
     }
-    fleet_.load_balancer.Update(*change.record);
     const TimePoint held_until = fleet_.stream_versions.OnUpstream(
         change.id, change.record->service, SoftwareVersionKey(change.record->software_version),
         BootNow());
     fleet_.load_balancer.Hold(change.id, held_until);
-    if (change.record->leaving) {
+    if (is_leaving) {
       fleet_.notices.OnLeaving(change.id, BootNow());
       leaving.push_back(change.id);
     } else {
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -49,26 +49,27 @@
       adapters_(make_adapters(background_, fleet_.metrics)),
       migrator_(fleet_, *adapters_.engines, pool_.context(0)),
       open_attempts_(pool_.context(0)),
-      store_watcher_(fleet_, *adapters_.store, connections_, pool_.context(0), background_,
-                     StoreWatchCallbacks{.on_routes =
-                                             [this](const RouteTable& routes) {
-                                               ApplyRequestLimits(routes.document().bounds);
-                                             },
-                                         .on_upstream_leaving =
-                                             [this](const UpstreamId& id) {
-                                               migrator_.OnUpstreamLeaving(id);
-                                               open_attempts_.OnUpstreamLeaving(id);
-                                             },
-                                         .publish =
-                                             [this](std::optional<FeedUpdate> feed_update) {
-                                               report_transport_.Publish(std::move(feed_update));
-                                             }}),
+      signals_(fleet_, {.on_leaving = [this](const UpstreamId& id) { OnUpstreamLeaving(id); },
+                        .publish = [this] { report_transport_.Publish(std::nullopt); }}),
+      store_watcher_(
+          fleet_, *adapters_.store, connections_, pool_.context(0), background_,
+          StoreWatchCallbacks{
+              .on_routes =
+                  [this](const RouteTable& routes) {
+                    ApplyRequestLimits(routes.document().bounds);
+                  },
+              .on_upstream_leaving = [this](const UpstreamId& id) { OnUpstreamLeaving(id); },
+              .publish =
+                  [this](std::optional<FeedUpdate> feed_update) {
+                    report_transport_.Publish(std::move(feed_update));
+                  }}),
       crash_records_(fleet_, *adapters_.store, pool_.context(0)),
       stream_snapshots_(fleet_, pool_.context(0)),
       report_transport_(
           fleet_, *adapters_.store,
           [this](const FleetReport& report) {
             store_watcher_.OnReport(report);
+            signals_.OnReport(report);
             if (!report.crashes.empty() || !report.path_crashes.empty() ||
                 !report.part_crashes.empty()) {
               crash_records_.OnRegistryChanged();
@@ -78,7 +79,7 @@
       duty_runner_(fleet_, *adapters_.store, *adapters_.duties),
       capacity_controller_(fleet_, *adapters_.store, *adapters_.duties, duty_runner_),
       connector_(fleet_, connections_),
-      tunnels_(fleet_, open_attempts_),
+      tunnels_(fleet_, *adapters_.codec, open_attempts_, signals_),
       relay_(fleet_, *adapters_.codec, connector_, connections_, migrator_, open_attempts_,
              signals_, [this] { crash_records_.OnRegistryChanged(); }),
       callers_(pool_, CallerLimits(fleet_.settings),
@@ -90,6 +91,11 @@
 
 Gateway::~Gateway() { Stop(); }
 
+void Gateway::OnUpstreamLeaving(const UpstreamId& upstream) {
+  migrator_.OnUpstreamLeaving(upstream);
+  open_attempts_.OnUpstreamLeaving(upstream);
+}
+
 Result<void> Gateway::Start() {
   const GatewaySettings& settings = fleet_.settings;
   // Reports are UDP datagrams and requests of peers are TCP connections to the same port, unless
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -73,6 +73,8 @@
  private:
   // Applies the operators' request limits to the callers' listener.
   void ApplyRequestLimits(const RequestLimits& request_limits);
+  // Moves streams away from the upstream and withdraws requests that have not reached it.
+  void OnUpstreamLeaving(const UpstreamId& upstream);
   // Responds to a request of another daemon.
   boost::asio::awaitable<void> HandlePeerRequest(HttpExchange& exchange);
   boost::asio::awaitable<void> HandleReadiness(HttpExchange& exchange);
@@ -89,6 +91,7 @@
   UpstreamConnectionPool connections_;
   StreamMigrator migrator_;
   OpenAttempts open_attempts_;
+  UpstreamSignalRecorder signals_;
   FleetStoreWatcher store_watcher_;
   CrashRecordStore crash_records_;
   StreamSnapshotExchange stream_snapshots_;
@@ -97,7 +100,6 @@
   CapacityController capacity_controller_;
   UpstreamConnector connector_;
   PeerTunnels tunnels_;
-  UpstreamSignalRecorder signals_{fleet_};
   CallRelay relay_;
   HttpServer callers_;
   HttpServer readiness_;
--- a/packages/gateway/peer_tunnels.cc
+++ b/packages/gateway/peer_tunnels.cc
@@ -8,6 +8,7 @@
 #include "core/scoped_count.h"
 #include "logging/logger.h"
 #include "net/http_client.h"
+#include "net/response_header_reader.h"
 #include "net/tunnel.h"
 
 namespace savoryglade::gateway {
@@ -48,7 +49,7 @@
     co_await exchange.Respond(status, {}, {});
     co_return;
   }
-  const ServiceId service = record->service;
+  const UpstreamRecord target = *record;
   const ScopedCount tunnel(open_tunnels_);
   // A daemon that drains waits for the requests that it relays.
   const ScopedCount request(fleet_.active_requests);
@@ -64,7 +65,7 @@
     kLog.Info("An upstream does not accept the connection that a peer asked for.",
               {{"upstream", id.value()}, {"error", connected.error().message}});
     // The upstream is not to blame if this daemon reaches none of its service.
-    const bool lost = fleet_.upstream_paths.IsServiceLost(service, BootNow());
+    const bool lost = fleet_.upstream_paths.IsServiceLost(target.service, BootNow());
     co_await exchange.Respond(lost ? 503 : 502, {}, {});
     co_return;
   }
@@ -72,7 +73,16 @@
   HttpConnection& upstream = **connected;
   const OpenAttempts::Registration registration(open_attempts_, id, upstream);
   if (co_await exchange.Respond(200, {}, {})) {
-    co_await RelayBytes(exchange.stream(), upstream.stream(), LifetimeOf(exchange));
+    ResponseHeaderReader reader;
+    const TimePoint opened_at = BootNow();
+    // Only the daemon that sends the request knows its id.
+    const auto read_header = [&](std::string_view bytes) {
+      if (reader.Append(bytes)) {
+        signals_.OnAnswer(target, {}, codec_.DecodeResponse({}, reader.status(), reader.header()),
+                          opened_at);
+      }
+    };
+    co_await RelayBytes(exchange.stream(), upstream.stream(), LifetimeOf(exchange), read_header);
   }
 }
 
--- a/packages/gateway/peer_tunnels.h
+++ b/packages/gateway/peer_tunnels.h
@@ -3,8 +3,10 @@
 #include <boost/asio/awaitable.hpp>
 #include <string_view>
 
+#include "gateway/adapter.h"
 #include "gateway/fleet_state.h"
 #include "gateway/open_attempts.h"
+#include "gateway/upstream_signal_recorder.h"
 #include "net/http_server.h"
 
 namespace savoryglade::gateway {
@@ -13,10 +15,12 @@
 // request takes more than one hop. Not thread-safe.
 class PeerTunnels {
  public:
-  PeerTunnels(FleetState& fleet, const OpenAttempts& open_attempts)
-      : fleet_(fleet), open_attempts_(open_attempts) {}
+  PeerTunnels(FleetState& fleet, const MessageCodec& codec, const OpenAttempts& open_attempts,
+              UpstreamSignalRecorder& signals)
+      : fleet_(fleet), codec_(codec), open_attempts_(open_attempts), signals_(signals) {}
 
   // Connects to the upstream that a CONNECT request names and relays bytes until one side ends.
+  // Reads from the header of the answer what the upstream says of itself.
   // Responds with 404 if the upstream is unknown or leaves, with 503 if this daemon does not relay
   // to it now, and with 502 if the upstream does not accept the connection.
   boost::asio::awaitable<void> HandleRequest(HttpExchange& exchange);
@@ -26,7 +30,9 @@
   unsigned RejectionStatus(const UpstreamRecord* upstream, std::string_view target) const;
 
   FleetState& fleet_;
+  const MessageCodec& codec_;
   const OpenAttempts& open_attempts_;
+  UpstreamSignalRecorder& signals_;
   int open_tunnels_ = 0;
 };
 
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -16,6 +16,7 @@
 constexpr capacity::WindowNumber kReportedPastWindows = 2;
 constexpr std::size_t kMaxReportedCrashes = 48;
 constexpr std::size_t kMaxReportedRateLimits = 256;
+constexpr std::size_t kMaxReportedNotices = 256;
 // Streams in one report, at 8 bytes each.
 constexpr std::size_t kMaxReportedStreams = 512;
 
@@ -109,8 +110,9 @@
       .crashes = fleet_.crash_registry.SelectForReport(kMaxReportedCrashes, now),
       .path_crashes = fleet_.path_crash_registry.SelectForReport(kMaxReportedCrashes, now),
       .part_crashes = fleet_.part_crash_registry.SelectForReport(kMaxReportedCrashes, now),
-      .rate_limits = fleet_.load_balancer.signals().rate_limits().SelectForReport(
-          kMaxReportedRateLimits, now)};
+      .rate_limits =
+          fleet_.load_balancer.signals().rate_limits().SelectForReport(kMaxReportedRateLimits, now),
+      .notices = fleet_.load_balancer.SelectNoticesForReport(kMaxReportedNotices, now)};
   if (fleet_.holds_duties) {
     report.holder_age = Duration::zero();
     report.holder_announcement = {.incarnation = fleet_.incarnation, .time = report.time_of_day};
--- a/packages/gateway/upstream_signal_recorder.cc
+++ b/packages/gateway/upstream_signal_recorder.cc
@@ -50,6 +50,9 @@
     CountChange("leaving");
     kLog.Info("An upstream says that it leaves.",
               {{"upstream", upstream.id.value()}, {"process", process}, {"request", request}});
+    fleet_.notices.OnLeaving(upstream.id, BootNow());
+    callbacks_.on_leaving(upstream.id);
+    callbacks_.publish();
   }
   if (changes.wait) {
     CountChange("wait");
@@ -69,6 +72,24 @@
   }
 }
 
+void UpstreamSignalRecorder::OnReport(const FleetReport& report) {
+  const TimePoint now = BootNow();
+  for (const ReportedNotice& notice : report.notices) {
+    const std::optional<UpstreamId> upstream = fleet_.load_balancer.OnReportedNotice(notice, now);
+    if (!upstream) {
+      continue;
+    }
+    CountChange("leaving");
+    kLog.Info("A peer reported that an upstream leaves.",
+              {{"upstream", upstream->value()},
+               {"process", fmt::format("{:016x}", notice.upstream)},
+               {"daemon", report.sender.id.value()},
+               {"age_ms", notice.age / 1ms}});
+    fleet_.notices.OnLeaving(*upstream, now);
+    callbacks_.on_leaving(*upstream);
+  }
+}
+
 void UpstreamSignalRecorder::OnSend(const UpstreamRecord& upstream, const std::string& request) {
   const UpstreamSignals& signals = fleet_.load_balancer.signals();
   const std::uint64_t process = FleetLoadBalancer::ProcessKeyOf(upstream);
--- a/packages/net/tunnel.cc
+++ b/packages/net/tunnel.cc
@@ -25,7 +25,7 @@
 // Copies bytes until the source ends. Returns true if it ended in order and the target has taken
 // all bytes. With a monitor, the bytes of a source that has disconnected are not copied.
 asio::awaitable<bool> CopyBytes(beast::tcp_stream& from, beast::tcp_stream& to,
-                                PeerDisconnectMonitor* source) {
+                                PeerDisconnectMonitor* source, const RelayObserver& observer) {
   std::array<char, kRelayChunkBytes> chunk;
   while (true) {
     const auto [read_error, size] = co_await from.async_read_some(asio::buffer(chunk), kAwait);
@@ -35,6 +35,9 @@
     if (source != nullptr && source->Check()) {
       co_return false;
     }
+    if (observer) {
+      observer({chunk.data(), size});
+    }
     const auto [write_error, written] =
         co_await asio::async_write(to, asio::buffer(chunk.data(), size), kAwait);
     if (write_error) {
@@ -83,7 +86,7 @@
 }
 
 asio::awaitable<void> RelayBytes(beast::tcp_stream& caller, beast::tcp_stream& target,
-                                 Duration lifetime) {
+                                 Duration lifetime, RelayObserver observer) {
   SetResetOnClose(caller, true);
   SetResetOnClose(target, true);
   caller.expires_after(lifetime);
@@ -92,8 +95,9 @@
   // A write to a target that does not read would otherwise go on without its caller.
   caller_monitor.OnDisconnect([&target] { target.close(); });
   using asio::experimental::awaitable_operators::operator||;
-  const auto ended =
-      co_await (CopyBytes(caller, target, &caller_monitor) || CopyBytes(target, caller, nullptr));
+  const RelayObserver not_observed;
+  const auto ended = co_await (CopyBytes(caller, target, &caller_monitor, not_observed) ||
+                               CopyBytes(target, caller, nullptr, observer));
   const bool target_ended = ended.index() == 1 && std::get<1>(ended);
   if (target_ended) {
     SetResetOnClose(caller, false);
--- a/packages/net/tunnel.h
+++ b/packages/net/tunnel.h
@@ -2,8 +2,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "core/time.h"
 #include "net/endpoint.h"
@@ -31,11 +33,15 @@
 inline constexpr const char* kTunnelTargetHeader = "Savoryglade-Upstream";
 inline constexpr const char* kTunnelLifetimeHeader = "Savoryglade-Lifetime-Ms";
 
+// Receives bytes of the target before they are passed on to the caller.
+using RelayObserver = std::function<void(std::string_view)>;
+
 // Relays bytes in both directions until one side ends or the lifetime is over. An orderly end of
 // the target is passed on after all bytes; any other end resets the other side, so that a response
 // that ends with its connection does not look complete. Once the caller has disconnected, nothing
 // more is passed on to the target.
 boost::asio::awaitable<void> RelayBytes(boost::beast::tcp_stream& caller,
-                                        boost::beast::tcp_stream& target, Duration lifetime);
+                                        boost::beast::tcp_stream& target, Duration lifetime,
+                                        RelayObserver observer = {});
 
 }  // namespace savoryglade
--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 
 #include "core/prefix_hash.h"
 #include "routing/software_version.h"
@@ -53,6 +54,7 @@
 void FleetLoadBalancer::RemoveFromIndexes(const Entry& entry) {
   std::erase(by_service_[entry.record.service], &entry);
   by_key_.erase(entry.key);
+  by_process_.erase(entry.process);
 }
 
 void FleetLoadBalancer::Update(const UpstreamRecord& record) {
@@ -78,6 +80,9 @@
     }
   }
   by_key_[entry.key] = &entry;
+  by_process_[entry.process] = &entry;
+  entry.registered_as_leaving = record.leaving;
+  entry.record.leaving = record.leaving || signals_.IsLeaving(entry.process);
   std::vector<Entry*>& service_entries = by_service_[record.service];
   service_entries.insert(
       std::ranges::upper_bound(service_entries, record.id, {},
@@ -526,7 +531,39 @@
     constexpr double kMaxSlowness = 10;
     entry.slowness = std::clamp(signal.load->slowness, kMinSlowness, kMaxSlowness);
   }
-  return signals_.OnAnswer(process, signal, sent_at, now);
+  const UpstreamSignalChanges changes = signals_.OnAnswer(process, signal, sent_at, now);
+  if (const auto entry = by_process_.find(process); entry != by_process_.end()) {
+    entry->second->record.leaving |= changes.leaving;
+  }
+  return changes;
+}
+
+std::optional<UpstreamId> FleetLoadBalancer::OnReportedNotice(const ReportedNotice& reported,
+                                                              TimePoint now) {
+  if (!signals_.OnReport(reported, now)) {
+    return std::nullopt;
+  }
+  const auto found = by_process_.find(reported.upstream);
+  if (found == by_process_.end()) {
+    return std::nullopt;
+  }
+  found->second->record.leaving = true;
+  return found->second->record.id;
+}
+
+std::vector<ReportedNotice> FleetLoadBalancer::SelectNoticesForReport(std::size_t limit,
+                                                                      TimePoint now) const {
+  std::vector<ReportedNotice> selected = signals_.Notices(now);
+  std::erase_if(selected, [this](const ReportedNotice& notice) {
+    const auto found = by_process_.find(notice.upstream);
+    return found == by_process_.end() || found->second->registered_as_leaving;
+  });
+  const std::size_t count = std::min(limit, selected.size());
+  std::ranges::partial_sort(
+      selected, selected.begin() + static_cast<std::ptrdiff_t>(count), {},
+      [](const ReportedNotice& notice) { return std::tuple(notice.age, notice.upstream); });
+  selected.resize(count);
+  return selected;
 }
 
 }  // namespace savoryglade
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -178,7 +178,8 @@
   // Sets the maximum age of load reports from peers.
   void SetReportLifetime(Duration lifetime) { options_.report_lifetime = lifetime; }
 
-  // Adds or updates an upstream. A changed start time or address discards its learned state.
+  // Adds or updates an upstream. A changed start time or address discards its learned state. An
+  // upstream that has said that it leaves stays one, whatever the record says.
   void Update(const UpstreamRecord& record);
   void Remove(const UpstreamId& id);
   // Prevents an upstream from being chosen before this instant.
@@ -251,6 +252,11 @@
   // The record is that of the process that the request was sent to.
   UpstreamSignalChanges OnSignal(const UpstreamRecord& upstream, const UpstreamSignal& signal,
                                  TimePoint sent_at, TimePoint now);
+  // Merges a notice that a peer reports. Returns the upstream if it is registered and the notice
+  // was not known.
+  std::optional<UpstreamId> OnReportedNotice(const ReportedNotice& reported, TimePoint now);
+  // Returns the notices of registered upstreams whose registrations do not show them.
+  std::vector<ReportedNotice> SelectNoticesForReport(std::size_t limit, TimePoint now) const;
 
  private:
   // Sum of the load reports for one upstream.
@@ -266,6 +272,8 @@
     std::uint64_t key = 0;
     std::uint64_t process = 0;
     std::uint64_t version = 0;
+    // Whether the registration shows that the upstream leaves.
+    bool registered_as_leaving = false;
     // Model of the service; owned by the balancer.
     PromptTimeModel* prompt_time = nullptr;
     UpstreamLoad own;
@@ -332,6 +340,7 @@
   UpstreamSignals signals_;
   std::map<UpstreamId, Entry> entries_;
   std::unordered_map<std::uint64_t, Entry*> by_key_;
+  std::unordered_map<std::uint64_t, Entry*> by_process_;
   // Sorted by upstream id.
   std::map<ServiceId, std::vector<Entry*>> by_service_;
   std::map<ReportSource, Report> reports_;
