Send no requests to upstreams that want none for a while

Cause: the rejection was taken for "full", which ends after 300 ms, and Retry-After was not read.

Until the end the upstream is not chosen, gets nothing that was chosen before, and a daemon that relays an answer is bound as well. When all upstreams of a service want none, a request is rejected at once unless it can wait in time, and its Retry-After is not before the first end. An upstream that waits still counts as capacity, and as busy.

--- a/packages/gateway/admission_gate.cc
+++ b/packages/gateway/admission_gate.cc
@@ -49,6 +49,13 @@
   }
 }
 
+bool AdmissionGate::WaitsAreTooLong(const Call& call, TimePoint now) const {
+  const std::optional<TimePoint> wait_end =
+      fleet_.load_balancer.NextWaitEnd(call.metadata.work, now);
+  return wait_end &&
+         *wait_end > std::min(call.received + call.route->latency_objective, call.deadline);
+}
+
 AdmissionGate::Result AdmissionGate::Refuse(Call& call, const AdmissionRequest& request,
                                             const ServiceLoad& load, Duration retry_after) {
   call.rejection_detail =
@@ -86,7 +93,7 @@
   }
   waiters_[request.ticket] = WaiterState::kWaiting;
   while (waiters_[request.ticket] == WaiterState::kWaiting && !call.caller.Check() &&
-         !fleet_.drain.interrupted()) {
+         !fleet_.drain.interrupted() && !WaitsAreTooLong(call, BootNow())) {
     co_await Sleep(kCheckInterval);
     Update(work, BootNow());
   }
--- a/packages/gateway/admission_gate.h
+++ b/packages/gateway/admission_gate.h
@@ -37,6 +37,10 @@
   // stops. The placement is that of an upstream that accepts the call, or nothing if none does.
   boost::asio::awaitable<Result> Admit(Call& call, std::optional<Placement> placement);
 
+  // Returns true if no upstream wants requests before the call would be late, so that it should not
+  // wait.
+  bool WaitsAreTooLong(const Call& call, TimePoint now) const;
+
  private:
   enum class WaiterState : std::uint8_t { kWaiting, kReleased, kExpired };
 
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -36,6 +36,9 @@
 // Short, because another daemon can answer as soon as the caller reconnects.
 constexpr Duration kDrainingRetryAfter = 100ms;
 
+// Smallest factor on the retry delay that callers are told; see RetryJitterFactor.
+constexpr double kMinRetryJitter = 0.75;
+
 const Logger kLog("gateway");
 
 unsigned HttpStatusOf(const Verdict& verdict) {
@@ -58,9 +61,9 @@
 // Returns a factor for the retry delay, so that callers rejected together do not retry together.
 double RetryJitterFactor(const std::string& attempt_id) {
   constexpr std::uint64_t kSteps = 64;
-  constexpr double kMinFactor = 0.75;
-  constexpr double kFactorRange = 0.5;
-  return kMinFactor + kFactorRange * static_cast<double>(Fnv1aHash(attempt_id) % kSteps) / kSteps;
+  constexpr double kJitterRange = 0.5;
+  return kMinRetryJitter +
+         kJitterRange * static_cast<double>(Fnv1aHash(attempt_id) % kSteps) / kSteps;
 }
 
 }  // namespace
@@ -189,6 +192,13 @@
 
 Verdict CallRelay::NoUpstreamVerdict(const Call& call, TimePoint now) const {
   const std::optional<std::uint64_t> required = call.metadata.work.required_version;
+  if (const std::optional<TimePoint> wait_end =
+          fleet_.load_balancer.NextWaitEnd(call.metadata.work, now)) {
+    // Divided, so that no caller is told to return before the end.
+    return Verdict{.run_state = call.run_state,
+                   .reason = Reason::kQueueFull,
+                   .retry_after = FromSeconds(ToSeconds(*wait_end - now) / kMinRetryJitter)};
+  }
   Reason reason = Reason::kQueueFull;
   if (required && !fleet_.load_balancer.HasVersion(call.service, *required)) {
     reason = Reason::kStreamVersionUnavailable;
@@ -221,6 +231,9 @@
     return false;
   }
   if (!has_placement) {
+    if (admission_.WaitsAreTooLong(call, now)) {
+      return false;
+    }
     return NoUpstreamVerdict(call, now).reason == Reason::kQueueFull;
   }
   return !call.is_admitted;
@@ -380,6 +393,12 @@
     attempt.end = AttemptEnd::kCancelled;
     co_return RelayOutcome::kNotRun;
   }
+  if (fleet_.load_balancer.signals().WaitEnd(
+          FleetLoadBalancer::ProcessKeyOf(attempt.placement.upstream), BootNow())) {
+    attempt.failure = "The upstream wants no requests since it was chosen.";
+    attempt.end = AttemptEnd::kCancelled;
+    co_return RelayOutcome::kNotRun;
+  }
   if (const UpstreamRecord* const record = fleet_.load_balancer.Find(attempt.placement.upstream.id);
       record != nullptr) {
     // The upstream may have started again since it was chosen.
--- a/packages/gateway/peer_tunnels.cc
+++ b/packages/gateway/peer_tunnels.cc
@@ -37,7 +37,9 @@
     return 404;
   }
   const bool relays = !fleet_.drain.has_begun() && open_tunnels_ < kMaxTunnels &&
-                      fleet_.upstream_paths.IsDirect(upstream->id, BootNow());
+                      fleet_.upstream_paths.IsDirect(upstream->id, BootNow()) &&
+                      !fleet_.load_balancer.signals().WaitEnd(
+                          FleetLoadBalancer::ProcessKeyOf(*upstream), BootNow());
   return relays ? 0 : 503;
 }
 
--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -338,6 +338,27 @@
                    .expected = std::max(by_reports, learned)};
 }
 
+std::optional<TimePoint> FleetLoadBalancer::NextWaitEnd(const WorkEstimate& work,
+                                                        TimePoint now) const {
+  const auto found = by_service_.find(work.service);
+  if (found == by_service_.end()) {
+    return std::nullopt;
+  }
+  std::optional<TimePoint> next;
+  for (const Entry* entry : found->second) {
+    if (entry->record.leaving ||
+        (work.required_version && entry->version != *work.required_version)) {
+      continue;
+    }
+    const std::optional<TimePoint> end = signals_.WaitEnd(entry->process, now);
+    if (!end) {
+      return std::nullopt;
+    }
+    next = std::min(next.value_or(*end), *end);
+  }
+  return next;
+}
+
 bool FleetLoadBalancer::HasVersion(const ServiceId& service, std::uint64_t version) const {
   const auto found = by_service_.find(service);
   return found != by_service_.end() &&
@@ -375,7 +396,9 @@
   ExpireReports(now);
   double busy = 0;
   for (const Entry* entry : by_service_[service]) {
-    busy += signals_.rate_limits().RateOf(entry->process)
+    const bool is_restricted =
+        signals_.rate_limits().RateOf(entry->process) || signals_.WaitEnd(entry->process, now);
+    busy += is_restricted
                 ? 1
                 : static_cast<double>(FleetLoad(*entry, now).running) / entry->record.slots;
   }
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -195,6 +195,10 @@
   // Returns true if Choose finds an upstream for such a request.
   bool HasPlace(const WorkEstimate& work, TimePoint now);
 
+  // Returns the first instant at which an upstream of the service wants requests again, if all that
+  // do not leave and have the required version want none for a while.
+  std::optional<TimePoint> NextWaitEnd(const WorkEstimate& work, TimePoint now) const;
+
   // Returns true if an upstream of the service that does not leave has this version.
   bool HasVersion(const ServiceId& service, std::uint64_t version) const;
   // Returns the version of all upstreams of the service, those that leave included, or nothing if
@@ -214,8 +218,8 @@
   // that is sent now.
   Duration PredictFirstEvent(const ServiceId& service, double uncached_tokens, TimePoint now);
 
-  // Returns the load of the service as a number of fully occupied upstreams. One with a rate limit
-  // takes no more than it gets, so it counts as fully occupied.
+  // Returns the load of the service as a number of fully occupied upstreams. One that names a rate
+  // limit or wants no requests takes no more than it gets, so it counts as fully occupied.
   double BusyUpstreams(const ServiceId& service, TimePoint now);
 
   // Returns the number of requests that can be admitted until all upstreams of the service, or all
--- a/packages/routing/upstream_signals.cc
+++ b/packages/routing/upstream_signals.cc
@@ -86,7 +86,8 @@
 
 bool UpstreamSignals::MaySend(std::uint64_t upstream, const FailureDomainId& domain,
                               TimePoint now) const {
-  return !IsLeaving(upstream) && rate_limits_.MaySend(upstream, domain, now);
+  return !IsLeaving(upstream) && !IsWaiting(upstream, now) &&
+         rate_limits_.MaySend(upstream, domain, now);
 }
 
 void UpstreamSignals::OnSent(std::uint64_t upstream, TimePoint now) {
