Keep brittle upstreams from rejecting too many requests

An upstream may name in its answers the number of rejections in a second that it survives (Server-Brittle). Nothing read it, as nothing read the notice and the wait of upstreams: each daemon filled plain upstreams to twice their slots by load reports that are up to seconds old.

UpstreamSignals keeps the number with the process. Such an upstream gets no more than its slots, daemons that know no load spread over the upstreams, and one that has rejected a request of a daemon gets none of it for 0.5 s. Rejections travel in the reports, the first at once.

--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -204,6 +204,9 @@
   for (const ReportedNotice& notice : report.notices) {
     digest.notices.emplace_back(notice.upstream, Milliseconds(notice.age));
   }
+  for (const ReportedNotice& rejection : report.rejections) {
+    digest.rejections.emplace_back(rejection.upstream, Milliseconds(rejection.age));
+  }
   if (report.feed_update) {
     digest.feed = EncodeFeedUpdate(*report.feed_update, report.feed_update_age);
   }
@@ -276,6 +279,9 @@
   for (const wire::NoticeItem& item : digest.notices) {
     report.notices.push_back({.upstream = item.upstream(), .age = DecodeAge(item.age_ms())});
   }
+  for (const wire::NoticeItem& item : digest.rejections) {
+    report.rejections.push_back({.upstream = item.upstream(), .age = DecodeAge(item.age_ms())});
+  }
   if (digest.feed) {
     report.feed_update = DecodeFeedUpdate(*digest.feed);
     report.feed_update_age = DecodeAge(digest.feed->age_ms);
--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -71,6 +71,8 @@
   std::vector<ReportedRateLimit> rate_limits;
   // Upstreams that leave, by their own word.
   std::vector<ReportedNotice> notices;
+  // Upstreams that have rejected a request, and crash if they reject too many.
+  std::vector<ReportedNotice> rejections;
   // Registration changes that the sender has read from the store, and time since that read began.
   std::optional<FeedUpdate> feed_update;
   Duration feed_update_age = Duration::zero();
@@ -87,8 +89,10 @@
     for (ReportedRateLimit& limit : rate_limits) {
       limit.age += delay;
     }
-    for (ReportedNotice& notice : notices) {
-      notice.age += delay;
+    for (std::vector<ReportedNotice>* reported : {&notices, &rejections}) {
+      for (ReportedNotice& notice : *reported) {
+        notice.age += delay;
+      }
     }
     for (std::vector<CrashRecord>* records : {&crashes, &path_crashes, &part_crashes}) {
       for (CrashRecord& record : *records) {
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -112,7 +112,8 @@
       .part_crashes = fleet_.part_crash_registry.SelectForReport(kMaxReportedCrashes, now),
       .rate_limits =
           fleet_.load_balancer.signals().rate_limits().SelectForReport(kMaxReportedRateLimits, now),
-      .notices = fleet_.load_balancer.SelectNoticesForReport(kMaxReportedNotices, now)};
+      .notices = fleet_.load_balancer.SelectNoticesForReport(kMaxReportedNotices, now),
+      .rejections = fleet_.load_balancer.signals().SelectRejectionsForReport(now)};
   if (fleet_.holds_duties) {
     report.holder_age = Duration::zero();
     report.holder_announcement = {.incarnation = fleet_.incarnation, .time = report.time_of_day};
--- a/packages/gateway/upstream_signal_recorder.cc
+++ b/packages/gateway/upstream_signal_recorder.cc
@@ -21,6 +21,7 @@
   }
   if (response.owner != ResponseOwner::kThisAttempt) {
     signal.rate_limit.reset();
+    signal.rejection_limit.reset();
     signal.is_complete = false;
   }
   return signal;
@@ -44,22 +45,38 @@
                   {"headers", response.invalid_signals}});
   }
   const UpstreamSignal signal = CurrentSignal(response);
+  const TimePoint now = BootNow();
   const UpstreamSignalChanges changes =
-      fleet_.load_balancer.OnSignal(upstream, signal, sent_at, BootNow());
+      fleet_.load_balancer.OnSignal(upstream, signal, sent_at, now);
   if (changes.leaving) {
     CountChange("leaving");
     kLog.Info("An upstream says that it leaves.",
               {{"upstream", upstream.id.value()}, {"process", process}, {"request", request}});
-    fleet_.notices.OnLeaving(upstream.id, BootNow());
+    fleet_.notices.OnLeaving(upstream.id, now);
     callbacks_.on_leaving(upstream.id);
     callbacks_.publish();
   }
   if (changes.wait) {
     CountChange("wait");
+    const TimePoint end = fleet_.load_balancer.signals()
+                              .WaitEnd(FleetLoadBalancer::ProcessKeyOf(upstream), now)
+                              .value_or(now);
     kLog.Info("An upstream wants no requests for a while.", {{"upstream", upstream.id.value()},
                                                              {"process", process},
                                                              {"request", request},
-                                                             {"ms", *signal.wait / 1ms}});
+                                                             {"ms", (end - now) / 1ms}});
+  }
+  if (changes.rejection) {
+    callbacks_.publish();
+  }
+  if (changes.rejection_limit) {
+    CountChange("rejection_limit");
+    kLog.Info(signal.rejection_limit ? "An upstream names a limit of rejections."
+                                     : "An upstream no longer names a limit of rejections.",
+              {{"upstream", upstream.id.value()},
+               {"process", process},
+               {"request", request},
+               {"rejections_per_s", signal.rejection_limit.value_or(0)}});
   }
   if (changes.rate_limit) {
     CountChange("rate_limit");
@@ -74,6 +91,9 @@
 
 void UpstreamSignalRecorder::OnReport(const FleetReport& report) {
   const TimePoint now = BootNow();
+  for (const ReportedNotice& rejection : report.rejections) {
+    fleet_.load_balancer.OnReportedRejection(rejection, now);
+  }
   for (const ReportedNotice& notice : report.notices) {
     const std::optional<UpstreamId> upstream = fleet_.load_balancer.OnReportedNotice(notice, now);
     if (!upstream) {
--- a/packages/gateway/upstream_signal_recorder.h
+++ b/packages/gateway/upstream_signal_recorder.h
@@ -35,7 +35,7 @@
   // record is that of the process that the connection leads to.
   void OnAnswer(const UpstreamRecord& upstream, const std::string& request,
                 const ResponseMetadata& response, TimePoint sent_at);
-  // Merges the notices in a peer's report.
+  // Merges the notices and rejections in a peer's report.
   void OnReport(const FleetReport& report);
   // Logs and counts a request that is sent to an upstream although it wants none.
   void OnSend(const UpstreamRecord& upstream, const std::string& request);
--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -21,6 +21,10 @@
 constexpr double kPromptTimeoutFactor = 3;
 // Factor on the learned time of an empty prompt before an upstream counts as silent.
 constexpr double kSharedDelayTimeoutFactor = 2;
+// Fraction of the slots of a service with brittle upstreams from which the daemons share them, and
+// the time for which they go on when it is less.
+constexpr double kBusySlotUse = 0.6;
+constexpr Duration kBusyTime = 1s;
 
 std::uint64_t RendezvousHash(std::uint64_t upstream, std::uint64_t key) {
   std::uint64_t hash = upstream ^ (key * 0x9E3779B97F4A7C15ULL);
@@ -29,6 +33,12 @@
   return hash ^ (hash >> 31);
 }
 
+// Returns a number in [0, 1) that differs between daemons.
+double UnitHash(std::uint64_t upstream, std::uint64_t daemon) {
+  constexpr int kBits = 53;
+  return static_cast<double>(RendezvousHash(upstream, daemon) >> (64 - kBits)) * 0x1.0p-53;
+}
+
 // Returns the id of the last part that other requests share; the last part of the prompt belongs to
 // one session.
 std::uint64_t AffinityKey(const WorkEstimate& work) {
@@ -55,6 +65,7 @@
   std::erase(by_service_[entry.record.service], &entry);
   by_key_.erase(entry.key);
   by_process_.erase(entry.process);
+  slots_[entry.record.service] -= entry.record.slots;
 }
 
 void FleetLoadBalancer::Update(const UpstreamRecord& record) {
@@ -81,6 +92,7 @@
   }
   by_key_[entry.key] = &entry;
   by_process_[entry.process] = &entry;
+  slots_[record.service] += record.slots;
   entry.registered_as_leaving = record.leaving;
   entry.record.leaving = record.leaving || signals_.IsLeaving(entry.process);
   std::vector<Entry*>& service_entries = by_service_[record.service];
@@ -154,25 +166,6 @@
   return records;
 }
 
-void FleetLoadBalancer::AddReport(const Report& report, int sign) {
-  for (const ReportedLoad& reported_load : report.loads) {
-    const auto found = by_key_.find(reported_load.upstream);
-    if (found != by_key_.end()) {
-      found->second->reported.Add(reported_load.load, sign);
-    }
-  }
-}
-
-void FleetLoadBalancer::ExpireReports(TimePoint now) {
-  std::erase_if(reports_, [&](const auto& entry) {
-    if (now - entry.second.received <= options_.report_lifetime) {
-      return false;
-    }
-    AddReport(entry.second, -1);
-    return true;
-  });
-}
-
 UpstreamLoad FleetLoadBalancer::FleetLoad(const Entry& entry, TimePoint now) const {
   UpstreamLoad sum{.running = entry.own.running + entry.reported.running,
                    .waiting_tokens = entry.own.waiting_tokens + entry.reported.waiting_tokens,
@@ -211,8 +204,46 @@
   return now - entry.reported_at <= options_.slowness_lifetime ? entry.slowness : 1;
 }
 
-int FleetLoadBalancer::CapacityOf(const Entry& entry, const WorkEstimate& work) const {
-  return entry.record.slots * (work.IsGeneration() ? 1 : options_.plain_requests_per_slot);
+void FleetLoadBalancer::ShareSlotsUntil(const ServiceId& service, TimePoint end) {
+  TimePoint& cautious_until = cautious_until_[service];
+  cautious_until = std::max(cautious_until, end);
+}
+
+void FleetLoadBalancer::ShareSlotsIfBusy(const ServiceId& service, TimePoint now) {
+  if (!signals_.has_brittle()) {
+    return;
+  }
+  const std::vector<Entry*>& entries = by_service_[service];
+  const bool is_brittle = std::ranges::any_of(
+      entries, [this](const Entry* entry) { return signals_.IsBrittle(entry->process); });
+  if (is_brittle && MeanLoadOf(entries).slot_use > kBusySlotUse) {
+    ShareSlotsUntil(service, now + kBusyTime);
+  }
+}
+
+bool FleetLoadBalancer::HasBrittlePlace(const Entry& entry, const UpstreamLoad& load,
+                                        TimePoint now) const {
+  if (load.running >= entry.record.slots) {
+    return false;
+  }
+  const auto cautious_until = cautious_until_.find(entry.record.service);
+  if (cautious_until == cautious_until_.end() || now > cautious_until->second) {
+    return true;
+  }
+  // If there are fewer slots than daemons, those without one could not serve at all.
+  const bool can_share = slots_.at(entry.record.service) >= daemons_;
+  const int share =
+      can_share ? signals_.rate_limits().ShareOf(entry.process, entry.record.slots) : 1;
+  return entry.own.running < share;
+}
+
+bool FleetLoadBalancer::HasPlace(const Entry& entry, const WorkEstimate& work,
+                                 const UpstreamLoad& load, TimePoint now) const {
+  if (signals_.IsBrittle(entry.process)) {
+    return HasBrittlePlace(entry, load, now);
+  }
+  const int requests_per_slot = work.IsGeneration() ? 1 : options_.plain_requests_per_slot;
+  return load.running < entry.record.slots * requests_per_slot;
 }
 
 double FleetLoadBalancer::Score(const Entry& entry, const WorkEstimate& work,
@@ -220,16 +251,22 @@
   const double one_way_latency =
       entry.record.failure_domain == options_.local_domain ? 0 : options_.remote_latency_s;
   const double suspect_penalty = load.suspect || entry.failures > 0 ? kSuspectPenaltySeconds : 0;
+  // Daemons that know no more than that all upstreams are idle would choose the same one.
+  constexpr double kMaxSpread = 0.3;
+  const double spread =
+      signals_.IsBrittle(entry.process) ? kMaxSpread * UnitHash(entry.key, options_.seed) : 0;
   if (!work.IsGeneration()) {
     const double slot_utilisation =
         static_cast<double>(load.running) / static_cast<double>(std::max(entry.record.slots, 1));
-    return slot_utilisation * CurrentSlowness(entry, now) + one_way_latency + suspect_penalty;
+    return slot_utilisation * CurrentSlowness(entry, now) + one_way_latency + suspect_penalty +
+           spread;
   }
   const double queue = load.waiting_tokens / options_.prompt_tokens_per_s;
   const double prompt_time = uncached / options_.prompt_tokens_per_s * kUncachedPromptWeight;
   return (queue + prompt_time + load.running * options_.cost_per_running_request_s) *
              CurrentSlowness(entry, now) +
-         one_way_latency + suspect_penalty;
+         one_way_latency + suspect_penalty +
+         spread * options_.cost_per_running_request_s * entry.record.slots;
 }
 
 std::vector<const FleetLoadBalancer::Entry*> FleetLoadBalancer::SelectCandidates(
@@ -260,7 +297,7 @@
   Choice best;
   for (const Entry* entry : candidates) {
     const UpstreamLoad load = FleetLoad(*entry, now);
-    if (load.running >= CapacityOf(*entry, work)) {
+    if (!HasPlace(*entry, work, load, now)) {
       continue;
     }
     const double uncached = UncachedTokens(*entry, work, entry == affinity_upstream);
@@ -275,6 +312,7 @@
 std::vector<const FleetLoadBalancer::Entry*> FleetLoadBalancer::UsableEntries(
     const WorkEstimate& work, const std::vector<UpstreamId>& excluded, TimePoint now) {
   ExpireReports(now);
+  ShareSlotsIfBusy(work.service, now);
   std::vector<const Entry*> usable;
   std::vector<const Entry*> fallback;
   for (const Entry* entry : by_service_[work.service]) {
@@ -299,7 +337,7 @@
 bool FleetLoadBalancer::HasPlace(const WorkEstimate& work, TimePoint now) {
   const std::vector<const Entry*> usable = UsableEntries(work, {}, now);
   return std::ranges::any_of(usable, [&](const Entry* entry) {
-    return FleetLoad(*entry, now).running < CapacityOf(*entry, work);
+    return HasPlace(*entry, work, FleetLoad(*entry, now), now);
   });
 }
 
@@ -490,103 +528,4 @@
   }
 }
 
-void FleetLoadBalancer::OnReport(const ReportSource& source, std::vector<ReportedLoad> loads,
-                                 TimePoint now) {
-  Report& report = reports_[source];
-  AddReport(report, -1);
-  report = {.received = now, .loads = std::move(loads)};
-  AddReport(report, 1);
-}
-
-void FleetLoadBalancer::DiscardReports(ReportScope scope) {
-  std::erase_if(reports_, [&](const auto& entry) {
-    if (entry.first.scope != scope) {
-      return false;
-    }
-    AddReport(entry.second, -1);
-    return true;
-  });
-}
-
-std::vector<ReportedLoad> FleetLoadBalancer::AggregateLoad(ReportScope scope, TimePoint now) {
-  ExpireReports(now);
-  std::map<std::uint64_t, UpstreamLoad> sums;
-  if (scope != ReportScope::kBeyond) {
-    for (const auto& [id, entry] : entries_) {
-      UpstreamLoad load = entry.own;
-      load.suspect = (now < entry.paused_until && !entry.path_lost) || IsSilent(entry, now);
-      if (load != UpstreamLoad{}) {
-        sums.emplace(entry.key, load);
-      }
-    }
-  }
-  if (scope != ReportScope::kDaemon) {
-    for (const auto& [source, report] : reports_) {
-      if (source.scope != ComponentScope(scope)) {
-        continue;
-      }
-      for (const ReportedLoad& reported_load : report.loads) {
-        UpstreamLoad& sum = sums[reported_load.upstream];
-        sum.running += reported_load.load.running;
-        sum.waiting_tokens += reported_load.load.waiting_tokens;
-        sum.suspect = sum.suspect || reported_load.load.suspect;
-      }
-    }
-  }
-  std::vector<ReportedLoad> loads;
-  loads.reserve(sums.size());
-  for (const auto& [upstream, load] : sums) {
-    loads.push_back({.upstream = upstream, .load = load});
-  }
-  return loads;
-}
-
-UpstreamSignalChanges FleetLoadBalancer::OnSignal(const UpstreamRecord& upstream,
-                                                  const UpstreamSignal& signal, TimePoint sent_at,
-                                                  TimePoint now) {
-  const std::uint64_t process = ProcessKeyOf(upstream);
-  const auto found = entries_.find(upstream.id);
-  if (signal.load && found != entries_.end() && found->second.process == process) {
-    Entry& entry = found->second;
-    entry.reported_running = signal.load->running + signal.load->waiting;
-    entry.reported_at = now;
-    constexpr double kMinSlowness = 0.5;
-    constexpr double kMaxSlowness = 10;
-    entry.slowness = std::clamp(signal.load->slowness, kMinSlowness, kMaxSlowness);
-  }
-  const UpstreamSignalChanges changes = signals_.OnAnswer(process, signal, sent_at, now);
-  if (const auto entry = by_process_.find(process); entry != by_process_.end()) {
-    entry->second->record.leaving |= changes.leaving;
-  }
-  return changes;
-}
-
-std::optional<UpstreamId> FleetLoadBalancer::OnReportedNotice(const ReportedNotice& reported,
-                                                              TimePoint now) {
-  if (!signals_.OnReport(reported, now)) {
-    return std::nullopt;
-  }
-  const auto found = by_process_.find(reported.upstream);
-  if (found == by_process_.end()) {
-    return std::nullopt;
-  }
-  found->second->record.leaving = true;
-  return found->second->record.id;
-}
-
-std::vector<ReportedNotice> FleetLoadBalancer::SelectNoticesForReport(std::size_t limit,
-                                                                      TimePoint now) const {
-  std::vector<ReportedNotice> selected = signals_.Notices(now);
-  std::erase_if(selected, [this](const ReportedNotice& notice) {
-    const auto found = by_process_.find(notice.upstream);
-    return found == by_process_.end() || found->second->registered_as_leaving;
-  });
-  const std::size_t count = std::min(limit, selected.size());
-  std::ranges::partial_sort(
-      selected, selected.begin() + static_cast<std::ptrdiff_t>(count), {},
-      [](const ReportedNotice& notice) { return std::tuple(notice.age, notice.upstream); });
-  selected.resize(count);
-  return selected;
-}
-
 }  // namespace savoryglade
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -175,6 +175,9 @@
   // Sets the number of upstreams that are compared for each choice; see the options.
   void SetRandomCandidates(int candidates) { options_.random_candidates = candidates; }
 
+  // Sets the number of daemons that send requests to the upstreams.
+  void SetDaemonCount(int daemons) { daemons_ = daemons; }
+
   // Sets the maximum age of load reports from peers.
   void SetReportLifetime(Duration lifetime) { options_.report_lifetime = lifetime; }
 
@@ -259,6 +262,8 @@
   // Merges a notice that a peer reports. Returns the upstream if it is registered and the notice
   // was not known.
   std::optional<UpstreamId> OnReportedNotice(const ReportedNotice& reported, TimePoint now);
+  // Merges a rejection by a brittle upstream that a peer reports.
+  void OnReportedRejection(const ReportedNotice& reported, TimePoint now);
   // Returns the notices of registered upstreams whose registrations do not show them.
   std::vector<ReportedNotice> SelectNoticesForReport(std::size_t limit, TimePoint now) const;
 
@@ -314,8 +319,19 @@
   bool MaySend(const Entry& entry, TimePoint now) const {
     return signals_.MaySend(entry.process, entry.record.failure_domain, now);
   }
-  // Returns the number of requests that an upstream accepts at the same time.
-  int CapacityOf(const Entry& entry, const WorkEstimate& work) const;
+  // Returns true if the upstream has a place for the work beside its load.
+  bool HasPlace(const Entry& entry, const WorkEstimate& work, const UpstreamLoad& load,
+                TimePoint now) const;
+  // Prolongs the sharing of the service's slots until this instant.
+  void ShareSlotsUntil(const ServiceId& service, TimePoint end);
+  // Lets the daemons share the slots of the upstream's service if it has rejected a request.
+  void OnLastRejection(std::uint64_t process);
+  // Lets the daemons share the slots of a busy service with brittle upstreams.
+  void ShareSlotsIfBusy(const ServiceId& service, TimePoint now);
+  // Returns true if a brittle upstream, which crashes if it rejects too many requests, has a place.
+  // While the service is busy, and for a while after a rejection, all daemons together send its
+  // upstreams no more than they have places for.
+  bool HasBrittlePlace(const Entry& entry, const UpstreamLoad& load, TimePoint now) const;
   double UncachedTokens(const Entry& entry, const WorkEstimate& work, bool affinity_upstream) const;
   double Score(const Entry& entry, const WorkEstimate& work, const UpstreamLoad& load,
                double uncached, TimePoint now) const;
@@ -347,6 +363,11 @@
   std::unordered_map<std::uint64_t, Entry*> by_process_;
   // Sorted by upstream id.
   std::map<ServiceId, std::vector<Entry*>> by_service_;
+  // Sums of the slots of the upstreams, and the number of daemons that share them.
+  std::map<ServiceId, int> slots_;
+  int daemons_ = 1;
+  // Times until which the daemons share the slots of services with brittle upstreams.
+  std::map<ServiceId, TimePoint> cautious_until_;
   std::map<ReportSource, Report> reports_;
   std::map<ServiceId, PromptTimeModel> prompt_times_;
 };
--- a/packages/routing/upstream_rate_limits.cc
+++ b/packages/routing/upstream_rate_limits.cc
@@ -129,6 +129,22 @@
   last_sent_[upstream] = now;
 }
 
+int UpstreamRateLimits::ShareOf(std::uint64_t upstream, int places) const {
+  // Returns the part of the one that comes after `rank` others of `count`.
+  const auto part = [](int whole, std::size_t rank, std::size_t count) {
+    const auto parts = static_cast<int>(std::max<std::size_t>(count, 1));
+    return whole / parts + (static_cast<int>(rank) < whole % parts ? 1 : 0);
+  };
+  const std::uint64_t own_order = OrderOf(upstream, peers_.failure_domain.value());
+  const auto domain_rank = static_cast<std::size_t>(
+      std::ranges::count_if(peers_.domains, [&](const FailureDomainId& domain) {
+        return OrderOf(upstream, domain.value()) < own_order;
+      }));
+  const int domain_places = part(places, domain_rank, peers_.domains.size());
+  const std::optional<std::size_t> rank = RankFor(upstream);
+  return rank ? part(domain_places, *rank, peers_.live.size()) : 0;
+}
+
 std::optional<double> UpstreamRateLimits::RateOf(std::uint64_t upstream) const {
   const auto found = limits_.find(upstream);
   return found == limits_.end() ? std::nullopt : found->second.rate;
--- a/packages/routing/upstream_rate_limits.h
+++ b/packages/routing/upstream_rate_limits.h
@@ -75,6 +75,10 @@
   // Records that this daemon sends a request to the upstream.
   void OnSent(std::uint64_t upstream, TimePoint now);
 
+  // Returns this daemon's part of a number of places at the upstream that all daemons divide among
+  // themselves: evenly over the failure domains, and over the daemons of each.
+  int ShareOf(std::uint64_t upstream, int places) const;
+
   // Returns the limit of the upstream in requests per second, if it names one.
   std::optional<double> RateOf(std::uint64_t upstream) const;
 
--- a/packages/routing/upstream_signals.cc
+++ b/packages/routing/upstream_signals.cc
@@ -7,6 +7,8 @@
 
 // Processes whose waits or notices are kept.
 constexpr std::size_t kMaxProcesses = 8192;
+// Time after a rejection in which peers know of it, so that the next one tells them nothing new.
+constexpr Duration kMinPublishInterval = 250ms;
 
 }  // namespace
 
@@ -41,6 +43,11 @@
   }
   if (signal.wait) {
     changes.wait = OnWait(upstream, *signal.wait, now);
+  } else if (signal.rejects && signal.rejection_limit) {
+    changes.wait = OnWait(upstream, kBrittlePause, now);
+    const std::optional<TimePoint> last = LastRejection(upstream);
+    changes.rejection = !last || now - *last > kMinPublishInterval;
+    OnReportedRejection({.upstream = upstream, .age = Duration::zero()}, now);
   } else if (const auto found = waits_.find(upstream);
              found != waits_.end() && sent_at >= found->second.end) {
     if (signal.rejects) {
@@ -49,6 +56,7 @@
       waits_.erase(found);
     }
   }
+  changes.rejection_limit = OnRejectionLimit(upstream, signal, sent_at, now);
   // An upstream that rejects a request may do so without a word on its limit.
   if (signal.rate_limit || signal.is_complete) {
     changes.rate_limit = rate_limits_.OnAnswer(upstream, signal.rate_limit, sent_at, now);
@@ -56,6 +64,50 @@
   return changes;
 }
 
+bool UpstreamSignals::OnRejectionLimit(std::uint64_t upstream, const UpstreamSignal& signal,
+                                       TimePoint sent_at, TimePoint now) {
+  const auto found = rejection_limits_.find(upstream);
+  if (signal.rejection_limit) {
+    if (rejection_limits_.size() >= kMaxProcesses) {
+      std::erase_if(rejection_limits_,
+                    [now](const auto& limit) { return now - limit.second.seen_at > 60s; });
+    }
+    const bool changed =
+        found == rejection_limits_.end() || found->second.per_s != *signal.rejection_limit;
+    rejection_limits_[upstream] = {.per_s = *signal.rejection_limit, .seen_at = now};
+    return changed;
+  }
+  if (!signal.is_complete || found == rejection_limits_.end() || sent_at <= found->second.seen_at) {
+    return false;
+  }
+  rejection_limits_.erase(found);
+  return true;
+}
+
+std::optional<TimePoint> UpstreamSignals::LastRejection(std::uint64_t upstream) const {
+  const auto found = rejected_at_.find(upstream);
+  return found == rejected_at_.end() ? std::nullopt : std::optional(found->second);
+}
+
+void UpstreamSignals::OnReportedRejection(const ReportedNotice& reported, TimePoint now) {
+  if (rejected_at_.size() >= kMaxProcesses) {
+    std::erase_if(rejected_at_,
+                  [now](const auto& entry) { return now - entry.second > kRejectionLifetime; });
+  }
+  TimePoint& rejected_at = rejected_at_[reported.upstream];
+  rejected_at = std::max(rejected_at, now - reported.age);
+}
+
+std::vector<ReportedNotice> UpstreamSignals::SelectRejectionsForReport(TimePoint now) const {
+  std::vector<ReportedNotice> rejections;
+  for (const auto& [upstream, rejected_at] : rejected_at_) {
+    if (now - rejected_at <= kRejectionLifetime) {
+      rejections.push_back({.upstream = upstream, .age = now - rejected_at});
+    }
+  }
+  return rejections;
+}
+
 bool UpstreamSignals::OnReport(const ReportedNotice& reported, TimePoint now) {
   return reported.age <= kNoticeLifetime && OnNotice(reported.upstream, now - reported.age, now);
 }
--- a/packages/routing/upstream_signals.h
+++ b/packages/routing/upstream_signals.h
@@ -30,7 +30,10 @@
   std::optional<Duration> wait;
   // Requests per second that the upstream takes from all daemons together, if it names a limit.
   std::optional<double> rate_limit;
-  // False if a missing rate limit does not show that the upstream names none.
+  // Requests that the upstream can reject in a second for lack of room, summed over all daemons,
+  // before it crashes, if it names such a number.
+  std::optional<double> rejection_limit;
+  // False if a missing limit does not show that the upstream names none.
   bool is_complete = true;
   // True if the answer rejects the request without having run it.
   bool rejects = false;
@@ -44,6 +47,9 @@
   bool leaving = false;
   bool wait = false;
   bool rate_limit = false;
+  bool rejection_limit = false;
+  // True for a rejection by a brittle upstream that peers should know of at once.
+  bool rejection = false;
 
   friend auto operator<=>(const UpstreamSignalChanges&, const UpstreamSignalChanges&) = default;
 };
@@ -68,6 +74,10 @@
   static constexpr Duration kMaxWait = 24h;
   // Time without an answer to the first request after a wait until another one is sent.
   static constexpr Duration kProbeTimeout = 1s;
+  // Time for which a brittle upstream gets no requests of a daemon that it has rejected.
+  static constexpr Duration kBrittlePause = 500ms;
+  // Time for which a rejection by a brittle upstream is reported to peers.
+  static constexpr Duration kRejectionLifetime = 1s;
   // Time for which a notice is remembered. An upstream ends much sooner.
   static constexpr Duration kNoticeLifetime = 3600s;
 
@@ -79,6 +89,17 @@
   // Returns the notices that are known.
   std::vector<ReportedNotice> Notices(TimePoint now) const;
 
+  // Returns true if some process has named a number of rejections after which it crashes.
+  bool has_brittle() const { return !rejection_limits_.empty(); }
+  // Returns true if this process has.
+  bool IsBrittle(std::uint64_t upstream) const { return rejection_limits_.contains(upstream); }
+  // Returns the last time at which the process has rejected a request of some daemon, if it is
+  // brittle and this daemon knows of one.
+  std::optional<TimePoint> LastRejection(std::uint64_t upstream) const;
+  // Merges a rejection by a brittle process that a peer reports.
+  void OnReportedRejection(const ReportedNotice& reported, TimePoint now);
+  // Returns the recent rejections by brittle processes, for a report to peers.
+  std::vector<ReportedNotice> SelectRejectionsForReport(TimePoint now) const;
   // Returns true if the process has said that it leaves.
   bool IsLeaving(std::uint64_t upstream) const { return notices_.contains(upstream); }
   // Returns the end of the time in which the process wants no requests, if it has not passed.
@@ -100,8 +121,15 @@
     std::optional<TimePoint> probe_sent_at;
   };
 
+  struct RejectionLimit {
+    double per_s = 0;
+    TimePoint seen_at{};
+  };
+
   bool IsWaiting(std::uint64_t upstream, TimePoint now) const;
   bool OnWait(std::uint64_t upstream, Duration wait, TimePoint now);
+  bool OnRejectionLimit(std::uint64_t upstream, const UpstreamSignal& signal, TimePoint sent_at,
+                        TimePoint now);
   bool OnNotice(std::uint64_t upstream, TimePoint learned_at, TimePoint now);
 
   // Times at which the notices were learned.
@@ -109,6 +137,9 @@
   // Entries are removed by the first answer after the wait that does not reject the request.
   std::unordered_map<std::uint64_t, Wait> waits_;
   UpstreamRateLimits rate_limits_;
+  std::unordered_map<std::uint64_t, RejectionLimit> rejection_limits_;
+  // Times of the last rejections by brittle processes that this daemon knows of.
+  std::unordered_map<std::uint64_t, TimePoint> rejected_at_;
 };
 
 }  // namespace savoryglade
