Play and judge what upstreams say of themselves in the soak

Upstreams now do both at drawn moments, beside stops, kills, freezes, cuts and outages of the store; their registrations stay ready meanwhile. The judge counts requests that callers sent later than the drain time after a daemon had passed on a notice (DRAIN), and requests of one daemon to an upstream that wanted none (BUDGET, two allowed). Unit tests cover the forms of the headers, what peers hear, and the parts of places.

--- a/tests/gateway/digest_codec_test.cc
+++ b/tests/gateway/digest_codec_test.cc
@@ -77,6 +77,26 @@
   EXPECT_DOUBLE_EQ(local->work.Total(kModel), 2.5);
 }
 
+// Guards against notices and rejections that peers do not hear of, or take for newer than they are.
+TEST(DigestCodecTest, RoundTripsWhatUpstreamsSayOfThemselves) {
+  const auto local = MakeFleet("here");
+  const auto remote = MakeFleet("there");
+  const UpstreamRecord engine = *remote->load_balancer.Find(kEngine);
+  const std::uint64_t process = FleetLoadBalancer::ProcessKeyOf(engine);
+  remote->load_balancer.OnSignal(engine, {.leaving = true}, At(0s), At(400ms));
+  remote->load_balancer.OnSignal(engine, {.rejection_limit = 4, .rejects = true}, At(0s),
+                                 At(900ms));
+  const Result<FleetReport> report =
+      SendReport(*remote, *local, ReportScope::kDaemon, true, At(1s));
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->notices, (std::vector<ReportedNotice>{{.upstream = process, .age = 600ms}}));
+  EXPECT_EQ(report->rejections, (std::vector<ReportedNotice>{{.upstream = process, .age = 100ms}}));
+  UpstreamRecord registered = engine;
+  registered.leaving = true;
+  remote->load_balancer.Update(registered);
+  EXPECT_TRUE(SendReport(*remote, *local, ReportScope::kDaemon, true, At(1s))->notices.empty());
+}
+
 TEST(DigestCodecTest, RoundTripsRegistrationChanges) {
   FleetReport report{.sender = {.id = DaemonId("there")}};
   const UpstreamRecord record{.id = kEngine,
--- a/tests/platform/header_codec_test.cc
+++ b/tests/platform/header_codec_test.cc
@@ -4,7 +4,9 @@
 
 #include <boost/beast/http.hpp>
 #include <iterator>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "core/random.h"
 
@@ -153,6 +155,74 @@
   }
 }
 
+// Guards against a notice that is not read, or that is read from what says something else.
+TEST(HeaderCodecTest, DecodesTheNoticeOfAnUpstream) {
+  const HeaderCodec codec;
+  for (const unsigned status : {200U, 500U, 503U, 421U}) {
+    http::fields header;
+    EXPECT_FALSE(codec.DecodeResponse("a1", status, header).signal.leaving);
+    header.insert("Server-Leaving", " 1 ");
+    // Another process answers 421 and speaks of itself.
+    EXPECT_EQ(codec.DecodeResponse("a1", status, header).signal.leaving, status != 421) << status;
+    EXPECT_TRUE(codec.CallerResponseHeaders(header).empty());
+  }
+  for (const char* malformed : {"", "yes", "2", "-1", "1;now"}) {
+    http::fields header;
+    header.insert("Server-Leaving", malformed);
+    const gateway::ResponseMetadata decoded = codec.DecodeResponse("a1", 200, header);
+    EXPECT_FALSE(decoded.signal.leaving) << malformed;
+    EXPECT_EQ(decoded.invalid_signals, "Server-Leaving=\"" + std::string(malformed) + '"');
+  }
+  http::fields header;
+  header.insert("Server-Leaving", "0");
+  EXPECT_EQ(codec.DecodeResponse("a1", 200, header).invalid_signals, "");
+}
+
+// Guards against waits that are misread, overflow, or are taken from answers of another kind.
+TEST(HeaderCodecTest, DecodesTheWaitOfARejection) {
+  const HeaderCodec codec;
+  const std::pair<const char*, std::optional<Duration>> cases[] = {
+      {"4", 4s},
+      {"0.25", 250ms},
+      {" 0 ", 0s},
+      {"1000000000", UpstreamSignals::kMaxWait},
+      {"Sun, 06 Dec 2026 08:00:30 GMT", 30s},
+      {"Sun, 06 Dec 2026 07:00:00 GMT", 0s},
+      {"Fri, 31 Dec 9999 23:59:59 GMT", UpstreamSignals::kMaxWait},
+      {"", std::nullopt},
+      {"-1", std::nullopt},
+      {"nan", std::nullopt},
+      {"soon", std::nullopt},
+      {"4 s", std::nullopt}};
+  for (const auto& [text, wait] : cases) {
+    http::fields header;
+    header.insert("Date", "Sun, 06 Dec 2026 08:00:00 GMT");
+    header.insert("Retry-After", text);
+    const gateway::ResponseMetadata decoded = codec.DecodeResponse("a1", 503, header);
+    EXPECT_EQ(decoded.signal.wait, wait) << text;
+    EXPECT_EQ(decoded.invalid_signals.empty(), wait.has_value()) << text;
+    EXPECT_EQ(codec.DecodeResponse("a1", 200, header).signal.wait, std::nullopt);
+  }
+  http::fields header;
+  header.insert("Retry-After", "Sun, 06 Dec 2026 08:00:30 GMT");
+  EXPECT_EQ(codec.DecodeResponse("a1", 503, header).signal.wait, std::nullopt);
+  header.insert("Retry-After", "2");
+  header.insert("Retry-After", "7");
+  EXPECT_EQ(codec.DecodeResponse("a1", 503, header).signal.wait, 7s);
+}
+
+TEST(HeaderCodecTest, DecodesTheLowestLimitOfRejections) {
+  const HeaderCodec codec;
+  http::fields header;
+  header.insert("Server-Brittle", "6");
+  header.insert("Server-Brittle", "4");
+  header.insert("Server-Brittle", "many");
+  const gateway::ResponseMetadata decoded = codec.DecodeResponse("a1", 200, header);
+  EXPECT_EQ(decoded.signal.rejection_limit, 4);
+  EXPECT_EQ(decoded.invalid_signals, "Server-Brittle=\"many\"");
+  EXPECT_TRUE(codec.CallerResponseHeaders(header).empty());
+}
+
 TEST(HeaderCodecTest, DecodesLoadAndIdleTimeout) {
   http::fields header;
   header.set("Server-Load", "3, 1,8,250");
--- a/tests/routing/fleet_load_balancer_test.cc
+++ b/tests/routing/fleet_load_balancer_test.cc
@@ -302,6 +302,55 @@
   EXPECT_TRUE(balancer_.Choose(Prompt(1, 2), {}, At(0s)));
 }
 
+// Guards against an upstream that leaves and counts as free, as of its version, or as sound again
+// because of a registration of the same process.
+TEST_F(FleetLoadBalancerTest, UpstreamThatSaysThatItLeavesGetsNoWork) {
+  AddEngines(1);
+  const UpstreamRecord record = balancer_.Records().front();
+  EXPECT_TRUE(balancer_.OnSignal(record, {.leaving = true}, At(0s), At(0s)).leaving);
+  EXPECT_TRUE(balancer_.Find(record.id)->leaving);
+  balancer_.Update(record);
+  EXPECT_FALSE(balancer_.Choose(Prompt(1, 2), {}, At(1s)));
+  EXPECT_EQ(balancer_.FreeSlots(kModel, At(1s)), 0);
+  EXPECT_FALSE(balancer_.HasVersion(kModel, SoftwareVersionKey(record.software_version)));
+  balancer_.Remove(record.id);
+  balancer_.Update(record);
+  EXPECT_FALSE(balancer_.Choose(Prompt(1, 2), {}, At(1s)));
+  UpstreamRecord next = record;
+  next.started_ms += 1;
+  balancer_.Update(next);
+  EXPECT_TRUE(balancer_.Choose(Prompt(1, 2), {}, At(1s)));
+}
+
+// Guards against a process that is bound by its predecessor where no start time tells them apart.
+TEST_F(FleetLoadBalancerTest, AnotherAddressIsAnotherProcess) {
+  AddEngines(1);
+  UpstreamRecord record = balancer_.Records().front();
+  record.started_ms = 0;
+  balancer_.Update(record);
+  balancer_.OnSignal(record, {.leaving = true}, At(0s), At(0s));
+  record.address = "10.9.9.9:1";
+  balancer_.Update(record);
+  EXPECT_TRUE(balancer_.Choose(Prompt(1, 2), {}, At(1s)));
+}
+
+// Guards against callers that are told to return too early or too late, and against an upstream
+// that wants nothing for a while and counts as free or as lost capacity.
+TEST_F(FleetLoadBalancerTest, ServiceWaitsForTheFirstUpstreamThatWantsRequests) {
+  AddEngines(2);
+  const std::vector<UpstreamRecord> records = balancer_.Records();
+  EXPECT_FALSE(balancer_.NextWaitEnd(Prompt(1, 2), At(0s)));
+  balancer_.OnSignal(records[0], {.wait = 4s, .rejects = true}, At(0s), At(0s));
+  EXPECT_FALSE(balancer_.NextWaitEnd(Prompt(1, 2), At(0s)));
+  balancer_.OnSignal(records[1], {.wait = 2s, .rejects = true}, At(0s), At(1s));
+  EXPECT_EQ(balancer_.NextWaitEnd(Prompt(1, 2), At(1s)), At(3s));
+  EXPECT_FALSE(balancer_.Choose(Prompt(1, 2), {}, At(2s)));
+  EXPECT_EQ(balancer_.FreeSlots(kModel, At(2s)), 0);
+  EXPECT_DOUBLE_EQ(balancer_.BusyUpstreams(kModel, At(2s)), 2);
+  EXPECT_FALSE(balancer_.NextWaitEnd(Prompt(1, 2), At(3s)));
+  EXPECT_TRUE(balancer_.Choose(Prompt(1, 2), {}, At(3s)));
+}
+
 // Guards against loaded engines that all count as silent, so that the few others get everything.
 TEST_F(FleetLoadBalancerTest, EnginesThatAreAsSlowAsTheOthersAreNotSilent) {
   AddEngines(2);
--- a/tests/routing/upstream_rate_limits_test.cc
+++ b/tests/routing/upstream_rate_limits_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <deque>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -240,5 +241,35 @@
   EXPECT_EQ(limits.RateOf(kUpstream), std::nullopt);
 }
 
+// Guards against daemons that together use more, or less, than all places of an upstream.
+TEST(UpstreamRateLimitsTest, SharesOfPlacesAddUpToAllOfThem) {
+  for (const std::size_t domains : {1U, 3U}) {
+    for (const std::size_t members : {1U, 4U, 9U}) {
+      std::set<FailureDomainId> names;
+      for (std::size_t domain = 0; domain < domains; ++domain) {
+        names.insert(FailureDomainId("domain-" + std::to_string(domain)));
+      }
+      for (const int places : {1, 6, 64}) {
+        int sum = 0;
+        for (const FailureDomainId& domain : names) {
+          std::vector<DaemonId> live;
+          for (std::size_t i = 0; i < members; ++i) {
+            live.emplace_back(domain.value() + NameOf(i));
+          }
+          for (const DaemonId& self : live) {
+            UpstreamRateLimits limits;
+            limits.SetPeers({.self = self,
+                             .failure_domain = domain,
+                             .live = live,
+                             .domains = domains > 1 ? names : std::set<FailureDomainId>()});
+            sum += limits.ShareOf(kUpstream, places);
+          }
+        }
+        EXPECT_EQ(sum, places) << domains << ' ' << members;
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace savoryglade
--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -28,8 +28,6 @@
 // Longest time until a caller that gives up early leaves.
 constexpr Duration kMaxPatience = 600ms;
 
-TimePoint Now() { return std::chrono::steady_clock::now(); }
-
 std::string HeaderOf(const http::fields& fields, const char* name) {
   return std::string(fields[name]);
 }
--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -12,8 +12,6 @@
 // Time before and after a violation that its timeline covers.
 constexpr Duration kTimelineSpan = 12s;
 
-TimePoint Now() { return std::chrono::steady_clock::now(); }
-
 std::string Describe(const AttemptRecord& attempt) {
   return fmt::format(
       "{} {} at daemon {} ({} connection): status {}, {}, events {} to {}{}{}", attempt.id,
@@ -53,6 +51,12 @@
   arrivals_[upstream];
 }
 
+void History::AddWish(const std::string& upstream, const std::string& attempt,
+                      std::optional<TimePoint> wait_end) {
+  const std::lock_guard lock(mutex_);
+  wishes_[upstream].push_back({.at = Now(), .attempt = attempt, .wait_end = wait_end});
+}
+
 void History::AddArrival(const std::string& upstream, const std::string& attempt) {
   const std::lock_guard lock(mutex_);
   arrivals_[upstream].push_back({.at = Now(), .attempt = attempt});
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -15,6 +16,9 @@
 
 namespace savoryglade::soak {
 
+// Returns the present on the clock of the play.
+inline TimePoint Now() { return std::chrono::steady_clock::now(); }
+
 // Kind of call that the callers make. Must match the routes of the play.
 struct CallType {
   std::string_view prefix;
@@ -103,6 +107,15 @@
   std::optional<double> rate;
 };
 
+// Answer in which an upstream said that it leaves, or that it wants no requests of the daemon for a
+// while.
+struct NamedWish {
+  TimePoint at{};
+  std::string attempt;
+  // End of the wait; nothing if the upstream leaves.
+  std::optional<TimePoint> wait_end;
+};
+
 // Request that reached an upstream.
 struct Arrival {
   TimePoint at{};
@@ -137,6 +150,10 @@
   // Records that all connections of an upstream broke.
   void AddBreak(const std::string& upstream);
   void AddRateLimit(const std::string& upstream, std::optional<double> rate);
+  // Records an answer to an attempt in which the upstream says that it leaves, or until when it
+  // wants no requests.
+  void AddWish(const std::string& upstream, const std::string& attempt,
+               std::optional<TimePoint> wait_end);
   // Records that a request reached an upstream, whether it runs or not.
   void AddArrival(const std::string& upstream, const std::string& attempt);
   // Records that an upstream began to run a request, and returns the number of the run.
@@ -152,6 +169,8 @@
   const std::map<std::string, std::vector<NamedRateLimit>>& rate_limits() const {
     return rate_limits_;
   }
+  // Wishes of each upstream that named one, in order of time.
+  const std::map<std::string, std::vector<NamedWish>>& wishes() const { return wishes_; }
   // Returns the requests that reached an upstream, in order of time.
   const std::vector<Arrival>& ArrivalsAt(const std::string& upstream) const {
     return arrivals_.at(upstream);
@@ -174,6 +193,7 @@
   std::vector<Violation> violations_;
   std::map<std::string, std::vector<RunRecord>> runs_;
   std::map<std::string, std::vector<NamedRateLimit>> rate_limits_;
+  std::map<std::string, std::vector<NamedWish>> wishes_;
   std::map<std::string, std::vector<Arrival>> arrivals_;
   std::map<std::string, std::vector<TimePoint>> breaks_;
   // Number of upstreams that serve from a time on, by version.
@@ -187,6 +207,8 @@
   // Time after its last byte within which a request may cross the daemon's close of a connection.
   Duration loss_slack = 200ms;
   Duration grace;
+  // Time after an upstream's notice in which it may still get requests.
+  Duration upstream_drain;
 };
 
 // Returns the promises that the history shows to be broken, including those seen during the play.
--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -21,13 +21,13 @@
 constexpr Duration kTick = 5ms;
 constexpr Duration kReadyTimeout = 30s;
 constexpr Duration kLastCallsTimeout = 10s;
-constexpr Duration kUpstreamDrain = 1s;
 // Keep the other faults of a seed as they were before plays had crashing requests and limits.
 constexpr std::uint64_t kCrashSeedOffset = 1'000'000;
 constexpr std::uint64_t kLimitSeedOffset = 2'000'000;
 constexpr std::uint64_t kPartitionSeedOffset = 3'000'000;
 constexpr std::uint64_t kRouteSeedOffset = 4'000'000;
 constexpr std::uint64_t kGiveUpSeedOffset = 5'000'000;
+constexpr std::uint64_t kWishSeedOffset = 6'000'000;
 // Rate of a daemon's link to the store. The added routes take 3 s on it.
 constexpr double kStoreLinkBytesPerSecond = 200'000;
 constexpr const char* kApiKey = "drivers-key";
@@ -52,8 +52,6 @@
 {"name":"visitors","api_keys":["visitors-key"],"rate_per_s":15,"burst":10}]})";
 }
 
-TimePoint Now() { return std::chrono::steady_clock::now(); }
-
 // Returns a loopback address that no other soak on this machine uses at the same time.
 std::string DaemonAddress(std::size_t daemon) {
   constexpr int kNumbers = 250;
@@ -75,6 +73,7 @@
       partition_random_(options_.seed + kPartitionSeedOffset),
       route_random_(options_.seed + kRouteSeedOffset),
       give_up_random_(options_.seed + kGiveUpSeedOffset),
+      wish_random_(options_.seed + kWishSeedOffset),
       grace_(random_.Bernoulli(0.7) ? 8s : 5s),
       service_time_(random_.Bernoulli(0.5) ? 60ms : 300ms),
       event_interval_(random_.Bernoulli(0.5) ? 10ms : 150ms),
@@ -119,7 +118,7 @@
   StartDaemons();
   if (!RunUntil(Now() + kReadyTimeout, [this] { return balancer_->AllReady(); })) {
     history_.AddViolation("READY", "The daemons were not ready in time.");
-    return CheckPromises(history_, {.grace = grace_});
+    return CheckPromises(history_, {.grace = grace_, .upstream_drain = kUpstreamDrain});
   }
   begin_ = Now();
   StartCallers();
@@ -138,6 +137,7 @@
   }
   if (limit_random_.Bernoulli(0.6)) {
     PlanRateLimits();
+    PlanWishes();
   }
   if (partition_random_.Bernoulli(0.5)) {
     PlanPartitions();
@@ -164,7 +164,7 @@
   for (const auto& upstream : upstreams_) {
     upstream->Break();
   }
-  return CheckPromises(history_, {.grace = grace_});
+  return CheckPromises(history_, {.grace = grace_, .upstream_drain = kUpstreamDrain});
 }
 
 void Play::StartServices() {
--- a/tests/soak/play.h
+++ b/tests/soak/play.h
@@ -23,6 +23,9 @@
 
 namespace savoryglade::soak {
 
+// Time after an upstream's notice for which it still serves.
+inline constexpr Duration kUpstreamDrain = 1s;
+
 struct PlayOptions {
   std::string daemon_program;
   // Directory of the settings files and logs; created by the play.
@@ -78,6 +81,8 @@
   void PlanRouteGrowth();
   // Lets upstreams name rate limits for a while.
   void PlanRateLimits();
+  // Lets upstreams say in their answers that they leave, or want no requests for a while.
+  void PlanWishes();
   // Callers that send a request which crashes the upstreams that run it.
   void StartCrashingCallers();
   void ReplaceCrashedUpstreams();
@@ -107,6 +112,7 @@
   Random partition_random_;
   Random route_random_;
   Random give_up_random_;
+  Random wish_random_;
   Duration grace_;
   // Longest service time of a call, and the time between the events of a stream.
   Duration service_time_;
--- a/tests/soak/play_faults.cc
+++ b/tests/soak/play_faults.cc
@@ -146,6 +146,46 @@
   }
 }
 
+void Play::PlanWishes() {
+  const std::size_t notices = 1 + wish_random_.UniformInt(3);
+  for (std::size_t i = 0; i < notices; ++i) {
+    const Duration delay = FromSeconds(1 + 4 * wish_random_.UniformReal());
+    At(RandomTime(wish_random_, 0.05, 0.7), [this, delay] {
+      const std::optional<std::string> id = PickUpstream(wish_random_, 1);
+      if (!id) {
+        return;
+      }
+      Upstream* const upstream = serving_.at(*id);
+      upstream->SayLeaving();
+      history_.AddServing(upstream->options().version, -1);
+      history_.AddEvent(EventKind::kOther, {}, *id + " says that it leaves");
+      // Its registration stays ready for some time.
+      At(Now() + kUpstreamDrain + delay, [this, id = *id] {
+        if (const auto found = serving_.find(id); found != serving_.end()) {
+          const UpstreamOptions options = found->second->options();
+          history_.AddServing(options.version, 1);
+          RemoveUpstream(id, true);
+          AddUpstream(options.version, options.failure_domain);
+        }
+      });
+    });
+  }
+  const std::size_t waits = 1 + wish_random_.UniformInt(3);
+  for (std::size_t i = 0; i < waits; ++i) {
+    const Duration wait = FromSeconds(1 + 4 * wish_random_.UniformReal());
+    At(RandomTime(wish_random_, 0.05, 0.8), [this, wait] {
+      if (const std::optional<std::string> id = PickUpstream(wish_random_, 1)) {
+        const std::string version = serving_.at(*id)->options().version;
+        serving_.at(*id)->RejectFor(wait);
+        history_.AddServing(version, -1);
+        At(Now() + wait, [this, version] { history_.AddServing(version, 1); });
+        history_.AddEvent(EventKind::kOther, {},
+                          fmt::format("{} wants nothing for {} ms", *id, wait / 1ms));
+      }
+    });
+  }
+}
+
 void Play::SetPartitioned(const std::vector<std::size_t>& daemons, bool reset) {
   partitioned_.clear();
   for (const std::size_t daemon : daemons) {
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -37,6 +37,9 @@
 constexpr double kPartitionedShare = 2.0 / 3;
 constexpr double kPartitionFailures = 10;
 constexpr double kPartitionFailureShare = 1.0 / 50;
+// Time after a rejection from which an upstream that wants nothing gets at most these requests.
+constexpr Duration kWaitSlack = 500ms;
+constexpr std::size_t kUnwantedRequests = 2;
 // Time after its start, and after a fault of the store, in which a daemon reads the routes.
 constexpr Duration kLoadTime = 9s;
 // Events of several daemons that happen at one moment.
@@ -76,6 +79,7 @@
     CheckResumptions();
     CheckCrashingRequests();
     CheckRateLimits();
+    CheckWishes();
     CheckPartitions();
     CheckCallersThatLeft();
     return violations_;
@@ -337,6 +341,71 @@
 
   // An upstream that names a limit gets at most one and a half times what it allows, and some
   // requests more, in each window that begins some time after it first named it.
+  // Returns true if the daemon was started, killed, frozen or cut off between the two instants.
+  bool IsExcused(std::size_t daemon, TimePoint from, TimePoint to) const {
+    return std::ranges::any_of(history_.events(), [&](const PlayEvent& event) {
+      return event.daemon == daemon && event.at >= from - kSameMoment && event.at <= to &&
+             (IsUnplanned(event.kind) || IsPartition(event.kind) ||
+              event.kind == EventKind::kStart || event.kind == EventKind::kExit);
+    });
+  }
+
+  // Upstreams get no requests that their callers sent after they had passed on a notice, and few
+  // while they want none, whether the store answers or not.
+  void CheckWishes() {
+    std::map<std::string, const AttemptRecord*> attempts;
+    for (const AttemptRecord& attempt : history_.attempts()) {
+      attempts.emplace(attempt.id, &attempt);
+    }
+    for (const auto& [upstream, wishes] : history_.wishes()) {
+      // Daemons with an answer that says that the upstream leaves, and when it was passed on.
+      std::map<std::size_t, TimePoint> notices;
+      for (const NamedWish& wish : wishes) {
+        const auto answered = attempts.find(wish.attempt);
+        if (answered == attempts.end()) {
+          continue;
+        }
+        const AttemptRecord& answer = *answered->second;
+        if (wish.wait_end) {
+          CheckWait(upstream, wish, answer.daemon, attempts);
+        } else if (answer.complete && !answer.left_by_caller) {
+          notices.try_emplace(answer.daemon, answer.ended_at);
+        }
+      }
+      for (const Arrival& arrival : history_.ArrivalsAt(upstream)) {
+        const auto sent = attempts.find(arrival.attempt);
+        const auto notice =
+            sent == attempts.end() ? notices.end() : notices.find(sent->second->daemon);
+        if (notice != notices.end() &&
+            sent->second->sent_at > notice->second + bounds_.upstream_drain &&
+            !IsExcused(notice->first, notice->second, arrival.at)) {
+          Add("DRAIN",
+              fmt::format("{} said that it leaves and got a request sent {} ms later.", upstream,
+                          (sent->second->sent_at - notice->second) / 1ms),
+              *sent->second);
+        }
+      }
+    }
+  }
+
+  void CheckWait(const std::string& upstream, const NamedWish& wish, std::size_t daemon,
+                 const std::map<std::string, const AttemptRecord*>& attempts) {
+    std::vector<const AttemptRecord*> unwanted;
+    for (const Arrival& arrival : history_.ArrivalsAt(upstream)) {
+      const auto sent = attempts.find(arrival.attempt);
+      if (arrival.at > wish.at + kWaitSlack && arrival.at < *wish.wait_end &&
+          sent != attempts.end() && sent->second->daemon == daemon) {
+        unwanted.push_back(sent->second);
+      }
+    }
+    if (unwanted.size() > kUnwantedRequests && !IsExcused(daemon, wish.at, *wish.wait_end)) {
+      Add("BUDGET",
+          fmt::format("{} wanted nothing for {} ms and got {} requests of one daemon.", upstream,
+                      (*wish.wait_end - wish.at) / 1ms, unwanted.size()),
+          *unwanted.back());
+    }
+  }
+
   void CheckRateLimits() {
     std::map<std::string, const AttemptRecord*> attempts;
     for (const AttemptRecord& attempt : history_.attempts()) {
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -50,6 +50,26 @@
   history_.AddRateLimit(options_.id, rate);
 }
 
+void Upstream::SayLeaving() {
+  worker_.SetSignals({{"Server-Leaving", "1"}});
+  leaving_ = true;
+}
+
+boost::asio::awaitable<void> Upstream::Reject(HttpExchange& exchange, const std::string& attempt) {
+  HttpHeaders headers;
+  headers.emplace_back("Attempt-Id", attempt);
+  headers.emplace_back("Not-Executed", "1");
+  if (leaving_) {
+    headers.emplace_back("Server-Leaving", "1");
+  }
+  const TimePoint wait_end = rejects_until_;
+  if (const Duration wait = wait_end - Now(); wait > Duration::zero()) {
+    headers.emplace_back("Retry-After", fmt::format("{:.3f}", ToSeconds(wait)));
+    history_.AddWish(options_.id, attempt, wait_end);
+  }
+  co_await exchange.Respond(503, std::move(headers), {});
+}
+
 std::string Upstream::Registration(bool leaving) const {
   return fmt::format(
       R"({{"service":"s","address":"{}","zone":"{}","version":"{}","slots":{},"state":"{}"}})",
@@ -80,11 +100,9 @@
     co_return;
   }
   history_.AddArrival(options_.id, attempt);
-  if (running_ >= options_.slots || Fnv1aHash(attempt + options_.id) % kRequestsPerRejection == 0) {
-    HttpHeaders headers;
-    headers.emplace_back("Attempt-Id", attempt);
-    headers.emplace_back("Not-Executed", "1");
-    co_await exchange.Respond(503, std::move(headers), {});
+  if (Now() < rejects_until_.load() || running_ >= options_.slots ||
+      Fnv1aHash(attempt + options_.id) % kRequestsPerRejection == 0) {
+    co_await Reject(exchange, attempt);
     co_return;
   }
   const std::string last_event(exchange.Header("Last-Event-Id"));
@@ -108,6 +126,9 @@
     }
   }
   if (co_await Serve(exchange, ServiceTime(attempt))) {
+    if (leaving_) {
+      history_.AddWish(options_.id, attempt, std::nullopt);
+    }
     co_await worker_.Handle(exchange);
   } else {
     exchange.Abort();
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -47,6 +47,10 @@
   void Break();
   // Makes the upstream name a limit in its answers, in requests per second, or none.
   void SetRateLimit(std::optional<double> rate);
+  // Makes the upstream say in its answers that it leaves.
+  void SayLeaving();
+  // Makes the upstream reject all requests for this time and say so.
+  void RejectFor(Duration time) { rejects_until_ = Now() + time; }
   // Cuts the path from these addresses, and from no others. See EmulatedLink.
   void SetPartitioned(const std::set<std::string>& source_addresses, bool reset) {
     if (link_ != nullptr) {
@@ -60,6 +64,8 @@
 
  private:
   void Close();
+  // Rejects a request, for as long as the upstream wants none if it says so.
+  boost::asio::awaitable<void> Reject(HttpExchange& exchange, const std::string& attempt);
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
   Duration ServiceTime(const std::string& attempt) const;
   // Waits for the service time. Returns false if the connection has ended before.
@@ -69,6 +75,8 @@
   History& history_;
   WorkerService worker_;
   std::atomic<int> running_{0};
+  std::atomic<bool> leaving_{false};
+  std::atomic<TimePoint> rejects_until_{TimePoint{}};
   Endpoint endpoint_;
   std::unique_ptr<WorkerPool> pool_;
   std::unique_ptr<HttpServer> server_;
