Ask a peer for other upstreams while one of them wants none of its requests

Requests of a daemon that reaches no upstream itself were rejected for two seconds and more (0 of 40 served in the test), although its peer reached a sound upstream.

Cause: a peer that an upstream had told to wait refused tunnels to it with 503, as if it had no path, and was then passed over for all upstreams of the service.

It answers 429 now, and the daemon chooses another upstream. A stopped stream that only its source can continue is also sent to a source that wants none, because it would be lost otherwise.

UpstreamWaitTest.PeerStillRelaysToOtherUpstreams failed before and passes.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -400,7 +400,10 @@
     attempt.end = AttemptEnd::kCancelled;
     co_return RelayOutcome::kNotRun;
   }
-  if (fleet_.load_balancer.signals().WaitEnd(
+  // Only the engine that stopped a stream can continue it once its target has not.
+  const bool returns_to_source = call.migration_target && !call.migration_source;
+  if (!returns_to_source &&
+      fleet_.load_balancer.signals().WaitEnd(
           FleetLoadBalancer::ProcessKeyOf(attempt.placement.upstream), BootNow())) {
     attempt.failure = "The upstream wants no requests since it was chosen.";
     attempt.end = AttemptEnd::kCancelled;
--- a/packages/gateway/peer_tunnels.cc
+++ b/packages/gateway/peer_tunnels.cc
@@ -36,10 +36,12 @@
   if (upstream == nullptr || upstream->leaving || upstream->address != target) {
     return 404;
   }
+  if (fleet_.load_balancer.signals().WaitEnd(FleetLoadBalancer::ProcessKeyOf(*upstream),
+                                             BootNow())) {
+    return kTunnelUnwantedStatus;
+  }
   const bool relays = !fleet_.drain.has_begun() && open_tunnels_ < kMaxTunnels &&
-                      fleet_.upstream_paths.IsDirect(upstream->id, BootNow()) &&
-                      !fleet_.load_balancer.signals().WaitEnd(
-                          FleetLoadBalancer::ProcessKeyOf(*upstream), BootNow());
+                      fleet_.upstream_paths.IsDirect(upstream->id, BootNow());
   return relays ? 0 : 503;
 }
 
--- a/packages/gateway/peer_tunnels.h
+++ b/packages/gateway/peer_tunnels.h
@@ -22,8 +22,8 @@
   // Connects to the upstream that a CONNECT request names and relays bytes until one side ends.
   // Reads from the header of the answer what the upstream says of itself.
   // Responds with 404 if the upstream is unknown or leaves, with 503 if this daemon does not relay
-  // to it now or the upstream wants no requests of this daemon, and with 502 if the upstream does
-  // not accept the connection.
+  // to it now, with 429 if the upstream wants no requests of this daemon, and with 502 if the
+  // upstream does not accept the connection.
   boost::asio::awaitable<void> HandleRequest(HttpExchange& exchange);
 
  private:
--- a/packages/gateway/upstream_connector.cc
+++ b/packages/gateway/upstream_connector.cc
@@ -25,7 +25,8 @@
 }  // namespace
 
 std::string UpstreamConnector::NameOf(TunnelOutcome outcome) {
-  static constexpr std::array kNames = {"connected", "upstream_down", "refused", "failed"};
+  static constexpr std::array kNames = {"connected", "upstream_down", "refused", "failed",
+                                        "unwanted"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
@@ -130,6 +131,10 @@
     paths.OnPeerFailed(upstream.id, peer, now);
     return TunnelOutcome::kFailed;
   }
+  // The upstream wants no requests of this peer, which may relay to others.
+  if (reply.status == kTunnelUnwantedStatus) {
+    return TunnelOutcome::kUnwanted;
+  }
   // A peer that is partitioned as well blames the first upstreams that it does not reach.
   if (reply.status == kUpstreamDown && !paths.IsServiceLost(upstream.service, now)) {
     paths.OnUpstreamDown(upstream.id, now);
--- a/packages/gateway/upstream_connector.h
+++ b/packages/gateway/upstream_connector.h
@@ -45,7 +45,7 @@
 
  private:
   // What became of a request for a tunnel.
-  enum class TunnelOutcome { kConnected, kUpstreamDown, kRefused, kFailed };
+  enum class TunnelOutcome { kConnected, kUpstreamDown, kRefused, kFailed, kUnwanted };
 
   static std::string NameOf(TunnelOutcome outcome);
   TunnelOutcome RecordReply(const UpstreamRecord& upstream, const DaemonId& peer,
--- a/packages/net/tunnel.h
+++ b/packages/net/tunnel.h
@@ -23,6 +23,9 @@
   std::string failure;
 };
 
+// Status with which a relay rejects a tunnel because the target wants no requests now.
+inline constexpr unsigned kTunnelUnwantedStatus = 429;
+
 // Asks a relay with HTTP CONNECT for a connection to the target, which the relay knows by this
 // name. The timeout applies to the connection to the relay and to its response.
 // The relay keeps the tunnel open for the lifetime at most.
--- a/tests/gateway/upstream_wait_test.cc
+++ b/tests/gateway/upstream_wait_test.cc
@@ -134,5 +134,33 @@
   EXPECT_EQ(Worker(0).arrivals(), arrivals);
 }
 
+// Guards against a peer that is not asked to relay to other upstreams because one of them wants no
+// requests of it.
+TEST_F(UpstreamWaitTest, PeerStillRelaysToOtherUpstreams) {
+  gateway_.reset();
+  EmulatedLink first(workers_[0]->endpoint);
+  EmulatedLink second(workers_[1]->endpoint);
+  RegisterUpstream(WorkerName(0), first.endpoint(), "ready");
+  RegisterUpstream(WorkerName(1), second.endpoint(), "ready");
+  const auto peer = MakeGateway("daemon-2", store_.endpoint, TestBounds(), kPeerAddress);
+  WaitUntilReady(*peer);
+  Worker(0).SetSignals(kWait);
+  Worker(0).SetFault(WorkerFault::kRejectNotExecuted, kAlways);
+  for (int i = 0; Worker(0).arrivals() == 0; ++i) {
+    SendText(peer->callers_endpoint(), FormatRequest("GET", "/reads/1", fmt::format("p{}", i)));
+  }
+  const int arrivals = Worker(0).arrivals();
+  gateway_ = MakeGateway("daemon-1", store_.endpoint, TestBounds(), kPartitionedAddress);
+  WaitUntilReady();
+  first.SetPartitioned({kPartitionedAddress}, true);
+  second.SetPartitioned({kPartitionedAddress}, true);
+  int served = 0;
+  for (int i = 0; i < 40; ++i) {
+    served += SendRequest("GET", "/reads/1", fmt::format("r{}", i)).status == 200 ? 1 : 0;
+  }
+  EXPECT_GE(served, 38);
+  EXPECT_EQ(Worker(0).arrivals(), arrivals);
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
