--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <tuple>
 
 #include "core/prefix_hash.h"
 #include "routing/software_version.h"
