Share what reports to peers select, and drop work for unchanged answers

A second copy of the selection of the youngest items for a report stood beside that of the rate limits; both call KeepNewest now. Each answer formatted the key of its process whether or not a line was logged, and each changed registration copied the whole record that was held.

--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -453,15 +453,15 @@
       leaving.push_back(change.id);
       continue;
     }
-    const std::optional<UpstreamRecord> before =
-        held == nullptr ? std::nullopt : std::optional(*held);
-    const bool is_same_process = before && before->started_ms == change.record->started_ms &&
-                                 before->address == change.record->address;
+    const bool is_same_process = held != nullptr && held->started_ms == change.record->started_ms &&
+                                 held->address == change.record->address;
+    const bool was_leaving = held != nullptr && held->leaving;
+    const bool is_new_or_changed = held == nullptr || held->doubtful != change.record->doubtful ||
+                                   held->software_version != change.record->software_version;
     fleet_.load_balancer.Update(*change.record);
     // An answer may have shown that the upstream leaves.
     const bool is_leaving = fleet_.load_balancer.Find(change.id)->leaving;
-    if (!before || before->leaving != is_leaving || before->doubtful != change.record->doubtful ||
-        before->software_version != change.record->software_version) {
+    if (is_new_or_changed || was_leaving != is_leaving) {
       kLog.Info("An upstream registered or changed.",
                 {{"upstream", change.id.value()},
                  {"service", change.record->service.value()},
--- a/packages/gateway/upstream_signal_recorder.cc
+++ b/packages/gateway/upstream_signal_recorder.cc
@@ -2,7 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <optional>
+#include <string>
 
 #include "core/boot_clock.h"
 #include "logging/logger.h"
@@ -27,6 +29,9 @@
   return signal;
 }
 
+// Formats the key of a process for the log.
+std::string ProcessText(std::uint64_t process) { return fmt::format("{:016x}", process); }
+
 }  // namespace
 
 void UpstreamSignalRecorder::CountChange(const char* signal) {
@@ -35,12 +40,12 @@
 
 void UpstreamSignalRecorder::OnAnswer(const UpstreamRecord& upstream, const std::string& request,
                                       const ResponseMetadata& response, TimePoint sent_at) {
-  const std::string process = fmt::format("{:016x}", FleetLoadBalancer::ProcessKeyOf(upstream));
+  const std::uint64_t process = FleetLoadBalancer::ProcessKeyOf(upstream);
   if (!response.invalid_signals.empty()) {
     CountChange("invalid");
     kLog.Warning("Ignored what an upstream says of itself, because it can't be read.",
                  {{"upstream", upstream.id.value()},
-                  {"process", process},
+                  {"process", ProcessText(process)},
                   {"request", request},
                   {"headers", response.invalid_signals}});
   }
@@ -50,19 +55,18 @@
       fleet_.load_balancer.OnSignal(upstream, signal, sent_at, now);
   if (changes.leaving) {
     CountChange("leaving");
-    kLog.Info("An upstream says that it leaves.",
-              {{"upstream", upstream.id.value()}, {"process", process}, {"request", request}});
+    kLog.Info("An upstream says that it leaves.", {{"upstream", upstream.id.value()},
+                                                   {"process", ProcessText(process)},
+                                                   {"request", request}});
     fleet_.notices.OnLeaving(upstream.id, now);
     callbacks_.on_leaving(upstream.id);
     callbacks_.publish();
   }
   if (changes.wait) {
     CountChange("wait");
-    const TimePoint end = fleet_.load_balancer.signals()
-                              .WaitEnd(FleetLoadBalancer::ProcessKeyOf(upstream), now)
-                              .value_or(now);
+    const TimePoint end = fleet_.load_balancer.signals().WaitEnd(process, now).value_or(now);
     kLog.Info("An upstream wants no requests for a while.", {{"upstream", upstream.id.value()},
-                                                             {"process", process},
+                                                             {"process", ProcessText(process)},
                                                              {"request", request},
                                                              {"ms", (end - now) / 1ms}});
   }
@@ -74,7 +78,7 @@
     kLog.Info(signal.rejection_limit ? "An upstream names a limit of rejections."
                                      : "An upstream no longer names a limit of rejections.",
               {{"upstream", upstream.id.value()},
-               {"process", process},
+               {"process", ProcessText(process)},
                {"request", request},
                {"rejections_per_s", signal.rejection_limit.value_or(0)}});
   }
@@ -83,7 +87,7 @@
     kLog.Info(signal.rate_limit ? "An upstream names a rate limit."
                                 : "An upstream no longer names a rate limit.",
               {{"upstream", upstream.id.value()},
-               {"process", process},
+               {"process", ProcessText(process)},
                {"request", request},
                {"rate_per_s", signal.rate_limit.value_or(0)}});
   }
@@ -102,7 +106,7 @@
     CountChange("leaving");
     kLog.Info("A peer reported that an upstream leaves.",
               {{"upstream", upstream->value()},
-               {"process", fmt::format("{:016x}", notice.upstream)},
+               {"process", ProcessText(notice.upstream)},
                {"daemon", report.sender.id.value()},
                {"age_ms", notice.age / 1ms}});
     fleet_.notices.OnLeaving(*upstream, now);
@@ -121,7 +125,7 @@
   fleet_.metrics.GetCounter(kUnwantedSendsMetric, {{"signal", leaving ? "leaving" : "wait"}}).Add();
   kLog.Info("A request is sent to an upstream that wants none.",
             {{"upstream", upstream.id.value()},
-             {"process", fmt::format("{:016x}", process)},
+             {"process", ProcessText(process)},
              {"request", request},
              {"leaving", leaving},
              {"wait_ms", wait_end ? (*wait_end - BootNow()) / 1ms : 0}});
--- a/packages/routing/fleet_load_balancer_reports.cc
+++ b/packages/routing/fleet_load_balancer_reports.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <cstddef>
-#include <tuple>
 
 #include "routing/fleet_load_balancer.h"
+#include "routing/newest_reports.h"
 
 // What the load balancer learns from other daemons and from the upstreams themselves.
 
@@ -138,11 +138,7 @@
     const auto found = by_process_.find(notice.upstream);
     return found == by_process_.end() || found->second->registered_as_leaving;
   });
-  const std::size_t count = std::min(limit, selected.size());
-  std::ranges::partial_sort(
-      selected, selected.begin() + static_cast<std::ptrdiff_t>(count), {},
-      [](const ReportedNotice& notice) { return std::tuple(notice.age, notice.upstream); });
-  selected.resize(count);
+  KeepNewest(selected, limit);
   return selected;
 }
 
--- a/packages/routing/upstream_rate_limits.cc
+++ b/packages/routing/upstream_rate_limits.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/prefix_hash.h"
+#include "routing/newest_reports.h"
 
 namespace savoryglade {
 namespace {
@@ -61,12 +62,7 @@
   for (const auto& [upstream, known] : limits_) {
     selected.push_back({.upstream = upstream, .rate = known.rate, .age = now - known.seen_at});
   }
-  const std::size_t count = std::min(limit, selected.size());
-  std::ranges::partial_sort(selected, selected.begin() + static_cast<std::ptrdiff_t>(count), {},
-                            [](const ReportedRateLimit& reported) {
-                              return std::tuple(reported.age, reported.upstream);
-                            });
-  selected.resize(count);
+  KeepNewest(selected, limit);
   return selected;
 }
 
