Share the set-up of the tests of upstreams' signals

The soak indexed the attempts of a play in two places, and each test of brittle upstreams began with the same calm time. All assertions and bounds stay.

--- a/tests/gateway/leaving_upstream_test.cc
+++ b/tests/gateway/leaving_upstream_test.cc
@@ -4,41 +4,22 @@
 #include <memory>
 #include <string>
 
-#include "emulator/emulated_link.h"
-#include "tests/gateway/gateway_fixture.h"
+#include "tests/gateway/signal_fixture.h"
 
 namespace savoryglade::gateway {
 namespace {
 
 const HttpHeaders kLeaving = {{"Server-Leaving", "1"}};
-constexpr const char* kPartitionedAddress = "127.0.0.2";
-constexpr const char* kPeerAddress = "127.0.0.3";
 
 // An upstream that says in its answers that it leaves, while its registration stays ready.
-class LeavingUpstreamTest : public GatewayFixture {
+class LeavingUpstreamTest : public SignalFixture {
  protected:
-  LeavingUpstreamTest() {
-    PutRoutes(1);
-    WaitUntilReady();
-  }
-
-  WorkerService& Worker(std::size_t i) { return workers_[i]->service; }
-
-  // Sends requests until the worker has received one more.
-  void SendUntilReceivedBy(const WorkerService& worker, const std::string& path = "/reads/1") {
-    const bool is_stream = path.starts_with("/stream/");
-    for (const int arrivals = worker.arrivals(); worker.arrivals() == arrivals;) {
-      SendRequest(is_stream ? "POST" : "GET", path, fmt::format("u{}", ++attempts_));
-    }
-  }
-
   // Sends requests of all kinds, which must be served.
   void ServeRequests(const Gateway& gateway) {
     for (int i = 0; i < 20; ++i) {
       for (const char* path : {"/reads/1", "/orders/1", "/stream/1"}) {
         const Response response =
-            SendText(gateway.callers_endpoint(),
-                     FormatRequest("POST", path, fmt::format("s{}", ++attempts_)));
+            SendText(gateway.callers_endpoint(), FormatRequest("POST", path, NewAttempt()));
         EXPECT_EQ(response.status, 200U) << path;
       }
     }
@@ -51,9 +32,6 @@
     RegisterWorker(2, "ready");
     SendUntilReceivedBy(Worker(2));
   }
-
- private:
-  int attempts_ = 0;
 };
 
 // Guards against requests to an upstream that has said in an answer that it leaves.
@@ -154,27 +132,12 @@
 
 // Guards against a relaying daemon that does not know what the answers that it relays say.
 TEST_F(LeavingUpstreamTest, RelayingPeerReadsTheNotice) {
-  gateway_.reset();
   EmulatedLink link(workers_[0]->endpoint);
-  store_.service.Remove("servers", WorkerName(1));
-  RegisterUpstream(WorkerName(0), link.endpoint(), "ready");
-  FleetBounds bounds = TestBounds();
-  auto peer = MakeGateway("daemon-2", store_.endpoint, bounds, kPeerAddress);
-  gateway_ = MakeGateway("daemon-1", store_.endpoint, bounds, kPartitionedAddress);
-  WaitUntilReady();
-  WaitUntilReady(*peer);
-  link.SetPartitioned({kPartitionedAddress}, true);
+  const auto peer = StartBehindPeer(link);
   Worker(0).SetSignals(kLeaving);
   SendUntilReceivedBy(Worker(0));
   gateway_.reset();
-  const int arrivals = Worker(0).arrivals();
-  for (int i = 0; i < 10; ++i) {
-    EXPECT_EQ(
-        SendText(peer->callers_endpoint(), FormatRequest("GET", "/reads/1", fmt::format("p{}", i)))
-            .status,
-        503U);
-  }
-  EXPECT_EQ(Worker(0).arrivals(), arrivals);
+  ExpectNothingSentBy(*peer);
 }
 
 }  // namespace
--- a/tests/gateway/upstream_wait_test.cc
+++ b/tests/gateway/upstream_wait_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "emulator/emulated_link.h"
-#include "tests/gateway/gateway_fixture.h"
+#include "tests/gateway/signal_fixture.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -16,38 +16,17 @@
 // Rounds of requests that take longer than a full upstream is avoided.
 constexpr int kManyRounds = 40;
 const HttpHeaders kWait = {{"Retry-After", fmt::format("{}", kWaitSeconds)}};
-constexpr const char* kPartitionedAddress = "127.0.0.2";
-constexpr const char* kPeerAddress = "127.0.0.3";
 
 // An upstream that rejects a request and says for how long it wants no others.
-class UpstreamWaitTest : public GatewayFixture {
+class UpstreamWaitTest : public SignalFixture {
  protected:
-  UpstreamWaitTest() {
-    PutRoutes(1);
-    WaitUntilReady();
-  }
-
-  WorkerService& Worker(std::size_t i) { return workers_[i]->service; }
-
-  // Sends requests until the worker has received one more.
-  void SendUntilReceivedBy(const WorkerService& worker) {
-    for (const int arrivals = worker.arrivals(); worker.arrivals() == arrivals;) {
-      SendRequest("GET", "/reads/1", fmt::format("u{}", ++attempts_));
-    }
-  }
-
   void SendRequests(unsigned expected_status) {
     for (int i = 0; i < 20 * kManyRounds; ++i) {
       for (const char* path : {"/reads/1", "/orders/1", "/stream/1"}) {
-        EXPECT_EQ(SendRequest("POST", path, fmt::format("s{}", ++attempts_)).status,
-                  expected_status)
-            << path;
+        EXPECT_EQ(SendRequest("POST", path, NewAttempt()).status, expected_status) << path;
       }
     }
   }
-
- private:
-  int attempts_ = 0;
 };
 
 // Guards against requests to an upstream that has said with a rejection that it wants none.
@@ -112,26 +91,12 @@
 
 // Guards against a daemon that relays a rejection and goes on to send requests itself.
 TEST_F(UpstreamWaitTest, RelayingPeerIsBoundToo) {
-  gateway_.reset();
   EmulatedLink link(workers_[0]->endpoint);
-  store_.service.Remove("servers", WorkerName(1));
-  RegisterUpstream(WorkerName(0), link.endpoint(), "ready");
-  const auto peer = MakeGateway("daemon-2", store_.endpoint, TestBounds(), kPeerAddress);
-  gateway_ = MakeGateway("daemon-1", store_.endpoint, TestBounds(), kPartitionedAddress);
-  WaitUntilReady();
-  WaitUntilReady(*peer);
-  link.SetPartitioned({kPartitionedAddress}, true);
+  const auto peer = StartBehindPeer(link);
   Worker(0).SetSignals(kWait);
   Worker(0).SetFault(WorkerFault::kRejectNotExecuted, kAlways);
   SendUntilReceivedBy(Worker(0));
-  const int arrivals = Worker(0).arrivals();
-  for (int i = 0; i < 10; ++i) {
-    EXPECT_EQ(
-        SendText(peer->callers_endpoint(), FormatRequest("GET", "/reads/1", fmt::format("p{}", i)))
-            .status,
-        503U);
-  }
-  EXPECT_EQ(Worker(0).arrivals(), arrivals);
+  ExpectNothingSentBy(*peer);
 }
 
 // Guards against a peer that is not asked to relay to other upstreams because one of them wants no
--- a/tests/routing/brittle_upstream_test.cc
+++ b/tests/routing/brittle_upstream_test.cc
@@ -55,6 +55,7 @@
       }
     }
     capacity_per_ms_ = upstreams * slots / (ToSeconds(service_time) * 1000);
+    Play(kCalmTime, kCalmLoad);
   }
 
   // Plays this long at a load relative to the capacity of all upstreams.
@@ -225,7 +226,6 @@
 // Guards against daemons that crash upstreams by more requests than these can reject.
 TEST(BrittleUpstreamTest, UpstreamsOfASmallFleetSurviveOverload) {
   BrittleFleet fleet(8, 4, 6, kCallTime);
-  fleet.Play(kCalmTime, kCalmLoad);
   fleet.Play(20s, 2.0);
   EXPECT_LE(fleet.falls(), 2);
   EXPECT_GE(fleet.served_share(), 0.35);
@@ -233,7 +233,6 @@
 
 TEST(BrittleUpstreamTest, ManyUpstreamsSurviveOverload) {
   BrittleFleet fleet(20, 30, 16, kStreamTime);
-  fleet.Play(kCalmTime, kCalmLoad);
   fleet.Play(10s, 1.5);
   EXPECT_LE(fleet.falls(), 5);
   EXPECT_GE(fleet.served_share(), 0.45);
@@ -242,7 +241,6 @@
 // Guards against a protection that costs requests while there is room for all.
 TEST(BrittleUpstreamTest, RequestsAreServedWithoutOverload) {
   BrittleFleet fleet(8, 4, 6, kCallTime);
-  fleet.Play(kCalmTime, kCalmLoad);
   fleet.Play(20s, 0.4);
   EXPECT_EQ(fleet.falls(), 0);
   EXPECT_GE(fleet.served_share(), 0.95);
@@ -251,7 +249,6 @@
 // Guards against the same in a fleet in which some daemons have no place of their own.
 TEST(BrittleUpstreamTest, UpstreamsOfAFleetWithMoreDaemonsThanSlotsSurviveOverload) {
   BrittleFleet fleet(63, 4, 6, kCallTime);
-  fleet.Play(kCalmTime, kCalmLoad);
   fleet.Play(20s, 1.5);
   EXPECT_LE(fleet.falls(), 2);
   EXPECT_GE(fleet.served_share(), 0.35);
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -341,6 +341,17 @@
 
   // An upstream that names a limit gets at most one and a half times what it allows, and some
   // requests more, in each window that begins some time after it first named it.
+  // Attempts of the history by their ids.
+  using AttemptIndex = std::map<std::string, const AttemptRecord*>;
+
+  AttemptIndex IndexAttempts() const {
+    AttemptIndex attempts;
+    for (const AttemptRecord& attempt : history_.attempts()) {
+      attempts.emplace(attempt.id, &attempt);
+    }
+    return attempts;
+  }
+
   // Returns true if the daemon was started, killed, frozen or cut off between the two instants.
   bool IsExcused(std::size_t daemon, TimePoint from, TimePoint to) const {
     return std::ranges::any_of(history_.events(), [&](const PlayEvent& event) {
@@ -353,10 +364,7 @@
   // Upstreams get no requests that their callers sent after they had passed on a notice, and few
   // while they want none, whether the store answers or not.
   void CheckWishes() {
-    std::map<std::string, const AttemptRecord*> attempts;
-    for (const AttemptRecord& attempt : history_.attempts()) {
-      attempts.emplace(attempt.id, &attempt);
-    }
+    const AttemptIndex attempts = IndexAttempts();
     for (const auto& [upstream, wishes] : history_.wishes()) {
       // Daemons with an answer that says that the upstream leaves, and when it was passed on.
       std::map<std::size_t, TimePoint> notices;
@@ -389,7 +397,7 @@
   }
 
   void CheckWait(const std::string& upstream, const NamedWish& wish, std::size_t daemon,
-                 const std::map<std::string, const AttemptRecord*>& attempts) {
+                 const AttemptIndex& attempts) {
     std::vector<const AttemptRecord*> unwanted;
     for (const Arrival& arrival : history_.ArrivalsAt(upstream)) {
       const auto sent = attempts.find(arrival.attempt);
@@ -407,10 +415,7 @@
   }
 
   void CheckRateLimits() {
-    std::map<std::string, const AttemptRecord*> attempts;
-    for (const AttemptRecord& attempt : history_.attempts()) {
-      attempts.emplace(attempt.id, &attempt);
-    }
+    const AttemptIndex attempts = IndexAttempts();
     for (const auto& [upstream, limits] : history_.rate_limits()) {
       std::vector<std::pair<TimePoint, const AttemptRecord*>> counted;
       for (const Arrival& arrival : history_.ArrivalsAt(upstream)) {
