Let a log line bypass the rate limit, and workers fall silent

Cause: a line that explains the end of a request can be dropped as one of many of its kind; and no emulated worker is silent for a while and goes on. Change: Logger::Essential; WorkerFault::kSilentBeforeResponse and kSilentInStream with GoOn. Result: nothing uses either yet.

--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -10,6 +10,7 @@
 #include <tuple>
 #include <utility>
 
+#include "net/peer_disconnect_monitor.h"
 #include "net/sleep.h"
 
 namespace savoryglade {
@@ -154,6 +155,42 @@
   return abandoned_requests_;
 }
 
+int WorkerService::silent_requests() const {
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(silent_requests_.size());
+}
+
+void WorkerService::GoOn() {
+  const std::lock_guard lock(mutex_);
+  goes_on_ = true;
+  for (const std::shared_ptr<asio::steady_timer>& timer : silent_requests_) {
+    asio::post(timer->get_executor(), [timer] { timer->cancel(); });
+  }
+}
+
+asio::awaitable<bool> WorkerService::StaySilent(HttpExchange& exchange) {
+  const auto timer = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor,
+                                                          asio::steady_timer::time_point::max());
+  PeerDisconnectMonitor peer(exchange.stream());
+  peer.OnDisconnect([timer] { timer->cancel(); });
+  {
+    const std::lock_guard lock(mutex_);
+    if (goes_on_) {
+      co_return true;
+    }
+    silent_requests_.insert(timer);
+  }
+  co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
+  const std::lock_guard lock(mutex_);
+  silent_requests_.erase(timer);
+  if (!peer.Check()) {
+    co_return true;
+  }
+  ++abandoned_requests_;
+  exchange.Abort();
+  co_return false;
+}
+
 int WorkerService::runs() const {
   const std::lock_guard lock(mutex_);
   int sum = 0;
@@ -284,6 +321,9 @@
     exchange.Abort();
     co_return;
   }
+  if (fault == WorkerFault::kSilentBeforeResponse && !co_await StaySilent(exchange)) {
+    co_return;
+  }
   if (CrashesOn(exchange)) {
     if (co_await exchange.StartStream(200, ResponseHeaders(exchange, true))) {
       exchange.Abort();
@@ -409,6 +449,10 @@
       exchange.Abort();
       co_return;
     }
+    if (fault == WorkerFault::kSilentInStream && event == kEventsPerStream / 2 + 1 &&
+        !co_await StaySilent(exchange)) {
+      co_return;
+    }
     if (event > first_event && event_interval_ > Duration::zero()) {
       co_await Sleep(event_interval_);
     }
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,10 @@
   kWaitForMigration,
   // As kWaitForMigration, for a stream without length or chunks, whose connection ends in order.
   kEndAtMigration,
+  // The following two run the request and send nothing for a while, until GoOn is called: before the
+  // response, and after half of the events of a stream.
+  kSilentBeforeResponse,
+  kSilentInStream,
   // The following run the request and send bytes until the peer closes the connection.
   // Header fields without the end of the header.
   kEndlessHeader,
@@ -85,6 +90,8 @@
 
   // Injects a fault into the next count requests.
   void SetFault(WorkerFault fault, int count);
+  // Ends the silence of all requests, also of those that arrive later.
+  void GoOn();
   // Makes the worker crash whenever it begins to answer a request whose prompt has this part: its
   // connections break after the header of the response.
   void CrashOnPromptPart(std::string part);
@@ -115,8 +122,11 @@
   int runs() const;
   // Returns the number of callers' requests that have arrived, also those that were not run.
   int arrivals() const;
-  // Returns the number of requests with kNoResponse whose connections the peer has closed.
+  // Returns the number of requests with kNoResponse, or silent ones, whose connections the peer has
+  // closed.
   int abandoned_requests() const;
+  // Returns the number of requests that are silent.
+  int silent_requests() const;
   // Returns the number of runs that continued here with the KV cache of another worker.
   int migrated_runs() const;
   // Returns the last request that ran, with its headers as received.
@@ -135,6 +145,8 @@
   // Responds to a request to copy a run to another worker. A final copy ends the stream of the run.
   boost::asio::awaitable<void> HandleMigration(HttpExchange& exchange);
   boost::asio::awaitable<void> WaitForMigration(const std::string& attempt);
+  // Waits until GoOn is called. Returns false if the peer has closed the connection before.
+  boost::asio::awaitable<bool> StaySilent(HttpExchange& exchange);
   WorkerFault ConsumeFault();
   bool CrashesOn(const HttpExchange& exchange) const;
   HttpHeaders ResponseHeaders(const HttpExchange& exchange, bool with_seal) const;
@@ -158,6 +170,9 @@
   std::vector<std::string> rate_limits_;
   HttpHeaders signals_;
   int abandoned_requests_ = 0;
+  bool goes_on_ = false;
+  // Timers of silent requests; cancelled by GoOn.
+  std::set<std::shared_ptr<boost::asio::steady_timer>> silent_requests_;
   int migrated_runs_ = 0;
   // Timers of streams that wait for migration, by attempt; cancelled by the final copy.
   std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> pending_migrations_;
--- a/packages/logging/logger.cc
+++ b/packages/logging/logger.cc
@@ -70,6 +70,12 @@
   Write(LogLevel::kError, message, fields);
 }
 
+void Logger::Essential(std::string_view message, Fields fields) const {
+  if (LogLevel::kInfo >= minimum_level.load(std::memory_order_relaxed)) {
+    WriteAdmitted(LogLevel::kInfo, message, fields, 0);
+  }
+}
+
 void Logger::SetLevel(LogLevel level) { minimum_level = level; }
 
 void Logger::SetSink(std::function<void(const std::string&)> sink) { Sink() = std::move(sink); }
@@ -79,9 +85,13 @@
     return;
   }
   const auto dropped = Limiter().Admit(component_, message, std::chrono::steady_clock::now());
-  if (!dropped) {
-    return;
+  if (dropped) {
+    WriteAdmitted(level, message, fields, *dropped);
   }
+}
+
+void Logger::WriteAdmitted(LogLevel level, std::string_view message, Fields fields,
+                           std::uint64_t dropped) const {
   std::string line = fmt::format("{} {}: {}", LevelName(level), component_, message);
   for (const LogField& field : fields) {
     line += ' ';
@@ -89,8 +99,8 @@
     line += '=';
     AppendValue(line, field.value);
   }
-  if (*dropped > 0) {
-    line += fmt::format(" repeats_dropped={}", *dropped);
+  if (dropped > 0) {
+    line += fmt::format(" repeats_dropped={}", dropped);
   }
   if (Sink()) {
     Sink()(line);
