Destroy the sockets of an emulated link before its event loop

An EmulatedLink keeps its open connections in a member that is destroyed after the pool whose io_context their sockets use. Change: the destructor drops the connections once the pool has stopped.

--- a/packages/emulator/emulated_link.cc
+++ b/packages/emulator/emulated_link.cc
@@ -35,7 +35,11 @@
   asio::co_spawn(pool_.context(0), Accept(), LogException("link"));
 }
 
-EmulatedLink::~EmulatedLink() { pool_.Stop(); }
+EmulatedLink::~EmulatedLink() {
+  pool_.Stop();
+  // Their sockets must not outlive the pool.
+  open_.clear();
+}
 
 void EmulatedLink::SetPartitioned(const std::set<std::string>& source_addresses, bool reset) {
   std::set<std::uint32_t> addresses;
