--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -64,6 +64,7 @@
   const std::lock_guard lock(mutex_);
   fault_ = fault;
   remaining_fault_count_ = count;
+  goes_on_ = false;
 }
 
 void WorkerService::SetStopAnswer(StopAnswer answer) {
@@ -157,38 +158,54 @@
 
 int WorkerService::silent_requests() const {
   const std::lock_guard lock(mutex_);
-  return static_cast<int>(silent_requests_.size());
+  return silent_requests_;
 }
 
 void WorkerService::GoOn() {
   const std::lock_guard lock(mutex_);
   goes_on_ = true;
-  for (const std::shared_ptr<asio::steady_timer>& timer : silent_requests_) {
-    asio::post(timer->get_executor(), [timer] { timer->cancel(); });
+  EndSilences();
+}
+
+void WorkerService::BreakOff() {
+  const std::lock_guard lock(mutex_);
+  broken_off_ = silent_requests_;
+  EndSilences();
+}
+
+void WorkerService::EndSilences() {
+  for (const std::weak_ptr<asio::steady_timer>& silence : silences_) {
+    if (const auto timer = silence.lock()) {
+      asio::post(timer->get_executor(), [timer] { timer->cancel(); });
+    }
   }
+  silences_.clear();
 }
 
 asio::awaitable<bool> WorkerService::StaySilent(HttpExchange& exchange) {
   const auto timer = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor,
                                                           asio::steady_timer::time_point::max());
   PeerDisconnectMonitor peer(exchange.stream());
-  peer.OnDisconnect([timer] { timer->cancel(); });
   {
     const std::lock_guard lock(mutex_);
     if (goes_on_) {
       co_return true;
     }
-    silent_requests_.insert(timer);
+    ++silent_requests_;
+    silences_.push_back(timer);
   }
+  peer.OnDisconnect([timer] { timer->cancel(); });
   co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
   const std::lock_guard lock(mutex_);
-  silent_requests_.erase(timer);
-  if (!peer.Check()) {
-    co_return true;
+  --silent_requests_;
+  const bool has_left = peer.Check();
+  abandoned_requests_ += has_left ? 1 : 0;
+  const bool breaks_off = std::exchange(broken_off_, std::max(0, broken_off_ - 1)) > 0;
+  if (has_left || breaks_off) {
+    exchange.Abort();
+    co_return false;
   }
-  ++abandoned_requests_;
-  exchange.Abort();
-  co_return false;
+  co_return true;
 }
 
 int WorkerService::runs() const {
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -46,8 +45,8 @@
   kWaitForMigration,
   // As kWaitForMigration, for a stream without length or chunks, whose connection ends in order.
   kEndAtMigration,
-  // The following two run the request and send nothing for a while, until GoOn is called: before the
-  // response, and after half of the events of a stream.
+  // The following two run the request and send nothing for a while, until GoOn or BreakOff is
+  // called: before the response, and after half of the events of a stream.
   kSilentBeforeResponse,
   kSilentInStream,
   // The following run the request and send bytes until the peer closes the connection.
@@ -90,8 +89,10 @@
 
   // Injects a fault into the next count requests.
   void SetFault(WorkerFault fault, int count);
-  // Ends the silence of all requests, also of those that arrive later.
+  // Ends the silence of all requests, also of those that arrive before the next SetFault.
   void GoOn();
+  // Closes the connections of all silent requests.
+  void BreakOff();
   // Makes the worker crash whenever it begins to answer a request whose prompt has this part: its
   // connections break after the header of the response.
   void CrashOnPromptPart(std::string part);
@@ -145,8 +146,9 @@
   // Responds to a request to copy a run to another worker. A final copy ends the stream of the run.
   boost::asio::awaitable<void> HandleMigration(HttpExchange& exchange);
   boost::asio::awaitable<void> WaitForMigration(const std::string& attempt);
-  // Waits until GoOn is called. Returns false if the peer has closed the connection before.
+  // Waits until GoOn is called. Returns false if the connection has ended before.
   boost::asio::awaitable<bool> StaySilent(HttpExchange& exchange);
+  void EndSilences();
   WorkerFault ConsumeFault();
   bool CrashesOn(const HttpExchange& exchange) const;
   HttpHeaders ResponseHeaders(const HttpExchange& exchange, bool with_seal) const;
@@ -170,9 +172,12 @@
   std::vector<std::string> rate_limits_;
   HttpHeaders signals_;
   int abandoned_requests_ = 0;
+  // Set by GoOn until the next SetFault, and by BreakOff for the silences of this number.
   bool goes_on_ = false;
-  // Timers of silent requests; cancelled by GoOn.
-  std::set<std::shared_ptr<boost::asio::steady_timer>> silent_requests_;
+  int silent_requests_ = 0;
+  int broken_off_ = 0;
+  // Cancelled at the end of the silence. Owned by the requests, which end with the event loop.
+  std::vector<std::weak_ptr<boost::asio::steady_timer>> silences_;
   int migrated_runs_ = 0;
   // Timers of streams that wait for migration, by attempt; cancelled by the final copy.
   std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> pending_migrations_;
--- /dev/null
+++ b/packages/gateway/attempt_runner.cc
@@ -0,0 +1,225 @@
+#include "gateway/attempt_runner.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <string>
+#include <utility>
+
+#include "core/boot_clock.h"
+#include "logging/logger.h"
+#include "routing/software_version.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+// Time after an upstream's notice was learned in which a request that was chosen before is still
+// sent, as a fraction of the upstream's own. A view may be 0.45 of that time old.
+constexpr double kSendGraceFraction = 0.4;
+// Idle time after which a connection is not reused for a request that must not be retried.
+constexpr Duration kMaxIdleTimeNoRetry = 1s;
+constexpr Duration kMaxIdleTime = 60s;
+
+const Logger kLog("gateway");
+
+}  // namespace
+
+std::shared_ptr<Attempt> AttemptRunner::Begin(Call& call, const Placement& placement) {
+  auto attempt = std::make_shared<Attempt>();
+  attempt->placement = placement;
+  attempt->sent_at = BootNow();
+  attempt->is_move = call.migration_target.has_value();
+  call.last_upstream = placement.upstream.id;
+  call.attempts.push_back(attempt.get());
+  ++call.connection_attempts;
+  crash_detector_.OnSent(call, attempt->sent_at);
+  fleet_.load_balancer.OnSent(placement.upstream.id, call.metadata.work, placement.uncached_tokens,
+                              attempt->sent_at);
+  return attempt;
+}
+
+std::optional<AttemptResult> AttemptRunner::ReasonNotToSend(Call& call, Attempt& attempt) {
+  if (call.caller.Check()) {
+    return AttemptResult::kCallerLeft;
+  }
+  if (fleet_.drain.interrupted()) {
+    attempt.failure = "The daemon interrupts its requests.";
+    return AttemptResult::kNotSent;
+  }
+  const Duration grace =
+      FromSeconds(ToSeconds(fleet_.settings.bounds.upstream_drain) * kSendGraceFraction);
+  if (!fleet_.notices.MayReceive(attempt.placement.upstream.id, grace, BootNow())) {
+    attempt.failure = "The upstream's notice is too old for another request.";
+    return AttemptResult::kNotSent;
+  }
+  // Only the engine that stopped a stream can continue it once its target has not.
+  const bool returns_to_source = attempt.is_move && !call.migration_source;
+  if (!returns_to_source &&
+      fleet_.load_balancer.signals().WaitEnd(
+          FleetLoadBalancer::ProcessKeyOf(attempt.placement.upstream), BootNow())) {
+    attempt.failure = "The upstream wants no requests since it was chosen.";
+    return AttemptResult::kNotSent;
+  }
+  if (const UpstreamRecord* const record = fleet_.load_balancer.Find(attempt.placement.upstream.id);
+      record != nullptr) {
+    // The upstream may have started again since it was chosen.
+    attempt.placement.upstream.software_version = record->software_version;
+    const std::optional<std::uint64_t> required = call.metadata.work.required_version;
+    if (required && *required != SoftwareVersionKey(record->software_version)) {
+      attempt.failure = "The upstream has another version than the stream.";
+      return AttemptResult::kNotSent;
+    }
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<std::optional<AttemptResult>> AttemptRunner::Send(Call& call, Attempt& attempt) {
+  const bool at_most_once = !call.route->Repeatable();
+  auto connected = co_await connector_.Connect(attempt.placement.upstream,
+                                               at_most_once ? kMaxIdleTimeNoRetry : kMaxIdleTime,
+                                               call.RemainingTime(BootNow()));
+  if (!connected) {
+    attempt.failure = connected.error().message;
+    if (connected.error().code != ErrorCode::kTimeout) {
+      crash_detector_.OnUpstreamEnded(attempt.placement.upstream, BootNow());
+    }
+    const bool is_lost = fleet_.upstream_paths.IsServiceLost(call.service, BootNow());
+    co_return is_lost ? AttemptResult::kNoPath : AttemptResult::kUnreachable;
+  }
+  attempt.connection = std::move(connected->connection);
+  attempt.peer = std::move(connected->peer);
+  if (const auto reason = ReasonNotToSend(call, attempt)) {
+    co_return reason;
+  }
+  HttpConnection& connection = *attempt.connection;
+  attempt.registration.emplace(open_attempts_, attempt.placement.upstream.id, connection);
+  const TimePoint now = BootNow();
+  const ForwardMetadata metadata{.upstream = attempt.placement.upstream.id,
+                                 .account = call.account_id(),
+                                 .remaining = std::max(call.RemainingTime(now), Duration(1ms)),
+                                 .engine_priority = std::clamp(call.rank(), 0, 9),
+                                 .last_event_id = call.sse_splitter.last_id().empty()
+                                                      ? call.metadata.last_event_id
+                                                      : call.sse_splitter.last_id(),
+                                 .kv_copy = attempt.is_move ? call.kv_copy : std::nullopt};
+  signals_.OnSend(attempt.placement.upstream, call.metadata.attempt_id);
+  attempt.sent = true;
+  ++call.sends;
+  ++call.unrejected_sends;
+  call.last_sent_at = now;
+  if (!attempt.is_move) {
+    fleet_.work.Add(call.service, fleet_.load_balancer.WorkSeconds(
+                                      call.metadata.work, attempt.placement.uncached_tokens));
+  }
+  const Result<void> sent = co_await connection.Send(
+      codec_.EncodeUpstreamRequest(call.exchange.request(), metadata), call.RemainingTime(now));
+  if (!call.counted_window && call.route->kind != CallKind::kStream) {
+    RecordUsage(call, now);
+  }
+  if (!sent) {
+    co_return response_relay_.ResultOfFailure(call, attempt, sent.error());
+  }
+  // On a relayed connection, the peer acknowledges the request.
+  if (attempt.peer.empty()) {
+    attempt.registration->AwaitAnswer(call.route->Repeatable(), BootNow());
+  }
+  const auto result = co_await response_relay_.ReadHeader(call, attempt);
+  attempt.registration->OnAnswer();
+  if (result) {
+    co_return result;
+  }
+  RecordFirstByte(call, attempt);
+  if (!attempt.response.not_run) {
+    co_return std::nullopt;
+  }
+  if (attempt.response.owner != ResponseOwner::kThisAttempt) {
+    // A rejection that an upstream repeats may be that of an earlier request.
+    attempt.failure = "The rejection does not name the request.";
+    co_return AttemptResult::kUnusable;
+  }
+  RecordRejection(call);
+  co_return AttemptResult::kRejected;
+}
+
+void AttemptRunner::RecordRejection(Call& call) {
+  --call.unrejected_sends;
+  if (call.counted_window && call.unrejected_sends == 0 && call.account != nullptr) {
+    fleet_.usage.OnNotRun(*call.counted_window, call.account->name);
+    call.counted_window.reset();
+  }
+}
+
+void AttemptRunner::RecordFirstByte(Call& call, Attempt& attempt) {
+  const TimePoint now = BootNow();
+  const UpstreamId& id = attempt.placement.upstream.id;
+  attempt.first_byte = true;
+  fleet_.load_balancer.OnFirstByte(id, attempt.placement.uncached_tokens, now);
+  fleet_.AdmissionQueueOf(call.service)
+      .OnServed(call.metadata.work.IsGeneration() ? attempt.placement.uncached_tokens : 1, now);
+  if (!call.counted_window && !attempt.response.not_run) {
+    RecordUsage(call, now);
+  }
+}
+
+void AttemptRunner::RecordUsage(Call& call, TimePoint now) {
+  if (call.account == nullptr || fleet_.settings.bounds.usage_window == Duration::zero()) {
+    return;
+  }
+  call.counted_window = fleet_.WindowAt(now);
+  fleet_.usage.OnRequestStarted(*call.counted_window, call.account->name);
+}
+
+void AttemptRunner::End(Call& call, Attempt& attempt, AttemptResult result) {
+  const TimePoint now = BootNow();
+  std::erase(call.attempts, &attempt);
+  attempt.registration.reset();
+  attempt.connection.reset();
+  if (attempt.sent) {
+    crash_detector_.OnAttemptEnded(call, attempt, result, now);
+  }
+  const AttemptResultTraits& traits = TraitsOf(result);
+  const bool relayed_failure = result == AttemptResult::kAnswered && attempt.status >= 500;
+  fleet_.load_balancer.OnEnd(attempt.placement.upstream.id, attempt.placement.uncached_tokens,
+                             attempt.first_byte, relayed_failure ? AttemptEnd::kFailed : traits.end,
+                             now);
+  if (result == AttemptResult::kAnswered || result == AttemptResult::kCallerLeft) {
+    return;
+  }
+  kLog.Info("An attempt ended without its answer.",
+            {{"request", call.metadata.attempt_id},
+             {"route", call.route->name},
+             {"upstream", attempt.placement.upstream.id.value()},
+             {"version", attempt.placement.upstream.software_version},
+             {"peer", attempt.peer.value()},
+             {"result", traits.name},
+             {"sent", attempt.sent},
+             {"status", attempt.status},
+             {"events", call.stream_started},
+             {"failure", attempt.failure},
+             {"ms", (now - attempt.sent_at) / 1ms}});
+  if (result == AttemptResult::kMoved) {
+    // The upstream that stopped the stream has run it.
+    call.run_state = RunState::kMayHaveRun;
+    return;
+  }
+  if (attempt.is_move && !traits.may_have_run && call.migration_source) {
+    // The stream returns to its source.
+    return;
+  }
+  call.tried_upstreams.push_back(attempt.placement.upstream.id);
+  fleet_.metrics
+      .GetCounter("savoryglade_gateway_lost_attempts_total", {{"reason", std::string(traits.name)}})
+      .Add();
+  // A moved request has run at its source, even if the target states that it did not run it.
+  if (traits.may_have_run || attempt.is_move) {
+    RecordPossibleRun(call, result);
+  }
+}
+
+void AttemptRunner::RecordPossibleRun(Call& call, AttemptResult result) {
+  ++call.possible_runs;
+  call.run_state = result == AttemptResult::kFailed ? RunState::kRan : RunState::kMayHaveRun;
+}
+
+}  // namespace savoryglade::gateway
--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -19,6 +19,8 @@
 
 namespace savoryglade::gateway {
 
+struct Attempt;
+
 // Complete response, ready to be sent to the caller.
 struct BufferedResponse {
   unsigned status = 0;
@@ -26,6 +28,21 @@
   std::string body;
 };
 
+// How a call has ended for its caller.
+enum class CallEnd : std::uint8_t {
+  // It has not ended, or nothing is known of its end.
+  kOpen,
+  // The caller was sent a whole response of an upstream.
+  kAnswered,
+  // The caller was sent a whole response of this daemon.
+  kRejected,
+  // The connection was closed without a whole response.
+  kCutOff,
+};
+
+// Shortest time before its deadline with which a call is still sent to an upstream.
+inline constexpr Duration kMinRemainingTime = 10ms;
+
 // State of one caller's request while the gateway processes it.
 struct Call {
   explicit Call(HttpExchange& caller_exchange)
@@ -55,7 +72,9 @@
   bool is_admitted = false;
   Duration admission_wait = Duration::zero();
 
-  // Connections acquired and requests sent so far.
+  // Attempts in progress.
+  std::vector<Attempt*> attempts;
+  // Attempts begun and requests sent so far.
   int connection_attempts = 0;
   int sends = 0;
   // Upstreams that may have run the request.
@@ -77,10 +96,9 @@
   // Whether the return to that upstream is still consumed in the retry budget.
   bool return_reserved = false;
 
-  // Whether the header of a streamed response has been sent.
+  // Whether a part of the response has been sent, so that no other response can follow.
   bool stream_started = false;
-  // Whether the call has its final answer.
-  bool answered = false;
+  CallEnd end = CallEnd::kOpen;
   // When the request was last sent to an upstream.
   TimePoint last_sent_at{};
   SseSplitter sse_splitter;
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -12,26 +12,17 @@
 #include "core/prefix_hash.h"
 #include "core/scoped_count.h"
 #include "logging/logger.h"
-#include "routing/software_version.h"
 
 namespace savoryglade::gateway {
 namespace {
 
 namespace asio = boost::asio;
 
-// Shortest time before the deadline with which a request is still sent to an upstream.
-constexpr Duration kMinRemainingTime = 10ms;
 // The gateway's deadline for a response precedes the caller's by this margin.
 constexpr Duration kResponseMargin = 20ms;
 constexpr int kMaxConnectionAttempts = 4;
-// Time after an upstream's notice was learned in which a request that was chosen before is still
-// sent, as a fraction of the upstream's own. A view may be 0.45 of that time old.
-constexpr double kSendGraceFraction = 0.4;
 // Upstreams that may reject a request as not run before the gateway rejects it.
 constexpr int kMaxSends = 3;
-// Idle time after which a connection is not reused for a request that must not be retried.
-constexpr Duration kMaxIdleTimeNoRetry = 1s;
-constexpr Duration kMaxIdleTime = 60s;
 constexpr Duration kRetryAfter = 1s;
 // Short, because another daemon can answer as soon as the caller reconnects.
 constexpr Duration kDrainingRetryAfter = 100ms;
@@ -165,26 +156,82 @@
   return reason;
 }
 
+CallRelay::Registration::Registration(const CallRelay& relay, Call& call)
+    : calls_(relay.calls_), call_(call) {
+  calls_->insert(&call_);
+}
+
+CallRelay::Registration::~Registration() { calls_->erase(&call_); }
+
 asio::awaitable<void> CallRelay::Handle(HttpExchange& exchange) {
   const ScopedCount active(fleet_.active_requests);
   Call call(exchange);
+  const Registration registration(*this, call);
   Verdict verdict;
   const Result<void> admitted = AdmitRequest(call, verdict);
   if (!admitted) {
     co_await Reject(call, verdict);
+    RecordEnd(call);
     co_return;
   }
+  call.caller.OnDisconnect([&call] {
+    for (Attempt* const attempt : call.attempts) {
+      if (attempt->registration) {
+        attempt->registration->Close(AttemptResult::kCallerLeft);
+      }
+    }
+  });
   co_await SendUntilAnswered(call);
-  if (!call.answered && call.caller.disconnected()) {
-    RecordCallerLeft(call);
-    // Requests behind this one must not be served.
-    exchange.Abort();
-  }
+  RecordEnd(call);
   if (call.account != nullptr && call.unrejected_sends == 0) {
     fleet_.rate_limiter.Refund(call.account->name, call.units);
   }
 }
 
+void CallRelay::RecordEnd(Call& call) {
+  if (call.end != CallEnd::kOpen) {
+    return;
+  }
+  // A write that timed out has closed the connection.
+  const bool is_open = call.exchange.stream().socket().is_open();
+  if (call.caller.disconnected() || (is_open && call.caller.Check())) {
+    RecordCallerLeft(call);
+  } else {
+    LogCutOff(call, {.run_state = call.run_state, .reason = Reason::kNone}, "write_failed");
+  }
+  // Requests behind this one must not be served.
+  call.exchange.Abort();
+}
+
+void CallRelay::LogUnfinished() const {
+  for (const Call* const call : *calls_) {
+    if (call->end == CallEnd::kOpen) {
+      LogCutOff(*call, {.run_state = call->run_state, .reason = Reason::kDraining}, "exit");
+    }
+  }
+}
+
+void CallRelay::LogCutOff(const Call& call, const Verdict& verdict, std::string_view cause) const {
+  fleet_.metrics.GetCounter(kCutOffMetric, {{"cause", std::string(cause)}}).Add();
+  const TimePoint now = BootNow();
+  const bool has_events = call.last_event_at != TimePoint{};
+  kLog.Essential("A request was cut off without its whole answer.",
+                 {{"request", call.metadata.attempt_id},
+                  {"route", call.route == nullptr ? std::string("-") : call.route->name},
+                  {"cause", cause},
+                  {"reason", ToString(verdict.reason)},
+                  {"detail", call.rejection_detail},
+                  {"verdict", ToString(verdict.run_state)},
+                  {"upstream", call.last_upstream ? call.last_upstream->value() : std::string("-")},
+                  {"sent", call.sends},
+                  {"possible_runs", call.possible_runs},
+                  {"ms_since_event", has_events ? (now - call.last_event_at) / 1ms : -1},
+                  {"longest_pause_ms", call.longest_event_gap / 1ms},
+                  {"remaining_ms", call.RemainingTime(now) / 1ms},
+                  {"drain_ms", fleet_.drain.has_begun() ? fleet_.drain.Elapsed(now) / 1ms : -1},
+                  {"ms", (now - call.received) / 1ms}});
+}
+
 void CallRelay::ReleaseReturn(Call& call) {
   if (std::exchange(call.return_reserved, false)) {
     fleet_.retry_budget.Refund(call.service, 1);
@@ -192,7 +239,9 @@
 }
 
 bool CallRelay::CanRetry(const Call& call) const {
-  return call.route->Repeatable() && call.possible_runs < call.route->max_attempts &&
+  // Only a stream goes on behind what the caller has of it.
+  const bool can_go_on = !call.stream_started || call.route->IsResumableStream();
+  return call.route->Repeatable() && can_go_on && call.possible_runs < call.route->max_attempts &&
          !crash_detector_.IsSuspected(call);
 }
 
@@ -214,12 +263,6 @@
   return Verdict{.run_state = call.run_state, .reason = reason, .retry_after = kRetryAfter};
 }
 
-std::string_view CallRelay::OutcomeName(RelayOutcome outcome) {
-  static constexpr std::array<std::string_view, 5> kNames = {"finished", "not_run", "lost",
-                                                             "failed", "moved"};
-  return kNames.at(static_cast<std::size_t>(outcome));
-}
-
 std::optional<Placement> CallRelay::SelectUpstream(Call& call, TimePoint now) {
   if (call.migration_target) {
     // The target already holds the KV cache of the prompt.
@@ -292,17 +335,15 @@
                              .retry_after = kRetryAfter});
       co_return;
     }
-    crash_detector_.OnSent(call, now);
-    const RelayOutcome outcome = co_await TryUpstream(call, *placement);
-    if (outcome == RelayOutcome::kFinished) {
+    const AttemptResult result = co_await TryUpstream(call, *placement);
+    if (result == AttemptResult::kAnswered || result == AttemptResult::kCallerLeft) {
       co_return;
     }
-    if (outcome == RelayOutcome::kMigrated) {
-      // The upstream that stopped the stream has run it.
-      call.run_state = RunState::kMayHaveRun;
+    if (result == AttemptResult::kMoved) {
       continue;
     }
-    if (moved && outcome == RelayOutcome::kNotRun && call.migration_source) {
+    const bool may_have_run = TraitsOf(result).may_have_run;
+    if (moved && !may_have_run && call.migration_source) {
       // The engine that stopped the request still holds its KV cache.
       call.return_reserved = false;
       call.migration_target = std::exchange(call.migration_source, std::nullopt);
@@ -311,197 +352,25 @@
     ReleaseReturn(call);
     call.migration_target.reset();
     call.kv_copy.reset();
-    call.tried_upstreams.push_back(placement->upstream.id);
-    fleet_.metrics
-        .GetCounter("savoryglade_gateway_lost_attempts_total",
-                    {{"reason", std::string(OutcomeName(outcome))}})
-        .Add();
-    // A migrated request has run at its source, even if the target states that it did not run it.
-    if (outcome != RelayOutcome::kNotRun || moved) {
-      ++call.possible_runs;
-      call.run_state = outcome == RelayOutcome::kFailed ? RunState::kRan : RunState::kMayHaveRun;
-      if (!fleet_.drain.interrupted() && !CanRetry(call)) {
-        co_await Reject(call, {.run_state = call.run_state,
-                               .reason = call.RemainingTime(BootNow()) < kMinRemainingTime
-                                             ? Reason::kDeadlineExceeded
-                                             : Reason::kUpstreamLost});
-        co_return;
-      }
-    }
-  }
-}
-
-asio::awaitable<RelayOutcome> CallRelay::TryUpstream(Call& call, const Placement& placement) {
-  Attempt attempt{.placement = placement, .sent_at = BootNow()};
-  const UpstreamId id = placement.upstream.id;
-  call.last_upstream = id;
-  fleet_.load_balancer.OnSent(id, call.metadata.work, placement.uncached_tokens, attempt.sent_at);
-  const RelayOutcome outcome = co_await SendAttempt(call, attempt);
-  const bool closed_by_this_daemon = fleet_.drain.interrupted() || attempt.undelivered;
-  if (closed_by_this_daemon && outcome != RelayOutcome::kFinished) {
-    // The upstream has not failed.
-    attempt.end = AttemptEnd::kCancelled;
-  } else if (outcome == RelayOutcome::kResponseLost &&
-             call.RemainingTime(BootNow()) > kMinRemainingTime) {
-    crash_detector_.OnAttemptLost(call, attempt, BootNow());
-  } else if (outcome == RelayOutcome::kFinished && attempt.end == AttemptEnd::kCancelled &&
-             attempt.registration) {
-    crash_detector_.OnCallerDisconnected(call, attempt, BootNow());
-  }
-  fleet_.load_balancer.OnEnd(id, placement.uncached_tokens, attempt.first_byte, attempt.end,
-                             BootNow());
-  if (outcome != RelayOutcome::kFinished) {
-    kLog.Info("An attempt ended without its answer.",
-              {{"request", call.metadata.attempt_id},
-               {"route", call.route->name},
-               {"upstream", id.value()},
-               {"version", attempt.placement.upstream.software_version},
-               {"peer", attempt.peer.value()},
-               {"outcome", OutcomeName(outcome)},
-               {"end", static_cast<int>(attempt.end)},
-               {"first_byte", attempt.first_byte},
-               {"failure", attempt.failure},
-               {"ms", (BootNow() - attempt.sent_at) / 1ms}});
-  }
-  call.caller.OnDisconnect({});
-  co_return outcome;
-}
-
-asio::awaitable<RelayOutcome> CallRelay::SendAttempt(Call& call, Attempt& attempt) {
-  const bool at_most_once = !call.route->Repeatable();
-  ++call.connection_attempts;
-  auto connected = co_await connector_.Connect(attempt.placement.upstream,
-                                               at_most_once ? kMaxIdleTimeNoRetry : kMaxIdleTime,
-                                               call.RemainingTime(BootNow()));
-  if (!connected) {
-    attempt.failure = connected.error().message;
-    const bool is_lost = fleet_.upstream_paths.IsServiceLost(call.service, BootNow());
-    attempt.end = is_lost ? AttemptEnd::kNoPath : AttemptEnd::kUnreachable;
-    if (connected.error().code != ErrorCode::kTimeout) {
-      crash_detector_.OnUpstreamEnded(attempt.placement.upstream, BootNow());
-    }
-    co_return RelayOutcome::kNotRun;
-  }
-  attempt.connection = std::move(connected->connection);
-  attempt.peer = std::move(connected->peer);
-  if (call.caller.Check()) {
-    attempt.end = AttemptEnd::kCancelled;
-    co_return RelayOutcome::kFinished;
-  }
-  if (fleet_.drain.interrupted()) {
-    attempt.failure = "The daemon interrupts its requests.";
-    attempt.end = AttemptEnd::kCancelled;
-    co_return RelayOutcome::kNotRun;
-  }
-  const Duration grace =
-      FromSeconds(ToSeconds(fleet_.settings.bounds.upstream_drain) * kSendGraceFraction);
-  if (!fleet_.notices.MayReceive(attempt.placement.upstream.id, grace, BootNow())) {
-    attempt.failure = "The upstream's notice is too old for another request.";
-    attempt.end = AttemptEnd::kCancelled;
-    co_return RelayOutcome::kNotRun;
-  }
-  // Only the engine that stopped a stream can continue it once its target has not.
-  const bool returns_to_source = call.migration_target && !call.migration_source;
-  if (!returns_to_source &&
-      fleet_.load_balancer.signals().WaitEnd(
-          FleetLoadBalancer::ProcessKeyOf(attempt.placement.upstream), BootNow())) {
-    attempt.failure = "The upstream wants no requests since it was chosen.";
-    attempt.end = AttemptEnd::kCancelled;
-    co_return RelayOutcome::kNotRun;
-  }
-  if (const UpstreamRecord* const record = fleet_.load_balancer.Find(attempt.placement.upstream.id);
-      record != nullptr) {
-    // The upstream may have started again since it was chosen.
-    attempt.placement.upstream.software_version = record->software_version;
-    const std::optional<std::uint64_t> required = call.metadata.work.required_version;
-    if (required && *required != SoftwareVersionKey(record->software_version)) {
-      attempt.failure = "The upstream has another version than the stream.";
-      attempt.end = AttemptEnd::kCancelled;
-      co_return RelayOutcome::kNotRun;
-    }
-  }
-  HttpConnection* const connection = attempt.connection.get();
-  attempt.registration.emplace(open_attempts_, attempt.placement.upstream.id, *connection);
-  call.caller.OnDisconnect([connection] { connection->Close(); });
-  const TimePoint now = BootNow();
-  const ForwardMetadata metadata{.upstream = attempt.placement.upstream.id,
-                                 .account = call.account_id(),
-                                 .remaining = std::max(call.RemainingTime(now), Duration(1ms)),
-                                 .engine_priority = std::clamp(call.rank(), 0, 9),
-                                 .last_event_id = call.sse_splitter.last_id().empty()
-                                                      ? call.metadata.last_event_id
-                                                      : call.sse_splitter.last_id(),
-                                 .kv_copy = call.kv_copy};
-  signals_.OnSend(attempt.placement.upstream, call.metadata.attempt_id);
-  ++call.sends;
-  ++call.unrejected_sends;
-  call.last_sent_at = now;
-  if (!call.kv_copy) {
-    fleet_.work.Add(call.service, fleet_.load_balancer.WorkSeconds(
-                                      call.metadata.work, attempt.placement.uncached_tokens));
-  }
-  const Result<void> sent = co_await connection->Send(
-      codec_.EncodeUpstreamRequest(call.exchange.request(), metadata), call.RemainingTime(now));
-  if (!call.counted_window && call.route->kind != CallKind::kStream) {
-    RecordUsage(call, now);
-  }
-  if (!sent) {
-    attempt.failure = sent.error().message;
-  }
-  // On a relayed connection, the peer acknowledges the request.
-  if (sent && attempt.peer.empty()) {
-    attempt.registration->AwaitAnswer(call.route->Repeatable(), BootNow());
-  }
-  const unsigned status = sent ? co_await response_relay_.ReadHeader(call, attempt) : 0;
-  attempt.undelivered = attempt.registration->OnAnswer();
-  if (call.caller.disconnected()) {
-    attempt.end = AttemptEnd::kCancelled;
-    co_return RelayOutcome::kFinished;
-  }
-  if (status == 0) {
-    co_return RelayOutcome::kResponseLost;
-  }
-  RecordFirstByte(call, attempt);
-  if (attempt.response.not_run && attempt.response.owner != ResponseOwner::kThisAttempt) {
-    // A rejection that an upstream repeats may be that of an earlier request.
-    attempt.response_rejected = true;
-    attempt.failure = "The rejection does not name the request.";
-    co_return RelayOutcome::kResponseLost;
-  }
-  if (attempt.response.not_run) {
-    attempt.end = AttemptEnd::kRefused;
-    --call.unrejected_sends;
-    if (call.counted_window && call.possible_runs == 0 && call.account != nullptr) {
-      fleet_.usage.OnNotRun(*call.counted_window, call.account->name);
-      call.counted_window.reset();
+    if ((may_have_run || moved) && !fleet_.drain.interrupted() && !CanRetry(call)) {
+      co_await Reject(call, {.run_state = call.run_state,
+                             .reason = call.RemainingTime(BootNow()) < kMinRemainingTime
+                                           ? Reason::kDeadlineExceeded
+                                           : Reason::kUpstreamLost});
+      co_return;
     }
-    co_return RelayOutcome::kNotRun;
-  }
-  ReleaseReturn(call);
-  if (status >= 200 && status < 300 && call.route->kind == CallKind::kStream) {
-    co_return co_await response_relay_.RelayStream(call, attempt, status);
   }
-  co_return co_await response_relay_.RelayBuffered(call, attempt, status);
 }
 
-void CallRelay::RecordFirstByte(Call& call, Attempt& attempt) {
-  const TimePoint now = BootNow();
-  const UpstreamId& id = attempt.placement.upstream.id;
-  attempt.first_byte = true;
-  fleet_.load_balancer.OnFirstByte(id, attempt.placement.uncached_tokens, now);
-  fleet_.AdmissionQueueOf(call.service)
-      .OnServed(call.metadata.work.IsGeneration() ? attempt.placement.uncached_tokens : 1, now);
-  if (!call.counted_window && !attempt.response.not_run) {
-    RecordUsage(call, now);
-  }
-}
-
-void CallRelay::RecordUsage(Call& call, TimePoint now) {
-  if (call.account == nullptr || fleet_.settings.bounds.usage_window == Duration::zero()) {
-    return;
+asio::awaitable<AttemptResult> CallRelay::TryUpstream(Call& call, const Placement& placement) {
+  const std::shared_ptr<Attempt> attempt = attempts_.Begin(call, placement);
+  std::optional<AttemptResult> result = co_await attempts_.Send(call, *attempt);
+  if (!result) {
+    ReleaseReturn(call);
+    result = co_await response_relay_.Relay(call, *attempt);
   }
-  call.counted_window = fleet_.WindowAt(now);
-  fleet_.usage.OnRequestStarted(*call.counted_window, call.account->name);
+  attempts_.End(call, *attempt, *result);
+  co_return *result;
 }
 
 void CallRelay::RecordCallerLeft(const Call& call) {
@@ -521,9 +390,14 @@
 }
 
 asio::awaitable<void> CallRelay::Reject(Call& call, Verdict verdict) {
-  call.answered = true;
   const std::string reason(ToString(verdict.reason));
   fleet_.metrics.GetCounter("savoryglade_gateway_refusals_total", {{"reason", reason}}).Add();
+  if (call.stream_started) {
+    call.end = CallEnd::kCutOff;
+    LogCutOff(call, verdict, "rejected");
+    call.exchange.Abort();
+    co_return;
+  }
   const std::string run_state(ToString(verdict.run_state));
   kLog.Info("A request got no answer of an upstream.",
             {{"request", call.metadata.attempt_id},
@@ -537,17 +411,15 @@
              {"sent", call.sends},
              {"routes_version", call.routes == nullptr ? 0 : call.routes->version()},
              {"ms", (BootNow() - call.received) / 1ms}});
-  if (call.stream_started) {
-    call.exchange.Abort();
-    co_return;
-  }
   if (fleet_.drain.has_begun()) {
     call.exchange.CloseAfterResponse();
   }
   if (call.failed_response) {
-    co_await call.exchange.Respond(call.failed_response->status,
-                                   std::move(call.failed_response->headers),
-                                   std::move(call.failed_response->body));
+    if (co_await call.exchange.Respond(call.failed_response->status,
+                                       std::move(call.failed_response->headers),
+                                       std::move(call.failed_response->body))) {
+      call.end = CallEnd::kAnswered;
+    }
     co_return;
   }
   const unsigned status = HttpStatusOf(verdict);
@@ -562,7 +434,9 @@
   }
   std::string body =
       fmt::format(R"({{"error":{{"reason":"{}","verdict":"{}"}}}})", reason, run_state);
-  co_await call.exchange.Respond(status, std::move(headers), std::move(body));
+  if (co_await call.exchange.Respond(status, std::move(headers), std::move(body))) {
+    call.end = CallEnd::kRejected;
+  }
 }
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -11,6 +12,7 @@
 #include "gateway/adapter.h"
 #include "gateway/admission_gate.h"
 #include "gateway/attempt.h"
+#include "gateway/attempt_runner.h"
 #include "gateway/call.h"
 #include "gateway/crash_detector.h"
 #include "gateway/fleet_state.h"
@@ -25,6 +27,10 @@
 
 namespace savoryglade::gateway {
 
+// Counts requests whose callers' connections ended without a whole answer, by cause: rejected (the
+// answer can't go on), write_failed (the caller did not take it), exit (of the process).
+inline constexpr const char* kCutOffMetric = "savoryglade_gateway_cut_off_requests_total";
+
 // Forwards a caller's request to upstreams, one after another if attempts fail. The objects in
 // FleetState decide on admission, upstream selection and retries. Not thread-safe.
 class CallRelay {
@@ -36,18 +42,30 @@
             std::function<void()> on_crash_record)
       : fleet_(fleet),
         codec_(codec),
-        connector_(connector),
-        open_attempts_(open_attempts),
-        signals_(signals),
         admission_(fleet),
         crash_detector_(fleet, std::move(on_crash_record)),
-        response_relay_(fleet, codec, connections, migrator, signals, crash_detector_) {}
+        response_relay_(fleet, codec, connections, migrator, signals, crash_detector_),
+        attempts_(fleet, codec, connector, open_attempts, signals, crash_detector_,
+                  response_relay_) {}
 
   // Handles one request and sends its response.
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+  // Logs the calls in progress, which end with the process.
+  void LogUnfinished() const;
 
  private:
-  static std::string_view OutcomeName(RelayOutcome outcome);
+  // Registers a call for as long as this object lives.
+  class Registration {
+   public:
+    Registration(const CallRelay& relay, Call& call);
+    ~Registration();
+    Registration(const Registration&) = delete;
+    Registration& operator=(const Registration&) = delete;
+
+   private:
+    std::shared_ptr<std::set<const Call*>> calls_;
+    Call& call_;
+  };
 
   // Decodes the request, matches its route and account and charges the account's allowance. On
   // failure, sets the verdict with which to reject the request.
@@ -57,22 +75,22 @@
   Reason BindToStreamVersion(Call& call, TimePoint now);
   // Makes attempts until the caller has a response or the request must be rejected.
   boost::asio::awaitable<void> SendUntilAnswered(Call& call);
-  // Makes one attempt and reports its load and outcome to the upstream selection.
-  boost::asio::awaitable<RelayOutcome> TryUpstream(Call& call, const Placement& placement);
-  // Sends the request over a connection and relays the response.
-  boost::asio::awaitable<RelayOutcome> SendAttempt(Call& call, Attempt& attempt);
+  // Makes one attempt. Returns why it has ended.
+  boost::asio::awaitable<AttemptResult> TryUpstream(Call& call, const Placement& placement);
   // Returns the upstream of the next attempt, or nothing if the request must be rejected.
   std::optional<Placement> SelectUpstream(Call& call, TimePoint now);
   // Returns true if the admission queue decides when the call is sent, given whether an upstream
   // accepts it now.
   bool NeedsAdmission(const Call& call, bool has_placement, TimePoint now) const;
-  void RecordFirstByte(Call& call, Attempt& attempt);
-  // Counts the request in the usage window of its account, if usage is reported.
-  void RecordUsage(Call& call, TimePoint now);
   // Returns the retry that is consumed for the return of a moved stream to its source.
   void ReleaseReturn(Call& call);
   // Returns true if the request may be sent again after an upstream may have run it.
   bool CanRetry(const Call& call) const;
+  // Logs the end of a call, unless that has been logged, and closes the caller's connection if it
+  // has no whole answer.
+  void RecordEnd(Call& call);
+  // Logs and counts a request whose caller's connection ends without a whole answer.
+  void LogCutOff(const Call& call, const Verdict& verdict, std::string_view cause) const;
   // Logs and counts that the caller closed its connection before its answer.
   void RecordCallerLeft(const Call& call);
   // Logs and counts the rejection and sends the response, or aborts a stream that has started.
@@ -81,12 +99,13 @@
 
   FleetState& fleet_;
   const MessageCodec& codec_;
-  UpstreamConnector& connector_;
-  OpenAttempts& open_attempts_;
-  UpstreamSignalRecorder& signals_;
+  // Calls in progress. Shared, because they are destroyed after the gateway's members when it
+  // stops.
+  std::shared_ptr<std::set<const Call*>> calls_ = std::make_shared<std::set<const Call*>>();
   AdmissionGate admission_;
   CrashDetector crash_detector_;
   ResponseRelay response_relay_;
+  AttemptRunner attempts_;
 };
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -95,19 +95,28 @@
   }
 }
 
-void CrashDetector::OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now) {
-  if (attempt.response_rejected) {
-    return;
-  }
+void CrashDetector::OnAttemptEnded(const Call& call, const Attempt& attempt, AttemptResult result,
+                                   TimePoint now) {
   const UpstreamRecord& upstream = attempt.placement.upstream;
-  const RequestRun run = RunOf(call);
-  RecordLosses(run, upstream, now);
-  // A response that timed out, or a connection that this daemon closed, shows no crash.
-  if (attempt.connection != nullptr && attempt.connection->is_open()) {
-    RecordPartLosses(run, upstream, now);
-    OnUpstreamEnded(upstream, now);
+  switch (TraitsOf(result).evidence) {
+    case CrashEvidence::kNone:
+      break;
+    case CrashEvidence::kRunLeft:
+      OnRunLeft(call, attempt, result, now);
+      break;
+    case CrashEvidence::kRequestLost:
+      RecordLosses(RunOf(call), upstream, now);
+      on_change_();
+      break;
+    case CrashEvidence::kConnectionLost: {
+      const RequestRun run = RunOf(call);
+      RecordLosses(run, upstream, now);
+      RecordPartLosses(run, upstream, now);
+      OnUpstreamEnded(upstream, now);
+      on_change_();
+      break;
+    }
   }
-  on_change_();
 }
 
 void CrashDetector::RecordLosses(const RequestRun& run, const UpstreamRecord& upstream,
@@ -154,11 +163,13 @@
   }
 }
 
-void CrashDetector::OnCallerDisconnected(const Call& call, const Attempt& attempt, TimePoint now) {
+void CrashDetector::OnRunLeft(const Call& call, const Attempt& attempt, AttemptResult result,
+                              TimePoint now) {
   const UpstreamRecord& upstream = attempt.placement.upstream;
   abandoned_runs_.Add(FleetLoadBalancer::ProcessKeyOf(upstream), RunOf(call), now);
-  kLog.Info("A caller disconnected while its request was at an upstream.",
+  kLog.Info("An attempt ended while its request was at an upstream.",
             {{"request", call.metadata.attempt_id},
+             {"result", TraitsOf(result).name},
              {"fingerprint", ToHex(call.fingerprint.request)},
              {"path", PathOf(call.exchange.target())},
              {"query_hash", QueryHash(call)},
--- a/packages/gateway/crash_detector.h
+++ b/packages/gateway/crash_detector.h
@@ -33,12 +33,9 @@
   Duration RemainingRefusal(Call& call, TimePoint now) const;
   // Records that the request is sent to an upstream.
   void OnSent(const Call& call, TimePoint now);
-  // Records that an upstream was lost while it ran the request, unless it sent a response that
-  // can't be used.
-  void OnAttemptLost(const Call& call, const Attempt& attempt, TimePoint now);
-  // Handles the disconnection of a caller while an upstream may be running its request. The request
-  // counts as lost if the upstream ends soon.
-  void OnCallerDisconnected(const Call& call, const Attempt& attempt, TimePoint now);
+  // Records what the end of an attempt whose request was sent shows of crashes.
+  void OnAttemptEnded(const Call& call, const Attempt& attempt, AttemptResult result,
+                      TimePoint now);
   // Records that the process of an upstream has ended, because it refuses or breaks connections.
   void OnUpstreamEnded(const UpstreamRecord& upstream, TimePoint now);
   // Records that an upstream has answered the request with this status.
@@ -48,6 +45,9 @@
   bool IsSuspected(const Call& call) const;
 
  private:
+  // Handles an attempt that ended while the upstream may be running the request. The request counts
+  // as lost if the upstream ends soon.
+  void OnRunLeft(const Call& call, const Attempt& attempt, AttemptResult result, TimePoint now);
   void RecordLosses(const RequestRun& run, const UpstreamRecord& upstream, TimePoint now);
   // Records the loss for each shared part of the prompt, unless the whole service fails.
   void RecordPartLosses(const RequestRun& run, const UpstreamRecord& upstream, TimePoint now);
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -257,6 +257,7 @@
     }
     co_await Sleep(kDrainCheckInterval);
   }
+  relay_.LogUnfinished();
   LogDrain("The gateway has finished draining.");
   drained_ = true;
 }
--- a/packages/gateway/open_attempts.cc
+++ b/packages/gateway/open_attempts.cc
@@ -23,7 +23,7 @@
     : connections_(attempts.connections_), upstream_(std::move(upstream)), connection_(connection) {
   (*connections_)[upstream_].emplace(&connection_, OpenAttempt{});
   if (attempts.closed_) {
-    connection_.Close();
+    Close(AttemptResult::kInterrupted);
   }
 }
 
@@ -40,9 +40,17 @@
   attempt().may_be_repeated = may_be_repeated;
 }
 
-bool OpenAttempts::Registration::OnAnswer() {
-  attempt().awaiting_since.reset();
-  return attempt().undelivered;
+void OpenAttempts::Registration::OnAnswer() { attempt().awaiting_since.reset(); }
+
+void OpenAttempts::Registration::Close(AttemptResult reason) {
+  OpenAttempts::Close(connection_, attempt(), reason);
+}
+
+void OpenAttempts::Close(HttpConnection& connection, OpenAttempt& attempt, AttemptResult reason) {
+  if (!attempt.closed_because) {
+    attempt.closed_because = reason;
+    connection.Close();
+  }
 }
 
 boost::asio::awaitable<void> OpenAttempts::WatchLoop(
@@ -67,8 +75,7 @@
         on_undelivered(upstream);
         attempt.awaiting_since.reset();
         if (attempt.may_be_repeated) {
-          attempt.undelivered = true;
-          connection->Close();
+          Close(*connection, attempt, AttemptResult::kUndelivered);
         }
       }
     }
@@ -83,9 +90,9 @@
 
 void OpenAttempts::CloseAll() {
   closed_ = true;
-  for (const auto& [upstream, connections] : *connections_) {
-    for (const auto& [connection, attempt] : connections) {
-      connection->Close();
+  for (auto& [upstream, attempts] : *connections_) {
+    for (auto& [connection, attempt] : attempts) {
+      Close(*connection, attempt, AttemptResult::kInterrupted);
     }
   }
 }
@@ -96,12 +103,12 @@
   if (found == connections_->end()) {
     co_return;
   }
-  for (const auto& [connection, attempt] : found->second) {
+  for (auto& [connection, attempt] : found->second) {
     const std::size_t bytes = connection->UnacknowledgedBytes().value_or(0);
     if (bytes > 0) {
       kLog.Info("Closed a connection whose request has not reached an upstream that leaves.",
                 {{"upstream", upstream.value()}, {"unacknowledged_bytes", bytes}});
-      connection->Close();
+      Close(*connection, attempt, AttemptResult::kUndelivered);
     }
   }
 }
--- a/packages/gateway/open_attempts.h
+++ b/packages/gateway/open_attempts.h
@@ -10,6 +10,7 @@
 
 #include "core/strong_id.h"
 #include "core/time.h"
+#include "gateway/attempt_result.h"
 #include "net/http_client.h"
 
 namespace savoryglade::gateway {
@@ -23,7 +24,8 @@
     // Time since which the request awaits its answer on a direct connection.
     std::optional<TimePoint> awaiting_since;
     bool may_be_repeated = false;
-    bool undelivered = false;
+    // Set once this daemon has closed the connection.
+    std::optional<AttemptResult> closed_because;
   };
   using Connections = std::map<UpstreamId, std::map<HttpConnection*, OpenAttempt>>;
 
@@ -38,12 +40,15 @@
 
     // Records that the request was sent, so that WatchLoop looks after it.
     void AwaitAnswer(bool may_be_repeated, TimePoint now);
-    // Records that the answer began or the attempt ended. Returns true if WatchLoop closed the
-    // connection.
-    bool OnAnswer();
+    // Records that the answer began or the attempt ended.
+    void OnAnswer();
+    // Closes the connection, so that a read from it fails. Only the first reason counts.
+    void Close(AttemptResult reason);
+    // Returns why this daemon has closed the connection, or nothing if it has not.
+    std::optional<AttemptResult> closed_because() const { return attempt().closed_because; }
 
    private:
-    OpenAttempt& attempt() { return connections_->at(upstream_).at(&connection_); }
+    OpenAttempt& attempt() const { return connections_->at(upstream_).at(&connection_); }
 
     // Shared, because the calls in progress are destroyed after the gateway's members when it
     // stops.
@@ -69,6 +74,7 @@
 
  private:
   boost::asio::awaitable<void> CloseUnacknowledged(UpstreamId upstream);
+  static void Close(HttpConnection& connection, OpenAttempt& attempt, AttemptResult reason);
 
   boost::asio::io_context& context_;
   std::shared_ptr<Connections> connections_ = std::make_shared<Connections>();
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -58,16 +58,14 @@
   if (!attempt.peer.empty()) {
     // The peer ends the tunnel after this response.
     attempt.connection.reset();
-    call.caller.OnDisconnect({});
     return;
   }
   connections_.Release(attempt.placement.upstream.id, std::move(attempt.connection),
                        attempt.response.idle_timeout, MaxIdleConnections(call));
-  call.caller.OnDisconnect({});
 }
 
-void ResponseRelay::RecordResponse(Call& call, const Attempt& attempt, unsigned status) {
-  call.answered = true;
+void ResponseRelay::RecordResponse(Call& call, const Attempt& attempt) {
+  call.end = CallEnd::kAnswered;
   const Duration total = BootNow() - call.received;
   fleet_.metrics.GetTiming("savoryglade_gateway_answer_seconds", {{"route", call.route->name}})
       .Record(total);
@@ -77,7 +75,7 @@
                                           {"upstream", attempt.placement.upstream.id.value()},
                                           {"version", attempt.placement.upstream.software_version},
                                           {"peer", attempt.peer.value()},
-                                          {"status", status},
+                                          {"status", attempt.status},
                                           {"sent", call.sends},
                                           {"prompt_tokens", call.metadata.work.prompt_tokens},
                                           {"uncached_tokens", attempt.placement.uncached_tokens},
@@ -113,33 +111,49 @@
     co_return tl::make_unexpected(
         Error{.code = ErrorCode::kTimeout, .message = "The response did not end in time."});
   }
-  Result<bool> has_more = co_await attempt.connection->ReadSome(bytes, timeout);
-  if (!has_more && has_more.error().code == ErrorCode::kInvalid) {
-    attempt.response_rejected = true;
+  co_return co_await attempt.connection->ReadSome(bytes, timeout);
+}
+
+AttemptResult ResponseRelay::ResultOfFailure(const Call& call, Attempt& attempt,
+                                             const Error& error) {
+  attempt.failure = error.message;
+  if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
+    return *closed;
+  }
+  // An upstream may end its work at the deadline, too.
+  const bool is_due = call.RemainingTime(BootNow()) <= kMinRemainingTime;
+  if (error.code == ErrorCode::kTimeout && !is_due) {
+    fleet_.metrics
+        .GetCounter(kSilencesMetric, {{"stage", attempt.first_byte ? "in_response" : "before"}})
+        .Add();
   }
-  co_return has_more;
+  if (error.code == ErrorCode::kInvalid) {
+    return AttemptResult::kUnusable;
+  }
+  return error.code == ErrorCode::kTimeout || is_due ? AttemptResult::kTimedOut
+                                                     : AttemptResult::kBrokenOff;
 }
 
-asio::awaitable<bool> ResponseRelay::DiscardBody(const Call& call, Attempt& attempt) {
+asio::awaitable<std::optional<AttemptResult>> ResponseRelay::DiscardBody(const Call& call,
+                                                                         Attempt& attempt) {
   std::string discarded;
   for (std::size_t size = 0; size <= kMaxDiscardedBytes; size += discarded.size()) {
     discarded.clear();
     const Result<bool> has_more =
         co_await ReadBody(call, attempt, discarded, ResponseTimeout(call, attempt, BootNow()));
     if (!has_more) {
-      attempt.failure = has_more.error().message;
-      co_return false;
+      co_return ResultOfFailure(call, attempt, has_more.error());
     }
     if (!*has_more) {
-      co_return true;
+      co_return std::nullopt;
     }
   }
-  attempt.response_rejected = true;
   attempt.failure = "A response to another request did not end.";
-  co_return false;
+  co_return AttemptResult::kUnusable;
 }
 
-asio::awaitable<unsigned> ResponseRelay::ReadHeader(Call& call, Attempt& attempt) {
+asio::awaitable<std::optional<AttemptResult>> ResponseRelay::ReadHeader(Call& call,
+                                                                        Attempt& attempt) {
   HttpConnection& connection = *attempt.connection;
   int interim_responses = 0;
   int stale_responses = 0;
@@ -147,9 +161,10 @@
     const Result<unsigned> status =
         co_await connection.ReadHeader(ResponseTimeout(call, attempt, BootNow()));
     if (!status) {
-      attempt.response_rejected = status.error().code == ErrorCode::kInvalid;
-      attempt.failure = status.error().message;
-      co_return 0;
+      co_return ResultOfFailure(call, attempt, status.error());
+    }
+    if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
+      co_return closed;
     }
     if (*status < 200) {
       ++interim_responses;
@@ -160,137 +175,139 @@
     signals_.OnAnswer(attempt.placement.upstream, call.metadata.attempt_id, attempt.response,
                       attempt.sent_at);
     if (attempt.response.owner != ResponseOwner::kOtherAttempt) {
-      co_return *status;
+      attempt.status = *status;
+      co_return std::nullopt;
     }
     // This is a late response to an earlier request on the connection; discard it and read on.
     ++stale_responses;
-    if (!co_await DiscardBody(call, attempt)) {
-      co_return 0;
+    const std::optional<AttemptResult> result = co_await DiscardBody(call, attempt);
+    if (result) {
+      co_return result;
     }
   }
-  attempt.response_rejected = true;
   attempt.failure = "The connection carried too many responses that do not answer the request.";
-  co_return 0;
+  co_return AttemptResult::kUnusable;
 }
 
-asio::awaitable<RelayOutcome> ResponseRelay::RelayBuffered(Call& call, Attempt& attempt,
-                                                           unsigned status) {
+asio::awaitable<AttemptResult> ResponseRelay::Relay(Call& call, Attempt& attempt) {
+  const bool is_success = attempt.status >= 200 && attempt.status < 300;
+  if (is_success && call.route->kind == CallKind::kStream) {
+    co_return co_await RelayStream(call, attempt);
+  }
+  co_return co_await RelayBuffered(call, attempt);
+}
+
+asio::awaitable<AttemptResult> ResponseRelay::RelayBuffered(Call& call, Attempt& attempt) {
   HttpConnection& connection = *attempt.connection;
+  const unsigned status = attempt.status;
   const bool success = status >= 200 && status < 300;
   const bool usable = attempt.response.owner == ResponseOwner::kThisAttempt &&
                       !attempt.response.content_encoded &&
                       (!success || attempt.response.has_seal) && !ImpliesNotRun(status);
   if (!usable || (call.stream_started && !success)) {
-    attempt.response_rejected = true;
     attempt.failure = fmt::format("The response with status {} can't be relayed.", status);
-    co_return RelayOutcome::kResponseLost;
+    co_return AttemptResult::kUnusable;
   }
   BufferedResponse response{.status = status,
                             .headers = codec_.CallerResponseHeaders(connection.response_header())};
   while (true) {
     const Result<bool> has_more =
         co_await ReadBody(call, attempt, response.body, ResponseTimeout(call, attempt, BootNow()));
-    if (call.caller.disconnected()) {
-      attempt.end = AttemptEnd::kCancelled;
-      co_return RelayOutcome::kFinished;
-    }
     if (!has_more) {
-      attempt.failure = has_more.error().message;
-      co_return RelayOutcome::kResponseLost;
+      co_return ResultOfFailure(call, attempt, has_more.error());
+    }
+    if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
+      co_return *closed;
     }
     fleet_.load_balancer.OnBytes(attempt.placement.upstream.id, BootNow());
     if (!*has_more) {
       break;
     }
     if (response.body.size() >= kMaxBufferedBytes) {
-      break;
-    }
-  }
-  attempt.end = status >= 500 ? AttemptEnd::kFailed : AttemptEnd::kAnswered;
-  if (response.body.size() >= kMaxBufferedBytes) {
-    if (fleet_.drain.has_begun()) {
-      call.exchange.CloseAfterResponse();
+      co_return co_await RelayLargeBody(call, attempt, std::move(response));
     }
-    bool open =
-        co_await call.exchange.StartStream(status, std::move(response.headers), response.body);
-    while (open) {
-      response.body.clear();
-      const Result<bool> has_more =
-          co_await ReadBody(call, attempt, response.body, WaitLimit(call));
-      if (!has_more) {
-        attempt.failure = has_more.error().message;
-        attempt.end = AttemptEnd::kFailed;
-        if (has_more.error().code != ErrorCode::kTimeout && !fleet_.drain.interrupted()) {
-          crash_detector_.OnAttemptLost(call, attempt, BootNow());
-        }
-        call.exchange.Abort();
-        co_return RelayOutcome::kFinished;
-      }
-      if (!*has_more) {
-        attempt.has_framed_end = !connection.ends_with_connection();
-        crash_detector_.OnAnswer(call, attempt, status, BootNow());
-        open = co_await call.exchange.EndStream();
-        call.answered = open;
-        break;
-      }
-      open = co_await call.exchange.WriteChunk(response.body);
-    }
-    co_return RelayOutcome::kFinished;
   }
   ReleaseConnection(call, attempt);
   if (status >= 500 && call.route->kind == CallKind::kIdempotent && call.possible_runs == 0 &&
       call.route->max_attempts > 1) {
     call.failed_response = std::move(response);
-    co_return RelayOutcome::kFailed;
+    co_return AttemptResult::kFailed;
   }
   crash_detector_.OnAnswer(call, attempt, status, BootNow());
   if (fleet_.drain.has_begun()) {
     call.exchange.CloseAfterResponse();
   }
-  co_await call.exchange.Respond(status, std::move(response.headers), std::move(response.body));
-  ++call.possible_runs;
-  RecordResponse(call, attempt, status);
-  co_return RelayOutcome::kFinished;
+  if (co_await call.exchange.Respond(status, std::move(response.headers),
+                                     std::move(response.body))) {
+    RecordResponse(call, attempt);
+  }
+  co_return AttemptResult::kAnswered;
+}
+
+asio::awaitable<AttemptResult> ResponseRelay::RelayLargeBody(Call& call, Attempt& attempt,
+                                                             BufferedResponse response) {
+  if (fleet_.drain.has_begun()) {
+    call.exchange.CloseAfterResponse();
+  }
+  call.stream_started = true;
+  bool open = co_await call.exchange.StartStream(attempt.status, std::move(response.headers),
+                                                 response.body);
+  while (open) {
+    response.body.clear();
+    const Result<bool> has_more = co_await ReadBody(call, attempt, response.body, WaitLimit(call));
+    if (!has_more) {
+      co_return ResultOfFailure(call, attempt, has_more.error());
+    }
+    if (!*has_more) {
+      attempt.has_framed_end = !attempt.connection->ends_with_connection();
+      crash_detector_.OnAnswer(call, attempt, attempt.status, BootNow());
+      if (co_await call.exchange.EndStream()) {
+        RecordResponse(call, attempt);
+      }
+      co_return AttemptResult::kAnswered;
+    }
+    open = co_await call.exchange.WriteChunk(response.body);
+  }
+  co_return AttemptResult::kCallerLeft;
 }
 
-asio::awaitable<RelayOutcome> ResponseRelay::RelayStream(Call& call, Attempt& attempt,
-                                                         unsigned status) {
+asio::awaitable<AttemptResult> ResponseRelay::RelayStream(Call& call, Attempt& attempt) {
   if (attempt.response.owner != ResponseOwner::kThisAttempt || !attempt.response.has_seal ||
       attempt.response.content_encoded) {
-    attempt.response_rejected = true;
     attempt.failure = "The stream's header has no seal, or not this request's id.";
-    co_return RelayOutcome::kResponseLost;
+    co_return AttemptResult::kUnusable;
   }
   if (call.stream_started && !attempt.response.is_event_stream) {
-    attempt.response_rejected = true;
     attempt.failure = "The response does not continue the stream.";
-    co_return RelayOutcome::kResponseLost;
+    co_return AttemptResult::kUnusable;
   }
   attempt.stream =
       migrator_.Track(call.metadata.attempt_id, attempt.placement.upstream, call.metadata.work);
-  const RelayOutcome outcome = co_await RelayEvents(call, attempt, status);
+  const AttemptResult result = co_await RelayEvents(call, attempt);
   migrator_.Untrack(attempt.stream);
-  if (outcome != RelayOutcome::kResponseLost) {
-    co_return outcome;
+  // Only an end for which nobody else is known to be the cause may be that of a stopped stream.
+  if (result != AttemptResult::kBrokenOff && result != AttemptResult::kTimedOut &&
+      result != AttemptResult::kUnusable) {
+    co_return result;
   }
   const StopOutcome stop =
       co_await StreamMigrator::AwaitStopOutcome(attempt.stream, WaitLimit(call));
-  if (stop == StopOutcome::kUnknown) {
-    // The stream may have ended at this daemon's request, so that its end shows no failure.
-    attempt.response_rejected = true;
-  }
-  if (stop != StopOutcome::kStopped) {
-    co_return outcome;
+  switch (stop) {
+    case StopOutcome::kNotStopped:
+      co_return result;
+    case StopOutcome::kUnknown:
+      // The stream may have ended at this daemon's request, so that its end shows no failure.
+      co_return AttemptResult::kUnusable;
+    case StopOutcome::kStopped:
+      break;
   }
-  // The upstream did not fail; it was asked to stop the stream.
-  attempt.end = AttemptEnd::kCancelled;
   call.kv_copy = attempt.stream->kv_copy();
   call.migration_target = attempt.stream->resume_upstream();
   call.migration_source = attempt.stream->state() == MigratableStream::State::kMigrated
                               ? std::optional(attempt.stream->source())
                               : std::nullopt;
   call.return_reserved = call.migration_source.has_value();
-  co_return RelayOutcome::kMigrated;
+  co_return AttemptResult::kMoved;
 }
 
 void ResponseRelay::OnFirstEvent(Call& call, const Attempt& attempt) {
@@ -315,8 +332,7 @@
   }
 }
 
-asio::awaitable<RelayOutcome> ResponseRelay::RelayEvents(Call& call, Attempt& attempt,
-                                                         unsigned status) {
+asio::awaitable<AttemptResult> ResponseRelay::RelayEvents(Call& call, Attempt& attempt) {
   HttpConnection& connection = *attempt.connection;
   const HttpHeaders headers = codec_.CallerResponseHeaders(connection.response_header());
   call.sse_splitter.Reset();
@@ -326,22 +342,18 @@
     received.clear();
     const Result<bool> has_more =
         co_await ReadBody(call, attempt, received, ResponseTimeout(call, attempt, BootNow()));
-    if (call.caller.disconnected()) {
-      attempt.end = AttemptEnd::kCancelled;
-      call.exchange.Abort();
-      co_return RelayOutcome::kFinished;
-    }
     if (!has_more) {
-      attempt.failure = has_more.error().message;
-      co_return RelayOutcome::kResponseLost;
+      co_return ResultOfFailure(call, attempt, has_more.error());
+    }
+    if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
+      co_return *closed;
     }
     more = *has_more;
     fleet_.load_balancer.OnBytes(attempt.placement.upstream.id, BootNow());
     const std::string events = call.sse_splitter.Append(received);
     if (call.sse_splitter.partial_event().size() > kMaxEventBytes) {
-      attempt.response_rejected = true;
       attempt.failure = "An event of the stream exceeds the maximum size.";
-      co_return RelayOutcome::kResponseLost;
+      co_return AttemptResult::kUnusable;
     }
     if (events.empty()) {
       continue;
@@ -354,18 +366,17 @@
       if (fleet_.drain.has_begun()) {
         call.exchange.CloseAfterResponse();
       }
-      open = co_await call.exchange.StartStream(status, headers, events);
+      open = co_await call.exchange.StartStream(attempt.status, headers, events);
     } else {
       open = co_await call.exchange.WriteChunk(events);
     }
     if (!open) {
-      attempt.end = AttemptEnd::kCancelled;
-      co_return RelayOutcome::kFinished;
+      co_return AttemptResult::kCallerLeft;
     }
   }
   if (!call.sse_splitter.partial_event().empty()) {
     attempt.failure = "The stream ended within an event.";
-    co_return RelayOutcome::kResponseLost;
+    co_return AttemptResult::kBrokenOff;
   }
   const StopOutcome stop =
       co_await StreamMigrator::AwaitStopOutcome(attempt.stream, WaitLimit(call));
@@ -373,19 +384,18 @@
   if (stop == StopOutcome::kStopped ||
       (stop == StopOutcome::kUnknown && connection.ends_with_connection())) {
     attempt.failure = "The stream was stopped to be moved, or may have been.";
-    co_return RelayOutcome::kResponseLost;
+    co_return AttemptResult::kUnusable;
   }
-  attempt.end = AttemptEnd::kAnswered;
   ReleaseConnection(call, attempt);
-  crash_detector_.OnAnswer(call, attempt, status, BootNow());
+  crash_detector_.OnAnswer(call, attempt, attempt.status, BootNow());
   if (!call.stream_started) {
     call.stream_started = true;
-    co_await call.exchange.StartStream(status, headers);
+    co_await call.exchange.StartStream(attempt.status, headers);
+  }
+  if (co_await call.exchange.EndStream()) {
+    RecordResponse(call, attempt);
   }
-  co_await call.exchange.EndStream();
-  ++call.possible_runs;
-  RecordResponse(call, attempt, status);
-  co_return RelayOutcome::kFinished;
+  co_return AttemptResult::kAnswered;
 }
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <optional>
+#include <string>
 
 #include "gateway/adapter.h"
 #include "gateway/attempt.h"
@@ -28,28 +30,36 @@
         signals_(signals),
         crash_detector_(crash_detector) {}
 
-  // Reads response headers until one belongs to the attempt. Returns its status, or zero if none
-  // arrives.
-  boost::asio::awaitable<unsigned> ReadHeader(Call& call, Attempt& attempt);
+  // Reads response headers until one belongs to the attempt, and sets the status and the response
+  // of the attempt. Returns why the attempt has ended if none arrives.
+  boost::asio::awaitable<std::optional<AttemptResult>> ReadHeader(Call& call, Attempt& attempt);
+  // Relays the body after a response header. Returns kMoved if a stream has to continue elsewhere.
+  boost::asio::awaitable<AttemptResult> Relay(Call& call, Attempt& attempt);
 
-  // Relays the body after a response header. A body up to the buffer limit is sent to the caller
-  // once it is complete; a larger one is sent as it arrives.
-  boost::asio::awaitable<RelayOutcome> RelayBuffered(Call& call, Attempt& attempt, unsigned status);
-  // Relays a stream of events. Returns kMigrated if the stream has to continue elsewhere.
-  boost::asio::awaitable<RelayOutcome> RelayStream(Call& call, Attempt& attempt, unsigned status);
+  // Returns why the attempt has ended, given the error of a write to its upstream or a read from
+  // it.
+  AttemptResult ResultOfFailure(const Call& call, Attempt& attempt, const Error& error);
 
  private:
+  // Relays a body. One up to the buffer limit is sent to the caller once it is complete; a larger
+  // one is sent as it arrives.
+  boost::asio::awaitable<AttemptResult> RelayBuffered(Call& call, Attempt& attempt);
+  // Sends the rest of a body that exceeds the buffer limit as it arrives.
+  boost::asio::awaitable<AttemptResult> RelayLargeBody(Call& call, Attempt& attempt,
+                                                       BufferedResponse response);
+  boost::asio::awaitable<AttemptResult> RelayStream(Call& call, Attempt& attempt);
   // Relays events until the upstream's stream completes, breaks or stalls.
-  boost::asio::awaitable<RelayOutcome> RelayEvents(Call& call, Attempt& attempt, unsigned status);
+  boost::asio::awaitable<AttemptResult> RelayEvents(Call& call, Attempt& attempt);
   // Limits later attempts to the version that has written the first event, and records the version
   // of the stream.
   void OnFirstEvent(Call& call, const Attempt& attempt);
   // Appends the next bytes of the body. Returns false at its end, and kTimeout once the deadline
-  // has passed, even if bytes still arrive. Bytes that belong to no body reject the response.
+  // has passed, even if bytes still arrive.
   static boost::asio::awaitable<Result<bool>> ReadBody(const Call& call, Attempt& attempt,
                                                        std::string& bytes, Duration timeout);
-  // Reads over a response to another attempt. Returns false if it does not end.
-  boost::asio::awaitable<bool> DiscardBody(const Call& call, Attempt& attempt);
+  // Reads over a response to another attempt. Returns why the attempt has ended if it does not end.
+  boost::asio::awaitable<std::optional<AttemptResult>> DiscardBody(const Call& call,
+                                                                   Attempt& attempt);
   // Returns the longest wait for the next bytes of a response.
   Duration ResponseTimeout(const Call& call, const Attempt& attempt, TimePoint now) const;
   // Returns the number of idle connections to keep to each upstream of the call's service.
@@ -57,7 +67,7 @@
   // Returns the connection of a completely answered attempt to the pool.
   void ReleaseConnection(Call& call, Attempt& attempt);
   // Logs a completely answered request and records its latency.
-  void RecordResponse(Call& call, const Attempt& attempt, unsigned status);
+  void RecordResponse(Call& call, const Attempt& attempt);
 
   FleetState& fleet_;
   const MessageCodec& codec_;
