Count no time-out of this daemon as a crash of an upstream

Cause: the loss of a request was recorded before it was asked whether the connection was still open, so an upstream that was silent for longer than expected counted as crashed; after three silences a sound request was refused as one that crashes upstreams, and its stream cut off. Change: a time-out is a run that was left, as when the caller leaves: it counts as a loss only if the upstream's process ends within the attribution time. The table of AttemptResult says so once for requests, paths and parts of prompts.

--- a/packages/gateway/attempt_result.cc
+++ b/packages/gateway/attempt_result.cc
@@ -19,7 +19,7 @@
        .end = AttemptEnd::kFailed,
        .evidence = CrashEvidence::kConnectionLost},
       {.name = "unusable", .end = AttemptEnd::kFailed},
-      {.name = "timed_out", .end = AttemptEnd::kFailed, .evidence = CrashEvidence::kRequestLost},
+      {.name = "timed_out", .end = AttemptEnd::kFailed, .evidence = CrashEvidence::kRunLeft},
       {.name = "superseded", .end = AttemptEnd::kCancelled, .evidence = CrashEvidence::kRunLeft},
       {.name = "caller_left", .end = AttemptEnd::kCancelled, .evidence = CrashEvidence::kRunLeft},
       {.name = "interrupted", .end = AttemptEnd::kCancelled},
--- a/packages/gateway/attempt_result.h
+++ b/packages/gateway/attempt_result.h
@@ -49,8 +49,6 @@
   kNone,
   // The run was left. It has crashed the upstream if the upstream's process ends soon.
   kRunLeft,
-  // The upstream was lost while it ran the request.
-  kRequestLost,
   // The connection to the upstream was lost, as all others to its process.
   kConnectionLost,
 };
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -104,10 +104,6 @@
     case CrashEvidence::kRunLeft:
       OnRunLeft(call, attempt, result, now);
       break;
-    case CrashEvidence::kRequestLost:
-      RecordLosses(RunOf(call), upstream, now);
-      on_change_();
-      break;
     case CrashEvidence::kConnectionLost: {
       const RequestRun run = RunOf(call);
       RecordLosses(run, upstream, now);
