Keep a silent answer until another one is at hand

Cause: after three times the route's longest pause (before the first event: three times the objective and the predicted time) a daemon closed the answer that it had, before it had another. If no upstream took the request then, or the retry budget or max_attempts forbade it, a stream of a sound upstream ended without its end, and a call got 502. Class: something in hand is given up for something that is hoped for. Change: BackupAttempt watches the first attempt; on silence it begins a second one beside it. The first one is closed when the next event, or the whole body, of the second one is at hand; its late bytes are dropped. The second one ends as soon as the first one has something to pass on. Reads wait until the call's deadline. Silence is recorded for the load balancer when it is noticed, so that a frozen upstream is avoided as early as before. One second attempt costs one retry of the budget and counts against max_attempts; routes that may not be repeated have none.

--- a/packages/gateway/attempt.h
+++ b/packages/gateway/attempt.h
@@ -7,6 +7,7 @@
 #include "core/time.h"
 #include "gateway/adapter.h"
 #include "gateway/attempt_result.h"
+#include "gateway/call.h"
 #include "gateway/open_attempts.h"
 #include "gateway/stream_migrator.h"
 #include "net/http_client.h"
@@ -14,6 +15,20 @@
 
 namespace savoryglade::gateway {
 
+// Is told of the progress of an attempt.
+class AttemptObserver {
+ public:
+  virtual ~AttemptObserver() = default;
+
+  // The request has been sent.
+  virtual void OnSent() = 0;
+  // The upstream has sent something.
+  virtual void OnBytes() = 0;
+  // A part of the answer is about to be passed on to the caller, or has been.
+  virtual void OnRelay() = 0;
+  virtual void OnRelayed() = 0;
+};
+
 // One attempt to have an upstream answer a call.
 struct Attempt {
   Placement placement;
@@ -25,12 +40,21 @@
   DaemonId peer;
   // Set while the attempt owns the connection.
   std::optional<OpenAttempts::Registration> registration;
+  // Null for an attempt beside another one.
+  AttemptObserver* observer = nullptr;
+  // Why the attempt must not send its request any more.
+  std::optional<AttemptResult> withdrawn;
   // Set once the request has been sent, or a part of it.
   bool sent = false;
   bool first_byte = false;
   // Status of the response; zero until its header has been read.
   unsigned status = 0;
   ResponseMetadata response;
+  // Whole response of a call, or its first part if it exceeds the buffer limit.
+  std::optional<BufferedResponse> buffered;
+  bool is_buffered_whole = false;
+  // Bytes of a stream that have been read and not passed on.
+  std::string prefetched;
   // Set while a stream is relayed.
   std::shared_ptr<MigratableStream> stream;
   // Whether the response had a length or chunks, so that its end was not just that of its
@@ -39,6 +63,13 @@
   // Why the attempt has no usable response, for the log.
   std::string failure;
 
+  // Ends the attempt for this reason, also before it has a connection.
+  void Withdraw(AttemptResult reason) {
+    withdrawn = withdrawn.value_or(reason);
+    if (registration) {
+      registration->Close(reason);
+    }
+  }
   // Returns why this daemon has closed the connection, or nothing if it has not.
   std::optional<AttemptResult> closed_because() const {
     return registration ? registration->closed_because() : std::nullopt;
--- a/packages/gateway/attempt_runner.cc
+++ b/packages/gateway/attempt_runner.cc
@@ -25,11 +25,12 @@
 
 }  // namespace
 
-std::shared_ptr<Attempt> AttemptRunner::Begin(Call& call, const Placement& placement) {
+std::shared_ptr<Attempt> AttemptRunner::Begin(Call& call, const Placement& placement,
+                                              bool is_move) {
   auto attempt = std::make_shared<Attempt>();
   attempt->placement = placement;
   attempt->sent_at = BootNow();
-  attempt->is_move = call.migration_target.has_value();
+  attempt->is_move = is_move;
   call.last_upstream = placement.upstream.id;
   call.attempts.push_back(attempt.get());
   ++call.connection_attempts;
@@ -40,6 +41,9 @@
 }
 
 std::optional<AttemptResult> AttemptRunner::ReasonNotToSend(Call& call, Attempt& attempt) {
+  if (attempt.withdrawn) {
+    return attempt.withdrawn;
+  }
   if (call.caller.Check()) {
     return AttemptResult::kCallerLeft;
   }
@@ -124,6 +128,9 @@
   if (attempt.peer.empty()) {
     attempt.registration->AwaitAnswer(call.route->Repeatable(), BootNow());
   }
+  if (attempt.observer != nullptr) {
+    attempt.observer->OnSent();
+  }
   const auto result = co_await response_relay_.ReadHeader(call, attempt);
   attempt.registration->OnAnswer();
   if (result) {
@@ -173,6 +180,7 @@
 void AttemptRunner::End(Call& call, Attempt& attempt, AttemptResult result) {
   const TimePoint now = BootNow();
   std::erase(call.attempts, &attempt);
+  attempt.observer = nullptr;
   attempt.registration.reset();
   attempt.connection.reset();
   if (attempt.sent) {
--- a/packages/gateway/attempt_runner.h
+++ b/packages/gateway/attempt_runner.h
@@ -32,8 +32,8 @@
         crash_detector_(crash_detector),
         response_relay_(response_relay) {}
 
-  // Begins an attempt of the call at an upstream.
-  std::shared_ptr<Attempt> Begin(Call& call, const Placement& placement);
+  // Begins an attempt of the call at an upstream. A move continues a stopped stream there.
+  std::shared_ptr<Attempt> Begin(Call& call, const Placement& placement, bool is_move);
   // Connects, sends the request and reads the header of the response. Returns why the attempt has
   // ended, or nothing if the response can be relayed.
   boost::asio::awaitable<std::optional<AttemptResult>> Send(Call& call, Attempt& attempt);
--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -42,6 +42,10 @@
 
 // Shortest time before its deadline with which a call is still sent to an upstream.
 inline constexpr Duration kMinRemainingTime = 10ms;
+// Most attempts that are begun for a call, and most of them that may be sent before the gateway
+// rejects it.
+inline constexpr int kMaxConnectionAttempts = 4;
+inline constexpr int kMaxSends = 3;
 
 // State of one caller's request while the gateway processes it.
 struct Call {
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -20,9 +20,6 @@
 
 // The gateway's deadline for a response precedes the caller's by this margin.
 constexpr Duration kResponseMargin = 20ms;
-constexpr int kMaxConnectionAttempts = 4;
-// Upstreams that may reject a request as not run before the gateway rejects it.
-constexpr int kMaxSends = 3;
 constexpr Duration kRetryAfter = 1s;
 // Short, because another daemon can answer as soon as the caller reconnects.
 constexpr Duration kDrainingRetryAfter = 100ms;
@@ -343,7 +340,8 @@
       continue;
     }
     const bool may_have_run = TraitsOf(result).may_have_run;
-    if (moved && !may_have_run && call.migration_source) {
+    const bool move_ended = moved && call.migration_target.has_value();
+    if (move_ended && !may_have_run && call.migration_source) {
       // The engine that stopped the request still holds its KV cache.
       call.return_reserved = false;
       call.migration_target = std::exchange(call.migration_source, std::nullopt);
@@ -352,7 +350,7 @@
     ReleaseReturn(call);
     call.migration_target.reset();
     call.kv_copy.reset();
-    if ((may_have_run || moved) && !fleet_.drain.interrupted() && !CanRetry(call)) {
+    if ((may_have_run || move_ended) && !fleet_.drain.interrupted() && !CanRetry(call)) {
       co_await Reject(call, {.run_state = call.run_state,
                              .reason = call.RemainingTime(BootNow()) < kMinRemainingTime
                                            ? Reason::kDeadlineExceeded
@@ -363,14 +361,37 @@
 }
 
 asio::awaitable<AttemptResult> CallRelay::TryUpstream(Call& call, const Placement& placement) {
-  const std::shared_ptr<Attempt> attempt = attempts_.Begin(call, placement);
-  std::optional<AttemptResult> result = co_await attempts_.Send(call, *attempt);
-  if (!result) {
+  std::shared_ptr<Attempt> attempt =
+      attempts_.Begin(call, placement, call.migration_target.has_value());
+  while (true) {
+    const auto backup = std::make_shared<BackupAttempt>(
+        context_, fleet_, attempts_, response_relay_, crash_detector_, call, attempt);
+    attempt->observer = backup.get();
+    std::optional<AttemptResult> result;
+    if (attempt->sent) {
+      backup->OnSent();
+    } else {
+      result = co_await attempts_.Send(call, *attempt);
+    }
+    if (!result) {
+      ReleaseReturn(call);
+      result = co_await response_relay_.Relay(call, *attempt);
+    }
+    attempts_.End(call, *attempt, *result);
+    const bool is_wanted = *result != AttemptResult::kAnswered &&
+                           *result != AttemptResult::kCallerLeft &&
+                           *result != AttemptResult::kMoved;
+    std::shared_ptr<Attempt> second = co_await backup->Finish(is_wanted);
+    if (second == nullptr) {
+      co_return *result;
+    }
+    attempt = std::move(second);
+    // What was moved has not been continued there.
     ReleaseReturn(call);
-    result = co_await response_relay_.Relay(call, *attempt);
+    call.migration_target.reset();
+    call.migration_source.reset();
+    call.kv_copy.reset();
   }
-  attempts_.End(call, *attempt, *result);
-  co_return *result;
 }
 
 void CallRelay::RecordCallerLeft(const Call& call) {
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -13,6 +13,7 @@
 #include "gateway/admission_gate.h"
 #include "gateway/attempt.h"
 #include "gateway/attempt_runner.h"
+#include "gateway/backup_attempt.h"
 #include "gateway/call.h"
 #include "gateway/crash_detector.h"
 #include "gateway/fleet_state.h"
@@ -36,11 +37,12 @@
 class CallRelay {
  public:
   // The callback is called when the crash registry has changed.
-  CallRelay(FleetState& fleet, const MessageCodec& codec, UpstreamConnector& connector,
-            UpstreamConnectionPool& connections, StreamMigrator& migrator,
-            OpenAttempts& open_attempts, UpstreamSignalRecorder& signals,
+  CallRelay(boost::asio::io_context& context, FleetState& fleet, const MessageCodec& codec,
+            UpstreamConnector& connector, UpstreamConnectionPool& connections,
+            StreamMigrator& migrator, OpenAttempts& open_attempts, UpstreamSignalRecorder& signals,
             std::function<void()> on_crash_record)
-      : fleet_(fleet),
+      : context_(context),
+        fleet_(fleet),
         codec_(codec),
         admission_(fleet),
         crash_detector_(fleet, std::move(on_crash_record)),
@@ -75,7 +77,7 @@
   Reason BindToStreamVersion(Call& call, TimePoint now);
   // Makes attempts until the caller has a response or the request must be rejected.
   boost::asio::awaitable<void> SendUntilAnswered(Call& call);
-  // Makes one attempt. Returns why it has ended.
+  // Makes one attempt, and others beside it while it is silent. Returns why the last one has ended.
   boost::asio::awaitable<AttemptResult> TryUpstream(Call& call, const Placement& placement);
   // Returns the upstream of the next attempt, or nothing if the request must be rejected.
   std::optional<Placement> SelectUpstream(Call& call, TimePoint now);
@@ -97,6 +99,7 @@
   boost::asio::awaitable<void> Reject(Call& call, Verdict verdict);
   Verdict NoUpstreamVerdict(const Call& call, TimePoint now) const;
 
+  boost::asio::io_context& context_;
   FleetState& fleet_;
   const MessageCodec& codec_;
   // Calls in progress. Shared, because they are destroyed after the gateway's members when it
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -27,15 +27,16 @@
 constexpr int kMaxInterimResponses = 16;
 // Largest event of a stream.
 constexpr std::size_t kMaxEventBytes = 256 * 1024;
-// Wait for the next event of a stream, as a multiple of the route's longest pause, before the
-// stream is resumed at another upstream.
+// Silence in a stream, as a multiple of the route's longest pause, after which another upstream is
+// asked to go on with it.
 constexpr int kStallPauseMultiple = 3;
-// Wait for a response, or the first event of a stream, as a multiple of the route's objective,
-// before the request is retried.
+// Silence before a response, or the first event of a stream, as a multiple of the route's
+// objective, after which another upstream is asked as well.
 constexpr int kRetryObjectiveMultiple = 3;
-// Added to that wait for the first event of a stream, as a multiple of its predicted time. A retry
-// at a loaded service loses the work of the first attempt and waits as long again.
+// Added to that for the first event of a stream, as a multiple of its predicted time. A second
+// attempt at a loaded service waits as long again.
 constexpr int kRetryPredictionMultiple = 2;
+constexpr unsigned kFirstServerErrorStatus = 500;
 
 const Logger kLog("gateway");
 
@@ -44,6 +45,17 @@
   return std::max(call.RemainingTime(BootNow()), Duration(1ms));
 }
 
+// Returns true if the response is relayed event by event.
+bool IsEventStream(const Call& call, const Attempt& attempt) {
+  return attempt.status >= 200 && attempt.status < 300 && call.route->kind == CallKind::kStream;
+}
+
+void BeforeRelay(const Attempt& attempt) {
+  if (attempt.observer != nullptr) {
+    attempt.observer->OnRelay();
+  }
+}
+
 }  // namespace
 
 std::size_t ResponseRelay::MaxIdleConnections(const Call& call) const {
@@ -86,32 +98,32 @@
                                           {"ms", total / 1ms}});
 }
 
-Duration ResponseRelay::ResponseTimeout(const Call& call, const Attempt& attempt,
-                                        TimePoint now) const {
-  const Duration remaining = std::max(call.RemainingTime(now), Duration(1ms));
-  if (call.possible_runs + 1 >= call.route->max_attempts || !call.route->Repeatable()) {
-    return remaining;
-  }
-  if (call.route->kind == CallKind::kStream) {
-    if (attempt.first_byte) {
-      return std::min(remaining, kStallPauseMultiple * call.route->longest_pause);
-    }
-    const Duration predicted = std::max(attempt.placement.expected,
-                                        fleet_.load_balancer.PredictFirstEvent(
-                                            call.service, attempt.placement.uncached_tokens, now));
-    return std::min(remaining, kRetryObjectiveMultiple * call.route->latency_objective +
-                                   kRetryPredictionMultiple * predicted);
+Duration ResponseRelay::SilenceLimit(const Call& call, const Attempt& attempt,
+                                     TimePoint now) const {
+  if (call.route->kind != CallKind::kStream) {
+    return kRetryObjectiveMultiple * call.route->latency_objective;
   }
-  return std::min(remaining, kRetryObjectiveMultiple * call.route->latency_objective);
+  if (attempt.first_byte) {
+    return kStallPauseMultiple * call.route->longest_pause;
+  }
+  const Duration predicted = std::max(
+      attempt.placement.expected,
+      fleet_.load_balancer.PredictFirstEvent(call.service, attempt.placement.uncached_tokens, now));
+  return kRetryObjectiveMultiple * call.route->latency_objective +
+         kRetryPredictionMultiple * predicted;
 }
 
 asio::awaitable<Result<bool>> ResponseRelay::ReadBody(const Call& call, Attempt& attempt,
-                                                      std::string& bytes, Duration timeout) {
+                                                      std::string& bytes) {
   if (call.RemainingTime(BootNow()) <= Duration::zero()) {
     co_return tl::make_unexpected(
         Error{.code = ErrorCode::kTimeout, .message = "The response did not end in time."});
   }
-  co_return co_await attempt.connection->ReadSome(bytes, timeout);
+  Result<bool> has_more = co_await attempt.connection->ReadSome(bytes, WaitLimit(call));
+  if (has_more && attempt.observer != nullptr) {
+    attempt.observer->OnBytes();
+  }
+  co_return has_more;
 }
 
 AttemptResult ResponseRelay::ResultOfFailure(const Call& call, Attempt& attempt,
@@ -122,11 +134,6 @@
   }
   // An upstream may end its work at the deadline, too.
   const bool is_due = call.RemainingTime(BootNow()) <= kMinRemainingTime;
-  if (error.code == ErrorCode::kTimeout && !is_due) {
-    fleet_.metrics
-        .GetCounter(kSilencesMetric, {{"stage", attempt.first_byte ? "in_response" : "before"}})
-        .Add();
-  }
   if (error.code == ErrorCode::kInvalid) {
     return AttemptResult::kUnusable;
   }
@@ -139,8 +146,7 @@
   std::string discarded;
   for (std::size_t size = 0; size <= kMaxDiscardedBytes; size += discarded.size()) {
     discarded.clear();
-    const Result<bool> has_more =
-        co_await ReadBody(call, attempt, discarded, ResponseTimeout(call, attempt, BootNow()));
+    const Result<bool> has_more = co_await ReadBody(call, attempt, discarded);
     if (!has_more) {
       co_return ResultOfFailure(call, attempt, has_more.error());
     }
@@ -158,14 +164,16 @@
   int interim_responses = 0;
   int stale_responses = 0;
   while (interim_responses <= kMaxInterimResponses && stale_responses <= kMaxStaleResponses) {
-    const Result<unsigned> status =
-        co_await connection.ReadHeader(ResponseTimeout(call, attempt, BootNow()));
+    const Result<unsigned> status = co_await connection.ReadHeader(WaitLimit(call));
     if (!status) {
       co_return ResultOfFailure(call, attempt, status.error());
     }
     if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
       co_return closed;
     }
+    if (attempt.observer != nullptr) {
+      attempt.observer->OnBytes();
+    }
     if (*status < 200) {
       ++interim_responses;
       continue;
@@ -190,15 +198,57 @@
 }
 
 asio::awaitable<AttemptResult> ResponseRelay::Relay(Call& call, Attempt& attempt) {
-  const bool is_success = attempt.status >= 200 && attempt.status < 300;
-  if (is_success && call.route->kind == CallKind::kStream) {
+  if (IsEventStream(call, attempt)) {
     co_return co_await RelayStream(call, attempt);
   }
   co_return co_await RelayBuffered(call, attempt);
 }
 
-asio::awaitable<AttemptResult> ResponseRelay::RelayBuffered(Call& call, Attempt& attempt) {
-  HttpConnection& connection = *attempt.connection;
+asio::awaitable<std::optional<AttemptResult>> ResponseRelay::Prefetch(Call& call,
+                                                                      Attempt& attempt) {
+  if (!IsEventStream(call, attempt)) {
+    std::optional<AttemptResult> result = co_await ReadBuffered(call, attempt);
+    if (!result && attempt.status >= kFirstServerErrorStatus) {
+      // The caller gets it unless another attempt is answered.
+      call.failed_response = std::move(attempt.buffered);
+      result = AttemptResult::kFailed;
+    }
+    co_return result;
+  }
+  if (const auto unusable = CheckStreamHeader(call, attempt)) {
+    co_return unusable;
+  }
+  SseSplitter splitter;
+  std::string received;
+  bool more = true;
+  bool has_event = false;
+  while (more && !has_event) {
+    received.clear();
+    const Result<bool> has_more = co_await ReadBody(call, attempt, received);
+    if (!has_more) {
+      co_return ResultOfFailure(call, attempt, has_more.error());
+    }
+    if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
+      co_return closed;
+    }
+    more = *has_more;
+    fleet_.load_balancer.OnBytes(attempt.placement.upstream.id, BootNow());
+    attempt.prefetched += received;
+    has_event = !splitter.Append(received).empty();
+    if (splitter.partial_event().size() > kMaxEventBytes) {
+      attempt.failure = "An event of the stream exceeds the maximum size.";
+      co_return AttemptResult::kUnusable;
+    }
+  }
+  if (!has_event && !splitter.partial_event().empty()) {
+    attempt.failure = "The stream ended within an event.";
+    co_return AttemptResult::kBrokenOff;
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<AttemptResult>> ResponseRelay::ReadBuffered(Call& call,
+                                                                          Attempt& attempt) {
   const unsigned status = attempt.status;
   const bool success = status >= 200 && status < 300;
   const bool usable = attempt.response.owner == ResponseOwner::kThisAttempt &&
@@ -208,44 +258,56 @@
     attempt.failure = fmt::format("The response with status {} can't be relayed.", status);
     co_return AttemptResult::kUnusable;
   }
-  BufferedResponse response{.status = status,
-                            .headers = codec_.CallerResponseHeaders(connection.response_header())};
-  while (true) {
-    const Result<bool> has_more =
-        co_await ReadBody(call, attempt, response.body, ResponseTimeout(call, attempt, BootNow()));
+  attempt.buffered = BufferedResponse{
+      .status = status,
+      .headers = codec_.CallerResponseHeaders(attempt.connection->response_header()),
+      .body = {}};
+  while (!attempt.is_buffered_whole && attempt.buffered->body.size() < kMaxBufferedBytes) {
+    const Result<bool> has_more = co_await ReadBody(call, attempt, attempt.buffered->body);
     if (!has_more) {
       co_return ResultOfFailure(call, attempt, has_more.error());
     }
     if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
-      co_return *closed;
+      co_return closed;
     }
     fleet_.load_balancer.OnBytes(attempt.placement.upstream.id, BootNow());
-    if (!*has_more) {
-      break;
-    }
-    if (response.body.size() >= kMaxBufferedBytes) {
-      co_return co_await RelayLargeBody(call, attempt, std::move(response));
+    attempt.is_buffered_whole = !*has_more;
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<AttemptResult> ResponseRelay::RelayBuffered(Call& call, Attempt& attempt) {
+  if (!attempt.buffered) {
+    const std::optional<AttemptResult> result = co_await ReadBuffered(call, attempt);
+    if (result) {
+      co_return *result;
     }
   }
+  if (!attempt.is_buffered_whole) {
+    co_return co_await RelayLargeBody(call, attempt);
+  }
   ReleaseConnection(call, attempt);
-  if (status >= 500 && call.route->kind == CallKind::kIdempotent && call.possible_runs == 0 &&
-      call.route->max_attempts > 1) {
+  BufferedResponse& response = *attempt.buffered;
+  if (response.status >= kFirstServerErrorStatus && call.route->kind == CallKind::kIdempotent &&
+      call.possible_runs == 0 && call.route->max_attempts > 1) {
     call.failed_response = std::move(response);
     co_return AttemptResult::kFailed;
   }
-  crash_detector_.OnAnswer(call, attempt, status, BootNow());
+  BeforeRelay(attempt);
+  crash_detector_.OnAnswer(call, attempt, response.status, BootNow());
   if (fleet_.drain.has_begun()) {
     call.exchange.CloseAfterResponse();
   }
-  if (co_await call.exchange.Respond(status, std::move(response.headers),
+  if (co_await call.exchange.Respond(response.status, std::move(response.headers),
                                      std::move(response.body))) {
     RecordResponse(call, attempt);
   }
   co_return AttemptResult::kAnswered;
 }
 
-asio::awaitable<AttemptResult> ResponseRelay::RelayLargeBody(Call& call, Attempt& attempt,
-                                                             BufferedResponse response) {
+asio::awaitable<AttemptResult> ResponseRelay::RelayLargeBody(Call& call, Attempt& attempt) {
+  BufferedResponse& response = *attempt.buffered;
+  BeforeRelay(attempt);
   if (fleet_.drain.has_begun()) {
     call.exchange.CloseAfterResponse();
   }
@@ -254,7 +316,7 @@
                                                  response.body);
   while (open) {
     response.body.clear();
-    const Result<bool> has_more = co_await ReadBody(call, attempt, response.body, WaitLimit(call));
+    const Result<bool> has_more = co_await ReadBody(call, attempt, response.body);
     if (!has_more) {
       co_return ResultOfFailure(call, attempt, has_more.error());
     }
@@ -271,15 +333,22 @@
   co_return AttemptResult::kCallerLeft;
 }
 
-asio::awaitable<AttemptResult> ResponseRelay::RelayStream(Call& call, Attempt& attempt) {
+std::optional<AttemptResult> ResponseRelay::CheckStreamHeader(const Call& call, Attempt& attempt) {
   if (attempt.response.owner != ResponseOwner::kThisAttempt || !attempt.response.has_seal ||
       attempt.response.content_encoded) {
     attempt.failure = "The stream's header has no seal, or not this request's id.";
-    co_return AttemptResult::kUnusable;
+    return AttemptResult::kUnusable;
   }
   if (call.stream_started && !attempt.response.is_event_stream) {
     attempt.failure = "The response does not continue the stream.";
-    co_return AttemptResult::kUnusable;
+    return AttemptResult::kUnusable;
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<AttemptResult> ResponseRelay::RelayStream(Call& call, Attempt& attempt) {
+  if (const auto unusable = CheckStreamHeader(call, attempt)) {
+    co_return *unusable;
   }
   attempt.stream =
       migrator_.Track(call.metadata.attempt_id, attempt.placement.upstream, call.metadata.work);
@@ -311,7 +380,7 @@
 }
 
 void ResponseRelay::OnFirstEvent(Call& call, const Attempt& attempt) {
-  if (!call.kv_copy) {
+  if (!attempt.is_move) {
     const TimePoint now = BootNow();
     const Duration taken = now - attempt.sent_at;
     const Duration error = taken > attempt.placement.expected ? taken - attempt.placement.expected
@@ -336,19 +405,19 @@
   HttpConnection& connection = *attempt.connection;
   const HttpHeaders headers = codec_.CallerResponseHeaders(connection.response_header());
   call.sse_splitter.Reset();
-  std::string received;
   bool more = true;
   while (more) {
-    received.clear();
-    const Result<bool> has_more =
-        co_await ReadBody(call, attempt, received, ResponseTimeout(call, attempt, BootNow()));
-    if (!has_more) {
-      co_return ResultOfFailure(call, attempt, has_more.error());
+    std::string received = std::exchange(attempt.prefetched, {});
+    if (received.empty()) {
+      const Result<bool> has_more = co_await ReadBody(call, attempt, received);
+      if (!has_more) {
+        co_return ResultOfFailure(call, attempt, has_more.error());
+      }
+      more = *has_more;
     }
     if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
       co_return *closed;
     }
-    more = *has_more;
     fleet_.load_balancer.OnBytes(attempt.placement.upstream.id, BootNow());
     const std::string events = call.sse_splitter.Append(received);
     if (call.sse_splitter.partial_event().size() > kMaxEventBytes) {
@@ -359,6 +428,7 @@
       continue;
     }
     call.OnEvents(BootNow());
+    BeforeRelay(attempt);
     bool open = true;
     if (!call.stream_started) {
       call.stream_started = true;
@@ -373,7 +443,11 @@
     if (!open) {
       co_return AttemptResult::kCallerLeft;
     }
+    if (attempt.observer != nullptr) {
+      attempt.observer->OnRelayed();
+    }
   }
+  BeforeRelay(attempt);
   if (!call.sse_splitter.partial_event().empty()) {
     attempt.failure = "The stream ended within an event.";
     co_return AttemptResult::kBrokenOff;
--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -508,12 +508,7 @@
     entry.path_lost = true;
     entry.paused_until = now + options_.initial_pause;
   } else if (end == AttemptEnd::kFailed || end == AttemptEnd::kUnreachable) {
-    entry.failures = std::min(entry.failures + 1, 8);
-    // A single failed answer does not show that the upstream is down; a refused connection does.
-    if (end == AttemptEnd::kUnreachable || entry.failures >= 2) {
-      const Duration pause = options_.initial_pause * (1 << std::min(entry.failures - 1, 4));
-      entry.paused_until = now + std::min(pause, options_.max_pause);
-    }
+    RecordFailure(entry, end == AttemptEnd::kUnreachable, now);
   } else if (end == AttemptEnd::kRefused) {
     // The upstream counts as full for the next 300 ms.
     entry.reported_running = entry.record.slots;
@@ -521,6 +516,21 @@
   }
 }
 
+void FleetLoadBalancer::RecordFailure(Entry& entry, bool is_unreachable, TimePoint now) const {
+  entry.failures = std::min(entry.failures + 1, 8);
+  // A single failed answer does not show that the upstream is down; a refused connection does.
+  if (is_unreachable || entry.failures >= 2) {
+    const Duration pause = options_.initial_pause * (1 << std::min(entry.failures - 1, 4));
+    entry.paused_until = now + std::min(pause, options_.max_pause);
+  }
+}
+
+void FleetLoadBalancer::OnSilence(const UpstreamId& id, TimePoint now) {
+  if (const auto found = entries_.find(id); found != entries_.end()) {
+    RecordFailure(found->second, false, now);
+  }
+}
+
 void FleetLoadBalancer::OnPathLost(const UpstreamId& id) {
   if (const auto found = entries_.find(id); found != entries_.end()) {
     found->second.path_lost = true;
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -243,6 +243,9 @@
   void OnEnd(const UpstreamId& id, double uncached_tokens, bool first_byte, AttemptEnd end,
              TimePoint now);
 
+  // Records that the upstream has been silent for too long during a request, which goes on.
+  void OnSilence(const UpstreamId& id, TimePoint now);
+
   // Records that this daemon does not reach the upstream, which may be sound.
   void OnPathLost(const UpstreamId& id);
 
@@ -311,6 +314,8 @@
   void AddReport(const Report& report, int sign);
   void ExpireReports(TimePoint now);
   void RemoveFromIndexes(const Entry& entry);
+  // Avoids an upstream for a while after failures in a row, or at once if it was unreachable.
+  void RecordFailure(Entry& entry, bool is_unreachable, TimePoint now) const;
   UpstreamLoad FleetLoad(const Entry& entry, TimePoint now) const;
   bool IsSilent(const Entry& entry, TimePoint now) const;
   static MeanLoad MeanLoadOf(const std::vector<Entry*>& entries);
