Let a begun stream wait for an upstream that goes on with it

Class: something in hand is given up for something hoped for. Change: a resumable stream looks for an upstream until three times its longest pause after its last event. The type that names why an attempt ended is AttemptOutcome now, because packages/routing has an AttemptResult. Result: OnlyUpstreamTest.StreamThatHasLostItsUpstreamWaitsForAnotherOne fails without the wait and passes with it; gateway_test passes.

--- a/packages/gateway/attempt.h
+++ b/packages/gateway/attempt.h
@@ -6,7 +6,7 @@
 
 #include "core/time.h"
 #include "gateway/adapter.h"
-#include "gateway/attempt_result.h"
+#include "gateway/attempt_outcome.h"
 #include "gateway/call.h"
 #include "gateway/open_attempts.h"
 #include "gateway/stream_migrator.h"
@@ -43,7 +43,7 @@
   // Null for an attempt beside another one.
   AttemptObserver* observer = nullptr;
   // Why the attempt must not send its request any more.
-  std::optional<AttemptResult> withdrawn;
+  std::optional<AttemptOutcome> withdrawn;
   // Set once the request has been sent, or a part of it.
   bool sent = false;
   bool first_byte = false;
@@ -64,14 +64,14 @@
   std::string failure;
 
   // Ends the attempt for this reason, also before it has a connection.
-  void Withdraw(AttemptResult reason) {
+  void Withdraw(AttemptOutcome reason) {
     withdrawn = withdrawn.value_or(reason);
     if (registration) {
       registration->Close(reason);
     }
   }
   // Returns why this daemon has closed the connection, or nothing if it has not.
-  std::optional<AttemptResult> closed_because() const {
+  std::optional<AttemptOutcome> closed_because() const {
     return registration ? registration->closed_because() : std::nullopt;
   }
 };
--- a/packages/gateway/attempt_result.cc
+++ b/packages/gateway/attempt_outcome.cc
@@ -1,13 +1,13 @@
-#include "gateway/attempt_result.h"
+#include "gateway/attempt_outcome.h"
 
 #include <array>
 #include <cstddef>
 
 namespace savoryglade::gateway {
 
-const AttemptResultTraits& TraitsOf(AttemptResult result) {
-  // In the order of the results.
-  static constexpr std::array<AttemptResultTraits, 14> kTraits = {{
+const AttemptOutcomeTraits& TraitsOf(AttemptOutcome result) {
+  // In the order of the outcomes.
+  static constexpr std::array<AttemptOutcomeTraits, 14> kTraits = {{
       {.name = "answered", .end = AttemptEnd::kAnswered},
       {.name = "failed", .end = AttemptEnd::kFailed},
       {.name = "rejected", .end = AttemptEnd::kRefused, .may_have_run = false},
--- a/packages/gateway/attempt_result.h
+++ b/packages/gateway/attempt_outcome.h
@@ -13,7 +13,7 @@
 
 // Why an attempt ended. The only source for what the load balancer, the crash records, the retries
 // of the call and the log make of the end.
-enum class AttemptResult : std::uint8_t {
+enum class AttemptOutcome : std::uint8_t {
   // The upstream's whole response was received and passed on.
   kAnswered,
   // The upstream responded with a failure of its own, which the call keeps while it retries.
@@ -53,7 +53,7 @@
   kConnectionLost,
 };
 
-struct AttemptResultTraits {
+struct AttemptOutcomeTraits {
   // Name in logs and metrics.
   std::string_view name;
   AttemptEnd end = AttemptEnd::kFailed;
@@ -62,6 +62,6 @@
   CrashEvidence evidence = CrashEvidence::kNone;
 };
 
-const AttemptResultTraits& TraitsOf(AttemptResult result);
+const AttemptOutcomeTraits& TraitsOf(AttemptOutcome result);
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/attempt_runner.cc
+++ b/packages/gateway/attempt_runner.cc
@@ -40,22 +40,22 @@
   return attempt;
 }
 
-std::optional<AttemptResult> AttemptRunner::ReasonNotToSend(Call& call, Attempt& attempt) {
+std::optional<AttemptOutcome> AttemptRunner::ReasonNotToSend(Call& call, Attempt& attempt) {
   if (attempt.withdrawn) {
     return attempt.withdrawn;
   }
   if (call.caller.Check()) {
-    return AttemptResult::kCallerLeft;
+    return AttemptOutcome::kCallerLeft;
   }
   if (fleet_.drain.interrupted()) {
     attempt.failure = "The daemon interrupts its requests.";
-    return AttemptResult::kNotSent;
+    return AttemptOutcome::kNotSent;
   }
   const Duration grace =
       FromSeconds(ToSeconds(fleet_.settings.bounds.upstream_drain) * kSendGraceFraction);
   if (!fleet_.notices.MayReceive(attempt.placement.upstream.id, grace, BootNow())) {
     attempt.failure = "The upstream's notice is too old for another request.";
-    return AttemptResult::kNotSent;
+    return AttemptOutcome::kNotSent;
   }
   // Only the engine that stopped a stream can continue it once its target has not.
   const bool returns_to_source = attempt.is_move && !call.migration_source;
@@ -63,7 +63,7 @@
       fleet_.load_balancer.signals().WaitEnd(
           FleetLoadBalancer::ProcessKeyOf(attempt.placement.upstream), BootNow())) {
     attempt.failure = "The upstream wants no requests since it was chosen.";
-    return AttemptResult::kNotSent;
+    return AttemptOutcome::kNotSent;
   }
   if (const UpstreamRecord* const record = fleet_.load_balancer.Find(attempt.placement.upstream.id);
       record != nullptr) {
@@ -72,13 +72,13 @@
     const std::optional<std::uint64_t> required = call.metadata.work.required_version;
     if (required && *required != SoftwareVersionKey(record->software_version)) {
       attempt.failure = "The upstream has another version than the stream.";
-      return AttemptResult::kNotSent;
+      return AttemptOutcome::kNotSent;
     }
   }
   return std::nullopt;
 }
 
-asio::awaitable<std::optional<AttemptResult>> AttemptRunner::Send(Call& call, Attempt& attempt) {
+asio::awaitable<std::optional<AttemptOutcome>> AttemptRunner::Send(Call& call, Attempt& attempt) {
   const bool at_most_once = !call.route->Repeatable();
   auto connected = co_await connector_.Connect(attempt.placement.upstream,
                                                at_most_once ? kMaxIdleTimeNoRetry : kMaxIdleTime,
@@ -89,7 +89,7 @@
       crash_detector_.OnUpstreamEnded(attempt.placement.upstream, BootNow());
     }
     const bool is_lost = fleet_.upstream_paths.IsServiceLost(call.service, BootNow());
-    co_return is_lost ? AttemptResult::kNoPath : AttemptResult::kUnreachable;
+    co_return is_lost ? AttemptOutcome::kNoPath : AttemptOutcome::kUnreachable;
   }
   attempt.connection = std::move(connected->connection);
   attempt.peer = std::move(connected->peer);
@@ -122,7 +122,7 @@
     RecordUsage(call, now);
   }
   if (!sent) {
-    co_return response_relay_.ResultOfFailure(call, attempt, sent.error());
+    co_return response_relay_.OutcomeOfFailure(call, attempt, sent.error());
   }
   // On a relayed connection, the peer acknowledges the request.
   if (attempt.peer.empty()) {
@@ -143,10 +143,10 @@
   if (attempt.response.owner != ResponseOwner::kThisAttempt) {
     // A rejection that an upstream repeats may be that of an earlier request.
     attempt.failure = "The rejection does not name the request.";
-    co_return AttemptResult::kUnusable;
+    co_return AttemptOutcome::kUnusable;
   }
   RecordRejection(call);
-  co_return AttemptResult::kRejected;
+  co_return AttemptOutcome::kRejected;
 }
 
 void AttemptRunner::RecordRejection(Call& call) {
@@ -177,7 +177,7 @@
   fleet_.usage.OnRequestStarted(*call.counted_window, call.account->name);
 }
 
-void AttemptRunner::End(Call& call, Attempt& attempt, AttemptResult result) {
+void AttemptRunner::End(Call& call, Attempt& attempt, AttemptOutcome result) {
   const TimePoint now = BootNow();
   std::erase(call.attempts, &attempt);
   attempt.observer = nullptr;
@@ -186,12 +186,12 @@
   if (attempt.sent) {
     crash_detector_.OnAttemptEnded(call, attempt, result, now);
   }
-  const AttemptResultTraits& traits = TraitsOf(result);
-  const bool relayed_failure = result == AttemptResult::kAnswered && attempt.status >= 500;
+  const AttemptOutcomeTraits& traits = TraitsOf(result);
+  const bool relayed_failure = result == AttemptOutcome::kAnswered && attempt.status >= 500;
   fleet_.load_balancer.OnEnd(attempt.placement.upstream.id, attempt.placement.uncached_tokens,
                              attempt.first_byte, relayed_failure ? AttemptEnd::kFailed : traits.end,
                              now);
-  if (result == AttemptResult::kAnswered || result == AttemptResult::kCallerLeft) {
+  if (result == AttemptOutcome::kAnswered || result == AttemptOutcome::kCallerLeft) {
     return;
   }
   kLog.Info("An attempt ended without its answer.",
@@ -206,7 +206,7 @@
              {"events", call.stream_started},
              {"failure", attempt.failure},
              {"ms", (now - attempt.sent_at) / 1ms}});
-  if (result == AttemptResult::kMoved) {
+  if (result == AttemptOutcome::kMoved) {
     // The upstream that stopped the stream has run it.
     call.run_state = RunState::kMayHaveRun;
     return;
@@ -225,9 +225,9 @@
   }
 }
 
-void AttemptRunner::RecordPossibleRun(Call& call, AttemptResult result) {
+void AttemptRunner::RecordPossibleRun(Call& call, AttemptOutcome result) {
   ++call.possible_runs;
-  call.run_state = result == AttemptResult::kFailed ? RunState::kRan : RunState::kMayHaveRun;
+  call.run_state = result == AttemptOutcome::kFailed ? RunState::kRan : RunState::kMayHaveRun;
 }
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/attempt_runner.h
+++ b/packages/gateway/attempt_runner.h
@@ -36,21 +36,21 @@
   std::shared_ptr<Attempt> Begin(Call& call, const Placement& placement, bool is_move);
   // Connects, sends the request and reads the header of the response. Returns why the attempt has
   // ended, or nothing if the response can be relayed.
-  boost::asio::awaitable<std::optional<AttemptResult>> Send(Call& call, Attempt& attempt);
+  boost::asio::awaitable<std::optional<AttemptOutcome>> Send(Call& call, Attempt& attempt);
   // Closes the attempt's connection, and records its end for the load balancer, the crash records,
   // the retries of the call and the log.
-  void End(Call& call, Attempt& attempt, AttemptResult result);
+  void End(Call& call, Attempt& attempt, AttemptOutcome result);
 
  private:
   // Returns why the request must not be sent over the attempt's connection, or nothing.
-  std::optional<AttemptResult> ReasonNotToSend(Call& call, Attempt& attempt);
+  std::optional<AttemptOutcome> ReasonNotToSend(Call& call, Attempt& attempt);
   void RecordFirstByte(Call& call, Attempt& attempt);
   // Counts the request in the usage window of its account, if usage is reported.
   void RecordUsage(Call& call, TimePoint now);
   // Takes back what was counted for a request that its upstream has rejected.
   void RecordRejection(Call& call);
   // Records for the retries of the call that an upstream may have run it.
-  static void RecordPossibleRun(Call& call, AttemptResult result);
+  static void RecordPossibleRun(Call& call, AttemptOutcome result);
 
   FleetState& fleet_;
   const MessageCodec& codec_;
--- a/packages/gateway/backup_attempt.cc
+++ b/packages/gateway/backup_attempt.cc
@@ -137,19 +137,19 @@
       continue;
     }
     second_ = runner_.Begin(call_, *placement, false);
-    std::optional<AttemptResult> result = co_await runner_.Send(call_, *second_);
+    std::optional<AttemptOutcome> result = co_await runner_.Send(call_, *second_);
     if (!result) {
       result = co_await response_relay_.Prefetch(call_, *second_);
     }
     if (!result && !is_cancelled_) {
       is_at_hand_ = true;
       if (first_->registration) {
-        first_->registration->Close(AttemptResult::kSuperseded);
+        first_->registration->Close(AttemptOutcome::kSuperseded);
       }
       break;
     }
     const std::shared_ptr<Attempt> ended = std::exchange(second_, nullptr);
-    runner_.End(call_, *ended, result.value_or(AttemptResult::kSuperseded));
+    runner_.End(call_, *ended, result.value_or(AttemptOutcome::kSuperseded));
     if (!ended->sent) {
       fleet_.retry_budget.Refund(call_.service, 1);
     }
@@ -165,7 +165,7 @@
   }
   is_cancelled_ = true;
   if (second_ != nullptr) {
-    second_->Withdraw(AttemptResult::kSuperseded);
+    second_->Withdraw(AttemptOutcome::kSuperseded);
   }
   change_.cancel();
 }
@@ -185,7 +185,7 @@
   }
   std::shared_ptr<Attempt> second = std::exchange(second_, nullptr);
   if (!is_wanted) {
-    runner_.End(call_, *second, AttemptResult::kSuperseded);
+    runner_.End(call_, *second, AttemptOutcome::kSuperseded);
     co_return nullptr;
   }
   co_return second;
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -12,6 +12,7 @@
 #include "core/prefix_hash.h"
 #include "core/scoped_count.h"
 #include "logging/logger.h"
+#include "net/sleep.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -24,6 +25,11 @@
 // Short, because another daemon can answer as soon as the caller reconnects.
 constexpr Duration kDrainingRetryAfter = 100ms;
 
+// Time after its last event for which a stream that has lost its upstream waits for another one, as
+// a multiple of the route's longest pause, and the interval at which it looks for one.
+constexpr int kResumptionPauseMultiple = 3;
+constexpr Duration kResumptionInterval = 50ms;
+
 // Smallest factor on the retry delay that callers are told; see RetryJitterFactor.
 constexpr double kMinRetryJitter = 0.75;
 
@@ -174,7 +180,7 @@
   call.caller.OnDisconnect([&call] {
     for (Attempt* const attempt : call.attempts) {
       if (attempt->registration) {
-        attempt->registration->Close(AttemptResult::kCallerLeft);
+        attempt->registration->Close(AttemptOutcome::kCallerLeft);
       }
     }
   });
@@ -242,6 +248,12 @@
          !crash_detector_.IsSuspected(call);
 }
 
+bool CallRelay::MayAwaitUpstream(const Call& call, TimePoint now) {
+  return call.stream_started && call.route->IsResumableStream() && call.sends < kMaxSends &&
+         call.connection_attempts < kMaxConnectionAttempts &&
+         now - call.last_event_at < kResumptionPauseMultiple * call.route->longest_pause;
+}
+
 Verdict CallRelay::NoUpstreamVerdict(const Call& call, TimePoint now) const {
   const std::optional<std::uint64_t> required = call.metadata.work.required_version;
   if (const std::optional<TimePoint> wait_end =
@@ -321,22 +333,28 @@
         continue;
       }
     }
+    const bool moved = call.migration_target.has_value();
+    const bool may_send = placement && (moved || call.sends == 0 ||
+                                        fleet_.retry_budget.TryConsume(call.service, now));
+    if (!may_send && MayAwaitUpstream(call, now)) {
+      co_await Sleep(kResumptionInterval);
+      continue;
+    }
     if (!placement) {
       co_await Reject(call, NoUpstreamVerdict(call, now));
       co_return;
     }
-    const bool moved = call.migration_target.has_value();
-    if (!moved && call.sends > 0 && !fleet_.retry_budget.TryConsume(call.service, now)) {
+    if (!may_send) {
       co_await Reject(call, {.run_state = call.run_state,
                              .reason = Reason::kRetryBudgetExhausted,
                              .retry_after = kRetryAfter});
       co_return;
     }
-    const AttemptResult result = co_await TryUpstream(call, *placement);
-    if (result == AttemptResult::kAnswered || result == AttemptResult::kCallerLeft) {
+    const AttemptOutcome result = co_await TryUpstream(call, *placement);
+    if (result == AttemptOutcome::kAnswered || result == AttemptOutcome::kCallerLeft) {
       co_return;
     }
-    if (result == AttemptResult::kMoved) {
+    if (result == AttemptOutcome::kMoved) {
       continue;
     }
     const bool may_have_run = TraitsOf(result).may_have_run;
@@ -360,14 +378,14 @@
   }
 }
 
-asio::awaitable<AttemptResult> CallRelay::TryUpstream(Call& call, const Placement& placement) {
+asio::awaitable<AttemptOutcome> CallRelay::TryUpstream(Call& call, const Placement& placement) {
   std::shared_ptr<Attempt> attempt =
       attempts_.Begin(call, placement, call.migration_target.has_value());
   while (true) {
     const auto backup = std::make_shared<BackupAttempt>(
         context_, fleet_, attempts_, response_relay_, crash_detector_, call, attempt);
     attempt->observer = backup.get();
-    std::optional<AttemptResult> result;
+    std::optional<AttemptOutcome> result;
     if (attempt->sent) {
       backup->OnSent();
     } else {
@@ -378,9 +396,9 @@
       result = co_await response_relay_.Relay(call, *attempt);
     }
     attempts_.End(call, *attempt, *result);
-    const bool is_wanted = *result != AttemptResult::kAnswered &&
-                           *result != AttemptResult::kCallerLeft &&
-                           *result != AttemptResult::kMoved;
+    const bool is_wanted = *result != AttemptOutcome::kAnswered &&
+                           *result != AttemptOutcome::kCallerLeft &&
+                           *result != AttemptOutcome::kMoved;
     std::shared_ptr<Attempt> second = co_await backup->Finish(is_wanted);
     if (second == nullptr) {
       co_return *result;
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -78,7 +78,7 @@
   // Makes attempts until the caller has a response or the request must be rejected.
   boost::asio::awaitable<void> SendUntilAnswered(Call& call);
   // Makes one attempt, and others beside it while it is silent. Returns why the last one has ended.
-  boost::asio::awaitable<AttemptResult> TryUpstream(Call& call, const Placement& placement);
+  boost::asio::awaitable<AttemptOutcome> TryUpstream(Call& call, const Placement& placement);
   // Returns the upstream of the next attempt, or nothing if the request must be rejected.
   std::optional<Placement> SelectUpstream(Call& call, TimePoint now);
   // Returns true if the admission queue decides when the call is sent, given whether an upstream
@@ -86,6 +86,8 @@
   bool NeedsAdmission(const Call& call, bool has_placement, TimePoint now) const;
   // Returns the retry that is consumed for the return of a moved stream to its source.
   void ReleaseReturn(Call& call);
+  // Returns true if a stream that has begun waits for an upstream that goes on with it.
+  static bool MayAwaitUpstream(const Call& call, TimePoint now);
   // Returns true if the request may be sent again after an upstream may have run it.
   bool CanRetry(const Call& call) const;
   // Logs the end of a call, unless that has been logged, and closes the caller's connection if it
--- a/packages/gateway/crash_detector.cc
+++ b/packages/gateway/crash_detector.cc
@@ -95,7 +95,7 @@
   }
 }
 
-void CrashDetector::OnAttemptEnded(const Call& call, const Attempt& attempt, AttemptResult result,
+void CrashDetector::OnAttemptEnded(const Call& call, const Attempt& attempt, AttemptOutcome result,
                                    TimePoint now) {
   const UpstreamRecord& upstream = attempt.placement.upstream;
   switch (TraitsOf(result).evidence) {
@@ -159,7 +159,7 @@
   }
 }
 
-void CrashDetector::OnRunLeft(const Call& call, const Attempt& attempt, AttemptResult result,
+void CrashDetector::OnRunLeft(const Call& call, const Attempt& attempt, AttemptOutcome result,
                               TimePoint now) {
   const UpstreamRecord& upstream = attempt.placement.upstream;
   abandoned_runs_.Add(FleetLoadBalancer::ProcessKeyOf(upstream), RunOf(call), now);
--- a/packages/gateway/crash_detector.h
+++ b/packages/gateway/crash_detector.h
@@ -34,7 +34,7 @@
   // Records that the request is sent to an upstream.
   void OnSent(const Call& call, TimePoint now);
   // Records what the end of an attempt whose request was sent shows of crashes.
-  void OnAttemptEnded(const Call& call, const Attempt& attempt, AttemptResult result,
+  void OnAttemptEnded(const Call& call, const Attempt& attempt, AttemptOutcome result,
                       TimePoint now);
   // Records that the process of an upstream has ended, because it refuses or breaks connections.
   void OnUpstreamEnded(const UpstreamRecord& upstream, TimePoint now);
@@ -47,7 +47,7 @@
  private:
   // Handles an attempt that ended while the upstream may be running the request. The request counts
   // as lost if the upstream ends soon.
-  void OnRunLeft(const Call& call, const Attempt& attempt, AttemptResult result, TimePoint now);
+  void OnRunLeft(const Call& call, const Attempt& attempt, AttemptOutcome result, TimePoint now);
   void RecordLosses(const RequestRun& run, const UpstreamRecord& upstream, TimePoint now);
   // Records the loss for each shared part of the prompt, unless the whole service fails.
   void RecordPartLosses(const RequestRun& run, const UpstreamRecord& upstream, TimePoint now);
--- a/packages/gateway/open_attempts.cc
+++ b/packages/gateway/open_attempts.cc
@@ -23,7 +23,7 @@
     : connections_(attempts.connections_), upstream_(std::move(upstream)), connection_(connection) {
   (*connections_)[upstream_].emplace(&connection_, OpenAttempt{});
   if (attempts.closed_) {
-    Close(AttemptResult::kInterrupted);
+    Close(AttemptOutcome::kInterrupted);
   }
 }
 
@@ -42,11 +42,11 @@
 
 void OpenAttempts::Registration::OnAnswer() { attempt().awaiting_since.reset(); }
 
-void OpenAttempts::Registration::Close(AttemptResult reason) {
+void OpenAttempts::Registration::Close(AttemptOutcome reason) {
   OpenAttempts::Close(connection_, attempt(), reason);
 }
 
-void OpenAttempts::Close(HttpConnection& connection, OpenAttempt& attempt, AttemptResult reason) {
+void OpenAttempts::Close(HttpConnection& connection, OpenAttempt& attempt, AttemptOutcome reason) {
   if (!attempt.closed_because) {
     attempt.closed_because = reason;
     connection.Close();
@@ -75,7 +75,7 @@
         on_undelivered(upstream);
         attempt.awaiting_since.reset();
         if (attempt.may_be_repeated) {
-          Close(*connection, attempt, AttemptResult::kUndelivered);
+          Close(*connection, attempt, AttemptOutcome::kUndelivered);
         }
       }
     }
@@ -92,7 +92,7 @@
   closed_ = true;
   for (auto& [upstream, attempts] : *connections_) {
     for (auto& [connection, attempt] : attempts) {
-      Close(*connection, attempt, AttemptResult::kInterrupted);
+      Close(*connection, attempt, AttemptOutcome::kInterrupted);
     }
   }
 }
@@ -108,7 +108,7 @@
     if (bytes > 0) {
       kLog.Info("Closed a connection whose request has not reached an upstream that leaves.",
                 {{"upstream", upstream.value()}, {"unacknowledged_bytes", bytes}});
-      Close(*connection, attempt, AttemptResult::kUndelivered);
+      Close(*connection, attempt, AttemptOutcome::kUndelivered);
     }
   }
 }
--- a/packages/gateway/open_attempts.h
+++ b/packages/gateway/open_attempts.h
@@ -10,7 +10,7 @@
 
 #include "core/strong_id.h"
 #include "core/time.h"
-#include "gateway/attempt_result.h"
+#include "gateway/attempt_outcome.h"
 #include "net/http_client.h"
 
 namespace savoryglade::gateway {
@@ -25,7 +25,7 @@
     std::optional<TimePoint> awaiting_since;
     bool may_be_repeated = false;
     // Set once this daemon has closed the connection.
-    std::optional<AttemptResult> closed_because;
+    std::optional<AttemptOutcome> closed_because;
   };
   using Connections = std::map<UpstreamId, std::map<HttpConnection*, OpenAttempt>>;
 
@@ -43,9 +43,9 @@
     // Records that the answer began or the attempt ended.
     void OnAnswer();
     // Closes the connection, so that a read from it fails. Only the first reason counts.
-    void Close(AttemptResult reason);
+    void Close(AttemptOutcome reason);
     // Returns why this daemon has closed the connection, or nothing if it has not.
-    std::optional<AttemptResult> closed_because() const { return attempt().closed_because; }
+    std::optional<AttemptOutcome> closed_because() const { return attempt().closed_because; }
 
    private:
     OpenAttempt& attempt() const { return connections_->at(upstream_).at(&connection_); }
@@ -74,7 +74,7 @@
 
  private:
   boost::asio::awaitable<void> CloseUnacknowledged(UpstreamId upstream);
-  static void Close(HttpConnection& connection, OpenAttempt& attempt, AttemptResult reason);
+  static void Close(HttpConnection& connection, OpenAttempt& attempt, AttemptOutcome reason);
 
   boost::asio::io_context& context_;
   std::shared_ptr<Connections> connections_ = std::make_shared<Connections>();
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -126,49 +126,49 @@
   co_return has_more;
 }
 
-AttemptResult ResponseRelay::ResultOfFailure(const Call& call, Attempt& attempt,
-                                             const Error& error) {
+AttemptOutcome ResponseRelay::OutcomeOfFailure(const Call& call, Attempt& attempt,
+                                               const Error& error) {
   attempt.failure = error.message;
-  if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
+  if (const std::optional<AttemptOutcome> closed = attempt.closed_because()) {
     return *closed;
   }
   // An upstream may end its work at the deadline, too.
   const bool is_due = call.RemainingTime(BootNow()) <= kMinRemainingTime;
   if (error.code == ErrorCode::kInvalid) {
-    return AttemptResult::kUnusable;
+    return AttemptOutcome::kUnusable;
   }
-  return error.code == ErrorCode::kTimeout || is_due ? AttemptResult::kTimedOut
-                                                     : AttemptResult::kBrokenOff;
+  return error.code == ErrorCode::kTimeout || is_due ? AttemptOutcome::kTimedOut
+                                                     : AttemptOutcome::kBrokenOff;
 }
 
-asio::awaitable<std::optional<AttemptResult>> ResponseRelay::DiscardBody(const Call& call,
-                                                                         Attempt& attempt) {
+asio::awaitable<std::optional<AttemptOutcome>> ResponseRelay::DiscardBody(const Call& call,
+                                                                          Attempt& attempt) {
   std::string discarded;
   for (std::size_t size = 0; size <= kMaxDiscardedBytes; size += discarded.size()) {
     discarded.clear();
     const Result<bool> has_more = co_await ReadBody(call, attempt, discarded);
     if (!has_more) {
-      co_return ResultOfFailure(call, attempt, has_more.error());
+      co_return OutcomeOfFailure(call, attempt, has_more.error());
     }
     if (!*has_more) {
       co_return std::nullopt;
     }
   }
   attempt.failure = "A response to another request did not end.";
-  co_return AttemptResult::kUnusable;
+  co_return AttemptOutcome::kUnusable;
 }
 
-asio::awaitable<std::optional<AttemptResult>> ResponseRelay::ReadHeader(Call& call,
-                                                                        Attempt& attempt) {
+asio::awaitable<std::optional<AttemptOutcome>> ResponseRelay::ReadHeader(Call& call,
+                                                                         Attempt& attempt) {
   HttpConnection& connection = *attempt.connection;
   int interim_responses = 0;
   int stale_responses = 0;
   while (interim_responses <= kMaxInterimResponses && stale_responses <= kMaxStaleResponses) {
     const Result<unsigned> status = co_await connection.ReadHeader(WaitLimit(call));
     if (!status) {
-      co_return ResultOfFailure(call, attempt, status.error());
+      co_return OutcomeOfFailure(call, attempt, status.error());
     }
-    if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
+    if (const std::optional<AttemptOutcome> closed = attempt.closed_because()) {
       co_return closed;
     }
     if (attempt.observer != nullptr) {
@@ -188,30 +188,30 @@
     }
     // This is a late response to an earlier request on the connection; discard it and read on.
     ++stale_responses;
-    const std::optional<AttemptResult> result = co_await DiscardBody(call, attempt);
+    const std::optional<AttemptOutcome> result = co_await DiscardBody(call, attempt);
     if (result) {
       co_return result;
     }
   }
   attempt.failure = "The connection carried too many responses that do not answer the request.";
-  co_return AttemptResult::kUnusable;
+  co_return AttemptOutcome::kUnusable;
 }
 
-asio::awaitable<AttemptResult> ResponseRelay::Relay(Call& call, Attempt& attempt) {
+asio::awaitable<AttemptOutcome> ResponseRelay::Relay(Call& call, Attempt& attempt) {
   if (IsEventStream(call, attempt)) {
     co_return co_await RelayStream(call, attempt);
   }
   co_return co_await RelayBuffered(call, attempt);
 }
 
-asio::awaitable<std::optional<AttemptResult>> ResponseRelay::Prefetch(Call& call,
-                                                                      Attempt& attempt) {
+asio::awaitable<std::optional<AttemptOutcome>> ResponseRelay::Prefetch(Call& call,
+                                                                       Attempt& attempt) {
   if (!IsEventStream(call, attempt)) {
-    std::optional<AttemptResult> result = co_await ReadBuffered(call, attempt);
+    std::optional<AttemptOutcome> result = co_await ReadBuffered(call, attempt);
     if (!result && attempt.status >= kFirstServerErrorStatus) {
       // The caller gets it unless another attempt is answered.
       call.failed_response = std::move(attempt.buffered);
-      result = AttemptResult::kFailed;
+      result = AttemptOutcome::kFailed;
     }
     co_return result;
   }
@@ -226,9 +226,9 @@
     received.clear();
     const Result<bool> has_more = co_await ReadBody(call, attempt, received);
     if (!has_more) {
-      co_return ResultOfFailure(call, attempt, has_more.error());
+      co_return OutcomeOfFailure(call, attempt, has_more.error());
     }
-    if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
+    if (const std::optional<AttemptOutcome> closed = attempt.closed_because()) {
       co_return closed;
     }
     more = *has_more;
@@ -237,18 +237,18 @@
     has_event = !splitter.Append(received).empty();
     if (splitter.partial_event().size() > kMaxEventBytes) {
       attempt.failure = "An event of the stream exceeds the maximum size.";
-      co_return AttemptResult::kUnusable;
+      co_return AttemptOutcome::kUnusable;
     }
   }
   if (!has_event && !splitter.partial_event().empty()) {
     attempt.failure = "The stream ended within an event.";
-    co_return AttemptResult::kBrokenOff;
+    co_return AttemptOutcome::kBrokenOff;
   }
   co_return std::nullopt;
 }
 
-asio::awaitable<std::optional<AttemptResult>> ResponseRelay::ReadBuffered(Call& call,
-                                                                          Attempt& attempt) {
+asio::awaitable<std::optional<AttemptOutcome>> ResponseRelay::ReadBuffered(Call& call,
+                                                                           Attempt& attempt) {
   const unsigned status = attempt.status;
   const bool success = status >= 200 && status < 300;
   const bool usable = attempt.response.owner == ResponseOwner::kThisAttempt &&
@@ -256,7 +256,7 @@
                       (!success || attempt.response.has_seal) && !ImpliesNotRun(status);
   if (!usable || (call.stream_started && !success)) {
     attempt.failure = fmt::format("The response with status {} can't be relayed.", status);
-    co_return AttemptResult::kUnusable;
+    co_return AttemptOutcome::kUnusable;
   }
   attempt.buffered = BufferedResponse{
       .status = status,
@@ -265,9 +265,9 @@
   while (!attempt.is_buffered_whole && attempt.buffered->body.size() < kMaxBufferedBytes) {
     const Result<bool> has_more = co_await ReadBody(call, attempt, attempt.buffered->body);
     if (!has_more) {
-      co_return ResultOfFailure(call, attempt, has_more.error());
+      co_return OutcomeOfFailure(call, attempt, has_more.error());
     }
-    if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
+    if (const std::optional<AttemptOutcome> closed = attempt.closed_because()) {
       co_return closed;
     }
     fleet_.load_balancer.OnBytes(attempt.placement.upstream.id, BootNow());
@@ -276,9 +276,9 @@
   co_return std::nullopt;
 }
 
-asio::awaitable<AttemptResult> ResponseRelay::RelayBuffered(Call& call, Attempt& attempt) {
+asio::awaitable<AttemptOutcome> ResponseRelay::RelayBuffered(Call& call, Attempt& attempt) {
   if (!attempt.buffered) {
-    const std::optional<AttemptResult> result = co_await ReadBuffered(call, attempt);
+    const std::optional<AttemptOutcome> result = co_await ReadBuffered(call, attempt);
     if (result) {
       co_return *result;
     }
@@ -291,7 +291,7 @@
   if (response.status >= kFirstServerErrorStatus && call.route->kind == CallKind::kIdempotent &&
       call.possible_runs == 0 && call.route->max_attempts > 1) {
     call.failed_response = std::move(response);
-    co_return AttemptResult::kFailed;
+    co_return AttemptOutcome::kFailed;
   }
   BeforeRelay(attempt);
   crash_detector_.OnAnswer(call, attempt, response.status, BootNow());
@@ -302,10 +302,10 @@
                                      std::move(response.body))) {
     RecordResponse(call, attempt);
   }
-  co_return AttemptResult::kAnswered;
+  co_return AttemptOutcome::kAnswered;
 }
 
-asio::awaitable<AttemptResult> ResponseRelay::RelayLargeBody(Call& call, Attempt& attempt) {
+asio::awaitable<AttemptOutcome> ResponseRelay::RelayLargeBody(Call& call, Attempt& attempt) {
   BufferedResponse& response = *attempt.buffered;
   BeforeRelay(attempt);
   if (fleet_.drain.has_begun()) {
@@ -318,7 +318,7 @@
     response.body.clear();
     const Result<bool> has_more = co_await ReadBody(call, attempt, response.body);
     if (!has_more) {
-      co_return ResultOfFailure(call, attempt, has_more.error());
+      co_return OutcomeOfFailure(call, attempt, has_more.error());
     }
     if (!*has_more) {
       attempt.has_framed_end = !attempt.connection->ends_with_connection();
@@ -326,37 +326,37 @@
       if (co_await call.exchange.EndStream()) {
         RecordResponse(call, attempt);
       }
-      co_return AttemptResult::kAnswered;
+      co_return AttemptOutcome::kAnswered;
     }
     open = co_await call.exchange.WriteChunk(response.body);
   }
-  co_return AttemptResult::kCallerLeft;
+  co_return AttemptOutcome::kCallerLeft;
 }
 
-std::optional<AttemptResult> ResponseRelay::CheckStreamHeader(const Call& call, Attempt& attempt) {
+std::optional<AttemptOutcome> ResponseRelay::CheckStreamHeader(const Call& call, Attempt& attempt) {
   if (attempt.response.owner != ResponseOwner::kThisAttempt || !attempt.response.has_seal ||
       attempt.response.content_encoded) {
     attempt.failure = "The stream's header has no seal, or not this request's id.";
-    return AttemptResult::kUnusable;
+    return AttemptOutcome::kUnusable;
   }
   if (call.stream_started && !attempt.response.is_event_stream) {
     attempt.failure = "The response does not continue the stream.";
-    return AttemptResult::kUnusable;
+    return AttemptOutcome::kUnusable;
   }
   return std::nullopt;
 }
 
-asio::awaitable<AttemptResult> ResponseRelay::RelayStream(Call& call, Attempt& attempt) {
+asio::awaitable<AttemptOutcome> ResponseRelay::RelayStream(Call& call, Attempt& attempt) {
   if (const auto unusable = CheckStreamHeader(call, attempt)) {
     co_return *unusable;
   }
   attempt.stream =
       migrator_.Track(call.metadata.attempt_id, attempt.placement.upstream, call.metadata.work);
-  const AttemptResult result = co_await RelayEvents(call, attempt);
+  const AttemptOutcome result = co_await RelayEvents(call, attempt);
   migrator_.Untrack(attempt.stream);
   // Only an end for which nobody else is known to be the cause may be that of a stopped stream.
-  if (result != AttemptResult::kBrokenOff && result != AttemptResult::kTimedOut &&
-      result != AttemptResult::kUnusable) {
+  if (result != AttemptOutcome::kBrokenOff && result != AttemptOutcome::kTimedOut &&
+      result != AttemptOutcome::kUnusable) {
     co_return result;
   }
   const StopOutcome stop =
@@ -366,7 +366,7 @@
       co_return result;
     case StopOutcome::kUnknown:
       // The stream may have ended at this daemon's request, so that its end shows no failure.
-      co_return AttemptResult::kUnusable;
+      co_return AttemptOutcome::kUnusable;
     case StopOutcome::kStopped:
       break;
   }
@@ -376,7 +376,7 @@
                               ? std::optional(attempt.stream->source())
                               : std::nullopt;
   call.return_reserved = call.migration_source.has_value();
-  co_return AttemptResult::kMoved;
+  co_return AttemptOutcome::kMoved;
 }
 
 void ResponseRelay::OnFirstEvent(Call& call, const Attempt& attempt) {
@@ -401,7 +401,7 @@
   }
 }
 
-asio::awaitable<AttemptResult> ResponseRelay::RelayEvents(Call& call, Attempt& attempt) {
+asio::awaitable<AttemptOutcome> ResponseRelay::RelayEvents(Call& call, Attempt& attempt) {
   HttpConnection& connection = *attempt.connection;
   const HttpHeaders headers = codec_.CallerResponseHeaders(connection.response_header());
   call.sse_splitter.Reset();
@@ -411,18 +411,18 @@
     if (received.empty()) {
       const Result<bool> has_more = co_await ReadBody(call, attempt, received);
       if (!has_more) {
-        co_return ResultOfFailure(call, attempt, has_more.error());
+        co_return OutcomeOfFailure(call, attempt, has_more.error());
       }
       more = *has_more;
     }
-    if (const std::optional<AttemptResult> closed = attempt.closed_because()) {
+    if (const std::optional<AttemptOutcome> closed = attempt.closed_because()) {
       co_return *closed;
     }
     fleet_.load_balancer.OnBytes(attempt.placement.upstream.id, BootNow());
     const std::string events = call.sse_splitter.Append(received);
     if (call.sse_splitter.partial_event().size() > kMaxEventBytes) {
       attempt.failure = "An event of the stream exceeds the maximum size.";
-      co_return AttemptResult::kUnusable;
+      co_return AttemptOutcome::kUnusable;
     }
     if (events.empty()) {
       continue;
@@ -441,7 +441,7 @@
       open = co_await call.exchange.WriteChunk(events);
     }
     if (!open) {
-      co_return AttemptResult::kCallerLeft;
+      co_return AttemptOutcome::kCallerLeft;
     }
     if (attempt.observer != nullptr) {
       attempt.observer->OnRelayed();
@@ -450,7 +450,7 @@
   BeforeRelay(attempt);
   if (!call.sse_splitter.partial_event().empty()) {
     attempt.failure = "The stream ended within an event.";
-    co_return AttemptResult::kBrokenOff;
+    co_return AttemptOutcome::kBrokenOff;
   }
   const StopOutcome stop =
       co_await StreamMigrator::AwaitStopOutcome(attempt.stream, WaitLimit(call));
@@ -458,7 +458,7 @@
   if (stop == StopOutcome::kStopped ||
       (stop == StopOutcome::kUnknown && connection.ends_with_connection())) {
     attempt.failure = "The stream was stopped to be moved, or may have been.";
-    co_return AttemptResult::kUnusable;
+    co_return AttemptOutcome::kUnusable;
   }
   ReleaseConnection(call, attempt);
   crash_detector_.OnAnswer(call, attempt, attempt.status, BootNow());
@@ -469,7 +469,7 @@
   if (co_await call.exchange.EndStream()) {
     RecordResponse(call, attempt);
   }
-  co_return AttemptResult::kAnswered;
+  co_return AttemptOutcome::kAnswered;
 }
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -32,33 +32,33 @@
 
   // Reads response headers until one belongs to the attempt, and sets the status and the response
   // of the attempt. Returns why the attempt has ended if none arrives.
-  boost::asio::awaitable<std::optional<AttemptResult>> ReadHeader(Call& call, Attempt& attempt);
+  boost::asio::awaitable<std::optional<AttemptOutcome>> ReadHeader(Call& call, Attempt& attempt);
   // Reads on until the answer is at hand: the next event of a stream, or a whole body up to the
   // buffer limit. Relay passes on what has been read. Returns why the attempt has ended if there is
   // no answer.
-  boost::asio::awaitable<std::optional<AttemptResult>> Prefetch(Call& call, Attempt& attempt);
+  boost::asio::awaitable<std::optional<AttemptOutcome>> Prefetch(Call& call, Attempt& attempt);
   // Relays the body after a response header. Returns kMoved if a stream has to continue elsewhere.
-  boost::asio::awaitable<AttemptResult> Relay(Call& call, Attempt& attempt);
+  boost::asio::awaitable<AttemptOutcome> Relay(Call& call, Attempt& attempt);
 
   // Returns the time after which an upstream that sends nothing counts as silent.
   Duration SilenceLimit(const Call& call, const Attempt& attempt, TimePoint now) const;
   // Returns why the attempt has ended, given the error of a write to its upstream or a read from
   // it.
-  AttemptResult ResultOfFailure(const Call& call, Attempt& attempt, const Error& error);
+  AttemptOutcome OutcomeOfFailure(const Call& call, Attempt& attempt, const Error& error);
 
  private:
   // Returns why a response can't be relayed as a stream, or nothing.
-  static std::optional<AttemptResult> CheckStreamHeader(const Call& call, Attempt& attempt);
+  static std::optional<AttemptOutcome> CheckStreamHeader(const Call& call, Attempt& attempt);
   // Reads a body until its end or the buffer limit. Returns why the attempt has ended if it breaks.
-  boost::asio::awaitable<std::optional<AttemptResult>> ReadBuffered(Call& call, Attempt& attempt);
+  boost::asio::awaitable<std::optional<AttemptOutcome>> ReadBuffered(Call& call, Attempt& attempt);
   // Relays a body. One up to the buffer limit is sent to the caller once it is complete; a larger
   // one is sent as it arrives.
-  boost::asio::awaitable<AttemptResult> RelayBuffered(Call& call, Attempt& attempt);
+  boost::asio::awaitable<AttemptOutcome> RelayBuffered(Call& call, Attempt& attempt);
   // Sends the rest of a body that exceeds the buffer limit as it arrives.
-  boost::asio::awaitable<AttemptResult> RelayLargeBody(Call& call, Attempt& attempt);
-  boost::asio::awaitable<AttemptResult> RelayStream(Call& call, Attempt& attempt);
+  boost::asio::awaitable<AttemptOutcome> RelayLargeBody(Call& call, Attempt& attempt);
+  boost::asio::awaitable<AttemptOutcome> RelayStream(Call& call, Attempt& attempt);
   // Relays events until the upstream's stream completes, breaks or stalls.
-  boost::asio::awaitable<AttemptResult> RelayEvents(Call& call, Attempt& attempt);
+  boost::asio::awaitable<AttemptOutcome> RelayEvents(Call& call, Attempt& attempt);
   // Limits later attempts to the version that has written the first event, and records the version
   // of the stream.
   void OnFirstEvent(Call& call, const Attempt& attempt);
@@ -67,8 +67,8 @@
   static boost::asio::awaitable<Result<bool>> ReadBody(const Call& call, Attempt& attempt,
                                                        std::string& bytes);
   // Reads over a response to another attempt. Returns why the attempt has ended if it does not end.
-  boost::asio::awaitable<std::optional<AttemptResult>> DiscardBody(const Call& call,
-                                                                   Attempt& attempt);
+  boost::asio::awaitable<std::optional<AttemptOutcome>> DiscardBody(const Call& call,
+                                                                    Attempt& attempt);
   // Returns the number of idle connections to keep to each upstream of the call's service.
   std::size_t MaxIdleConnections(const Call& call) const;
   // Returns the connection of a completely answered attempt to the pool.
--- a/tests/gateway/silent_upstream_test.cc
+++ b/tests/gateway/silent_upstream_test.cc
@@ -29,6 +29,9 @@
         1,
         R"(,{"name":"talks","host":"h","prefix":"/talks/","route_kind":"streaming","timeout_ms":20000,)"
         R"("goal_ms":5,"itl_target_ms":5,"service":"s","resumable":true,"max_attempts":)" +
+            attempts +
+            R"(},{"name":"patient","host":"h","prefix":"/patient/","route_kind":"streaming",)"
+            R"("timeout_ms":20000,"itl_target_ms":6000,"service":"s","resumable":true,"max_attempts":)" +
             attempts +
             R"(},{"name":"looks","host":"h","prefix":"/looks/","route_kind":"idempotent",)"
             R"("timeout_ms":20000,"goal_ms":5,"service":"s","max_attempts":)" +
@@ -160,6 +163,19 @@
   ExpectWholeStream(ReadResponse(caller));
 }
 
+// Guards against a stream that is cut off in the instant in which its upstream breaks, because the
+// next one is not known or has no place yet.
+TEST_F(OnlyUpstreamTest, StreamThatHasLostItsUpstreamWaitsForAnotherOne) {
+  workers_.push_back(std::make_unique<ServiceServer<WorkerService>>(WorkerName(1)));
+  Upstream(0).SetFault(WorkerFault::kTruncateStream, 1);
+  CallerConnection caller(gateway_->callers_endpoint());
+  caller.Send(Request("/patient/stream/1", "a1"));
+  while (Metrics().find(R"(lost_attempts_total{reason="broken_off"})") == std::string::npos) {
+  }
+  RegisterWorker(1, "ready");
+  ExpectWholeStream(ReadResponse(caller));
+}
+
 // Guards against a stream that is cut off during a silence because the retry budget is used up.
 TEST_F(SilentUpstreamTest, StreamGoesOnIfTheRetryBudgetAllowsNoOtherAttempt) {
   StartWithoutRetryBudget();
