End the second attempt only once the first stream has ended whole

Cause: a stream that ended within an event cancelled the second attempt beside it before it was known to be broken off (found by reading). Change: the second attempt is cancelled when the end is passed on. Result: the tests of streams, silences and moves pass.

--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -447,7 +447,6 @@
       attempt.observer->OnRelayed();
     }
   }
-  BeforeRelay(attempt);
   if (!call.sse_splitter.partial_event().empty()) {
     attempt.failure = "The stream ended within an event.";
     co_return AttemptOutcome::kBrokenOff;
@@ -460,6 +459,7 @@
     attempt.failure = "The stream was stopped to be moved, or may have been.";
     co_return AttemptOutcome::kUnusable;
   }
+  BeforeRelay(attempt);
   ReleaseConnection(call, attempt);
   crash_detector_.OnAnswer(call, attempt, attempt.status, BootNow());
   if (!call.stream_started) {
