Keep essential log lines while the output is not read

An operator found no line of a request without an answer: LogOutput dropped every line, essential ones too, for as long as the reader of standard error did not take any.

Writing does not wait, as before.

--- a/packages/logging/logger.cc
+++ b/packages/logging/logger.cc
@@ -71,9 +71,15 @@
 }
 
 void Logger::Essential(std::string_view message, Fields fields) const {
-  if (LogLevel::kInfo >= minimum_level.load(std::memory_order_relaxed)) {
-    WriteAdmitted(LogLevel::kInfo, message, fields, 0);
+  if (LogLevel::kInfo < minimum_level.load(std::memory_order_relaxed)) {
+    return;
+  }
+  const std::string line = MakeLine(LogLevel::kInfo, message, fields);
+  if (Sink()) {
+    Sink()(line);
+    return;
   }
+  Output().WriteEssential(line);
 }
 
 void Logger::SetLevel(LogLevel level) { minimum_level = level; }
@@ -85,13 +91,21 @@
     return;
   }
   const auto dropped = Limiter().Admit(component_, message, std::chrono::steady_clock::now());
-  if (dropped) {
-    WriteAdmitted(level, message, fields, *dropped);
+  if (!dropped) {
+    return;
+  }
+  std::string line = MakeLine(level, message, fields);
+  if (*dropped > 0) {
+    line += fmt::format(" repeats_dropped={}", *dropped);
+  }
+  if (Sink()) {
+    Sink()(line);
+    return;
   }
+  Output().Write(line);
 }
 
-void Logger::WriteAdmitted(LogLevel level, std::string_view message, Fields fields,
-                           std::uint64_t dropped) const {
+std::string Logger::MakeLine(LogLevel level, std::string_view message, Fields fields) const {
   std::string line = fmt::format("{} {}: {}", LevelName(level), component_, message);
   for (const LogField& field : fields) {
     line += ' ';
@@ -99,14 +113,7 @@
     line += '=';
     AppendValue(line, field.value);
   }
-  if (dropped > 0) {
-    line += fmt::format(" repeats_dropped={}", dropped);
-  }
-  if (Sink()) {
-    Sink()(line);
-    return;
-  }
-  Output().Write(line);
+  return line;
 }
 
 }  // namespace savoryglade
--- a/packages/logging/logger.h
+++ b/packages/logging/logger.h
@@ -39,8 +39,9 @@
   void Warning(std::string_view message, Fields fields = {}) const;
   void Error(std::string_view message, Fields fields = {}) const;
 
-  // Writes a line at the level info that the rate limit does not drop. For lines without which the
-  // end of a request can't be explained, at most one for each request.
+  // Writes a line at the level info that the rate limit does not drop, and that is kept for some
+  // time if the output is not read. For lines without which the end of a request can't be
+  // explained, at most one for each request.
   void Essential(std::string_view message, Fields fields = {}) const;
 
   // Sets the minimum level of the whole process; lines below it are dropped.
@@ -52,9 +53,8 @@
 
  private:
   void Write(LogLevel level, std::string_view message, Fields fields) const;
-  // Writes a line that the rate limit has admitted after it dropped this number of its kind.
-  void WriteAdmitted(LogLevel level, std::string_view message, Fields fields,
-                     std::uint64_t dropped) const;
+  // Returns a line without its line end.
+  std::string MakeLine(LogLevel level, std::string_view message, Fields fields) const;
 
   std::string_view component_;
 };
--- a/tests/logging/log_output_test.cc
+++ b/tests/logging/log_output_test.cc
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <cstdint>
 #include <string>
 
 namespace savoryglade {
@@ -29,6 +31,20 @@
     return text;
   }
 
+  // Writes lines until the pipe takes no more.
+  static void Fill(LogOutput& output) {
+    const std::uint64_t dropped = output.dropped_lines();
+    while (output.dropped_lines() == dropped) {
+      output.Write(std::string(LogOutput::kMaxLineBytes - 1, 'x'));
+    }
+  }
+
+  // Returns all that the pipe holds after the lines of Fill.
+  std::string ReadAfterFill() const {
+    const std::string text = ReadAll();
+    return text.substr(std::min(text.size(), text.find_first_not_of("x\n")));
+  }
+
   std::array<int, 2> ends_{};
 };
 
@@ -57,6 +73,89 @@
   EXPECT_EQ(ReadAll(), std::string(LogOutput::kMaxLineBytes - 1, 'x') + "\n");
 }
 
+// Guards against a request whose only line is lost because the log was not read for a while.
+TEST_F(LogOutputTest, EssentialLinesAreKeptUntilTheyAreRead) {
+  LogOutput output(ends_[1]);
+  Fill(output);
+  output.WriteEssential("first");
+  output.Write("ordinary");
+  output.WriteEssential("second");
+  EXPECT_EQ(output.dropped_lines(), 2U);
+  EXPECT_EQ(ReadAfterFill(), "");
+  output.Write("third");
+  EXPECT_EQ(ReadAll(),
+            "first\nsecond\n"
+            "warning logging: Lines were dropped because the output is not read. lines=2\n"
+            "third\n");
+  EXPECT_EQ(output.lost_essential_lines(), 0U);
+}
+
+// Guards against kept lines that are written only when something else is logged.
+TEST_F(LogOutputTest, FlushWritesWhatIsKeptAndTheNumberOfDroppedLines) {
+  LogOutput output(ends_[1]);
+  Fill(output);
+  output.WriteEssential("first");
+  output.Flush();
+  EXPECT_EQ(ReadAfterFill(), "");
+  output.Flush();
+  EXPECT_EQ(ReadAll(),
+            "first\n"
+            "warning logging: Lines were dropped because the output is not read. lines=1\n");
+  output.Flush();
+  EXPECT_EQ(ReadAll(), "");
+}
+
+// Guards against a reader that takes little at a time and gets lines out of order, twice or cut.
+TEST_F(LogOutputTest, KeptLinesStayInOrderWhileTheReaderIsSlow) {
+  constexpr int kLines = 200;
+  LogOutput output(ends_[1]);
+  Fill(output);
+  std::string expected;
+  for (int i = 0; i < kLines; ++i) {
+    const std::string line = std::to_string(i) + std::string(1000, '.');
+    output.WriteEssential(line);
+    expected += line + "\n";
+  }
+  ReadAll();
+  std::string text;
+  for (bool more = true; more;) {
+    output.Flush();
+    const std::string part = ReadAll();
+    more = !part.empty();
+    text += part;
+  }
+  EXPECT_EQ(text, expected +
+                      "warning logging: Lines were dropped because the output is not read. "
+                      "lines=1\n");
+}
+
+// Guards against memory that grows for as long as the log is not read, and against essential lines
+// that are lost without a trace.
+TEST_F(LogOutputTest, EssentialLinesBeyondTheLimitAreCountedSeparately) {
+  LogOutput output(ends_[1]);
+  Fill(output);
+  const std::string line(1023, 'y');
+  constexpr std::size_t kKeptLines = LogOutput::kMaxKeptBytes / 1024;
+  for (std::size_t i = 0; i < kKeptLines + 3; ++i) {
+    output.WriteEssential(line);
+  }
+  EXPECT_EQ(output.lost_essential_lines(), 3U);
+  EXPECT_EQ(output.dropped_lines(), 1U);
+  ReadAll();
+  std::string text;
+  for (bool more = true; more;) {
+    output.Flush();
+    const std::string part = ReadAll();
+    more = !part.empty();
+    text += part;
+  }
+  const std::size_t kept_bytes = text.find_first_not_of("y\n");
+  EXPECT_EQ(kept_bytes, kKeptLines * 1024);
+  EXPECT_EQ(text.substr(kept_bytes),
+            "warning logging: Essential lines were lost because the output is not read. lines=3\n"
+            "warning logging: Lines were dropped because the output is not read. lines=1\n");
+}
+
 // Guards against a closed reader whose SIGPIPE or error ends the process.
 TEST_F(LogOutputTest, ReaderThatHasClosedIsIgnored) {
   ::close(ends_[0]);
