Report the log lines that the rate limit has dropped

An on-call engineer could not tell a line that was not written from one that was dropped: the number of dropped lines came only with a later line of the same message, so the last ones of a disturbance were never counted, and it was lost if the output did not take that line.

Each window in which lines were dropped is now reported once, by the next line of its message or by a line of its own, which the housekeeping of the daemons writes every second and the program writes before it exits. A report that the output does not take is made again later.

DroppedLogTest.DroppedLinesAreReportedWithoutALaterLineOfTheirMessage (build/release/tests/gateway_test) passes; without the call in the housekeeping loop it waits for the report until it is ended after 20 s. DroppedMessagesTest and LoggerFlushTest (logging_test) pass.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -262,6 +262,7 @@
     co_await timer.async_wait(asio::use_awaitable);
     dispatcher_.Tick();
     AdvanceStop();
+    Logger::Flush();
   }
 }
 
--- a/packages/daemon/savorygladed_main.cc
+++ b/packages/daemon/savorygladed_main.cc
@@ -120,7 +120,9 @@
                        : PrintCheckResult(path, LoadSettings(path));
   }
   if (on_platform) {
-    return savoryglade::platform::RunOnPlatform();
+    const int status = savoryglade::platform::RunOnPlatform();
+    Logger::FlushAtExit();
+    return status;
   }
   Settings settings;
   if (const auto& load = arguments.at("--settings")) {
@@ -130,5 +132,7 @@
     }
     settings = *parsed;
   }
-  return Run(settings);
+  const int status = Run(settings);
+  Logger::FlushAtExit();
+  return status;
 }
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -184,6 +184,7 @@
     fleet_.metrics.GetGauge("savoryglade_gateway_active_requests").Set(fleet_.active_requests);
     fleet_.metrics.GetGauge("savoryglade_gateway_recorded_streams")
         .Set(static_cast<std::int64_t>(fleet_.stream_versions.size()));
+    Logger::Flush();
     co_await Sleep(kHousekeepingInterval);
   }
 }
--- a/packages/logging/logger.cc
+++ b/packages/logging/logger.cc
@@ -52,6 +52,23 @@
   line += '"';
 }
 
+// Writes a line for each message of which lines were dropped in a window that is over at this time.
+void FlushDroppedMessages(TimePoint now) {
+  for (const RateLimitedMessage& dropped : Limiter().TakeDropped(now)) {
+    std::string line = fmt::format(
+        "warning logging: Lines of one message were dropped by the rate limit. "
+        "dropped_component={} dropped_message=",
+        dropped.component);
+    AppendValue(line, dropped.message);
+    line += fmt::format(" lines={}", dropped.dropped);
+    if (Sink()) {
+      Sink()(line);
+    } else if (!Output().TryWrite(line)) {
+      Limiter().PutBack(dropped);
+    }
+  }
+}
+
 }  // namespace
 
 void Logger::Debug(std::string_view message, Fields fields) const {
@@ -70,11 +87,11 @@
   Write(LogLevel::kError, message, fields);
 }
 
-void Logger::Essential(std::string_view message, Fields fields) const {
-  if (LogLevel::kInfo < minimum_level.load(std::memory_order_relaxed)) {
+void Logger::Essential(std::string_view message, Fields fields, LogLevel level) const {
+  if (level < minimum_level.load(std::memory_order_relaxed)) {
     return;
   }
-  const std::string line = MakeLine(LogLevel::kInfo, message, fields);
+  const std::string line = MakeLine(level, message, fields);
   if (Sink()) {
     Sink()(line);
     return;
@@ -82,6 +99,22 @@
   Output().WriteEssential(line);
 }
 
+void Logger::Flush() {
+  FlushDroppedMessages(std::chrono::steady_clock::now());
+  Output().Flush();
+}
+
+void Logger::FlushAtExit() {
+  FlushDroppedMessages(std::chrono::steady_clock::now() + LogRateLimiter::kWindow);
+  Output().Flush();
+}
+
+DroppedLines Logger::dropped_lines() {
+  return {.rate_limit = Limiter().dropped_lines(),
+          .output = Output().dropped_lines(),
+          .essential = Output().lost_essential_lines()};
+}
+
 void Logger::SetLevel(LogLevel level) { minimum_level = level; }
 
 void Logger::SetSink(std::function<void(const std::string&)> sink) { Sink() = std::move(sink); }
@@ -102,7 +135,11 @@
     Sink()(line);
     return;
   }
-  Output().Write(line);
+  if (!Output().Write(line) && *dropped > 0) {
+    Limiter().PutBack({.component = std::string(component_),
+                       .message = std::string(message),
+                       .dropped = *dropped});
+  }
 }
 
 std::string Logger::MakeLine(LogLevel level, std::string_view message, Fields fields) const {
--- a/packages/logging/logger.h
+++ b/packages/logging/logger.h
@@ -25,6 +25,16 @@
   std::string value;
 };
 
+// Numbers of lines that this process has not written since its start, by cause.
+struct DroppedLines {
+  std::uint64_t rate_limit = 0;
+  std::uint64_t output = 0;
+  // Essential lines that were lost because the output was not read for too long.
+  std::uint64_t essential = 0;
+
+  bool operator==(const DroppedLines&) const = default;
+};
+
 // Writes log lines of one component of the daemon to standard error: the level, the component, a
 // short message and key=value fields. Values with spaces are quoted. Safe to use from all threads.
 class Logger {
@@ -39,14 +49,25 @@
   void Warning(std::string_view message, Fields fields = {}) const;
   void Error(std::string_view message, Fields fields = {}) const;
 
-  // Writes a line at the level info that the rate limit does not drop, and that is kept for some
-  // time if the output is not read. For lines without which the end of a request can't be
-  // explained, at most one for each request.
-  void Essential(std::string_view message, Fields fields = {}) const;
+  // Writes a line that the rate limit does not drop, and that is kept for some time if the output
+  // is not read. For lines without which the end of a request can't be explained, at most one for
+  // each request.
+  void Essential(std::string_view message, Fields fields = {},
+                 LogLevel level = LogLevel::kInfo) const;
 
   // Sets the minimum level of the whole process; lines below it are dropped.
   static void SetLevel(LogLevel level);
 
+  // Writes, as far as the output takes them, the kept essential lines, and a line for each message
+  // of which the rate limit dropped lines in a window that is over. To be called every second.
+  static void Flush();
+
+  // Same as Flush, for all windows. To be called before the process exits.
+  static void FlushAtExit();
+
+  // Returns the numbers of lines that were dropped.
+  static DroppedLines dropped_lines();
+
   // Redirects finished lines to a function; an empty function restores standard error. For tests;
   // not safe while other threads log.
   static void SetSink(std::function<void(const std::string&)> sink);
