--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -93,6 +93,7 @@
 Daemon::Daemon(Settings settings, DaemonDependencies dependencies)
     : settings_(std::move(settings)),
       request_metrics_(metrics_),
+      dropped_lines_(metrics_),
       dependencies_(FillDefaults(std::move(dependencies),
                                  std::hash<std::string>()(settings_.daemon.value()))),
       dispatcher_({.incarnation = MakeIncarnation()}, {.local_domain = settings_.failure_domain},
@@ -263,6 +264,7 @@
     dispatcher_.Tick();
     AdvanceStop();
     Logger::Flush();
+    dropped_lines_.Update(Logger::dropped_lines());
   }
 }
 
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -21,6 +21,7 @@
 #include "daemon/retry_strategy.h"
 #include "daemon/stream_directory.h"
 #include "daemon/upstream_client_options.h"
+#include "metrics/dropped_line_counters.h"
 #include "metrics/registry.h"
 #include "net/endpoint.h"
 #include "net/http_server.h"
@@ -91,6 +92,7 @@
   Settings settings_;
   MetricRegistry metrics_;
   RequestMetrics request_metrics_;
+  DroppedLineCounters dropped_lines_;
   DaemonDependencies dependencies_;
   ActiveRequests active_requests_;
   ConfigHolder configuration_;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -46,6 +46,7 @@
 Gateway::Gateway(GatewaySettings settings, const AdapterFactory& make_adapters)
     : pool_(1),
       fleet_(std::move(settings), RandomIncarnation(), TimeOfDay(), BootNow()),
+      dropped_lines_(fleet_.metrics),
       adapters_(make_adapters(background_, fleet_.metrics)),
       migrator_(fleet_, *adapters_.engines, pool_.context(0)),
       open_attempts_(pool_.context(0)),
@@ -173,6 +174,7 @@
 }
 
 asio::awaitable<void> Gateway::HandleMetrics(HttpExchange& exchange) {
+  dropped_lines_.Update(Logger::dropped_lines());
   co_await exchange.Respond(200, ContentType("text/plain; version=0.0.4"),
                             fleet_.metrics.RenderText());
 }
@@ -185,6 +187,7 @@
     fleet_.metrics.GetGauge("savoryglade_gateway_recorded_streams")
         .Set(static_cast<std::int64_t>(fleet_.stream_versions.size()));
     Logger::Flush();
+    dropped_lines_.Update(Logger::dropped_lines());
     co_await Sleep(kHousekeepingInterval);
   }
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "gateway/upstream_connection_pool.h"
 #include "gateway/upstream_connector.h"
 #include "gateway/upstream_signal_recorder.h"
+#include "metrics/dropped_line_counters.h"
 #include "net/background_worker.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -87,6 +88,7 @@
   WorkerPool pool_;
   BackgroundWorker background_;
   FleetState fleet_;
+  DroppedLineCounters dropped_lines_;
   GatewayAdapters adapters_;
   UpstreamConnectionPool connections_;
   StreamMigrator migrator_;
--- a/tests/gateway/dropped_log_test.cc
+++ b/tests/gateway/dropped_log_test.cc
@@ -51,10 +51,21 @@
   const Logger log("fault");
   // More lines than the windows of a slow machine admit.
   constexpr int kLines = 1000;
+  const std::uint64_t before = Logger::dropped_lines().rate_limit;
   for (int i = 0; i < kLines; ++i) {
     log.Info("A fault of every request.");
   }
+  const std::uint64_t dropped = Logger::dropped_lines().rate_limit - before;
+  ASSERT_GT(dropped, 0U);
   WaitForLine("dropped_component=fault dropped_message=\"A fault of every request.\" lines=");
+  const std::string metrics =
+      SendText(gateway_->metrics_endpoint(), "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n").body;
+  const std::string counter = "savoryglade_log_dropped_lines_total{cause=\"rate_limit\"} ";
+  const std::size_t found = metrics.find(counter);
+  ASSERT_NE(found, std::string::npos) << metrics;
+  EXPECT_GE(std::stoull(metrics.substr(found + counter.size())), dropped);
+  EXPECT_NE(metrics.find("savoryglade_log_dropped_lines_total{cause=\"output\"} "),
+            std::string::npos);
 }
 
 }  // namespace
