Log each request that the HTTP server ends without its handler

A request that is malformed, truncated, too large or late, or whose coding is not supported, left no line, and of the connections beyond the limit only the first one did. A handler that threw left a line without the connection, which the rate limit could drop, and an exception of another type than std::exception left none.

The first kind now leaves a line, subject to the rate limit, with the connection, the reason, the bytes and time that decided it and the limit; so does each rejected connection. A handler that throws leaves an essential line with the connection.

--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <iterator>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -61,6 +62,68 @@
   return header;
 }
 
+// Request that ends before its handler is called.
+struct UnhandledRequest {
+  std::uint64_t connection_id = 0;
+  beast::error_code error;
+  bool has_unsupported_coding = false;
+  // Bytes received, including those that are not parsed.
+  std::size_t bytes = 0;
+  // Value of the Content-Length header, or empty.
+  std::string content_length;
+  // Time since the first byte.
+  Duration time{};
+};
+
+// Why a request ends before its handler is called.
+struct UnhandledReason {
+  const char* name;
+  // Status of the response, or zero if none is sent.
+  unsigned status = 0;
+  // Reason in the response.
+  const char* response_reason = "";
+  // Limit that was exceeded, or empty.
+  std::string limit;
+};
+
+UnhandledReason FindReason(const UnhandledRequest& request, const HttpLimits& limits) {
+  const beast::error_code& error = request.error;
+  if (error == beast::error::timeout) {
+    return {.name = "read_timeout", .limit = fmt::format("{} ms", limits.read_timeout / 1ms)};
+  }
+  if (error.category() != make_error_code(http::error::bad_method).category()) {
+    return {.name = "connection_lost"};
+  }
+  if (request.has_unsupported_coding) {
+    return {.name = "unsupported_coding", .status = 501, .response_reason = "malformed_request"};
+  }
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    const std::size_t limit = error == http::error::header_limit
+                                  ? limits.header_size
+                                  : limits.header_size + kMaxUnparsedBodyBytes;
+    return {.name = "header_too_large",
+            .status = 431,
+            .response_reason = "request_too_large",
+            .limit = fmt::format("{} bytes", limit)};
+  }
+  if (error == http::error::body_limit) {
+    return {.name = "body_too_large",
+            .status = 413,
+            .response_reason = "request_too_large",
+            .limit = fmt::format("{} bytes", limits.body_size)};
+  }
+  return {.name = error == http::error::partial_message ? "truncated" : "malformed",
+          .status = 400,
+          .response_reason = "malformed_request"};
+}
+
+// Returns the Content-Length header, cut off after the longest valid number.
+std::string FindContentLength(const RequestParser& parser) {
+  constexpr std::size_t kMaxDigits = std::numeric_limits<std::uint64_t>::digits10 + 1;
+  const auto value = parser.get()[http::field::content_length];
+  return std::string(value.substr(0, kMaxDigits));
+}
+
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) { return beast::iequals(a, b); }
 
 }  // namespace
@@ -178,10 +241,11 @@
         socket.non_blocking(true, error);
         socket.write_some(asio::buffer(kTooManyConnectionsResponse), error);
         socket.shutdown(tcp::socket::shutdown_send, error);
-        if (rejected.fetch_add(1) == 0) {
-          kLog.Warning("The connection limit is reached; further connections are rejected.",
-                       {{"limit", limits.connections}});
-        }
+        ++rejected;
+        kLog.Warning("A connection was rejected because too many are open.",
+                     {{"connection", next_connection_id.fetch_add(1)},
+                      {"open_connections", connections.load()},
+                      {"limit", limits.connections}});
         continue;
       }
       socket.set_option(tcp::no_delay(true));
@@ -192,34 +256,34 @@
     }
   }
 
-  // Responds to a request that can't be parsed, is truncated, or has a transfer coding that is not
-  // supported. Sends no response after a timeout or to a connection closed between requests.
+  // Logs a request that can't be parsed, is too large, does not arrive completely, or has a
+  // transfer coding that is not supported, and responds to it. Sends no response after a timeout or
+  // to a connection that is lost.
   static asio::awaitable<void> RespondToBadRequest(beast::tcp_stream& stream,
                                                    const HttpLimits& limits,
-                                                   beast::error_code error,
-                                                   bool has_unsupported_coding) {
-    if (error.category() != make_error_code(http::error::bad_method).category() ||
-        error == http::error::end_of_stream) {
+                                                   const UnhandledRequest& request) {
+    const UnhandledReason reason = FindReason(request, limits);
+    kLog.Info("A request ended before it was handled.",
+              {{"connection", request.connection_id},
+               {"reason", reason.name},
+               {"status", reason.status},
+               {"bytes", request.bytes},
+               {"content_length", request.content_length.empty() ? "-" : request.content_length},
+               {"ms", request.time / 1ms},
+               {"limit", reason.limit.empty() ? "-" : reason.limit},
+               {"error", request.error.message()}});
+    if (reason.status == 0) {
       co_return;
     }
-    unsigned status = has_unsupported_coding ? 501 : 400;
-    const char* reason = "malformed_request";
-    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-      status = 431;
-      reason = "request_too_large";
-    } else if (error == http::error::body_limit) {
-      status = 413;
-      reason = "request_too_large";
-    }
     HttpExchange exchange(stream, HttpRequest{http::verb::get, "/", 11}, limits);
     HttpHeaders headers = ContentType("application/json");
     headers.emplace_back("Savoryglade-Verdict", "not_run");
-    headers.emplace_back("Savoryglade-Reason", reason);
+    headers.emplace_back("Savoryglade-Reason", reason.response_reason);
     std::string body =
-        fmt::format(R"({{"error":{{"reason":"{}","verdict":"not_run","message":"{}"}}}})", reason,
-                    error.message());
+        fmt::format(R"({{"error":{{"reason":"{}","verdict":"not_run","message":"{}"}}}})",
+                    reason.response_reason, request.error.message());
     exchange.CloseAfterResponse();
-    if (co_await exchange.Respond(status, std::move(headers), std::move(body))) {
+    if (co_await exchange.Respond(reason.status, std::move(headers), std::move(body))) {
       co_await DiscardRemainingInput(stream);
     }
   }
@@ -302,6 +366,12 @@
     }
   }
 
+  static void CloseAfterException(HttpExchange& exchange, std::string_view error) {
+    kLog.Essential("A request handler threw an exception; the connection is closed.",
+                   {{"connection", exchange.connection_id()}, {"error", error}}, LogLevel::kError);
+    exchange.Abort();
+  }
+
   static asio::awaitable<void> Serve(std::shared_ptr<State> state, beast::tcp_stream stream) {
     const std::uint64_t connection_id = state->next_connection_id.fetch_add(1);
     beast::flat_buffer buffer(state->limits.header_size + kMaxUnparsedBodyBytes);
@@ -312,8 +382,10 @@
       if (buffer.size() == 0 && !co_await AwaitRequest(*state, connection_id, stream)) {
         break;
       }
+      const TimePoint begun_at = std::chrono::steady_clock::now();
       stream.expires_after(state->limits.read_timeout);
       auto [error, size] = co_await http::async_read_header(stream, buffer, *parser, kAwait);
+      std::size_t bytes = size;
       const bool has_unsupported_coding =
           !error && HasUnsupportedTransferCoding(parser->get(), parser->get().version());
       if (has_unsupported_coding) {
@@ -326,11 +398,22 @@
         }
         if (!error) {
           std::tie(error, size) = co_await http::async_read(stream, buffer, *parser, kAwait);
+          bytes += size;
         }
       }
       stream.expires_never();
       if (error) {
-        co_await RespondToBadRequest(stream, state->limits, error, has_unsupported_coding);
+        // A connection that ends between two requests has no request to report.
+        if (error == http::error::end_of_stream || bytes + buffer.size() == 0) {
+          break;
+        }
+        const UnhandledRequest request{.connection_id = connection_id,
+                                       .error = error,
+                                       .has_unsupported_coding = has_unsupported_coding,
+                                       .bytes = bytes + buffer.size(),
+                                       .content_length = FindContentLength(*parser),
+                                       .time = std::chrono::steady_clock::now() - begun_at};
+        co_await RespondToBadRequest(stream, state->limits, request);
         break;
       }
       HttpExchange exchange(stream, parser->release(), state->limits, connection_id);
@@ -345,9 +428,9 @@
       try {
         co_await state->handler(exchange);
       } catch (const std::exception& exception) {
-        kLog.Error("A request handler threw an exception; the connection is closed.",
-                   {{"error", exception.what()}});
-        exchange.Abort();
+        CloseAfterException(exchange, exception.what());
+      } catch (...) {
+        CloseAfterException(exchange, "of an unknown type");
       }
       --state->exchanges;
       if (!exchange.keep_alive()) {
