Count all that a drain waits for in one value, and log it

Cause: the lines of a drain counted requests and connections. Change: OpenWork holds reading, requests, tunnels, transfers, undelivered and connections. One function makes it; each step of the drain decides on it, publishes it (savoryglade_gateway_open_work, savoryglade_gateway_drain_stage), and the drain's lines show it. What the drain decides does not change.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <chrono>
 #include <random>
@@ -182,6 +183,7 @@
     connections_.Expire(BootNow());
     fleet_.OnStoreEra(adapters_.store->era());
     fleet_.metrics.GetGauge("savoryglade_gateway_active_requests").Set(fleet_.active_requests);
+    PublishOpenWork(MakeOpenWork());
     fleet_.metrics.GetGauge("savoryglade_gateway_recorded_streams")
         .Set(static_cast<std::int64_t>(fleet_.stream_versions.size()));
     co_await Sleep(kHousekeepingInterval);
@@ -223,7 +225,7 @@
       return;
     }
     fleet_.drain.Begin(ordered_at);
-    LogDrain("The gateway starts to drain.");
+    LogDrain("The gateway starts to drain.", MakeOpenWork());
     duty_runner_.Release();
     asio::co_spawn(pool_.context(0), DrainLoop(), [](const std::exception_ptr& failure) {
       if (failure) {
@@ -233,31 +235,64 @@
   });
 }
 
-void Gateway::LogDrain(std::string_view message) const {
-  kLog.Info(message, {{"requests", fleet_.active_requests},
-                      {"connections", callers_.open_connections()},
+OpenWork Gateway::MakeOpenWork() const {
+  const std::size_t peer_requests = peer_requests_.active_exchanges();
+  const auto tunnels = static_cast<std::size_t>(tunnels_.open_tunnels());
+  return {.reading = callers_.partial_requests(),
+          .requests = fleet_.active_requests,
+          .tunnels = tunnels_.open_tunnels(),
+          .transfers = peer_requests - std::min(peer_requests, tunnels),
+          .connections = callers_.open_connections()};
+}
+
+void Gateway::PublishOpenWork(const OpenWork& work) {
+  const auto publish = [this](const char* kind, auto count) {
+    fleet_.metrics.GetGauge("savoryglade_gateway_open_work", {{"kind", kind}})
+        .Set(static_cast<std::int64_t>(count));
+  };
+  publish("reading", work.reading);
+  publish("requests", work.requests);
+  publish("tunnels", work.tunnels);
+  publish("transfers", work.transfers);
+  publish("undelivered", work.undelivered);
+  publish("connections", work.connections);
+  fleet_.metrics.GetGauge("savoryglade_gateway_drain_stage")
+      .Set(static_cast<std::int64_t>(fleet_.drain.stage()));
+}
+
+void Gateway::LogDrain(std::string_view message, const OpenWork& work) const {
+  kLog.Info(message, {{"reading", work.reading},
+                      {"requests", work.requests},
+                      {"tunnels", work.tunnels},
+                      {"transfers", work.transfers},
+                      {"undelivered", work.undelivered},
+                      {"connections", work.connections},
                       {"ms", fleet_.drain.Elapsed(BootNow()) / 1ms}});
 }
 
 asio::awaitable<void> Gateway::DrainLoop() {
   bool closing = false;
   bool interrupted = false;
-  while (fleet_.drain.Advance(
-             {.requests = fleet_.active_requests, .connections = callers_.open_connections()},
-             BootNow()) != DrainStage::kFinished) {
-    if (!closing && fleet_.drain.stage() == DrainStage::kClosing) {
+  while (true) {
+    const OpenWork work = MakeOpenWork();
+    const DrainStage stage = fleet_.drain.Advance(work, BootNow());
+    PublishOpenWork(work);
+    if (stage == DrainStage::kFinished) {
+      LogDrain("The gateway has finished draining.", work);
+      break;
+    }
+    if (!closing && stage == DrainStage::kClosing) {
       closing = true;
-      LogDrain("The gateway accepts no more requests and closes its connections.");
+      LogDrain("The gateway accepts no more requests and closes its connections.", work);
       callers_.Close();
     }
     if (!interrupted && fleet_.drain.interrupted()) {
       interrupted = true;
-      LogDrain("The gateway interrupts the requests in progress.");
+      LogDrain("The gateway interrupts the requests in progress.", work);
       open_attempts_.CloseAll();
     }
     co_await Sleep(kDrainCheckInterval);
   }
-  LogDrain("The gateway has finished draining.");
   drained_ = true;
 }
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -80,8 +80,11 @@
   boost::asio::awaitable<void> HandleReadiness(HttpExchange& exchange);
   boost::asio::awaitable<void> HandleMetrics(HttpExchange& exchange);
   boost::asio::awaitable<void> DrainLoop();
+  // Returns all that a drain waits for.
+  OpenWork MakeOpenWork() const;
+  void PublishOpenWork(const OpenWork& work);
   // Logs a step of the drain with the work that is in progress.
-  void LogDrain(std::string_view message) const;
+  void LogDrain(std::string_view message, const OpenWork& work) const;
   boost::asio::awaitable<void> HousekeepingLoop();
 
   WorkerPool pool_;
--- a/packages/gateway/peer_tunnels.cc
+++ b/packages/gateway/peer_tunnels.cc
@@ -55,8 +55,6 @@
   }
   const UpstreamRecord target = *record;
   const ScopedCount tunnel(open_tunnels_);
-  // A daemon that drains waits for the requests that it relays.
-  const ScopedCount request(fleet_.active_requests);
   const Result<Endpoint> endpoint = ParseEndpoint(exchange.target());
   if (!endpoint) {
     co_await exchange.Respond(404, {}, {});
--- a/packages/gateway/peer_tunnels.h
+++ b/packages/gateway/peer_tunnels.h
@@ -26,6 +26,10 @@
   // upstream does not accept the connection.
   boost::asio::awaitable<void> HandleRequest(HttpExchange& exchange);
 
+  // Returns the number of connections that are being relayed or opened. A daemon that drains waits
+  // for them.
+  int open_tunnels() const { return open_tunnels_; }
+
  private:
   // Returns the status with which to reject a tunnel, or zero.
   unsigned RejectionStatus(const UpstreamRecord* upstream, std::string_view target) const;
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -302,6 +302,45 @@
     }
   }
 
+  // Counts a request for as long as it is being read.
+  class PartialRequest {
+   public:
+    explicit PartialRequest(State& state) : state_(state) { ++state_.partial_requests; }
+    ~PartialRequest() { --state_.partial_requests; }
+    PartialRequest(const PartialRequest&) = delete;
+    PartialRequest& operator=(const PartialRequest&) = delete;
+
+   private:
+    State& state_;
+  };
+
+  // Reads a request of which the first byte has arrived. Sets the flag if its transfer coding is
+  // not supported, which is an error as well.
+  static asio::awaitable<beast::error_code> ReadRequest(State& state, beast::tcp_stream& stream,
+                                                        beast::flat_buffer& buffer,
+                                                        RequestParser& parser,
+                                                        bool& has_unsupported_coding) {
+    const PartialRequest partial(state);
+    stream.expires_after(state.limits.read_timeout);
+    auto [error, size] = co_await http::async_read_header(stream, buffer, parser, kAwait);
+    has_unsupported_coding =
+        !error && HasUnsupportedTransferCoding(parser.get(), parser.get().version());
+    if (has_unsupported_coding) {
+      error = http::error::bad_transfer_encoding;
+    }
+    if (!error && !parser.is_done()) {
+      if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        std::tie(error, size) =
+            co_await asio::async_write(stream, asio::buffer(kContinueResponse), kAwait);
+      }
+      if (!error) {
+        std::tie(error, size) = co_await http::async_read(stream, buffer, parser, kAwait);
+      }
+    }
+    stream.expires_never();
+    co_return error;
+  }
+
   static asio::awaitable<void> Serve(std::shared_ptr<State> state, beast::tcp_stream stream) {
     const std::uint64_t connection_id = state->next_connection_id.fetch_add(1);
     beast::flat_buffer buffer(state->limits.header_size + kMaxUnparsedBodyBytes);
@@ -312,23 +351,9 @@
       if (buffer.size() == 0 && !co_await AwaitRequest(*state, connection_id, stream)) {
         break;
       }
-      stream.expires_after(state->limits.read_timeout);
-      auto [error, size] = co_await http::async_read_header(stream, buffer, *parser, kAwait);
-      const bool has_unsupported_coding =
-          !error && HasUnsupportedTransferCoding(parser->get(), parser->get().version());
-      if (has_unsupported_coding) {
-        error = http::error::bad_transfer_encoding;
-      }
-      if (!error && !parser->is_done()) {
-        if (beast::iequals(parser->get()[http::field::expect], "100-continue")) {
-          std::tie(error, size) =
-              co_await asio::async_write(stream, asio::buffer(kContinueResponse), kAwait);
-        }
-        if (!error) {
-          std::tie(error, size) = co_await http::async_read(stream, buffer, *parser, kAwait);
-        }
-      }
-      stream.expires_never();
+      bool has_unsupported_coding = false;
+      const beast::error_code error =
+          co_await ReadRequest(*state, stream, buffer, *parser, has_unsupported_coding);
       if (error) {
         co_await RespondToBadRequest(stream, state->limits, error, has_unsupported_coding);
         break;
@@ -363,6 +388,7 @@
   HttpHandler handler;
   std::optional<tcp::acceptor> acceptor;
   std::atomic<std::size_t> connections{0};
+  std::atomic<std::size_t> partial_requests{0};
   std::atomic<std::size_t> exchanges{0};
   std::atomic<std::size_t> rejected{0};
   std::atomic<std::uint64_t> next_connection_id{1};
@@ -417,6 +443,8 @@
 
 std::size_t HttpServer::open_connections() const { return state_->connections.load(); }
 
+std::size_t HttpServer::partial_requests() const { return state_->partial_requests.load(); }
+
 std::size_t HttpServer::active_exchanges() const { return state_->exchanges.load(); }
 
 std::size_t HttpServer::rejected_connections() const { return state_->rejected.load(); }
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -127,6 +127,9 @@
   // Returns the number of open connections.
   std::size_t open_connections() const;
 
+  // Returns the number of requests of which some bytes have arrived, but not all.
+  std::size_t partial_requests() const;
+
   // Returns the number of requests in progress.
   std::size_t active_exchanges() const;
 
--- a/packages/recovery/drain_sequence.cc
+++ b/packages/recovery/drain_sequence.cc
@@ -17,13 +17,13 @@
       break;
     case DrainStage::kDraining:
       if (elapsed >= GraceFraction(options_.in_flight_grace_fraction) ||
-          (work.requests == 0 && elapsed >= NoticeTime())) {
+          (!work.HasUpstreamWork() && elapsed >= NoticeTime())) {
         stage_ = DrainStage::kClosing;
-        interrupted_ = work.requests > 0;
+        interrupted_ = work.HasUpstreamWork();
       }
       break;
     case DrainStage::kClosing:
-      if (work.requests > 0 && !interrupted_) {
+      if (work.HasUpstreamWork() && !interrupted_) {
         interrupted_ = elapsed >= GraceFraction(options_.in_flight_grace_fraction);
       } else if (work.connections == 0 || elapsed >= GraceFraction(options_.exit_grace_fraction)) {
         stage_ = DrainStage::kFinished;
--- a/packages/recovery/drain_sequence.h
+++ b/packages/recovery/drain_sequence.h
@@ -36,16 +36,29 @@
   kFinished,
 };
 
-// Work that a daemon has in progress.
+// Work that a daemon has in progress, and that its exit would cut off.
 struct OpenWork {
+  // Requests of callers of which some bytes have arrived, but not all.
+  std::size_t reading = 0;
+  // Requests of callers that are being answered.
   int requests = 0;
-  // Connections of callers, with or without a request.
+  // Connections to upstreams that the daemon relays for peers.
+  int tunnels = 0;
+  // Documents on their way to peers.
+  std::size_t transfers = 0;
+  // Connections of callers that wait only until the caller has acknowledged its last answer.
+  std::size_t undelivered = 0;
+  // All connections of callers, with or without a request.
   std::size_t connections = 0;
+
+  // Returns true if the end of the grace period interrupts some of this work at an upstream.
+  bool HasUpstreamWork() const { return requests > 0 || tunnels > 0; }
+  friend bool operator==(const OpenWork&, const OpenWork&) = default;
 };
 
 // Decides which requests a daemon accepts during a planned stop, and when its process may exit.
 // Requests keep arriving on open connections until these are closed, so the process exits only
-// after a stage in which all requests are refused and no connection is left. A request that may not
+// after a stage in which all requests are refused and no work is left. A request that may not
 // complete in time is refused rather than interrupted, because its caller can safely repeat it at
 // another daemon. Not thread-safe.
 class DrainSequence {
--- /dev/null
+++ b/tests/gateway/drain_work_test.cc
@@ -0,0 +1,117 @@
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+#include <string>
+#include <thread>
+
+#include "core/boot_clock.h"
+#include "emulator/caller_connection.h"
+#include "gateway/gateway.h"
+#include "net/tunnel.h"
+#include "tests/gateway/gateway_fixture.h"
+
+namespace savoryglade::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+// Each test looks at a moment at which a drain that does not wait for the work would be over.
+class DrainWorkTest : public GatewayFixture {
+ protected:
+  static constexpr Duration kGracePeriod = 60s;
+
+  void StartDrainingSoon() {
+    FleetBounds bounds = TestBounds();
+    bounds.stop_grace = kGracePeriod;
+    bounds.balancer_delay = 100ms;
+    gateway_ = MakeGateway("daemon-1", store_.endpoint, bounds);
+    PutRoutes(1);
+    WaitUntilReady();
+  }
+
+  static std::string OpenWorkLine(const char* kind, int count) {
+    return fmt::format("savoryglade_gateway_open_work{{kind=\"{}\"}} {}\n", kind, count);
+  }
+
+  // Waits until one step of the drain has decided on this stage with this work. Returns false if
+  // the drain finishes before.
+  bool AwaitStep(int stage, const std::string& first_line, const std::string& second_line = {}) {
+    const std::string stage_line = fmt::format("savoryglade_gateway_drain_stage {}\n", stage);
+    while (!gateway_->DrainFinished()) {
+      const std::string metrics = Metrics();
+      if (metrics.find(stage_line) != std::string::npos &&
+          metrics.find(first_line) != std::string::npos &&
+          metrics.find(second_line) != std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void AwaitDrainFinished() const {
+    while (!gateway_->DrainFinished()) {
+      std::this_thread::yield();
+    }
+  }
+};
+
+// Guards against the end of a daemon in the middle of a body that arrives in chunks.
+TEST_F(DrainWorkTest, RefusesARequestWhoseChunksArriveWhileItStops) {
+  StartDrainingSoon();
+  CallerConnection half_sent(gateway_->callers_endpoint());
+  half_sent.Send(
+      fmt::format("POST /orders/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\nDeadline-Ms: 2500\r\n"
+                  "Authorization: Bearer {}\r\nTransfer-Encoding: chunked\r\n\r\n5\r\norder\r\n",
+                  kApiKey));
+  // The response to a later request shows that the gateway has read the first chunk.
+  ASSERT_EQ(SendRequest("GET", "/reads/1", "a2").status, 200U);
+  gateway_->BeginDrain(BootNow());
+  ASSERT_TRUE(AwaitStep(2, OpenWorkLine("reading", 1), OpenWorkLine("requests", 0)));
+  const Response response = SendText(half_sent, "0\r\n\r\n");
+  EXPECT_EQ(response.status, 503U);
+  EXPECT_EQ(response.reason, "draining");
+  EXPECT_EQ(RunCount("a1"), 0);
+  AwaitDrainFinished();
+}
+
+// Upstream that answers with one byte, and with the rest once the caller has sent one more byte.
+struct HeldAnswerService {
+  static asio::awaitable<void> Handle(HttpExchange& exchange) {
+    HttpHeaders headers;
+    headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
+    headers.emplace_back("Response-Seal", "seal");
+    co_await exchange.StartStream(200, std::move(headers), "x");
+    char byte = 0;
+    co_await exchange.stream().async_read_some(asio::buffer(&byte, 1),
+                                               asio::as_tuple(asio::use_awaitable));
+    co_await exchange.WriteChunk("y");
+    co_await exchange.EndStream();
+    exchange.Abort();
+  }
+};
+
+// Guards against a daemon that exits while it relays an answer for a peer.
+TEST_F(DrainWorkTest, WaitsForTheAnswerThatItRelaysForAPeer) {
+  ServiceServer<HeldAnswerService> held;
+  RegisterUpstream("held", held.endpoint, "ready");
+  StartDrainingSoon();
+  CallerConnection tunnel(gateway_->peers_endpoint());
+  tunnel.Send(fmt::format("CONNECT {0} HTTP/1.1\r\nHost: {0}\r\n{1}: held\r\n{2}: 60000\r\n\r\n",
+                          ToString(held.endpoint), kTunnelTargetHeader, kTunnelLifetimeHeader));
+  ASSERT_TRUE(tunnel.ReadAll());
+  ASSERT_EQ(tunnel.status(), 200U);
+  tunnel.StartNextResponse();
+  tunnel.Send(FormatRequest("GET", "/reads/1", "a1"));
+  tunnel.ReadUntil([](const std::string& body) { return body == "x"; });
+  // The time in which requests are accepted is over.
+  gateway_->BeginDrain(BootNow() - kGracePeriod / 2);
+  ASSERT_TRUE(AwaitStep(1, OpenWorkLine("tunnels", 1)));
+  tunnel.Send("r");
+  EXPECT_TRUE(tunnel.ReadAll());
+  EXPECT_EQ(tunnel.body(), "xy");
+  AwaitDrainFinished();
+}
+
+}  // namespace
+}  // namespace savoryglade::gateway
--- a/tests/recovery/drain_sequence_test.cc
+++ b/tests/recovery/drain_sequence_test.cc
@@ -115,6 +115,14 @@
   EXPECT_TRUE(drain_.interrupted());
 }
 
+// Guards against a daemon that closes or exits under a connection that it relays for a peer.
+TEST_F(DrainSequenceTest, WaitsForTunnelsAsForRequests) {
+  constexpr OpenWork kTunnel{.tunnels = 1};
+  EXPECT_EQ(drain_.Advance(kTunnel, kStart + 7300ms), DrainStage::kDraining);
+  EXPECT_EQ(drain_.Advance(kTunnel, kStart + 7400ms), DrainStage::kClosing);
+  EXPECT_TRUE(drain_.interrupted());
+}
+
 // Guards against a second stop order that starts the grace period anew.
 TEST_F(DrainSequenceTest, SecondStopOrderChangesNothing) {
   drain_.Begin(kStart + 3s);
