Close connections only after their last answer has arrived

Cause: the server shut down its sending side and closed at once. If bytes of the caller's next request were unread, or arrived after the close, the kernel reset the connection and discarded what the caller had not received yet (RFC 9112, section 9.6). Only answers to malformed requests were followed by a lingering close. Change: all connections that the server ends linger: input is discarded until the peer ends its side, at most 1 MiB, and 1 s after the peer has acknowledged all (SIOCOUTQ) or for the write timeout until then.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -242,6 +242,7 @@
           .requests = fleet_.active_requests,
           .tunnels = tunnels_.open_tunnels(),
           .transfers = peer_requests - std::min(peer_requests, tunnels),
+          .undelivered = callers_.undelivered_responses(),
           .connections = callers_.open_connections()};
 }
 
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -1,17 +1,23 @@
 #include "net/http_server.h"
 
 #include <fmt/format.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <iterator>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <tuple>
+#include <utility>
 
 #include "logging/logger.h"
 #include "net/acceptor.h"
@@ -32,10 +38,12 @@
 constexpr std::size_t kMaxChunkHeaderBytes = 20;
 // Most bytes of a body that are kept unparsed: the header of a chunk, or the trailer.
 constexpr std::size_t kMaxUnparsedBodyBytes = 16 * 1024;
-// Limits on the input that is discarded after an error response before the connection is closed.
-// Closing with unread input resets the connection, and the peer could lose the response.
+// Limits on the input that is discarded before a connection is closed, and on the time for which it
+// is awaited once the peer has acknowledged all that was sent to it.
 constexpr std::size_t kMaxLingerBytes = 1024 * 1024;
 constexpr Duration kLingerTimeout = 1s;
+// Interval at which a connection is checked for bytes that the peer has not acknowledged.
+constexpr Duration kDeliveryCheckInterval = 50ms;
 
 // Requests the body from a caller that withholds it until its header is accepted.
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -50,6 +58,25 @@
 // Reason phrase of a status that the HTTP library does not list; callers ignore reason phrases.
 constexpr const char* kUnlistedReason = "Unlisted Status";
 
+// Counts something in progress, on any thread, for as long as the object lives.
+class ScopedAtomicCount {
+ public:
+  explicit ScopedAtomicCount(std::atomic<std::size_t>& count) : count_(&count) { ++count; }
+  ScopedAtomicCount(ScopedAtomicCount&& other) noexcept
+      : count_(std::exchange(other.count_, nullptr)) {}
+  ~ScopedAtomicCount() {
+    if (count_ != nullptr) {
+      --*count_;
+    }
+  }
+  ScopedAtomicCount(const ScopedAtomicCount&) = delete;
+  ScopedAtomicCount& operator=(const ScopedAtomicCount&) = delete;
+  ScopedAtomicCount& operator=(ScopedAtomicCount&&) = delete;
+
+ private:
+  std::atomic<std::size_t>* count_;
+};
+
 // Returns the header of a response with any status from 100 to 999.
 http::response_header<> MakeHeader(unsigned status, unsigned version) {
   http::response_header<> header;
@@ -61,6 +88,12 @@
   return header;
 }
 
+// Returns true if the peer has not acknowledged all that was sent to it.
+bool HasUndeliveredBytes(tcp::socket& socket) {
+  int unacknowledged = 0;
+  return ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
+}
+
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) { return beast::iequals(a, b); }
 
 }  // namespace
@@ -173,7 +206,7 @@
       if (error) {
         continue;
       }
-      if (connections.load() >= limits.connections) {
+      if (connections.load() + lingering.load() >= limits.connections) {
         // The send buffer of a new connection is empty, so this write does not block.
         socket.non_blocking(true, error);
         socket.write_some(asio::buffer(kTooManyConnectionsResponse), error);
@@ -185,10 +218,10 @@
         continue;
       }
       socket.set_option(tcp::no_delay(true));
-      ++connections;
-      asio::co_spawn(
-          context, Serve(shared_from_this(), beast::tcp_stream(std::move(socket))),
-          [self = shared_from_this()](const std::exception_ptr&) { --self->connections; });
+      asio::co_spawn(context,
+                     Serve(shared_from_this(), beast::tcp_stream(std::move(socket)),
+                           ScopedAtomicCount(connections)),
+                     asio::detached);
     }
   }
 
@@ -219,23 +252,45 @@
         fmt::format(R"({{"error":{{"reason":"{}","verdict":"not_run","message":"{}"}}}})", reason,
                     error.message());
     exchange.CloseAfterResponse();
-    if (co_await exchange.Respond(status, std::move(headers), std::move(body))) {
-      co_await DiscardRemainingInput(stream);
-    }
+    co_await exchange.Respond(status, std::move(headers), std::move(body));
   }
 
-  // Reads and discards further input of the peer, up to kMaxLingerBytes and kLingerTimeout.
-  static asio::awaitable<void> DiscardRemainingInput(beast::tcp_stream& stream) {
-    beast::error_code ignored;
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    std::string discarded(4096, '\0');
-    stream.expires_after(kLingerTimeout);
-    for (std::size_t total = 0; total < kMaxLingerBytes;) {
-      const auto [error, size] = co_await stream.async_read_some(asio::buffer(discarded), kAwait);
-      if (error) {
+  // Ends a connection whose peer may still send. Closing a connection with unread input resets it,
+  // and the peer loses the bytes that are on their way to it (RFC 9112, section 9.6), so input is
+  // discarded until the peer ends its side, or until a limit on the bytes or the time is reached.
+  // The connection counts as open until the peer has acknowledged all that was sent to it.
+  static asio::awaitable<void> Linger(State& state, tcp::socket& socket,
+                                      std::optional<ScopedAtomicCount> connection) {
+    using asio::experimental::awaitable_operators::operator||;
+    beast::error_code error;
+    socket.shutdown(tcp::socket::shutdown_send, error);
+    if (!error) {
+      socket.non_blocking(true, error);
+    }
+    std::optional<ScopedAtomicCount> undelivered(std::in_place, state.undelivered);
+    std::optional<ScopedAtomicCount> lingering;
+    asio::steady_timer timer(socket.get_executor());
+    TimePoint deadline = std::chrono::steady_clock::now() + state.limits.write_timeout;
+    std::array<char, 4096> discarded;
+    std::size_t total = 0;
+    while (!error && total <= kMaxLingerBytes) {
+      total += socket.read_some(asio::buffer(discarded), error);
+      if (error != asio::error::would_block) {
+        continue;
+      }
+      const TimePoint now = std::chrono::steady_clock::now();
+      if (undelivered && !HasUndeliveredBytes(socket)) {
+        lingering.emplace(state.lingering);
+        undelivered.reset();
+        connection.reset();
+        deadline = now + kLingerTimeout;
+      }
+      if (now >= deadline) {
         break;
       }
-      total += size;
+      timer.expires_at(undelivered ? std::min(deadline, now + kDeliveryCheckInterval) : deadline);
+      co_await (socket.async_wait(tcp::socket::wait_read, kAwait) || timer.async_wait(kAwait));
+      error = {};
     }
   }
 
@@ -302,25 +357,13 @@
     }
   }
 
-  // Counts a request for as long as it is being read.
-  class PartialRequest {
-   public:
-    explicit PartialRequest(State& state) : state_(state) { ++state_.partial_requests; }
-    ~PartialRequest() { --state_.partial_requests; }
-    PartialRequest(const PartialRequest&) = delete;
-    PartialRequest& operator=(const PartialRequest&) = delete;
-
-   private:
-    State& state_;
-  };
-
   // Reads a request of which the first byte has arrived. Sets the flag if its transfer coding is
   // not supported, which is an error as well.
   static asio::awaitable<beast::error_code> ReadRequest(State& state, beast::tcp_stream& stream,
                                                         beast::flat_buffer& buffer,
                                                         RequestParser& parser,
                                                         bool& has_unsupported_coding) {
-    const PartialRequest partial(state);
+    const ScopedAtomicCount partial(state.partial_requests);
     stream.expires_after(state.limits.read_timeout);
     auto [error, size] = co_await http::async_read_header(stream, buffer, parser, kAwait);
     has_unsupported_coding =
@@ -341,7 +384,8 @@
     co_return error;
   }
 
-  static asio::awaitable<void> Serve(std::shared_ptr<State> state, beast::tcp_stream stream) {
+  static asio::awaitable<void> Serve(std::shared_ptr<State> state, beast::tcp_stream stream,
+                                     ScopedAtomicCount connection) {
     const std::uint64_t connection_id = state->next_connection_id.fetch_add(1);
     beast::flat_buffer buffer(state->limits.header_size + kMaxUnparsedBodyBytes);
     while (true) {
@@ -379,8 +423,7 @@
         break;
       }
     }
-    beast::error_code ignored;
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    co_await Linger(*state, stream.socket(), std::move(connection));
   }
 
   WorkerPool& pool;
@@ -388,6 +431,8 @@
   HttpHandler handler;
   std::optional<tcp::acceptor> acceptor;
   std::atomic<std::size_t> connections{0};
+  std::atomic<std::size_t> undelivered{0};
+  std::atomic<std::size_t> lingering{0};
   std::atomic<std::size_t> partial_requests{0};
   std::atomic<std::size_t> exchanges{0};
   std::atomic<std::size_t> rejected{0};
@@ -443,6 +488,8 @@
 
 std::size_t HttpServer::open_connections() const { return state_->connections.load(); }
 
+std::size_t HttpServer::undelivered_responses() const { return state_->undelivered.load(); }
+
 std::size_t HttpServer::partial_requests() const { return state_->partial_requests.load(); }
 
 std::size_t HttpServer::active_exchanges() const { return state_->exchanges.load(); }
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -124,9 +124,14 @@
   // others after the response to the request that is being read or answered. Returns immediately.
   void Close();
 
-  // Returns the number of open connections.
+  // Returns the number of open connections, without those that await only the end of the peer's
+  // input after it has acknowledged the last response.
   std::size_t open_connections() const;
 
+  // Returns the number of open connections that close as soon as the peer has acknowledged the last
+  // response.
+  std::size_t undelivered_responses() const;
+
   // Returns the number of requests of which some bytes have arrived, but not all.
   std::size_t partial_requests() const;
 
