Apply a stop order before the event loop gets to it

Cause: BeginDrain posted the order to the event loop. Change: DrainSequence::Begin is safe to use from all threads and BeginDrain calls it directly; the loop only logs and runs the drain. Before, a stream that is decoded while an order of 5 s before arrives ran at its upstream; now it is refused as draining and runs nowhere.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -220,12 +220,17 @@
 }
 
 void Gateway::BeginDrain(TimePoint ordered_at) {
-  asio::post(pool_.context(0), [this, ordered_at] {
-    if (fleet_.drain.has_begun()) {
-      return;
-    }
-    fleet_.drain.Begin(ordered_at);
+  // Applies at once to the requests that the event loop handles before the function that is posted.
+  if (!fleet_.drain.Begin(ordered_at)) {
+    return;
+  }
+  asio::post(pool_.context(0), [this] {
     LogDrain("The gateway starts to drain.", MakeOpenWork());
+    const TimePoint now = BootNow();
+    if (fleet_.drain.IsLate(now)) {
+      kLog.Warning("The gateway noticed the stop order late.",
+                   {{"ms", fleet_.drain.Elapsed(now) / 1ms}});
+    }
     duty_runner_.Release();
     asio::co_spawn(pool_.context(0), DrainLoop(), [](const std::exception_ptr& failure) {
       if (failure) {
--- a/packages/recovery/drain_sequence.cc
+++ b/packages/recovery/drain_sequence.cc
@@ -2,15 +2,14 @@
 
 namespace savoryglade {
 
-void DrainSequence::Begin(TimePoint now) {
-  if (stage_ == DrainStage::kServing) {
-    stage_ = DrainStage::kDraining;
-    began_at_ = now;
-  }
+bool DrainSequence::Begin(TimePoint ordered_at) {
+  TimePoint expected = kNotOrdered;
+  return ordered_at_.compare_exchange_strong(expected, ordered_at);
 }
 
 DrainStage DrainSequence::Advance(const OpenWork& work, TimePoint now) {
   const Duration elapsed = Elapsed(now);
+  stage_ = stage();
   switch (stage_) {
     case DrainStage::kServing:
     case DrainStage::kFinished:
@@ -34,8 +33,8 @@
 }
 
 bool DrainSequence::Accepts(CallKind kind, Duration timeout, TimePoint now) const {
-  if (stage_ != DrainStage::kDraining) {
-    return stage_ == DrainStage::kServing;
+  if (stage() != DrainStage::kDraining) {
+    return stage() == DrainStage::kServing;
   }
   const Duration elapsed = Elapsed(now);
   if (elapsed + options_.notice_delay < NoticeTime()) {
--- a/packages/recovery/drain_sequence.h
+++ b/packages/recovery/drain_sequence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 
@@ -60,30 +61,37 @@
 // Requests keep arriving on open connections until these are closed, so the process exits only
 // after a stage in which all requests are refused and no work is left. A request that may not
 // complete in time is refused rather than interrupted, because its caller can safely repeat it at
-// another daemon. Not thread-safe.
+// another daemon. Not thread-safe, except for Begin.
 class DrainSequence {
  public:
   explicit DrainSequence(DrainOptions options) : options_(options) {}
 
   void SetOptions(DrainOptions options) { options_ = options; }
 
-  // Starts the stop. Does nothing if it has started.
-  void Begin(TimePoint now);
+  // Starts the stop that was ordered at this time. Returns false if it has started before. Safe to
+  // use from all threads, so that the order applies before the event loop gets to it.
+  bool Begin(TimePoint ordered_at);
   // Moves on to the stage that the open work and the time allow, and returns it.
   DrainStage Advance(const OpenWork& work, TimePoint now);
 
-  DrainStage stage() const { return stage_; }
-  bool has_begun() const { return stage_ != DrainStage::kServing; }
+  DrainStage stage() const {
+    return stage_ == DrainStage::kServing && has_begun() ? DrainStage::kDraining : stage_;
+  }
+  bool has_begun() const { return ordered_at_.load() != kNotOrdered; }
   // True once the time of the requests in flight is over: each then ends at once, with a response
   // that states whether it may have run.
   bool interrupted() const { return interrupted_; }
   // Returns the time since the stop order.
-  Duration Elapsed(TimePoint now) const { return now - began_at_; }
+  Duration Elapsed(TimePoint now) const { return now - ordered_at_.load(); }
+  // Returns true if it is later than a daemon may notice the order.
+  bool IsLate(TimePoint now) const { return Elapsed(now) > options_.notice_delay; }
 
   // Returns true if a request with this timeout is accepted.
   bool Accepts(CallKind kind, Duration timeout, TimePoint now) const;
 
  private:
+  static constexpr TimePoint kNotOrdered = TimePoint::max();
+
   // Returns the time until new connections are no longer expected, or may no longer be served.
   Duration NoticeTime() const {
     return std::min(options_.load_balancer_delay, GraceFraction(options_.accepting_grace_fraction));
@@ -94,7 +102,7 @@
 
   DrainOptions options_;
   DrainStage stage_ = DrainStage::kServing;
-  TimePoint began_at_{};
+  std::atomic<TimePoint> ordered_at_{kNotOrdered};
   bool interrupted_ = false;
 };
 
--- a/tests/gateway/drain_work_test.cc
+++ b/tests/gateway/drain_work_test.cc
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio.hpp>
+#include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -21,11 +23,11 @@
  protected:
   static constexpr Duration kGracePeriod = 60s;
 
-  void StartDrainingSoon() {
+  void StartDrainingSoon(const CodecFactory& make_codec = MakeHeaderCodec) {
     FleetBounds bounds = TestBounds();
     bounds.stop_grace = kGracePeriod;
     bounds.balancer_delay = 100ms;
-    gateway_ = MakeGateway("daemon-1", store_.endpoint, bounds);
+    gateway_ = MakeGateway("daemon-1", store_.endpoint, bounds, {}, make_codec);
     PutRoutes(1);
     WaitUntilReady();
   }
@@ -56,6 +58,30 @@
   }
 };
 
+// Runs a hook while the daemon reads a request.
+class HookedCodec : public platform::HeaderCodec {
+ public:
+  explicit HookedCodec(const std::function<void()>& hook) : hook_(hook) {}
+  Result<RequestMetadata> DecodeRequest(const HttpRequest& request) const override {
+    hook_();
+    return HeaderCodec::DecodeRequest(request);
+  }
+
+ private:
+  const std::function<void()>& hook_;
+};
+
+// Guards against a request that is accepted later than the stop order allows, because the event
+// loop is busy when the order arrives.
+TEST_F(DrainWorkTest, OrderAppliesToRequestsBeforeTheEventLoopHandlesIt) {
+  std::function<void()> hook = [] {};
+  StartDrainingSoon([&hook] { return std::make_unique<HookedCodec>(hook); });
+  hook = [this] { gateway_->BeginDrain(BootNow() - 5s); };
+  EXPECT_EQ(SendRequest("POST", "/stream/1", "a1").reason, "draining");
+  EXPECT_EQ(RunCount("a1"), 0);
+  gateway_.reset();
+}
+
 // Guards against the end of a daemon in the middle of a body that arrives in chunks.
 TEST_F(DrainWorkTest, RefusesARequestWhoseChunksArriveWhileItStops) {
   StartDrainingSoon();
