Wait for documents on their way to peers before the exit

A peer that starts again then lacks the versions of streams and refuses those that are resumed. Change: a drain finishes early only if OpenWork is empty: no request being read or answered, no tunnel, no transfer, no answer that is not acknowledged, no connection. The limit at 0.97 of the grace period stays.

--- a/packages/recovery/drain_sequence.cc
+++ b/packages/recovery/drain_sequence.cc
@@ -24,7 +24,7 @@
     case DrainStage::kClosing:
       if (work.HasUpstreamWork() && !interrupted_) {
         interrupted_ = elapsed >= GraceFraction(options_.in_flight_grace_fraction);
-      } else if (work.connections == 0 || elapsed >= GraceFraction(options_.exit_grace_fraction)) {
+      } else if (work == OpenWork{} || elapsed >= GraceFraction(options_.exit_grace_fraction)) {
         stage_ = DrainStage::kFinished;
       }
       break;
--- a/tests/gateway/drain_work_test.cc
+++ b/tests/gateway/drain_work_test.cc
@@ -1,11 +1,13 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <array>
 #include <boost/asio.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "core/boot_clock.h"
 #include "emulator/caller_connection.h"
@@ -17,18 +19,56 @@
 namespace {
 
 namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Connection of a peer that reads only when the test tells it to.
+class SlowReader {
+ public:
+  explicit SlowReader(const Endpoint& endpoint) {
+    socket_.open(tcp::v4());
+    socket_.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+    socket_.connect({asio::ip::make_address(endpoint.address), endpoint.port});
+  }
+
+  void Send(const std::string& text) { asio::write(socket_, asio::buffer(text)); }
+
+  // Waits until an answer has begun.
+  void AwaitFirstByte() {
+    std::array<char, 1> first{};
+    asio::read(socket_, asio::buffer(first));
+    received_.assign(first.data(), first.size());
+  }
+
+  // Returns all that arrives until the text, or until the connection ends.
+  std::string ReadUntil(std::string_view end) {
+    std::array<char, 16 * 1024> block{};
+    boost::system::error_code error;
+    while (!error && !received_.ends_with(end)) {
+      received_.append(block.data(), socket_.read_some(asio::buffer(block), error));
+    }
+    return received_;
+  }
+
+ private:
+  static constexpr int kReceiveBufferBytes = 4 * 1024;
+
+  asio::io_context context_;
+  tcp::socket socket_{context_};
+  std::string received_;
+};
 
 // Each test looks at a moment at which a drain that does not wait for the work would be over.
 class DrainWorkTest : public GatewayFixture {
  protected:
   static constexpr Duration kGracePeriod = 60s;
 
-  void StartDrainingSoon(const CodecFactory& make_codec = MakeHeaderCodec) {
+  void StartDrainingSoon(const std::string& more_routes = {},
+                         const CodecFactory& make_codec = MakeHeaderCodec) {
     FleetBounds bounds = TestBounds();
     bounds.stop_grace = kGracePeriod;
     bounds.balancer_delay = 100ms;
     gateway_ = MakeGateway("daemon-1", store_.endpoint, bounds, {}, make_codec);
-    PutRoutes(1);
+    PutRoutes(1, more_routes);
     WaitUntilReady();
   }
 
@@ -75,7 +115,7 @@
 // loop is busy when the order arrives.
 TEST_F(DrainWorkTest, OrderAppliesToRequestsBeforeTheEventLoopHandlesIt) {
   std::function<void()> hook = [] {};
-  StartDrainingSoon([&hook] { return std::make_unique<HookedCodec>(hook); });
+  StartDrainingSoon({}, [&hook] { return std::make_unique<HookedCodec>(hook); });
   hook = [this] { gateway_->BeginDrain(BootNow() - 5s); };
   EXPECT_EQ(SendRequest("POST", "/stream/1", "a1").reason, "draining");
   EXPECT_EQ(RunCount("a1"), 0);
@@ -139,5 +179,27 @@
   AwaitDrainFinished();
 }
 
+// Guards against a daemon that exits in the middle of the routes that a peer fetches from it.
+TEST_F(DrainWorkTest, WaitsForTheRoutesThatItSendsToAPeer) {
+  // More than the buffers of a connection to a peer that does not read take.
+  constexpr std::size_t kDocumentBytes = 2'900'000;
+  const std::string more_routes = fmt::format(
+      R"(,{{"name":"long","host":"h","prefix":"/long/{}/","route_kind":"idempotent","service":"s"}})",
+      std::string(kDocumentBytes, 'x'));
+  StartDrainingSoon(more_routes);
+  SlowReader peer(gateway_->peers_endpoint());
+  peer.Send("GET /routes HTTP/1.1\r\nHost: h\r\n\r\n");
+  peer.AwaitFirstByte();
+  // A caller that has sent half a request keeps the daemon from exiting in the step that closes.
+  CallerConnection half_sent(gateway_->callers_endpoint());
+  half_sent.Send("GET /reads/1 HTTP/1.1\r\n");
+  gateway_->BeginDrain(BootNow());
+  ASSERT_TRUE(AwaitStep(2, OpenWorkLine("transfers", 1), OpenWorkLine("reading", 1)));
+  half_sent.Close();
+  EXPECT_TRUE(AwaitStep(2, OpenWorkLine("transfers", 1), OpenWorkLine("connections", 0)));
+  EXPECT_GT(peer.ReadUntil("]}]}").size(), kDocumentBytes);
+  AwaitDrainFinished();
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
--- a/tests/recovery/drain_sequence_test.cc
+++ b/tests/recovery/drain_sequence_test.cc
@@ -123,6 +123,21 @@
   EXPECT_TRUE(drain_.interrupted());
 }
 
+// Guards against a process that exits while some kind of work is left, such as a document on its
+// way to a peer, or an answer that its caller has not acknowledged.
+TEST(OpenWorkTest, EachKindOfWorkDelaysTheExitUntilItsLimit) {
+  for (const OpenWork& work :
+       {OpenWork{.reading = 1}, OpenWork{.tunnels = 1}, OpenWork{.transfers = 1},
+        OpenWork{.undelivered = 1}, OpenWork{.connections = 1}}) {
+    DrainSequence drain(DrainOptions{.grace_period = 8s});
+    drain.Begin(kStart);
+    EXPECT_EQ(drain.Advance(kNone, kStart + 3s), DrainStage::kClosing);
+    EXPECT_EQ(drain.Advance(work, kStart + 4s), DrainStage::kClosing);
+    EXPECT_EQ(drain.Advance(work, kStart + 7700ms), DrainStage::kClosing);
+    EXPECT_EQ(drain.Advance(work, kStart + 7800ms), DrainStage::kFinished);
+  }
+}
+
 // Guards against a second stop order that starts the grace period anew.
 TEST_F(DrainSequenceTest, SecondStopOrderChangesNothing) {
   drain_.Begin(kStart + 3s);
