--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -1,11 +1,16 @@
 #include "net/http_server.h"
 
 #include <fmt/format.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <iterator>
 #include <limits>
 #include <map>
@@ -13,6 +18,7 @@
 #include <optional>
 #include <string>
 #include <tuple>
+#include <utility>
 
 #include "logging/logger.h"
 #include "net/acceptor.h"
@@ -33,10 +39,12 @@
 constexpr std::size_t kMaxChunkHeaderBytes = 20;
 // Most bytes of a body that are kept unparsed: the header of a chunk, or the trailer.
 constexpr std::size_t kMaxUnparsedBodyBytes = 16 * 1024;
-// Limits on the input that is discarded after an error response before the connection is closed.
-// Closing with unread input resets the connection, and the peer could lose the response.
+// Limits on the input that is discarded before a connection is closed, and on the time for which it
+// is awaited once the peer has acknowledged all that was sent to it.
 constexpr std::size_t kMaxLingerBytes = 1024 * 1024;
 constexpr Duration kLingerTimeout = 1s;
+// Interval at which a connection is checked for bytes that the peer has not acknowledged.
+constexpr Duration kDeliveryCheckInterval = 50ms;
 
 // Requests the body from a caller that withholds it until its header is accepted.
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -51,6 +59,25 @@
 // Reason phrase of a status that the HTTP library does not list; callers ignore reason phrases.
 constexpr const char* kUnlistedReason = "Unlisted Status";
 
+// Counts something in progress, on any thread, for as long as the object lives.
+class ScopedAtomicCount {
+ public:
+  explicit ScopedAtomicCount(std::atomic<std::size_t>& count) : count_(&count) { ++count; }
+  ScopedAtomicCount(ScopedAtomicCount&& other) noexcept
+      : count_(std::exchange(other.count_, nullptr)) {}
+  ~ScopedAtomicCount() {
+    if (count_ != nullptr) {
+      --*count_;
+    }
+  }
+  ScopedAtomicCount(const ScopedAtomicCount&) = delete;
+  ScopedAtomicCount& operator=(const ScopedAtomicCount&) = delete;
+  ScopedAtomicCount& operator=(ScopedAtomicCount&&) = delete;
+
+ private:
+  std::atomic<std::size_t>* count_;
+};
+
 // Returns the header of a response with any status from 100 to 999.
 http::response_header<> MakeHeader(unsigned status, unsigned version) {
   http::response_header<> header;
@@ -124,6 +151,12 @@
   return std::string(value.substr(0, kMaxDigits));
 }
 
+// Returns true if the peer has not acknowledged all that was sent to it.
+bool HasUndeliveredBytes(tcp::socket& socket) {
+  int unacknowledged = 0;
+  return ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
+}
+
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) { return beast::iequals(a, b); }
 
 }  // namespace
@@ -236,7 +269,7 @@
       if (error) {
         continue;
       }
-      if (connections.load() >= limits.connections) {
+      if (connections.load() + lingering.load() >= limits.connections) {
         // The send buffer of a new connection is empty, so this write does not block.
         socket.non_blocking(true, error);
         socket.write_some(asio::buffer(kTooManyConnectionsResponse), error);
@@ -249,10 +282,10 @@
         continue;
       }
       socket.set_option(tcp::no_delay(true));
-      ++connections;
-      asio::co_spawn(
-          context, Serve(shared_from_this(), beast::tcp_stream(std::move(socket))),
-          [self = shared_from_this()](const std::exception_ptr&) { --self->connections; });
+      asio::co_spawn(context,
+                     Serve(shared_from_this(), beast::tcp_stream(std::move(socket)),
+                           ScopedAtomicCount(connections)),
+                     asio::detached);
     }
   }
 
@@ -283,23 +316,45 @@
         fmt::format(R"({{"error":{{"reason":"{}","verdict":"not_run","message":"{}"}}}})",
                     reason.response_reason, request.error.message());
     exchange.CloseAfterResponse();
-    if (co_await exchange.Respond(reason.status, std::move(headers), std::move(body))) {
-      co_await DiscardRemainingInput(stream);
-    }
+    co_await exchange.Respond(reason.status, std::move(headers), std::move(body));
   }
 
-  // Reads and discards further input of the peer, up to kMaxLingerBytes and kLingerTimeout.
-  static asio::awaitable<void> DiscardRemainingInput(beast::tcp_stream& stream) {
-    beast::error_code ignored;
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    std::string discarded(4096, '\0');
-    stream.expires_after(kLingerTimeout);
-    for (std::size_t total = 0; total < kMaxLingerBytes;) {
-      const auto [error, size] = co_await stream.async_read_some(asio::buffer(discarded), kAwait);
-      if (error) {
+  // Ends a connection whose peer may still send. Closing a connection with unread input resets it,
+  // and the peer loses the bytes that are on their way to it (RFC 9112, section 9.6), so input is
+  // discarded until the peer ends its side, or until a limit on the bytes or the time is reached.
+  // The connection counts as open until the peer has acknowledged all that was sent to it.
+  static asio::awaitable<void> Linger(State& state, tcp::socket& socket,
+                                      std::optional<ScopedAtomicCount> connection) {
+    using asio::experimental::awaitable_operators::operator||;
+    beast::error_code error;
+    socket.shutdown(tcp::socket::shutdown_send, error);
+    if (!error) {
+      socket.non_blocking(true, error);
+    }
+    std::optional<ScopedAtomicCount> undelivered(std::in_place, state.undelivered);
+    std::optional<ScopedAtomicCount> lingering;
+    asio::steady_timer timer(socket.get_executor());
+    TimePoint deadline = std::chrono::steady_clock::now() + state.limits.write_timeout;
+    std::array<char, 4096> discarded;
+    std::size_t total = 0;
+    while (!error && total <= kMaxLingerBytes) {
+      total += socket.read_some(asio::buffer(discarded), error);
+      if (error != asio::error::would_block) {
+        continue;
+      }
+      const TimePoint now = std::chrono::steady_clock::now();
+      if (undelivered && !HasUndeliveredBytes(socket)) {
+        lingering.emplace(state.lingering);
+        undelivered.reset();
+        connection.reset();
+        deadline = now + kLingerTimeout;
+      }
+      if (now >= deadline) {
         break;
       }
-      total += size;
+      timer.expires_at(undelivered ? std::min(deadline, now + kDeliveryCheckInterval) : deadline);
+      co_await (socket.async_wait(tcp::socket::wait_read, kAwait) || timer.async_wait(kAwait));
+      error = {};
     }
   }
 
@@ -372,7 +427,47 @@
     exchange.Abort();
   }
 
-  static asio::awaitable<void> Serve(std::shared_ptr<State> state, beast::tcp_stream stream) {
+  // Reads a request of which the first byte has arrived. Returns what is known of it if it can't be
+  // handled.
+  static asio::awaitable<std::optional<UnhandledRequest>> ReadRequest(State& state,
+                                                                      std::uint64_t connection_id,
+                                                                      beast::tcp_stream& stream,
+                                                                      beast::flat_buffer& buffer,
+                                                                      RequestParser& parser) {
+    const ScopedAtomicCount partial(state.partial_requests);
+    const TimePoint begun_at = std::chrono::steady_clock::now();
+    stream.expires_after(state.limits.read_timeout);
+    auto [error, size] = co_await http::async_read_header(stream, buffer, parser, kAwait);
+    std::size_t bytes = size;
+    const bool has_unsupported_coding =
+        !error && HasUnsupportedTransferCoding(parser.get(), parser.get().version());
+    if (has_unsupported_coding) {
+      error = http::error::bad_transfer_encoding;
+    }
+    if (!error && !parser.is_done()) {
+      if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        std::tie(error, size) =
+            co_await asio::async_write(stream, asio::buffer(kContinueResponse), kAwait);
+      }
+      if (!error) {
+        std::tie(error, size) = co_await http::async_read(stream, buffer, parser, kAwait);
+        bytes += size;
+      }
+    }
+    stream.expires_never();
+    if (!error) {
+      co_return std::nullopt;
+    }
+    co_return UnhandledRequest{.connection_id = connection_id,
+                               .error = error,
+                               .has_unsupported_coding = has_unsupported_coding,
+                               .bytes = bytes + buffer.size(),
+                               .content_length = FindContentLength(parser),
+                               .time = std::chrono::steady_clock::now() - begun_at};
+  }
+
+  static asio::awaitable<void> Serve(std::shared_ptr<State> state, beast::tcp_stream stream,
+                                     ScopedAtomicCount connection) {
     const std::uint64_t connection_id = state->next_connection_id.fetch_add(1);
     beast::flat_buffer buffer(state->limits.header_size + kMaxUnparsedBodyBytes);
     while (true) {
@@ -382,38 +477,13 @@
       if (buffer.size() == 0 && !co_await AwaitRequest(*state, connection_id, stream)) {
         break;
       }
-      const TimePoint begun_at = std::chrono::steady_clock::now();
-      stream.expires_after(state->limits.read_timeout);
-      auto [error, size] = co_await http::async_read_header(stream, buffer, *parser, kAwait);
-      std::size_t bytes = size;
-      const bool has_unsupported_coding =
-          !error && HasUnsupportedTransferCoding(parser->get(), parser->get().version());
-      if (has_unsupported_coding) {
-        error = http::error::bad_transfer_encoding;
-      }
-      if (!error && !parser->is_done()) {
-        if (beast::iequals(parser->get()[http::field::expect], "100-continue")) {
-          std::tie(error, size) =
-              co_await asio::async_write(stream, asio::buffer(kContinueResponse), kAwait);
-        }
-        if (!error) {
-          std::tie(error, size) = co_await http::async_read(stream, buffer, *parser, kAwait);
-          bytes += size;
-        }
-      }
-      stream.expires_never();
-      if (error) {
+      const std::optional<UnhandledRequest> unhandled =
+          co_await ReadRequest(*state, connection_id, stream, buffer, *parser);
+      if (unhandled) {
         // A connection that ends between two requests has no request to report.
-        if (error == http::error::end_of_stream || bytes + buffer.size() == 0) {
-          break;
+        if (unhandled->error != http::error::end_of_stream && unhandled->bytes > 0) {
+          co_await RespondToBadRequest(stream, state->limits, *unhandled);
         }
-        const UnhandledRequest request{.connection_id = connection_id,
-                                       .error = error,
-                                       .has_unsupported_coding = has_unsupported_coding,
-                                       .bytes = bytes + buffer.size(),
-                                       .content_length = FindContentLength(*parser),
-                                       .time = std::chrono::steady_clock::now() - begun_at};
-        co_await RespondToBadRequest(stream, state->limits, request);
         break;
       }
       HttpExchange exchange(stream, parser->release(), state->limits, connection_id);
@@ -437,8 +507,7 @@
         break;
       }
     }
-    beast::error_code ignored;
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    co_await Linger(*state, stream.socket(), std::move(connection));
   }
 
   WorkerPool& pool;
@@ -446,6 +515,9 @@
   HttpHandler handler;
   std::optional<tcp::acceptor> acceptor;
   std::atomic<std::size_t> connections{0};
+  std::atomic<std::size_t> undelivered{0};
+  std::atomic<std::size_t> lingering{0};
+  std::atomic<std::size_t> partial_requests{0};
   std::atomic<std::size_t> exchanges{0};
   std::atomic<std::size_t> rejected{0};
   std::atomic<std::uint64_t> next_connection_id{1};
@@ -500,6 +572,10 @@
 
 std::size_t HttpServer::open_connections() const { return state_->connections.load(); }
 
+std::size_t HttpServer::undelivered_responses() const { return state_->undelivered.load(); }
+
+std::size_t HttpServer::partial_requests() const { return state_->partial_requests.load(); }
+
 std::size_t HttpServer::active_exchanges() const { return state_->exchanges.load(); }
 
 std::size_t HttpServer::rejected_connections() const { return state_->rejected.load(); }
