Pass a peer over only for the upstream that it refuses

A peer answered a request for a tunnel to an upstream that leaves with 404, as for one that it does not know, and the daemon that asked passed the peer over for the whole service for two seconds. Callers of a daemon without a path got no answer while the other upstreams were sound.

A peer now answers 429 for an upstream that leaves, as for one that wants nothing, and names the process that has said that it leaves, so that the daemon that asked stops choosing it. 429 and 404 pass the peer over for that upstream alone; 404 for two upstreams in a row still counts as a peer without a path, because builds without tunnels answer 404 to all.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -78,7 +78,7 @@
           [this](const Endpoint& peer) { stream_snapshots_.OnPeerReturned(peer); }),
       duty_runner_(fleet_, *adapters_.store, *adapters_.duties),
       capacity_controller_(fleet_, *adapters_.store, *adapters_.duties, duty_runner_),
-      connector_(fleet_, connections_),
+      connector_(fleet_, connections_, signals_),
       tunnels_(fleet_, *adapters_.codec, open_attempts_, signals_),
       relay_(fleet_, *adapters_.codec, connector_, connections_, migrator_, open_attempts_,
              signals_, [this] { crash_records_.OnRegistryChanged(); }),
--- a/packages/gateway/peer_tunnels.cc
+++ b/packages/gateway/peer_tunnels.cc
@@ -1,7 +1,10 @@
 #include "gateway/peer_tunnels.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
 #include <string_view>
 
 #include "core/boot_clock.h"
@@ -33,11 +36,11 @@
 
 unsigned PeerTunnels::RejectionStatus(const UpstreamRecord* upstream,
                                       std::string_view target) const {
-  if (upstream == nullptr || upstream->leaving || upstream->address != target) {
-    return 404;
+  if (upstream == nullptr || upstream->address != target) {
+    return kTunnelUnknownStatus;
   }
-  if (fleet_.load_balancer.signals().WaitEnd(FleetLoadBalancer::ProcessKeyOf(*upstream),
-                                             BootNow())) {
+  if (upstream->leaving || fleet_.load_balancer.signals().WaitEnd(
+                               FleetLoadBalancer::ProcessKeyOf(*upstream), BootNow())) {
     return kTunnelUnwantedStatus;
   }
   const bool relays = !fleet_.drain.has_begun() && open_tunnels_ < kMaxTunnels &&
@@ -45,12 +48,22 @@
   return relays ? 0 : 503;
 }
 
+HttpHeaders PeerTunnels::RejectionHeaders(const UpstreamRecord* upstream) const {
+  HttpHeaders headers;
+  const std::uint64_t process =
+      upstream == nullptr ? 0 : FleetLoadBalancer::ProcessKeyOf(*upstream);
+  if (fleet_.load_balancer.signals().IsLeaving(process)) {
+    headers.emplace_back(kTunnelNoticeHeader, fmt::format("{:016x}", process));
+  }
+  return headers;
+}
+
 boost::asio::awaitable<void> PeerTunnels::HandleRequest(HttpExchange& exchange) {
   exchange.CloseAfterResponse();
   const UpstreamId id(std::string(exchange.Header(kTunnelTargetHeader)));
   const UpstreamRecord* const record = fleet_.load_balancer.Find(id);
   if (const unsigned status = RejectionStatus(record, exchange.target()); status != 0) {
-    co_await exchange.Respond(status, {}, {});
+    co_await exchange.Respond(status, RejectionHeaders(record), {});
     co_return;
   }
   const UpstreamRecord target = *record;
@@ -59,7 +72,7 @@
   const ScopedCount request(fleet_.active_requests);
   const Result<Endpoint> endpoint = ParseEndpoint(exchange.target());
   if (!endpoint) {
-    co_await exchange.Respond(404, {}, {});
+    co_await exchange.Respond(kTunnelUnknownStatus, {}, {});
     co_return;
   }
   const auto connected = co_await HttpConnection::Connect(*endpoint, kPeerConnectTimeout,
--- a/packages/gateway/peer_tunnels.h
+++ b/packages/gateway/peer_tunnels.h
@@ -21,14 +21,16 @@
 
   // Connects to the upstream that a CONNECT request names and relays bytes until one side ends.
   // Reads from the header of the answer what the upstream says of itself.
-  // Responds with 404 if the upstream is unknown or leaves, with 503 if this daemon does not relay
-  // to it now, with 429 if the upstream wants no requests of this daemon, and with 502 if the
-  // upstream does not accept the connection.
+  // Responds with 404 if the upstream is unknown, with 503 if this daemon does not relay now, with
+  // 429 if the upstream leaves or wants no requests of this daemon, and with 502 if the upstream
+  // does not accept the connection.
   boost::asio::awaitable<void> HandleRequest(HttpExchange& exchange);
 
  private:
   // Returns the status with which to reject a tunnel, or zero.
   unsigned RejectionStatus(const UpstreamRecord* upstream, std::string_view target) const;
+  // Returns the headers that tell the peer what this daemon knows of an upstream.
+  HttpHeaders RejectionHeaders(const UpstreamRecord* upstream) const;
 
   FleetState& fleet_;
   const MessageCodec& codec_;
--- a/packages/gateway/upstream_connector.cc
+++ b/packages/gateway/upstream_connector.cc
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <cstdint>
 #include <string>
+#include <system_error>
 #include <utility>
 
 #include "core/boot_clock.h"
@@ -22,11 +25,20 @@
 
 const Logger kLog("paths");
 
+// Returns the process in a notice, or nothing if there is none or it can't be read.
+std::optional<std::uint64_t> ParseNotice(const std::string& text) {
+  constexpr int kHexadecimal = 16;
+  std::uint64_t process = 0;
+  const char* const end = text.data() + text.size();
+  const auto [parsed_to, error] = std::from_chars(text.data(), end, process, kHexadecimal);
+  return error == std::errc() && parsed_to == end ? std::optional(process) : std::nullopt;
+}
+
 }  // namespace
 
 std::string UpstreamConnector::NameOf(TunnelOutcome outcome) {
-  static constexpr std::array kNames = {"connected", "upstream_down", "refused", "failed",
-                                        "unwanted"};
+  static constexpr std::array kNames = {"connected", "upstream_down", "refused",
+                                        "failed",    "unwanted",      "unknown"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
@@ -111,7 +123,7 @@
     // Neither this daemon nor the peer shows whether the upstream is up.
     direct_error.code =
         outcome == TunnelOutcome::kUpstreamDown ? direct_error.code : ErrorCode::kTimeout;
-    if (outcome != TunnelOutcome::kRefused) {
+    if (outcome != TunnelOutcome::kRefused && outcome != TunnelOutcome::kUnknown) {
       break;
     }
   }
@@ -131,10 +143,18 @@
     paths.OnPeerFailed(upstream.id, peer, now);
     return TunnelOutcome::kFailed;
   }
-  // The upstream wants no requests of this peer, which may relay to others.
+  // The peer may relay to other upstreams.
   if (reply.status == kTunnelUnwantedStatus) {
+    paths.OnPeerRefusedUpstream(upstream.id, peer, now);
+    if (const std::optional<std::uint64_t> process = ParseNotice(reply.notice)) {
+      signals_.OnPeerNotice({.upstream = *process}, peer);
+    }
     return TunnelOutcome::kUnwanted;
   }
+  if (reply.status == kTunnelUnknownStatus) {
+    paths.OnPeerLacksUpstream(upstream.id, peer, now);
+    return TunnelOutcome::kUnknown;
+  }
   // A peer that is partitioned as well blames the first upstreams that it does not reach.
   if (reply.status == kUpstreamDown && !paths.IsServiceLost(upstream.service, now)) {
     paths.OnUpstreamDown(upstream.id, now);
--- a/packages/gateway/upstream_connector.h
+++ b/packages/gateway/upstream_connector.h
@@ -12,6 +12,7 @@
 #include "core/time.h"
 #include "gateway/fleet_state.h"
 #include "gateway/upstream_connection_pool.h"
+#include "gateway/upstream_signal_recorder.h"
 #include "net/http_client.h"
 #include "net/tunnel.h"
 #include "routing/fleet_load_balancer.h"
@@ -31,8 +32,12 @@
 // Not thread-safe.
 class UpstreamConnector {
  public:
-  UpstreamConnector(FleetState& fleet, UpstreamConnectionPool& idle_connections)
-      : fleet_(fleet), idle_connections_(idle_connections), random_(fleet.incarnation) {}
+  UpstreamConnector(FleetState& fleet, UpstreamConnectionPool& idle_connections,
+                    UpstreamSignalRecorder& signals)
+      : fleet_(fleet),
+        idle_connections_(idle_connections),
+        signals_(signals),
+        random_(fleet.incarnation) {}
 
   // Connects for a request with this time left. Returns kTimeout if nothing shows that the
   // upstream has ended.
@@ -45,7 +50,7 @@
 
  private:
   // What became of a request for a tunnel.
-  enum class TunnelOutcome { kConnected, kUpstreamDown, kRefused, kFailed, kUnwanted };
+  enum class TunnelOutcome { kConnected, kUpstreamDown, kRefused, kFailed, kUnwanted, kUnknown };
 
   static std::string NameOf(TunnelOutcome outcome);
   TunnelOutcome RecordReply(const UpstreamRecord& upstream, const DaemonId& peer,
@@ -59,6 +64,7 @@
 
   FleetState& fleet_;
   UpstreamConnectionPool& idle_connections_;
+  UpstreamSignalRecorder& signals_;
   Random random_;
 };
 
--- a/packages/gateway/upstream_signal_recorder.cc
+++ b/packages/gateway/upstream_signal_recorder.cc
@@ -99,19 +99,23 @@
     fleet_.load_balancer.OnReportedRejection(rejection, now);
   }
   for (const ReportedNotice& notice : report.notices) {
-    const std::optional<UpstreamId> upstream = fleet_.load_balancer.OnReportedNotice(notice, now);
-    if (!upstream) {
-      continue;
-    }
-    CountChange("leaving");
-    kLog.Info("A peer reported that an upstream leaves.",
-              {{"upstream", upstream->value()},
-               {"process", ProcessText(notice.upstream)},
-               {"daemon", report.sender.id.value()},
-               {"age_ms", notice.age / 1ms}});
-    fleet_.notices.OnLeaving(*upstream, now);
-    callbacks_.on_leaving(*upstream);
+    OnPeerNotice(notice, report.sender.id);
+  }
+}
+
+void UpstreamSignalRecorder::OnPeerNotice(const ReportedNotice& notice, const DaemonId& peer) {
+  const TimePoint now = BootNow();
+  const std::optional<UpstreamId> upstream = fleet_.load_balancer.OnReportedNotice(notice, now);
+  if (!upstream) {
+    return;
   }
+  CountChange("leaving");
+  kLog.Info("A peer reported that an upstream leaves.", {{"upstream", upstream->value()},
+                                                         {"process", ProcessText(notice.upstream)},
+                                                         {"daemon", peer.value()},
+                                                         {"age_ms", notice.age / 1ms}});
+  fleet_.notices.OnLeaving(*upstream, now);
+  callbacks_.on_leaving(*upstream);
 }
 
 void UpstreamSignalRecorder::OnSend(const UpstreamRecord& upstream, const std::string& request) {
--- a/packages/gateway/upstream_signal_recorder.h
+++ b/packages/gateway/upstream_signal_recorder.h
@@ -37,6 +37,8 @@
                 const ResponseMetadata& response, TimePoint sent_at);
   // Merges the notices and rejections in a peer's report.
   void OnReport(const FleetReport& report);
+  // Merges a notice of which a peer has told this daemon.
+  void OnPeerNotice(const ReportedNotice& notice, const DaemonId& peer);
   // Logs and counts a request that is sent to an upstream although it wants none.
   void OnSend(const UpstreamRecord& upstream, const std::string& request);
 
--- a/packages/net/tunnel.cc
+++ b/packages/net/tunnel.cc
@@ -81,6 +81,7 @@
     reply.connection = std::move(*connection);
   } else {
     reply.failure = fmt::format("{} answered {} for {}.", ToString(relay), *status, name);
+    reply.notice = std::string((*connection)->response_header()[kTunnelNoticeHeader]);
   }
   co_return reply;
 }
--- a/packages/net/tunnel.h
+++ b/packages/net/tunnel.h
@@ -21,10 +21,14 @@
   unsigned status = 0;
   // Why there is no connection.
   std::string failure;
+  // Value of kTunnelNoticeHeader; empty if there is none.
+  std::string notice;
 };
 
-// Status with which a relay rejects a tunnel because the target wants no requests now.
+// Statuses with which a relay rejects a tunnel because of the target alone: the target wants no
+// requests now or leaves, or the relay does not know it.
 inline constexpr unsigned kTunnelUnwantedStatus = 429;
+inline constexpr unsigned kTunnelUnknownStatus = 404;
 
 // Asks a relay with HTTP CONNECT for a connection to the target, which the relay knows by this
 // name. The timeout applies to the connection to the relay and to its response.
@@ -36,6 +40,10 @@
 inline constexpr const char* kTunnelTargetHeader = "Savoryglade-Upstream";
 inline constexpr const char* kTunnelLifetimeHeader = "Savoryglade-Lifetime-Ms";
 
+// Header of a rejection with the key of the target's process, in hexadecimal, if that has said that
+// it leaves.
+inline constexpr const char* kTunnelNoticeHeader = "Savoryglade-Notice";
+
 // Receives bytes of the target before they are passed on to the caller.
 using RelayObserver = std::function<void(std::string_view)>;
 
--- a/packages/routing/upstream_paths.cc
+++ b/packages/routing/upstream_paths.cc
@@ -43,9 +43,11 @@
     return;
   }
   found->second.down_until = {};
+  found->second.passed_over.erase(peer);
   ServicePeers& peers = peers_[found->second.service];
   peers.failures = 0;
   peers.paused_until = {};
+  peers.unknown_to.erase(peer);
   peers.passed_over.erase(peer);
   std::erase_if(peers.passed_over, [now](const auto& entry) { return now >= entry.second; });
 }
@@ -56,6 +58,30 @@
   }
 }
 
+void UpstreamPaths::OnPeerRefusedUpstream(const UpstreamId& upstream, const DaemonId& peer,
+                                          TimePoint now) {
+  if (const auto found = paths_.find(upstream); found != paths_.end()) {
+    std::map<DaemonId, TimePoint>& passed_over = found->second.passed_over;
+    std::erase_if(passed_over, [now](const auto& entry) { return now >= entry.second; });
+    passed_over[peer] = now + options_.refusal_time;
+  }
+}
+
+void UpstreamPaths::OnPeerLacksUpstream(const UpstreamId& upstream, const DaemonId& peer,
+                                        TimePoint now) {
+  const auto found = paths_.find(upstream);
+  if (found == paths_.end()) {
+    return;
+  }
+  OnPeerRefusedUpstream(upstream, peer, now);
+  std::map<DaemonId, UpstreamId>& unknown_to = peers_[found->second.service].unknown_to;
+  const auto [unknown, added] = unknown_to.try_emplace(peer, upstream);
+  if (!added && unknown->second != upstream) {
+    unknown_to.erase(unknown);
+    OnPeerRefused(upstream, peer, now);
+  }
+}
+
 void UpstreamPaths::OnPeerFailed(const UpstreamId& upstream, const DaemonId& peer, TimePoint now) {
   const auto found = paths_.find(upstream);
   if (found == paths_.end()) {
@@ -128,6 +154,10 @@
   std::vector<const RelayPeer*> other_domains;
   int own_domain_passed_over = 0;
   for (const RelayPeer& peer : peers) {
+    const auto refused = path->second.passed_over.find(peer.daemon);
+    if (refused != path->second.passed_over.end() && now < refused->second) {
+      continue;
+    }
     bool passed_over = false;
     if (known != peers_.end()) {
       const auto entry = known->second.passed_over.find(peer.daemon);
--- a/packages/routing/upstream_paths.h
+++ b/packages/routing/upstream_paths.h
@@ -58,10 +58,15 @@
   void OnUnreached(const UpstreamId& upstream, TimePoint now);
 
   // Record whether a peer connected to an upstream for this daemon. A peer that refuses has no path
-  // either, or drains; one that failed did not respond. A peer that reports that the upstream does
-  // not respond to it has neither refused nor failed.
+  // either, or drains; one that failed did not respond. A peer that refuses one upstream may relay
+  // to others. A peer that reports that the upstream does not respond to it has neither refused nor
+  // failed.
   void OnPeerConnected(const UpstreamId& upstream, const DaemonId& peer, TimePoint now);
   void OnPeerRefused(const UpstreamId& upstream, const DaemonId& peer, TimePoint now);
+  void OnPeerRefusedUpstream(const UpstreamId& upstream, const DaemonId& peer, TimePoint now);
+  // Records that a peer does not know an upstream. A peer that knows none of two in a row relays
+  // nothing and counts as one that refuses.
+  void OnPeerLacksUpstream(const UpstreamId& upstream, const DaemonId& peer, TimePoint now);
   void OnPeerFailed(const UpstreamId& upstream, const DaemonId& peer, TimePoint now);
   void OnUpstreamDown(const UpstreamId& upstream, TimePoint now);
 
@@ -87,12 +92,16 @@
     // Time of the first failure since the upstream was last reached.
     std::optional<TimePoint> unreached_since;
     TimePoint down_until{};
+    // Peers that refused this upstream, with the time until which they are passed over for it.
+    std::map<DaemonId, TimePoint> passed_over;
   };
   struct ServicePeers {
     int failures = 0;
     TimePoint paused_until{};
     // Peers that refused or failed, with the time until which they are passed over.
     std::map<DaemonId, TimePoint> passed_over;
+    // Last upstream that each peer did not know, unless the peer has connected since.
+    std::map<DaemonId, UpstreamId> unknown_to;
   };
 
   UpstreamPathOptions options_;
--- a/tests/routing/upstream_paths_test.cc
+++ b/tests/routing/upstream_paths_test.cc
@@ -204,5 +204,40 @@
   EXPECT_EQ(Choose(kPeers), DaemonId("local-2"));
 }
 
+// Guards against a daemon that asks a peer again for an upstream that the peer has just refused.
+TEST_F(UpstreamPathsTest, PeerThatRefusesOneUpstreamIsAskedForOthers) {
+  const std::vector<RelayPeer> peers = {{.daemon = DaemonId("p"), .same_domain = true}};
+  paths_.OnPeerRefusedUpstream(Upstream(0), DaemonId("p"), now_);
+  EXPECT_EQ(Choose(peers), DaemonId());
+  EXPECT_EQ(paths_.ChoosePeer(Upstream(1), peers, now_, random_), DaemonId("p"));
+  now_ += 2s;
+  EXPECT_EQ(Choose(peers), DaemonId("p"));
+}
+
+// Guards against a peer that is passed over for a whole service because it does not know one
+// upstream of it.
+TEST_F(UpstreamPathsTest, PeerThatLacksOneUpstreamIsAskedForOthers) {
+  const std::vector<RelayPeer> peers = {{.daemon = DaemonId("p"), .same_domain = true}};
+  for (int i = 0; i < 5; ++i) {
+    paths_.OnPeerLacksUpstream(Upstream(0), DaemonId("p"), now_);
+    EXPECT_EQ(paths_.ChoosePeer(Upstream(1), peers, now_, random_), DaemonId("p"));
+    now_ += 2s;
+  }
+  // It relays to some, so that another one that it does not know says nothing of the service.
+  paths_.OnPeerConnected(Upstream(1), DaemonId("p"), now_);
+  paths_.OnPeerLacksUpstream(Upstream(2), DaemonId("p"), now_);
+  EXPECT_EQ(paths_.ChoosePeer(Upstream(1), peers, now_, random_), DaemonId("p"));
+}
+
+// Guards against a peer of an earlier build, which relays nothing, that is asked for each upstream.
+TEST_F(UpstreamPathsTest, PeerThatLacksTwoUpstreamsIsPassedOver) {
+  const std::vector<RelayPeer> peers = {{.daemon = DaemonId("p"), .same_domain = true}};
+  paths_.OnPeerLacksUpstream(Upstream(0), DaemonId("p"), now_);
+  paths_.OnPeerLacksUpstream(Upstream(1), DaemonId("p"), now_);
+  EXPECT_EQ(paths_.ChoosePeer(Upstream(2), peers, now_, random_), std::nullopt);
+  now_ += 2s;
+  EXPECT_EQ(paths_.ChoosePeer(Upstream(2), peers, now_, random_), DaemonId("p"));
+}
+
 }  // namespace
 }  // namespace savoryglade
