Keep later retries in the window when others are given back

A move consumes the request to its target and the return to its source, and gives back what it does not need. The retry budget then took the retry that was consumed last out of the window, which may have been made, and left an older one that leaves the window sooner.

The oldest retry of the window is taken out instead.

recovery_test, WindowRetryBudgetTest.RefundLeavesLaterRetriesInTheWindow: failed before (5 retries in a window that was full), passes.

--- a/packages/recovery/window_retry_budget.cc
+++ b/packages/recovery/window_retry_budget.cc
@@ -43,7 +43,7 @@
 void WindowRetryBudget::Refund(const ServiceId& service, int retries) {
   std::deque<TimePoint>& consumed = services_[service].retries;
   for (int i = 0; i < retries && !consumed.empty(); ++i) {
-    consumed.pop_back();
+    consumed.pop_front();
   }
 }
 
--- a/packages/recovery/window_retry_budget.h
+++ b/packages/recovery/window_retry_budget.h
@@ -40,7 +40,8 @@
   void OnRequest(const ServiceId& service, TimePoint now);
   // Consumes retries of the budget. Returns false and consumes none if fewer are left.
   bool TryConsume(const ServiceId& service, TimePoint now, int retries = 1);
-  // Returns retries that were consumed last and are not made.
+  // Returns retries of this window that are not made. The oldest ones are taken out of the window,
+  // because those that were consumed later may have been made.
   void Refund(const ServiceId& service, int retries);
 
  private:
--- a/tests/recovery/window_retry_budget_test.cc
+++ b/tests/recovery/window_retry_budget_test.cc
@@ -106,6 +106,18 @@
   budget.Refund(ServiceId("model"), 1);
 }
 
+// Guards against a return that is given back in the place of a later retry, which would then be
+// missing in the windows that follow.
+TEST(WindowRetryBudgetTest, RefundLeavesLaterRetriesInTheWindow) {
+  WindowRetryBudget budget({.ratio = 0, .allowance = 10, .usable_fraction = 1}, At(-60s));
+  EXPECT_TRUE(budget.TryConsume(kOrders, At(0s), 5));
+  EXPECT_TRUE(budget.TryConsume(kOrders, At(5s), 5));
+  budget.Refund(kOrders, 5);
+  EXPECT_EQ(TakeAll(budget, At(6s)), 5);
+  EXPECT_EQ(TakeAll(budget, At(11s)), 0);
+  EXPECT_EQ(TakeAll(budget, At(15s)), 5);
+}
+
 TEST(WindowRetryBudgetTest, EachServiceHasItsOwnBudget) {
   WindowRetryBudget budget({.ratio = 0, .allowance = 1, .usable_fraction = 1}, At(-60s));
   EXPECT_TRUE(budget.TryConsume(kOrders, At(0s)));
