Bound the repeats of a service over stops and changes of daemon

Each daemon kept its repeats within the ratio of its own requests in the last window. When a daemon stopped or started again, its callers went to another daemon, or to its next process, and their requests paid for as many repeats there, so that the sum over the fleet exceeded the bound of one window (BUDGET).

The requests of the last half and the last quarter of the window must now pay for the repeats in them as well, where they pay for any at all. Requests that move on within a window then pay for a quarter more at most, which the unused fifth of the ratio covers.

--- a/packages/recovery/window_retry_budget.cc
+++ b/packages/recovery/window_retry_budget.cc
@@ -9,6 +9,10 @@
 // Tolerates rounding of the bound.
 constexpr double kRounding = 1e-9;
 
+double CountSince(const std::deque<TimePoint>& instants, TimePoint from) {
+  return static_cast<double>(instants.end() - std::ranges::upper_bound(instants, from));
+}
+
 }  // namespace
 
 void WindowRetryBudget::Expire(std::deque<TimePoint>& instants, TimePoint now) const {
@@ -30,11 +34,17 @@
   const bool first_window = now - started_at_ < options_.window;
   const double usable_allowance =
       first_window ? 1 - options_.usable_fraction : options_.usable_fraction;
-  const double bound =
-      options_.usable_fraction * options_.ratio * static_cast<double>(history.requests.size()) +
-      usable_allowance * options_.allowance / daemons_;
-  if (static_cast<double>(history.retries.size()) + retries > bound + kRounding) {
-    return false;
+  const double share = usable_allowance * options_.allowance / daemons_;
+  const double per_request = options_.usable_fraction * options_.ratio;
+  for (const int parts : {1, 2, 4}) {
+    const TimePoint from = now - options_.window / parts;
+    const double earned = per_request * CountSince(history.requests, from);
+    if (parts > 1 && earned < retries) {
+      break;
+    }
+    if (CountSince(history.retries, from) + retries > earned + share + kRounding) {
+      return false;
+    }
   }
   history.retries.insert(history.retries.end(), static_cast<std::size_t>(retries), now);
   return true;
--- a/packages/recovery/window_retry_budget.h
+++ b/packages/recovery/window_retry_budget.h
@@ -21,9 +21,12 @@
 };
 
 // Sliding-window retry budget of this daemon, per service: `ratio` of its own requests plus an
-// equal share of the fleet's allowance. Needs no messages between daemons. In the first window
-// after its start a daemon uses only the part of the allowance that is otherwise held back, because
-// the process before it may have used its share. Not thread-safe.
+// equal share of the fleet's allowance. Needs no messages between daemons. The requests of the last
+// half and of the last quarter of the window must pay for the retries in them as well, where they
+// are enough for any: callers may go to another daemon, or to the next process of this one, where
+// their requests pay for as many retries again. In the first window after its start a daemon uses
+// only the part of the allowance that is otherwise held back, because the process before it may
+// have used its share. Not thread-safe.
 class WindowRetryBudget {
  public:
   // Time for which the number of daemons must stay lower before the allowance is divided among
--- a/tests/recovery/window_retry_budget_test.cc
+++ b/tests/recovery/window_retry_budget_test.cc
@@ -118,6 +118,25 @@
   EXPECT_EQ(TakeAll(budget, At(15s)), 5);
 }
 
+// Guards against requests that pay for retries here after their callers have gone to other daemons,
+// where the same requests pay for more.
+TEST(WindowRetryBudgetTest, RetriesArePaidByRequestsOfTheLastQuarterOfTheWindow) {
+  WindowRetryBudget budget({.ratio = 0.2, .allowance = 0, .usable_fraction = 1}, At(-60s));
+  for (int i = 0; i < 100; ++i) {
+    budget.OnRequest(kOrders, At(i * 100ms));
+  }
+  EXPECT_EQ(TakeAll(budget, At(9900ms)), 5);
+}
+
+// Guards against a service with few requests that gets no retry at all.
+TEST(WindowRetryBudgetTest, FewRequestsPayForARetryTogether) {
+  WindowRetryBudget budget({.ratio = 0.2, .allowance = 0, .usable_fraction = 1}, At(-60s));
+  for (int i = 0; i < 10; ++i) {
+    budget.OnRequest(kOrders, At(i * 1s));
+  }
+  EXPECT_EQ(TakeAll(budget, At(9s)), 1);
+}
+
 TEST(WindowRetryBudgetTest, EachServiceHasItsOwnBudget) {
   WindowRetryBudget budget({.ratio = 0, .allowance = 1, .usable_fraction = 1}, At(-60s));
   EXPECT_TRUE(budget.TryConsume(kOrders, At(0s)));
