Count all upstreams of a brittle service as brittle

An upstream that names a limit of rejections crashes if it has to reject more.

The upstreams of a service become brittle at the same time, so all count as brittle for 5 s after one has said so, or after a peer has reported a rejection.

--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -220,6 +220,14 @@
   }
 }
 
+bool FleetLoadBalancer::IsBrittle(const Entry& entry, TimePoint now) const {
+  if (signals_.IsBrittle(entry.process)) {
+    return true;
+  }
+  const auto brittle_until = brittle_until_.find(entry.record.service);
+  return brittle_until != brittle_until_.end() && now < brittle_until->second;
+}
+
 bool FleetLoadBalancer::HasBrittlePlace(const Entry& entry, const UpstreamLoad& load,
                                         TimePoint now) const {
   if (load.running >= entry.record.slots) {
@@ -238,7 +246,7 @@
 
 bool FleetLoadBalancer::HasPlace(const Entry& entry, const WorkEstimate& work,
                                  const UpstreamLoad& load, TimePoint now) const {
-  if (signals_.IsBrittle(entry.process)) {
+  if (IsBrittle(entry, now)) {
     return HasBrittlePlace(entry, load, now);
   }
   const int requests_per_slot = work.IsGeneration() ? 1 : options_.plain_requests_per_slot;
@@ -252,8 +260,7 @@
   const double suspect_penalty = load.suspect || entry.failures > 0 ? kSuspectPenaltySeconds : 0;
   // Daemons that know no more than that all upstreams are idle would choose the same one.
   constexpr double kMaxSpread = 0.3;
-  const double spread =
-      signals_.IsBrittle(entry.process) ? kMaxSpread * UnitHash(entry.key, options_.seed) : 0;
+  const double spread = IsBrittle(entry, now) ? kMaxSpread * UnitHash(entry.key, options_.seed) : 0;
   if (!work.IsGeneration()) {
     const double slot_utilisation =
         static_cast<double>(load.running) / static_cast<double>(std::max(entry.record.slots, 1));
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -326,6 +326,12 @@
   void ShareSlotsUntil(const ServiceId& service, TimePoint end);
   // Lets the daemons share the slots of the upstream's service if it has rejected a request.
   void OnLastRejection(std::uint64_t process);
+  // Records that an upstream of the service was brittle at this instant.
+  void OnBrittle(const ServiceId& service, TimePoint at);
+  // Returns true if the upstream is brittle, or another one of its service was recently: the
+  // upstreams of a service are brittle at the same time, and this daemon may have had no answer of
+  // some.
+  bool IsBrittle(const Entry& entry, TimePoint now) const;
   // Lets the daemons share the slots of a busy service with brittle upstreams.
   void ShareSlotsIfBusy(const ServiceId& service, TimePoint now);
   // Returns true if a brittle upstream, which crashes if it rejects too many requests, has a place.
@@ -366,6 +372,8 @@
   // Sums of the slots of the upstreams, and the number of daemons that share them.
   std::map<ServiceId, int> slots_;
   int daemons_ = 1;
+  // Times until which all upstreams of a service count as brittle.
+  std::map<ServiceId, TimePoint> brittle_until_;
   // Times until which the daemons share the slots of services with brittle upstreams.
   std::map<ServiceId, TimePoint> cautious_until_;
   std::map<ReportSource, Report> reports_;
--- a/packages/routing/fleet_load_balancer_reports.cc
+++ b/packages/routing/fleet_load_balancer_reports.cc
@@ -11,6 +11,9 @@
 
 // Time after a rejection by a brittle upstream in which the daemons share the slots of its service.
 constexpr Duration kRejectionCautionTime = 5s;
+// Time after the last word of a brittle upstream in which the others of its service count as
+// brittle too.
+constexpr Duration kBrittleServiceTime = 5s;
 
 }  // namespace
 
@@ -97,6 +100,9 @@
     constexpr double kMaxSlowness = 10;
     entry.slowness = std::clamp(signal.load->slowness, kMinSlowness, kMaxSlowness);
   }
+  if (signal.rejection_limit) {
+    OnBrittle(upstream.service, now);
+  }
   const UpstreamSignalChanges changes = signals_.OnAnswer(process, signal, sent_at, now);
   OnLastRejection(process);
   if (const auto entry = by_process_.find(process); entry != by_process_.end()) {
@@ -110,11 +116,18 @@
   OnLastRejection(reported.upstream);
 }
 
+void FleetLoadBalancer::OnBrittle(const ServiceId& service, TimePoint at) {
+  TimePoint& brittle_until = brittle_until_[service];
+  brittle_until = std::max(brittle_until, at + kBrittleServiceTime);
+}
+
 void FleetLoadBalancer::OnLastRejection(std::uint64_t process) {
   const std::optional<TimePoint> rejection = signals_.LastRejection(process);
   const auto found = by_process_.find(process);
   if (rejection && found != by_process_.end()) {
-    ShareSlotsUntil(found->second->record.service, *rejection + kRejectionCautionTime);
+    const ServiceId& service = found->second->record.service;
+    OnBrittle(service, *rejection);
+    ShareSlotsUntil(service, *rejection + kRejectionCautionTime);
   }
 }
 
--- a/tests/routing/brittle_upstream_test.cc
+++ b/tests/routing/brittle_upstream_test.cc
@@ -254,5 +254,27 @@
   EXPECT_GE(fleet.served_share(), 0.35);
 }
 
+// Guards against a daemon that fills an upstream beyond its slots because only others of its
+// service have told it that they are brittle, and against one that does so for good.
+TEST(BrittleUpstreamTest, UpstreamWithoutAnAnswerCountsAsBrittleForAWhile) {
+  constexpr int kSlots = 2;
+  FleetLoadBalancer balancer(FleetLoadBalancerOptions{});
+  const TimePoint now(100s);
+  UpstreamRecord known{
+      .id = UpstreamId("u0"), .service = kService, .address = "10.0.0.1:1", .slots = kSlots};
+  balancer.Update(known);
+  UpstreamRecord unknown = known;
+  unknown.id = UpstreamId("u1");
+  balancer.Update(unknown);
+  balancer.OnSignal(known, {.rejection_limit = kRejectionLimit, .is_complete = true}, now, now);
+  const WorkEstimate work{.service = kService};
+  for (int i = 0; i < kSlots; ++i) {
+    ASSERT_TRUE(balancer.Choose(work, {known.id}, now));
+    balancer.OnSent(unknown.id, work, 0, now);
+  }
+  EXPECT_FALSE(balancer.Choose(work, {known.id}, now));
+  EXPECT_TRUE(balancer.Choose(work, {known.id}, now + 10s));
+}
+
 }  // namespace
 }  // namespace savoryglade
