--- a/packages/recovery/window_retry_budget.h
+++ b/packages/recovery/window_retry_budget.h
@@ -21,9 +21,12 @@
 };
 
 // Sliding-window retry budget of this daemon, per service: `ratio` of its own requests plus an
-// equal share of the fleet's allowance. Needs no messages between daemons. In the first window
-// after its start a daemon uses only the part of the allowance that is otherwise held back, because
-// the process before it may have used its share. Not thread-safe.
+// equal share of the fleet's allowance. Needs no messages between daemons. The requests of the last
+// half and of the last quarter of the window must pay for the retries in them as well, where they
+// are enough for any: callers may go to another daemon, or to the next process of this one, where
+// their requests pay for as many retries again. In the first window after its start a daemon uses
+// only the part of the allowance that is otherwise held back, because the process before it may
+// have used its share. Not thread-safe.
 class WindowRetryBudget {
  public:
   // Time for which the number of daemons must stay lower before the allowance is divided among
@@ -40,7 +43,8 @@
   void OnRequest(const ServiceId& service, TimePoint now);
   // Consumes retries of the budget. Returns false and consumes none if fewer are left.
   bool TryConsume(const ServiceId& service, TimePoint now, int retries = 1);
-  // Returns retries that were consumed last and are not made.
+  // Returns retries of this window that are not made. The oldest ones are taken out of the window,
+  // because those that were consumed later may have been made.
   void Refund(const ServiceId& service, int retries);
 
  private:
--- a/tests/recovery/window_retry_budget_test.cc
+++ b/tests/recovery/window_retry_budget_test.cc
@@ -106,6 +106,37 @@
   budget.Refund(ServiceId("model"), 1);
 }
 
+// Guards against a return that is given back in the place of a later retry, which would then be
+// missing in the windows that follow.
+TEST(WindowRetryBudgetTest, RefundLeavesLaterRetriesInTheWindow) {
+  WindowRetryBudget budget({.ratio = 0, .allowance = 10, .usable_fraction = 1}, At(-60s));
+  EXPECT_TRUE(budget.TryConsume(kOrders, At(0s), 5));
+  EXPECT_TRUE(budget.TryConsume(kOrders, At(5s), 5));
+  budget.Refund(kOrders, 5);
+  EXPECT_EQ(TakeAll(budget, At(6s)), 5);
+  EXPECT_EQ(TakeAll(budget, At(11s)), 0);
+  EXPECT_EQ(TakeAll(budget, At(15s)), 5);
+}
+
+// Guards against requests that pay for retries here after their callers have gone to other daemons,
+// where the same requests pay for more.
+TEST(WindowRetryBudgetTest, RetriesArePaidByRequestsOfTheLastQuarterOfTheWindow) {
+  WindowRetryBudget budget({.ratio = 0.2, .allowance = 0, .usable_fraction = 1}, At(-60s));
+  for (int i = 0; i < 100; ++i) {
+    budget.OnRequest(kOrders, At(i * 100ms));
+  }
+  EXPECT_EQ(TakeAll(budget, At(9900ms)), 5);
+}
+
+// Guards against a service with few requests that gets no retry at all.
+TEST(WindowRetryBudgetTest, FewRequestsPayForARetryTogether) {
+  WindowRetryBudget budget({.ratio = 0.2, .allowance = 0, .usable_fraction = 1}, At(-60s));
+  for (int i = 0; i < 10; ++i) {
+    budget.OnRequest(kOrders, At(i * 1s));
+  }
+  EXPECT_EQ(TakeAll(budget, At(9s)), 1);
+}
+
 TEST(WindowRetryBudgetTest, EachServiceHasItsOwnBudget) {
   WindowRetryBudget budget({.ratio = 0, .allowance = 1, .usable_fraction = 1}, At(-60s));
   EXPECT_TRUE(budget.TryConsume(kOrders, At(0s)));
