Let upstreams of the soak fall silent and reject resumed requests

Change: in about half of the plays one stream in eight is silent for 1 to 3 s, before its first event or between two; the run counts on and ends with its connection. Intervals of up to 400 ms and large events make streams last. In some of these plays upstreams reject requests that resume a stream, and the daemons have a small retry allowance. Streams have 8 s, and the routes name a longest pause of 500 ms. New draws use a random source of their own.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -10,6 +10,7 @@
 
 #include "emulator/worker_service.h"
 #include "net/sleep.h"
+#include "soak/event_text.h"
 
 namespace savoryglade::soak {
 namespace {
@@ -20,13 +21,14 @@
 constexpr Duration kPollInterval = 1s;
 constexpr int kMissesUntilOut = 2;
 constexpr Duration kConnectTimeout = 1s;
-constexpr Duration kCallTimeout = 4s;
 constexpr int kMaxAttempts = 4;
 constexpr Duration kRetryDelay = 50ms;
 // Time after its deadline at which a caller gives up.
 constexpr Duration kPatience = 500ms;
 // Longest time until a caller that gives up early leaves.
 constexpr Duration kMaxPatience = 600ms;
+// Bytes of an unexpected body that are shown.
+constexpr std::size_t kShownBytes = 400;
 
 std::string HeaderOf(const http::fields& fields, const char* name) {
   return std::string(fields[name]);
@@ -34,11 +36,11 @@
 
 // Returns the number of the last whole event of a stream that begins behind the event `last`, or
 // nothing if the bytes are not those of these events.
-std::optional<int> ParseEvents(const std::string& text, int last) {
+std::optional<int> ParseEvents(const std::string& text, int last, std::size_t event_bytes) {
   std::string expected;
   int events = last;
   for (int event = last + 1; event <= WorkerService::kEventsPerStream; ++event) {
-    expected += fmt::format("id: {}\ndata: token {}\n\n", event, event);
+    expected += EventText(event, event_bytes);
     events += text.size() >= expected.size() ? 1 : 0;
   }
   return expected.starts_with(text) ? std::optional(events) : std::nullopt;
@@ -126,8 +128,8 @@
   Call call{.type = type,
             .target = fmt::format("{}{}-{}", std::string(type->prefix), options_.name, ++calls_),
             .body = {},
-            .deadline = Now() + kCallTimeout,
-            .leaves_at = Now() + kCallTimeout + kPatience,
+            .deadline = Now() + type->patience,
+            .leaves_at = Now() + type->patience + kPatience,
             .first_attempt = {}};
   if (call.type->resumable && random_.Bernoulli(options_.break_share)) {
     call.break_after =
@@ -148,8 +150,8 @@
   Call call{.type = kCallTypes.data(),
             .target = options_.crashing_path,
             .body = {},
-            .deadline = Now() + kCallTimeout,
-            .leaves_at = Now() + kCallTimeout + kPatience,
+            .deadline = Now() + kCallTypes.front().patience,
+            .leaves_at = Now() + kCallTypes.front().patience + kPatience,
             .first_attempt = {}};
   if (options_.varies_query) {
     call.target += fmt::format("?page={}", random_.UniformInt(100));
@@ -279,7 +281,8 @@
       record.complete = true;
       break;
     }
-    if (call.break_after > 0 && ParseEvents(body, call.events).value_or(0) >= call.break_after) {
+    if (call.break_after > 0 &&
+        ParseEvents(body, call.events, options_.event_bytes).value_or(0) >= call.break_after) {
       call.break_after = 0;
       record.left_by_caller = true;
       break;
@@ -304,9 +307,9 @@
     record.mixed = fits ? "" : "The body is not that of the request: " + body;
     co_return;
   }
-  const std::optional<int> events = ParseEvents(body, call.events);
+  const std::optional<int> events = ParseEvents(body, call.events, options_.event_bytes);
   if (!events) {
-    record.mixed = "The events are not those that follow: " + body;
+    record.mixed = "The events are not those that follow: " + body.substr(0, kShownBytes);
     co_return;
   }
   if (record.complete && *events != WorkerService::kEventsPerStream) {
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -67,6 +67,8 @@
   const std::atomic<bool>* routes_added = nullptr;
   // Calls after which the caller opens a new connection.
   int calls_per_connection = 1;
+  // Size of the data of an event.
+  std::size_t event_bytes = 0;
 };
 
 // Emulated caller that repeats its calls by the platform's rules.
--- a/tests/soak/daemon_process.cc
+++ b/tests/soak/daemon_process.cc
@@ -47,7 +47,8 @@
 bounds.lease_ms=1500
 bounds.report_window_s=2
 bounds.usage_delay_s=2
-bounds.retry_ratio=0.2
+bounds.retry_window_s={}
+bounds.retry_ratio={}
 bounds.retry_allowance={}
 platform.address={}
 cloud_api.address={}
@@ -55,7 +56,8 @@
 )",
       options_.name, options_.address, options_.failure_domain, ToString(callers()),
       ToString(readiness()), ToSeconds(options_.grace), options_.upstream_drain / 1ms,
-      200 + revision, ToString(options_.store), ToString(options_.duties));
+      ToSeconds(kRetryWindow), kRetryRatio, RetryAllowance(revision), ToString(options_.store),
+      ToString(options_.duties));
   std::filesystem::rename(path, SettingsPath());
 }
 
--- a/tests/soak/daemon_process.h
+++ b/tests/soak/daemon_process.h
@@ -21,6 +21,7 @@
   Endpoint duties;
   Duration grace = 8s;
   Duration upstream_drain = 1s;
+  double retry_allowance = 200;
   // Directory of the settings file and the log.
   std::string directory;
 };
@@ -35,6 +36,14 @@
   DaemonProcess& operator=(const DaemonProcess&) = delete;
   DaemonProcess(DaemonProcess&&) = delete;
 
+  static constexpr Duration kRetryWindow = 10s;
+  static constexpr double kRetryRatio = 0.2;
+
+  // Returns the retry allowance that a revision of the settings names.
+  double RetryAllowance(int revision) const {
+    constexpr double kRevisionStep = 1.0 / 200;
+    return options_.retry_allowance * (1 + revision * kRevisionStep);
+  }
   // Writes the settings file, with bounds that differ by the revision.
   void WriteSettings(int revision) const;
   // Starts the process; its output is appended to the log.
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -25,6 +25,8 @@
   std::string_view method;
   CallKind kind;
   bool resumable = false;
+  // Time that callers wait for the whole answer.
+  Duration patience = 4s;
 
   bool Repeatable() const { return kind == CallKind::kIdempotent || resumable; }
 };
@@ -32,8 +34,8 @@
 inline constexpr std::array kCallTypes = {
     CallType{"/reads/", "GET", CallKind::kIdempotent},
     CallType{"/orders/", "POST", CallKind::kAtMostOnce},
-    CallType{"/chats/stream/", "POST", CallKind::kStream, true},
-    CallType{"/once/stream/", "POST", CallKind::kStream}};
+    CallType{"/chats/stream/", "POST", CallKind::kStream, true, 8s},
+    CallType{"/once/stream/", "POST", CallKind::kStream, false, 8s}};
 
 // Call on one of the routes that are added during a play.
 inline constexpr CallType kAddedCallType = {"/added-0/", "GET", CallKind::kIdempotent};
@@ -83,6 +85,8 @@
   std::optional<TimePoint> ended_at;
   // Time that the run takes if nothing ends it.
   Duration length = Duration::zero();
+  // Time for which it sends nothing and then goes on.
+  Duration silence = Duration::zero();
 };
 
 enum class EventKind {
@@ -175,6 +179,8 @@
   const std::vector<Arrival>& ArrivalsAt(const std::string& upstream) const {
     return arrivals_.at(upstream);
   }
+  // Returns the requests that reached upstreams, by upstream and in order of time.
+  const std::map<std::string, std::vector<Arrival>>& arrivals() const { return arrivals_; }
   // Returns the runs of an attempt.
   std::vector<RunRecord> RunsOf(const std::string& attempt) const;
   // Returns true if the upstream's connections broke within this time.
@@ -209,6 +215,11 @@
   Duration grace;
   // Time after an upstream's notice in which it may still get requests.
   Duration upstream_drain;
+  // Arrivals beyond the first of each request that are allowed in a window: a share of the requests
+  // and a number.
+  Duration retry_window = 10s;
+  double retry_ratio = 0;
+  double retry_allowance = 0;
 };
 
 // Returns the promises that the history shows to be broken, including those seen during the play.
--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -28,6 +28,7 @@
 constexpr std::uint64_t kRouteSeedOffset = 4'000'000;
 constexpr std::uint64_t kGiveUpSeedOffset = 5'000'000;
 constexpr std::uint64_t kWishSeedOffset = 6'000'000;
+constexpr std::uint64_t kSilenceSeedOffset = 7'000'000;
 // Rate of a daemon's link to the store. The added routes take 3 s on it.
 constexpr double kStoreLinkBytesPerSecond = 200'000;
 constexpr const char* kApiKey = "drivers-key";
@@ -39,8 +40,8 @@
   text += R"(
 {"name":"reads","host":"h","prefix":"/reads/","route_kind":"idempotent","timeout_ms":3000,"goal_ms":1000,"service":"s","max_attempts":2},
 {"name":"orders","host":"h","prefix":"/orders/","route_kind":"non_idempotent","timeout_ms":3000,"service":"s","max_attempts":1},
-{"name":"chats","host":"h","prefix":"/chats/","route_kind":"streaming","timeout_ms":5000,"service":"s","max_attempts":3,"resumable":true},
-{"name":"once","host":"h","prefix":"/once/","route_kind":"streaming","timeout_ms":5000,"service":"s","max_attempts":1})";
+{"name":"chats","host":"h","prefix":"/chats/","route_kind":"streaming","timeout_ms":10000,"itl_target_ms":500,"service":"s","max_attempts":3,"resumable":true},
+{"name":"once","host":"h","prefix":"/once/","route_kind":"streaming","timeout_ms":10000,"itl_target_ms":500,"service":"s","max_attempts":1})";
   for (int i = 0; i < added; ++i) {
     text += fmt::format(R"(,
 {{"name":"added-{0}","host":"h","prefix":"/added-{0}/","route_kind":"idempotent","timeout_ms":3000,"goal_ms":1000,"service":"s","max_attempts":2}})",
@@ -74,6 +75,7 @@
       route_random_(options_.seed + kRouteSeedOffset),
       give_up_random_(options_.seed + kGiveUpSeedOffset),
       wish_random_(options_.seed + kWishSeedOffset),
+      silence_random_(options_.seed + kSilenceSeedOffset),
       grace_(random_.Bernoulli(0.7) ? 8s : 5s),
       service_time_(random_.Bernoulli(0.5) ? 60ms : 300ms),
       event_interval_(random_.Bernoulli(0.5) ? 10ms : 150ms),
@@ -81,7 +83,9 @@
       store_server_(platform_pool_, HttpLimits{},
                     [this](HttpExchange& exchange) { return HandleStoreCall(exchange); }),
       duty_server_(platform_pool_, HttpLimits{},
-                   [](HttpExchange& exchange) { return AcceptDuty(exchange); }) {}
+                   [](HttpExchange& exchange) { return AcceptDuty(exchange); }) {
+  DrawSilences();
+}
 
 Play::~Play() {
   caller_pool_.Stop();
@@ -118,7 +122,7 @@
   StartDaemons();
   if (!RunUntil(Now() + kReadyTimeout, [this] { return balancer_->AllReady(); })) {
     history_.AddViolation("READY", "The daemons were not ready in time.");
-    return CheckPromises(history_, {.grace = grace_, .upstream_drain = kUpstreamDrain});
+    return CheckPromises(history_, Bounds());
   }
   begin_ = Now();
   StartCallers();
@@ -164,7 +168,21 @@
   for (const auto& upstream : upstreams_) {
     upstream->Break();
   }
-  return CheckPromises(history_, {.grace = grace_, .upstream_drain = kUpstreamDrain});
+  return CheckPromises(history_, Bounds());
+}
+
+PromiseBounds Play::Bounds() const {
+  return {.grace = grace_,
+          .upstream_drain = kUpstreamDrain,
+          .retry_window = DaemonProcess::kRetryWindow,
+          .retry_ratio = DaemonProcess::kRetryRatio,
+          .retry_allowance = largest_retry_allowance_};
+}
+
+void Play::WriteSettings(std::size_t daemon, int revision) {
+  const DaemonProcess& process = *daemons_[daemon].process;
+  process.WriteSettings(revision);
+  largest_retry_allowance_ = std::max(largest_retry_allowance_, process.RetryAllowance(revision));
 }
 
 void Play::StartServices() {
@@ -192,12 +210,13 @@
                       .duties = duties,
                       .grace = grace_,
                       .upstream_drain = kUpstreamDrain,
+                      .retry_allowance = retry_allowance_,
                       .directory = options_.directory});
     targets.push_back({.callers = process->callers(),
                        .readiness = process->readiness(),
                        .failure_domain = process->failure_domain()});
-    process->WriteSettings(0);
     daemons_.push_back({.process = std::move(process)});
+    WriteSettings(i, 0);
     StartDaemon(i);
   }
   balancer_ = std::make_unique<LoadBalancer>(std::move(targets));
@@ -227,9 +246,9 @@
                       .break_share = break_share,
                       .give_up_share = give_up_share,
                       .routes_added = &routes_added_,
-                      .calls_per_connection = random_.Bernoulli(0.2)
-                                                  ? 1
-                                                  : 5 + static_cast<int>(random_.UniformInt(20))},
+                      .calls_per_connection =
+                          random_.Bernoulli(0.2) ? 1 : 5 + static_cast<int>(random_.UniformInt(20)),
+                      .event_bytes = event_bytes_},
         *balancer_, history_));
     asio::co_spawn(caller_pool_.context(0), callers_.back()->Run(callers_stop_, active_callers_),
                    asio::detached);
@@ -381,6 +400,10 @@
                                                  .failure_domain = failure_domain,
                                                  .max_service_time = service_time_,
                                                  .event_interval = event_interval_,
+                                                 .event_bytes = event_bytes_,
+                                                 .silent_share = silent_share_,
+                                                 .rejects_resumed = rejects_resumed_,
+                                                 .seed = options_.seed,
                                                  .on_crash =
                                                      [this, id] {
                                                        const std::lock_guard lock(crashed_mutex_);
@@ -389,15 +412,21 @@
                                  history_));
   serving_[id] = upstreams_.back().get();
   upstreams_.back()->SetPartitioned(partitioned_, false);
-  history_.AddServing(version, 1);
+  CountServing(version, 1);
   store_.Put("servers", id, upstreams_.back()->Registration(false));
   history_.AddEvent(EventKind::kOther, {}, fmt::format("{} ({}) joins", id, version));
 }
 
+void Play::CountServing(const std::string& version, int change) {
+  if (!rejects_resumed_) {
+    history_.AddServing(version, change);
+  }
+}
+
 void Play::RemoveUpstream(const std::string& id, bool planned) {
   Upstream* const upstream = serving_.at(id);
   serving_.erase(id);
-  history_.AddServing(upstream->options().version, -1);
+  CountServing(upstream->options().version, -1);
   history_.AddEvent(EventKind::kOther, {}, id + (planned ? " begins to leave" : " crashes"));
   if (!planned) {
     upstream->Break();
@@ -439,11 +468,15 @@
   int resumed = 0;
   int crashing = 0;
   int crashed = 0;
+  int silent = 0;
   for (const AttemptRecord& attempt : history_.attempts()) {
     succeeded += attempt.complete && attempt.status >= 200 && attempt.status < 300 ? 1 : 0;
     refused += attempt.status == 429 || attempt.status == 503 ? 1 : 0;
     closed += attempt.sent && !attempt.complete ? 1 : 0;
     resumed += attempt.events_before > 0 ? 1 : 0;
+    silent += static_cast<int>(
+        std::ranges::count_if(history_.RunsOf(attempt.id),
+                              [](const RunRecord& run) { return run.silence > Duration::zero(); }));
     if (!attempt.crashing_path.empty()) {
       ++crashing;
       crashed += static_cast<int>(history_.RunsOf(attempt.id).size());
@@ -451,10 +484,12 @@
   }
   return fmt::format(
       "{} daemons in {} domains, grace {} s; {} stops, {} kills, {} freezes; {} requests, {} "
-      "answered, {} refused, {} closed, {} resumptions; {} crashing requests, {} runs",
+      "answered, {} refused, {} closed, {} resumptions; {} crashing requests, {} runs; {} silent "
+      "runs{}",
       daemons_.size(), domain_count_, ToSeconds(grace_), events[EventKind::kTerm],
       events[EventKind::kKill], events[EventKind::kFreeze], history_.attempts().size(), succeeded,
-      refused, closed, resumed, crashing, crashed);
+      refused, closed, resumed, crashing, crashed, silent,
+      rejects_resumed_ ? ", resumed requests are rejected" : "");
 }
 
 }  // namespace savoryglade::soak
--- a/tests/soak/play.h
+++ b/tests/soak/play.h
@@ -65,6 +65,11 @@
   void StartServices();
   void StartDaemons();
   void StartCallers();
+  // Decides whether upstreams fall silent and reject resumed requests.
+  void DrawSilences();
+  // Writes the settings of a daemon.
+  void WriteSettings(std::size_t daemon, int revision);
+  PromiseBounds Bounds() const;
   // Plans all faults of the play.
   void PlanStops();
   void PlanUnplannedFaults();
@@ -95,6 +100,8 @@
   void Stop(std::size_t daemon);
   void Disturb(std::size_t daemon, EventKind kind, int signal);
   void AddUpstream(const std::string& version, const std::string& failure_domain);
+  // Counts upstreams of a version that resume streams.
+  void CountServing(const std::string& version, int change);
   void RemoveUpstream(const std::string& id, bool planned);
   // Removes an upstream without notice; another one takes its place after a while.
   void CrashUpstream(const std::string& id);
@@ -113,10 +120,19 @@
   Random route_random_;
   Random give_up_random_;
   Random wish_random_;
+  Random silence_random_;
   Duration grace_;
   // Longest service time of a call, and the time between the events of a stream.
   Duration service_time_;
   Duration event_interval_;
+  // Size of the data of an event.
+  std::size_t event_bytes_ = 0;
+  // Share of streams that fall silent and go on, and whether upstreams reject resumed requests.
+  double silent_share_ = 0;
+  bool rejects_resumed_ = false;
+  double retry_allowance_ = 200;
+  // Largest allowance of all settings that were written.
+  double largest_retry_allowance_ = 0;
   std::size_t domain_count_;
   History history_;
   StoreService store_;
--- a/tests/soak/play_faults.cc
+++ b/tests/soak/play_faults.cc
@@ -7,6 +7,25 @@
 #include "soak/play.h"
 
 namespace savoryglade::soak {
+
+void Play::DrawSilences() {
+  constexpr double kSilentShare = 1.0 / 8;
+  constexpr Duration kLongInterval = 400ms;
+  constexpr std::size_t kLargeEventBytes = 16'000;
+  if (!silence_random_.Bernoulli(0.5)) {
+    return;
+  }
+  silent_share_ = kSilentShare;
+  // Streams that last for seconds.
+  if (silence_random_.Bernoulli(0.5)) {
+    event_interval_ = kLongInterval;
+  }
+  rejects_resumed_ = silence_random_.Bernoulli(0.4);
+  constexpr double kSmallAllowance = 10;
+  retry_allowance_ = silence_random_.Bernoulli(0.5) ? kSmallAllowance : retry_allowance_;
+  event_bytes_ = silence_random_.Bernoulli(0.3) ? kLargeEventBytes : 0;
+}
+
 void Play::PlanStops() {
   // Stops come in series of several daemons, which may overlap.
   const std::size_t series = 2 + random_.UniformInt(5);
@@ -28,7 +47,7 @@
       }
       if (random_.Bernoulli(0.3)) {
         At(at + RandomDuration(-1s, 4s), [this, daemon, revision = static_cast<int>(10 * i + k)] {
-          daemons_[daemon].process->WriteSettings(revision);
+          WriteSettings(daemon, revision);
           if (!daemons_[daemon].process->IsListening()) {
             return;
           }
@@ -157,13 +176,13 @@
       }
       Upstream* const upstream = serving_.at(*id);
       upstream->SayLeaving();
-      history_.AddServing(upstream->options().version, -1);
+      CountServing(upstream->options().version, -1);
       history_.AddEvent(EventKind::kOther, {}, *id + " says that it leaves");
       // Its registration stays ready for some time.
       At(Now() + kUpstreamDrain + delay, [this, id = *id] {
         if (const auto found = serving_.find(id); found != serving_.end()) {
           const UpstreamOptions options = found->second->options();
-          history_.AddServing(options.version, 1);
+          CountServing(options.version, 1);
           RemoveUpstream(id, true);
           AddUpstream(options.version, options.failure_domain);
         }
@@ -177,8 +196,8 @@
       if (const std::optional<std::string> id = PickUpstream(wish_random_, 1)) {
         const std::string version = serving_.at(*id)->options().version;
         serving_.at(*id)->RejectFor(wait);
-        history_.AddServing(version, -1);
-        At(Now() + wait, [this, version] { history_.AddServing(version, 1); });
+        CountServing(version, -1);
+        At(Now() + wait, [this, version] { CountServing(version, 1); });
         history_.AddEvent(EventKind::kOther, {},
                           fmt::format("{} wants nothing for {} ms", *id, wait / 1ms));
       }
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -7,20 +7,24 @@
 #include <vector>
 
 #include "core/prefix_hash.h"
+#include "core/random.h"
 #include "net/peer_disconnect_monitor.h"
 #include "net/sleep.h"
+#include "soak/event_text.h"
 
 namespace savoryglade::soak {
 namespace {
 
 // One request of this many is rejected as not run.
 constexpr std::uint64_t kRequestsPerRejection = 40;
+// Bounds of the time for which a stream is silent.
+constexpr Duration kMinSilence = 1s;
+constexpr Duration kMaxSilence = 3s;
 
 }  // namespace
 
 Upstream::Upstream(UpstreamOptions options, History& history)
     : options_(std::move(options)), history_(history), worker_(options_.id) {
-  worker_.SetEventInterval(options_.event_interval);
   worker_.SetVersion(options_.version);
   pool_ = std::make_unique<WorkerPool>(1);
   server_ = std::make_unique<HttpServer>(
@@ -47,6 +51,7 @@
 void Upstream::SetRateLimit(std::optional<double> rate) {
   worker_.SetRateLimits(rate ? std::vector{fmt::format("{:.1f}", *rate)}
                              : std::vector<std::string>());
+  rate_limit_ = rate.value_or(0);
   history_.AddRateLimit(options_.id, rate);
 }
 
@@ -84,14 +89,65 @@
          FromSeconds(ToSeconds(options_.max_service_time - options_.min_service_time) * share);
 }
 
-boost::asio::awaitable<bool> Upstream::Serve(HttpExchange& exchange, Duration service_time) {
-  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, service_time);
+Upstream::Silence Upstream::DrawSilence(const std::string& attempt, int events_before) const {
+  Random random(options_.seed + Fnv1aHash(attempt + options_.id));
+  if (!random.Bernoulli(options_.silent_share)) {
+    return {};
+  }
+  const int events = WorkerService::kEventsPerStream - events_before;
+  return {.before_event = events_before + 1 +
+                          static_cast<int>(random.UniformInt(static_cast<std::uint64_t>(events))),
+          .length = kMinSilence +
+                    FromSeconds(ToSeconds(kMaxSilence - kMinSilence) * random.UniformReal())};
+}
+
+HttpHeaders Upstream::StreamHeaders(const std::string& attempt) const {
+  HttpHeaders headers;
+  headers.emplace_back("Attempt-Id", attempt);
+  headers.emplace_back("Response-Seal",
+                       fmt::format("seal-of-{}/{}", options_.id, options_.version));
+  headers.emplace_back("Content-Type", "text/event-stream");
+  headers.emplace_back("Server-Load", "1,0,4,100");
+  headers.emplace_back("Keep-Alive", "timeout=5");
+  if (const double rate = rate_limit_; rate > 0) {
+    headers.emplace_back("Server-Limit", fmt::format("{:.1f}", rate));
+  }
+  if (leaving_) {
+    headers.emplace_back("Server-Leaving", "1");
+  }
+  return headers;
+}
+
+boost::asio::awaitable<bool> Upstream::Wait(HttpExchange& exchange, Duration time) {
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, time);
   PeerDisconnectMonitor daemon(exchange.stream());
   daemon.OnDisconnect([&timer] { timer.cancel(); });
   co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
   co_return !daemon.disconnected();
 }
 
+boost::asio::awaitable<bool> Upstream::Stream(HttpExchange& exchange, int events_before,
+                                              Silence silence) {
+  const int first = events_before + 1;
+  if (silence.before_event == first && !co_await Wait(exchange, silence.length)) {
+    co_return false;
+  }
+  if (!co_await exchange.StartStream(200,
+                                     StreamHeaders(std::string(exchange.Header("Attempt-Id"))))) {
+    co_return false;
+  }
+  for (int event = first; event <= WorkerService::kEventsPerStream; ++event) {
+    const Duration pause = event == silence.before_event ? silence.length : options_.event_interval;
+    if (event > first && !co_await Wait(exchange, pause)) {
+      co_return false;
+    }
+    if (!co_await exchange.WriteChunk(EventText(event, options_.event_bytes))) {
+      co_return false;
+    }
+  }
+  co_return co_await exchange.EndStream();
+}
+
 boost::asio::awaitable<void> Upstream::Handle(HttpExchange& exchange) {
   const std::string attempt(exchange.Header("Attempt-Id"));
   const std::string expected(exchange.Header("Expect-Instance"));
@@ -100,22 +156,26 @@
     co_return;
   }
   history_.AddArrival(options_.id, attempt);
+  const std::string last_event(exchange.Header("Last-Event-Id"));
   if (Now() < rejects_until_.load() || running_ >= options_.slots ||
+      (options_.rejects_resumed && !last_event.empty()) ||
       Fnv1aHash(attempt + options_.id) % kRequestsPerRejection == 0) {
     co_await Reject(exchange, attempt);
     co_return;
   }
-  const std::string last_event(exchange.Header("Last-Event-Id"));
   const int events_before = last_event.empty() ? 0 : std::stoi(last_event);
   const bool is_stream = exchange.target().find("/stream/") != std::string_view::npos;
   const Duration stream_time =
       options_.event_interval * (WorkerService::kEventsPerStream - 1 - events_before);
-  const std::size_t run = history_.BeginRun(
-      attempt, {.upstream = options_.id,
-                .version = options_.version,
-                .events_before = events_before,
-                .ended_at = std::nullopt,
-                .length = ServiceTime(attempt) + (is_stream ? stream_time : Duration::zero())});
+  const Silence silence = is_stream ? DrawSilence(attempt, events_before) : Silence();
+  const std::size_t run =
+      history_.BeginRun(attempt, {.upstream = options_.id,
+                                  .version = options_.version,
+                                  .events_before = events_before,
+                                  .ended_at = std::nullopt,
+                                  .length = ServiceTime(attempt) + silence.length +
+                                            (is_stream ? stream_time : Duration::zero()),
+                                  .silence = silence.length});
   ++running_;
   if (exchange.target().find(kCrashingName) != std::string_view::npos) {
     co_await Sleep(ServiceTime(attempt));
@@ -125,12 +185,16 @@
       co_await Sleep(1s);
     }
   }
-  if (co_await Serve(exchange, ServiceTime(attempt))) {
-    if (leaving_) {
-      history_.AddWish(options_.id, attempt, std::nullopt);
-    }
+  bool open = co_await Wait(exchange, ServiceTime(attempt));
+  if (open && leaving_) {
+    history_.AddWish(options_.id, attempt, std::nullopt);
+  }
+  if (open && is_stream) {
+    open = co_await Stream(exchange, events_before, silence);
+  } else if (open) {
     co_await worker_.Handle(exchange);
-  } else {
+  }
+  if (!open) {
     exchange.Abort();
   }
   --running_;
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -27,6 +29,14 @@
   Duration min_service_time = 20ms;
   Duration max_service_time = 300ms;
   Duration event_interval = 100ms;
+  // Size of the data of an event.
+  std::size_t event_bytes = 0;
+  // Share of streams that fall silent once, before their first event or between two, and go on.
+  double silent_share = 0;
+  // Whether requests that resume a stream are rejected as not run, as by a full upstream.
+  bool rejects_resumed = false;
+  // Decides, with the attempt and the upstream, on the silence of a stream.
+  std::uint64_t seed = 0;
   // Called on the upstream's thread when a request has crashed it. The connections break when
   // Break is called.
   std::function<void()> on_crash;
@@ -68,14 +78,27 @@
   boost::asio::awaitable<void> Reject(HttpExchange& exchange, const std::string& attempt);
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
   Duration ServiceTime(const std::string& attempt) const;
-  // Waits for the service time. Returns false if the connection has ended before.
-  static boost::asio::awaitable<bool> Serve(HttpExchange& exchange, Duration service_time);
+  // Time in which a stream sends nothing before one of its events.
+  struct Silence {
+    // Zero if the stream does not fall silent.
+    int before_event = 0;
+    Duration length = Duration::zero();
+  };
+  Silence DrawSilence(const std::string& attempt, int events_before) const;
+  HttpHeaders StreamHeaders(const std::string& attempt) const;
+  // Waits for this time. Returns false if the connection has ended before.
+  static boost::asio::awaitable<bool> Wait(HttpExchange& exchange, Duration time);
+  // Sends the events behind the last one that the request names. Returns false if the connection
+  // has ended before.
+  boost::asio::awaitable<bool> Stream(HttpExchange& exchange, int events_before, Silence silence);
 
   UpstreamOptions options_;
   History& history_;
   WorkerService worker_;
   std::atomic<int> running_{0};
   std::atomic<bool> leaving_{false};
+  // Zero if the upstream names no limit.
+  std::atomic<double> rate_limit_{0};
   std::atomic<TimePoint> rejects_until_{TimePoint{}};
   Endpoint endpoint_;
   std::unique_ptr<WorkerPool> pool_;
