--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -123,8 +123,11 @@
     lines.emplace_back(attempt->sent_at, fmt::format("request {} sent", attempt->id));
     lines.emplace_back(attempt->ended_at, "ended: " + Describe(*attempt));
     for (const RunRecord& run : RunsOf(attempt->id)) {
-      lines.emplace_back(run.started_at, fmt::format("began to run at {} ({}) behind event {}",
-                                                     run.upstream, run.version, run.events_before));
+      lines.emplace_back(
+          run.started_at,
+          fmt::format("began to run at {} ({}) behind event {}, silent "
+                      "for {} ms",
+                      run.upstream, run.version, run.events_before, run.silence / 1ms));
       if (run.ended_at) {
         lines.emplace_back(*run.ended_at, fmt::format("run ended at {}", run.upstream));
       }
