Let callers of the soak send in chunks, ahead and read slowly

Cause: callers on the platform send bodies in chunks, with pauses, begin the next request behind one that is not answered, and read slowly; those of the soak did not. Half of the bodies in chunks have pauses between the chunks. Slow readers pause after each read and have a receive buffer of 8 KiB. The timeline and the summary name them.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -6,6 +6,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdlib>
+#include <sstream>
 #include <utility>
 
 #include "emulator/worker_service.h"
@@ -27,6 +28,13 @@
 constexpr Duration kPatience = 500ms;
 // Longest time until a caller that gives up early leaves.
 constexpr Duration kMaxPatience = 600ms;
+// Longest pauses between the chunks of a body, and between reads.
+constexpr Duration kMaxSendPause = 300ms;
+constexpr Duration kMaxReadPause = 300ms;
+// Time before its deadline from which a caller reads without pauses.
+constexpr Duration kReadSlack = 1s;
+// Receive buffer of callers that read slowly, in bytes.
+constexpr int kSmallReceiveBuffer = 8192;
 // Bytes of an unexpected body that are shown.
 constexpr std::size_t kShownBytes = 400;
 
@@ -163,7 +171,14 @@
 }
 
 asio::awaitable<void> Caller::MakeCall() {
-  Call call = options_.crashing_path.empty() ? PrepareCall() : PrepareCrashingCall();
+  Call call;
+  if (next_call_) {
+    call = std::move(*next_call_);
+    call.Delay(Now() - next_call_made_at_);
+    next_call_.reset();
+  } else {
+    call = options_.crashing_path.empty() ? PrepareCall() : PrepareCrashingCall();
+  }
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
     Duration retry_after = kRetryDelay;
     AttemptRecord record = co_await SendAttempt(call, retry_after);
@@ -199,6 +214,63 @@
   return request;
 }
 
+asio::awaitable<Result<void>> Caller::SendBytes(std::string bytes, TimePoint deadline) {
+  connection_->stream().expires_at(deadline);
+  const auto [error, size] = co_await asio::async_write(connection_->stream(), asio::buffer(bytes),
+                                                        asio::as_tuple(asio::use_awaitable));
+  connection_->stream().expires_never();
+  if (error) {
+    co_return tl::make_unexpected(
+        Error{.code = ErrorCode::kUnavailable, .message = error.message()});
+  }
+  co_return Result<void>();
+}
+
+asio::awaitable<Result<void>> Caller::SendRequest(const Call& call, AttemptRecord& record) {
+  HttpRequest request = MakeRequest(call, record);
+  if (!options_.sends_chunks && !options_.sends_ahead) {
+    co_return co_await connection_->Send(request, call.deadline - Now());
+  }
+  record.in_chunks = options_.sends_chunks && !call.body.empty();
+  record.begun_ahead = !sent_ahead_.empty();
+  if (record.in_chunks) {
+    request.chunked(true);
+  }
+  std::ostringstream head;
+  head << request.base();
+  // The connection may have carried the beginning of the head.
+  std::string bytes = head.str().substr(sent_ahead_.size());
+  sent_ahead_.clear();
+  if (!record.in_chunks) {
+    bytes += call.body;
+  }
+  Result<void> sent = co_await SendBytes(std::move(bytes), call.deadline);
+  if (!record.in_chunks) {
+    co_return sent;
+  }
+  const bool pauses = habit_random_.Bernoulli(0.5);
+  const std::size_t middle = call.body.size() / 2;
+  for (const std::string& part :
+       {call.body.substr(0, middle), call.body.substr(middle), std::string()}) {
+    if (pauses) {
+      co_await Sleep(FromSeconds(ToSeconds(kMaxSendPause) * habit_random_.UniformReal()));
+    }
+    if (sent) {
+      sent = co_await SendBytes(fmt::format("{:x}\r\n{}\r\n", part.size(), part), call.deadline);
+    }
+  }
+  co_return sent;
+}
+
+asio::awaitable<void> Caller::SendAhead() {
+  next_call_ = PrepareCall();
+  next_call_made_at_ = Now();
+  sent_ahead_ = fmt::format("{} {} HTTP/1.1\r\nHost: h\r\n", std::string(next_call_->type->method),
+                            next_call_->target);
+  // A failure shows when the answer is read.
+  (void)co_await SendBytes(sent_ahead_, next_call_->deadline);
+}
+
 asio::awaitable<AttemptRecord> Caller::SendAttempt(Call& call, Duration& retry_after) {
   AttemptRecord record{.id = fmt::format("{}-{}", options_.name, ++attempts_),
                        .type = call.type,
@@ -214,11 +286,16 @@
   if (!record.reused_connection) {
     last_daemon_ = balancer_.Choose(options_.failure_domain, last_daemon_, random_);
     connection_.reset();
+    sent_ahead_.clear();
     calls_on_connection_ = 0;
     auto connected =
         co_await HttpConnection::Connect(balancer_.callers(*last_daemon_), kConnectTimeout);
     if (connected) {
       connection_ = std::move(*connected);
+      if (options_.reads_slowly) {
+        connection_->stream().socket().set_option(
+            asio::socket_base::receive_buffer_size(kSmallReceiveBuffer));
+      }
     } else {
       record.failure = connected.error().message;
     }
@@ -226,14 +303,17 @@
   record.daemon = *last_daemon_;
   record.sent_at = Now();
   if (connection_ != nullptr) {
-    const HttpRequest request = MakeRequest(call, record);
-    const auto sent = co_await connection_->Send(request, call.deadline - Now());
+    const Result<void> sent = co_await SendRequest(call, record);
     record.sent = sent.has_value();
     record.sent_at = Now();
     if (sent && call.sends_more) {
       boost::system::error_code ignored;
       connection_->stream().socket().send(asio::buffer("\r\n", 2), 0, ignored);
     }
+    if (sent && options_.sends_ahead && !call.EndsEarly() && !next_call_ &&
+        calls_on_connection_ + 1 < options_.calls_per_connection) {
+      co_await SendAhead();
+    }
     if (sent) {
       co_await ReadResponse(*connection_, call, record, retry_after);
     } else {
@@ -281,6 +361,9 @@
       record.complete = true;
       break;
     }
+    if (options_.reads_slowly && Now() + kReadSlack < call.deadline) {
+      co_await Sleep(FromSeconds(ToSeconds(kMaxReadPause) * habit_random_.UniformReal()));
+    }
     if (call.break_after > 0 &&
         ParseEvents(body, call.events, options_.event_bytes).value_or(0) >= call.break_after) {
       call.break_after = 0;
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -69,6 +69,12 @@
   int calls_per_connection = 1;
   // Size of the data of an event.
   std::size_t event_bytes = 0;
+  // Whether bodies are sent in chunks, half of them with pauses between the chunks.
+  bool sends_chunks = false;
+  // Whether the caller pauses while it reads, behind a small receive buffer.
+  bool reads_slowly = false;
+  // Whether the caller sends the first bytes of its next request behind a request.
+  bool sends_ahead = false;
 };
 
 // Emulated caller that repeats its calls by the platform's rules.
@@ -79,7 +85,8 @@
         balancer_(balancer),
         history_(history),
         random_(options_.seed),
-        give_up_random_(options_.seed + 1) {}
+        give_up_random_(options_.seed + 1),
+        habit_random_(options_.seed + 2) {}
 
   // Makes calls until told to stop. Counts itself as active during a call.
   boost::asio::awaitable<void> Run(const std::atomic<bool>& stop, std::atomic<int>& active);
@@ -87,7 +94,7 @@
  private:
   // One call with all its attempts.
   struct Call {
-    const CallType* type;
+    const CallType* type = nullptr;
     std::string target;
     std::string body;
     TimePoint deadline;
@@ -101,6 +108,13 @@
     // Stream: the last event received, and the attempt that brought the first one.
     int events = 0;
     std::string first_attempt;
+
+    bool EndsEarly() const { return break_after > 0 || leaves_at < deadline; }
+    // Moves the call to a later time.
+    void Delay(Duration time) {
+      deadline += time;
+      leaves_at += time;
+    }
   };
 
   boost::asio::awaitable<void> MakeCall();
@@ -110,6 +124,10 @@
   boost::asio::awaitable<AttemptRecord> SendAttempt(Call& call, Duration& retry_after);
   boost::asio::awaitable<void> ReadResponse(HttpConnection& connection, Call& call,
                                             AttemptRecord& record, Duration& retry_after);
+  // Sends the request, and the first bytes of the next one if the caller does so.
+  boost::asio::awaitable<Result<void>> SendRequest(const Call& call, AttemptRecord& record);
+  boost::asio::awaitable<Result<void>> SendBytes(std::string bytes, TimePoint deadline);
+  boost::asio::awaitable<void> SendAhead();
   HttpRequest MakeRequest(const Call& call, const AttemptRecord& record) const;
 
   CallerOptions options_;
@@ -118,7 +136,13 @@
   Random random_;
   // Keeps the other draws as they are without callers that give up.
   Random give_up_random_;
+  // Decides how requests are sent and answers read.
+  Random habit_random_;
   std::unique_ptr<HttpConnection> connection_;
+  // Next call, of which the connection has carried these bytes already.
+  std::optional<Call> next_call_;
+  TimePoint next_call_made_at_{};
+  std::string sent_ahead_;
   std::optional<std::size_t> last_daemon_;
   int attempts_ = 0;
   int calls_ = 0;
--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -14,10 +14,11 @@
 
 std::string Describe(const AttemptRecord& attempt) {
   return fmt::format(
-      "{} {} at daemon {} ({} connection): status {}, {}, events {} to {}{}{}", attempt.id,
+      "{} {} at daemon {} ({} connection): status {}, {}, events {} to {}{}{}{}{}", attempt.id,
       std::string(attempt.type->prefix), attempt.daemon, attempt.reused_connection ? "kept" : "new",
       attempt.status, attempt.complete ? "complete" : "not complete", attempt.events_before,
       attempt.events_after, attempt.resumes.empty() ? "" : ", resumes " + attempt.resumes,
+      attempt.in_chunks ? ", in chunks" : "", attempt.begun_ahead ? ", begun ahead" : "",
       attempt.failure.empty() ? "" : ", " + attempt.failure);
 }
 
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -47,6 +47,10 @@
   std::size_t daemon = 0;
   // True if the connection had carried a request before.
   bool reused_connection = false;
+  // Whether the body was sent in chunks, and whether the connection had carried the first bytes of
+  // the request before the answer to another one.
+  bool in_chunks = false;
+  bool begun_ahead = false;
   // False if the connection failed before the whole request was written.
   bool sent = false;
   TimePoint sent_at{};
--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -29,6 +29,7 @@
 constexpr std::uint64_t kGiveUpSeedOffset = 5'000'000;
 constexpr std::uint64_t kWishSeedOffset = 6'000'000;
 constexpr std::uint64_t kSilenceSeedOffset = 7'000'000;
+constexpr std::uint64_t kHabitSeedOffset = 8'000'000;
 // Rate of a daemon's link to the store. The added routes take 3 s on it.
 constexpr double kStoreLinkBytesPerSecond = 200'000;
 constexpr const char* kApiKey = "drivers-key";
@@ -76,6 +77,7 @@
       give_up_random_(options_.seed + kGiveUpSeedOffset),
       wish_random_(options_.seed + kWishSeedOffset),
       silence_random_(options_.seed + kSilenceSeedOffset),
+      habit_random_(options_.seed + kHabitSeedOffset),
       grace_(random_.Bernoulli(0.7) ? 8s : 5s),
       service_time_(random_.Bernoulli(0.5) ? 60ms : 300ms),
       event_interval_(random_.Bernoulli(0.5) ? 10ms : 150ms),
@@ -236,6 +238,8 @@
   if (give_up_share > 0 && give_up_random_.Bernoulli(0.5)) {
     PlanFreezesWhileCallersLeave();
   }
+  // Share of callers with each of the ways to send or read that most callers have not.
+  const double habit_share = habit_random_.Bernoulli(0.6) ? 0.3 : 0;
   for (std::size_t i = 0; i < count; ++i) {
     callers_.push_back(std::make_unique<Caller>(
         CallerOptions{.name = fmt::format("caller-{}", i),
@@ -248,7 +252,10 @@
                       .routes_added = &routes_added_,
                       .calls_per_connection =
                           random_.Bernoulli(0.2) ? 1 : 5 + static_cast<int>(random_.UniformInt(20)),
-                      .event_bytes = event_bytes_},
+                      .event_bytes = event_bytes_,
+                      .sends_chunks = habit_random_.Bernoulli(habit_share),
+                      .reads_slowly = habit_random_.Bernoulli(habit_share),
+                      .sends_ahead = habit_random_.Bernoulli(habit_share)},
         *balancer_, history_));
     asio::co_spawn(caller_pool_.context(0), callers_.back()->Run(callers_stop_, active_callers_),
                    asio::detached);
@@ -469,11 +476,15 @@
   int crashing = 0;
   int crashed = 0;
   int silent = 0;
+  int in_chunks = 0;
+  int begun_ahead = 0;
   for (const AttemptRecord& attempt : history_.attempts()) {
     succeeded += attempt.complete && attempt.status >= 200 && attempt.status < 300 ? 1 : 0;
     refused += attempt.status == 429 || attempt.status == 503 ? 1 : 0;
     closed += attempt.sent && !attempt.complete ? 1 : 0;
     resumed += attempt.events_before > 0 ? 1 : 0;
+    in_chunks += attempt.in_chunks ? 1 : 0;
+    begun_ahead += attempt.begun_ahead ? 1 : 0;
     silent += static_cast<int>(
         std::ranges::count_if(history_.RunsOf(attempt.id),
                               [](const RunRecord& run) { return run.silence > Duration::zero(); }));
@@ -485,11 +496,11 @@
   return fmt::format(
       "{} daemons in {} domains, grace {} s; {} stops, {} kills, {} freezes; {} requests, {} "
       "answered, {} refused, {} closed, {} resumptions; {} crashing requests, {} runs; {} silent "
-      "runs{}",
+      "runs{}; {} requests in chunks, {} begun ahead",
       daemons_.size(), domain_count_, ToSeconds(grace_), events[EventKind::kTerm],
       events[EventKind::kKill], events[EventKind::kFreeze], history_.attempts().size(), succeeded,
       refused, closed, resumed, crashing, crashed, silent,
-      rejects_resumed_ ? ", resumed requests are rejected" : "");
+      rejects_resumed_ ? ", resumed requests are rejected" : "", in_chunks, begun_ahead);
 }
 
 }  // namespace savoryglade::soak
--- a/tests/soak/play.h
+++ b/tests/soak/play.h
@@ -121,6 +121,7 @@
   Random give_up_random_;
   Random wish_random_;
   Random silence_random_;
+  Random habit_random_;
   Duration grace_;
   // Longest service time of a call, and the time between the events of a stream.
   Duration service_time_;
