--- a/tests/soak/promise_evidence.cc
+++ b/tests/soak/promise_evidence.cc
@@ -71,6 +71,16 @@
   return false;
 }
 
+bool PromiseChecker::WasRelayCut(const std::vector<RunRecord>& runs) const {
+  return std::ranges::any_of(history_.events(), [&](const PlayEvent& event) {
+    return event.kind == EventKind::kPartition &&
+           std::ranges::any_of(runs, [&](const RunRecord& run) {
+             return run.ended_at && *run.ended_at >= event.at &&
+                    *run.ended_at <= event.at + kSameMoment;
+           });
+  });
+}
+
 bool PromiseChecker::IsInTouch(const AttemptRecord& attempt, bool partitions_count,
                                Duration contact) const {
   bool store_is_sound = true;
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -60,7 +60,7 @@
         run.upstream, run.started_at,
         std::min(attempt.ended_at, run.ended_at.value_or(attempt.ended_at) + kSameMoment));
   });
-  if (upstream_broke || IsCutByPartition(attempt)) {
+  if (upstream_broke || IsCutByPartition(attempt) || WasRelayCut(runs)) {
     return;
   }
   const std::optional<TimePoint> order = StopOrder(attempt);
