Let streams of the soak fall silent behind their header too

Cause: a silence before the first event always came before the header, so a daemon that has passed on a header and no event was never played. A stream that is resumed behind its last event has no event left before which it can be silent, and the draw of one divided by zero. Change: half of the silences before a first event come behind the header, and a stream without events left is not silent.

--- a/tests/soak/promise_checker.h
+++ b/tests/soak/promise_checker.h
@@ -38,8 +38,8 @@
   // Returns true if the path to the upstreams was cut while the attempt used it, or the daemon is
   // partitioned and one that may relay the attempt was killed, frozen or cut off.
   bool IsCutByPartition(const AttemptRecord& attempt) const;
-  // Returns true if a run ended when a daemon was cut off from the upstreams, which may have relayed
-  // it for the one that its caller asked.
+  // Returns true if a run ended when a daemon was cut off from the upstreams, which may have
+  // relayed it for the one that its caller asked.
   bool WasRelayCut(const std::vector<RunRecord>& runs) const;
   // Returns true if the daemon and the store were undisturbed, also by planned work, long enough
   // before the attempt and until its end. Partitions from the upstreams may be left out.
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -91,14 +91,15 @@
 
 Upstream::Silence Upstream::DrawSilence(const std::string& attempt, int events_before) const {
   Random random(options_.seed + Fnv1aHash(attempt + options_.id));
-  if (!random.Bernoulli(options_.silent_share)) {
+  const int events = WorkerService::kEventsPerStream - events_before;
+  if (events <= 0 || !random.Bernoulli(options_.silent_share)) {
     return {};
   }
-  const int events = WorkerService::kEventsPerStream - events_before;
   return {.before_event = events_before + 1 +
                           static_cast<int>(random.UniformInt(static_cast<std::uint64_t>(events))),
           .length = kMinSilence +
-                    FromSeconds(ToSeconds(kMaxSilence - kMinSilence) * random.UniformReal())};
+                    FromSeconds(ToSeconds(kMaxSilence - kMinSilence) * random.UniformReal()),
+          .behind_header = random.Bernoulli(0.5)};
 }
 
 HttpHeaders Upstream::StreamHeaders(const std::string& attempt) const {
@@ -129,13 +130,17 @@
 boost::asio::awaitable<bool> Upstream::Stream(HttpExchange& exchange, int events_before,
                                               Silence silence) {
   const int first = events_before + 1;
-  if (silence.before_event == first && !co_await Wait(exchange, silence.length)) {
+  const bool begins_late = silence.before_event == first;
+  if (begins_late && !silence.behind_header && !co_await Wait(exchange, silence.length)) {
     co_return false;
   }
   if (!co_await exchange.StartStream(200,
                                      StreamHeaders(std::string(exchange.Header("Attempt-Id"))))) {
     co_return false;
   }
+  if (begins_late && silence.behind_header && !co_await Wait(exchange, silence.length)) {
+    co_return false;
+  }
   for (int event = first; event <= WorkerService::kEventsPerStream; ++event) {
     const Duration pause = event == silence.before_event ? silence.length : options_.event_interval;
     if (event > first && !co_await Wait(exchange, pause)) {
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -83,6 +83,8 @@
     // Zero if the stream does not fall silent.
     int before_event = 0;
     Duration length = Duration::zero();
+    // Whether the header of the response goes before a silence before the first event.
+    bool behind_header = false;
   };
   Silence DrawSilence(const std::string& attempt, int events_before) const;
   HttpHeaders StreamHeaders(const std::string& attempt) const;
