--- a/tests/soak/promises_upstreams.cc
+++ b/tests/soak/promises_upstreams.cc
@@ -203,7 +203,7 @@
     const auto attempt = attempts.find(arrival.attempt);
     if (static_cast<double>(window.size()) > allowed && attempt != attempts.end()) {
       Add("BUDGET",
-          fmt::format("{} repeats arrived in {} s; {:.0f} allowed for {} requests.", window.size(),
+          fmt::format("{} repeats arrived in {} s; {:.1f} allowed for {} requests.", window.size(),
                       ToSeconds(bounds_.retry_window), allowed, sent),
           *attempt->second);
       return;
