Make upstreams of the soak brittle for a while and judge their falls

Cause: no upstream of the soak spoke Server-Brittle. Change: in about a third of the plays all upstreams name a limit for a time. 3 s later they have half of their slots, and one that has rejected more requests in a second for want of slots than its limit crashes; another one takes its place. LIMIT: more than 2 + a tenth of the upstreams crash in that time from what daemons in touch sent. Upstreams now write all their answers themselves, with their real load while they are brittle.

--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -58,6 +58,21 @@
   wishes_[upstream].push_back({.at = Now(), .attempt = attempt, .wait_end = wait_end});
 }
 
+void History::BeginBrittleTime(std::size_t upstreams) {
+  const std::lock_guard lock(mutex_);
+  brittle_times_.push_back({.from = Now(), .upstreams = upstreams});
+}
+
+void History::EndBrittleTime() {
+  const std::lock_guard lock(mutex_);
+  brittle_times_.back().to = Now();
+}
+
+void History::AddFall(Fall fall) {
+  const std::lock_guard lock(mutex_);
+  falls_.push_back(std::move(fall));
+}
+
 void History::AddArrival(const std::string& upstream, const std::string& attempt) {
   const std::lock_guard lock(mutex_);
   arrivals_[upstream].push_back({.at = Now(), .attempt = attempt});
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -130,6 +130,16 @@
   std::string attempt;
 };
 
+// Time in which all upstreams say that they are brittle.
+struct BrittleTime {
+  TimePoint from{};
+  TimePoint to = TimePoint::max();
+  std::size_t upstreams = 0;
+};
+
+// Crash of a brittle upstream, and the requests that it had rejected in the second before.
+using Fall = std::vector<Arrival>;
+
 // Something that was done to a daemon, or to an upstream or the store.
 struct PlayEvent {
   TimePoint at{};
@@ -162,6 +172,9 @@
   // wants no requests.
   void AddWish(const std::string& upstream, const std::string& attempt,
                std::optional<TimePoint> wait_end);
+  void BeginBrittleTime(std::size_t upstreams);
+  void EndBrittleTime();
+  void AddFall(Fall fall);
   // Records that a request reached an upstream, whether it runs or not.
   void AddArrival(const std::string& upstream, const std::string& attempt);
   // Records that an upstream began to run a request, and returns the number of the run.
@@ -179,6 +192,8 @@
   }
   // Wishes of each upstream that named one, in order of time.
   const std::map<std::string, std::vector<NamedWish>>& wishes() const { return wishes_; }
+  const std::vector<BrittleTime>& brittle_times() const { return brittle_times_; }
+  const std::vector<Fall>& falls() const { return falls_; }
   // Returns the requests that reached an upstream, in order of time.
   const std::vector<Arrival>& ArrivalsAt(const std::string& upstream) const {
     return arrivals_.at(upstream);
@@ -205,6 +220,8 @@
   std::map<std::string, std::vector<NamedRateLimit>> rate_limits_;
   std::map<std::string, std::vector<NamedWish>> wishes_;
   std::map<std::string, std::vector<Arrival>> arrivals_;
+  std::vector<BrittleTime> brittle_times_;
+  std::vector<Fall> falls_;
   std::map<std::string, std::vector<TimePoint>> breaks_;
   // Number of upstreams that serve from a time on, by version.
   std::map<std::string, std::map<TimePoint, int>> serving_;
--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -30,6 +30,7 @@
 constexpr std::uint64_t kWishSeedOffset = 6'000'000;
 constexpr std::uint64_t kSilenceSeedOffset = 7'000'000;
 constexpr std::uint64_t kHabitSeedOffset = 8'000'000;
+constexpr std::uint64_t kBrittleSeedOffset = 9'000'000;
 // Rate of a daemon's link to the store. The added routes take 3 s on it.
 constexpr double kStoreLinkBytesPerSecond = 200'000;
 constexpr const char* kApiKey = "drivers-key";
@@ -78,6 +79,7 @@
       wish_random_(options_.seed + kWishSeedOffset),
       silence_random_(options_.seed + kSilenceSeedOffset),
       habit_random_(options_.seed + kHabitSeedOffset),
+      brittle_random_(options_.seed + kBrittleSeedOffset),
       grace_(random_.Bernoulli(0.7) ? 8s : 5s),
       service_time_(random_.Bernoulli(0.5) ? 60ms : 300ms),
       event_interval_(random_.Bernoulli(0.5) ? 10ms : 150ms),
@@ -151,6 +153,9 @@
   if (route_random_.Bernoulli(0.5)) {
     PlanRouteGrowth();
   }
+  if (brittle_random_.Bernoulli(0.3)) {
+    PlanBrittleTime();
+  }
   RunUntil(begin_ + options_.length, [] { return false; });
   // All daemons stop while the callers go on for a while.
   ending_ = true;
@@ -419,6 +424,9 @@
                                  history_));
   serving_[id] = upstreams_.back().get();
   upstreams_.back()->SetPartitioned(partitioned_, false);
+  if (brittle_ > 0) {
+    upstreams_.back()->SetBrittle(brittle_);
+  }
   CountServing(version, 1);
   store_.Put("servers", id, upstreams_.back()->Registration(false));
   history_.AddEvent(EventKind::kOther, {}, fmt::format("{} ({}) joins", id, version));
@@ -496,11 +504,14 @@
   return fmt::format(
       "{} daemons in {} domains, grace {} s; {} stops, {} kills, {} freezes; {} requests, {} "
       "answered, {} refused, {} closed, {} resumptions; {} crashing requests, {} runs; {} silent "
-      "runs{}; {} requests in chunks, {} begun ahead",
+      "runs{}; {} requests in chunks, {} begun ahead{}",
       daemons_.size(), domain_count_, ToSeconds(grace_), events[EventKind::kTerm],
       events[EventKind::kKill], events[EventKind::kFreeze], history_.attempts().size(), succeeded,
       refused, closed, resumed, crashing, crashed, silent,
-      rejects_resumed_ ? ", resumed requests are rejected" : "", in_chunks, begun_ahead);
+      rejects_resumed_ ? ", resumed requests are rejected" : "", in_chunks, begun_ahead,
+      history_.brittle_times().empty()
+          ? ""
+          : fmt::format("; {} falls of brittle upstreams", history_.falls().size()));
 }
 
 }  // namespace savoryglade::soak
--- a/tests/soak/play.h
+++ b/tests/soak/play.h
@@ -88,6 +88,9 @@
   void PlanRateLimits();
   // Lets upstreams say in their answers that they leave, or want no requests for a while.
   void PlanWishes();
+  // Makes all upstreams brittle for a while.
+  void PlanBrittleTime();
+  void SetBrittle(int rejections);
   // Callers that send a request which crashes the upstreams that run it.
   void StartCrashingCallers();
   void ReplaceCrashedUpstreams();
@@ -122,6 +125,7 @@
   Random wish_random_;
   Random silence_random_;
   Random habit_random_;
+  Random brittle_random_;
   Duration grace_;
   // Longest service time of a call, and the time between the events of a stream.
   Duration service_time_;
@@ -132,6 +136,8 @@
   double silent_share_ = 0;
   bool rejects_resumed_ = false;
   double retry_allowance_ = 200;
+  // Rejections in a second that an upstream survives, or zero while they are not brittle.
+  int brittle_ = 0;
   // Largest allowance of all settings that were written.
   double largest_retry_allowance_ = 0;
   std::size_t domain_count_;
--- a/tests/soak/play_faults.cc
+++ b/tests/soak/play_faults.cc
@@ -205,6 +205,28 @@
   }
 }
 
+void Play::SetBrittle(int rejections) {
+  brittle_ = rejections;
+  for (const auto& [id, upstream] : serving_) {
+    upstream->SetBrittle(rejections);
+  }
+}
+
+void Play::PlanBrittleTime() {
+  const int rejections = 3 + static_cast<int>(brittle_random_.UniformInt(8));
+  At(RandomTime(brittle_random_, 0.05, 0.3), [this, rejections] {
+    history_.AddEvent(EventKind::kOther, {},
+                      fmt::format("the upstreams are brittle ({} rejections)", rejections));
+    history_.BeginBrittleTime(serving_.size());
+    SetBrittle(rejections);
+  });
+  At(RandomTime(brittle_random_, 0.8, 1.0), [this] {
+    history_.AddEvent(EventKind::kOther, {}, "the upstreams are no longer brittle");
+    history_.EndBrittleTime();
+    SetBrittle(0);
+  });
+}
+
 void Play::SetPartitioned(const std::vector<std::size_t>& daemons, bool reset) {
   partitioned_.clear();
   for (const std::size_t daemon : daemons) {
--- a/tests/soak/promise_checker.h
+++ b/tests/soak/promise_checker.h
@@ -84,6 +84,9 @@
   void CheckRateLimits();
   void CheckRateLimit(const std::string& upstream, double rate, TimePoint from, TimePoint to,
                       const std::vector<std::pair<TimePoint, const AttemptRecord*>>& arrivals);
+  // In each time in which the upstreams are brittle, few of them crash from what daemons in touch
+  // sent.
+  void CheckFalls();
   // In each window, arrivals beyond the first of each request are at most what the retry budget of
   // all daemons allows.
   void CheckRepeats();
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -44,6 +44,7 @@
   CheckCrashingRequests();
   CheckRateLimits();
   CheckRepeats();
+  CheckFalls();
   CheckWishes();
   CheckPartitions();
   CheckCallersThatLeft();
--- a/tests/soak/promises_upstreams.cc
+++ b/tests/soak/promises_upstreams.cc
@@ -23,6 +23,9 @@
 // Time after a rejection from which an upstream that wants nothing gets at most these requests.
 constexpr Duration kWaitSlack = 500ms;
 constexpr std::size_t kUnwantedRequests = 2;
+// Crashes of brittle upstreams that are allowed: a number and a share of the upstreams.
+constexpr double kAllowedFalls = 2;
+constexpr double kAllowedFallShare = 0.1;
 
 }  // namespace
 
@@ -211,4 +214,33 @@
   }
 }
 
+void PromiseChecker::CheckFalls() {
+  const AttemptIndex attempts = IndexAttempts();
+  for (const BrittleTime& time : history_.brittle_times()) {
+    std::size_t falls = 0;
+    const AttemptRecord* last = nullptr;
+    for (const Fall& fall : history_.falls()) {
+      if (fall.back().at < time.from || fall.back().at >= time.to) {
+        continue;
+      }
+      std::size_t in_touch = 0;
+      for (const Arrival& rejected : fall) {
+        const auto attempt = attempts.find(rejected.attempt);
+        if (attempt != attempts.end() && IsInTouch(*attempt->second, true, bounds_.contact)) {
+          ++in_touch;
+          last = attempt->second;
+        }
+      }
+      falls += 2 * in_touch > fall.size() ? 1 : 0;
+    }
+    const double allowed = kAllowedFalls + kAllowedFallShare * static_cast<double>(time.upstreams);
+    if (static_cast<double>(falls) > allowed) {
+      Add("LIMIT",
+          fmt::format("Of {} brittle upstreams {} crashed from rejections; {:.1f} allowed.",
+                      time.upstreams, falls, allowed),
+          *last);
+    }
+  }
+}
+
 }  // namespace savoryglade::soak
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <boost/asio.hpp>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -20,6 +21,8 @@
 // Bounds of the time for which a stream is silent.
 constexpr Duration kMinSilence = 1s;
 constexpr Duration kMaxSilence = 3s;
+// Time after an upstream first said that it is brittle from which it has fewer slots.
+constexpr Duration kBrittleNotice = 3s;
 
 }  // namespace
 
@@ -56,17 +59,14 @@
 }
 
 void Upstream::SayLeaving() {
-  worker_.SetSignals({{"Server-Leaving", "1"}});
   leaving_ = true;
+  worker_.SetSignals(Signals());
 }
 
 boost::asio::awaitable<void> Upstream::Reject(HttpExchange& exchange, const std::string& attempt) {
-  HttpHeaders headers;
+  HttpHeaders headers = Signals();
   headers.emplace_back("Attempt-Id", attempt);
   headers.emplace_back("Not-Executed", "1");
-  if (leaving_) {
-    headers.emplace_back("Server-Leaving", "1");
-  }
   const TimePoint wait_end = rejects_until_;
   if (const Duration wait = wait_end - Now(); wait > Duration::zero()) {
     headers.emplace_back("Retry-After", fmt::format("{:.3f}", ToSeconds(wait)));
@@ -102,20 +102,55 @@
           .behind_header = random.Bernoulli(0.5)};
 }
 
-HttpHeaders Upstream::StreamHeaders(const std::string& attempt) const {
+void Upstream::SetBrittle(int rejections) {
+  brittle_since_ = Now();
+  brittle_ = rejections;
+  worker_.SetSignals(Signals());
+}
+
+int Upstream::Slots() const {
+  const bool is_short = brittle_ > 0 && Now() >= brittle_since_.load() + kBrittleNotice;
+  return is_short ? options_.slots / 2 : options_.slots;
+}
+
+void Upstream::CountRejection(const std::string& attempt) {
+  constexpr Duration kSpan = 1s;
+  const TimePoint now = Now();
+  rejections_.push_back({.at = now, .attempt = attempt});
+  while (now - rejections_.front().at >= kSpan) {
+    rejections_.pop_front();
+  }
+  const int limit = brittle_;
+  if (limit > 0 && !crashed_ && std::ssize(rejections_) > limit) {
+    crashed_ = true;
+    history_.AddFall({rejections_.begin(), rejections_.end()});
+    options_.on_crash();
+  }
+}
+
+HttpHeaders Upstream::Signals() const {
   HttpHeaders headers;
+  if (leaving_) {
+    headers.emplace_back("Server-Leaving", "1");
+  }
+  if (const int brittle = brittle_; brittle > 0) {
+    headers.emplace_back("Server-Brittle", std::to_string(brittle));
+  }
+  return headers;
+}
+
+HttpHeaders Upstream::ResponseHeaders(const std::string& attempt) const {
+  HttpHeaders headers = Signals();
   headers.emplace_back("Attempt-Id", attempt);
   headers.emplace_back("Response-Seal",
                        fmt::format("seal-of-{}/{}", options_.id, options_.version));
-  headers.emplace_back("Content-Type", "text/event-stream");
-  headers.emplace_back("Server-Load", "1,0,4,100");
+  headers.emplace_back("Server-Load", brittle_ > 0
+                                          ? fmt::format("{},0,{},100", running_.load(), Slots())
+                                          : "1,0,4,100");
   headers.emplace_back("Keep-Alive", "timeout=5");
   if (const double rate = rate_limit_; rate > 0) {
     headers.emplace_back("Server-Limit", fmt::format("{:.1f}", rate));
   }
-  if (leaving_) {
-    headers.emplace_back("Server-Leaving", "1");
-  }
   return headers;
 }
 
@@ -134,8 +169,9 @@
   if (begins_late && !silence.behind_header && !co_await Wait(exchange, silence.length)) {
     co_return false;
   }
-  if (!co_await exchange.StartStream(200,
-                                     StreamHeaders(std::string(exchange.Header("Attempt-Id"))))) {
+  HttpHeaders headers = ResponseHeaders(std::string(exchange.Header("Attempt-Id")));
+  headers.emplace_back("Content-Type", "text/event-stream");
+  if (!co_await exchange.StartStream(200, std::move(headers))) {
     co_return false;
   }
   if (begins_late && silence.behind_header && !co_await Wait(exchange, silence.length)) {
@@ -162,7 +198,11 @@
   }
   history_.AddArrival(options_.id, attempt);
   const std::string last_event(exchange.Header("Last-Event-Id"));
-  if (Now() < rejects_until_.load() || running_ >= options_.slots ||
+  const bool is_full = running_ >= Slots();
+  if (is_full) {
+    CountRejection(attempt);
+  }
+  if (Now() < rejects_until_.load() || is_full ||
       (options_.rejects_resumed && !last_event.empty()) ||
       Fnv1aHash(attempt + options_.id) % kRequestsPerRejection == 0) {
     co_await Reject(exchange, attempt);
@@ -197,7 +237,10 @@
   if (open && is_stream) {
     open = co_await Stream(exchange, events_before, silence);
   } else if (open) {
-    co_await worker_.Handle(exchange);
+    open = co_await exchange.Respond(
+        200, ResponseHeaders(attempt),
+        fmt::format("{} {} {}", std::string(exchange.request().method_string()), exchange.target(),
+                    exchange.request().body()));
   }
   if (!open) {
     exchange.Abort();
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -61,6 +62,10 @@
   void SayLeaving();
   // Makes the upstream reject all requests for this time and say so.
   void RejectFor(Duration time) { rejects_until_ = Now() + time; }
+  // Makes the upstream say in its answers that it is brittle: after some time it has fewer slots,
+  // and it crashes once it has rejected more than this many requests in a second for want of them.
+  // Zero ends that.
+  void SetBrittle(int rejections);
   // Cuts the path from these addresses, and from no others. See EmulatedLink.
   void SetPartitioned(const std::set<std::string>& source_addresses, bool reset) {
     if (link_ != nullptr) {
@@ -87,7 +92,12 @@
     bool behind_header = false;
   };
   Silence DrawSilence(const std::string& attempt, int events_before) const;
-  HttpHeaders StreamHeaders(const std::string& attempt) const;
+  // Headers that all answers carry.
+  HttpHeaders Signals() const;
+  HttpHeaders ResponseHeaders(const std::string& attempt) const;
+  int Slots() const;
+  // Counts a rejection for want of slots, which may crash the upstream.
+  void CountRejection(const std::string& attempt);
   // Waits for this time. Returns false if the connection has ended before.
   static boost::asio::awaitable<bool> Wait(HttpExchange& exchange, Duration time);
   // Sends the events behind the last one that the request names. Returns false if the connection
@@ -101,6 +111,12 @@
   std::atomic<bool> leaving_{false};
   // Zero if the upstream names no limit.
   std::atomic<double> rate_limit_{0};
+  // Zero if the upstream is not brittle.
+  std::atomic<int> brittle_{0};
+  std::atomic<TimePoint> brittle_since_{TimePoint{}};
+  // Rejections of the last second for want of slots. Used by the upstream's thread.
+  std::deque<Arrival> rejections_;
+  bool crashed_ = false;
   std::atomic<TimePoint> rejects_until_{TimePoint{}};
   Endpoint endpoint_;
   std::unique_ptr<WorkerPool> pool_;
