--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -80,8 +80,8 @@
       capacity_controller_(fleet_, *adapters_.store, *adapters_.duties, duty_runner_),
       connector_(fleet_, connections_),
       tunnels_(fleet_, *adapters_.codec, open_attempts_, signals_),
-      relay_(fleet_, *adapters_.codec, connector_, connections_, migrator_, open_attempts_,
-             signals_, [this] { crash_records_.OnRegistryChanged(); }),
+      relay_(pool_.context(0), fleet_, *adapters_.codec, connector_, connections_, migrator_,
+             open_attempts_, signals_, [this] { crash_records_.OnRegistryChanged(); }),
       callers_(pool_, CallerLimits(fleet_.settings),
                [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
       readiness_(pool_, {}, [this](HttpExchange& exchange) { return HandleReadiness(exchange); }),
@@ -257,6 +257,7 @@
     }
     co_await Sleep(kDrainCheckInterval);
   }
+  relay_.LogUnfinished();
   LogDrain("The gateway has finished draining.");
   drained_ = true;
 }
