Judge overlapping runs of the soak from the first event of the next one

A request goes on at an upstream with its first token; until then only one of the two works on the stream that the caller sees. Which moment the rule means is an open question to its authors.

--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -86,6 +86,12 @@
   return runs.size() - 1;
 }
 
+void History::RecordFirstSend(const std::string& attempt, std::size_t run) {
+  const std::lock_guard lock(mutex_);
+  std::optional<TimePoint>& first_sent_at = runs_[attempt][run].first_sent_at;
+  first_sent_at = first_sent_at.value_or(Now());
+}
+
 void History::EndRun(const std::string& attempt, std::size_t run) {
   const std::lock_guard lock(mutex_);
   runs_[attempt][run].ended_at = Now();
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -86,6 +86,8 @@
   // Last event that the request names as received; zero for a new stream.
   int events_before = 0;
   TimePoint started_at{};
+  // When it sent its first event or its answer.
+  std::optional<TimePoint> first_sent_at;
   std::optional<TimePoint> ended_at;
   // Time that the run takes if nothing ends it.
   Duration length = Duration::zero();
@@ -179,6 +181,7 @@
   void AddArrival(const std::string& upstream, const std::string& attempt);
   // Records that an upstream began to run a request, and returns the number of the run.
   std::size_t BeginRun(const std::string& attempt, RunRecord run);
+  void RecordFirstSend(const std::string& attempt, std::size_t run);
   void EndRun(const std::string& attempt, std::size_t run);
   // Records a violation that was seen during the play.
   void AddViolation(std::string rule, std::string text, std::optional<std::size_t> daemon = {});
