--- a/packages/logging/logger.cc
+++ b/packages/logging/logger.cc
@@ -52,6 +52,23 @@
   line += '"';
 }
 
+// Writes a line for each message of which lines were dropped in a window that is over at this time.
+void FlushDroppedMessages(TimePoint now) {
+  for (const RateLimitedMessage& dropped : Limiter().TakeDropped(now)) {
+    std::string line = fmt::format(
+        "warning logging: Lines of one message were dropped by the rate limit. "
+        "dropped_component={} dropped_message=",
+        dropped.component);
+    AppendValue(line, dropped.message);
+    line += fmt::format(" lines={}", dropped.dropped);
+    if (Sink()) {
+      Sink()(line);
+    } else if (!Output().TryWrite(line)) {
+      Limiter().PutBack(dropped);
+    }
+  }
+}
+
 }  // namespace
 
 void Logger::Debug(std::string_view message, Fields fields) const {
@@ -70,10 +87,32 @@
   Write(LogLevel::kError, message, fields);
 }
 
-void Logger::Essential(std::string_view message, Fields fields) const {
-  if (LogLevel::kInfo >= minimum_level.load(std::memory_order_relaxed)) {
-    WriteAdmitted(LogLevel::kInfo, message, fields, 0);
+void Logger::Essential(std::string_view message, Fields fields, LogLevel level) const {
+  if (level < minimum_level.load(std::memory_order_relaxed)) {
+    return;
+  }
+  const std::string line = MakeLine(level, message, fields);
+  if (Sink()) {
+    Sink()(line);
+    return;
   }
+  Output().WriteEssential(line);
+}
+
+void Logger::Flush() {
+  FlushDroppedMessages(std::chrono::steady_clock::now());
+  Output().Flush();
+}
+
+void Logger::FlushAtExit() {
+  FlushDroppedMessages(std::chrono::steady_clock::now() + LogRateLimiter::kWindow);
+  Output().Flush();
+}
+
+DroppedLines Logger::dropped_lines() {
+  return {.rate_limit = Limiter().dropped_lines(),
+          .output = Output().dropped_lines(),
+          .essential = Output().lost_essential_lines()};
 }
 
 void Logger::SetLevel(LogLevel level) { minimum_level = level; }
@@ -85,13 +124,25 @@
     return;
   }
   const auto dropped = Limiter().Admit(component_, message, std::chrono::steady_clock::now());
-  if (dropped) {
-    WriteAdmitted(level, message, fields, *dropped);
+  if (!dropped) {
+    return;
+  }
+  std::string line = MakeLine(level, message, fields);
+  if (*dropped > 0) {
+    line += fmt::format(" repeats_dropped={}", *dropped);
+  }
+  if (Sink()) {
+    Sink()(line);
+    return;
+  }
+  if (!Output().Write(line) && *dropped > 0) {
+    Limiter().PutBack({.component = std::string(component_),
+                       .message = std::string(message),
+                       .dropped = *dropped});
   }
 }
 
-void Logger::WriteAdmitted(LogLevel level, std::string_view message, Fields fields,
-                           std::uint64_t dropped) const {
+std::string Logger::MakeLine(LogLevel level, std::string_view message, Fields fields) const {
   std::string line = fmt::format("{} {}: {}", LevelName(level), component_, message);
   for (const LogField& field : fields) {
     line += ' ';
@@ -99,14 +150,7 @@
     line += '=';
     AppendValue(line, field.value);
   }
-  if (dropped > 0) {
-    line += fmt::format(" repeats_dropped={}", dropped);
-  }
-  if (Sink()) {
-    Sink()(line);
-    return;
-  }
-  Output().Write(line);
+  return line;
 }
 
 }  // namespace savoryglade
