--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -14,10 +14,11 @@
 
 std::string Describe(const AttemptRecord& attempt) {
   return fmt::format(
-      "{} {} at daemon {} ({} connection): status {}, {}, events {} to {}{}{}", attempt.id,
+      "{} {} at daemon {} ({} connection): status {}, {}, events {} to {}{}{}{}{}", attempt.id,
       std::string(attempt.type->prefix), attempt.daemon, attempt.reused_connection ? "kept" : "new",
       attempt.status, attempt.complete ? "complete" : "not complete", attempt.events_before,
       attempt.events_after, attempt.resumes.empty() ? "" : ", resumes " + attempt.resumes,
+      attempt.in_chunks ? ", in chunks" : "", attempt.begun_ahead ? ", begun ahead" : "",
       attempt.failure.empty() ? "" : ", " + attempt.failure);
 }
 
@@ -57,6 +58,21 @@
   wishes_[upstream].push_back({.at = Now(), .attempt = attempt, .wait_end = wait_end});
 }
 
+void History::BeginBrittleTime(std::size_t upstreams) {
+  const std::lock_guard lock(mutex_);
+  brittle_times_.push_back({.from = Now(), .upstreams = upstreams});
+}
+
+void History::EndBrittleTime() {
+  const std::lock_guard lock(mutex_);
+  brittle_times_.back().to = Now();
+}
+
+void History::AddFall(Fall fall) {
+  const std::lock_guard lock(mutex_);
+  falls_.push_back(std::move(fall));
+}
+
 void History::AddArrival(const std::string& upstream, const std::string& attempt) {
   const std::lock_guard lock(mutex_);
   arrivals_[upstream].push_back({.at = Now(), .attempt = attempt});
@@ -70,6 +86,12 @@
   return runs.size() - 1;
 }
 
+void History::RecordFirstSend(const std::string& attempt, std::size_t run) {
+  const std::lock_guard lock(mutex_);
+  std::optional<TimePoint>& first_sent_at = runs_[attempt][run].first_sent_at;
+  first_sent_at = first_sent_at.value_or(Now());
+}
+
 void History::EndRun(const std::string& attempt, std::size_t run) {
   const std::lock_guard lock(mutex_);
   runs_[attempt][run].ended_at = Now();
@@ -123,8 +145,11 @@
     lines.emplace_back(attempt->sent_at, fmt::format("request {} sent", attempt->id));
     lines.emplace_back(attempt->ended_at, "ended: " + Describe(*attempt));
     for (const RunRecord& run : RunsOf(attempt->id)) {
-      lines.emplace_back(run.started_at, fmt::format("began to run at {} ({}) behind event {}",
-                                                     run.upstream, run.version, run.events_before));
+      lines.emplace_back(
+          run.started_at,
+          fmt::format("began to run at {} ({}) behind event {}, silent "
+                      "for {} ms",
+                      run.upstream, run.version, run.events_before, run.silence / 1ms));
       if (run.ended_at) {
         lines.emplace_back(*run.ended_at, fmt::format("run ended at {}", run.upstream));
       }
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -25,6 +25,8 @@
   std::string_view method;
   CallKind kind;
   bool resumable = false;
+  // Time that callers wait for the whole answer.
+  Duration patience = 4s;
 
   bool Repeatable() const { return kind == CallKind::kIdempotent || resumable; }
 };
@@ -32,8 +34,8 @@
 inline constexpr std::array kCallTypes = {
     CallType{"/reads/", "GET", CallKind::kIdempotent},
     CallType{"/orders/", "POST", CallKind::kAtMostOnce},
-    CallType{"/chats/stream/", "POST", CallKind::kStream, true},
-    CallType{"/once/stream/", "POST", CallKind::kStream}};
+    CallType{"/chats/stream/", "POST", CallKind::kStream, true, 8s},
+    CallType{"/once/stream/", "POST", CallKind::kStream, false, 8s}};
 
 // Call on one of the routes that are added during a play.
 inline constexpr CallType kAddedCallType = {"/added-0/", "GET", CallKind::kIdempotent};
@@ -45,6 +47,10 @@
   std::size_t daemon = 0;
   // True if the connection had carried a request before.
   bool reused_connection = false;
+  // Whether the body was sent in chunks, and whether the connection had carried the first bytes of
+  // the request before the answer to another one.
+  bool in_chunks = false;
+  bool begun_ahead = false;
   // False if the connection failed before the whole request was written.
   bool sent = false;
   TimePoint sent_at{};
@@ -80,9 +86,13 @@
   // Last event that the request names as received; zero for a new stream.
   int events_before = 0;
   TimePoint started_at{};
+  // When it sent its first event or its answer.
+  std::optional<TimePoint> first_sent_at;
   std::optional<TimePoint> ended_at;
   // Time that the run takes if nothing ends it.
   Duration length = Duration::zero();
+  // Time for which it sends nothing and then goes on.
+  Duration silence = Duration::zero();
 };
 
 enum class EventKind {
@@ -122,6 +132,16 @@
   std::string attempt;
 };
 
+// Time in which all upstreams say that they are brittle.
+struct BrittleTime {
+  TimePoint from{};
+  TimePoint to = TimePoint::max();
+  std::size_t upstreams = 0;
+};
+
+// Crash of a brittle upstream, and the requests that it had rejected in the second before.
+using Fall = std::vector<Arrival>;
+
 // Something that was done to a daemon, or to an upstream or the store.
 struct PlayEvent {
   TimePoint at{};
@@ -154,10 +174,14 @@
   // wants no requests.
   void AddWish(const std::string& upstream, const std::string& attempt,
                std::optional<TimePoint> wait_end);
+  void BeginBrittleTime(std::size_t upstreams);
+  void EndBrittleTime();
+  void AddFall(Fall fall);
   // Records that a request reached an upstream, whether it runs or not.
   void AddArrival(const std::string& upstream, const std::string& attempt);
   // Records that an upstream began to run a request, and returns the number of the run.
   std::size_t BeginRun(const std::string& attempt, RunRecord run);
+  void RecordFirstSend(const std::string& attempt, std::size_t run);
   void EndRun(const std::string& attempt, std::size_t run);
   // Records a violation that was seen during the play.
   void AddViolation(std::string rule, std::string text, std::optional<std::size_t> daemon = {});
@@ -171,10 +195,14 @@
   }
   // Wishes of each upstream that named one, in order of time.
   const std::map<std::string, std::vector<NamedWish>>& wishes() const { return wishes_; }
+  const std::vector<BrittleTime>& brittle_times() const { return brittle_times_; }
+  const std::vector<Fall>& falls() const { return falls_; }
   // Returns the requests that reached an upstream, in order of time.
   const std::vector<Arrival>& ArrivalsAt(const std::string& upstream) const {
     return arrivals_.at(upstream);
   }
+  // Returns the requests that reached upstreams, by upstream and in order of time.
+  const std::map<std::string, std::vector<Arrival>>& arrivals() const { return arrivals_; }
   // Returns the runs of an attempt.
   std::vector<RunRecord> RunsOf(const std::string& attempt) const;
   // Returns true if the upstream's connections broke within this time.
@@ -195,6 +223,8 @@
   std::map<std::string, std::vector<NamedRateLimit>> rate_limits_;
   std::map<std::string, std::vector<NamedWish>> wishes_;
   std::map<std::string, std::vector<Arrival>> arrivals_;
+  std::vector<BrittleTime> brittle_times_;
+  std::vector<Fall> falls_;
   std::map<std::string, std::vector<TimePoint>> breaks_;
   // Number of upstreams that serve from a time on, by version.
   std::map<std::string, std::map<TimePoint, int>> serving_;
@@ -209,6 +239,11 @@
   Duration grace;
   // Time after an upstream's notice in which it may still get requests.
   Duration upstream_drain;
+  // Arrivals beyond the first of each request that are allowed in a window: a share of the requests
+  // and a number.
+  Duration retry_window = 10s;
+  double retry_ratio = 0;
+  double retry_allowance = 0;
 };
 
 // Returns the promises that the history shows to be broken, including those seen during the play.
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -2,6 +2,9 @@
 
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -27,6 +30,14 @@
   Duration min_service_time = 20ms;
   Duration max_service_time = 300ms;
   Duration event_interval = 100ms;
+  // Size of the data of an event.
+  std::size_t event_bytes = 0;
+  // Share of streams that fall silent once, before their first event or between two, and go on.
+  double silent_share = 0;
+  // Whether requests that resume a stream are rejected as not run, as by a full upstream.
+  bool rejects_resumed = false;
+  // Decides, with the attempt and the upstream, on the silence of a stream.
+  std::uint64_t seed = 0;
   // Called on the upstream's thread when a request has crashed it. The connections break when
   // Break is called.
   std::function<void()> on_crash;
@@ -51,6 +62,10 @@
   void SayLeaving();
   // Makes the upstream reject all requests for this time and say so.
   void RejectFor(Duration time) { rejects_until_ = Now() + time; }
+  // Makes the upstream say in its answers that it is brittle: after some time it has fewer slots,
+  // and it crashes once it has rejected more than this many requests in a second for want of them.
+  // Zero ends that.
+  void SetBrittle(int rejections);
   // Cuts the path from these addresses, and from no others. See EmulatedLink.
   void SetPartitioned(const std::set<std::string>& source_addresses, bool reset) {
     if (link_ != nullptr) {
@@ -68,14 +83,41 @@
   boost::asio::awaitable<void> Reject(HttpExchange& exchange, const std::string& attempt);
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
   Duration ServiceTime(const std::string& attempt) const;
-  // Waits for the service time. Returns false if the connection has ended before.
-  static boost::asio::awaitable<bool> Serve(HttpExchange& exchange, Duration service_time);
+  // Time in which a stream sends nothing before one of its events.
+  struct Silence {
+    // Zero if the stream does not fall silent.
+    int before_event = 0;
+    Duration length = Duration::zero();
+    // Whether the header of the response goes before a silence before the first event.
+    bool behind_header = false;
+  };
+  Silence DrawSilence(const std::string& attempt, int events_before) const;
+  // Headers that all answers carry.
+  HttpHeaders Signals() const;
+  HttpHeaders ResponseHeaders(const std::string& attempt) const;
+  int Slots() const;
+  // Counts a rejection for want of slots, which may crash the upstream.
+  void CountRejection(const std::string& attempt);
+  // Waits for this time. Returns false if the connection has ended before.
+  static boost::asio::awaitable<bool> Wait(HttpExchange& exchange, Duration time);
+  // Sends the events behind the last one that the request names. Returns false if the connection
+  // has ended before.
+  boost::asio::awaitable<bool> Stream(HttpExchange& exchange, std::size_t run, int events_before,
+                                      Silence silence);
 
   UpstreamOptions options_;
   History& history_;
   WorkerService worker_;
   std::atomic<int> running_{0};
   std::atomic<bool> leaving_{false};
+  // Zero if the upstream names no limit.
+  std::atomic<double> rate_limit_{0};
+  // Zero if the upstream is not brittle.
+  std::atomic<int> brittle_{0};
+  std::atomic<TimePoint> brittle_since_{TimePoint{}};
+  // Rejections of the last second for want of slots. Used by the upstream's thread.
+  std::deque<Arrival> rejections_;
+  bool crashed_ = false;
   std::atomic<TimePoint> rejects_until_{TimePoint{}};
   Endpoint endpoint_;
   std::unique_ptr<WorkerPool> pool_;
