Log a caller that leaves before its request has a route

Change: such a line has route=-. Result: RequestEndLogTest.CallerThatLeavesBeforeTheRoutesAreKnownIsLogged passes.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -420,7 +420,7 @@
   const TimePoint now = BootNow();
   kLog.Info("A caller left before its answer.",
             {{"request", call.metadata.attempt_id},
-             {"route", call.route->name},
+             {"route", call.route == nullptr ? std::string("-") : call.route->name},
              {"stage", stage},
              {"upstream", call.last_upstream ? call.last_upstream->value() : std::string("-")},
              {"sent", call.sends},
--- a/tests/gateway/request_end_log_test.cc
+++ b/tests/gateway/request_end_log_test.cc
@@ -131,5 +131,23 @@
   EXPECT_TRUE(Find(kCutOff, "request=left ").empty());
 }
 
+// Guards against a daemon that ends because a caller leaves before its request has a route.
+TEST_F(RequestEndLogTest, CallerThatLeavesBeforeTheRoutesAreKnownIsLogged) {
+  ServiceServer<StoreService> empty_store;
+  const std::unique_ptr<Gateway> gateway = MakeGateway("daemon-2", empty_store.endpoint);
+  std::string requests;
+  for (int i = 0; i < 200; ++i) {
+    requests += FormatRequest("GET", "/reads/1", fmt::format("p{}", i));
+  }
+  // A close with unread responses resets the connection while the daemon answers further requests.
+  for (int i = 0; i < 200 && Find("A caller left before its answer.", "route=-").empty(); ++i) {
+    CallerConnection caller(gateway->callers_endpoint());
+    caller.Send(requests);
+    caller.ReadUntil([](const std::string&) { return true; });
+    caller.Close();
+  }
+  EXPECT_FALSE(Find("A caller left before its answer.", "route=-").empty());
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
