Let second attempts fail, and moves go on, as first attempts do

Change: a second attempt has a limit of its own and is replaced, or ends so that the call goes on; the watch follows the stage of the response; a stopped stream ends its wait for the source; StreamMigrator::Abandon frees a copy and returns its retries; only attempts that were sent count as runs; only a stream with events can be continued; AttemptOutcome::kRelayLost. The relay, the copy and the load balancer's count are changed by reading.

--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -466,6 +466,12 @@
       exchange.Abort();
       co_return;
     }
+    if (fault == WorkerFault::kSilentAfterMigration && event == kEventsPerStream / 2 + 1) {
+      co_await WaitForMigration(std::string(exchange.Header("Attempt-Id")));
+      co_await StaySilent(exchange);
+      exchange.Abort();
+      co_return;
+    }
     if (fault == WorkerFault::kSilentInStream && event == kEventsPerStream / 2 + 1 &&
         !co_await StaySilent(exchange)) {
       co_return;
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -43,6 +43,8 @@
   kTruncateStream,
   // Sends half of the events and then nothing until the run is migrated to another worker.
   kWaitForMigration,
+  // As kWaitForMigration, but stays open and silent after the migration.
+  kSilentAfterMigration,
   // As kWaitForMigration, for a stream without length or chunks, whose connection ends in order.
   kEndAtMigration,
   // The following two run the request and send nothing for a while, until GoOn or BreakOff is
--- a/packages/gateway/attempt.h
+++ b/packages/gateway/attempt.h
@@ -47,6 +47,8 @@
   // Set once the request has been sent, or a part of it.
   bool sent = false;
   bool first_byte = false;
+  // Whether the load balancer knows that the upstream was silent during the attempt.
+  bool is_silence_recorded = false;
   // Status of the response; zero until its header has been read.
   unsigned status = 0;
   ResponseMetadata response;
--- a/packages/gateway/attempt_outcome.h
+++ b/packages/gateway/attempt_outcome.h
@@ -30,6 +30,8 @@
   kUndelivered,
   // The upstream's end of the connection broke before the end of the response.
   kBrokenOff,
+  // The connection through a peer broke, by the peer, the path or the upstream.
+  kRelayLost,
   // The upstream's response can't be relayed.
   kUnusable,
   // The response was not complete in the time that this daemon gave it.
--- a/packages/gateway/attempt_runner.cc
+++ b/packages/gateway/attempt_runner.cc
@@ -138,6 +138,9 @@
   }
   RecordFirstByte(call, attempt);
   if (!attempt.response.not_run) {
+    if (attempt.observer != nullptr) {
+      attempt.observer->OnBytes();
+    }
     co_return std::nullopt;
   }
   if (attempt.response.owner != ResponseOwner::kThisAttempt) {
@@ -187,10 +190,15 @@
     crash_detector_.OnAttemptEnded(call, attempt, result, now);
   }
   const AttemptOutcomeTraits& traits = TraitsOf(result);
-  const bool relayed_failure = result == AttemptOutcome::kAnswered && attempt.status >= 500;
+  AttemptEnd end = traits.end;
+  if (result == AttemptOutcome::kAnswered && attempt.status >= 500) {
+    end = AttemptEnd::kFailed;
+  } else if (result == AttemptOutcome::kTimedOut && attempt.is_silence_recorded) {
+    // One silence is one failure.
+    end = AttemptEnd::kCancelled;
+  }
   fleet_.load_balancer.OnEnd(attempt.placement.upstream.id, attempt.placement.uncached_tokens,
-                             attempt.first_byte, relayed_failure ? AttemptEnd::kFailed : traits.end,
-                             now);
+                             attempt.first_byte, end, now);
   if (result == AttemptOutcome::kAnswered || result == AttemptOutcome::kCallerLeft) {
     return;
   }
@@ -215,12 +223,14 @@
     // The stream returns to its source.
     return;
   }
-  call.tried_upstreams.push_back(attempt.placement.upstream.id);
+  const bool may_have_run = attempt.is_move || (traits.may_have_run && attempt.sent);
+  (may_have_run ? call.tried_upstreams : call.rejecting_upstreams)
+      .push_back(attempt.placement.upstream.id);
   fleet_.metrics
       .GetCounter("savoryglade_gateway_lost_attempts_total", {{"reason", std::string(traits.name)}})
       .Add();
   // A moved request has run at its source, even if the target states that it did not run it.
-  if (traits.may_have_run || attempt.is_move) {
+  if (may_have_run) {
     RecordPossibleRun(call, result);
   }
 }
--- a/packages/gateway/backup_attempt.cc
+++ b/packages/gateway/backup_attempt.cc
@@ -20,6 +20,11 @@
 
 const Logger kLog("gateway");
 
+bool HasUnreadBytes(Attempt& attempt) {
+  boost::system::error_code ignored;
+  return attempt.connection->stream().socket().available(ignored) > 0;
+}
+
 }  // namespace
 
 void BackupAttempt::OnSent() {
@@ -29,7 +34,10 @@
 
 void BackupAttempt::OnBytes() {
   last_bytes_ = BootNow();
-  is_silence_recorded_ = false;
+  first_->is_silence_recorded = false;
+  if (first_->first_byte && !std::exchange(is_in_response_, true)) {
+    CheckAfter(response_relay_.SilenceLimit(call_, *first_, last_bytes_));
+  }
 }
 
 void BackupAttempt::OnRelay() {
@@ -59,46 +67,57 @@
   const TimePoint now = BootNow();
   const Duration limit = response_relay_.SilenceLimit(call_, *first_, now);
   // After a pause of this process the upstream's bytes may not have been read yet.
-  boost::system::error_code ignored;
-  const bool has_unread_bytes = first_->connection->stream().socket().available(ignored) > 0;
-  if (is_relaying_ || is_running_ || has_unread_bytes) {
-    CheckAfter(limit);
-    return;
-  }
-  const Duration silence = now - last_bytes_;
+  const Duration silence =
+      is_relaying_ || HasUnreadBytes(*first_) ? Duration::zero() : now - last_bytes_;
   if (silence < limit) {
     CheckAfter(limit - silence);
     return;
   }
-  RecordSilence(silence);
-  if (!MayBegin()) {
+  const MigratableStream* const stream = first_->stream.get();
+  if (stream != nullptr && stream->stopped()) {
+    // The upstream sends no more, and the stream goes on elsewhere.
+    first_->registration->Close(AttemptOutcome::kTimedOut);
     return;
   }
-  is_running_ = true;
-  asio::co_spawn(
-      context_, [self = shared_from_this()]() -> asio::awaitable<void> { return self->Run(); },
-      [](const std::exception_ptr& failure) {
-        if (failure) {
-          std::rethrow_exception(failure);
-        }
-      });
+  const bool may_be_stopped = stream != nullptr && stream->may_be_stopped();
+  if (!may_be_stopped && !is_running_ && MayBegin()) {
+    RecordSilence(*first_, silence);
+    is_running_ = true;
+    asio::co_spawn(
+        context_, [self = shared_from_this()]() -> asio::awaitable<void> { return self->Run(); },
+        [](const std::exception_ptr& failure) {
+          if (failure) {
+            std::rethrow_exception(failure);
+          }
+        });
+  }
   CheckAfter(limit);
 }
 
-void BackupAttempt::RecordSilence(Duration silence) {
-  if (std::exchange(is_silence_recorded_, true)) {
+void BackupAttempt::CheckSecond() {
+  const std::shared_ptr<Attempt> second = second_;
+  if (second == nullptr || is_at_hand_ || !second->registration || HasUnreadBytes(*second) ||
+      !MayBegin()) {
+    return;
+  }
+  RecordSilence(*second, BootNow() - second->sent_at);
+  second->Withdraw(AttemptOutcome::kTimedOut);
+}
+
+void BackupAttempt::RecordSilence(Attempt& attempt, Duration silence) {
+  if (std::exchange(attempt.is_silence_recorded, true)) {
     return;
   }
-  const UpstreamId& upstream = first_->placement.upstream.id;
+  const UpstreamId& upstream = attempt.placement.upstream.id;
   fleet_.load_balancer.OnSilence(upstream, BootNow());
   fleet_.metrics
-      .GetCounter(kSilencesMetric, {{"stage", first_->first_byte ? "in_response" : "before"}})
+      .GetCounter(kSilencesMetric, {{"stage", attempt.first_byte ? "in_response" : "before"}})
       .Add();
   kLog.Info("An upstream is silent during a request.",
             {{"request", call_.metadata.attempt_id},
              {"route", call_.route->name},
              {"upstream", upstream.value()},
-             {"first_byte", first_->first_byte},
+             {"first_byte", attempt.first_byte},
              {"silent_ms", silence / 1ms},
              {"possible_runs", call_.possible_runs},
              {"sent", call_.sends},
@@ -106,11 +125,11 @@
 }
 
 bool BackupAttempt::MayBegin() const {
-  // The first attempt and the second one count as well.
-  constexpr int kUncounted = 2;
-  return call_.route->Repeatable() &&
-         call_.possible_runs + kUncounted <= call_.route->max_attempts && call_.sends < kMaxSends &&
-         call_.connection_attempts < kMaxConnectionAttempts && !fleet_.drain.interrupted() &&
+  // Attempts in progress count once they have ended, and the new one counts as well.
+  const int runs = call_.possible_runs + static_cast<int>(call_.attempts.size()) + 1;
+  return call_.route->Repeatable() && runs <= call_.route->max_attempts &&
+         call_.sends < kMaxSends && call_.connection_attempts < kMaxConnectionAttempts &&
+         !call_.caller.disconnected() && !fleet_.drain.interrupted() &&
          !crash_detector_.IsSuspected(call_) && call_.RemainingTime(BootNow()) > kMinRemainingTime;
 }
 
@@ -118,7 +137,7 @@
   if (crash_detector_.RemainingRefusal(call_, now) > Duration::zero()) {
     return std::nullopt;
   }
-  std::vector<UpstreamId> excluded = call_.tried_upstreams;
+  std::vector<UpstreamId> excluded = call_.ExcludedUpstreams();
   excluded.push_back(first_->placement.upstream.id);
   std::optional<Placement> placement =
       fleet_.load_balancer.Choose(call_.metadata.work, excluded, now);
@@ -137,10 +156,18 @@
       continue;
     }
     second_ = runner_.Begin(call_, *placement, false);
+    second_timer_.expires_after(response_relay_.SilenceLimit(call_, *second_, BootNow()));
+    second_timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+      const std::shared_ptr<BackupAttempt> self = weak.lock();
+      if (!error && self != nullptr) {
+        self->CheckSecond();
+      }
+    });
     std::optional<AttemptOutcome> result = co_await runner_.Send(call_, *second_);
     if (!result) {
       result = co_await response_relay_.Prefetch(call_, *second_);
     }
+    second_timer_.cancel();
     if (!result && !is_cancelled_) {
       is_at_hand_ = true;
       if (first_->registration) {
@@ -170,10 +197,11 @@
   change_.cancel();
 }
 
-asio::awaitable<std::shared_ptr<Attempt>> BackupAttempt::Finish(bool is_wanted) {
+asio::awaitable<std::shared_ptr<Attempt>> BackupAttempt::Finish(Need need) {
   has_first_ended_ = true;
   check_timer_.cancel();
-  if (!is_wanted || second_ == nullptr) {
+  const bool is_awaited = need == Need::kAwait && second_ != nullptr;
+  if (!is_awaited && !is_at_hand_) {
     Cancel();
   }
   while (is_running_) {
@@ -184,7 +212,7 @@
     co_return nullptr;
   }
   std::shared_ptr<Attempt> second = std::exchange(second_, nullptr);
-  if (!is_wanted) {
+  if (need == Need::kNone) {
     runner_.End(call_, *second, AttemptOutcome::kSuperseded);
     co_return nullptr;
   }
--- a/packages/gateway/backup_attempt.h
+++ b/packages/gateway/backup_attempt.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -34,6 +35,7 @@
         call_(call),
         first_(std::move(first)),
         check_timer_(context),
+        second_timer_(context),
         change_(context) {}
 
   void OnSent() override;
@@ -41,16 +43,21 @@
   void OnRelay() override;
   void OnRelayed() override;
 
-  // Ends the watch after the end of the first attempt. If an answer is wanted and a second attempt
-  // has been sent, waits for it. Returns the second attempt if its answer is at hand.
-  boost::asio::awaitable<std::shared_ptr<Attempt>> Finish(bool is_wanted);
+  // What the second attempt is needed for after the end of the first one.
+  enum class Need : std::uint8_t { kNone, kIfAtHand, kAwait };
+
+  // Ends the watch after the end of the first attempt. Awaits a second attempt that has been sent
+  // if it is needed, and withdraws it otherwise. Returns it if its answer is at hand.
+  boost::asio::awaitable<std::shared_ptr<Attempt>> Finish(Need need);
 
  private:
   void CheckAfter(Duration time);
   // Begins a second attempt if the first one is silent.
   void Check();
-  void RecordSilence(Duration silence);
-  // Returns true if the call may be sent to one more upstream beside the first.
+  // Replaces a second attempt that is silent as well, if one more may begin.
+  void CheckSecond();
+  void RecordSilence(Attempt& attempt, Duration silence);
+  // Returns true if the call may be sent to one more upstream beside those that run it.
   bool MayBegin() const;
   // Returns an upstream for the second attempt and consumes its retry, or returns nothing.
   std::optional<Placement> ChooseUpstream(TimePoint now);
@@ -67,10 +74,12 @@
   std::shared_ptr<Attempt> first_;
   std::shared_ptr<Attempt> second_;
   boost::asio::steady_timer check_timer_;
+  boost::asio::steady_timer second_timer_;
   // Cancelled when a change ends a wait.
   boost::asio::steady_timer change_;
   TimePoint last_bytes_{};
-  bool is_silence_recorded_ = false;
+  // Whether the limit of pauses within the response is in force.
+  bool is_in_response_ = false;
   // Whether bytes of the first attempt are being passed on to the caller, who may read slowly.
   bool is_relaying_ = false;
   bool is_running_ = false;
--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -81,11 +81,13 @@
   // Attempts begun and requests sent so far.
   int connection_attempts = 0;
   int sends = 0;
-  // Upstreams that may have run the request.
+  // Number of upstreams that may have run the request.
   int possible_runs = 0;
   // Sends whose upstream has not stated that it did not run the request.
   int unrejected_sends = 0;
   std::vector<UpstreamId> tried_upstreams;
+  // Upstreams that have not run the request and are not asked again for a while.
+  std::vector<UpstreamId> rejecting_upstreams;
   std::optional<UpstreamId> last_upstream;
   // Usage window in which the request is counted.
   std::optional<capacity::WindowNumber> counted_window;
@@ -122,6 +124,12 @@
     }
     last_event_at = now;
   }
+  // Returns the upstreams that are not asked now.
+  std::vector<UpstreamId> ExcludedUpstreams() const {
+    std::vector<UpstreamId> excluded = tried_upstreams;
+    excluded.insert(excluded.end(), rejecting_upstreams.begin(), rejecting_upstreams.end());
+    return excluded;
+  }
   Duration RemainingTime(TimePoint now) const { return deadline - now; }
   AccountId account_id() const { return account == nullptr ? AccountId() : account->name; }
   // Returns true if the caller holds events of the stream from an earlier response.
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -243,13 +243,22 @@
 
 bool CallRelay::CanRetry(const Call& call) const {
   // Only a stream goes on behind what the caller has of it.
-  const bool can_go_on = !call.stream_started || call.route->IsResumableStream();
+  const bool can_go_on = !call.stream_started || CanGoOn(call);
   return call.route->Repeatable() && can_go_on && call.possible_runs < call.route->max_attempts &&
          !crash_detector_.IsSuspected(call);
 }
 
+bool CallRelay::CanGoOn(const Call& call) {
+  return call.route->IsResumableStream() && call.last_event_at != TimePoint{};
+}
+
+int CallRelay::MaxSends(const Call& call) {
+  // Second attempts that were rejected must not be the last ones of a stream that has begun.
+  return call.stream_started ? kMaxSends + 1 : kMaxSends;
+}
+
 bool CallRelay::MayAwaitUpstream(const Call& call, TimePoint now) {
-  return call.stream_started && call.route->IsResumableStream() && call.sends < kMaxSends &&
+  return CanGoOn(call) && call.sends < MaxSends(call) &&
          call.connection_attempts < kMaxConnectionAttempts &&
          now - call.last_event_at < kResumptionPauseMultiple * call.route->longest_pause;
 }
@@ -277,10 +286,10 @@
     // The target already holds the KV cache of the prompt.
     return Placement{.upstream = *call.migration_target, .uncached_tokens = 1};
   }
-  if (call.connection_attempts >= kMaxConnectionAttempts || call.sends >= kMaxSends) {
+  if (call.connection_attempts >= kMaxConnectionAttempts || call.sends >= MaxSends(call)) {
     return std::nullopt;
   }
-  return fleet_.load_balancer.Choose(call.metadata.work, call.tried_upstreams, now);
+  return fleet_.load_balancer.Choose(call.metadata.work, call.ExcludedUpstreams(), now);
 }
 
 bool CallRelay::NeedsAdmission(const Call& call, bool has_placement, TimePoint now) const {
@@ -338,6 +347,8 @@
                                         fleet_.retry_budget.TryConsume(call.service, now));
     if (!may_send && MayAwaitUpstream(call, now)) {
       co_await Sleep(kResumptionInterval);
+      // They may have a place by then.
+      call.rejecting_upstreams.clear();
       continue;
     }
     if (!placement) {
@@ -378,6 +389,18 @@
   }
 }
 
+BackupAttempt::Need CallRelay::NeedOfSecond(AttemptOutcome first) {
+  switch (first) {
+    case AttemptOutcome::kAnswered:
+    case AttemptOutcome::kCallerLeft:
+      return BackupAttempt::Need::kNone;
+    case AttemptOutcome::kMoved:
+      return BackupAttempt::Need::kIfAtHand;
+    default:
+      return BackupAttempt::Need::kAwait;
+  }
+}
+
 asio::awaitable<AttemptOutcome> CallRelay::TryUpstream(Call& call, const Placement& placement) {
   std::shared_ptr<Attempt> attempt =
       attempts_.Begin(call, placement, call.migration_target.has_value());
@@ -396,15 +419,15 @@
       result = co_await response_relay_.Relay(call, *attempt);
     }
     attempts_.End(call, *attempt, *result);
-    const bool is_wanted = *result != AttemptOutcome::kAnswered &&
-                           *result != AttemptOutcome::kCallerLeft &&
-                           *result != AttemptOutcome::kMoved;
-    std::shared_ptr<Attempt> second = co_await backup->Finish(is_wanted);
+    std::shared_ptr<Attempt> second = co_await backup->Finish(NeedOfSecond(*result));
     if (second == nullptr) {
       co_return *result;
     }
+    if (*result == AttemptOutcome::kMoved) {
+      // What was moved is not continued there.
+      response_relay_.AbandonMove(attempt->stream);
+    }
     attempt = std::move(second);
-    // What was moved has not been continued there.
     ReleaseReturn(call);
     call.migration_target.reset();
     call.migration_source.reset();
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -86,6 +86,11 @@
   bool NeedsAdmission(const Call& call, bool has_placement, TimePoint now) const;
   // Returns the retry that is consumed for the return of a moved stream to its source.
   void ReleaseReturn(Call& call);
+  // Returns true if the caller has events behind which another upstream can go on.
+  static bool CanGoOn(const Call& call);
+  static int MaxSends(const Call& call);
+  // Returns what a second attempt is needed for after this end of the first one.
+  static BackupAttempt::Need NeedOfSecond(AttemptOutcome first);
   // Returns true if a stream that has begun waits for an upstream that goes on with it.
   static bool MayAwaitUpstream(const Call& call, TimePoint now);
   // Returns true if the request may be sent again after an upstream may have run it.
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -137,8 +137,10 @@
   if (error.code == ErrorCode::kInvalid) {
     return AttemptOutcome::kUnusable;
   }
-  return error.code == ErrorCode::kTimeout || is_due ? AttemptOutcome::kTimedOut
-                                                     : AttemptOutcome::kBrokenOff;
+  if (error.code == ErrorCode::kTimeout || is_due) {
+    return AttemptOutcome::kTimedOut;
+  }
+  return attempt.peer.empty() ? AttemptOutcome::kBrokenOff : AttemptOutcome::kRelayLost;
 }
 
 asio::awaitable<std::optional<AttemptOutcome>> ResponseRelay::DiscardBody(const Call& call,
@@ -355,8 +357,9 @@
   const AttemptOutcome result = co_await RelayEvents(call, attempt);
   migrator_.Untrack(attempt.stream);
   // Only an end for which nobody else is known to be the cause may be that of a stopped stream.
-  if (result != AttemptOutcome::kBrokenOff && result != AttemptOutcome::kTimedOut &&
-      result != AttemptOutcome::kUnusable) {
+  if (result != AttemptOutcome::kBrokenOff && result != AttemptOutcome::kRelayLost &&
+      result != AttemptOutcome::kTimedOut && result != AttemptOutcome::kUnusable) {
+    migrator_.Abandon(attempt.stream);
     co_return result;
   }
   const StopOutcome stop =
--- a/packages/gateway/response_relay.h
+++ b/packages/gateway/response_relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -46,6 +47,9 @@
   // it.
   AttemptOutcome OutcomeOfFailure(const Call& call, Attempt& attempt, const Error& error);
 
+  // Frees what was copied to move a stream that is not continued there.
+  void AbandonMove(const std::shared_ptr<MigratableStream>& stream) { migrator_.Abandon(stream); }
+
  private:
   // Returns why a response can't be relayed as a stream, or nothing.
   static std::optional<AttemptOutcome> CheckStreamHeader(const Call& call, Attempt& attempt);
--- a/packages/gateway/stream_migrator.cc
+++ b/packages/gateway/stream_migrator.cc
@@ -147,12 +147,7 @@
     if (has_budget) {
       fleet_.retry_budget.Refund(service, MigratableStream::kMaxResumptions);
     }
-    const Result<void> dropped = co_await engines_.FreeKvCacheCopy(stream->kv_copy());
-    if (!dropped) {
-      kLog.Info(
-          "Freeing an unused KV cache copy failed; the engine frees it when the copy expires.",
-          {{"request", stream->attempt_id_}, {"error", dropped.error().message}});
-    }
+    co_await FreeCopy(stream);
     co_return;
   }
   if (has_budget) {
@@ -173,6 +168,26 @@
              {"copied", copied},
              {"outcome", OutcomeName(*stream)}});
   stream->stop_done_.cancel();
+  if (stream->abandoned_ && stream->stopped()) {
+    fleet_.retry_budget.Refund(service, stream->max_resumptions());
+    co_await FreeCopy(stream);
+  }
+}
+
+asio::awaitable<void> StreamMigrator::FreeCopy(std::shared_ptr<MigratableStream> stream) {
+  const Result<void> dropped = co_await engines_.FreeKvCacheCopy(stream->kv_copy());
+  if (!dropped) {
+    kLog.Info("Freeing an unused KV cache copy failed; the engine frees it when the copy expires.",
+              {{"request", stream->attempt_id_}, {"error", dropped.error().message}});
+  }
+}
+
+void StreamMigrator::Abandon(const std::shared_ptr<MigratableStream>& stream) {
+  if (std::exchange(stream->abandoned_, true) || !stream->stopped()) {
+    return;
+  }
+  fleet_.retry_budget.Refund(stream->work_.service, stream->max_resumptions());
+  asio::co_spawn(context_, FreeCopy(stream), asio::detached);
 }
 
 asio::awaitable<void> StreamMigrator::StopAndCopy(MigratableStream& stream) {
--- a/packages/gateway/stream_migrator.h
+++ b/packages/gateway/stream_migrator.h
@@ -61,6 +61,10 @@
     return state_ == State::kMigrated ? kMaxResumptions : 1;
   }
   bool stopped() const { return state_ == State::kMigrated || state_ == State::kKeptAtSource; }
+  // Returns true from the request to stop the stream on, unless it was not stopped.
+  bool may_be_stopped() const {
+    return stopped() || state_ == State::kStopping || state_ == State::kStopUnknown;
+  }
 
  private:
   friend class StreamMigrator;
@@ -71,6 +75,8 @@
   State state_ = State::kRunning;
   // Whether the stream has ended, so that it no longer needs a copy.
   bool ended_ = false;
+  // Whether nobody continues the stream once it is stopped.
+  bool abandoned_ = false;
   UpstreamRecord destination_;
   std::string handle_;
   // Cancelled once the outcome of a stop is known.
@@ -97,6 +103,10 @@
                                           const UpstreamRecord& source, const WorkEstimate& work);
   void Untrack(const std::shared_ptr<MigratableStream>& stream);
 
+  // Gives up a stream that is not continued from its copy. Frees the copy and returns the retries
+  // that its move consumed.
+  void Abandon(const std::shared_ptr<MigratableStream>& stream);
+
   // Starts migrating all streams of an upstream that leaves.
   void OnUpstreamLeaving(const UpstreamId& upstream);
 
@@ -116,6 +126,8 @@
   // fails.
   boost::asio::awaitable<bool> CopyToAvailableEngine(MigratableStream& stream);
 
+  boost::asio::awaitable<void> FreeCopy(std::shared_ptr<MigratableStream> stream);
+
   // Returns true if the destination is registered at the version of the stream's source.
   bool CanContinueAt(const MigratableStream& stream, const UpstreamRecord& destination) const;
 
--- a/tests/gateway/silent_upstream_test.cc
+++ b/tests/gateway/silent_upstream_test.cc
@@ -23,16 +23,19 @@
   }
 
   // Routes whose pauses and objectives are so short that a silence is noticed at once.
-  void PutImpatientRoutes(int max_attempts = 2) {
+  void PutImpatientRoutes(int max_attempts = 2, int version = 1) {
     const std::string attempts = std::to_string(max_attempts);
     PutRoutes(
-        1,
+        version,
         R"(,{"name":"talks","host":"h","prefix":"/talks/","route_kind":"streaming","timeout_ms":20000,)"
         R"("goal_ms":5,"itl_target_ms":5,"service":"s","resumable":true,"max_attempts":)" +
             attempts +
             R"(},{"name":"patient","host":"h","prefix":"/patient/","route_kind":"streaming",)"
             R"("timeout_ms":20000,"itl_target_ms":6000,"service":"s","resumable":true,"max_attempts":)" +
             attempts +
+            R"(},{"name":"slow","host":"h","prefix":"/slow/","route_kind":"streaming",)"
+            R"("timeout_ms":20000,"goal_ms":60000,"itl_target_ms":5,"service":"s","resumable":true,"max_attempts":)" +
+            attempts +
             R"(},{"name":"looks","host":"h","prefix":"/looks/","route_kind":"idempotent",)"
             R"("timeout_ms":20000,"goal_ms":5,"service":"s","max_attempts":)" +
             attempts + "}");
@@ -208,6 +211,117 @@
   AwaitNoSilence();
 }
 
+class ThreeUpstreamsTest : public SilentUpstreamTest {
+ protected:
+  ThreeUpstreamsTest() : SilentUpstreamTest(3) {
+    PutImpatientRoutes(3, 2);
+    // The routes are in force once they allow a third attempt.
+    gateway_.reset();
+    gateway_ = MakeGateway("daemon-1", store_.endpoint);
+    WaitUntilReady();
+  }
+
+  int SilentUpstreams() const {
+    int silent = 0;
+    for (const auto& worker : workers_) {
+      silent += worker->service.silent_requests() + worker->service.abandoned_requests();
+    }
+    return silent;
+  }
+};
+
+// Guards against a caller that waits for a second upstream that has frozen as well.
+TEST_F(ThreeUpstreamsTest, ThirdUpstreamTakesOverFromTwoFrozenOnes) {
+  SetFaults(WorkerFault::kSilentInStream, 1);
+  CallerConnection caller(gateway_->callers_endpoint());
+  caller.Send(Request("/talks/stream/1", "a1"));
+  while (SilentUpstreams() < 2 && !caller.ClosedByPeer()) {
+    std::this_thread::yield();
+  }
+  for (int i = 0; i < 3; ++i) {
+    if (Upstream(i).silent_requests() + Upstream(i).abandoned_requests() == 0) {
+      Upstream(i).SetFault(WorkerFault::kNone, 0);
+    }
+  }
+  // The third upstream may have been asked before.
+  if (SilentUpstreams() == 3) {
+    LetAllGoOn();
+  }
+  ExpectWholeStream(ReadResponse(caller));
+}
+
+// Guards against a pause that is taken for the wait for the first event, which may be long.
+TEST_F(OnlyUpstreamTest, SilenceAfterTheFirstEventsIsNoticedByTheLongestPause) {
+  Upstream(0).SetFault(WorkerFault::kSilentInStream, 1);
+  CallerConnection caller(gateway_->callers_endpoint());
+  caller.Send(Request("/slow/stream/1", "a1"));
+  while (Silences() == 0 && !caller.ClosedByPeer()) {
+  }
+  EXPECT_EQ(Silences(), 1);
+  Upstream(0).GoOn();
+  ExpectWholeStream(ReadResponse(caller));
+}
+
+// Guards against a moved stream that waits for its source, which has stopped it and leaves the
+// connection open.
+TEST_F(SilentUpstreamTest, MovedStreamContinuesFromItsCopyIfItsSourceStaysSilent) {
+  PutImpatientRoutes(1, 2);
+  gateway_.reset();
+  gateway_ = MakeGateway("daemon-1", store_.endpoint);
+  WaitUntilReady();
+  SetFaults(WorkerFault::kSilentAfterMigration, 1);
+  CallerConnection caller(gateway_->callers_endpoint());
+  caller.Send(Request("/talks/stream/1", "a1"));
+  caller.ReadUntil(
+      [](const std::string& body) { return body.find("id: 3\n") != std::string::npos; });
+  const int source = workers_[0]->service.RunCount("a1") > 0 ? 0 : 1;
+  Upstream(1 - source).SetFault(WorkerFault::kNone, 0);
+  RegisterWorker(source, "draining");
+  ExpectWholeStream(ReadResponse(caller));
+  EXPECT_EQ(Upstream(1 - source).migrated_runs(), 1);
+}
+
+// Guards against a stream that is cut off because the only upstream that could go on with it has
+// rejected it once.
+TEST_F(OnlyUpstreamTest, StreamReturnsToAnUpstreamThatHasRejectedIt) {
+  workers_.push_back(std::make_unique<ServiceServer<WorkerService>>(WorkerName(1)));
+  Upstream(0).SetFault(WorkerFault::kTruncateStream, 1);
+  Upstream(1).SetFault(WorkerFault::kRejectNotExecuted, 1);
+  CallerConnection caller(gateway_->callers_endpoint());
+  caller.Send(Request("/patient/stream/1", "a1"));
+  while (Metrics().find(R"(lost_attempts_total{reason="broken_off"})") == std::string::npos) {
+  }
+  RegisterWorker(1, "ready");
+  ExpectWholeStream(ReadResponse(caller));
+  EXPECT_EQ(Upstream(1).arrivals(), 2);
+}
+
+// Upstream whose failure has a long body that breaks off.
+struct LongFailureService {
+  static boost::asio::awaitable<void> Handle(HttpExchange& exchange) {
+    HttpHeaders headers;
+    headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
+    headers.emplace_back("Response-Seal", "seal");
+    co_await exchange.StartStream(500, std::move(headers), std::string(600 * 1024, 'x'));
+    exchange.Abort();
+  }
+};
+
+// Guards against events behind the body of a failure.
+TEST_F(OnlyUpstreamTest, NothingFollowsALongFailureThatBreaksOff) {
+  ServiceServer<LongFailureService> failing;
+  RegisterUpstream("worker-failing", failing.endpoint, "ready");
+  Response response;
+  for (int i = 0; i < 1000 && response.status != 500; ++i) {
+    CallerConnection caller(gateway_->callers_endpoint());
+    caller.Send(Request(fmt::format("/talks/stream/{}", i), fmt::format("f{}", i)));
+    response = ReadResponse(caller);
+  }
+  EXPECT_EQ(response.status, 500U);
+  EXPECT_FALSE(response.complete);
+  EXPECT_EQ(response.body.find("data:"), std::string::npos);
+}
+
 // Sends a stream whose first upstream is silent after some events while the second attempt is
 // silent before its first one.
 class TwoSilentUpstreamsTest : public SilentUpstreamTest {
