--- a/packages/gateway/attempt.h
+++ b/packages/gateway/attempt.h
@@ -1,12 +1,13 @@
 #pragma once
 
-#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "core/time.h"
 #include "gateway/adapter.h"
+#include "gateway/attempt_outcome.h"
+#include "gateway/call.h"
 #include "gateway/open_attempts.h"
 #include "gateway/stream_migrator.h"
 #include "net/http_client.h"
@@ -14,43 +15,65 @@
 
 namespace savoryglade::gateway {
 
-// Outcome of relaying one attempt.
-enum class RelayOutcome : std::uint8_t {
-  // The caller received its response, or disconnected.
-  kFinished,
-  // The request was not sent, or the upstream states that it did not run it.
-  kNotRun,
-  // The upstream may have run the request, but its response is missing or unusable.
-  kResponseLost,
-  // The upstream ran the request and responded with a failure, which the call keeps.
-  kFailed,
-  // The request was stopped to continue at the call's migration target.
-  kMigrated,
+// Is told of the progress of an attempt.
+class AttemptObserver {
+ public:
+  virtual ~AttemptObserver() = default;
+
+  // The request has been sent.
+  virtual void OnSent() = 0;
+  // The upstream has sent something.
+  virtual void OnBytes() = 0;
+  // A part of the answer is about to be passed on to the caller, or has been.
+  virtual void OnRelay() = 0;
+  virtual void OnRelayed() = 0;
 };
 
 // One attempt to have an upstream answer a call.
 struct Attempt {
   Placement placement;
   TimePoint sent_at;
+  // Whether the request continues one that was stopped at another upstream.
+  bool is_move = false;
   std::unique_ptr<HttpConnection> connection;
   // Peer that relays the connection; empty for a direct one.
   DaemonId peer;
   // Set while the attempt owns the connection.
   std::optional<OpenAttempts::Registration> registration;
-  // True if the connection was closed because the request had not reached the upstream's host.
-  bool undelivered = false;
+  // Null for an attempt beside another one.
+  AttemptObserver* observer = nullptr;
+  // Why the attempt must not send its request any more.
+  std::optional<AttemptOutcome> withdrawn;
+  // Set once the request has been sent, or a part of it.
+  bool sent = false;
   bool first_byte = false;
+  // Status of the response; zero until its header has been read.
+  unsigned status = 0;
   ResponseMetadata response;
+  // Whole response of a call, or its first part if it exceeds the buffer limit.
+  std::optional<BufferedResponse> buffered;
+  bool is_buffered_whole = false;
+  // Bytes of a stream that have been read and not passed on.
+  std::string prefetched;
   // Set while a stream is relayed.
   std::shared_ptr<MigratableStream> stream;
-  AttemptEnd end = AttemptEnd::kFailed;
-  // True if the upstream sent a response that can't be relayed, so that it was not lost.
-  bool response_rejected = false;
   // Whether the response had a length or chunks, so that its end was not just that of its
   // connection.
   bool has_framed_end = false;
   // Why the attempt has no usable response, for the log.
   std::string failure;
+
+  // Ends the attempt for this reason, also before it has a connection.
+  void Withdraw(AttemptOutcome reason) {
+    withdrawn = withdrawn.value_or(reason);
+    if (registration) {
+      registration->Close(reason);
+    }
+  }
+  // Returns why this daemon has closed the connection, or nothing if it has not.
+  std::optional<AttemptOutcome> closed_because() const {
+    return registration ? registration->closed_because() : std::nullopt;
+  }
 };
 
 // Returns true for statuses that callers interpret as a statement that the request was not run. A
