Let an answer that waits for its caller go on after the interruption

Cause: at 0.92 of the grace period the drain closed all connections to upstreams. Change: OpenAttempts::CloseAll leaves connections with unread input, which are those that wait for their callers, and the drain calls it in each step until the exit, so that a connection is closed once its input has been read.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -296,6 +296,8 @@
     if (!interrupted && fleet_.drain.interrupted()) {
       interrupted = true;
       LogDrain("The gateway interrupts the requests in progress.", work);
+    }
+    if (interrupted) {
       open_attempts_.CloseAll();
     }
     co_await Sleep(kDrainCheckInterval);
--- a/packages/gateway/open_attempts.cc
+++ b/packages/gateway/open_attempts.cc
@@ -92,7 +92,12 @@
   closed_ = true;
   for (auto& [upstream, attempts] : *connections_) {
     for (auto& [connection, attempt] : attempts) {
-      Close(*connection, attempt, AttemptOutcome::kInterrupted);
+      // Input is read as it arrives unless the answer waits for its caller, and the upstream may
+      // have finished it.
+      boost::system::error_code ignored;
+      if (connection->stream().socket().available(ignored) == 0) {
+        Close(*connection, attempt, AttemptOutcome::kInterrupted);
+      }
     }
   }
 }
--- a/tests/gateway/drain_work_test.cc
+++ b/tests/gateway/drain_work_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <atomic>
 #include <boost/asio.hpp>
 #include <functional>
 #include <memory>
@@ -201,5 +202,42 @@
   AwaitDrainFinished();
 }
 
+// Upstream whose answer is in the kernels of both hosts before its caller reads it.
+struct FinishedAnswerService {
+  // More than the connection to a caller that does not read takes, and less than that and the
+  // connection to the upstream take together.
+  static constexpr std::size_t kBodyBytes = 4 * 1024 * 1024;
+
+  asio::awaitable<void> Handle(HttpExchange& exchange) {
+    HttpHeaders headers;
+    headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
+    headers.emplace_back("Response-Seal", "seal");
+    co_await exchange.StartStream(200, std::move(headers), std::string(kBodyBytes, 'x'));
+    finished = co_await exchange.EndStream();
+  }
+
+  std::atomic<bool> finished{false};
+};
+
+// Guards against the interruption of an answer whose upstream has finished it, and which waits for
+// a caller that reads slowly.
+TEST_F(DrainWorkTest, AnswerOfAFinishedUpstreamGoesOnAfterTheInterruption) {
+  ServiceServer<FinishedAnswerService> upstream;
+  RegisterWorker(0, "draining");
+  RegisterWorker(1, "draining");
+  RegisterUpstream("finished", upstream.endpoint, "ready");
+  StartDrainingSoon();
+  SlowReader caller(gateway_->callers_endpoint());
+  caller.Send(FormatRequest("GET", "/reads/1", "a1"));
+  caller.AwaitFirstByte();
+  while (!upstream.service.finished) {
+    std::this_thread::yield();
+  }
+  gateway_->BeginDrain(BootNow() - kGracePeriod * 93 / 100);
+  ASSERT_TRUE(AwaitStep(2, OpenWorkLine("requests", 1)));
+  EXPECT_GT(caller.ReadUntil("0\r\n\r\n").size(), FinishedAnswerService::kBodyBytes);
+  AwaitDrainFinished();
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
