--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -288,6 +288,7 @@
     const DrainStage stage = fleet_.drain.Advance(work, BootNow());
     PublishOpenWork(work);
     if (stage == DrainStage::kFinished) {
+      relay_.LogUnfinished();
       LogDrain("The gateway has finished draining.", work);
       break;
     }
@@ -299,6 +300,8 @@
     if (!interrupted && fleet_.drain.interrupted()) {
       interrupted = true;
       LogDrain("The gateway interrupts the requests in progress.", work);
+    }
+    if (interrupted) {
       open_attempts_.CloseAll();
     }
     co_await Sleep(kDrainCheckInterval);
