Log a request that is unfinished at the exit once

Cause: RequestInProgressWhenTheDaemonExitsHasALine failed once in scripts/test with two lines: the call went on after the drain had logged it, because its caller left. Change: the line ends the call for the log.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -206,9 +206,10 @@
   call.exchange.Abort();
 }
 
-void CallRelay::LogUnfinished() const {
-  for (const Call* const call : *calls_) {
+void CallRelay::LogUnfinished() {
+  for (Call* const call : *calls_) {
     if (call->end == CallEnd::kOpen) {
+      call->end = CallEnd::kCutOff;
       LogCutOff(*call, {.run_state = call->run_state, .reason = Reason::kDraining}, "exit");
     }
   }
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -53,7 +53,7 @@
   // Handles one request and sends its response.
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
   // Logs the calls in progress, which end with the process.
-  void LogUnfinished() const;
+  void LogUnfinished();
 
  private:
   // Registers a call for as long as this object lives.
@@ -65,7 +65,7 @@
     Registration& operator=(const Registration&) = delete;
 
    private:
-    std::shared_ptr<std::set<const Call*>> calls_;
+    std::shared_ptr<std::set<Call*>> calls_;
     Call& call_;
   };
 
@@ -111,7 +111,7 @@
   const MessageCodec& codec_;
   // Calls in progress. Shared, because they are destroyed after the gateway's members when it
   // stops.
-  std::shared_ptr<std::set<const Call*>> calls_ = std::make_shared<std::set<const Call*>>();
+  std::shared_ptr<std::set<Call*>> calls_ = std::make_shared<std::set<Call*>>();
   AdmissionGate admission_;
   CrashDetector crash_detector_;
   ResponseRelay response_relay_;
