--- a/packages/gateway/backup_attempt.cc
+++ b/packages/gateway/backup_attempt.cc
@@ -79,8 +79,8 @@
     first_->registration->Close(AttemptOutcome::kTimedOut);
     return;
   }
-  const bool may_be_stopped = stream != nullptr && stream->may_be_stopped();
-  if (!may_be_stopped && !is_running_ && MayBegin()) {
+  const bool is_stopping = stream != nullptr && stream->is_stopping();
+  if (!is_stopping && !is_running_ && MayBegin()) {
     RecordSilence(*first_, silence);
     is_running_ = true;
     asio::co_spawn(
--- a/packages/gateway/stream_migrator.h
+++ b/packages/gateway/stream_migrator.h
@@ -61,10 +61,8 @@
     return state_ == State::kMigrated ? kMaxResumptions : 1;
   }
   bool stopped() const { return state_ == State::kMigrated || state_ == State::kKeptAtSource; }
-  // Returns true from the request to stop the stream on, unless it was not stopped.
-  bool may_be_stopped() const {
-    return stopped() || state_ == State::kStopping || state_ == State::kStopUnknown;
-  }
+  // Returns true while it is not known whether the source stops the stream.
+  bool is_stopping() const { return state_ == State::kStopping; }
 
  private:
   friend class StreamMigrator;
