Return the retries of an abandoned move once

Cause: a move that is given up for a second attempt returned its reserved return twice, so that the retry budget allowed one more than it may (found by reading). Change: AbandonMove returns all of them. Two comments stand where they belong.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -425,8 +425,9 @@
       co_return *result;
     }
     if (*result == AttemptOutcome::kMoved) {
-      // What was moved is not continued there.
+      // What was moved is not continued there, so its retries are returned.
       response_relay_.AbandonMove(attempt->stream);
+      call.return_reserved = false;
     }
     attempt = std::move(second);
     ReleaseReturn(call);
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -50,6 +50,7 @@
   return attempt.status >= 200 && attempt.status < 300 && call.route->kind == CallKind::kStream;
 }
 
+// Tells the observer that a part of the answer is about to be passed on.
 void BeforeRelay(const Attempt& attempt) {
   if (attempt.observer != nullptr) {
     attempt.observer->OnRelay();
--- a/packages/gateway/stream_migrator.h
+++ b/packages/gateway/stream_migrator.h
@@ -49,7 +49,6 @@
     return state_ == State::kMigrated ? destination_ : source_;
   }
   KvCacheCopy kv_copy() const { return {.source = source_.address, .handle = handle_}; }
-  // Returns true if the source stopped the stream and it can resume from its KV cache.
   // Requests that a move may cost: one to the destination, and one back to the source if the
   // destination rejects it.
   static constexpr int kMaxResumptions = 2;
@@ -60,6 +59,7 @@
     }
     return state_ == State::kMigrated ? kMaxResumptions : 1;
   }
+  // Returns true if the source stopped the stream and it can resume from its KV cache.
   bool stopped() const { return state_ == State::kMigrated || state_ == State::kKeptAtSource; }
   // Returns true while it is not known whether the source stops the stream.
   bool is_stopping() const { return state_ == State::kStopping; }
