--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -306,7 +306,6 @@
     }
     co_await Sleep(kDrainCheckInterval);
   }
-  relay_.LogUnfinished();
   drained_ = true;
 }
 
