Judge a stream of the soak by when its daemon ended it

Its upstream was at work then, silent for 2.9 s, on a request sent 2.2 s after SIGTERM, which the rule allows. The caller read slowly and noticed the end 4.2 s after the exit, and the check looked for the stop order and the last sixth of the grace period by that time.

LOST is now judged by the exit of the daemon if that came before the caller noticed the end. This also holds more: a deadline or a disturbance between the exit and the notice excused a stream that the daemon had cut.

--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -31,41 +31,41 @@
 
 void History::AddEvent(EventKind kind, std::optional<std::size_t> daemon, std::string text) {
   const std::lock_guard lock(mutex_);
-  events_.push_back({.at = Now(), .kind = kind, .daemon = daemon, .text = std::move(text)});
+  events_.push_back({.at = now_(), .kind = kind, .daemon = daemon, .text = std::move(text)});
 }
 
 void History::AddBreak(const std::string& upstream) {
   const std::lock_guard lock(mutex_);
-  breaks_[upstream].push_back(Now());
+  breaks_[upstream].push_back(now_());
 }
 
 void History::AddServing(const std::string& version, int change) {
   const std::lock_guard lock(mutex_);
   std::map<TimePoint, int>& counts = serving_[version];
   const int before = counts.empty() ? 0 : counts.rbegin()->second;
-  counts[Now()] = before + change;
+  counts[now_()] = before + change;
 }
 
 void History::AddRateLimit(const std::string& upstream, std::optional<double> rate) {
   const std::lock_guard lock(mutex_);
-  rate_limits_[upstream].push_back({.from = Now(), .rate = rate});
+  rate_limits_[upstream].push_back({.from = now_(), .rate = rate});
   arrivals_[upstream];
 }
 
 void History::AddWish(const std::string& upstream, const std::string& attempt,
                       std::optional<TimePoint> wait_end) {
   const std::lock_guard lock(mutex_);
-  wishes_[upstream].push_back({.at = Now(), .attempt = attempt, .wait_end = wait_end});
+  wishes_[upstream].push_back({.at = now_(), .attempt = attempt, .wait_end = wait_end});
 }
 
 void History::BeginBrittleTime(std::size_t upstreams) {
   const std::lock_guard lock(mutex_);
-  brittle_times_.push_back({.from = Now(), .upstreams = upstreams});
+  brittle_times_.push_back({.from = now_(), .upstreams = upstreams});
 }
 
 void History::EndBrittleTime() {
   const std::lock_guard lock(mutex_);
-  brittle_times_.back().to = Now();
+  brittle_times_.back().to = now_();
 }
 
 void History::AddFall(Fall fall) {
@@ -75,32 +75,32 @@
 
 void History::AddArrival(const std::string& upstream, const std::string& attempt) {
   const std::lock_guard lock(mutex_);
-  arrivals_[upstream].push_back({.at = Now(), .attempt = attempt});
+  arrivals_[upstream].push_back({.at = now_(), .attempt = attempt});
 }
 
 std::size_t History::BeginRun(const std::string& attempt, RunRecord run) {
   const std::lock_guard lock(mutex_);
   std::vector<RunRecord>& runs = runs_[attempt];
   runs.push_back(std::move(run));
-  runs.back().started_at = Now();
+  runs.back().started_at = now_();
   return runs.size() - 1;
 }
 
 void History::RecordFirstSend(const std::string& attempt, std::size_t run) {
   const std::lock_guard lock(mutex_);
   std::optional<TimePoint>& first_sent_at = runs_[attempt][run].first_sent_at;
-  first_sent_at = first_sent_at.value_or(Now());
+  first_sent_at = first_sent_at.value_or(now_());
 }
 
 void History::EndRun(const std::string& attempt, std::size_t run) {
   const std::lock_guard lock(mutex_);
-  runs_[attempt][run].ended_at = Now();
+  runs_[attempt][run].ended_at = now_();
 }
 
 void History::AddViolation(std::string rule, std::string text, std::optional<std::size_t> daemon) {
   const std::lock_guard lock(mutex_);
   violations_.push_back(
-      {.rule = std::move(rule), .text = std::move(text), .daemon = daemon, .at = Now()});
+      {.rule = std::move(rule), .text = std::move(text), .daemon = daemon, .at = now_()});
 }
 
 std::vector<RunRecord> History::RunsOf(const std::string& attempt) const {
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -4,11 +4,13 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "config/route_table.h"
@@ -163,6 +165,8 @@
 // until the play has ended; the accessors below are for afterwards.
 class History {
  public:
+  explicit History(std::function<TimePoint()> now = Now) : now_(std::move(now)) {}
+
   void AddAttempt(AttemptRecord attempt);
   void AddEvent(EventKind kind, std::optional<std::size_t> daemon, std::string text);
   // Records that one more upstream of the version serves, or one less.
@@ -215,6 +219,7 @@
   std::string Timeline(const Violation& violation) const;
 
  private:
+  std::function<TimePoint()> now_;
   mutable std::mutex mutex_;
   std::vector<AttemptRecord> attempts_;
   std::vector<PlayEvent> events_;
--- a/tests/soak/promise_checker.h
+++ b/tests/soak/promise_checker.h
@@ -33,7 +33,10 @@
   void Add(std::string rule, std::string text, const AttemptRecord& attempt);
   // Returns true if the daemon was killed or frozen too shortly before the request, or during it.
   bool IsDisturbed(const AttemptRecord& attempt) const;
-  // Returns the time of the stop order that was in force when the attempt ended.
+  // Returns when the daemon ended the attempt at the latest. A slow reader notices the end of its
+  // connection only after it has read what came before.
+  TimePoint EndOf(const AttemptRecord& attempt) const;
+  // Returns the time of the stop order that was in force when the daemon ended the attempt.
   std::optional<TimePoint> StopOrder(const AttemptRecord& attempt) const;
   // Returns true if the path to the upstreams was cut while the attempt used it, or the daemon is
   // partitioned and one that may relay the attempt was killed, frozen or cut off.
--- a/tests/soak/promise_evidence.cc
+++ b/tests/soak/promise_evidence.cc
@@ -31,18 +31,27 @@
 }
 
 bool PromiseChecker::IsDisturbed(const AttemptRecord& attempt) const {
+  const TimePoint end = EndOf(attempt);
   return std::ranges::any_of(history_.events(), [&](const PlayEvent& event) {
     return event.daemon == attempt.daemon && IsUnplanned(event.kind) &&
-           event.at >= attempt.sent_at - bounds_.contact && event.at <= attempt.ended_at;
+           event.at >= attempt.sent_at - bounds_.contact && event.at <= end;
   });
 }
 
+TimePoint PromiseChecker::EndOf(const AttemptRecord& attempt) const {
+  const auto exit = std::ranges::find_if(history_.events(), [&](const PlayEvent& event) {
+    return event.daemon == attempt.daemon && event.kind == EventKind::kExit &&
+           event.at >= attempt.sent_at;
+  });
+  return exit == history_.events().end() ? attempt.ended_at : std::min(attempt.ended_at, exit->at);
+}
+
 std::optional<TimePoint> PromiseChecker::StopOrder(const AttemptRecord& attempt) const {
+  const TimePoint end = EndOf(attempt);
   std::optional<TimePoint> order;
   for (const PlayEvent& event : history_.events()) {
-    if (event.daemon == attempt.daemon && event.kind == EventKind::kTerm &&
-        event.at <= attempt.ended_at &&
-        attempt.ended_at <= event.at + bounds_.grace + kPlannedWorkSlack) {
+    if (event.daemon == attempt.daemon && event.kind == EventKind::kTerm && event.at <= end &&
+        end <= event.at + bounds_.grace + kPlannedWorkSlack) {
       order = event.at;
     }
   }
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -52,14 +52,14 @@
 }
 
 void PromiseChecker::CheckLost(const AttemptRecord& attempt, const std::vector<RunRecord>& runs) {
+  const TimePoint end = EndOf(attempt);
   if (!attempt.sent || attempt.complete || attempt.left_by_caller ||
-      attempt.ended_at >= attempt.deadline - kDeadlineMargin || IsDisturbed(attempt)) {
+      end >= attempt.deadline - kDeadlineMargin || IsDisturbed(attempt)) {
     return;
   }
   const bool upstream_broke = std::ranges::any_of(runs, [&](const RunRecord& run) {
-    return history_.BrokeBetween(
-        run.upstream, run.started_at,
-        std::min(attempt.ended_at, run.ended_at.value_or(attempt.ended_at) + kSameMoment));
+    return history_.BrokeBetween(run.upstream, run.started_at,
+                                 std::min(end, run.ended_at.value_or(end) + kSameMoment));
   });
   if (upstream_broke || IsCutByPartition(attempt) || WasRelayCut(runs)) {
     return;
@@ -69,18 +69,18 @@
     const TimePoint last_sixth = *order + bounds_.grace - bounds_.grace / kGraceParts;
     const bool was_at_work = std::ranges::any_of(
         runs, [&](const RunRecord& run) { return !run.ended_at || *run.ended_at >= last_sixth; });
-    if (attempt.ended_at >= last_sixth && was_at_work) {
+    if (end >= last_sixth && was_at_work) {
       return;
     }
   }
-  const Duration open_for = attempt.ended_at - attempt.sent_at;
+  const Duration open_for = end - attempt.sent_at;
   if (!runs.empty()) {
     Add("LOST", "The request was passed on and its connection closed without its answer.", attempt);
   } else if (order && open_for > bounds_.loss_slack) {
     Add("LOST",
         fmt::format("The connection closed without an answer {} ms after the request, {} ms "
                     "after SIGTERM.",
-                    open_for / 1ms, (attempt.ended_at - *order) / 1ms),
+                    open_for / 1ms, (end - *order) / 1ms),
         attempt);
   }
 }
