Keep in the store which versions have served streams

Callers: after all daemons had ended at once, no stream that they resumed went on (LOST), although one software version had served all the while.

Cause: a daemon infers the version of a stream of which it has no record from having seen all versions for the lifetime of a stream. What the daemons knew was in their memory alone, so after a start without live peers it knew nothing for 22 s and refused each resumption as stream_version_unknown.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -67,6 +67,7 @@
                   }}),
       crash_records_(fleet_, *adapters_.store, pool_.context(0)),
       stream_snapshots_(fleet_, pool_.context(0)),
+      stream_version_store_(fleet_, *adapters_.store),
       report_transport_(
           fleet_, *adapters_.store,
           [this](const FleetReport& report) {
@@ -136,6 +137,7 @@
   spawn(crash_records_.ReadLoop());
   spawn(crash_records_.WriteLoop());
   spawn(stream_snapshots_.Loop());
+  spawn(stream_version_store_.Loop());
   spawn(report_transport_.ReceiveLoop());
   spawn(report_transport_.SendLoop());
   spawn(report_transport_.RegisterLoop());
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "gateway/peer_tunnels.h"
 #include "gateway/stream_migrator.h"
 #include "gateway/stream_snapshot_exchange.h"
+#include "gateway/stream_version_store.h"
 #include "gateway/upstream_connection_pool.h"
 #include "gateway/upstream_connector.h"
 #include "gateway/upstream_signal_recorder.h"
@@ -100,6 +101,7 @@
   FleetStoreWatcher store_watcher_;
   CrashRecordStore crash_records_;
   StreamSnapshotExchange stream_snapshots_;
+  StreamVersionStore stream_version_store_;
   PeerReportTransport report_transport_;
   DutyRunner duty_runner_;
   CapacityController capacity_controller_;
--- a/packages/recovery/stream_version_directory.cc
+++ b/packages/recovery/stream_version_directory.cc
@@ -203,7 +203,7 @@
   return selected;
 }
 
-StreamVersionSnapshot StreamVersionDirectory::MakeSnapshot(TimePoint now) const {
+StreamVersionSnapshot StreamVersionDirectory::KnownVersions(TimePoint now) const {
   StreamVersionSnapshot snapshot;
   if (known_since_ && view_confirmed_at_ && now - *view_confirmed_at_ <= options_.max_view_age) {
     snapshot.known_age = now - *known_since_;
@@ -222,6 +222,11 @@
       }
     }
   }
+  return snapshot;
+}
+
+StreamVersionSnapshot StreamVersionDirectory::MakeSnapshot(TimePoint now) const {
+  StreamVersionSnapshot snapshot = KnownVersions(now);
   for (const auto& [attempt, record] : records_) {
     if (now - record.recorded_at <= options_.lifetime) {
       snapshot.records.push_back({.attempt = attempt, .version = record.version});
--- a/packages/recovery/stream_version_directory.h
+++ b/packages/recovery/stream_version_directory.h
@@ -122,6 +122,8 @@
   // Returns at most `limit` records for the next report to the group.
   std::vector<StreamVersionRecord> SelectForReport(std::size_t limit, TimePoint now);
 
+  // Returns the versions that were registered during the lifetime of a stream, without records.
+  StreamVersionSnapshot KnownVersions(TimePoint now) const;
   StreamVersionSnapshot MakeSnapshot(TimePoint now) const;
   // Merges the snapshot of a peer, which arrived this long after it was requested.
   void OnPeerSnapshot(const StreamVersionSnapshot& snapshot, Duration delay, TimePoint now);
