Tell a reset of the path from a crash of the upstream

What callers saw: 502 and 503 (request_crashes_upstreams) for sound requests, once a partition of the daemon from its upstreams had reset the connections of three of them that ran the same request. Cause: a direct connection that broke was a crash of the upstream, whatever broke it (CrashEvidence::kConnectionLost). Change: before the end of such an attempt is recorded, a new direct connection to the upstream is opened. If it gets no response within the connect timeout of 300 ms, the attempt ends as path_lost: the run was left, and counts only if the process ends soon, as on a relayed connection. A connection that is accepted or refused shows that the path works, so a crash counts before the next attempt, as it did. If the request has less than 300 ms left, the end counts as a crash, as it did. The other new test, of processes that end and refuse connections, shows that such crashes still count. Cost: a request whose connection a partition resets is sent again up to 300 ms later. A reset after which new connections succeed at once still counts as a crash.

--- a/packages/gateway/attempt_outcome.cc
+++ b/packages/gateway/attempt_outcome.cc
@@ -7,7 +7,7 @@
 
 const AttemptOutcomeTraits& TraitsOf(AttemptOutcome result) {
   // In the order of the outcomes.
-  static constexpr std::array<AttemptOutcomeTraits, 15> kTraits = {{
+  static constexpr std::array<AttemptOutcomeTraits, 16> kTraits = {{
       {.name = "answered", .end = AttemptEnd::kAnswered},
       {.name = "failed", .end = AttemptEnd::kFailed},
       {.name = "rejected", .end = AttemptEnd::kRefused, .may_have_run = false},
@@ -18,6 +18,7 @@
       {.name = "broken_off",
        .end = AttemptEnd::kFailed,
        .evidence = CrashEvidence::kConnectionLost},
+      {.name = "path_lost", .end = AttemptEnd::kNoPath, .evidence = CrashEvidence::kRunLeft},
       {.name = "relay_lost", .end = AttemptEnd::kFailed, .evidence = CrashEvidence::kRunLeft},
       {.name = "unusable", .end = AttemptEnd::kFailed},
       {.name = "timed_out", .end = AttemptEnd::kFailed, .evidence = CrashEvidence::kRunLeft},
--- a/packages/gateway/attempt_outcome.h
+++ b/packages/gateway/attempt_outcome.h
@@ -30,6 +30,8 @@
   kUndelivered,
   // The upstream's end of the connection broke before the end of the response.
   kBrokenOff,
+  // The connection to the upstream broke, and another one gets no response.
+  kPathLost,
   // The connection through a peer broke, by the peer, the path or the upstream.
   kRelayLost,
   // The upstream's response can't be relayed.
@@ -51,7 +53,7 @@
   kNone,
   // The run was left. It has crashed the upstream if the upstream's process ends soon.
   kRunLeft,
-  // The connection to the upstream was lost, as all others to its process.
+  // The upstream closed its end of the connection, as a process that ends does with all of them.
   kConnectionLost,
 };
 
--- a/packages/gateway/attempt_runner.cc
+++ b/packages/gateway/attempt_runner.cc
@@ -152,6 +152,16 @@
   co_return AttemptOutcome::kRejected;
 }
 
+asio::awaitable<AttemptOutcome> AttemptRunner::CauseOfEnd(const Call& call, const Attempt& attempt,
+                                                          AttemptOutcome seen) {
+  if (seen != AttemptOutcome::kBrokenOff || !attempt.peer.empty()) {
+    co_return seen;
+  }
+  const bool is_lost =
+      co_await connector_.IsPathLost(attempt.placement.upstream, call.RemainingTime(BootNow()));
+  co_return is_lost ? AttemptOutcome::kPathLost : seen;
+}
+
 void AttemptRunner::RecordRejection(Call& call) {
   --call.unrejected_sends;
   if (call.counted_window && call.unrejected_sends == 0 && call.account != nullptr) {
--- a/packages/gateway/attempt_runner.h
+++ b/packages/gateway/attempt_runner.h
@@ -37,6 +37,11 @@
   // Connects, sends the request and reads the header of the response. Returns why the attempt has
   // ended, or nothing if the response can be relayed.
   boost::asio::awaitable<std::optional<AttemptOutcome>> Send(Call& call, Attempt& attempt);
+  // Returns why an attempt has ended, given what was seen on its connection. A reset of the path to
+  // the upstream looks like the end of its process there, so another connection is opened to tell
+  // the two apart.
+  boost::asio::awaitable<AttemptOutcome> CauseOfEnd(const Call& call, const Attempt& attempt,
+                                                    AttemptOutcome seen);
   // Closes the attempt's connection, and records its end for the load balancer, the crash records,
   // the retries of the call and the log.
   void End(Call& call, Attempt& attempt, AttemptOutcome result);
--- a/packages/gateway/backup_attempt.cc
+++ b/packages/gateway/backup_attempt.cc
@@ -176,7 +176,9 @@
       break;
     }
     const std::shared_ptr<Attempt> ended = std::exchange(second_, nullptr);
-    runner_.End(call_, *ended, result.value_or(AttemptOutcome::kSuperseded));
+    const AttemptOutcome cause =
+        co_await runner_.CauseOfEnd(call_, *ended, result.value_or(AttemptOutcome::kSuperseded));
+    runner_.End(call_, *ended, cause);
     if (!ended->sent) {
       fleet_.retry_budget.Refund(call_.service, 1);
     }
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -419,6 +419,7 @@
       ReleaseReturn(call);
       result = co_await response_relay_.Relay(call, *attempt);
     }
+    result = co_await attempts_.CauseOfEnd(call, *attempt, *result);
     attempts_.End(call, *attempt, *result);
     std::shared_ptr<Attempt> second = co_await backup->Finish(NeedOfSecond(*result));
     if (second == nullptr) {
--- a/packages/gateway/upstream_connector.cc
+++ b/packages/gateway/upstream_connector.cc
@@ -79,6 +79,26 @@
   co_return connected;
 }
 
+boost::asio::awaitable<bool> UpstreamConnector::IsPathLost(const UpstreamRecord& upstream,
+                                                           Duration remaining) {
+  const Result<Endpoint> endpoint = ParseEndpoint(upstream.address);
+  if (!endpoint || remaining <= Duration::zero()) {
+    co_return false;
+  }
+  const Duration timeout = std::min(kConnectTimeout, remaining);
+  const auto connected =
+      co_await HttpConnection::Connect(*endpoint, timeout, fleet_.settings.source_address);
+  if (connected) {
+    fleet_.upstream_paths.OnReached(upstream.id, BootNow());
+    co_return false;
+  }
+  const bool is_lost = connected.error().code == ErrorCode::kTimeout && timeout == kConnectTimeout;
+  if (is_lost) {
+    fleet_.upstream_paths.OnUnreached(upstream.id, BootNow());
+  }
+  co_return is_lost;
+}
+
 std::vector<RelayPeer> UpstreamConnector::RelayPeers(TimePoint now) const {
   const std::vector<DaemonId> live = fleet_.groups.LiveGroup(now);
   std::vector<RelayPeer> peers;
--- a/packages/gateway/upstream_connector.h
+++ b/packages/gateway/upstream_connector.h
@@ -45,6 +45,11 @@
                                                              Duration max_idle_time,
                                                              Duration remaining);
 
+  // Returns true if a new direct connection to the upstream gets no response within the time that
+  // one may take. One that is refused shows that the path works. Returns false if the time left is
+  // too short to tell.
+  boost::asio::awaitable<bool> IsPathLost(const UpstreamRecord& upstream, Duration remaining);
+
   // Probes the upstreams that this daemon does not reach until its context stops.
   boost::asio::awaitable<void> ProbeLoop();
 
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -149,6 +149,29 @@
   EXPECT_EQ(SendRequest("GET", "/reads/poison", "a1").reason, "request_crashes_upstreams");
 }
 
+// Guards against crashes that are taken for resets of the path, because processes that have ended
+// accept no connections.
+TEST_F(CrashingRequestTest, RequestThatEndsTheProcessesOfItsUpstreamsIsRefused) {
+  const auto has_run = [](const auto& worker) { return worker->service.runs() > 0; };
+  SetFaults(WorkerFault::kNoResponse, 100);
+  std::vector<std::unique_ptr<CallerConnection>> callers;
+  while (std::ranges::count_if(workers_, has_run) < kRunsBeforeRefusal) {
+    callers.push_back(std::make_unique<CallerConnection>(gateway_->callers_endpoint()));
+    const std::string attempt = fmt::format("e{}", callers.size());
+    callers.back()->Send(FormatRequest("POST", "/orders/1", attempt, kApiKey, "poison"));
+    while (RunCount(attempt) == 0) {
+    }
+  }
+  std::erase_if(workers_, has_run);
+  for (const auto& caller : callers) {
+    caller->ReadAll();
+    EXPECT_EQ(caller->status(), 502U);
+  }
+  EXPECT_EQ(SendRequest("POST", "/orders/1", "after", kApiKey, "poison").reason,
+            "request_crashes_upstreams");
+  EXPECT_EQ(TotalRuns(), 0);
+}
+
 // Guards against a daemon that sends what the fleet refuses because it has restarted and can't read
 // the records yet.
 TEST_F(CrashingRequestTest, DaemonThatHasNotReadTheRecordsRejectsRequests) {
--- a/tests/gateway/upstream_partition_test.cc
+++ b/tests/gateway/upstream_partition_test.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -22,7 +23,7 @@
 // the other daemon still reach it.
 class UpstreamPartitionTest : public GatewayFixture {
  protected:
-  UpstreamPartitionTest() {
+  explicit UpstreamPartitionTest(int upstreams = 2) : GatewayFixture(upstreams) {
     gateway_.reset();
     for (std::size_t i = 0; i < workers_.size(); ++i) {
       links_.push_back(std::make_unique<EmulatedLink>(workers_[i]->endpoint));
@@ -95,5 +96,43 @@
   ServeRequests("GET", "/reads/3");
 }
 
+// Several upstreams run the same request at the same time.
+class PartitionedRequestTest : public UpstreamPartitionTest {
+ protected:
+  // Losses after which a request is refused as one that crashes upstreams.
+  static constexpr int kLossesBeforeRefusal = 3;
+
+  PartitionedRequestTest() : UpstreamPartitionTest(kLossesBeforeRefusal + 1) {}
+
+  // Sends the request until so many upstreams run it and send nothing.
+  void SendUntilRunByAll(const std::string& method, const std::string& path) {
+    SetFaults(WorkerFault::kNoResponse, 1);
+    while (std::ranges::any_of(workers_,
+                               [](const auto& worker) { return worker->service.runs() == 0; })) {
+      callers_.push_back(std::make_unique<CallerConnection>(gateway_->callers_endpoint()));
+      const std::string attempt = fmt::format("p{}", callers_.size());
+      callers_.back()->Send(FormatRequest(method, path, attempt));
+      while (RunCount(attempt) == 0) {
+      }
+    }
+    SetFaults(WorkerFault::kNone, 0);
+  }
+
+  std::vector<std::unique_ptr<CallerConnection>> callers_;
+};
+
+// Guards against a sound request that is refused as one that crashes upstreams, because a partition
+// of this daemon has reset its connections to all of those that ran it.
+TEST_F(PartitionedRequestTest, RequestIsNotRefusedForTheResetOfItsConnections) {
+  SendUntilRunByAll("GET", "/reads/1");
+  Cut(true);
+  for (const auto& caller : callers_) {
+    EXPECT_TRUE(caller->ReadAll());
+    EXPECT_EQ(caller->status(), 200U) << caller->Header("Savoryglade-Reason");
+  }
+  EXPECT_EQ(Metrics().find(R"(event="recorded")"), std::string::npos);
+  EXPECT_EQ(SendRequest("GET", "/reads/1", "after").status, 200U);
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
