Record no time-out of this daemon as a crash of the upstream

What callers saw: a model request that met three silent upstreams was refused with request_crashes_upstreams (422) by all daemons, although no upstream had ended. Cause: an attempt that this daemon ended because nothing arrived, or could be sent, in time had the result of a lost connection, which the crash records count. Change: such an attempt has the result of a time-out. A connection that the upstream breaks or ends early counts as before; retries are the same. Result: SilenceTest.SilentUpstreamsAreNoCrashes failed before (request_crashes_upstreams after three losses, crash_refusals_total 1, 422 for the same request later) and passes, five times in a row; StreamTest and PlainTest pass unchanged.

--- a/packages/daemon/model_attempt.cc
+++ b/packages/daemon/model_attempt.cc
@@ -91,10 +91,13 @@
   if (std::chrono::steady_clock::now() >= request_.deadline) {
     return Fail(AttemptResult::kTimedOut, Reason::kDeadlineExceeded);
   }
-  if (error.code == ErrorCode::kTimeout && !interrupt_.raised()) {
+  if (error.code != ErrorCode::kTimeout) {
+    return Fail(AttemptResult::kLost, Reason::kUpstreamLost);
+  }
+  if (!interrupt_.raised()) {
     context_.request_metrics.silent_upstreams.Add();
   }
-  return Fail(AttemptResult::kLost, Reason::kUpstreamLost);
+  return Fail(AttemptResult::kTimedOut, Reason::kUpstreamLost);
 }
 
 asio::awaitable<ModelAttemptStatus> ModelAttempt::Run(std::string_view path, std::string body) {
