Keep a silent stream until another upstream has its next event

What callers saw: a stream whose engine sent nothing for 5 s was cut off, or got 502 before its first event, if no other upstream took it: with one upstream, or with others whose slots were in use. Cause: the daemon closed the connection of the silent answer first and asked for another one then. Something in hand was given up for something that was hoped for. Change: the attempt goes on until the deadline of the request. After the silence timeout the upstream is asked for a health check on a new connection. If it answers, a second attempt begins beside the first one, charged as a retry, and takes over when its first event has arrived; bytes of the first one withdraw it. Without a place elsewhere it joins the generation at the same upstream, whose connection alone may be silent. An upstream that fails the health check is left as before. StreamTest, PlainTest and the rest of daemon_test pass unchanged (69 tests).

--- a/packages/daemon/active_requests.h
+++ b/packages/daemon/active_requests.h
@@ -10,10 +10,18 @@
 
 namespace savoryglade {
 
-// Why a request in flight is interrupted.
-enum class InterruptCause { kNone, kCallerGone, kDrainLimit };
+// Why a request in flight, or one of its attempts, is interrupted.
+enum class InterruptCause {
+  kNone,
+  kCallerGone,
+  kDrainLimit,
+  // The upstream of the attempt is silent, and gone or no longer needed.
+  kUpstreamSilent,
+  // Another attempt of the request goes on.
+  kSuperseded,
+};
 
-// Interrupts one request in flight. Used on the worker of the request only.
+// Interrupts one request in flight or one of its attempts. Used on the worker of the request only.
 class Interrupt {
  public:
   InterruptCause cause() const { return cause_; }
--- a/packages/daemon/model_attempt.cc
+++ b/packages/daemon/model_attempt.cc
@@ -45,7 +45,7 @@
 
 }  // namespace
 
-asio::awaitable<ModelAttemptStatus> ModelAttempt::Generate() {
+asio::awaitable<std::optional<ModelAttemptStatus>> ModelAttempt::BeginGeneration() {
   const std::string_view known_text = writer_.known_text();
   first_position_ = known_text.empty() ? 0 : writer_.next_position();
   next_position_ = first_position_;
@@ -54,16 +54,16 @@
                   R"("known_text":"{}"}})",
                   request_.digests.generation, json::serialize(json::string(request_.chat.prompt)),
                   request_.chat.max_tokens, request_.digests.seed, first_position_, known_text);
-  co_return co_await Run("/generate", std::move(body));
+  co_return co_await Begin("/generate", std::move(body));
 }
 
-asio::awaitable<ModelAttemptStatus> ModelAttempt::Resume() {
+asio::awaitable<std::optional<ModelAttemptStatus>> ModelAttempt::BeginResumption() {
   count_resumption_ = true;
   first_position_ = writer_.next_position();
   next_position_ = first_position_;
   std::string body = fmt::format(R"({{"generation":"{}","position":{}}})",
                                  request_.digests.generation, first_position_);
-  co_return co_await Run("/resume", std::move(body));
+  co_return co_await Begin("/resume", std::move(body));
 }
 
 AttemptOutcome ModelAttempt::outcome() {
@@ -71,12 +71,26 @@
   return outcome_;
 }
 
-Duration ModelAttempt::ReadTimeout() const {
-  const Duration remaining = request_.deadline - std::chrono::steady_clock::now();
-  return std::clamp(remaining, Duration(1ms), context_.upstream_options.silence_timeout);
+Duration ModelAttempt::Silence() {
+  if (!awaited_since_) {
+    return Duration::zero();
+  }
+  // After a pause of this process, bytes may have arrived that have not been read yet.
+  boost::system::error_code ignored;
+  const bool has_unread_bytes = connection_->stream().socket().available(ignored) > 0;
+  return has_unread_bytes ? Duration::zero() : std::chrono::steady_clock::now() - *awaited_since_;
+}
+
+Duration ModelAttempt::RemainingTime() const {
+  return std::max<Duration>(request_.deadline - std::chrono::steady_clock::now(), 1ms);
 }
 
 ModelAttemptStatus ModelAttempt::Fail(AttemptResult result, Reason reason, RunState state) {
+  if (interrupt_.cause() == InterruptCause::kUpstreamSilent) {
+    outcome_.result = AttemptResult::kTimedOut;
+    verdict_ = {.run_state = state, .reason = Reason::kUpstreamLost, .retry_after = kRetryAfter};
+    return ModelAttemptStatus::kFailed;
+  }
   if (interrupt_.raised()) {
     outcome_.result = AttemptResult::kCancelled;
     verdict_ = {.run_state = state, .reason = Reason::kDraining, .retry_after = kRetryAfter};
@@ -100,7 +114,20 @@
   return Fail(AttemptResult::kTimedOut, Reason::kUpstreamLost);
 }
 
-asio::awaitable<ModelAttemptStatus> ModelAttempt::Run(std::string_view path, std::string body) {
+void ModelAttempt::Close() {
+  if (connection_ != nullptr) {
+    connection_->Close();
+  }
+}
+
+ModelAttemptStatus ModelAttempt::Withdraw() {
+  interrupt_.Raise(InterruptCause::kSuperseded);
+  connection_.reset();
+  return Fail(AttemptResult::kCancelled, Reason::kDraining);
+}
+
+asio::awaitable<std::optional<ModelAttemptStatus>> ModelAttempt::Begin(std::string_view path,
+                                                                       std::string body) {
   const Endpoint endpoint = MakeEndpoint(upstream_);
   HttpRequest request = MakePost(path, std::move(body), endpoint);
   auto connection =
@@ -111,52 +138,84 @@
   if (interrupt_.Check()) {
     co_return Fail(AttemptResult::kCancelled, Reason::kDraining, RunState::kNotRun);
   }
-  ModelAttemptStatus end = ModelAttemptStatus::kFailed;
-  {
-    const InterruptScope scope(interrupt_, [&connection] { (*connection)->Close(); });
-    end = co_await SendAndRelay(**connection, std::move(request));
-  }
-  if (end == ModelAttemptStatus::kComplete) {
-    co_await ReadTrailingEvents(**connection);
-    context_.connections.Release(std::move(*connection));
+  connection_ = std::move(*connection);
+  interrupt_.SetCallback([this] { Close(); });
+  const std::optional<ModelAttemptStatus> end = co_await SendAndReadFirstEvent(std::move(request));
+  if (end) {
+    connection_.reset();
   }
   co_return end;
 }
 
-asio::awaitable<ModelAttemptStatus> ModelAttempt::SendAndRelay(HttpConnection& connection,
-                                                               HttpRequest request) {
-  const auto sent = co_await connection.Send(request, context_.upstream_options.send_timeout);
+asio::awaitable<std::optional<ModelAttemptStatus>> ModelAttempt::SendAndReadFirstEvent(
+    HttpRequest request) {
+  const auto sent = co_await connection_->Send(request, context_.upstream_options.send_timeout);
   // Frees the request while the response is relayed, since a prompt may be large.
   request = HttpRequest();
   if (!sent) {
     co_return FailRead(sent.error());
   }
-  const auto status = co_await connection.ReadHeader(ReadTimeout());
+  awaited_since_ = std::chrono::steady_clock::now();
+  const auto status = co_await connection_->ReadHeader(RemainingTime());
+  awaited_since_.reset();
   if (!status) {
     co_return FailRead(status.error());
   }
+  OnBytes();
   if (*status == 404) {
     Fail(AttemptResult::kRefused, Reason::kUpstreamError, RunState::kNotRun);
     co_return ModelAttemptStatus::kUnknownGeneration;
   }
   if (*status != 200) {
-    co_return ReportsNotRun(connection.response_header())
+    co_return ReportsNotRun(connection_->response_header())
         ? Fail(AttemptResult::kRefused, Reason::kUpstreamError, RunState::kNotRun)
         : Fail(AttemptResult::kLost, Reason::kUpstreamError);
   }
-  co_return co_await Relay(connection);
+  while (!reader_.HasNext()) {
+    const std::optional<ModelAttemptStatus> end = co_await ReadMore();
+    if (end) {
+      co_return end;
+    }
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<ModelAttemptStatus>> ModelAttempt::ReadMore() {
+  reader_.Compact();
+  awaited_since_ = std::chrono::steady_clock::now();
+  const Result<bool> more = co_await connection_->ReadSome(reader_.buffer(), RemainingTime());
+  awaited_since_.reset();
+  if (!more) {
+    co_return FailRead(more.error());
+  }
+  if (!*more) {
+    co_return Fail(AttemptResult::kLost, Reason::kUpstreamLost);
+  }
+  OnBytes();
+  if (reader_.HasOversizedEvent() && !reader_.HasNext()) {
+    co_return Fail(AttemptResult::kLost, Reason::kUpstreamError);
+  }
+  co_return std::nullopt;
+}
+
+void ModelAttempt::OnBytes() {
+  if (bytes_callback_) {
+    bytes_callback_();
+  }
+}
+
+asio::awaitable<ModelAttemptStatus> ModelAttempt::Relay() {
+  const ModelAttemptStatus end = co_await RelayEvents();
+  if (end == ModelAttemptStatus::kComplete) {
+    co_await ReadTrailingEvents();
+    context_.connections.Release(std::move(connection_));
+  }
+  connection_.reset();
+  co_return end;
 }
 
-asio::awaitable<ModelAttemptStatus> ModelAttempt::Relay(HttpConnection& connection) {
+asio::awaitable<ModelAttemptStatus> ModelAttempt::RelayEvents() {
   while (true) {
-    reader_.Compact();
-    const Result<bool> more = co_await connection.ReadSome(reader_.buffer(), ReadTimeout());
-    if (!more) {
-      co_return FailRead(more.error());
-    }
-    if (!*more) {
-      co_return Fail(AttemptResult::kLost, Reason::kUpstreamLost);
-    }
     if (!ProcessEvents() || reader_.HasOversizedEvent()) {
       co_return Fail(AttemptResult::kLost, Reason::kUpstreamError);
     }
@@ -184,16 +243,21 @@
     if (std::chrono::steady_clock::now() >= request_.deadline) {
       co_return Fail(AttemptResult::kTimedOut, Reason::kDeadlineExceeded);
     }
+    const std::optional<ModelAttemptStatus> end = co_await ReadMore();
+    if (end) {
+      co_return *end;
+    }
   }
 }
 
 // Reads the end of the response after its final event and counts further events as late.
-asio::awaitable<void> ModelAttempt::ReadTrailingEvents(HttpConnection& connection) {
+asio::awaitable<void> ModelAttempt::ReadTrailingEvents() {
   std::size_t received = 0;
   while (received <= kMaxTrailingBytes) {
     reader_.Compact();
     const std::size_t held = reader_.buffer().size();
-    const Result<bool> more = co_await connection.ReadSome(reader_.buffer(), kTrailingReadTimeout);
+    const Result<bool> more =
+        co_await connection_->ReadSome(reader_.buffer(), kTrailingReadTimeout);
     if (!more || !*more) {
       co_return;
     }
@@ -263,6 +327,18 @@
   return true;
 }
 
+asio::awaitable<bool> AnswersHealthCheck(const RequestHandlerContext& context,
+                                         const UpstreamConfig& upstream, Interrupt& interrupt) {
+  const Duration timeout = context.upstream_options.pool.health_timeout;
+  const auto connection = co_await HttpConnection::Connect(MakeEndpoint(upstream), timeout);
+  if (!connection) {
+    co_return false;
+  }
+  const InterruptScope scope(interrupt, [&connection] { (*connection)->Close(); });
+  const Result<HttpResponse> response = co_await (*connection)->CheckHealth(timeout);
+  co_return response.has_value();
+}
+
 void CancelGeneration(const RequestHandlerContext& context, const UpstreamConfig& upstream,
                       const std::string& generation, const asio::any_io_executor& executor) {
   const Endpoint endpoint = MakeEndpoint(upstream);
--- a/packages/daemon/model_attempt.h
+++ b/packages/daemon/model_attempt.h
@@ -2,7 +2,9 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -35,7 +37,9 @@
   kFailed,
 };
 
-// Runs one attempt at an upstream and relays its tokens from the writer's next position on.
+// Runs one attempt at an upstream and relays its tokens from the writer's next position on. Silence
+// of the upstream does not end it before the deadline of the request; its owner may do so with the
+// interrupt.
 class ModelAttempt {
  public:
   ModelAttempt(const RequestHandlerContext& context, const UpstreamConfig& upstream,
@@ -45,13 +49,28 @@
         request_(request),
         writer_(writer),
         interrupt_(interrupt) {}
+  ~ModelAttempt() { interrupt_.SetCallback(nullptr); }
+  ModelAttempt(const ModelAttempt&) = delete;
+  ModelAttempt& operator=(const ModelAttempt&) = delete;
 
-  // Starts the generation after the delivered tokens if their text is known, else from the start,
-  // and relays its tokens.
-  boost::asio::awaitable<ModelAttemptStatus> Generate();
+  // Starts the generation after the delivered tokens if their text is known, else from the start.
+  // Returns nothing once its first event has arrived, else the final status.
+  boost::asio::awaitable<std::optional<ModelAttemptStatus>> BeginGeneration();
 
-  // Resumes a generation that the upstream already holds and relays its tokens.
-  boost::asio::awaitable<ModelAttemptStatus> Resume();
+  // Resumes a generation that the upstream already holds. Returns as BeginGeneration does.
+  boost::asio::awaitable<std::optional<ModelAttemptStatus>> BeginResumption();
+
+  // Relays the tokens of a response whose first event has arrived.
+  boost::asio::awaitable<ModelAttemptStatus> Relay();
+
+  // Ends an attempt whose first event has arrived and which is not needed.
+  ModelAttemptStatus Withdraw();
+
+  // Sets the function that is called when bytes of the response have arrived.
+  void SetBytesCallback(std::function<void()> callback) { bytes_callback_ = std::move(callback); }
+
+  // Returns the time for which bytes of the response have been awaited and none have arrived.
+  Duration Silence();
 
   // Verdict for the caller if this was the last attempt; set unless the response is complete.
   const Verdict& verdict() const { return verdict_; }
@@ -59,15 +78,20 @@
   AttemptOutcome outcome();
 
  private:
-  boost::asio::awaitable<ModelAttemptStatus> Run(std::string_view path, std::string body);
-  boost::asio::awaitable<ModelAttemptStatus> SendAndRelay(HttpConnection& connection,
-                                                          HttpRequest request);
-  boost::asio::awaitable<ModelAttemptStatus> Relay(HttpConnection& connection);
-  boost::asio::awaitable<void> ReadTrailingEvents(HttpConnection& connection);
+  using OptionalStatus = std::optional<ModelAttemptStatus>;
+
+  boost::asio::awaitable<OptionalStatus> Begin(std::string_view path, std::string body);
+  boost::asio::awaitable<OptionalStatus> SendAndReadFirstEvent(HttpRequest request);
+  boost::asio::awaitable<ModelAttemptStatus> RelayEvents();
+  // Reads more of the response. Returns the final status if there is no more.
+  boost::asio::awaitable<OptionalStatus> ReadMore();
+  boost::asio::awaitable<void> ReadTrailingEvents();
+  void OnBytes();
+  void Close();
   ModelAttemptStatus Fail(AttemptResult result, Reason reason,
                           RunState state = RunState::kMayHaveRun);
   ModelAttemptStatus FailRead(const Error& error);
-  Duration ReadTimeout() const;
+  Duration RemainingTime() const;
   bool ProcessEvents();
   bool ProcessEvent(std::string_view data);
 
@@ -76,6 +100,10 @@
   const ModelRequest& request_;
   ResponseWriter& writer_;
   Interrupt& interrupt_;
+  std::unique_ptr<HttpConnection> connection_;
+  std::function<void()> bytes_callback_;
+  // Start of the current read, or nothing while none is in progress.
+  std::optional<TimePoint> awaited_since_;
   SseReader reader_;
   EngineEventParser parser_;
   TimePoint start_ = std::chrono::steady_clock::now();
@@ -91,6 +119,11 @@
   Verdict verdict_;
 };
 
+// Returns true if the upstream answers a health check on a new connection.
+boost::asio::awaitable<bool> AnswersHealthCheck(const RequestHandlerContext& context,
+                                                const UpstreamConfig& upstream,
+                                                Interrupt& interrupt);
+
 // Cancels a generation at its engine in the background.
 void CancelGeneration(const RequestHandlerContext& context, const UpstreamConfig& upstream,
                       const std::string& generation, const boost::asio::any_io_executor& executor);
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -186,6 +186,16 @@
   co_return CheckResponse(parser.release(), endpoint_);
 }
 
+asio::awaitable<Result<HttpResponse>> HttpConnection::CheckHealth(Duration timeout) {
+  HttpRequest request(http::verb::get, "/health", 11);
+  request.set(http::field::host, ToString(endpoint_));
+  const Result<void> sent = co_await Send(request, timeout);
+  if (!sent) {
+    co_return tl::make_unexpected(sent.error());
+  }
+  co_return co_await ReadResponse(kMaxHealthBodyBytes, timeout);
+}
+
 const http::fields& HttpConnection::response_header() const { return parser_->get().base(); }
 
 std::optional<std::size_t> HttpConnection::UnacknowledgedBytes() {
@@ -253,16 +263,10 @@
   if (!connection->IsOpenAndIdle()) {
     co_return;
   }
-  HttpRequest request(http::verb::get, "/health", 11);
-  request.set(http::field::host, ToString(connection->endpoint()));
-  const Result<void> sent = co_await connection->Send(request, options_.health_timeout);
-  if (sent) {
-    const auto response =
-        co_await connection->ReadResponse(kMaxHealthBodyBytes, options_.health_timeout);
-    if (response) {
-      Release(std::move(connection));
-      co_return;
-    }
+  const auto response = co_await connection->CheckHealth(options_.health_timeout);
+  if (response) {
+    Release(std::move(connection));
+    co_return;
   }
   if (unresponsive_connections_ != nullptr) {
     unresponsive_connections_->Add();
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -78,6 +78,9 @@
                                                                  Duration timeout,
                                                                  Duration progress_timeout);
 
+  // Requests /health and reads the response. The timeout applies to each of both.
+  boost::asio::awaitable<Result<HttpResponse>> CheckHealth(Duration timeout);
+
   // Returns the number of bytes sent that the peer's host has not acknowledged, or nothing if the
   // connection is closed.
   std::optional<std::size_t> UnacknowledgedBytes();
--- a/packages/net/sse_reader.cc
+++ b/packages/net/sse_reader.cc
@@ -43,6 +43,15 @@
   }
 }
 
+bool SseReader::HasNext() {
+  const std::size_t position = read_position_;
+  if (!Next()) {
+    return false;
+  }
+  read_position_ = position;
+  return true;
+}
+
 void SseReader::Compact() {
   buffer_.erase(0, read_position_);
   read_position_ = 0;
--- a/packages/net/sse_reader.h
+++ b/packages/net/sse_reader.h
@@ -21,6 +21,9 @@
   // valid until the next call of Next or Compact or a change of the buffer.
   std::optional<std::string_view> Next();
 
+  // Returns true if Next would return an event.
+  bool HasNext();
+
   // Returns true if an incomplete event exceeds kMaxEventBytes.
   bool HasOversizedEvent() const { return buffer_.size() - read_position_ > kMaxEventBytes; }
 
