Keep late refunds from releasing later retries

Services got more repeats in a window than allowed when a moved stream gave back its return more than a window after it had consumed it: the return had left the window by itself, and the refund took the oldest repeat that was still in it, which may have been made.

A refund now names the instant at which the retries were consumed, and has no effect once they have left the window.

--- a/packages/gateway/backup_attempt.cc
+++ b/packages/gateway/backup_attempt.cc
@@ -149,7 +149,8 @@
 
 asio::awaitable<void> BackupAttempt::Run() {
   while (!is_cancelled_ && !has_first_ended_ && MayBegin()) {
-    const std::optional<Placement> placement = ChooseUpstream(BootNow());
+    const TimePoint chosen_at = BootNow();
+    const std::optional<Placement> placement = ChooseUpstream(chosen_at);
     if (!placement) {
       change_.expires_after(kChooseInterval);
       co_await change_.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -178,7 +179,7 @@
     const std::shared_ptr<Attempt> ended = std::exchange(second_, nullptr);
     runner_.End(call_, *ended, result.value_or(AttemptOutcome::kSuperseded));
     if (!ended->sent) {
-      fleet_.retry_budget.Refund(call_.service, 1);
+      fleet_.retry_budget.Refund(call_.service, 1, chosen_at, BootNow());
     }
   }
   is_running_ = false;
--- a/packages/gateway/call.h
+++ b/packages/gateway/call.h
@@ -99,8 +99,8 @@
   // Upstream that stopped the stream and still holds its KV cache, as the fallback of the target.
   // Empty once that upstream is itself the target.
   std::optional<UpstreamRecord> migration_source;
-  // Whether the return to that upstream is still consumed in the retry budget.
-  bool return_reserved = false;
+  // When the return to that upstream was consumed in the retry budget, while it still is.
+  std::optional<TimePoint> return_consumed_at;
 
   // Whether a part of the response has been sent, so that no other response can follow.
   bool stream_started = false;
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -237,8 +237,8 @@
 }
 
 void CallRelay::ReleaseReturn(Call& call) {
-  if (std::exchange(call.return_reserved, false)) {
-    fleet_.retry_budget.Refund(call.service, 1);
+  if (const auto consumed_at = std::exchange(call.return_consumed_at, std::nullopt)) {
+    fleet_.retry_budget.Refund(call.service, 1, *consumed_at, BootNow());
   }
 }
 
@@ -373,7 +373,7 @@
     const bool move_ended = moved && call.migration_target.has_value();
     if (move_ended && !may_have_run && call.migration_source) {
       // The engine that stopped the request still holds its KV cache.
-      call.return_reserved = false;
+      call.return_consumed_at.reset();
       call.migration_target = std::exchange(call.migration_source, std::nullopt);
       continue;
     }
@@ -427,7 +427,7 @@
     if (*result == AttemptOutcome::kMoved) {
       // What was moved is not continued there, so its retries are returned.
       response_relay_.AbandonMove(attempt->stream);
-      call.return_reserved = false;
+      call.return_consumed_at.reset();
     }
     attempt = std::move(second);
     ReleaseReturn(call);
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -379,7 +379,11 @@
   call.migration_source = attempt.stream->state() == MigratableStream::State::kMigrated
                               ? std::optional(attempt.stream->source())
                               : std::nullopt;
-  call.return_reserved = call.migration_source.has_value();
+  if (call.migration_source) {
+    call.return_consumed_at = attempt.stream->resumptions_consumed_at();
+  } else {
+    call.return_consumed_at.reset();
+  }
   co_return AttemptOutcome::kMoved;
 }
 
--- a/packages/gateway/stream_migrator.cc
+++ b/packages/gateway/stream_migrator.cc
@@ -126,26 +126,32 @@
   return record != nullptr && record->software_version == stream.source_.software_version;
 }
 
-asio::awaitable<bool> StreamMigrator::ConsumeResumptions(const MigratableStream& stream) {
+asio::awaitable<bool> StreamMigrator::ConsumeResumptions(MigratableStream& stream) {
   const TimePoint begun_at = BootNow();
-  while (!fleet_.retry_budget.TryConsume(stream.work_.service, BootNow(),
+  stream.resumptions_consumed_at_ = begun_at;
+  while (!fleet_.retry_budget.TryConsume(stream.work_.service, stream.resumptions_consumed_at_,
                                          MigratableStream::kMaxResumptions)) {
     if (stream.ended_ || BootNow() - begun_at > kBudgetWait) {
       co_return false;
     }
     co_await Sleep(kBudgetCheckInterval);
+    stream.resumptions_consumed_at_ = BootNow();
   }
   co_return true;
 }
 
+void StreamMigrator::ReturnResumptions(const MigratableStream& stream, int resumptions) {
+  fleet_.retry_budget.Refund(stream.work_.service, resumptions, stream.resumptions_consumed_at_,
+                             BootNow());
+}
+
 asio::awaitable<void> StreamMigrator::Migrate(std::shared_ptr<MigratableStream> stream) {
   const bool copied = co_await CopyToAvailableEngine(*stream);
   stream->state_ = MigratableStream::State::kFailed;
   const bool has_budget = copied && co_await ConsumeResumptions(*stream);
-  const ServiceId& service = stream->work_.service;
   if (copied && stream->ended_) {
     if (has_budget) {
-      fleet_.retry_budget.Refund(service, MigratableStream::kMaxResumptions);
+      ReturnResumptions(*stream, MigratableStream::kMaxResumptions);
     }
     co_await FreeCopy(stream);
     co_return;
@@ -155,8 +161,7 @@
     if (CanContinueAt(*stream, stream->destination_)) {
       co_await StopAndCopy(*stream);
     }
-    fleet_.retry_budget.Refund(service,
-                               MigratableStream::kMaxResumptions - stream->max_resumptions());
+    ReturnResumptions(*stream, MigratableStream::kMaxResumptions - stream->max_resumptions());
   }
   fleet_.metrics.GetCounter(kMovesMetric, {{"outcome", OutcomeName(*stream)}}).Add();
   kLog.Info("The migration of a stream has ended.",
@@ -169,7 +174,7 @@
              {"outcome", OutcomeName(*stream)}});
   stream->stop_done_.cancel();
   if (stream->abandoned_ && stream->stopped()) {
-    fleet_.retry_budget.Refund(service, stream->max_resumptions());
+    ReturnResumptions(*stream, stream->max_resumptions());
     co_await FreeCopy(stream);
   }
 }
@@ -186,7 +191,7 @@
   if (std::exchange(stream->abandoned_, true) || !stream->stopped()) {
     return;
   }
-  fleet_.retry_budget.Refund(stream->work_.service, stream->max_resumptions());
+  ReturnResumptions(*stream, stream->max_resumptions());
   asio::co_spawn(context_, FreeCopy(stream), asio::detached);
 }
 
--- a/packages/gateway/stream_migrator.h
+++ b/packages/gateway/stream_migrator.h
@@ -59,6 +59,8 @@
     }
     return state_ == State::kMigrated ? kMaxResumptions : 1;
   }
+  // Returns when kMaxResumptions were consumed in the retry budget.
+  TimePoint resumptions_consumed_at() const { return resumptions_consumed_at_; }
   // Returns true if the source stopped the stream and it can resume from its KV cache.
   bool stopped() const { return state_ == State::kMigrated || state_ == State::kKeptAtSource; }
   // Returns true while it is not known whether the source stops the stream.
@@ -77,6 +79,7 @@
   bool abandoned_ = false;
   UpstreamRecord destination_;
   std::string handle_;
+  TimePoint resumptions_consumed_at_{};
   // Cancelled once the outcome of a stop is known.
   boost::asio::steady_timer stop_done_;
 };
@@ -119,11 +122,14 @@
   boost::asio::awaitable<void> StopAndCopy(MigratableStream& stream);
   // Consumes the requests that the move may cost in the retry budget. Waits for a short time if the
   // budget is used up. Returns false if it stays so, or the stream has ended.
-  boost::asio::awaitable<bool> ConsumeResumptions(const MigratableStream& stream);
+  boost::asio::awaitable<bool> ConsumeResumptions(MigratableStream& stream);
   // Copies the KV cache to the first engine with room. Returns false if none has room or a copy
   // fails.
   boost::asio::awaitable<bool> CopyToAvailableEngine(MigratableStream& stream);
 
+  // Returns retries that the move of a stream consumed and does not need.
+  void ReturnResumptions(const MigratableStream& stream, int resumptions);
+
   boost::asio::awaitable<void> FreeCopy(std::shared_ptr<MigratableStream> stream);
 
   // Returns true if the destination is registered at the version of the stream's source.
--- a/packages/recovery/window_retry_budget.cc
+++ b/packages/recovery/window_retry_budget.cc
@@ -50,8 +50,13 @@
   return true;
 }
 
-void WindowRetryBudget::Refund(const ServiceId& service, int retries) {
+void WindowRetryBudget::Refund(const ServiceId& service, int retries, TimePoint consumed_at,
+                               TimePoint now) {
+  if (now - consumed_at >= options_.window) {
+    return;
+  }
   std::deque<TimePoint>& consumed = services_[service].retries;
+  Expire(consumed, now);
   for (int i = 0; i < retries && !consumed.empty(); ++i) {
     consumed.pop_front();
   }
--- a/packages/recovery/window_retry_budget.h
+++ b/packages/recovery/window_retry_budget.h
@@ -43,9 +43,10 @@
   void OnRequest(const ServiceId& service, TimePoint now);
   // Consumes retries of the budget. Returns false and consumes none if fewer are left.
   bool TryConsume(const ServiceId& service, TimePoint now, int retries = 1);
-  // Returns retries of this window that are not made. The oldest ones are taken out of the window,
-  // because those that were consumed later may have been made.
-  void Refund(const ServiceId& service, int retries);
+  // Returns retries that were consumed at the given instant and are not made. The oldest ones are
+  // taken out of the window, because those that were consumed later may have been made. Has no
+  // effect once the retries have left the window by themselves.
+  void Refund(const ServiceId& service, int retries, TimePoint consumed_at, TimePoint now);
 
  private:
   struct History {
--- a/tests/recovery/retry_budget_fleet_test.cc
+++ b/tests/recovery/retry_budget_fleet_test.cc
@@ -98,6 +98,7 @@
   struct Reserved {
     std::size_t daemon = 0;
     TimePoint started_at;
+    TimePoint consumed_at;
     TimePoint due_at;
   };
 
@@ -198,8 +199,10 @@
       }
       if (moves) {
         const Duration delay = FromSeconds(random_.UniformReal() * kMaxRefundDelaySeconds);
-        reserved_.push_back(
-            {.daemon = index, .started_at = daemons_[index].serves_at, .due_at = now_ + delay});
+        reserved_.push_back({.daemon = index,
+                             .started_at = daemons_[index].serves_at,
+                             .consumed_at = now_,
+                             .due_at = now_ + delay});
       }
       ++repeats_.back();
       ++total_repeats_;
@@ -213,7 +216,7 @@
         return false;
       }
       if (daemon.budget && daemon.serves_at == reserved.started_at) {
-        daemon.budget->Refund(kService, 1);
+        daemon.budget->Refund(kService, 1, reserved.consumed_at, now_);
       }
       return true;
     });
--- a/tests/recovery/window_retry_budget_test.cc
+++ b/tests/recovery/window_retry_budget_test.cc
@@ -101,9 +101,9 @@
 TEST(WindowRetryBudgetTest, RefundedRetriesAreAvailableAgain) {
   WindowRetryBudget budget({.ratio = 0, .allowance = 10, .usable_fraction = 1}, At(-60s));
   EXPECT_EQ(TakeAll(budget, At(0s)), 10);
-  budget.Refund(kOrders, 1);
+  budget.Refund(kOrders, 1, At(0s), At(1s));
   EXPECT_EQ(TakeAll(budget, At(1s)), 1);
-  budget.Refund(ServiceId("model"), 1);
+  budget.Refund(ServiceId("model"), 1, At(0s), At(1s));
 }
 
 // Guards against a return that is given back in the place of a later retry, which would then be
@@ -112,12 +112,23 @@
   WindowRetryBudget budget({.ratio = 0, .allowance = 10, .usable_fraction = 1}, At(-60s));
   EXPECT_TRUE(budget.TryConsume(kOrders, At(0s), 5));
   EXPECT_TRUE(budget.TryConsume(kOrders, At(5s), 5));
-  budget.Refund(kOrders, 5);
+  budget.Refund(kOrders, 5, At(0s), At(6s));
   EXPECT_EQ(TakeAll(budget, At(6s)), 5);
   EXPECT_EQ(TakeAll(budget, At(11s)), 0);
   EXPECT_EQ(TakeAll(budget, At(15s)), 5);
 }
 
+// Guards against a return that is given back after it has left the window, and takes a retry that
+// was made out of it.
+TEST(WindowRetryBudgetTest, LateRefundLeavesRetriesInTheWindow) {
+  WindowRetryBudget budget({.ratio = 0, .allowance = 10, .usable_fraction = 1}, At(-60s));
+  EXPECT_TRUE(budget.TryConsume(kOrders, At(0s), 5));
+  EXPECT_TRUE(budget.TryConsume(kOrders, At(9s), 5));
+  EXPECT_TRUE(budget.TryConsume(kOrders, At(11s), 5));
+  budget.Refund(kOrders, 5, At(0s), At(12s));
+  EXPECT_EQ(TakeAll(budget, At(12s)), 0);
+}
+
 // Guards against requests that pay for retries here after their callers have gone to other daemons,
 // where the same requests pay for more.
 TEST(WindowRetryBudgetTest, RetriesArePaidByRequestsOfTheLastQuarterOfTheWindow) {
