Return the retry of an attempt that reaches no upstream

Callers lost streams and calls to an exhausted retry budget that had not been used: a retry was consumed before the connection was made, and an attempt that found no connection kept it, although nothing had been sent.

The retry of a first attempt goes back to the budget unless the request, or a part of it, was sent. Second attempts did so already.

UnsentRetryTest.AttemptsWithoutConnectionLeaveTheBudget, with one retry in the budget and an upstream whose port is closed: the stream ended after 3 of 6 events before, and has all 6 in five of five runs after. gateway_test: 205 of 205 pass.

--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -344,8 +344,9 @@
       }
     }
     const bool moved = call.migration_target.has_value();
-    const bool may_send = placement && (moved || call.sends == 0 ||
-                                        fleet_.retry_budget.TryConsume(call.service, now));
+    const bool is_retry = placement && !moved && call.sends > 0;
+    const bool may_send =
+        placement && (!is_retry || fleet_.retry_budget.TryConsume(call.service, now));
     if (!may_send && MayAwaitUpstream(call, now)) {
       co_await Sleep(kResumptionInterval);
       // They may have a place by then.
@@ -362,7 +363,8 @@
                              .retry_after = kRetryAfter});
       co_return;
     }
-    const AttemptOutcome result = co_await TryUpstream(call, *placement);
+    const AttemptOutcome result =
+        co_await TryUpstream(call, *placement, is_retry ? std::optional(now) : std::nullopt);
     if (result == AttemptOutcome::kAnswered || result == AttemptOutcome::kCallerLeft) {
       co_return;
     }
@@ -402,7 +404,8 @@
   }
 }
 
-asio::awaitable<AttemptOutcome> CallRelay::TryUpstream(Call& call, const Placement& placement) {
+asio::awaitable<AttemptOutcome> CallRelay::TryUpstream(Call& call, const Placement& placement,
+                                                       std::optional<TimePoint> retry_consumed_at) {
   std::shared_ptr<Attempt> attempt =
       attempts_.Begin(call, placement, call.migration_target.has_value());
   while (true) {
@@ -420,6 +423,10 @@
       result = co_await response_relay_.Relay(call, *attempt);
     }
     attempts_.End(call, *attempt, *result);
+    if (retry_consumed_at && !attempt->sent) {
+      fleet_.retry_budget.Refund(call.service, 1, *retry_consumed_at, BootNow());
+    }
+    retry_consumed_at.reset();
     std::shared_ptr<Attempt> second = co_await backup->Finish(NeedOfSecond(*result));
     if (second == nullptr) {
       co_return *result;
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -78,7 +78,9 @@
   // Makes attempts until the caller has a response or the request must be rejected.
   boost::asio::awaitable<void> SendUntilAnswered(Call& call);
   // Makes one attempt, and others beside it while it is silent. Returns why the last one has ended.
-  boost::asio::awaitable<AttemptOutcome> TryUpstream(Call& call, const Placement& placement);
+  // Returns the retry that was consumed for the first one if that is not sent.
+  boost::asio::awaitable<AttemptOutcome> TryUpstream(Call& call, const Placement& placement,
+                                                     std::optional<TimePoint> retry_consumed_at);
   // Returns the upstream of the next attempt, or nothing if the request must be rejected.
   std::optional<Placement> SelectUpstream(Call& call, TimePoint now);
   // Returns true if the admission queue decides when the call is sent, given whether an upstream
