Keep the settings if a changed file lacks a bound

A settings file that is read while it is written, or has lost a line, gave its missing bounds their defaults at run time: no allowance for retries and quotas, 8 s of grace and so on, without a line in the log.

A bound that the held file sets must be set in a changed one; otherwise the old settings stay and a line names the bound.

NodeSettingsTest.ChangedBoundsMustBeSetAndPossible has a row for each bound and each kind of wrong value: missing, empty, no number, negative, infinite, too large for a number, with a unit.

--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 namespace savoryglade::platform {
 namespace {
@@ -69,6 +70,43 @@
   }
 }
 
+// Guards against a file that is cut off while it is written, whose missing bounds would become
+// defaults at run time, and against changes at run time that are less strict than a start.
+TEST(NodeSettingsTest, ChangedBoundsMustBeSetAndPossible) {
+  const std::vector<const char*> names = {
+      "bounds.drain_ms",       "bounds.config_apply_ms", "bounds.grace_s",
+      "bounds.retry_ratio",    "bounds.retry_window_s",  "bounds.retry_allowance",
+      "bounds.quota_window_s", "bounds.quota_overshoot", "bounds.quota_allowance",
+      "bounds.lease_ms",       "bounds.report_window_s", "bounds.usage_delay_s"};
+  std::string others = kText;
+  const std::size_t first_bound = others.find("bounds.");
+  others.erase(first_bound, others.find("platform.") - first_bound);
+  std::string held = others;
+  for (const char* name : names) {
+    held += std::string(name) + "=7\n";
+  }
+  EXPECT_TRUE(ParseChangedNodeSettings(held, held));
+  for (const char* changed : names) {
+    std::string without = others;
+    for (const char* name : names) {
+      without += name == changed ? "" : std::string(name) + "=7\n";
+    }
+    const std::string field = std::string(changed) + "=";
+    const auto missing = ParseChangedNodeSettings(held, without);
+    ASSERT_FALSE(missing) << changed;
+    EXPECT_EQ(missing.error().message, std::string(changed) + ": missing");
+    for (const char* value : {"", "soon", "true", "-1", "nan", "inf", "1e400", "7s", "7,5"}) {
+      EXPECT_FALSE(ParseChangedNodeSettings(held, without + field + value + "\n"))
+          << field << value;
+    }
+    // Zero is for the gateway to judge, and a huge value is limited to what a duration holds.
+    for (const char* value : {"0", "8", "1e300"}) {
+      EXPECT_TRUE(ParseChangedNodeSettings(held, without + field + value + "\n")) << field << value;
+    }
+    EXPECT_TRUE(ParseChangedNodeSettings(without, without)) << changed;
+  }
+}
+
 // Guards against requiring the duties' address in a deployment without duties.
 TEST(NodeSettingsTest, RequiresNoDutyAddressWithoutDuties) {
   std::string text = kText;
