--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -237,8 +237,8 @@
 }
 
 void CallRelay::ReleaseReturn(Call& call) {
-  if (std::exchange(call.return_reserved, false)) {
-    fleet_.retry_budget.Refund(call.service, 1);
+  if (const auto consumed_at = std::exchange(call.return_consumed_at, std::nullopt)) {
+    fleet_.retry_budget.Refund(call.service, 1, *consumed_at, BootNow());
   }
 }
 
@@ -344,8 +344,9 @@
       }
     }
     const bool moved = call.migration_target.has_value();
-    const bool may_send = placement && (moved || call.sends == 0 ||
-                                        fleet_.retry_budget.TryConsume(call.service, now));
+    const bool is_retry = placement && !moved && call.sends > 0;
+    const bool may_send =
+        placement && (!is_retry || fleet_.retry_budget.TryConsume(call.service, now));
     if (!may_send && MayAwaitUpstream(call, now)) {
       co_await Sleep(kResumptionInterval);
       // They may have a place by then.
@@ -362,7 +363,8 @@
                              .retry_after = kRetryAfter});
       co_return;
     }
-    const AttemptOutcome result = co_await TryUpstream(call, *placement);
+    const AttemptOutcome result =
+        co_await TryUpstream(call, *placement, is_retry ? std::optional(now) : std::nullopt);
     if (result == AttemptOutcome::kAnswered || result == AttemptOutcome::kCallerLeft) {
       co_return;
     }
@@ -373,7 +375,7 @@
     const bool move_ended = moved && call.migration_target.has_value();
     if (move_ended && !may_have_run && call.migration_source) {
       // The engine that stopped the request still holds its KV cache.
-      call.return_reserved = false;
+      call.return_consumed_at.reset();
       call.migration_target = std::exchange(call.migration_source, std::nullopt);
       continue;
     }
@@ -402,7 +404,8 @@
   }
 }
 
-asio::awaitable<AttemptOutcome> CallRelay::TryUpstream(Call& call, const Placement& placement) {
+asio::awaitable<AttemptOutcome> CallRelay::TryUpstream(Call& call, const Placement& placement,
+                                                       std::optional<TimePoint> retry_consumed_at) {
   std::shared_ptr<Attempt> attempt =
       attempts_.Begin(call, placement, call.migration_target.has_value());
   while (true) {
@@ -421,6 +424,10 @@
     }
     result = co_await attempts_.CauseOfEnd(call, *attempt, *result);
     attempts_.End(call, *attempt, *result);
+    if (retry_consumed_at && !attempt->sent) {
+      fleet_.retry_budget.Refund(call.service, 1, *retry_consumed_at, BootNow());
+    }
+    retry_consumed_at.reset();
     std::shared_ptr<Attempt> second = co_await backup->Finish(NeedOfSecond(*result));
     if (second == nullptr) {
       co_return *result;
@@ -428,7 +435,7 @@
     if (*result == AttemptOutcome::kMoved) {
       // What was moved is not continued there, so its retries are returned.
       response_relay_.AbandonMove(attempt->stream);
-      call.return_reserved = false;
+      call.return_consumed_at.reset();
     }
     attempt = std::move(second);
     ReleaseReturn(call);
