--- a/tests/gateway/upstream_partition_test.cc
+++ b/tests/gateway/upstream_partition_test.cc
@@ -104,11 +104,11 @@
 
   PartitionedRequestTest() : UpstreamPartitionTest(kLossesBeforeRefusal + 1) {}
 
-  // Sends the request until so many upstreams run it and send nothing.
-  void SendUntilRunByAll(const std::string& method, const std::string& path) {
-    SetFaults(WorkerFault::kNoResponse, 1);
-    while (std::ranges::any_of(workers_,
-                               [](const auto& worker) { return worker->service.runs() == 0; })) {
+  // Sends the request until as many upstreams run it as may be lost, and send nothing.
+  void SendUntilRunBySeveral(const std::string& method, const std::string& path) {
+    SetFaults(WorkerFault::kNoResponse, 1'000);
+    while (std::ranges::count_if(workers_, [this](const auto& worker) { return Runs(*worker); }) <
+           kLossesBeforeRefusal) {
       callers_.push_back(std::make_unique<CallerConnection>(gateway_->callers_endpoint()));
       const std::string attempt = fmt::format("p{}", callers_.size());
       callers_.back()->Send(FormatRequest(method, path, attempt));
@@ -119,12 +119,23 @@
   }
 
   std::vector<std::unique_ptr<CallerConnection>> callers_;
+
+ private:
+  // Returns true if the upstream has run one of the requests of the callers.
+  bool Runs(const ServiceServer<WorkerService>& worker) const {
+    for (std::size_t i = 1; i <= callers_.size(); ++i) {
+      if (worker.service.RunCount(fmt::format("p{}", i)) > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
 };
 
 // Guards against a sound request that is refused as one that crashes upstreams, because a partition
 // of this daemon has reset its connections to all of those that ran it.
 TEST_F(PartitionedRequestTest, RequestIsNotRefusedForTheResetOfItsConnections) {
-  SendUntilRunByAll("GET", "/reads/1");
+  SendUntilRunBySeveral("GET", "/reads/1");
   Cut(true);
   for (const auto& caller : callers_) {
     EXPECT_TRUE(caller->ReadAll());
@@ -134,5 +145,22 @@
   EXPECT_EQ(SendRequest("GET", "/reads/1", "after").status, 200U);
 }
 
+// Guards against a sound request that is refused as one that crashes upstreams, because the peer
+// that relayed it to several upstreams has ended.
+TEST_F(PartitionedRequestTest, RequestIsNotRefusedForTheEndOfThePeerThatRelaysIt) {
+  Cut(true);
+  ServeRequests("GET", "/reads/before");
+  SendUntilRunBySeveral("POST", "/orders/1");
+  peer_.reset();
+  for (const auto& caller : callers_) {
+    EXPECT_TRUE(caller->ReadAll());
+    EXPECT_EQ(caller->Header("Savoryglade-Reason"), "upstream_lost");
+  }
+  EXPECT_NE(Metrics().find(
+                fmt::format("lost_attempts_total{{reason=\"relay_lost\"}} {}", callers_.size())),
+            std::string::npos);
+  EXPECT_EQ(Metrics().find(R"(event="recorded")"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
