Test that each silence is counted once by its stage

Cause: savoryglade_gateway_silences_total had no test of its own. Change: a stream that is silent before its response and one that is silent after half of its events count once each, at their stages. Result: without the check for a silence that is recorded, and with one stage for both, the test fails (2 for 1, 0 for 1); it passes with the code restored.

--- a/tests/gateway/silent_upstream_test.cc
+++ b/tests/gateway/silent_upstream_test.cc
@@ -91,6 +91,14 @@
     return sum;
   }
 
+  // Returns how many silences of this stage the gateway has noticed.
+  int Silences(const std::string& stage) const {
+    const std::string name = "silences_total{stage=\"" + stage + "\"} ";
+    const std::string metrics = Metrics();
+    const std::size_t at = metrics.find(name);
+    return at == std::string::npos ? 0 : std::stoi(metrics.substr(at + name.size()));
+  }
+
   void LetAllGoOn() {
     for (const auto& worker : workers_) {
       worker->service.GoOn();
@@ -262,6 +270,18 @@
   ExpectWholeStream(ReadResponse(caller));
 }
 
+// Guards against a counter of silences that misses one, counts one twice or confuses their stages.
+TEST_F(OnlyUpstreamTest, EachSilenceIsCountedOnceByItsStage) {
+  Upstream(0).SetFault(WorkerFault::kSilentBeforeResponse, 1);
+  ExpectWholeStream(SendThroughSilence("/talks/stream/1", "a1", [this] { LetAllGoOn(); }));
+  EXPECT_EQ(Silences("before"), 1);
+  EXPECT_EQ(Silences("in_response"), 0);
+  Upstream(0).SetFault(WorkerFault::kSilentInStream, 1);
+  ExpectWholeStream(SendThroughSilence("/talks/stream/1", "a2", [this] { LetAllGoOn(); }));
+  EXPECT_EQ(Silences("before"), 1);
+  EXPECT_EQ(Silences("in_response"), 1);
+}
+
 // Guards against a moved stream that waits for its source, which has stopped it and leaves the
 // connection open.
 TEST_F(SilentUpstreamTest, MovedStreamContinuesFromItsCopyIfItsSourceStaysSilent) {
