Test that the copy of an abandoned stream is freed

Cause: the fix (StreamMigrator::Abandon) had no test. Change: the emulated worker counts the copies that are freed. A caller leaves after its stream was stopped to be moved; the copy must be freed, and nobody may continue the stream.

--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -51,6 +51,9 @@
                  "X-Padding: 0123456789\r\n"},
 };
 
+// Path of the copy that HandleMigration names.
+constexpr std::string_view kCopyPath = "/v1/kv-handle/h1";
+
 std::string EventText(int event) { return fmt::format("id: {}\ndata: token {}\n\n", event, event); }
 
 const EndlessBytes* FindEndlessBytes(WorkerFault fault) {
@@ -151,6 +154,11 @@
   return migrated_runs_;
 }
 
+int WorkerService::freed_copies() const {
+  const std::lock_guard lock(mutex_);
+  return freed_copies_;
+}
+
 int WorkerService::abandoned_requests() const {
   const std::lock_guard lock(mutex_);
   return abandoned_requests_;
@@ -299,6 +307,14 @@
     co_await HandleMigration(exchange);
     co_return;
   }
+  if (exchange.target() == kCopyPath) {
+    {
+      const std::lock_guard lock(mutex_);
+      ++freed_copies_;
+    }
+    co_await exchange.Respond(200, signals(), {});
+    co_return;
+  }
   if (!exchange.Header("Attempt-Id").empty()) {
     const std::lock_guard lock(mutex_);
     ++arrivals_;
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -132,6 +132,8 @@
   int silent_requests() const;
   // Returns the number of runs that continued here with the KV cache of another worker.
   int migrated_runs() const;
+  // Returns the number of copies of KV caches that were freed here.
+  int freed_copies() const;
   // Returns the last request that ran, with its headers as received.
   HttpRequest last_request() const;
 
@@ -181,6 +183,7 @@
   // Cancelled at the end of the silence. Owned by the requests, which end with the event loop.
   std::vector<std::weak_ptr<boost::asio::steady_timer>> silences_;
   int migrated_runs_ = 0;
+  int freed_copies_ = 0;
   // Timers of streams that wait for migration, by attempt; cancelled by the final copy.
   std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> pending_migrations_;
 };
--- a/tests/gateway/stopped_stream_test.cc
+++ b/tests/gateway/stopped_stream_test.cc
@@ -66,6 +66,26 @@
   EXPECT_EQ(response.body, CompleteStream());
 }
 
+// Guards against copies of stopped streams that take up memory at their targets, because the caller
+// left and nobody continues them. A failure shows as a test that does not end.
+TEST_F(StoppedStreamTest, CopyIsFreedIfTheCallerLeavesAfterTheStop) {
+  SetFaults(WorkerFault::kSilentAfterMigration, 1);
+  CallerConnection connection(gateway_->callers_endpoint());
+  connection.Send(FormatRequest("POST", "/stream/1", "a1", kApiKey, "prompt"));
+  connection.ReadUntil(
+      [](const std::string& body) { return body.find("id: 3\n") != std::string::npos; });
+  const int leaving = Upstream(0).RunCount("a1") == 1 ? 0 : 1;
+  RegisterWorker(leaving, "draining");
+  while (Upstream(leaving).silent_requests() == 0 ||
+         Metrics().find(R"(moves_total{outcome="moved"} 1)") == std::string::npos) {
+  }
+  EXPECT_EQ(Upstream(leaving).freed_copies(), 0);
+  connection.Close();
+  while (Upstream(leaving).freed_copies() == 0) {
+  }
+  EXPECT_EQ(Upstream(1 - leaving).migrated_runs(), 0);
+}
+
 // Guards against a stream that stays open past its deadline while the answer to its stop does not
 // end. A failure shows as a test that does not end.
 TEST_F(StoppedStreamTest, StreamEndsIfTheAnswerToItsStopDoesNot) {
