Test that an abandoned move returns its retries once

Change: an emulated worker can answer the request to stop a run late. A second attempt has its first event while the outcome of the stop is open; the stream goes on there. The retry budget holds what both may consume, so the retries that are left show what was returned.

--- a/packages/emulator/worker_service.cc
+++ b/packages/emulator/worker_service.cc
@@ -283,6 +283,12 @@
       timer->cancel();
       exchange.Abort();
       break;
+    case StopAnswer::kLate:
+      timer->cancel();
+      if (co_await StaySilent(exchange)) {
+        co_await exchange.Respond(200, signals(), R"({"kv_handle":"h1","created_rev":3})");
+      }
+      break;
     case StopAnswer::kEndless:
       timer->cancel();
       co_await SendSlowlyWithoutEnd(exchange);
--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -74,6 +74,8 @@
   kLost,
   // Sends a body slowly and without end, until the peer closes the connection.
   kEndless,
+  // Stops the run, and is silent until GoOn or BreakOff is called.
+  kLate,
 };
 
 // Emulated worker of the operators' platform, for plain calls and for event streams. Thread-safe.
