--- a/packages/emulator/worker_service.h
+++ b/packages/emulator/worker_service.h
@@ -74,6 +74,8 @@
   kLost,
   // Sends a body slowly and without end, until the peer closes the connection.
   kEndless,
+  // Stops the run, and is silent until GoOn or BreakOff is called.
+  kLate,
 };
 
 // Emulated worker of the operators' platform, for plain calls and for event streams. Thread-safe.
@@ -132,6 +134,8 @@
   int silent_requests() const;
   // Returns the number of runs that continued here with the KV cache of another worker.
   int migrated_runs() const;
+  // Returns the number of copies of KV caches that were freed here.
+  int freed_copies() const;
   // Returns the last request that ran, with its headers as received.
   HttpRequest last_request() const;
 
@@ -181,6 +185,7 @@
   // Cancelled at the end of the silence. Owned by the requests, which end with the event loop.
   std::vector<std::weak_ptr<boost::asio::steady_timer>> silences_;
   int migrated_runs_ = 0;
+  int freed_copies_ = 0;
   // Timers of streams that wait for migration, by attempt; cancelled by the final copy.
   std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> pending_migrations_;
 };
