End the timers of a test's upstream before their event loop

Cause: the upstream of SilenceTest kept timers of its pool in a member that outlived the pool. Change: its destructor drops them once the pool has stopped.

--- a/tests/daemon/silence_test.cc
+++ b/tests/daemon/silence_test.cc
@@ -35,7 +35,11 @@
 class PausingUpstream {
  public:
   explicit PausingUpstream(std::int64_t pause_position) : pause_position_(pause_position) {}
-  ~PausingUpstream() { pool_.Stop(); }
+  ~PausingUpstream() {
+    pool_.Stop();
+    // The timers belong to the pool, which is destroyed first.
+    waiting_.clear();
+  }
 
   void GoOn() {
     const std::lock_guard lock(mutex_);
