Let slow readers of the soak read large streams

Change: half of the plays whose callers have habits of their own have events of 64 kB, so that slow readers have seconds to read behind the end of a stream around a stop (LOST: a channel that ends without a complete answer around a SIGTERM). Other draws of a seed stay as they are.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -33,8 +33,9 @@
 constexpr Duration kMaxReadPause = 300ms;
 // Time before its deadline from which a caller reads without pauses.
 constexpr Duration kReadSlack = 1s;
-// Receive buffer of callers that read slowly, in bytes.
-constexpr int kSmallReceiveBuffer = 8192;
+// Receive buffer of callers that read slowly, in bytes. With a smaller one the kernel sends only by
+// its timer for closed windows, and no stream of large events arrives in time.
+constexpr int kSmallReceiveBuffer = 32'768;
 // Bytes of an unexpected body that are shown.
 constexpr std::size_t kShownBytes = 400;
 
--- a/tests/soak/play.cc
+++ b/tests/soak/play.cc
@@ -88,6 +88,7 @@
                     [this](HttpExchange& exchange) { return HandleStoreCall(exchange); }),
       duty_server_(platform_pool_, HttpLimits{},
                    [](HttpExchange& exchange) { return AcceptDuty(exchange); }) {
+  DrawHabits();
   DrawSilences();
 }
 
@@ -243,8 +244,6 @@
   if (give_up_share > 0 && give_up_random_.Bernoulli(0.5)) {
     PlanFreezesWhileCallersLeave();
   }
-  // Share of callers with each of the ways to send or read that most callers have not.
-  const double habit_share = habit_random_.Bernoulli(0.6) ? 0.3 : 0;
   for (std::size_t i = 0; i < count; ++i) {
     callers_.push_back(std::make_unique<Caller>(
         CallerOptions{.name = fmt::format("caller-{}", i),
@@ -258,9 +257,9 @@
                       .calls_per_connection =
                           random_.Bernoulli(0.2) ? 1 : 5 + static_cast<int>(random_.UniformInt(20)),
                       .event_bytes = event_bytes_,
-                      .sends_chunks = habit_random_.Bernoulli(habit_share),
-                      .reads_slowly = habit_random_.Bernoulli(habit_share),
-                      .sends_ahead = habit_random_.Bernoulli(habit_share)},
+                      .sends_chunks = habit_random_.Bernoulli(habit_share_),
+                      .reads_slowly = habit_random_.Bernoulli(habit_share_),
+                      .sends_ahead = habit_random_.Bernoulli(habit_share_)},
         *balancer_, history_));
     asio::co_spawn(caller_pool_.context(0), callers_.back()->Run(callers_stop_, active_callers_),
                    asio::detached);
--- a/tests/soak/play.h
+++ b/tests/soak/play.h
@@ -65,6 +65,9 @@
   void StartServices();
   void StartDaemons();
   void StartCallers();
+  // Decides how callers send and read, and whether slow readers have much to read when their daemon
+  // closes the connection.
+  void DrawHabits();
   // Decides whether upstreams fall silent and reject resumed requests.
   void DrawSilences();
   // Writes the settings of a daemon.
@@ -132,6 +135,8 @@
   Duration event_interval_;
   // Size of the data of an event.
   std::size_t event_bytes_ = 0;
+  // Share of callers with each of the ways to send or read that most callers have not.
+  double habit_share_ = 0;
   // Share of streams that fall silent and go on, and whether upstreams reject resumed requests.
   double silent_share_ = 0;
   bool rejects_resumed_ = false;
--- a/tests/soak/play_faults.cc
+++ b/tests/soak/play_faults.cc
@@ -7,6 +7,20 @@
 #include "soak/play.h"
 
 namespace savoryglade::soak {
+namespace {
+
+// Keeps the other draws of a seed as they were before plays had larger events.
+constexpr std::uint64_t kSizeSeedOffset = 10'000'000;
+
+}  // namespace
+
+void Play::DrawHabits() {
+  constexpr std::size_t kHugeEventBytes = 64'000;
+  if (habit_random_.Bernoulli(0.6)) {
+    habit_share_ = 0.3;
+    event_bytes_ = Random(options_.seed + kSizeSeedOffset).Bernoulli(0.5) ? kHugeEventBytes : 0;
+  }
+}
 
 void Play::DrawSilences() {
   constexpr double kSilentShare = 1.0 / 8;
@@ -23,7 +37,7 @@
   rejects_resumed_ = silence_random_.Bernoulli(0.4);
   constexpr double kSmallAllowance = 10;
   retry_allowance_ = silence_random_.Bernoulli(0.5) ? kSmallAllowance : retry_allowance_;
-  event_bytes_ = silence_random_.Bernoulli(0.3) ? kLargeEventBytes : 0;
+  event_bytes_ = silence_random_.Bernoulli(0.3) ? kLargeEventBytes : event_bytes_;
 }
 
 void Play::PlanStops() {
