Pass on what was read of a stream before an interruption

Callers: a slow reader's stream ended without its end at 0.92 of the grace period, although its upstream had finished and the daemon had read it whole (LOST around a planned stop).

Cause: the exception for answers that wait for their callers looks at unread bytes in the kernel. A stream whose last bytes the parser already holds has none, so its attempt was interrupted, and the relay threw away the next successful read because the connection had been closed. Plain bodies have no such check.

A read that succeeds from what was buffered is passed on; a read from the closed connection fails by itself and ends the attempt as interrupted.

DrainWorkTest.StreamOfAFinishedUpstreamGoesOnAfterTheInterruption.

--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -423,7 +423,9 @@
       }
       more = *has_more;
     }
-    if (const std::optional<AttemptOutcome> closed = attempt.closed_because()) {
+    // What was read before an interruption is passed on; a read from the closed connection fails.
+    if (const std::optional<AttemptOutcome> closed = attempt.closed_because();
+        closed && *closed != AttemptOutcome::kInterrupted) {
       co_return *closed;
     }
     fleet_.load_balancer.OnBytes(attempt.placement.upstream.id, BootNow());
--- a/tests/gateway/drain_work_test.cc
+++ b/tests/gateway/drain_work_test.cc
@@ -1,6 +1,9 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio.hpp>
@@ -32,6 +35,7 @@
   }
 
   void Send(const std::string& text) { asio::write(socket_, asio::buffer(text)); }
+  tcp::endpoint endpoint() const { return socket_.local_endpoint(); }
 
   // Waits until an answer has begun.
   void AwaitFirstByte() {
@@ -239,5 +243,75 @@
   AwaitDrainFinished();
 }
 
+// Returns the descriptor of this process that is connected to the endpoint, or -1.
+int DescriptorOfPeer(const tcp::endpoint& peer) {
+  constexpr int kMaxDescriptors = 4096;
+  for (int descriptor = 0; descriptor < kMaxDescriptors; ++descriptor) {
+    tcp::endpoint connected;
+    auto size = static_cast<socklen_t>(connected.capacity());
+    if (::getpeername(descriptor, connected.data(), &size) == 0 && connected == peer) {
+      return descriptor;
+    }
+  }
+  return -1;
+}
+
+// Upstream that writes a small event, and a large one together with the end of its stream once it
+// is told to.
+struct FinishedStreamService {
+  static constexpr std::size_t kEventBytes = 200 * 1024;
+
+  asio::awaitable<void> Handle(HttpExchange& exchange) {
+    HttpHeaders headers;
+    headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
+    headers.emplace_back("Response-Seal", "seal");
+    headers.emplace_back("Content-Type", "text/event-stream");
+    co_await exchange.StartStream(200, std::move(headers), "id: 1\ndata: x\n\n");
+    while (!may_finish) {
+      co_await asio::post(asio::use_awaitable);
+    }
+    const std::string event = "id: 2\ndata: " + std::string(kEventBytes, 'x') + "\n\n";
+    const std::string text = fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", event.size(), event);
+    co_await asio::async_write(exchange.stream(), asio::buffer(text),
+                               asio::as_tuple(asio::use_awaitable));
+    finished = true;
+  }
+
+  std::atomic<bool> may_finish{false};
+  std::atomic<bool> finished{false};
+};
+
+// Guards against the interruption of a stream that the daemon has read to its end, and which waits
+// for a caller that reads slowly.
+TEST_F(DrainWorkTest, StreamOfAFinishedUpstreamGoesOnAfterTheInterruption) {
+  ServiceServer<FinishedStreamService> upstream;
+  RegisterWorker(0, "draining");
+  RegisterWorker(1, "draining");
+  RegisterUpstream("finished", upstream.endpoint, "ready");
+  StartDrainingSoon();
+  SlowReader caller(gateway_->callers_endpoint());
+  caller.Send(FormatRequest("POST", "/stream/1", "a1", kApiKey, "prompt"));
+  caller.AwaitFirstByte();
+  const int to_caller = DescriptorOfPeer(caller.endpoint());
+  const int to_upstream = DescriptorOfPeer(
+      {asio::ip::make_address(upstream.endpoint.address), upstream.endpoint.port});
+  ASSERT_GE(std::min(to_caller, to_upstream), 0);
+  const int send_buffer_bytes = 8 * 1024;
+  ASSERT_EQ(::setsockopt(to_caller, SOL_SOCKET, SO_SNDBUF, &send_buffer_bytes,
+                         sizeof(send_buffer_bytes)),
+            0);
+  upstream.service.may_finish = true;
+  int unread = 1;
+  while (!upstream.service.finished || unread > 0) {
+    ASSERT_EQ(::ioctl(to_upstream, FIONREAD, &unread), 0);
+  }
+  gateway_->BeginDrain(BootNow() - kGracePeriod * 93 / 100);
+  ASSERT_TRUE(AwaitStep(2, OpenWorkLine("requests", 1)));
+  const std::string received = caller.ReadUntil("\r\n0\r\n\r\n");
+  EXPECT_GT(received.size(), FinishedStreamService::kEventBytes);
+  EXPECT_TRUE(received.ends_with("\r\n0\r\n\r\n"));
+  AwaitDrainFinished();
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
