Count only an event as the answer of a second attempt

Callers: a stream in hand, silent at a sound upstream, was given up for an answer without one event.

Cause: the answer of a second attempt counted as at hand with any text up to an empty line, and also once its connection had ended. An answer without length and chunks may end with its connection, so an upstream that crashes before its first event looks like one that has no more. A resumption without a silence had the same fault.

An answer is at hand with an event that holds a field. An end by connection alone without an event breaks the attempt off, in second attempts and in resumptions; an empty answer with chunks is unusable beside another one.

--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -237,7 +237,7 @@
     more = *has_more;
     fleet_.load_balancer.OnBytes(attempt.placement.upstream.id, BootNow());
     attempt.prefetched += received;
-    has_event = !splitter.Append(received).empty();
+    has_event = HoldsEvent(splitter.Append(received));
     if (splitter.partial_event().size() > kMaxEventBytes) {
       attempt.failure = "An event of the stream exceeds the maximum size.";
       co_return AttemptOutcome::kUnusable;
@@ -247,6 +247,11 @@
     attempt.failure = "The stream ended within an event.";
     co_return AttemptOutcome::kBrokenOff;
   }
+  if (!has_event) {
+    attempt.failure = "The stream ended without an event.";
+    co_return attempt.connection->ends_with_connection() ? AttemptOutcome::kBrokenOff
+                                                         : AttemptOutcome::kUnusable;
+  }
   co_return std::nullopt;
 }
 
@@ -413,6 +418,7 @@
   HttpConnection& connection = *attempt.connection;
   const HttpHeaders headers = codec_.CallerResponseHeaders(connection.response_header());
   call.sse_splitter.Reset();
+  bool has_event = false;
   bool more = true;
   while (more) {
     std::string received = std::exchange(attempt.prefetched, {});
@@ -437,6 +443,7 @@
     if (events.empty()) {
       continue;
     }
+    has_event = has_event || HoldsEvent(events);
     call.OnEvents(BootNow());
     BeforeRelay(attempt);
     bool open = true;
@@ -461,6 +468,11 @@
     attempt.failure = "The stream ended within an event.";
     co_return AttemptOutcome::kBrokenOff;
   }
+  if (!has_event && connection.ends_with_connection()) {
+    // An upstream that crashes before its first event looks like one that has no more.
+    attempt.failure = "The connection ended before the first event.";
+    co_return AttemptOutcome::kBrokenOff;
+  }
   const StopOutcome stop =
       co_await StreamMigrator::AwaitStopOutcome(attempt.stream, WaitLimit(call));
   // The end of the connection may be that of a stopped run; a length or the last chunk may not.
--- a/packages/gateway/sse_splitter.cc
+++ b/packages/gateway/sse_splitter.cc
@@ -26,6 +26,18 @@
 
 }  // namespace
 
+bool HoldsEvent(std::string_view events) {
+  while (!events.empty()) {
+    const std::size_t end = events.find('\n');
+    const std::string_view line = events.substr(0, end);
+    if (!line.empty() && line != "\r" && !line.starts_with(':')) {
+      return true;
+    }
+    events = end == std::string_view::npos ? std::string_view() : events.substr(end + 1);
+  }
+  return false;
+}
+
 std::string SseSplitter::Append(std::string_view bytes) {
   const std::size_t searched = rest_.size();
   rest_.append(bytes);
--- a/packages/gateway/sse_splitter.h
+++ b/packages/gateway/sse_splitter.h
@@ -5,6 +5,9 @@
 
 namespace savoryglade::gateway {
 
+// Returns true if complete events hold more than comments.
+bool HoldsEvent(std::string_view events);
+
 // Splits a stream of server-sent events at event boundaries without changing a byte, so that a
 // stream that breaks within an event can be resumed at another upstream.
 class SseSplitter {
