Give up a silent second attempt only for a third one

Callers: where max_attempts is three or more, a call whose two upstreams had fallen silent for a moment got 502, or its stream was cut, although the second one would have gone on. A stream at a frozen upstream stayed with it until its deadline if the only other upstream had been full once.

The second attempt was withdrawn because a third one was allowed, before it was known where; also after the end of the first attempt, when it was the only one in hand; and by the time since its begin, although it was receiving. Upstreams that had rejected the second attempt stayed excluded as long as the first was silent.

A third upstream is chosen and its retry consumed before the second attempt is withdrawn. Its silence counts from the last bytes that it received. Upstreams that have rejected the request are asked again after the interval of choices.

SecondAttemptTest: SilentAttemptIsKeptIfThereIsNoOtherUpstream, SilentAttemptIsKeptAfterTheEndOfTheFirst and UpstreamThatHasRejectedTheAttemptIsAskedAgain.

--- a/packages/gateway/attempt.h
+++ b/packages/gateway/attempt.h
@@ -72,6 +72,11 @@
       registration->Close(reason);
     }
   }
+  // Returns a measure of what has been received of the response and is not passed on: the bytes of
+  // its body, and one for its header.
+  std::size_t ReceivedBytes() const {
+    return prefetched.size() + (buffered ? buffered->body.size() : 0) + (first_byte ? 1 : 0);
+  }
   // Returns why this daemon has closed the connection, or nothing if it has not.
   std::optional<AttemptOutcome> closed_because() const {
     return registration ? registration->closed_because() : std::nullopt;
--- a/packages/gateway/backup_attempt.cc
+++ b/packages/gateway/backup_attempt.cc
@@ -94,13 +94,38 @@
   CheckAfter(limit);
 }
 
+void BackupAttempt::CheckSecondAfter(Duration time) {
+  second_timer_.expires_after(time);
+  second_timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+    const std::shared_ptr<BackupAttempt> self = weak.lock();
+    if (!error && self != nullptr) {
+      self->CheckSecond();
+    }
+  });
+}
+
 void BackupAttempt::CheckSecond() {
   const std::shared_ptr<Attempt> second = second_;
-  if (second == nullptr || is_at_hand_ || !second->registration || HasUnreadBytes(*second) ||
-      !MayBegin()) {
+  if (second == nullptr || is_at_hand_ || !second->registration) {
     return;
   }
-  RecordSilence(*second, BootNow() - second->sent_at);
+  const TimePoint now = BootNow();
+  const std::size_t received = second->ReceivedBytes();
+  if (std::exchange(second_received_, received) != received || HasUnreadBytes(*second)) {
+    CheckSecondAfter(response_relay_.SilenceLimit(call_, *second, now));
+    return;
+  }
+  RecordSilence(*second, now - second->sent_at);
+  if (has_first_ended_ || !MayBegin()) {
+    return;
+  }
+  // It is given up only for one that can be sent.
+  std::optional<Placement> placement = ChooseUpstream(now);
+  if (!placement) {
+    CheckSecondAfter(response_relay_.SilenceLimit(call_, *second, now));
+    return;
+  }
+  replacement_ = Replacement{.placement = std::move(*placement), .consumed_at = now};
   second->Withdraw(AttemptOutcome::kTimedOut);
 }
 
@@ -139,6 +164,9 @@
   }
   std::vector<UpstreamId> excluded = call_.ExcludedUpstreams();
   excluded.push_back(first_->placement.upstream.id);
+  if (second_ != nullptr) {
+    excluded.push_back(second_->placement.upstream.id);
+  }
   std::optional<Placement> placement =
       fleet_.load_balancer.Choose(call_.metadata.work, excluded, now);
   if (placement && !fleet_.retry_budget.TryConsume(call_.service, now)) {
@@ -149,21 +177,23 @@
 
 asio::awaitable<void> BackupAttempt::Run() {
   while (!is_cancelled_ && !has_first_ended_ && MayBegin()) {
-    const TimePoint chosen_at = BootNow();
-    const std::optional<Placement> placement = ChooseUpstream(chosen_at);
-    if (!placement) {
+    std::optional<Replacement> next = std::exchange(replacement_, std::nullopt);
+    if (!next) {
+      const TimePoint now = BootNow();
+      if (std::optional<Placement> placement = ChooseUpstream(now)) {
+        next = Replacement{.placement = std::move(*placement), .consumed_at = now};
+      }
+    }
+    if (!next) {
       change_.expires_after(kChooseInterval);
       co_await change_.async_wait(asio::as_tuple(asio::use_awaitable));
+      // They may have a place by then.
+      call_.rejecting_upstreams.clear();
       continue;
     }
-    second_ = runner_.Begin(call_, *placement, false);
-    second_timer_.expires_after(response_relay_.SilenceLimit(call_, *second_, BootNow()));
-    second_timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
-      const std::shared_ptr<BackupAttempt> self = weak.lock();
-      if (!error && self != nullptr) {
-        self->CheckSecond();
-      }
-    });
+    second_ = runner_.Begin(call_, next->placement, false);
+    second_received_ = 0;
+    CheckSecondAfter(response_relay_.SilenceLimit(call_, *second_, BootNow()));
     std::optional<AttemptOutcome> result = co_await runner_.Send(call_, *second_);
     if (!result) {
       result = co_await response_relay_.Prefetch(call_, *second_);
@@ -181,9 +211,12 @@
         co_await runner_.CauseOfEnd(call_, *ended, result.value_or(AttemptOutcome::kSuperseded));
     runner_.End(call_, *ended, cause);
     if (!ended->sent) {
-      fleet_.retry_budget.Refund(call_.service, 1, chosen_at, BootNow());
+      fleet_.retry_budget.Refund(call_.service, 1, next->consumed_at, BootNow());
     }
   }
+  if (const auto unused = std::exchange(replacement_, std::nullopt)) {
+    fleet_.retry_budget.Refund(call_.service, 1, unused->consumed_at, BootNow());
+  }
   is_running_ = false;
   is_cancelled_ = false;
   change_.cancel();
--- a/packages/gateway/backup_attempt.h
+++ b/packages/gateway/backup_attempt.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -51,10 +52,17 @@
   boost::asio::awaitable<std::shared_ptr<Attempt>> Finish(Need need);
 
  private:
+  // Upstream for the next second attempt, whose retry was consumed.
+  struct Replacement {
+    Placement placement;
+    TimePoint consumed_at{};
+  };
+
   void CheckAfter(Duration time);
   // Begins a second attempt if the first one is silent.
   void Check();
-  // Replaces a second attempt that is silent as well, if one more may begin.
+  void CheckSecondAfter(Duration time);
+  // Replaces a second attempt that is silent as well, if another upstream can be asked.
   void CheckSecond();
   void RecordSilence(Attempt& attempt, Duration silence);
   // Returns true if the call may be sent to one more upstream beside those that run it.
@@ -73,6 +81,9 @@
   Call& call_;
   std::shared_ptr<Attempt> first_;
   std::shared_ptr<Attempt> second_;
+  // What the second attempt had received when its silence was last checked.
+  std::size_t second_received_ = 0;
+  std::optional<Replacement> replacement_;
   boost::asio::steady_timer check_timer_;
   boost::asio::steady_timer second_timer_;
   // Cancelled when a change ends a wait.
--- a/tests/gateway/second_attempt_test.cc
+++ b/tests/gateway/second_attempt_test.cc
@@ -90,6 +90,11 @@
     while (Metrics().find(text) == std::string::npos) {
     }
   }
+
+  // Waits until the second upstream is silent as well, or has been left.
+  void AwaitSecondSilence() {
+    WaitForMetric(R"(savoryglade_gateway_silences_total{stage="before"} )");
+  }
 };
 
 // Guards against a stream that is given up for an answer without one event, and looks complete.
@@ -135,5 +140,54 @@
   EXPECT_EQ(caller.body(), CompleteStream());
 }
 
+// Guards against a second attempt that is given up before a third upstream is known.
+TEST_F(SecondAttemptTest, SilentAttemptIsKeptIfThereIsNoOtherUpstream) {
+  UseAttempts(3);
+  Upstream(1).SetFault(WorkerFault::kSilentBeforeResponse, 1);
+  CallerConnection caller(gateway_->callers_endpoint());
+  BeginSilentStream(caller);
+  RegisterWorker(1, "ready");
+  AwaitSecondSilence();
+  Upstream(0).BreakOff();
+  WaitForMetric(R"(savoryglade_gateway_lost_attempts_total{reason="broken_off"} 1)");
+  EXPECT_EQ(Upstream(1).abandoned_requests(), 0);
+  Upstream(1).GoOn();
+  EXPECT_TRUE(caller.ReadAll());
+  EXPECT_EQ(caller.body(), CompleteStream());
+}
+
+// Guards against giving up the only attempt in hand because it is silent too.
+TEST_F(SecondAttemptTest, SilentAttemptIsKeptAfterTheEndOfTheFirst) {
+  UseAttempts(3);
+  Upstream(0).SetFault(WorkerFault::kSilentBeforeResponse, 1);
+  Upstream(1).SetFault(WorkerFault::kSilentBeforeResponse, 1);
+  CallerConnection caller(gateway_->callers_endpoint());
+  caller.Send(Request("/looks/1"));
+  AwaitSecondSilence();
+  RegisterWorker(1, "ready");
+  while (Upstream(1).silent_requests() + Upstream(1).abandoned_requests() == 0) {
+    std::this_thread::yield();
+  }
+  Upstream(0).BreakOff();
+  WaitForMetric(R"(savoryglade_gateway_silences_total{stage="before"} 2)");
+  Upstream(1).GoOn();
+  caller.ReadAll();
+  EXPECT_EQ(caller.status(), 200U);
+  EXPECT_EQ(caller.body(), "POST /looks/1 prompt");
+}
+
+// Guards against staying with a frozen upstream until the deadline because the only other one had
+// no place for a moment.
+TEST_F(SecondAttemptTest, UpstreamThatHasRejectedTheAttemptIsAskedAgain) {
+  UseAttempts(2);
+  Upstream(1).SetFault(WorkerFault::kRejectNotExecuted, 1);
+  CallerConnection caller(gateway_->callers_endpoint());
+  BeginSilentStream(caller);
+  RegisterWorker(1, "ready");
+  EXPECT_TRUE(caller.ReadAll());
+  EXPECT_EQ(caller.body(), CompleteStream());
+  EXPECT_EQ(Upstream(1).arrivals(), 2);
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
