--- a/tests/gateway/drain_work_test.cc
+++ b/tests/gateway/drain_work_test.cc
@@ -293,13 +293,13 @@
   caller.Send(FormatRequest("POST", "/stream/1", "a1", kApiKey, "prompt"));
   caller.AwaitFirstByte();
   const int to_caller = DescriptorOfPeer(caller.endpoint());
-  const int to_upstream = DescriptorOfPeer(
-      {asio::ip::make_address(upstream.endpoint.address), upstream.endpoint.port});
+  const int to_upstream =
+      DescriptorOfPeer({asio::ip::make_address(upstream.endpoint.address), upstream.endpoint.port});
   ASSERT_GE(std::min(to_caller, to_upstream), 0);
   const int send_buffer_bytes = 8 * 1024;
-  ASSERT_EQ(::setsockopt(to_caller, SOL_SOCKET, SO_SNDBUF, &send_buffer_bytes,
-                         sizeof(send_buffer_bytes)),
-            0);
+  ASSERT_EQ(
+      ::setsockopt(to_caller, SOL_SOCKET, SO_SNDBUF, &send_buffer_bytes, sizeof(send_buffer_bytes)),
+      0);
   upstream.service.may_finish = true;
   int unread = 1;
   while (!upstream.service.finished || unread > 0) {
