Count an open connection in a local variable of its coroutine

Cause: g++ 12 destroys the parameters of a coroutine in their order, so at the end of an event loop with an open connection the server's state was freed before the count that refers to it. Change: the count is moved to a local variable, which ends before the parameters.

--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -467,7 +467,10 @@
   }
 
   static asio::awaitable<void> Serve(std::shared_ptr<State> state, beast::tcp_stream stream,
-                                     ScopedAtomicCount connection) {
+                                     ScopedAtomicCount count) {
+    // g++ 12 destroys the parameters of a coroutine in their order, so the state would end before
+    // a parameter that refers to it.
+    ScopedAtomicCount connection = std::move(count);
     const std::uint64_t connection_id = state->next_connection_id.fetch_add(1);
     beast::flat_buffer buffer(state->limits.header_size + kMaxUnparsedBodyBytes);
     while (true) {
