Let the tests of the moves' budget start with a known upstream

Change: the upstream and the routes are in the store before the daemon starts, whose readiness waits for both.

--- a/tests/gateway/move_budget_test.cc
+++ b/tests/gateway/move_budget_test.cc
@@ -17,14 +17,15 @@
 class MoveBudgetTest : public GatewayFixture {
  protected:
   MoveBudgetTest() : GatewayFixture(0) {
-    gateway_.reset();
-    gateway_ = MakeGateway("daemon-1", store_.endpoint,
-                           {.upstream_drain = 5s, .retry_ratio = kRatio, .retry_allowance = 0});
     for (int i = 0; i < 2; ++i) {
       workers_.push_back(std::make_unique<ServiceServer<WorkerService>>(WorkerName(i)));
     }
+    // Before the start, so that a daemon that is ready knows the upstream.
     Register(0, "ready");
     PutRoutes(1);
+    gateway_.reset();
+    gateway_ = MakeGateway("daemon-1", store_.endpoint,
+                           {.upstream_drain = 5s, .retry_ratio = kRatio, .retry_allowance = 0});
     WaitUntilReady();
   }
 
