--- a/tests/gateway/request_end_log_test.cc
+++ b/tests/gateway/request_end_log_test.cc
@@ -135,8 +135,10 @@
 TEST_F(RequestEndLogTest, CallerThatLeavesBeforeTheRoutesAreKnownIsLogged) {
   ServiceServer<StoreService> empty_store;
   const std::unique_ptr<Gateway> gateway = MakeGateway("daemon-2", empty_store.endpoint);
+  // So many that the daemon still answers them when it gets the reset.
+  constexpr int kRequestsAhead = 5000;
   std::string requests;
-  for (int i = 0; i < 200; ++i) {
+  for (int i = 0; i < kRequestsAhead; ++i) {
     requests += FormatRequest("GET", "/reads/1", fmt::format("p{}", i));
   }
   // A close with unread responses resets the connection while the daemon answers further requests.
