Judge a caller that reads past its deadline by its deadline

Cause: LOST is judged by the exit of the daemon if that came first. The rule leaves out requests whose deadline was reached.

Change: the caller records whether it stopped reading by its own time-out; such an attempt ends at that time. A connection that ended is judged by the exit as before.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -340,6 +340,7 @@
   if (!status) {
     record.left_by_caller = call.leaves_at < call.deadline && Now() >= call.leaves_at;
     record.failure = status.error().message;
+    record.timed_out = status.error().code == ErrorCode::kTimeout;
     co_return;
   }
   record.status = *status;
@@ -356,6 +357,7 @@
     if (!more) {
       record.left_by_caller = call.leaves_at < call.deadline && Now() >= call.leaves_at;
       record.failure = more.error().message;
+      record.timed_out = more.error().code == ErrorCode::kTimeout;
       break;
     }
     if (!*more) {
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -66,6 +66,8 @@
   bool complete = false;
   // Error of the connection, if the response is not complete.
   std::string failure;
+  // True if the caller stopped reading at its deadline, so that the connection had not ended.
+  bool timed_out = false;
   // What is wrong with the bytes received; empty if nothing.
   std::string mixed;
   // Last event that the caller had before this attempt, and after it.
--- a/tests/soak/promise_checker.h
+++ b/tests/soak/promise_checker.h
@@ -34,7 +34,8 @@
   // Returns true if the daemon was killed or frozen too shortly before the request, or during it.
   bool IsDisturbed(const AttemptRecord& attempt) const;
   // Returns when the daemon ended the attempt at the latest. A slow reader notices the end of its
-  // connection only after it has read what came before.
+  // connection only after it has read what came before. For one whose deadline comes first, the
+  // kernel still delivers what the daemon has written.
   TimePoint EndOf(const AttemptRecord& attempt) const;
   // Returns the time of the stop order that was in force when the daemon ended the attempt.
   std::optional<TimePoint> StopOrder(const AttemptRecord& attempt) const;
--- a/tests/soak/promise_evidence.cc
+++ b/tests/soak/promise_evidence.cc
@@ -39,6 +39,9 @@
 }
 
 TimePoint PromiseChecker::EndOf(const AttemptRecord& attempt) const {
+  if (attempt.timed_out) {
+    return attempt.ended_at;
+  }
   const auto exit = std::ranges::find_if(history_.events(), [&](const PlayEvent& event) {
     return event.daemon == attempt.daemon && event.kind == EventKind::kExit &&
            event.at >= attempt.sent_at;
--- a/tests/soak_checks/lost_check_test.cc
+++ b/tests/soak_checks/lost_check_test.cc
@@ -33,7 +33,7 @@
   }
 
   // Returns the rules that a stream breaks whose caller sees its end at this time.
-  std::vector<std::string> RulesBroken(Duration sent, Duration noticed) {
+  std::vector<std::string> RulesBroken(Duration sent, Duration noticed, bool timed_out = false) {
     history_.AddAttempt({.id = "stream",
                          .type = &kCallTypes[2],
                          .daemon = kDaemon,
@@ -41,7 +41,8 @@
                          .sent_at = start_ + sent,
                          .ended_at = start_ + noticed,
                          .deadline = start_ + 20s,
-                         .status = 200});
+                         .status = 200,
+                         .timed_out = timed_out});
     std::vector<std::string> rules;
     for (const Violation& violation : CheckPromises(history_, bounds_)) {
       rules.push_back(violation.rule);
@@ -88,5 +89,14 @@
   EXPECT_EQ(RulesBroken(13500ms, 21s), std::vector<std::string>{"LOST"});
 }
 
+// Guards against taking a caller that reads too slowly for its deadline for one whose connection
+// ended with its daemon.
+TEST_F(LostCheckTest, StreamThatIsStillDeliveredAtItsDeadlineIsNotLost) {
+  Stop(10s);
+  Run(13500ms, 14500ms);
+  Exit(15600ms);
+  EXPECT_TRUE(RulesBroken(13500ms, 20s, true).empty());
+}
+
 }  // namespace
 }  // namespace savoryglade::soak
