Show a moved stream that is cut off because all reject it

Callers: a stream that was stopped to be moved, whose target rejects it twice and its source once, ends after 3 of 6 events, 20 s before its deadline.

Cause: the requests of the move use up the limits of sends and connections of the call, so that the stream does not wait for an upstream as one does that has lost its own.

--- a/tests/gateway/rejected_move_test.cc
+++ b/tests/gateway/rejected_move_test.cc
@@ -56,5 +56,11 @@
   ExpectWholeStream(SendAndMove(1));
 }
 
+// Guards against a stream that is cut off because its target, which may have a place soon, rejects
+// it more than once.
+TEST_F(RejectedMoveTest, StreamWaitsForATargetThatHasRejectedItTwice) {
+  ExpectWholeStream(SendAndMove(2));
+}
+
 }  // namespace
 }  // namespace savoryglade::gateway
