Let one daemon write the row of the versions that have served

Change: the holder of the duties alone writes, at changes and every 5 s. Where no duties are configured, the first daemon of each group does.

StreamVersionStoreTest and the other 18 tests of stream versions pass.

--- a/packages/gateway/stream_version_store.cc
+++ b/packages/gateway/stream_version_store.cc
@@ -19,7 +19,7 @@
 constexpr Duration kCheckInterval = 250ms;
 constexpr Duration kRetryInterval = 1s;
 // Interval at which the holder of the duties confirms the row.
-constexpr Duration kConfirmInterval = 3s;
+constexpr Duration kConfirmInterval = 5s;
 // Age from which a row says nothing. Daemons of an earlier build do not write it, and may have
 // begun streams since.
 constexpr Duration kMaxRowAge = 10s;
@@ -180,12 +180,13 @@
 }
 
 bool StreamVersionStore::IsWriteDue(TimePoint now) const {
-  if (!fleet_.holds_duties && fleet_.groups.Rank(now) != 0) {
+  // Without duties there is no single daemon to write.
+  const bool has_duties = fleet_.settings.reports_usage || fleet_.settings.orders_capacity;
+  if (has_duties ? !fleet_.holds_duties : fleet_.groups.Rank(now) != 0) {
     return false;
   }
   const StreamVersionSnapshot known = fleet_.stream_versions.KnownVersions(now);
-  return known.known_age && (VersionsIn(known) != stored_ ||
-                             (fleet_.holds_duties && now - written_at_ >= kConfirmInterval));
+  return known.known_age && (VersionsIn(known) != stored_ || now - written_at_ >= kConfirmInterval);
 }
 
 asio::awaitable<bool> StreamVersionStore::WriteIfDue() {
--- a/packages/gateway/stream_version_store.h
+++ b/packages/gateway/stream_version_store.h
@@ -57,8 +57,8 @@
   void Count(const char* event);
   // Reads the row and merges it into the directory. Returns false if the store call failed.
   boost::asio::awaitable<bool> Read();
-  // Returns true if this daemon has to write the row: the first daemon of each group after a
-  // version came or went, and the holder of the duties at intervals.
+  // Returns true if this daemon has to write the row: the holder of the duties, or the first
+  // daemon of each group if there are none, after a version came or went and at intervals.
   bool IsWriteDue(TimePoint now) const;
   // Writes the row if that is due once it has been read again. Returns false if a store call failed
   // or another daemon wrote first.
