Replace on-demand workers once reclaimable ones return

On-demand workers now follow the peak of the last 10 s, and at the limit they are replaced step by step, as far as the demand allows. The order that makes room is sent first.

Two of the four new tests fail with the planner before.

--- a/packages/capacity/capacity_planner.cc
+++ b/packages/capacity/capacity_planner.cc
@@ -21,12 +21,39 @@
 
 }  // namespace
 
-double CapacityPlanner::PeakDemand(double demand, TimePoint now) {
+void CapacityPlanner::RecordDemand(double demand, TimePoint now) {
   std::erase_if(demand_samples_, [&](const DemandSample& sample) {
     return now - sample.at > options_.peak_window || sample.demand <= demand;
   });
   demand_samples_.push_back({.at = now, .demand = demand});
-  return std::ranges::max_element(demand_samples_, {}, &DemandSample::demand)->demand;
+}
+
+double CapacityPlanner::PeakDemand(Duration window, TimePoint now) const {
+  double peak = 0;
+  for (const DemandSample& sample : demand_samples_) {
+    if (now - sample.at <= window) {
+      peak = std::max(peak, sample.demand);
+    }
+  }
+  return peak;
+}
+
+void CapacityPlanner::ReplaceAtLimit(const ScalingRule& rule, int workers, int spare,
+                                     CapacityPlan& plan, TimePoint now) const {
+  int missing = workers;
+  for (const auto& [domain, planned] : plan) {
+    missing -= planned.reclaimable;
+  }
+  for (auto& [domain, planned] : plan) {
+    if (planned.total() < rule.max_count || IsReclaimableUnavailable(domain, now)) {
+      continue;
+    }
+    const int replaced = std::max(0, std::min({planned.on_demand, missing, spare}));
+    planned.on_demand -= replaced;
+    planned.reclaimable += replaced;
+    missing -= replaced;
+    spare -= replaced;
+  }
 }
 
 std::vector<FailureDomainId> CapacityPlanner::ByPrice(const ScalingRule& rule) {
@@ -47,20 +74,24 @@
 CapacityPlan CapacityPlanner::Plan(const ScalingRule& rule, double demand,
                                    const CapacityPlan& serving, const CapacityPlan& ordered,
                                    TimePoint now) {
-  const double peak = PeakDemand(demand, now);
+  RecordDemand(demand, now);
+  const double peak = PeakDemand(options_.peak_window, now);
+  const double on_demand_peak = PeakDemand(options_.on_demand_peak_window, now);
   const int workers = std::max(baseline_, CeilWorkers(peak / options_.target_utilisation));
-  const int needed = std::max(CeilWorkers(peak / options_.max_utilisation),
+  const int needed = std::max(CeilWorkers(on_demand_peak / options_.max_utilisation),
                               CeilWorkers(baseline_ * options_.min_baseline_fraction));
   const std::vector<FailureDomainId> domains = ByPrice(rule);
   int reclaimable = 0;
+  int serving_workers = 0;
   for (const FailureDomainId& domain : domains) {
     reclaimable += CapacityIn(serving, domain).reclaimable;
+    serving_workers += CapacityIn(serving, domain).total();
   }
   // Limits the on-demand workers to those that reclaimable workers have not replaced.
   int max_on_demand = std::numeric_limits<int>::max();
   if (baseline_is_final_) {
     const int release_target =
-        std::max(baseline_, CeilWorkers(peak / options_.release_utilisation));
+        std::max(baseline_, CeilWorkers(on_demand_peak / options_.release_utilisation));
     max_on_demand = std::max(0, release_target - reclaimable);
   }
   CapacityPlan plan;
@@ -112,6 +143,9 @@
     planned.reclaimable = std::min(planned.reclaimable, rule.max_count - planned.on_demand);
     shortfall -= added;
   }
+  if (baseline_is_final_) {
+    ReplaceAtLimit(rule, workers, serving_workers - needed, plan, now);
+  }
   for (auto& [domain, planned] : plan) {
     planned.on_demand += std::max(0, rule.min_count - planned.total());
   }
--- a/packages/capacity/capacity_planner.h
+++ b/packages/capacity/capacity_planner.h
@@ -36,6 +36,8 @@
   double release_utilisation = 0.5;
   // Time for which the peak demand counts before workers are released.
   Duration peak_window = 30s;
+  // The same for on-demand workers, which cost several times as much and boot within seconds.
+  Duration on_demand_peak_window = 10s;
   // Time after a reclaim or a rejected order for which a failure domain gets no new orders for
   // reclaimable workers.
   Duration reclaimable_cooldown = 5s;
@@ -78,11 +80,16 @@
     double demand = 0;
   };
 
-  // Returns the highest demand within the peak window.
-  double PeakDemand(double demand, TimePoint now);
+  void RecordDemand(double demand, TimePoint now);
+  // Returns the highest demand within a window of at most the peak window.
+  double PeakDemand(Duration window, TimePoint now) const;
   // Returns all failure domains, cheapest first.
   static std::vector<FailureDomainId> ByPrice(const ScalingRule& rule);
   bool IsReclaimableUnavailable(const FailureDomainId& domain, TimePoint now) const;
+  // Replaces on-demand workers by reclaimable ones where both kinds together have reached the limit
+  // of a domain. At most `spare` on-demand workers are released.
+  void ReplaceAtLimit(const ScalingRule& rule, int workers, int spare, CapacityPlan& plan,
+                      TimePoint now) const;
 
   PlannerOptions options_;
   int baseline_ = 0;
--- a/packages/gateway/capacity_controller.cc
+++ b/packages/gateway/capacity_controller.cc
@@ -165,10 +165,18 @@
     const auto found = serving.find(domain);
     const capacity::DomainCapacity current =
         found == serving.end() ? capacity::DomainCapacity{} : found->second;
+    // An order sent before all workers have registered could remove some of them.
+    const bool releases_on_demand =
+        state.baseline_known && capacity.on_demand < current.on_demand;
+    // The platform rejects an order that exceeds the limit together with the other kind, so the
+    // order that makes room comes first.
+    if (releases_on_demand) {
+      co_await SendOrder(service.name, state, {domain, false}, capacity.on_demand,
+                         current.on_demand, service.scaling->boot_time, now);
+    }
     co_await SendOrder(service.name, state, {domain, true}, capacity.reclaimable,
                        current.reclaimable, service.scaling->boot_time, now);
-    // An order sent before all workers have registered could remove some of them.
-    if (state.baseline_known) {
+    if (state.baseline_known && !releases_on_demand) {
       co_await SendOrder(service.name, state, {domain, false}, capacity.on_demand,
                          current.on_demand, service.scaling->boot_time, now);
     }
--- a/tests/capacity/capacity_planner_test.cc
+++ b/tests/capacity/capacity_planner_test.cc
@@ -122,6 +122,38 @@
   EXPECT_EQ(plan[kVerona], (DomainCapacity{.on_demand = 2, .reclaimable = 8}));
 }
 
+// Load pattern: a burst meets two reclaims; afterwards a domain holds on-demand workers up to its
+// limit. Guards against keeping them for as long as reclaimable ones have no room beside them.
+TEST_F(CapacityPlannerTest, OnDemandWorkersAtTheLimitAreReplacedByReclaimableOnes) {
+  const CapacityPlan serving = {{kBergamo, {.on_demand = 10}}, {kVerona, {.reclaimable = 2}}};
+  // The demand of 6 needs 9 of the 12 workers at least, so 3 may go at a time.
+  EXPECT_EQ(Plan(6, serving, serving)[kBergamo], (DomainCapacity{.on_demand = 7, .reclaimable = 3}));
+}
+
+// Guards against releasing workers that the demand needs before others have taken their place.
+TEST_F(CapacityPlannerTest, OnDemandWorkersThatTheDemandNeedsAreNotReplacedAtTheLimit) {
+  const CapacityPlan serving = {{kBergamo, {.on_demand = 10}}};
+  EXPECT_EQ(Plan(7, serving, serving)[kBergamo], (DomainCapacity{.on_demand = 10}));
+}
+
+// Guards against giving up on-demand workers where a domain has no reclaimable ones.
+TEST_F(CapacityPlannerTest, OnDemandWorkersStayWhereReclaimableOnesAreUnavailable) {
+  const CapacityPlan serving = {{kBergamo, {.on_demand = 10}}, {kVerona, {.reclaimable = 2}}};
+  planner_.OnReclaimableUnavailable(kBergamo, At(0s));
+  planner_.OnReclaimableUnavailable(kVerona, At(0s));
+  EXPECT_EQ(Plan(8, serving, serving)[kBergamo].reclaimable, 0);
+}
+
+// Load pattern: a burst of a few seconds while no reclaimable workers are available. Guards against
+// paying for the on-demand workers that it needed for the whole peak window.
+TEST_F(CapacityPlannerTest, OnDemandWorkersAreReleasedSoonAfterAShortPeak) {
+  const CapacityPlan serving = {{kBergamo, {.on_demand = 6, .reclaimable = 4}},
+                                {kVerona, {.reclaimable = 4}}};
+  EXPECT_GT(Plan(7, serving, serving, 0s)[kBergamo].on_demand, 0);
+  EXPECT_GT(Plan(2, serving, serving, 5s)[kBergamo].on_demand, 0);
+  EXPECT_EQ(Plan(2, serving, serving, 15s)[kBergamo].on_demand, 0);
+}
+
 TEST_F(CapacityPlannerTest, StaysWithinTheLimitsOfEachDomain) {
   CapacityPlan plan = Plan(100, {});
   EXPECT_EQ(plan[kBergamo].total(), 10);
