Place work by the lasting speed of engines

Engines of a deployment take 0.6, 1 and 1.6 times the usual time for the same work, and the placement treated them alike: streams on slow engines had pauses longer than their callers accept (up to 22% of the streams of an engine), and the busiest engine had 1.61 times the mean. Daemons now observe the pace of each stream, share it within their group, and place work by predicted delay times the speed, with a penalty for engines whose pauses are too long. Where the engines are alike, the factor is 1.

--- a/packages/gateway/attempt.h
+++ b/packages/gateway/attempt.h
@@ -11,6 +11,7 @@
 #include "gateway/open_attempts.h"
 #include "gateway/stream_migrator.h"
 #include "net/http_client.h"
+#include "routing/engine_speeds.h"
 #include "routing/fleet_load_balancer.h"
 
 namespace savoryglade::gateway {
@@ -57,6 +58,8 @@
   bool is_buffered_whole = false;
   // Bytes of a stream that have been read and not passed on.
   std::string prefetched;
+  // Intervals between the events of a stream.
+  StreamPace pace;
   // Set while a stream is relayed.
   std::shared_ptr<MigratableStream> stream;
   // Whether the response had a length or chunks, so that its end was not just that of its
--- a/packages/gateway/capacity_controller.cc
+++ b/packages/gateway/capacity_controller.cc
@@ -166,8 +166,7 @@
     const capacity::DomainCapacity current =
         found == serving.end() ? capacity::DomainCapacity{} : found->second;
     // An order sent before all workers have registered could remove some of them.
-    const bool releases_on_demand =
-        state.baseline_known && capacity.on_demand < current.on_demand;
+    const bool releases_on_demand = state.baseline_known && capacity.on_demand < current.on_demand;
     // The platform rejects an order that exceeds the limit together with the other kind, so the
     // order that makes room comes first.
     if (releases_on_demand) {
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -184,6 +184,11 @@
         static_cast<std::uint16_t>(std::clamp(item.load.running, 0, kMaxRunning)),
         item.load.suspect);
   }
+  for (const ReportedPace& pace : report.paces) {
+    digest.paces.emplace_back(pace.process, static_cast<float>(pace.interval_s),
+                              static_cast<float>(pace.late_fraction),
+                              static_cast<std::uint16_t>(pace.streams));
+  }
   for (const auto& [account, use] : report.allowances) {
     digest.allowances.emplace_back(account, use.asked, use.taken, use.level);
   }
@@ -251,6 +256,12 @@
                                      .waiting_tokens = item.waiting_tokens(),
                                      .suspect = item.suspect()}});
   }
+  for (const wire::PaceItem& item : digest.paces) {
+    report.paces.push_back({.process = item.process(),
+                            .interval_s = item.interval_s(),
+                            .late_fraction = item.late_fraction(),
+                            .streams = item.streams()});
+  }
   for (const wire::AllowanceItem& item : digest.allowances) {
     report.allowances.emplace(
         item.account(),
--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -16,6 +16,7 @@
 #include "membership/registration_view.h"
 #include "recovery/crash_registry.h"
 #include "recovery/stream_version_directory.h"
+#include "routing/engine_speeds.h"
 #include "routing/fleet_load_balancer.h"
 #include "scheduling/account_rate_limiter.h"
 
@@ -73,6 +74,8 @@
   std::vector<ReportedNotice> notices;
   // Upstreams that have rejected a request, and crash if they reject too many.
   std::vector<ReportedNotice> rejections;
+  // Paces of engines that the sender has observed; empty in reports on several daemons.
+  std::vector<ReportedPace> paces;
   // Registration changes that the sender has read from the store, and time since that read began.
   std::optional<FeedUpdate> feed_update;
   Duration feed_update_age = Duration::zero();
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -188,6 +188,8 @@
     fleet_.OnStoreEra(adapters_.store->era());
     fleet_.metrics.GetGauge("savoryglade_gateway_active_requests").Set(fleet_.active_requests);
     PublishOpenWork(MakeOpenWork());
+    fleet_.metrics.GetGauge("savoryglade_gateway_uneven_engines")
+        .Set(fleet_.load_balancer.UnevenEngines());
     fleet_.metrics.GetGauge("savoryglade_gateway_recorded_streams")
         .Set(static_cast<std::int64_t>(fleet_.stream_versions.size()));
     Logger::Flush();
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t kMaxReportedNotices = 256;
 // Streams in one report, at 8 bytes each.
 constexpr std::size_t kMaxReportedStreams = 512;
+// Paces of engines in one report, at 16 bytes each; all take turns.
+constexpr std::size_t kMaxReportedPaces = 8;
 
 const Logger kLog("peers");
 
@@ -128,6 +130,7 @@
   }
   if (scope == ReportScope::kDaemon) {
     report.streams = fleet_.stream_versions.SelectForReport(kMaxReportedStreams, now);
+    report.paces = fleet_.load_balancer.speeds().SelectForReport(kMaxReportedPaces);
   }
   AddAllowanceUsage(full, now, last_reported_[scope], report);
   AddUsageCounts(full, now, last_reported_[scope], report);
@@ -145,6 +148,9 @@
   }
   const ReportSource source = SourceOf(report);
   fleet_.load_balancer.OnReport(source, report.loads, now);
+  if (report.scope == ReportScope::kDaemon) {
+    fleet_.load_balancer.speeds().OnReport(source, report.paces, now);
+  }
   if (report.holder_age) {
     const TimePoint announced_at = now - *report.holder_age;
     const HolderAnnouncement& known = fleet_.holder_announcement;
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -445,6 +445,7 @@
     }
     has_event = has_event || HoldsEvent(events);
     call.OnEvents(BootNow());
+    attempt.pace.OnEvents(BootNow());
     BeforeRelay(attempt);
     bool open = true;
     if (!call.stream_started) {
@@ -482,6 +483,10 @@
     co_return AttemptOutcome::kUnusable;
   }
   BeforeRelay(attempt);
+  fleet_.load_balancer.speeds().OnStream(
+      FleetLoadBalancer::ProcessKeyOf(attempt.placement.upstream), attempt.pace.LowerQuartile(),
+      call.route->longest_pause > Duration::zero() &&
+          call.longest_event_gap > call.route->longest_pause);
   ReleaseConnection(call, attempt);
   crash_detector_.OnAnswer(call, attempt, attempt.status, BootNow());
   if (!call.stream_started) {
--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -13,6 +13,8 @@
 constexpr std::size_t kMaxTrackedParts = 4096;
 // Score penalty of an upstream that peers avoid or that has just failed.
 constexpr double kSuspectPenaltySeconds = 0.5;
+// Score penalty of an engine at which all streams have longer pauses than their callers accept.
+constexpr double kLatePauseSeconds = 0.3;
 // Processing uncached tokens delays this request and takes the same time from other requests.
 constexpr double kUncachedPromptWeight = 2;
 // Factor on the expected prompt time before an upstream counts as silent; allows for short
@@ -24,6 +26,8 @@
 // the time for which they go on when it is less.
 constexpr double kBusySlotUse = 0.6;
 constexpr Duration kBusyTime = 1s;
+// Interval at which the speed factors follow what was observed of the engines.
+constexpr Duration kSpeedUpdateInterval = 500ms;
 
 std::uint64_t RendezvousHash(std::uint64_t upstream, std::uint64_t key) {
   std::uint64_t hash = upstream ^ (key * 0x9E3779B97F4A7C15ULL);
@@ -203,6 +207,33 @@
   return now - entry.reported_at <= options_.slowness_lifetime ? entry.slowness : 1;
 }
 
+void FleetLoadBalancer::UpdateSpeedFactors(TimePoint now) {
+  if (now - speeds_updated_at_ < kSpeedUpdateInterval) {
+    return;
+  }
+  speeds_updated_at_ = now;
+  speeds_.Expire(now);
+  for (const auto& [service, entries] : by_service_) {
+    double sum = 0;
+    int known = 0;
+    for (const Entry* entry : entries) {
+      if (const EngineSpeeds::Pace pace = speeds_.PaceOf(entry->process); pace.known) {
+        sum += pace.log_interval;
+        ++known;
+      }
+    }
+    for (Entry* entry : entries) {
+      entry->speed_factor = known == 0 ? 1 : speeds_.FactorOf(entry->process, sum / known);
+      entry->late_fraction = speeds_.PaceOf(entry->process).late_fraction;
+    }
+  }
+}
+
+int FleetLoadBalancer::UnevenEngines() const {
+  return static_cast<int>(std::ranges::count_if(
+      entries_, [](const auto& entry) { return entry.second.speed_factor != 1; }));
+}
+
 void FleetLoadBalancer::ShareSlotsUntil(const ServiceId& service, TimePoint end) {
   TimePoint& cautious_until = cautious_until_[service];
   cautious_until = std::max(cautious_until, end);
@@ -270,8 +301,8 @@
   const double queue = load.waiting_tokens / options_.prompt_tokens_per_s;
   const double prompt_time = uncached / options_.prompt_tokens_per_s * kUncachedPromptWeight;
   return (queue + prompt_time + load.running * options_.cost_per_running_request_s) *
-             CurrentSlowness(entry, now) +
-         one_way_latency + suspect_penalty +
+             CurrentSlowness(entry, now) * entry.speed_factor +
+         kLatePauseSeconds * entry.late_fraction + one_way_latency + suspect_penalty +
          spread * options_.cost_per_running_request_s * entry.record.slots;
 }
 
@@ -318,6 +349,7 @@
 std::vector<const FleetLoadBalancer::Entry*> FleetLoadBalancer::UsableEntries(
     const WorkEstimate& work, const std::vector<UpstreamId>& excluded, TimePoint now) {
   ExpireReports(now);
+  UpdateSpeedFactors(now);
   ShareSlotsIfBusy(work.service, now);
   std::vector<const Entry*> usable;
   std::vector<const Entry*> fallback;
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -15,6 +15,7 @@
 #include "core/report_source.h"
 #include "core/strong_id.h"
 #include "core/time.h"
+#include "routing/engine_speeds.h"
 #include "routing/prompt_time_model.h"
 #include "routing/upstream_signals.h"
 
@@ -172,6 +173,11 @@
   UpstreamSignals& signals() { return signals_; }
   const UpstreamSignals& signals() const { return signals_; }
 
+  // Lasting speeds of the engines, by ProcessKeyOf.
+  EngineSpeeds& speeds() { return speeds_; }
+  // Returns the number of engines that are lastingly faster or slower than others of their service.
+  int UnevenEngines() const;
+
   // Sets the number of upstreams that are compared for each choice; see the options.
   void SetRandomCandidates(int candidates) { options_.random_candidates = candidates; }
 
@@ -300,6 +306,10 @@
     // Dispatch times of the requests for which the upstream has not sent a first byte.
     std::deque<TimePoint> unanswered;
     double slowness = 1;
+    // Time that work lastingly takes at the engine, as a multiple of the mean of its service.
+    double speed_factor = 1;
+    // Fraction of the engine's streams with a longer pause than their callers accept.
+    double late_fraction = 0;
     int reported_running = 0;
     TimePoint reported_at{};
     // Prompt parts that this daemon sent to the upstream, with the time of the last dispatch.
@@ -319,6 +329,8 @@
   UpstreamLoad FleetLoad(const Entry& entry, TimePoint now) const;
   bool IsSilent(const Entry& entry, TimePoint now) const;
   static MeanLoad MeanLoadOf(const std::vector<Entry*>& entries);
+  // Updates the speed factors of all engines if they are older than kSpeedUpdateInterval.
+  void UpdateSpeedFactors(TimePoint now);
   // Returns the last reported slowness, or 1 (normal speed) if the report has expired.
   double CurrentSlowness(const Entry& entry, TimePoint now) const;
   bool MaySend(const Entry& entry, TimePoint now) const {
@@ -369,6 +381,8 @@
   FleetLoadBalancerOptions options_;
   Random random_;
   UpstreamSignals signals_;
+  EngineSpeeds speeds_{EngineSpeedOptions{}};
+  TimePoint speeds_updated_at_{};
   std::map<UpstreamId, Entry> entries_;
   std::unordered_map<std::uint64_t, Entry*> by_key_;
   std::unordered_map<std::uint64_t, Entry*> by_process_;
--- a/tests/capacity/capacity_planner_test.cc
+++ b/tests/capacity/capacity_planner_test.cc
@@ -127,7 +127,8 @@
 TEST_F(CapacityPlannerTest, OnDemandWorkersAtTheLimitAreReplacedByReclaimableOnes) {
   const CapacityPlan serving = {{kBergamo, {.on_demand = 10}}, {kVerona, {.reclaimable = 2}}};
   // The demand of 6 needs 9 of the 12 workers at least, so 3 may go at a time.
-  EXPECT_EQ(Plan(6, serving, serving)[kBergamo], (DomainCapacity{.on_demand = 7, .reclaimable = 3}));
+  EXPECT_EQ(Plan(6, serving, serving)[kBergamo],
+            (DomainCapacity{.on_demand = 7, .reclaimable = 3}));
 }
 
 // Guards against releasing workers that the demand needs before others have taken their place.
