Limit the versions of a service that may be chosen

Roll-outs need a restriction that holds in every place that chooses an upstream, also in code that does not know of it (repeats, second attempts, moved streams).

FleetLoadBalancer takes limits by service and version: the number of upstreams that are open, the same ones at all daemons, whether the other versions get nothing, and the instant at which the limit expires. Without limits nothing changes. Requests to a limited version are chosen on request only.

Before: no limit.

--- a/packages/routing/fleet_load_balancer.cc
+++ b/packages/routing/fleet_load_balancer.cc
@@ -99,6 +99,7 @@
       std::ranges::upper_bound(service_entries, record.id, {},
                                [](const Entry* other) { return other->record.id; }),
       &entry);
+  UpdateOpenUpstreams(record.service);
 }
 
 PromptTimeModel& FleetLoadBalancer::FindOrCreateModel(const ServiceId& service) {
@@ -118,7 +119,7 @@
   return MeanLoadOf(by_service_[service]);
 }
 
-MeanLoad FleetLoadBalancer::MeanLoadOf(const std::vector<Entry*>& entries) {
+MeanLoad FleetLoadBalancer::MeanLoadOf(const std::vector<Entry*>& entries) const {
   double tokens = 0;
   double running = 0;
   double slots = 0;
@@ -126,7 +127,7 @@
   for (const Entry* entry : entries) {
     // Work that waits at an upstream which is stuck does not delay others.
     if (entry->record.leaving || entry->record.doubtful || entry->reported.suspect_reports > 0 ||
-        entry->failures > 0) {
+        entry->failures > 0 || !entry->is_open) {
       continue;
     }
     tokens += entry->own.waiting_tokens + entry->reported.waiting_tokens;
@@ -147,8 +148,10 @@
 void FleetLoadBalancer::Remove(const UpstreamId& id) {
   const auto found = entries_.find(id);
   if (found != entries_.end()) {
+    const ServiceId service = found->second.record.service;
     RemoveFromIndexes(found->second);
     entries_.erase(found);
+    UpdateOpenUpstreams(service);
   }
 }
 
@@ -324,6 +327,7 @@
   for (const Entry* entry : by_service_[work.service]) {
     if (entry->record.leaving ||
         (work.required_version && entry->version != *work.required_version) ||
+        !IsAllowed(*entry, work.version_choice, work.required_version.has_value(), now) ||
         std::ranges::find(excluded, entry->record.id) != excluded.end()) {
       continue;
     }
@@ -391,7 +395,8 @@
   std::optional<TimePoint> next;
   for (const Entry* entry : found->second) {
     if (entry->record.leaving ||
-        (work.required_version && entry->version != *work.required_version)) {
+        (work.required_version && entry->version != *work.required_version) ||
+        !IsAllowed(*entry, work.version_choice, work.required_version.has_value(), now)) {
       continue;
     }
     const std::optional<TimePoint> end = signals_.WaitEnd(entry->process, now);
@@ -406,8 +411,10 @@
 bool FleetLoadBalancer::HasVersion(const ServiceId& service, std::uint64_t version) const {
   const auto found = by_service_.find(service);
   return found != by_service_.end() &&
-         std::ranges::any_of(found->second, [version](const Entry* entry) {
-           return !entry->record.leaving && entry->version == version;
+         std::ranges::any_of(found->second, [this, version](const Entry* entry) {
+           const VersionLimit* const limit = LimitOf(*entry);
+           return !entry->record.leaving && entry->version == version &&
+                  (limit == nullptr || limit->upstreams != 0);
          });
 }
 
@@ -427,7 +434,9 @@
   ExpireReports(now);
   int free = 0;
   for (const Entry* entry : by_service_[service]) {
-    const bool usable = !required_version || entry->version == *required_version;
+    const bool usable =
+        (!required_version || entry->version == *required_version) &&
+        IsAllowed(*entry, VersionChoice::kUnlimited, required_version.has_value(), now);
     if (usable && !entry->record.leaving && now >= entry->paused_until && MaySend(*entry, now)) {
       const int slots = std::max(0, entry->record.slots - FleetLoad(*entry, now).running);
       free += signals_.rate_limits().RateOf(entry->process) ? std::min(slots, 1) : slots;
--- a/packages/routing/fleet_load_balancer.h
+++ b/packages/routing/fleet_load_balancer.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -52,6 +53,36 @@
   friend auto operator<=>(const PromptPart&, const PromptPart&) = default;
 };
 
+// Which versions may run a request while one of them is limited; see VersionLimit.
+enum class VersionChoice : std::uint8_t {
+  // Those without a limit, unless the limited one takes all requests.
+  kUnlimited,
+  // Only the limited one.
+  kLimited,
+};
+
+// Limit on one software version of a service, for example while it is rolled out.
+struct VersionLimit {
+  // Number of its upstreams that may be chosen, the same ones at all daemons. Negative for all.
+  int upstreams = 0;
+  // Whether the other versions get no requests.
+  bool exclusive = false;
+  // Instant from which the version gets nothing, and is not exclusive any more.
+  TimePoint valid_until = TimePoint::max();
+
+  friend auto operator<=>(const VersionLimit&, const VersionLimit&) = default;
+};
+
+// Upstreams of one version of a service, or of all others, without those that leave; and the
+// requests that run on any of them, as far as known.
+struct VersionUse {
+  int upstreams = 0;
+  int slots = 0;
+  int running = 0;
+
+  friend auto operator<=>(const VersionUse&, const VersionUse&) = default;
+};
+
 // Properties of a request that determine the choice of an upstream.
 struct WorkEstimate {
   ServiceId service;
@@ -61,6 +92,7 @@
   std::vector<PromptPart> parts;
   // Key of the only software version that may run the request, by SoftwareVersionKey.
   std::optional<std::uint64_t> required_version;
+  VersionChoice version_choice = VersionChoice::kUnlimited;
 
   bool IsGeneration() const { return prompt_tokens > 0; }
 };
@@ -190,6 +222,16 @@
   const UpstreamRecord* Find(const UpstreamId& id) const;
   std::vector<UpstreamRecord> Records() const;
 
+  // Replaces the limits on the versions of a service, by the versions' keys.
+  void SetVersionLimits(const ServiceId& service, std::map<std::uint64_t, VersionLimit> limits);
+  // Returns true unless a limit excludes the upstream now, for a request that was chosen earlier.
+  bool MayReceive(const UpstreamId& id, TimePoint now) const;
+  // Returns the keys of the versions of each service, those of leaving upstreams included.
+  std::map<ServiceId, std::set<std::uint64_t>> Versions() const;
+  // Returns the use of a version of a service, and of all its other versions.
+  std::pair<VersionUse, VersionUse> UseOf(const ServiceId& service, std::uint64_t version,
+                                          TimePoint now);
+
   // Chooses an upstream of the service that is not excluded and has the required version. Returns
   // nothing if none accepts work.
   std::optional<Placement> Choose(const WorkEstimate& work, const std::vector<UpstreamId>& excluded,
@@ -202,7 +244,8 @@
   // do not leave and have the required version want none for a while.
   std::optional<TimePoint> NextWaitEnd(const WorkEstimate& work, TimePoint now) const;
 
-  // Returns true if an upstream of the service that does not leave has this version.
+  // Returns true if an upstream of the service that does not leave has this version, and the
+  // version is not excluded by a limit.
   bool HasVersion(const ServiceId& service, std::uint64_t version) const;
   // Returns the version of all upstreams of the service, those that leave included, or nothing if
   // there are several versions or no upstreams.
@@ -295,6 +338,8 @@
     // True since this daemon lost its path to the upstream, until the upstream answers. What the
     // daemon sees of the upstream meanwhile does not show the upstream's state.
     bool path_lost = false;
+    // Whether the limit on its version lets it be chosen.
+    bool is_open = true;
     TimePoint held_until{};
     TimePoint last_bytes{};
     // Dispatch times of the requests for which the upstream has not sent a first byte.
@@ -318,12 +363,21 @@
   void RecordFailure(Entry& entry, bool is_unreachable, TimePoint now) const;
   UpstreamLoad FleetLoad(const Entry& entry, TimePoint now) const;
   bool IsSilent(const Entry& entry, TimePoint now) const;
-  static MeanLoad MeanLoadOf(const std::vector<Entry*>& entries);
+  MeanLoad MeanLoadOf(const std::vector<Entry*>& entries) const;
   // Returns the last reported slowness, or 1 (normal speed) if the report has expired.
   double CurrentSlowness(const Entry& entry, TimePoint now) const;
   bool MaySend(const Entry& entry, TimePoint now) const {
     return signals_.MaySend(entry.process, entry.record.failure_domain, now);
   }
+  // Marks the upstreams of limited versions that may be chosen.
+  void UpdateOpenUpstreams(const ServiceId& service);
+  // Returns the limit on a version of the service that is in force, or null. An expired one is in
+  // force without upstreams.
+  const VersionLimit* LimitOf(const Entry& entry) const;
+  // Returns true if the limits on versions allow such a request at the upstream.
+  bool IsAllowed(const Entry& entry, VersionChoice choice, bool requires_version,
+                 TimePoint now) const;
+  bool IsExclusive(const ServiceId& service, TimePoint now) const;
   // Returns true if the upstream has a place for the work beside its load.
   bool HasPlace(const Entry& entry, const WorkEstimate& work, const UpstreamLoad& load,
                 TimePoint now) const;
@@ -381,6 +435,7 @@
   std::map<ServiceId, TimePoint> brittle_until_;
   // Times until which the daemons share the slots of services with brittle upstreams.
   std::map<ServiceId, TimePoint> cautious_until_;
+  std::map<ServiceId, std::map<std::uint64_t, VersionLimit>> version_limits_;
   std::map<ReportSource, Report> reports_;
   std::map<ServiceId, PromptTimeModel> prompt_times_;
 };
