Carry out the operators' orders of roll-outs

Orders are read with the routes, without further calls to the store, and travel in the reports with the published step and the counts. The holder of the duties decides, writes its row and the status in one transaction, and publishes. Each daemon limits the versions by what it has heard. Off unless the settings have the contract and all three bounds.

--- a/packages/gateway/adapter.h
+++ b/packages/gateway/adapter.h
@@ -19,6 +19,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "provider/table.h"
+#include "rollout/rollout_types.h"
 #include "routing/fleet_load_balancer.h"
 
 namespace savoryglade::gateway {
@@ -110,9 +111,11 @@
 // the versions of rows only increase, even if the store returns from an older copy.
 using FeedPosition = std::uint64_t;
 
-// Text of the new route document, if there is one, and the position from which to continue.
+// Text of the new route document, if there is one, new orders to roll out versions, and the
+// position from which to continue.
 struct RouteUpdate {
   std::optional<std::string> text;
+  std::vector<rollout::RolloutOrder> rollouts;
   FeedPosition position = 0;
 };
 
@@ -134,6 +137,18 @@
   FeedPosition position = 0;
 };
 
+// State of a roll-out as the operators see it.
+enum class RolloutState : std::uint8_t { kRunning, kCompleted, kRolledBack };
+
+struct RolloutStatus {
+  ServiceId service;
+  RolloutState state = RolloutState::kRunning;
+  // Software version of the order.
+  std::string to;
+
+  friend auto operator<=>(const RolloutStatus&, const RolloutStatus&) = default;
+};
+
 // Store of the operators' routes, the upstreams' registrations and the daemons' own rows. Each
 // call applies its own timeout. The Watch functions return kConflict if the history after the
 // position has been discarded; the caller then restarts from zero.
@@ -141,7 +156,8 @@
  public:
   virtual ~FleetStore() = default;
 
-  // Returns as soon as the routes change after the position, or once the wait has passed.
+  // Returns as soon as the routes or the orders of roll-outs change after the position, or once the
+  // wait has passed.
   virtual boost::asio::awaitable<Result<RouteUpdate>> WatchRoutes(FeedPosition after,
                                                                   Duration wait) = 0;
   // Parses the text of a route document. Returns kInvalid if it is malformed. Safe to use from all
@@ -155,6 +171,10 @@
   // may then have held in another way than meant.
   virtual boost::asio::awaitable<provider::CommitStatus> Commit(
       const provider::Transaction& transaction) = 0;
+  // Commits a transaction on the daemons' own rows together with the status of a roll-out, which
+  // has no condition of its own.
+  virtual boost::asio::awaitable<provider::CommitStatus> CommitRollout(
+      const provider::Transaction& transaction, const RolloutStatus& status) = 0;
   // Returns the latest era in the store's responses, and when the first of them arrived.
   virtual StoreEra era() const = 0;
   // Returns the daemons' own rows whose keys begin with the prefix.
--- a/packages/gateway/attempt_runner.cc
+++ b/packages/gateway/attempt_runner.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/boot_clock.h"
+#include "core/prefix_hash.h"
 #include "logging/logger.h"
 #include "routing/software_version.h"
 
@@ -57,6 +58,10 @@
     attempt.failure = "The upstream's notice is too old for another request.";
     return AttemptOutcome::kNotSent;
   }
+  if (!fleet_.load_balancer.MayReceive(attempt.placement.upstream.id, BootNow())) {
+    attempt.failure = "The upstream's version gets no requests since it was chosen.";
+    return AttemptOutcome::kNotSent;
+  }
   // Only the engine that stopped a stream can continue it once its target has not.
   const bool returns_to_source = attempt.is_move && !call.migration_source;
   if (!returns_to_source &&
@@ -109,6 +114,7 @@
                                  .kv_copy = attempt.is_move ? call.kv_copy : std::nullopt};
   signals_.OnSend(attempt.placement.upstream, call.metadata.attempt_id);
   attempt.sent = true;
+  TrackResponse(call, attempt, now);
   ++call.sends;
   ++call.unrejected_sends;
   call.last_sent_at = now;
@@ -162,6 +168,51 @@
   co_return is_lost ? AttemptOutcome::kPathLost : seen;
 }
 
+void AttemptRunner::TrackResponse(const Call& call, const Attempt& attempt, TimePoint now) {
+  if (!fleet_.rollouts.enabled()) {
+    return;
+  }
+  const std::uint64_t route = Fnv1aHash(call.route->name);
+  if (call.sends == 0) {
+    fleet_.rollouts.OnRequest(call.service, route);
+  }
+  fleet_.rollout_responses.OnSent(
+      &attempt,
+      {.service = call.service,
+       .route = route,
+       .version = SoftwareVersionKey(attempt.placement.upstream.software_version),
+       .upstream = attempt.placement.upstream.id},
+      now);
+}
+
+void AttemptRunner::EndTracking(const Attempt& attempt, AttemptOutcome result, TimePoint now) {
+  if (!fleet_.rollouts.enabled()) {
+    return;
+  }
+  rollout::TrackedEnd end = rollout::TrackedEnd::kNone;
+  switch (result) {
+    case AttemptOutcome::kAnswered:
+      end = attempt.status >= 500 ? rollout::TrackedEnd::kFailed : rollout::TrackedEnd::kAnswered;
+      break;
+    case AttemptOutcome::kFailed:
+    case AttemptOutcome::kUnusable:
+    case AttemptOutcome::kTimedOut:
+      end = rollout::TrackedEnd::kFailed;
+      break;
+    case AttemptOutcome::kBrokenOff:
+      end = rollout::TrackedEnd::kBrokenOff;
+      break;
+    case AttemptOutcome::kUnreachable:
+    case AttemptOutcome::kNoPath:
+    case AttemptOutcome::kPathLost:
+      fleet_.rollout_responses.OnUpstreamLost(attempt.placement.upstream.id, now);
+      break;
+    default:
+      break;
+  }
+  fleet_.rollout_responses.OnEnd(&attempt, end, now);
+}
+
 void AttemptRunner::RecordRejection(Call& call) {
   --call.unrejected_sends;
   if (call.counted_window && call.unrejected_sends == 0 && call.account != nullptr) {
@@ -193,6 +244,7 @@
 void AttemptRunner::End(Call& call, Attempt& attempt, AttemptOutcome result) {
   const TimePoint now = BootNow();
   std::erase(call.attempts, &attempt);
+  EndTracking(attempt, result, now);
   attempt.observer = nullptr;
   attempt.registration.reset();
   attempt.connection.reset();
--- a/packages/gateway/attempt_runner.h
+++ b/packages/gateway/attempt_runner.h
@@ -52,6 +52,9 @@
   void RecordFirstByte(Call& call, Attempt& attempt);
   // Counts the request in the usage window of its account, if usage is reported.
   void RecordUsage(Call& call, TimePoint now);
+  // Counts a request that is about to be sent, and its response, for roll-outs.
+  void TrackResponse(const Call& call, const Attempt& attempt, TimePoint now);
+  void EndTracking(const Attempt& attempt, AttemptOutcome result, TimePoint now);
   // Takes back what was counted for a request that its upstream has rejected.
   void RecordRejection(Call& call);
   // Records for the retries of the call that an upstream may have run it.
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -290,9 +290,24 @@
   if (call.connection_attempts >= kMaxConnectionAttempts || call.sends >= MaxSends(call)) {
     return std::nullopt;
   }
+  if (std::optional<Placement> placement = SelectRolledOutVersion(call, now)) {
+    return placement;
+  }
   return fleet_.load_balancer.Choose(call.metadata.work, call.ExcludedUpstreams(), now);
 }
 
+std::optional<Placement> CallRelay::SelectRolledOutVersion(const Call& call, TimePoint now) {
+  // Repeats go to the version that is known to be good.
+  if (call.sends > 0 || call.metadata.work.required_version || !fleet_.rollouts.enabled() ||
+      !fleet_.rollouts.Admits(call.service, Fnv1aHash(call.route->name),
+                              Fnv1aHash(call.metadata.attempt_id), now)) {
+    return std::nullopt;
+  }
+  WorkEstimate work = call.metadata.work;
+  work.version_choice = VersionChoice::kLimited;
+  return fleet_.load_balancer.Choose(work, call.ExcludedUpstreams(), now);
+}
+
 bool CallRelay::NeedsAdmission(const Call& call, bool has_placement, TimePoint now) const {
   // Work that was begun is continued, and a call that failed has used part of its time.
   if (call.connection_attempts > 0 || call.migration_target || call.resumes_stream()) {
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -83,6 +83,9 @@
                                                      std::optional<TimePoint> retry_consumed_at);
   // Returns the upstream of the next attempt, or nothing if the request must be rejected.
   std::optional<Placement> SelectUpstream(Call& call, TimePoint now);
+  // Returns an upstream of a version that is being rolled out, or nothing if the request does not
+  // go to that version.
+  std::optional<Placement> SelectRolledOutVersion(const Call& call, TimePoint now);
   // Returns true if the admission queue decides when the call is sent, given whether an upstream
   // accepts it now.
   bool NeedsAdmission(const Call& call, bool has_placement, TimePoint now) const;
--- a/packages/gateway/digest_codec.cc
+++ b/packages/gateway/digest_codec.cc
@@ -6,8 +6,11 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <tuple>
 #include <utility>
 
+#include "core/number.h"
+
 namespace savoryglade::gateway {
 namespace {
 
@@ -142,6 +145,76 @@
   return records;
 }
 
+std::unique_ptr<wire::RolloutItemT> EncodeRollout(const rollout::ReportedRollout& rollout) {
+  auto item = std::make_unique<wire::RolloutItemT>();
+  item->service = rollout.order.service.value();
+  item->to = rollout.order.to;
+  item->duration_ms = static_cast<std::uint64_t>(rollout.order.duration / 1ms);
+  item->order_version = rollout.order.version;
+  item->order_era = rollout.order.era;
+  item->order_age_ms = Milliseconds(rollout.order_age);
+  item->abandoned = rollout.abandoned;
+  item->fencing = rollout.step.fencing;
+  item->number = rollout.step.number;
+  item->confirmation = rollout.confirmation;
+  item->step_age_ms = rollout.step_age ? *rollout.step_age / 1ms : -1;
+  item->stage = static_cast<std::uint8_t>(rollout.step.stage);
+  item->share = static_cast<float>(rollout.step.share);
+  item->upstreams = rollout.step.upstreams;
+  for (const auto& [route, share] : rollout.step.route_shares) {
+    item->route_shares.emplace_back(route, static_cast<float>(share));
+  }
+  for (const auto& [route, counts] : rollout.counts) {
+    const auto& [old_version, new_version] = std::tie(counts.old_version, counts.new_version);
+    item->counts.emplace_back(route, counts.requests, counts.sent_to_new, old_version.good,
+                              old_version.failed, old_version.slow, new_version.good,
+                              new_version.failed, new_version.slow);
+  }
+  return item;
+}
+
+double DecodeShare(float share) {
+  // Also drops values that are not numbers.
+  return share > 0 ? std::min(static_cast<double>(share), 1.0) : 0;
+}
+
+rollout::ReportedRollout DecodeRollout(const wire::RolloutItemT& item) {
+  rollout::ReportedRollout rollout{
+      .order = {.service = ServiceId(item.service),
+                .to = item.to,
+                .duration =
+                    DecodeAge(SaturatingCast<std::int64_t>(static_cast<double>(item.duration_ms))),
+                .version = item.order_version,
+                .era = item.order_era},
+      .order_age = DecodeAge(item.order_age_ms),
+      .abandoned = item.abandoned,
+      .confirmation = item.confirmation};
+  // A stage that this build does not know sends nothing to the new version.
+  const bool is_known = item.stage <= static_cast<std::uint8_t>(rollout::RolloutStage::kRolledBack);
+  if (item.step_age_ms >= 0 && is_known) {
+    rollout.step_age = DecodeAge(item.step_age_ms);
+    rollout.step = {.fencing = item.fencing,
+                    .number = item.number,
+                    .stage = static_cast<rollout::RolloutStage>(item.stage),
+                    .share = DecodeShare(item.share),
+                    .upstreams = std::max(item.upstreams, 0)};
+    for (const wire::RouteShareItem& share : item.route_shares) {
+      rollout.step.route_shares[share.route()] = DecodeShare(share.share());
+    }
+  }
+  for (const wire::RolloutCountItem& count : item.counts) {
+    rollout.counts[count.route()] = {
+        .requests = count.requests(),
+        .sent_to_new = count.sent_to_new(),
+        .old_version = {.good = count.old_good(),
+                        .failed = count.old_failed(),
+                        .slow = count.old_slow()},
+        .new_version = {
+            .good = count.new_good(), .failed = count.new_failed(), .slow = count.new_slow()}};
+  }
+  return rollout;
+}
+
 template <typename Table>
 std::string Serialize(const typename Table::NativeTableType& message) {
   flatbuffers::FlatBufferBuilder builder;
@@ -211,6 +284,12 @@
     digest.feed = EncodeFeedUpdate(*report.feed_update, report.feed_update_age);
   }
   digest.streams = EncodeStreamVersions(report.streams);
+  for (const rollout::ReportedRollout& rollout : report.rollouts) {
+    digest.rollouts.push_back(EncodeRollout(rollout));
+  }
+  if (report.rollout_orders_age) {
+    digest.rollout_orders_age_ms = *report.rollout_orders_age / 1ms;
+  }
   return Serialize<wire::FleetDigest>(digest);
 }
 
@@ -287,6 +366,12 @@
     report.feed_update_age = DecodeAge(digest.feed->age_ms);
   }
   report.streams = DecodeStreamVersions(digest.streams);
+  for (const auto& item : digest.rollouts) {
+    report.rollouts.push_back(DecodeRollout(*item));
+  }
+  if (digest.rollout_orders_age_ms >= 0) {
+    report.rollout_orders_age = DecodeAge(digest.rollout_orders_age_ms);
+  }
   return report;
 }
 
--- a/packages/gateway/duty_runner.cc
+++ b/packages/gateway/duty_runner.cc
@@ -105,7 +105,8 @@
 }
 
 asio::awaitable<void> DutyRunner::LeaseLoop() {
-  if (!fleet_.settings.reports_usage && !fleet_.settings.orders_capacity) {
+  if (!fleet_.settings.reports_usage && !fleet_.settings.orders_capacity &&
+      !fleet_.settings.rolls_out) {
     co_return;
   }
   while (true) {
--- a/packages/gateway/fleet_report.h
+++ b/packages/gateway/fleet_report.h
@@ -16,6 +16,7 @@
 #include "membership/registration_view.h"
 #include "recovery/crash_registry.h"
 #include "recovery/stream_version_directory.h"
+#include "rollout/rollout_directory.h"
 #include "routing/fleet_load_balancer.h"
 #include "scheduling/account_rate_limiter.h"
 
@@ -78,6 +79,10 @@
   Duration feed_update_age = Duration::zero();
   // Streams that the sender has begun; empty in reports on several daemons.
   std::vector<StreamVersionRecord> streams;
+  // Roll-outs that the sender knows of, and time since a read by the sender itself found all their
+  // orders.
+  std::vector<rollout::ReportedRollout> rollouts;
+  std::optional<Duration> rollout_orders_age;
 
   // Adds the time that the report was under way to the ages in it.
   void AddDelay(Duration delay) {
@@ -86,6 +91,15 @@
     if (holder_age) {
       *holder_age += delay;
     }
+    if (rollout_orders_age) {
+      *rollout_orders_age += delay;
+    }
+    for (rollout::ReportedRollout& rollout : rollouts) {
+      rollout.order_age += delay;
+      if (rollout.step_age) {
+        *rollout.step_age += delay;
+      }
+    }
     for (ReportedRateLimit& limit : rate_limits) {
       limit.age += delay;
     }
--- a/packages/gateway/fleet_state.h
+++ b/packages/gateway/fleet_state.h
@@ -24,6 +24,8 @@
 #include "recovery/drain_sequence.h"
 #include "recovery/stream_version_directory.h"
 #include "recovery/window_retry_budget.h"
+#include "rollout/response_tracker.h"
+#include "rollout/rollout_directory.h"
 #include "routing/fleet_load_balancer.h"
 #include "routing/upstream_paths.h"
 #include "scheduling/account_rate_limiter.h"
@@ -58,6 +60,7 @@
             FleetLoadBalancerOptions{.local_domain = settings.failure_domain, .seed = incarnation}),
         rate_limiter(RateLimiterOptions{}),
         retry_budget(WindowRetryBudgetOptions{}, now),
+        rollouts(daemon_incarnation),
         clock(time_of_day, now),
         groups(Self(), FleetGroupOptions{}),
         drain(DrainOptions{}) {
@@ -74,6 +77,11 @@
                              .allowance = bounds.retry_allowance});
     drain.SetOptions(
         {.grace_period = bounds.stop_grace, .load_balancer_delay = bounds.balancer_delay});
+    rollouts.SetBounds(settings.rolls_out
+                           ? rollout::RolloutBounds{.exposure_share = bounds.exposure_share,
+                                                    .exposure_allowance = bounds.exposure_allowance,
+                                                    .rollback = bounds.rollback}
+                           : rollout::RolloutBounds{});
     const double upstream_drain = ToSeconds(bounds.upstream_drain);
     stream_versions.SetHoldTime(FromSeconds(upstream_drain * kVersionHoldFraction),
                                 FromSeconds(upstream_drain * kVersionViewFraction));
@@ -139,6 +147,10 @@
   CrashRegistry path_crash_registry{kPathCrashPolicy, Fnv1aHash(settings.daemon.value())};
   CrashRegistry part_crash_registry{kPartCrashPolicy, Fnv1aHash(settings.daemon.value())};
   StreamVersionDirectory stream_versions{StreamVersionOptions{}};
+  rollout::RolloutDirectory rollouts;
+  rollout::ResponseTracker rollout_responses{rollouts};
+  // Latest instant at which a read by this daemon found all orders of roll-outs.
+  std::optional<TimePoint> rollout_orders_read_at;
   capacity::UsageLedger usage;
   capacity::WorkMeter work;
   FleetClock clock;
--- a/packages/gateway/fleet_store_watcher.cc
+++ b/packages/gateway/fleet_store_watcher.cc
@@ -104,6 +104,7 @@
     Result<RouteUpdate> update = co_await store_.WatchRoutes(routes_position_, wait);
     if (update) {
       routes_position_ = update->position;
+      ApplyRolloutOrders(update->rollouts, read_started_at);
       if (update->text) {
         auto bytes =
             std::make_shared<const RouteBytes>(RouteBytes{.text = std::move(*update->text)});
@@ -142,6 +143,31 @@
   }
 }
 
+void FleetStoreWatcher::ApplyRolloutOrders(const std::vector<rollout::RolloutOrder>& orders,
+                                           TimePoint read_started_at) {
+  if (!fleet_.rollouts.enabled()) {
+    return;
+  }
+  const TimePoint now = BootNow();
+  bool is_new = false;
+  for (const rollout::RolloutOrder& order : orders) {
+    if (fleet_.rollouts.OnOrder(order, Duration::zero(), now)) {
+      is_new = true;
+      kLog.Essential("An operator orders a roll-out.", {{"service", order.service.value()},
+                                                        {"to", order.to},
+                                                        {"duration_ms", order.duration / 1ms},
+                                                        {"order_version", order.version}});
+    }
+  }
+  const TimePoint as_of = std::max(read_started_at, now - kMaxResponseLatency);
+  fleet_.rollout_orders_read_at = as_of;
+  fleet_.rollouts.OnOrdersRead(as_of);
+  if (is_new) {
+    callbacks_.on_rollout_order();
+    callbacks_.publish(std::nullopt);
+  }
+}
+
 void FleetStoreWatcher::ConfirmRoutes(TimePoint as_of) {
   fleet_.routes_read_at = std::max(fleet_.routes_read_at, as_of);
   fleet_.routes_confirmed_at = std::max(fleet_.routes_confirmed_at, as_of);
@@ -450,6 +476,7 @@
       fleet_.stream_versions.OnUpstreamRemoved(change.id, BootNow());
       connections_.Drop(change.id);
       fleet_.notices.OnLeaving(change.id, BootNow());
+      fleet_.rollout_responses.OnUpstreamLost(change.id, BootNow());
       leaving.push_back(change.id);
       continue;
     }
@@ -482,11 +509,13 @@
     fleet_.load_balancer.Hold(change.id, held_until);
     if (is_leaving) {
       fleet_.notices.OnLeaving(change.id, BootNow());
+      fleet_.rollout_responses.OnUpstreamLost(change.id, BootNow());
       leaving.push_back(change.id);
     } else {
       fleet_.notices.OnAvailable(change.id);
     }
   }
+  callbacks_.on_upstreams_changed();
   for (const UpstreamId& id : leaving) {
     callbacks_.on_upstream_leaving(id);
   }
--- a/packages/gateway/fleet_store_watcher.h
+++ b/packages/gateway/fleet_store_watcher.h
@@ -33,6 +33,10 @@
   // Called to send an update to the group immediately: the changed registrations, or nothing if
   // only the routes changed or were confirmed.
   std::function<void(std::optional<FeedUpdate>)> publish;
+  // Called when an order of a roll-out was read, and when upstreams were added, changed or removed,
+  // before any of them can be chosen.
+  std::function<void()> on_rollout_order;
+  std::function<void()> on_upstreams_changed;
 };
 
 // Watches the operators' routes and the upstreams' registrations in the store and applies them to
@@ -91,6 +95,9 @@
   std::uint64_t held_version() const {
     return fleet_.routes == nullptr ? 0 : fleet_.routes->version();
   }
+  // Records the orders of roll-outs in a response of the store.
+  void ApplyRolloutOrders(const std::vector<rollout::RolloutOrder>& orders,
+                          TimePoint read_started_at);
   // Records that the store held no newer routes at this instant.
   void ConfirmRoutes(TimePoint as_of);
   // Records that the registrations held are those of this instant.
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -64,7 +64,9 @@
               .publish =
                   [this](std::optional<FeedUpdate> feed_update) {
                     report_transport_.Publish(std::move(feed_update));
-                  }}),
+                  },
+              .on_rollout_order = [this] { rollouts_.ApplyLimits(); },
+              .on_upstreams_changed = [this] { rollouts_.ApplyLimits(); }}),
       crash_records_(fleet_, *adapters_.store, pool_.context(0)),
       stream_snapshots_(fleet_, pool_.context(0)),
       stream_version_store_(fleet_, *adapters_.store),
@@ -73,6 +75,9 @@
           [this](const FleetReport& report) {
             store_watcher_.OnReport(report);
             signals_.OnReport(report);
+            if (!report.rollouts.empty()) {
+              rollouts_.ApplyLimits();
+            }
             if (!report.crashes.empty() || !report.path_crashes.empty() ||
                 !report.part_crashes.empty()) {
               crash_records_.OnRegistryChanged();
@@ -81,6 +86,9 @@
           [this](const Endpoint& peer) { stream_snapshots_.OnPeerReturned(peer); }),
       duty_runner_(fleet_, *adapters_.store, *adapters_.duties),
       capacity_controller_(fleet_, *adapters_.store, *adapters_.duties, duty_runner_),
+      rollouts_(fleet_, *adapters_.store, duty_runner_,
+                {.has_synced = [this] { return store_watcher_.has_synced(); },
+                 .publish = [this] { report_transport_.Publish(std::nullopt); }}),
       connector_(fleet_, connections_, signals_),
       tunnels_(fleet_, *adapters_.codec, open_attempts_, signals_),
       relay_(pool_.context(0), fleet_, *adapters_.codec, connector_, connections_, migrator_,
@@ -144,6 +152,8 @@
   spawn(duty_runner_.LeaseLoop());
   spawn(duty_runner_.UsageLoop());
   spawn(capacity_controller_.Loop());
+  spawn(rollouts_.DecisionLoop());
+  spawn(rollouts_.StoreLoop());
   spawn(connector_.ProbeLoop());
   spawn(open_attempts_.WatchLoop([this](const UpstreamId& id) {
     fleet_.upstream_paths.OnUnreached(id, BootNow());
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/open_attempts.h"
 #include "gateway/peer_report_transport.h"
 #include "gateway/peer_tunnels.h"
+#include "gateway/rollout_coordinator.h"
 #include "gateway/stream_migrator.h"
 #include "gateway/stream_snapshot_exchange.h"
 #include "gateway/stream_version_store.h"
@@ -105,6 +106,7 @@
   PeerReportTransport report_transport_;
   DutyRunner duty_runner_;
   CapacityController capacity_controller_;
+  RolloutCoordinator rollouts_;
   UpstreamConnector connector_;
   PeerTunnels tunnels_;
   CallRelay relay_;
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -38,6 +38,10 @@
   // Time from the end of a usage reporting window until the report on the client accounts' usage in
   // this window is due at the platform.
   Duration usage_due = 10s;
+  // Bounds of roll-outs; see rollout::RolloutBounds.
+  double exposure_share = 0;
+  double exposure_allowance = 0;
+  Duration rollback = Duration::zero();
 
   friend auto operator<=>(const FleetBounds&, const FleetBounds&) = default;
 };
@@ -57,6 +61,8 @@
   std::string source_address;
   bool reports_usage = false;
   bool orders_capacity = false;
+  // Whether the fleet carries out the operators' orders to roll out versions.
+  bool rolls_out = false;
   std::size_t max_descriptors = 1024;
   std::size_t memory_bytes = 256ULL * 1024 * 1024;
   FleetBounds bounds;
--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -222,6 +222,7 @@
   fleet_.retry_budget.SetDaemonCount(daemons, now);
   fleet_.rate_limiter.SetDaemonCount(daemons);
   fleet_.load_balancer.SetDaemonCount(daemons);
+  fleet_.rollouts.SetDaemonCount(daemons);
   const auto group = static_cast<int>(fleet_.groups.Group().size()) + 1;
   fleet_.digest_interval = std::max(kMinDigestInterval, kDigestIntervalPerPeer * group);
   const Duration silence = SilenceTimeout();
--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -129,6 +129,10 @@
   if (scope == ReportScope::kDaemon) {
     report.streams = fleet_.stream_versions.SelectForReport(kMaxReportedStreams, now);
   }
+  report.rollouts = fleet_.rollouts.ReportOf(scope, now);
+  if (fleet_.rollout_orders_read_at) {
+    report.rollout_orders_age = now - *fleet_.rollout_orders_read_at;
+  }
   AddAllowanceUsage(full, now, last_reported_[scope], report);
   AddUsageCounts(full, now, last_reported_[scope], report);
   if (full) {
@@ -208,6 +212,10 @@
   }
   fleet_.crash_records_known |= report.crash_records_known;
   fleet_.stream_versions.OnPeerRecords(report.streams, now);
+  fleet_.rollouts.OnReport(source, report.incarnation, report.rollouts, now);
+  if (report.rollout_orders_age) {
+    fleet_.rollouts.OnOrdersRead(now - *report.rollout_orders_age);
+  }
 }
 
 void ReportExchange::MergeCrashRecords(const std::vector<CrashRecord>& records,
@@ -237,6 +245,7 @@
 void ReportExchange::DropDaemonReports(const DaemonId& daemon) {
   RemoveDaemon(daemon);
   fleet_.usage.DiscardReports(ReportSource::Daemon(daemon));
+  fleet_.rollouts.DiscardReports(ReportSource::Daemon(daemon));
 }
 
 }  // namespace savoryglade::gateway
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -393,6 +393,7 @@
 }
 
 void ResponseRelay::OnFirstEvent(Call& call, const Attempt& attempt) {
+  fleet_.rollout_responses.OnFirstEvent(&attempt, BootNow());
   if (!attempt.is_move) {
     const TimePoint now = BootNow();
     const Duration taken = now - attempt.sent_at;
--- a/packages/gateway/settings_change.cc
+++ b/packages/gateway/settings_change.cc
@@ -18,6 +18,7 @@
     PositiveBound{"allowance_window", &FleetBounds::allowance_window},
     PositiveBound{"lease", &FleetBounds::lease},
     PositiveBound{"usage_window", &FleetBounds::usage_window},
+    PositiveBound{"rollback", &FleetBounds::rollback},
     PositiveBound{"usage_due", &FleetBounds::usage_due}};
 
 }  // namespace
--- a/tests/gateway/digest_codec_test.cc
+++ b/tests/gateway/digest_codec_test.cc
@@ -42,6 +42,37 @@
   return report;
 }
 
+// Guards against steps, orders and counts of roll-outs that are lost on the way between daemons.
+TEST(DigestCodecTest, RoundTripsRollouts) {
+  FleetReport report{.sender = {.id = DaemonId("there")}, .rollout_orders_age = 70ms};
+  rollout::ReportedRollout rollout{
+      .order = {.service = kModel, .to = "v2", .duration = 12s, .version = 1ULL << 49, .era = 2},
+      .order_age = 1500ms,
+      .abandoned = {5, 6},
+      .step = {.fencing = 1'000'001,
+               .number = 9,
+               .stage = rollout::RolloutStage::kRamp,
+               .share = 0.25,
+               .upstreams = 3,
+               .route_shares = {{7, 0.5}}},
+      .confirmation = 12,
+      .step_age = 40ms};
+  rollout.counts[7] = {.requests = 100,
+                       .sent_to_new = 8,
+                       .old_version = {.good = 90, .failed = 1, .slow = 2},
+                       .new_version = {.good = 3, .failed = 4, .slow = 1}};
+  report.rollouts.push_back(rollout);
+  const Result<FleetReport> read = DecodeDigest(EncodeDigest(report));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->rollouts, report.rollouts);
+  EXPECT_EQ(read->rollout_orders_age, 70ms);
+  // A report of an earlier build.
+  const Result<FleetReport> earlier = DecodeDigest(EncodeDigest({.sender = report.sender}));
+  ASSERT_TRUE(earlier);
+  EXPECT_TRUE(earlier->rollouts.empty());
+  EXPECT_FALSE(earlier->rollout_orders_age);
+}
+
 TEST(DigestCodecTest, RoundTripsTheStateOfADaemon) {
   const auto local = MakeFleet("here");
   const auto remote = MakeFleet("there");
--- a/tests/gateway/duty_runner_test.cc
+++ b/tests/gateway/duty_runner_test.cc
@@ -59,6 +59,10 @@
     }
     co_return provider::CommitStatus::kCommitted;
   }
+  asio::awaitable<provider::CommitStatus> CommitRollout(const provider::Transaction& transaction,
+                                                        const RolloutStatus& /*status*/) override {
+    return Commit(transaction);
+  }
   StoreEra era() const override { return era_; }
   asio::awaitable<Result<std::map<std::string, provider::Row>>> ReadRows(
       const std::string& /*prefix*/) override {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -80,6 +80,7 @@
     settings.store = store;
     settings.duties = store;
     settings.bounds = bounds;
+    settings.rolls_out = bounds.rollback > Duration::zero();
     auto gateway = std::make_unique<Gateway>(
         settings, [settings, make_codec](BackgroundWorker& background, MetricRegistry& metrics) {
           return GatewayAdapters{
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -54,6 +54,33 @@
   EXPECT_FALSE(document->routes[2].Repeatable());
 }
 
+TEST(DocumentsTest, ParsesAnOrderToRollOutAVersion) {
+  const auto order = ParseRolloutOrder(R"({"service":"s1","to":"v7","duration_s":12.5,"new":1})");
+  ASSERT_TRUE(order) << order.error().message;
+  EXPECT_EQ(*order,
+            (rollout::RolloutOrder{.service = ServiceId("s1"), .to = "v7", .duration = 12500ms}));
+}
+
+// Guards against orders that can't be carried out.
+TEST(DocumentsTest, RejectsInvalidOrders) {
+  for (const char* text :
+       {"", "[]", R"({"service":"s1","to":"v7"})", R"({"service":"s1","duration_s":12})",
+        R"({"service":"s1","to":7,"duration_s":12})", R"({"service":"s1","to":"","duration_s":12})",
+        R"({"service":"s1","to":"v7","duration_s":0})",
+        R"({"service":"s1","to":"v7","duration_s":-1})",
+        R"({"service":"s1","to":"v7","duration_s":1e300})",
+        R"({"service":"s1","to":"v7","duration_s":"12"})"}) {
+    EXPECT_FALSE(ParseRolloutOrder(text)) << text;
+  }
+}
+
+TEST(DocumentsTest, WritesTheStatusOfARollOut) {
+  EXPECT_EQ(
+      SerializeRolloutStatus(
+          {.service = ServiceId("s1"), .state = gateway::RolloutState::kRolledBack, .to = "v7"}),
+      R"({"service":"s1","state":"rolled_back","to":"v7"})");
+}
+
 TEST(DocumentsTest, ParsesAWorkersRegistration) {
   const auto record = ParseUpstream("i-1", R"({"service":"s1","address":"10.128.0.9:8080",
       "zone":"x","slots":64,"state":"draining","use_spot":true,"born":1700000000000,"seq_no":4,
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -55,13 +55,30 @@
             "bounds.grace_s: found \"soon\", expected a number of at least 0");
 }
 
+// Guards against roll-outs in a deployment that does not ask for them, or does not bound them.
+TEST(NodeSettingsTest, RollsOutOnlyWithTheContractAndAllBounds) {
+  const std::string contract = "contracts=usage,rollout\n";
+  const std::string bounds = "bounds.exposure_share=0.1\nbounds.exposure_allowance=50\n";
+  const std::string rollback = "bounds.rollback_ms=5000\n";
+  const auto settings = ParseNodeSettings(kText + contract + bounds + rollback);
+  ASSERT_TRUE(settings);
+  EXPECT_TRUE(settings->rolls_out);
+  EXPECT_DOUBLE_EQ(settings->bounds.exposure_share, 0.1);
+  EXPECT_DOUBLE_EQ(settings->bounds.exposure_allowance, 50);
+  EXPECT_EQ(settings->bounds.rollback, 5s);
+  EXPECT_FALSE(ParseNodeSettings(kText + contract + bounds)->rolls_out);
+  EXPECT_FALSE(ParseNodeSettings(kText + bounds + rollback)->rolls_out);
+  EXPECT_FALSE(ParseNodeSettings(kText)->rolls_out);
+}
+
 // Guards against numbers that no type of the settings can hold.
 TEST(NodeSettingsTest, RejectsBoundsThatAreNoNumbers) {
   for (const char* name :
        {"bounds.drain_ms", "bounds.config_apply_ms", "bounds.grace_s", "bounds.retry_ratio",
         "bounds.retry_window_s", "bounds.retry_allowance", "bounds.quota_window_s",
         "bounds.quota_overshoot", "bounds.quota_allowance", "bounds.lease_ms",
-        "bounds.report_window_s", "bounds.usage_delay_s"}) {
+        "bounds.report_window_s", "bounds.usage_delay_s", "bounds.exposure_share",
+        "bounds.exposure_allowance", "bounds.rollback_ms"}) {
     for (const char* value : {"-1", "nan", "inf", "-inf", "1e400", "5s", "0x10", " 5"}) {
       const auto settings =
           ParseNodeSettings(std::string(kText) + name + "=" + std::string(value) + "\n");
