Keep streams of a new version going between bursts

A canary share of zero closed the new version, so a stream that it had begun could not be resumed until the next burst. The step now keeps its upstreams open for such requests. Versions are listed by service without a look-up for each upstream, because limits are applied with each report. A test shows that orders, steps and counts pass through representatives.

--- a/packages/gateway/rollout_coordinator.cc
+++ b/packages/gateway/rollout_coordinator.cc
@@ -323,7 +323,6 @@
       .writes = {{.key = key, .value = EncodeRolloutRow(row, lead->plan.get())}}};
   const RolloutStatus status{
       .service = service, .state = StateOf(step.stage), .to = entry->order.to};
-  const std::uint64_t era = store_.era().number;
   const provider::CommitStatus committed = co_await store_.CommitRollout(transaction, status);
   lead = FindLead(service);
   if (lead == nullptr) {
@@ -342,7 +341,7 @@
                                             {"share", step.share},
                                             {"ms", (BootNow() - entry->ordered_at) / 1ms}});
   lead->written = step;
-  lead->written_era = era;
+  lead->written_era = store_.era().number;
   lead->wanted.reset();
 }
 
--- a/packages/rollout/rollout_gate.cc
+++ b/packages/rollout/rollout_gate.cc
@@ -17,7 +17,8 @@
   if (step.stage == RolloutStage::kCompleted) {
     return true;
   }
-  return step.stage != RolloutStage::kRolledBack && step.share > 0 && step_age <= max_step_age();
+  return step.stage != RolloutStage::kWaiting && step.stage != RolloutStage::kRolledBack &&
+         step_age <= max_step_age();
 }
 
 bool RolloutGate::Admits(const RolloutStep& step, Duration step_age, std::uint64_t route,
--- a/packages/rollout/rollout_gate.h
+++ b/packages/rollout/rollout_gate.h
@@ -35,7 +35,8 @@
   // Returns true if a request with this hash may go to the new version now.
   bool Admits(const RolloutStep& step, Duration step_age, std::uint64_t route,
               std::uint64_t request_hash) const;
-  // Returns true if any request may go to the new version now.
+  // Returns true if requests may go to the new version now, at least those that continue a stream
+  // which it began. These also go on between two bursts.
   bool IsOpen(const RolloutStep& step, Duration step_age) const;
 
  private:
--- a/packages/routing/fleet_load_balancer_versions.cc
+++ b/packages/routing/fleet_load_balancer_versions.cc
@@ -104,8 +104,19 @@
 
 std::map<ServiceId, std::set<std::uint64_t>> FleetLoadBalancer::Versions() const {
   std::map<ServiceId, std::set<std::uint64_t>> versions;
-  for (const auto& [id, entry] : entries_) {
-    versions[entry.record.service].insert(entry.version);
+  for (const auto& [service, entries] : by_service_) {
+    if (entries.empty()) {
+      continue;
+    }
+    std::set<std::uint64_t>& found = versions[service];
+    std::uint64_t last = entries.front()->version + 1;
+    for (const Entry* const entry : entries) {
+      // Most upstreams have the version of their neighbour.
+      if (entry->version != last) {
+        last = entry->version;
+        found.insert(last);
+      }
+    }
   }
   return versions;
 }
--- a/tests/gateway/report_exchange_test.cc
+++ b/tests/gateway/report_exchange_test.cc
@@ -122,6 +122,50 @@
 constexpr Duration kReportInterval = 150ms;
 constexpr std::uint64_t kCrashingRequest = 7;
 
+// Guards against orders, steps or counts of roll-outs that do not pass from one failure domain to
+// another, and against counts that are summed twice or lost with their daemon.
+TEST(ReportExchangeTest, RolloutsReachAllDaemonsOfAGroupedFleet) {
+  GroupedFleet fleet(3, 8);
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    fleet.fleet(i).rollouts.SetBounds(
+        {.exposure_share = 0.1, .exposure_allowance = 50, .rollback = 5s});
+  }
+  fleet.fleet(3).rollouts.OnOrder({.service = kModel, .to = "v2", .duration = 12s, .version = 1},
+                                  Duration::zero(), At(0s));
+  constexpr int kRounds = 4;
+  TimePoint now = At(0s);
+  const auto exchange = [&] {
+    for (int i = 0; i < kRounds; ++i, now += kReportInterval) {
+      fleet.ExchangeReports(now);
+    }
+  };
+  exchange();
+  constexpr std::uint64_t kRoute = 7;
+  std::uint32_t sent = 0;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    ASSERT_NE(fleet.fleet(i).rollouts.Find(kModel), nullptr) << i;
+    EXPECT_EQ(fleet.fleet(i).rollouts.Find(kModel)->ordered_at, At(0s)) << i;
+    for (std::size_t request = 0; request <= i; ++request, ++sent) {
+      fleet.fleet(i).rollouts.OnRequest(kModel, kRoute);
+    }
+  }
+  exchange();
+  fleet.Kill(9);
+  rollout::RolloutDirectory& leader = fleet.fleet(20).rollouts;
+  leader.Publish(kModel,
+                 {.fencing = 1, .stage = rollout::RolloutStage::kRamp, .share = 1, .upstreams = 1},
+                 now);
+  const TimePoint published_at = now;
+  exchange();
+  EXPECT_EQ(rollout::SumOf(leader.Find(kModel)->ledger.Total()).requests, sent);
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    const rollout::RolloutDirectory& rollouts = fleet.fleet(i).rollouts;
+    // The daemon that was killed has not heard of the step.
+    EXPECT_EQ(rollouts.Admits(kModel, kRoute, 0, now), i != 9) << i;
+    EXPECT_FALSE(rollouts.Admits(kModel, kRoute, 0, published_at + 2001ms)) << i;
+  }
+}
+
 // Guards against routes that the whole fleet believes to be the newest although no daemon reads the
 // store any more.
 TEST(ReportExchangeTest, RepeatedReportsDoNotRenewTheConfirmationOfRoutes) {
--- a/tests/rollout/rollout_directory_test.cc
+++ b/tests/rollout/rollout_directory_test.cc
@@ -197,6 +197,17 @@
   EXPECT_LE(sent, 75 + 5 + 1);
 }
 
+// Guards against streams of the new version that can't go on between two bursts of requests.
+TEST_F(RolloutDirectoryTest, VersionStaysOpenForItsStreamsBetweenBursts) {
+  leader_.OnOrder(MakeOrder(1), 0s, At(0s));
+  leader_.Publish(kService, MakeStep(RolloutStage::kCanary, 0), At(0s));
+  for (std::uint64_t hash = 0; hash < 100; ++hash) {
+    leader_.OnRequest(kService, kRoute);
+    EXPECT_FALSE(leader_.Admits(kService, kRoute, hash, At(1s)));
+  }
+  EXPECT_EQ(RuleOf(leader_, At(1s)).upstreams, 2);
+}
+
 // Guards against a route whose requests never meet the new version.
 TEST_F(RolloutDirectoryTest, RoutesHaveSharesOfTheirOwn) {
   leader_.OnOrder(MakeOrder(1), 0s, At(0s));
