Leave workers of a new version alone in capacity orders

During a roll-out the holder of the duties saw the new version's workers as on-demand workers that reclaimable ones had replaced, and ordered none of them. The platform stopped 13 workers of the new version within two seconds, no request reached it, and every roll-out ended as rolled back for lack of responses. Workers of a version that is being rolled out are now left out of the plan, on-demand orders are sent only if more are needed, and the counts that were ordered are forgotten at the end.

--- a/packages/gateway/capacity_controller.cc
+++ b/packages/gateway/capacity_controller.cc
@@ -9,6 +9,8 @@
 #include "core/boot_clock.h"
 #include "logging/logger.h"
 #include "net/sleep.h"
+#include "rollout/rollout_types.h"
+#include "routing/software_version.h"
 
 namespace savoryglade::gateway {
 namespace {
@@ -60,10 +62,34 @@
   }
 }
 
+std::optional<std::uint64_t> CapacityController::VersionInRollout(const ServiceId& service) const {
+  const rollout::RolloutDirectory::Entry* const entry =
+      fleet_.rollouts.enabled() ? fleet_.rollouts.Find(service) : nullptr;
+  if (entry == nullptr || rollout::IsFinal(entry->step.stage)) {
+    return std::nullopt;
+  }
+  return entry->version;
+}
+
+std::map<FailureDomainId, int> CapacityController::RolledOutWorkers(
+    const ServiceId& service) const {
+  std::map<FailureDomainId, int> workers;
+  const std::optional<std::uint64_t> version = VersionInRollout(service);
+  for (const UpstreamRecord& record : fleet_.load_balancer.Records()) {
+    if (version && record.service == service && !record.leaving && !record.reclaimable &&
+        SoftwareVersionKey(record.software_version) == *version) {
+      ++workers[record.failure_domain];
+    }
+  }
+  return workers;
+}
+
 CapacityPlan CapacityController::ServingCapacity(const ServiceId& service) const {
   CapacityPlan serving;
+  const std::optional<std::uint64_t> new_version = VersionInRollout(service);
   for (const UpstreamRecord& record : fleet_.load_balancer.Records()) {
-    if (record.service == service && !record.leaving) {
+    if (record.service == service && !record.leaving &&
+        (!new_version || SoftwareVersionKey(record.software_version) != *new_version)) {
       capacity::DomainCapacity& domain = serving[record.failure_domain];
       ++(record.reclaimable ? domain.reclaimable : domain.on_demand);
     }
@@ -157,6 +183,13 @@
       state.planner.OnReclaimableUnavailable(record.failure_domain, now);
     }
   }
+  const bool is_rolling_out = VersionInRollout(service.name).has_value();
+  if (state.is_rolling_out && !is_rolling_out) {
+    // The workers of one of the two versions stop, so the counts that were ordered are out of date.
+    state.orders.clear();
+  }
+  state.is_rolling_out = is_rolling_out;
+  const std::map<FailureDomainId, int> rolled_out = RolledOutWorkers(service.name);
   const CapacityPlan serving = ServingCapacity(service.name);
   const CapacityPlan plan =
       state.planner.Plan(*service.scaling, UpdateDemand(service.name, state, now), serving,
@@ -165,19 +198,24 @@
     const auto found = serving.find(domain);
     const capacity::DomainCapacity current =
         found == serving.end() ? capacity::DomainCapacity{} : found->second;
-    // An order sent before all workers have registered could remove some of them.
-    const bool releases_on_demand = state.baseline_known && capacity.on_demand < current.on_demand;
+    const auto found_new = rolled_out.find(domain);
+    const int new_workers = found_new == rolled_out.end() ? 0 : found_new->second;
+    // An order sent before all workers have registered could remove some of them. During a roll-out
+    // the platform could stop workers of the new version in place of those that are released.
+    const bool may_order_on_demand =
+        state.baseline_known && (!is_rolling_out || capacity.on_demand > current.on_demand);
+    const bool releases_on_demand = may_order_on_demand && capacity.on_demand < current.on_demand;
     // The platform rejects an order that exceeds the limit together with the other kind, so the
     // order that makes room comes first.
     if (releases_on_demand) {
-      co_await SendOrder(service.name, state, {domain, false}, capacity.on_demand,
-                         current.on_demand, service.scaling->boot_time, now);
+      co_await SendOrder(service.name, state, {domain, false}, capacity.on_demand + new_workers,
+                         current.on_demand + new_workers, service.scaling->boot_time, now);
     }
     co_await SendOrder(service.name, state, {domain, true}, capacity.reclaimable,
                        current.reclaimable, service.scaling->boot_time, now);
-    if (state.baseline_known && !releases_on_demand) {
-      co_await SendOrder(service.name, state, {domain, false}, capacity.on_demand,
-                         current.on_demand, service.scaling->boot_time, now);
+    if (may_order_on_demand && !releases_on_demand) {
+      co_await SendOrder(service.name, state, {domain, false}, capacity.on_demand + new_workers,
+                         current.on_demand + new_workers, service.scaling->boot_time, now);
     }
   }
 }
--- a/packages/gateway/capacity_controller.h
+++ b/packages/gateway/capacity_controller.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "capacity/capacity_planner.h"
@@ -45,6 +47,8 @@
     TimePoint sampled_at{};
     // Smoothed demand for the service, as the number of workers that it keeps busy.
     double demand = 0;
+    // Whether a version was being rolled out at the last plan.
+    bool is_rolling_out = false;
   };
 
   boost::asio::awaitable<void> PlanService(const RoutedService& service, TimePoint now);
@@ -57,7 +61,13 @@
                                          const OrderKey& key, int count, int serving,
                                          Duration boot_time, TimePoint now);
   static capacity::CapacityPlan OrderedCapacity(const ServiceState& state);
+  // Returns the serving workers, without those of a version that is being rolled out.
   capacity::CapacityPlan ServingCapacity(const ServiceId& service) const;
+  // Returns the on-demand workers of a version that is being rolled out, by failure domain. They
+  // are started by the operators' order, and an order for fewer workers would stop them.
+  std::map<FailureDomainId, int> RolledOutWorkers(const ServiceId& service) const;
+  // Returns the version that is being rolled out, if there is one.
+  std::optional<std::uint64_t> VersionInRollout(const ServiceId& service) const;
   // Updates the demand of a service from the work since the last sample, and returns it.
   double UpdateDemand(const ServiceId& service, ServiceState& state, TimePoint now) const;
 
