Bound the memory that connections of a daemon hold together

Cause: nothing limited what all connections hold together. Each could hold a whole body, wherever it was sent to, thousands of parsed header fields, and in the product up to three copies of its body.

Change: MemoryBudget, one for each process and sized from the memory of the machine, grants leases before anything is read, by purpose. RequestReader leases heads and bodies as they arrive, limits the number of header fields, and waits or refuses with 503 (not run) while the budget is full; those that hold most for longest without progress are closed, never one whose request may have been passed on. Large bodies are decided on by their head (404, 401, 429). Requests behind an undelivered response are not read. The ports for readiness, metrics and peers take bodies of 4 KB. Requests are sent to upstreams from the caller's buffer. Large buffers go back to the system when freed. The product's settings have memory_mb.

The conditions with && and co_await in HttpServer are written apart: g++ 12 passed a wrong reference to the coroutine in one of them.

--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -13,6 +13,9 @@
 constexpr std::int64_t kMaxHeaderBytes = 1024 * 1024;
 constexpr std::int64_t kMaxBodyBytes = 1024 * 1024 * 1024;
 constexpr std::int64_t kMaxConnections = 1'000'000;
+// The smallest that holds one body of the default size besides the reserve.
+constexpr std::int64_t kMinMemoryMegabytes = 64;
+constexpr std::int64_t kMaxMemoryMegabytes = 1024 * 1024;
 constexpr std::array<std::string_view, 4> kLogLevels = {"debug", "info", "warning", "error"};
 
 void ReadPlatform(JsonObjectReader platform, Settings& settings) {
@@ -50,7 +53,7 @@
   JsonObjectReader reader(*document, "", errors);
   reader.AllowOnly({"daemon", "failure_domain", "callers_address", "administration_address",
                     "worker_threads", "platform", "operator_key_file", "peers_address", "peers",
-                    "fleet_key_file", "log_level", "caller_limits"});
+                    "fleet_key_file", "log_level", "memory_mb", "caller_limits"});
   Settings settings;
   settings.daemon = DaemonId(reader.OptionalString("daemon", settings.daemon.value()));
   settings.failure_domain =
@@ -62,6 +65,8 @@
       reader.OptionalInteger("worker_threads", settings.worker_threads, 1, kMaxWorkerThreads));
   ReadPlatform(reader.OptionalObject("platform"), settings);
   ReadLimits(reader.OptionalObject("caller_limits"), settings.caller_limits);
+  settings.memory_mb = reader.OptionalInteger("memory_mb", settings.memory_mb, kMinMemoryMegabytes,
+                                              kMaxMemoryMegabytes);
   settings.operator_key_file = reader.OptionalString("operator_key_file", "");
   settings.peers_address = reader.OptionalString("peers_address", "");
   settings.fleet_key_file = reader.OptionalString("fleet_key_file", "");
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -58,6 +58,8 @@
   // loopback address.
   std::string fleet_key_file;
   std::string log_level = "info";
+  // Memory of the machine in MB, of which the daemon leases a fraction to connections.
+  std::int64_t memory_mb = 256;
   CallerLimits caller_limits;
 
   friend auto operator<=>(const Settings&, const Settings&) = default;
--- a/packages/daemon/administration_handler.cc
+++ b/packages/daemon/administration_handler.cc
@@ -64,6 +64,19 @@
 
 }  // namespace
 
+asio::awaitable<bool> AdministrationHandler::RefuseByHead(HttpExchange& exchange) {
+  const bool is_operator =
+      operator_key_.empty() || EqualInConstantTime(operator_key_, exchange.BearerToken());
+  const std::string_view target = exchange.target();
+  const bool takes_body = exchange.request().method() == http::verb::put &&
+                          target.substr(0, target.find('?')) == "/v1/configuration";
+  if (is_operator && takes_body) {
+    co_return false;
+  }
+  co_await Handle(exchange);
+  co_return true;
+}
+
 asio::awaitable<void> AdministrationHandler::Handle(HttpExchange& exchange) {
   if (!operator_key_.empty() && !EqualInConstantTime(operator_key_, exchange.BearerToken())) {
     co_await exchange.Respond(401, ContentType("text/plain"), "unknown operator key\n");
--- a/packages/daemon/administration_handler.h
+++ b/packages/daemon/administration_handler.h
@@ -40,6 +40,9 @@
 
   // Handles one request and sends the response.
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+  // Refuses a request whose body has not been read, if its head alone shows that no resource takes
+  // it. Returns true if a response has been sent.
+  boost::asio::awaitable<bool> RefuseByHead(HttpExchange& exchange);
 
  private:
   boost::asio::awaitable<void> PutConfiguration(HttpExchange& exchange);
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -24,6 +24,8 @@
 
 namespace asio = boost::asio;
 
+constexpr std::size_t kBytesPerMegabyte = 1024 * 1024;
+constexpr std::size_t kMaxOperatorConnections = 100;
 constexpr Duration kTickInterval = 10ms;
 constexpr Duration kDrainPollInterval = 10ms;
 constexpr std::string_view kChatCompletionsPath = "/v1/chat/completions";
@@ -94,6 +96,10 @@
     : settings_(std::move(settings)),
       request_metrics_(metrics_),
       dropped_lines_(metrics_),
+      memory_(std::make_shared<MemoryBudget>(
+          MemoryLimits::OfMachine(static_cast<std::size_t>(settings_.memory_mb) *
+                                  kBytesPerMegabyte),
+          metrics_)),
       dependencies_(FillDefaults(std::move(dependencies),
                                  std::hash<std::string>()(settings_.daemon.value()))),
       dispatcher_({.incarnation = MakeIncarnation()}, {.local_domain = settings_.failure_domain},
@@ -103,11 +109,15 @@
       pool_(static_cast<std::size_t>(settings_.worker_threads)),
       platform_(pool_.context(0), settings_, metrics_, configuration_),
       administration_handler_(platform_, configuration_, metrics_),
-      caller_server_(pool_, MakeLimits(settings_.caller_limits),
-                     [this](HttpExchange& e) { return HandleCallerRequest(e); }),
-      administration_server_(pool_, HttpLimits{}, [this](HttpExchange& e) {
-        return administration_handler_.Handle(e);
-      }) {
+      caller_server_(
+          pool_, MakeLimits(settings_.caller_limits),
+          [this](HttpExchange& e) { return HandleCallerRequest(e); },
+          {.budget = memory_, .head_check = [this](HttpExchange& e) { return RefuseByHead(e); }}),
+      administration_server_(pool_, HttpLimits{.connections = kMaxOperatorConnections},
+                             [this](HttpExchange& e) { return administration_handler_.Handle(e); },
+                             {.budget = memory_, .head_check = [this](HttpExchange& e) {
+                                return administration_handler_.RefuseByHead(e);
+                              }}) {
   for (std::size_t i = 0; i < pool_.size(); ++i) {
     connections_.push_back(std::make_unique<ConnectionPool>(dependencies_.path.pool,
                                                             request_metrics_.silent_connections));
@@ -263,6 +273,7 @@
     co_await timer.async_wait(asio::use_awaitable);
     dispatcher_.Tick();
     AdvanceStop();
+    memory_->Publish();
     Logger::Flush();
     dropped_lines_.Update(Logger::dropped_lines());
   }
@@ -324,6 +335,25 @@
           .crashes = crashes_};
 }
 
+asio::awaitable<bool> Daemon::RefuseByHead(HttpExchange& exchange) {
+  const ConfigHolder::Snapshot configuration = configuration_.Get();
+  Verdict verdict;
+  if (!stop_.AdmitsRequests()) {
+    verdict = {.reason = Reason::kDraining, .retry_after = 1s};
+  } else if (!platform_.ready()) {
+    verdict = {.reason = Reason::kNotReady, .retry_after = 1s};
+  } else if (FindAccountByKey(*configuration, exchange.BearerToken()) == nullptr) {
+    verdict = {.reason = Reason::kUnknownKey};
+  } else if (exchange.target() != kChatCompletionsPath &&
+             FindPlainService(*configuration, exchange.target()) == nullptr) {
+    verdict = {.reason = Reason::kUnknownService};
+  } else {
+    co_return false;
+  }
+  co_await RespondWithVerdict(exchange, MakeRequestKey(), verdict, metrics_);
+  co_return true;
+}
+
 asio::awaitable<void> Daemon::HandleCallerRequest(HttpExchange& exchange) {
   if (exchange.target() == "/healthz" || exchange.target() == "/readyz") {
     const bool draining = !stop_.AdmitsRequests();
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -25,6 +25,7 @@
 #include "metrics/registry.h"
 #include "net/endpoint.h"
 #include "net/http_server.h"
+#include "net/memory_budget.h"
 #include "net/worker_pool.h"
 #include "recovery/stop_sequence.h"
 
@@ -83,6 +84,9 @@
 
  private:
   boost::asio::awaitable<void> HandleCallerRequest(HttpExchange& exchange);
+  // Refuses a request whose body has not been read, if its head alone shows that it can't be
+  // served. Returns true if a response has been sent.
+  boost::asio::awaitable<bool> RefuseByHead(HttpExchange& exchange);
   boost::asio::awaitable<void> TickLoop();
   void AdvanceStop();
   void StartClaimsAndPeerExchange();
@@ -93,6 +97,8 @@
   MetricRegistry metrics_;
   RequestMetrics request_metrics_;
   DroppedLineCounters dropped_lines_;
+  // Shared by all listeners.
+  std::shared_ptr<MemoryBudget> memory_;
   DaemonDependencies dependencies_;
   ActiveRequests active_requests_;
   ConfigHolder configuration_;
--- a/packages/daemon/plain_handler.cc
+++ b/packages/daemon/plain_handler.cc
@@ -66,8 +66,6 @@
     }
   }
   copy.set("Idempotency-Key", idempotency_key);
-  copy.body() = request.body();
-  copy.prepare_payload();
   return copy;
 }
 
@@ -110,6 +108,8 @@
     interrupt_->SetProbe([&disconnect_monitor] { disconnect_monitor.Check(); });
     context_.retries.OnRequest(request_.account.name, request_.service.name);
     upstream_request_ = MakeUpstreamRequest(exchange_.request(), idempotency_key);
+    upstream_request_.body() = exchange_.TakeBody();
+    upstream_request_.prepare_payload();
     while (!co_await RunAttempt()) {
     }
   }
@@ -209,7 +209,7 @@
     ClaimSubmission submission{.identity = {.account = request_.account.name,
                                             .service = request_.service.name,
                                             .key = claim_key_},
-                               .body = ComputeSha256(exchange_.request().body()),
+                               .body = ComputeSha256(upstream_request_.body()),
                                .resend = exchange_.Header("Savoryglade-Resend") == "true"};
     ClaimResult claim_result = co_await context_.claims.Claim(std::move(submission), Now());
     if (claim_result.kind == ClaimResult::Kind::kGranted) {
--- a/packages/daemon/savorygladed_main.cc
+++ b/packages/daemon/savorygladed_main.cc
@@ -11,6 +11,7 @@
 #include "config/settings.h"
 #include "daemon/daemon.h"
 #include "logging/logger.h"
+#include "net/memory_budget.h"
 #include "platform/platform_daemon.h"
 
 namespace {
@@ -111,6 +112,7 @@
 
 int main(int argc, char** argv) {
   BlockSupervisorSignals();
+  savoryglade::ConfigureAllocator();
   const auto arguments =
       docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "savorygladed " SAVORYGLADE_VERSION);
   const bool on_platform = arguments.at("--platform").asBool();
--- a/packages/gateway/adapter.h
+++ b/packages/gateway/adapter.h
@@ -94,7 +94,7 @@
 
   // Decodes a caller's request. The error names the header that is missing or malformed.
   virtual Result<RequestMetadata> DecodeRequest(const HttpRequest& request) const = 0;
-  // Builds the request to an upstream, with a copy of the body.
+  // Builds the head of the request to an upstream. The body is that of the request.
   virtual HttpRequest EncodeUpstreamRequest(const HttpRequest& request,
                                             const ForwardMetadata& metadata) const = 0;
   // Decodes an upstream's response to the attempt with this id.
--- a/packages/gateway/attempt_runner.cc
+++ b/packages/gateway/attempt_runner.cc
@@ -116,8 +116,9 @@
     fleet_.work.Add(call.service, fleet_.load_balancer.WorkSeconds(
                                       call.metadata.work, attempt.placement.uncached_tokens));
   }
-  const Result<void> sent = co_await connection.Send(
-      codec_.EncodeUpstreamRequest(call.exchange.request(), metadata), call.RemainingTime(now));
+  const Result<void> sent =
+      co_await connection.Send(codec_.EncodeUpstreamRequest(call.exchange.request(), metadata),
+                               call.exchange.request().body(), call.RemainingTime(now));
   if (!call.counted_window && call.route->kind != CallKind::kStream) {
     RecordUsage(call, now);
   }
--- a/packages/gateway/call_relay.cc
+++ b/packages/gateway/call_relay.cc
@@ -22,6 +22,7 @@
 // The gateway's deadline for a response precedes the caller's by this margin.
 constexpr Duration kResponseMargin = 20ms;
 constexpr Duration kRetryAfter = 1s;
+constexpr Duration kMinAllowanceRetryAfter = 200ms;
 // Short, because another daemon can answer as soon as the caller reconnects.
 constexpr Duration kDrainingRetryAfter = 100ms;
 
@@ -60,9 +61,21 @@
          kJitterRange * static_cast<double>(Fnv1aHash(attempt_id) % kSteps) / kSteps;
 }
 
+// Returns the shorter one of the caller's time and the route's.
+Duration TimeoutOf(const Call& call) {
+  return std::min(call.metadata.caller_timeout.value_or(call.route->timeout), call.route->timeout);
+}
+
+// Returns what the call takes from its account's allowance.
+double UnitsOf(const Call& call) {
+  return call.account->counts_tokens
+             ? call.metadata.declared_tokens.value_or(call.account->default_tokens)
+             : 1;
+}
+
 }  // namespace
 
-Result<void> CallRelay::AdmitRequest(Call& call, Verdict& verdict) {
+Result<void> CallRelay::MatchRequest(Call& call, Verdict& verdict) {
   const auto reject = [&verdict](Reason reason, std::string message,
                                  Duration retry_after = Duration::zero()) -> Result<void> {
     verdict = Verdict{.reason = reason, .retry_after = retry_after};
@@ -84,9 +97,7 @@
   if (call.route == nullptr || call.route->services.empty()) {
     return reject(Reason::kUnknownService, "No route matches the host and path.");
   }
-  const Duration timeout =
-      std::min(call.metadata.caller_timeout.value_or(call.route->timeout), call.route->timeout);
-  if (!fleet_.drain.Accepts(call.route->kind, timeout, now)) {
+  if (!fleet_.drain.Accepts(call.route->kind, TimeoutOf(call), now)) {
     return reject(Reason::kDraining, "The daemon is shutting down.", kDrainingRetryAfter);
   }
   if (!call.route->is_public && !call.routes->document().accounts.empty()) {
@@ -95,6 +106,20 @@
       return reject(Reason::kUnknownKey, "The API key belongs to no account.");
     }
   }
+  return {};
+}
+
+Result<void> CallRelay::AdmitRequest(Call& call, Verdict& verdict) {
+  const auto reject = [&verdict](Reason reason, std::string message,
+                                 Duration retry_after = Duration::zero()) -> Result<void> {
+    verdict = Verdict{.reason = reason, .retry_after = retry_after};
+    return tl::make_unexpected(Error{.code = ErrorCode::kInvalid, .message = std::move(message)});
+  };
+  if (Result<void> matched = MatchRequest(call, verdict); !matched) {
+    return matched;
+  }
+  const TimePoint now = call.received;
+  const Duration timeout = TimeoutOf(call);
   // A resumed stream stays with the service that began it where a route leads to several.
   const std::string& seed = call.resumes_stream() && !call.metadata.resumed_attempt.empty()
                                 ? call.metadata.resumed_attempt
@@ -112,9 +137,7 @@
     return reject(reason, "The stream can't continue at the version that began it.", kRetryAfter);
   }
   if (call.account != nullptr) {
-    call.units = call.account->counts_tokens
-                     ? call.metadata.declared_tokens.value_or(call.account->default_tokens)
-                     : 1;
+    call.units = UnitsOf(call);
     if (!fleet_.rate_limiter.TryAcquire(call.account->name, call.units, now)) {
       const Duration wait =
           fleet_.rate_limiter.TimeUntilAvailable(call.account->name, call.units, now);
@@ -124,7 +147,7 @@
           state.local_level ? fmt::format("{:.0f}", *state.local_level) : std::string("free"));
       call.units = 0;
       return reject(Reason::kAllowanceExhausted, "The account has exhausted its allowance.",
-                    std::max(wait, Duration(200ms)));
+                    std::max(wait, kMinAllowanceRetryAfter));
     }
   }
   fleet_.retry_budget.OnRequest(call.service, now);
@@ -166,6 +189,28 @@
 
 CallRelay::Registration::~Registration() { calls_->erase(&call_); }
 
+asio::awaitable<bool> CallRelay::RefuseByHead(HttpExchange& exchange) {
+  Call call(exchange);
+  const Registration registration(*this, call);
+  Verdict verdict;
+  if (MatchRequest(call, verdict)) {
+    if (call.account == nullptr) {
+      co_return false;
+    }
+    // Nothing is charged before the whole request has arrived.
+    const Duration wait =
+        fleet_.rate_limiter.TimeUntilAvailable(call.account->name, UnitsOf(call), call.received);
+    if (wait <= Duration::zero()) {
+      co_return false;
+    }
+    verdict = {.reason = Reason::kAllowanceExhausted,
+               .retry_after = std::max(wait, kMinAllowanceRetryAfter)};
+  }
+  co_await Reject(call, verdict);
+  RecordEnd(call);
+  co_return true;
+}
+
 asio::awaitable<void> CallRelay::Handle(HttpExchange& exchange) {
   const ScopedCount active(fleet_.active_requests);
   Call call(exchange);
--- a/packages/gateway/call_relay.h
+++ b/packages/gateway/call_relay.h
@@ -52,6 +52,9 @@
 
   // Handles one request and sends its response.
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+  // Refuses a request whose body has not been read, if its head alone shows that it can't be
+  // served. Returns true if a response has been sent.
+  boost::asio::awaitable<bool> RefuseByHead(HttpExchange& exchange);
   // Logs the calls in progress, which end with the process.
   void LogUnfinished();
 
@@ -69,7 +72,10 @@
     Call& call_;
   };
 
-  // Decodes the request, matches its route and account and charges the account's allowance. On
+  // Decodes the head of a request and matches its route and account. On failure, sets the verdict
+  // with which to reject the request.
+  Result<void> MatchRequest(Call& call, Verdict& verdict);
+  // Matches the request and charges the account's allowance. On
   // failure, sets the verdict with which to reject the request.
   Result<void> AdmitRequest(Call& call, Verdict& verdict);
   // Limits a call that resumes a stream to the version that began it. Returns the reason with which
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -23,6 +23,12 @@
 // Longest time from the first byte of a request until all of it has arrived.
 constexpr Duration kReadTimeout = 10s;
 constexpr Duration kIdleTimeout = 15s;
+// Requests to the ports for readiness, metrics and peers have no bodies.
+constexpr std::size_t kMaxSmallBodyBytes = 4 * 1024;
+// Connections at the ports for readiness and metrics, each, and at that for peers, which relays up
+// to 256 connections. Together with those to upstreams they stay within the reserved descriptors.
+constexpr std::size_t kMaxOperatorConnections = 50;
+constexpr std::size_t kMaxPeerConnections = 300;
 // Longest time for which a peer that reads slowly, or no longer, occupies a transfer.
 constexpr Duration kPeerWriteTimeout = 5s;
 
@@ -48,6 +54,8 @@
     : pool_(1),
       fleet_(std::move(settings), RandomIncarnation(), TimeOfDay(), BootNow()),
       dropped_lines_(fleet_.metrics),
+      memory_(std::make_shared<MemoryBudget>(MemoryLimits::OfMachine(fleet_.settings.memory_bytes),
+                                             fleet_.metrics)),
       adapters_(make_adapters(background_, fleet_.metrics)),
       migrator_(fleet_, *adapters_.engines, pool_.context(0)),
       open_attempts_(pool_.context(0)),
@@ -85,12 +93,23 @@
       tunnels_(fleet_, *adapters_.codec, open_attempts_, signals_),
       relay_(pool_.context(0), fleet_, *adapters_.codec, connector_, connections_, migrator_,
              open_attempts_, signals_, [this] { crash_records_.OnRegistryChanged(); }),
-      callers_(pool_, CallerLimits(fleet_.settings),
-               [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
-      readiness_(pool_, {}, [this](HttpExchange& exchange) { return HandleReadiness(exchange); }),
-      metrics_(pool_, {}, [this](HttpExchange& exchange) { return HandleMetrics(exchange); }),
-      peer_requests_(pool_, HttpLimits{.write_timeout = kPeerWriteTimeout},
-                     [this](HttpExchange& exchange) { return HandlePeerRequest(exchange); }) {}
+      callers_(
+          pool_, CallerLimits(fleet_.settings),
+          [this](HttpExchange& exchange) { return relay_.Handle(exchange); },
+          {.budget = memory_,
+           .head_check = [this](HttpExchange& exchange) { return relay_.RefuseByHead(exchange); }}),
+      readiness_(pool_, {.body_size = kMaxSmallBodyBytes, .connections = kMaxOperatorConnections},
+                 [this](HttpExchange& exchange) { return HandleReadiness(exchange); },
+                 {.budget = memory_}),
+      metrics_(pool_, {.body_size = kMaxSmallBodyBytes, .connections = kMaxOperatorConnections},
+               [this](HttpExchange& exchange) { return HandleMetrics(exchange); },
+               {.budget = memory_}),
+      peer_requests_(pool_,
+                     HttpLimits{.body_size = kMaxSmallBodyBytes,
+                                .connections = kMaxPeerConnections,
+                                .write_timeout = kPeerWriteTimeout},
+                     [this](HttpExchange& exchange) { return HandlePeerRequest(exchange); },
+                     {.budget = memory_}) {}
 
 Gateway::~Gateway() { Stop(); }
 
@@ -178,6 +197,7 @@
 
 asio::awaitable<void> Gateway::HandleMetrics(HttpExchange& exchange) {
   dropped_lines_.Update(Logger::dropped_lines());
+  memory_->Publish();
   co_await exchange.Respond(200, ContentType("text/plain; version=0.0.4"),
                             fleet_.metrics.RenderText());
 }
@@ -190,6 +210,7 @@
     PublishOpenWork(MakeOpenWork());
     fleet_.metrics.GetGauge("savoryglade_gateway_recorded_streams")
         .Set(static_cast<std::int64_t>(fleet_.stream_versions.size()));
+    memory_->Publish();
     Logger::Flush();
     dropped_lines_.Update(Logger::dropped_lines());
     co_await Sleep(kHousekeepingInterval);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -26,6 +26,7 @@
 #include "metrics/dropped_line_counters.h"
 #include "net/background_worker.h"
 #include "net/http_server.h"
+#include "net/memory_budget.h"
 #include "net/worker_pool.h"
 
 namespace savoryglade::gateway {
@@ -93,6 +94,8 @@
   BackgroundWorker background_;
   FleetState fleet_;
   DroppedLineCounters dropped_lines_;
+  // Shared by all listeners.
+  std::shared_ptr<MemoryBudget> memory_;
   GatewayAdapters adapters_;
   UpstreamConnectionPool connections_;
   StreamMigrator migrator_;
--- a/packages/gateway/peer_tunnels.cc
+++ b/packages/gateway/peer_tunnels.cc
@@ -11,6 +11,7 @@
 #include "core/scoped_count.h"
 #include "logging/logger.h"
 #include "net/http_client.h"
+#include "net/memory_budget.h"
 #include "net/response_header_reader.h"
 #include "net/tunnel.h"
 
@@ -20,6 +21,8 @@
 // Shorter than that of an attempt, so that the peer can try another upstream.
 constexpr Duration kPeerConnectTimeout = 150ms;
 constexpr int kMaxTunnels = 256;
+// A buffer for each direction, the connection to the upstream, and the header of its response.
+constexpr std::size_t kTunnelBytes = 64 * 1024;
 constexpr Duration kMaxLifetime = 600s;
 
 const Logger kLog("paths");
@@ -68,6 +71,7 @@
   }
   const UpstreamRecord target = *record;
   const ScopedCount tunnel(open_tunnels_);
+  exchange.SetLease(MemoryPurpose::kTunnel, kTunnelBytes);
   const Result<Endpoint> endpoint = ParseEndpoint(exchange.target());
   if (!endpoint) {
     co_await exchange.Respond(kTunnelUnknownStatus, {}, {});
--- a/packages/gateway/response_relay.cc
+++ b/packages/gateway/response_relay.cc
@@ -10,6 +10,7 @@
 
 #include "core/boot_clock.h"
 #include "logging/logger.h"
+#include "net/memory_budget.h"
 #include "routing/software_version.h"
 
 namespace savoryglade::gateway {
@@ -19,6 +20,8 @@
 
 // Largest response that is buffered until it is complete, so that an incomplete one can be retried.
 constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
+// Buffered also while memory is short.
+constexpr std::size_t kMinBufferedBytes = 16 * 1024;
 // Late responses to earlier requests that are discarded on one connection.
 constexpr int kMaxStaleResponses = 2;
 // Bytes of one such response that are read.
@@ -270,7 +273,12 @@
       .status = status,
       .headers = codec_.CallerResponseHeaders(attempt.connection->response_header()),
       .body = {}};
-  while (!attempt.is_buffered_whole && attempt.buffered->body.size() < kMaxBufferedBytes) {
+  // Without memory, the response is relayed as it arrives, as fast as the caller reads it.
+  const auto may_buffer = [&call](std::size_t size) {
+    return size < kMinBufferedBytes ||
+           (size < kMaxBufferedBytes && call.exchange.TryLease(MemoryPurpose::kResponse, 2 * size));
+  };
+  while (!attempt.is_buffered_whole && may_buffer(attempt.buffered->body.size())) {
     const Result<bool> has_more = co_await ReadBody(call, attempt, attempt.buffered->body);
     if (!has_more) {
       co_return OutcomeOfFailure(call, attempt, has_more.error());
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -116,6 +116,22 @@
   co_return Result<void>();
 }
 
+asio::awaitable<Result<void>> HttpConnection::Send(const HttpRequest& head, const std::string& body,
+                                                   Duration timeout) {
+  using BodyView = http::span_body<const char>;
+  http::request<BodyView> request(http::request_header<>(head.base()),
+                                  beast::span<const char>(body.data(), body.size()));
+  reusable_ = false;
+  expects_body_ = head.method() != http::verb::head;
+  stream_.expires_after(timeout);
+  const auto [error, size] = co_await http::async_write(stream_, request, kAwait);
+  stream_.expires_never();
+  if (error) {
+    co_return tl::make_unexpected(MakeError("Sending to", endpoint_, error));
+  }
+  co_return Result<void>();
+}
+
 asio::awaitable<Result<unsigned>> HttpConnection::ReadHeader(Duration timeout) {
   parser_.emplace();
   parser_->body_limit(boost::none);
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -58,6 +58,11 @@
   // Sends a complete request. After an error the request may still have arrived.
   boost::asio::awaitable<Result<void>> Send(const HttpRequest& request, Duration timeout);
 
+  // Sends a request whose body is not part of the message, with the header fields as they are. The
+  // body must stay unchanged until the call ends.
+  boost::asio::awaitable<Result<void>> Send(const HttpRequest& head, const std::string& body,
+                                            Duration timeout);
+
   // Reads the header of the response and returns the status code. Returns kInvalid if the bytes
   // received are no HTTP response, kTimeout after the timeout, and otherwise kUnavailable.
   boost::asio::awaitable<Result<unsigned>> ReadHeader(Duration timeout);
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -22,7 +22,10 @@
 
 #include "logging/logger.h"
 #include "net/acceptor.h"
+#include "net/memory_budget.h"
+#include "net/request_reader.h"
 #include "net/transfer_coding.h"
+#include "net/unhandled_request.h"
 
 namespace savoryglade {
 namespace {
@@ -31,14 +34,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
-using RequestParser = http::request_parser<http::string_body>;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-// Holds the hexadecimal size and the line end of a chunk.
-constexpr std::size_t kMaxChunkHeaderBytes = 20;
-// Most bytes of a body that are kept unparsed: the header of a chunk, or the trailer.
-constexpr std::size_t kMaxUnparsedBodyBytes = 16 * 1024;
 // Limits on the input that is discarded before a connection is closed, and on the time for which it
 // is awaited once the peer has acknowledged all that was sent to it.
 constexpr std::size_t kMaxLingerBytes = 1024 * 1024;
@@ -46,6 +44,17 @@
 // Interval at which a connection is checked for bytes that the peer has not acknowledged.
 constexpr Duration kDeliveryCheckInterval = 50ms;
 
+// Leased for each connection: socket, timers, parser and coroutine frames. 600 connections
+// with a part of a head took 3 to 4 MB.
+constexpr std::size_t kConnectionBytes = 8 * 1024;
+// Bodies above this size, and those in chunks, are read only after a check of the head, which
+// closes the connection if it refuses. Smaller ones are read first, so that their connection stays
+// open.
+constexpr std::size_t kHeadCheckBytes = 64 * 1024;
+// Interval at which a client that has sent its next request is checked for whether it has received
+// the last response.
+constexpr Duration kUnreadCheckInterval = 10ms;
+
 // Requests the body from a caller that withholds it until its header is accepted.
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view kTooManyConnectionsResponse =
@@ -56,9 +65,6 @@
 
 const Logger kLog("net");
 
-// Reason phrase of a status that the HTTP library does not list; callers ignore reason phrases.
-constexpr const char* kUnlistedReason = "Unlisted Status";
-
 // Counts something in progress, on any thread, for as long as the object lives.
 class ScopedAtomicCount {
  public:
@@ -78,72 +84,6 @@
   std::atomic<std::size_t>* count_;
 };
 
-// Returns the header of a response with any status from 100 to 999.
-http::response_header<> MakeHeader(unsigned status, unsigned version) {
-  http::response_header<> header;
-  header.version(version);
-  header.result(status);
-  if (http::int_to_status(status) == http::status::unknown) {
-    header.reason(kUnlistedReason);
-  }
-  return header;
-}
-
-// Request that ends before its handler is called.
-struct UnhandledRequest {
-  std::uint64_t connection_id = 0;
-  beast::error_code error;
-  bool has_unsupported_coding = false;
-  // Bytes received, including those that are not parsed.
-  std::size_t bytes = 0;
-  // Value of the Content-Length header, or empty.
-  std::string content_length;
-  // Time since the first byte.
-  Duration time{};
-};
-
-// Why a request ends before its handler is called.
-struct UnhandledReason {
-  const char* name;
-  // Status of the response, or zero if none is sent.
-  unsigned status = 0;
-  // Reason in the response.
-  const char* response_reason = "";
-  // Limit that was exceeded, or empty.
-  std::string limit;
-};
-
-UnhandledReason FindReason(const UnhandledRequest& request, const HttpLimits& limits) {
-  const beast::error_code& error = request.error;
-  if (error == beast::error::timeout) {
-    return {.name = "read_timeout", .limit = fmt::format("{} ms", limits.read_timeout / 1ms)};
-  }
-  if (error.category() != make_error_code(http::error::bad_method).category()) {
-    return {.name = "connection_lost"};
-  }
-  if (request.has_unsupported_coding) {
-    return {.name = "unsupported_coding", .status = 501, .response_reason = "malformed_request"};
-  }
-  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-    const std::size_t limit = error == http::error::header_limit
-                                  ? limits.header_size
-                                  : limits.header_size + kMaxUnparsedBodyBytes;
-    return {.name = "header_too_large",
-            .status = 431,
-            .response_reason = "request_too_large",
-            .limit = fmt::format("{} bytes", limit)};
-  }
-  if (error == http::error::body_limit) {
-    return {.name = "body_too_large",
-            .status = 413,
-            .response_reason = "request_too_large",
-            .limit = fmt::format("{} bytes", limits.body_size)};
-  }
-  return {.name = error == http::error::partial_message ? "truncated" : "malformed",
-          .status = 400,
-          .response_reason = "malformed_request"};
-}
-
 // Returns the Content-Length header, cut off after the longest valid number.
 std::string FindContentLength(const RequestParser& parser) {
   constexpr std::size_t kMaxDigits = std::numeric_limits<std::uint64_t>::digits10 + 1;
@@ -157,107 +97,63 @@
   return ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
 }
 
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) { return beast::iequals(a, b); }
-
 }  // namespace
 
-std::string_view HttpExchange::target() const {
-  return {request_.target().data(), request_.target().size()};
-}
-
-std::string_view HttpExchange::Header(std::string_view name) const {
-  const auto found = request_.find(beast::string_view(name.data(), name.size()));
-  if (found == request_.end()) {
-    return {};
-  }
-  return {found->value().data(), found->value().size()};
-}
-
-std::string_view HttpExchange::BearerToken() const {
-  static constexpr std::string_view kPrefix = "Bearer ";
-  const std::string_view value = Header("Authorization");
-  if (value.size() <= kPrefix.size() ||
-      !EqualsIgnoringCase(value.substr(0, kPrefix.size()), kPrefix)) {
-    return {};
-  }
-  return value.substr(kPrefix.size());
-}
-
-asio::awaitable<bool> HttpExchange::WriteBuffers(std::string_view before, std::string_view data,
-                                                 std::string_view after) {
-  const std::array<asio::const_buffer, 3> parts = {asio::buffer(before.data(), before.size()),
-                                                   asio::buffer(data.data(), data.size()),
-                                                   asio::buffer(after.data(), after.size())};
-  stream_.expires_after(limits_.write_timeout);
-  const auto [error, size] = co_await asio::async_write(stream_, parts, kAwait);
-  stream_.expires_never();
-  if (error) {
-    keep_alive_ = false;
-  }
-  co_return !error;
-}
-
-asio::awaitable<bool> HttpExchange::Respond(unsigned status, HttpHeaders headers,
-                                            std::string body) {
-  http::response<http::string_body> response(MakeHeader(status, request_.version()));
-  for (const auto& [name, value] : headers) {
-    response.set(name, value);
-  }
-  response.keep_alive(request_.keep_alive() && keep_alive_);
-  keep_alive_ = response.keep_alive();
-  response.body() = std::move(body);
-  response.prepare_payload();
-  stream_.expires_after(limits_.write_timeout);
-  const auto [error, size] = co_await http::async_write(stream_, response, kAwait);
-  stream_.expires_never();
-  if (error) {
-    keep_alive_ = false;
-  }
-  co_return !error;
-}
-
-asio::awaitable<bool> HttpExchange::StartStream(unsigned status, HttpHeaders headers,
-                                                std::string_view first_chunk) {
-  http::response<http::empty_body> response(MakeHeader(status, request_.version()));
-  for (const auto& [name, value] : headers) {
-    response.set(name, value);
-  }
-  response.keep_alive(request_.keep_alive() && keep_alive_);
-  response.chunked(true);
-  keep_alive_ = response.keep_alive();
-  std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, std::string(response.reason()));
-  for (const auto& field : response) {
-    text.append(field.name_string()).append(": ").append(field.value()).append("\r\n");
-  }
-  text += "\r\n";
-  if (first_chunk.empty()) {
-    co_return co_await WriteBuffers(text, {}, {});
-  }
-  fmt::format_to(std::back_inserter(text), "{:x}\r\n", first_chunk.size());
-  co_return co_await WriteBuffers(text, first_chunk, "\r\n");
-}
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+  State(WorkerPool& worker_pool, HttpLimits http_limits, HttpHandler http_handler,
+        HttpServerOptions http_options)
+      : pool(worker_pool),
+        limits(http_limits),
+        handler(std::move(http_handler)),
+        options(std::move(http_options)) {}
+
+  // One connection while it is served. Used on its own worker, apart from the lease.
+  struct Connection {
+    Connection(State& state, beast::tcp_stream& connected)
+        : stream(connected),
+          id(state.next_connection_id.fetch_add(1)),
+          buffer(state.limits.header_size + kMaxUnparsedBodyBytes),
+          eviction(std::make_shared<Eviction>(Eviction{.stream = &connected})),
+          lease(state.options.budget, &state, std::chrono::steady_clock::now(),
+                [eviction = eviction, executor = connected.get_executor()] {
+                  asio::post(executor, [eviction] { eviction->Close(); });
+                }) {}
+    ~Connection() { eviction->stream = nullptr; }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    void SetEvictable(bool evictable) {
+      eviction->allowed = evictable;
+      lease.SetEvictable(evictable, std::chrono::steady_clock::now());
+    }
 
-asio::awaitable<bool> HttpExchange::WriteChunk(std::string_view data) {
-  if (data.empty()) {
-    co_return true;
-  }
-  std::array<char, kMaxChunkHeaderBytes> header;
-  const auto end = fmt::format_to_n(header.data(), header.size(), "{:x}\r\n", data.size());
-  co_return co_await WriteBuffers({header.data(), end.size}, data, "\r\n");
-}
+    // Returns the memory of the last request.
+    void BecomeIdle() {
+      lease.Set(MemoryPurpose::kBody, 0);
+      lease.Set(MemoryPurpose::kHead, buffer.size());
+      SetEvictable(true);
+    }
 
-asio::awaitable<bool> HttpExchange::EndStream() {
-  co_return co_await WriteBuffers("0\r\n\r\n", {}, {});
-}
+    // Closes the connection later, unless its request is being handled by then.
+    struct Eviction {
+      beast::tcp_stream* stream = nullptr;
+      bool allowed = true;
 
-void HttpExchange::Abort() {
-  keep_alive_ = false;
-  stream_.close();
-}
+      void Close() const {
+        if (stream != nullptr && allowed) {
+          kLog.Info(
+              "Closed a connection without progress, because memory or connections are short.");
+          stream->close();
+        }
+      }
+    };
 
-struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
-  State(WorkerPool& worker_pool, HttpLimits http_limits, HttpHandler http_handler)
-      : pool(worker_pool), limits(http_limits), handler(std::move(http_handler)) {}
+    beast::tcp_stream& stream;
+    const std::uint64_t id;
+    beast::flat_buffer buffer;
+    std::shared_ptr<Eviction> eviction;
+    MemoryLease lease;
+  };
 
   asio::awaitable<void> AcceptConnections() {
     while (true) {
@@ -269,16 +165,8 @@
       if (error) {
         continue;
       }
-      if (connections.load() + lingering.load() >= limits.connections) {
-        // The send buffer of a new connection is empty, so this write does not block.
-        socket.non_blocking(true, error);
-        socket.write_some(asio::buffer(kTooManyConnectionsResponse), error);
-        socket.shutdown(tcp::socket::shutdown_send, error);
-        ++rejected;
-        kLog.Warning("A connection was rejected because too many are open.",
-                     {{"connection", next_connection_id.fetch_add(1)},
-                      {"open_connections", connections.load()},
-                      {"limit", limits.connections}});
+      if (connections.load() + lingering.load() >= limits.connections && !EvictOldest()) {
+        RejectConnection(socket);
         continue;
       }
       socket.set_option(tcp::no_delay(true));
@@ -289,6 +177,31 @@
     }
   }
 
+  template <typename Socket>
+  void RejectConnection(Socket& socket) {
+    // The send buffer of a new connection is empty, so this write does not block.
+    beast::error_code error;
+    socket.non_blocking(true, error);
+    socket.write_some(asio::buffer(kTooManyConnectionsResponse), error);
+    socket.shutdown(tcp::socket::shutdown_send, error);
+    ++rejected;
+    kLog.Warning("A connection was rejected because too many are open.",
+                 {{"connection", next_connection_id.fetch_add(1)},
+                  {"open_connections", connections.load()},
+                  {"limit", limits.connections}});
+  }
+
+  // Closes a connection without progress in favour of a new one. Returns false if there is none.
+  bool EvictOldest() {
+    return options.budget && options.budget->EvictOldest(this, std::chrono::steady_clock::now());
+  }
+
+  void CountRefusal(MemoryRefusal refusal) {
+    if (options.budget) {
+      options.budget->CountRefusal(refusal);
+    }
+  }
+
   // Logs a request that can't be parsed, is too large, does not arrive completely, or has a
   // transfer coding that is not supported, and responds to it. Sends no response after a timeout or
   // to a connection that is lost.
@@ -312,6 +225,9 @@
     HttpHeaders headers = ContentType("application/json");
     headers.emplace_back("Savoryglade-Verdict", "not_run");
     headers.emplace_back("Savoryglade-Reason", reason.response_reason);
+    if (reason.retry_after_s > 0) {
+      headers.emplace_back("Retry-After", std::to_string(reason.retry_after_s));
+    }
     std::string body =
         fmt::format(R"({{"error":{{"reason":"{}","verdict":"not_run","message":"{}"}}}})",
                     reason.response_reason, request.error.message());
@@ -427,95 +343,165 @@
     exchange.Abort();
   }
 
+  // Responds to a request on the basis of its head, if the check refuses it. Returns true if it was
+  // refused.
+  static asio::awaitable<bool> RefuseByHead(State& state, Connection& connection,
+                                            RequestParser& parser) {
+    const bool is_small =
+        !parser.chunked() && parser.content_length().value_or(0) <= kHeadCheckBytes;
+    if (!state.options.head_check || is_small) {
+      co_return false;
+    }
+    HttpExchange exchange(connection.stream, HttpRequest(parser.get().base()), state.limits,
+                          connection.id, &connection.lease);
+    exchange.CloseAfterResponse();
+    co_return co_await state.options.head_check(exchange);
+  }
+
   // Reads a request of which the first byte has arrived. Returns what is known of it if it can't be
   // handled.
   static asio::awaitable<std::optional<UnhandledRequest>> ReadRequest(State& state,
-                                                                      std::uint64_t connection_id,
-                                                                      beast::tcp_stream& stream,
-                                                                      beast::flat_buffer& buffer,
+                                                                      Connection& connection,
                                                                       RequestParser& parser) {
     const ScopedAtomicCount partial(state.partial_requests);
     const TimePoint begun_at = std::chrono::steady_clock::now();
+    beast::tcp_stream& stream = connection.stream;
+    connection.SetEvictable(true);
     stream.expires_after(state.limits.read_timeout);
-    auto [error, size] = co_await http::async_read_header(stream, buffer, parser, kAwait);
-    std::size_t bytes = size;
+    RequestReader reader(stream, connection.buffer, state.limits, connection.lease);
+    beast::error_code error = co_await reader.ReadHead(parser);
     const bool has_unsupported_coding =
         !error && HasUnsupportedTransferCoding(parser.get(), parser.get().version());
     if (has_unsupported_coding) {
       error = http::error::bad_transfer_encoding;
     }
     if (!error && !parser.is_done()) {
+      if (co_await RefuseByHead(state, connection, parser)) {
+        co_return UnhandledRequest{.is_answered = true};
+      }
+      // The check may have replaced the time to read.
+      stream.expires_at(begun_at + state.limits.read_timeout);
       if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        std::tie(error, size) =
+        std::size_t ignored = 0;
+        std::tie(error, ignored) =
             co_await asio::async_write(stream, asio::buffer(kContinueResponse), kAwait);
       }
       if (!error) {
-        std::tie(error, size) = co_await http::async_read(stream, buffer, parser, kAwait);
-        bytes += size;
+        error = co_await reader.ReadBody(parser);
       }
     }
     stream.expires_never();
+    connection.SetEvictable(false);
     if (!error) {
       co_return std::nullopt;
     }
-    co_return UnhandledRequest{.connection_id = connection_id,
+    if (reader.refusal() != ReadRefusal::kNone) {
+      state.CountRefusal(reader.refusal() == ReadRefusal::kNoMemory
+                             ? MemoryRefusal::kRequest
+                             : MemoryRefusal::kTooManyFields);
+    }
+    co_return UnhandledRequest{.connection_id = connection.id,
                                .error = error,
                                .has_unsupported_coding = has_unsupported_coding,
-                               .bytes = bytes + buffer.size(),
+                               .bytes = reader.bytes() + connection.buffer.size(),
                                .content_length = FindContentLength(parser),
+                               .refusal = reader.refusal(),
                                .time = std::chrono::steady_clock::now() - begun_at};
   }
 
+  // Waits until the peer has received the responses to its earlier requests, so that one that does
+  // not read them can't have more requests read. Returns false after the time for a write.
+  static asio::awaitable<bool> AwaitDelivery(State& state, beast::tcp_stream& stream) {
+    const TimePoint deadline = std::chrono::steady_clock::now() + state.limits.write_timeout;
+    asio::steady_timer timer(stream.get_executor());
+    while (stream.socket().is_open() && HasUndeliveredBytes(stream.socket())) {
+      if (std::chrono::steady_clock::now() >= deadline) {
+        co_return false;
+      }
+      timer.expires_after(kUnreadCheckInterval);
+      co_await timer.async_wait(kAwait);
+    }
+    co_return true;
+  }
+
+  // Waits for the next request and for the peer to receive the last response. Returns false if the
+  // connection ends.
+  static asio::awaitable<bool> AwaitNextRequest(State& state, Connection& connection) {
+    connection.BecomeIdle();
+    if (connection.buffer.size() == 0) {
+      const bool has_request = co_await AwaitRequest(state, connection.id, connection.stream);
+      if (!has_request) {
+        co_return false;
+      }
+    }
+    const bool delivered = co_await AwaitDelivery(state, connection.stream);
+    co_return delivered;
+  }
+
   static asio::awaitable<void> Serve(std::shared_ptr<State> state, beast::tcp_stream stream,
                                      ScopedAtomicCount count) {
     // g++ 12 destroys the parameters of a coroutine in their order, so the state would end before
     // a parameter that refers to it.
-    ScopedAtomicCount connection = std::move(count);
-    const std::uint64_t connection_id = state->next_connection_id.fetch_add(1);
-    beast::flat_buffer buffer(state->limits.header_size + kMaxUnparsedBodyBytes);
+    std::optional<ScopedAtomicCount> open(std::move(count));
+    auto connection = std::make_unique<Connection>(*state, stream);
+    const bool has_memory = connection->lease.TrySet(MemoryPurpose::kConnection, kConnectionBytes,
+                                                     std::chrono::steady_clock::now());
+    if (has_memory) {
+      co_await ServeRequests(*state, *connection);
+    } else {
+      state->CountRefusal(MemoryRefusal::kConnection);
+      state->RejectConnection(stream.socket());
+    }
+    connection.reset();
+    co_await Linger(*state, stream.socket(), std::move(open));
+  }
+
+  static asio::awaitable<void> ServeRequests(State& state, Connection& connection) {
     while (true) {
       std::optional<RequestParser> parser(std::in_place);
-      parser->header_limit(static_cast<std::uint32_t>(state->limits.header_size));
-      parser->body_limit(state->limits.body_size);
-      if (buffer.size() == 0 && !co_await AwaitRequest(*state, connection_id, stream)) {
-        break;
+      parser->header_limit(static_cast<std::uint32_t>(state.limits.header_size));
+      parser->body_limit(state.limits.body_size);
+      if (!co_await AwaitNextRequest(state, connection)) {
+        co_return;
       }
-      const std::optional<UnhandledRequest> unhandled =
-          co_await ReadRequest(*state, connection_id, stream, buffer, *parser);
+      std::optional<UnhandledRequest> unhandled = co_await ReadRequest(state, connection, *parser);
       if (unhandled) {
+        parser.reset();
         // A connection that ends between two requests has no request to report.
-        if (unhandled->error != http::error::end_of_stream && unhandled->bytes > 0) {
-          co_await RespondToBadRequest(stream, state->limits, *unhandled);
+        if (!unhandled->is_answered && unhandled->error != http::error::end_of_stream &&
+            unhandled->bytes > 0) {
+          co_await RespondToBadRequest(connection.stream, state.limits, *unhandled);
         }
-        break;
+        co_return;
       }
-      HttpExchange exchange(stream, parser->release(), state->limits, connection_id);
+      HttpExchange exchange(connection.stream, parser->release(), state.limits, connection.id,
+                            &connection.lease);
       parser.reset();
-      if (buffer.size() == 0) {
-        buffer.shrink_to_fit();
+      if (connection.buffer.size() == 0) {
+        connection.buffer.shrink_to_fit();
       }
-      if (state->closing) {
+      if (state.closing) {
         exchange.CloseAfterResponse();
       }
-      ++state->exchanges;
+      ++state.exchanges;
       try {
-        co_await state->handler(exchange);
+        co_await state.handler(exchange);
       } catch (const std::exception& exception) {
         CloseAfterException(exchange, exception.what());
       } catch (...) {
         CloseAfterException(exchange, "of an unknown type");
       }
-      --state->exchanges;
+      --state.exchanges;
       if (!exchange.keep_alive()) {
-        break;
+        co_return;
       }
     }
-    co_await Linger(*state, stream.socket(), std::move(connection));
   }
 
   WorkerPool& pool;
   HttpLimits limits;
   HttpHandler handler;
+  HttpServerOptions options;
   std::optional<tcp::acceptor> acceptor;
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> undelivered{0};
@@ -530,8 +516,9 @@
   std::map<std::uint64_t, beast::tcp_stream*> idle_connections;
 };
 
-HttpServer::HttpServer(WorkerPool& pool, HttpLimits limits, HttpHandler handler)
-    : state_(std::make_shared<State>(pool, limits, std::move(handler))) {}
+HttpServer::HttpServer(WorkerPool& pool, HttpLimits limits, HttpHandler handler,
+                       HttpServerOptions options)
+    : state_(std::make_shared<State>(pool, limits, std::move(handler), std::move(options))) {}
 
 HttpServer::~HttpServer() {
   // Connections that are still open on other workers keep the state alive longer than the
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -23,6 +23,10 @@
 
 namespace savoryglade {
 
+class MemoryBudget;
+class MemoryLease;
+enum class MemoryPurpose : std::uint8_t;
+
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
@@ -37,6 +41,8 @@
 // Limits of one listener. Sizes are in bytes.
 struct HttpLimits {
   std::size_t header_size = 16 * 1024;
+  // Each field costs memory of its own. Clients send a few dozen.
+  std::size_t header_fields = 200;
   std::size_t body_size = 4 * 1024 * 1024;
   std::size_t connections = 10'000;
   // Maximum time between two requests on a connection.
@@ -51,11 +57,12 @@
 class HttpExchange {
  public:
   HttpExchange(boost::beast::tcp_stream& stream, HttpRequest request, const HttpLimits& limits,
-               std::uint64_t connection_id = 0)
+               std::uint64_t connection_id = 0, MemoryLease* lease = nullptr)
       : stream_(stream),
         request_(std::move(request)),
         limits_(limits),
-        connection_id_(connection_id) {}
+        connection_id_(connection_id),
+        lease_(lease) {}
 
   const HttpRequest& request() const { return request_; }
   // Returns the path and query of the request.
@@ -65,7 +72,8 @@
   // Returns the token of an "Authorization: Bearer" header, or an empty string.
   std::string_view BearerToken() const;
 
-  // Sends a complete response. Returns false if the peer has disconnected.
+  // Sends a complete response. Frees the body of the request before. Returns false if the peer has
+  // disconnected.
   boost::asio::awaitable<bool> Respond(unsigned status, HttpHeaders headers, std::string body);
   // Sends the header of a chunked response together with the first chunk, if that is not empty.
   // Returns false if the peer has disconnected.
@@ -86,6 +94,10 @@
   // Moves the body out of the request, so that it is not kept in memory during a long response.
   std::string TakeBody() { return std::move(request_.body()); }
   boost::beast::tcp_stream& stream() { return stream_; }
+  // Counts memory that the connection uses for this purpose.
+  void SetLease(MemoryPurpose purpose, std::size_t bytes);
+  // As SetLease, but returns false and changes nothing if there is no room.
+  bool TryLease(MemoryPurpose purpose, std::size_t bytes);
 
  private:
   boost::asio::awaitable<bool> WriteBuffers(std::string_view before, std::string_view data,
@@ -95,17 +107,31 @@
   HttpRequest request_;
   const HttpLimits& limits_;
   std::uint64_t connection_id_;
+  // Null without a budget.
+  MemoryLease* lease_;
   bool keep_alive_ = true;
 };
 
 // Responds to one request. An exception closes only the connection.
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
 
+// Decides on a request before its body is read. Sends a response and returns true to refuse it; the
+// connection is closed then. Called only for large bodies and those of unknown length.
+using HeadCheck = std::function<boost::asio::awaitable<bool>(HttpExchange&)>;
+
+// Dependencies that a server may have.
+struct HttpServerOptions {
+  // Shared by all servers of a process. Without one, memory is not limited.
+  std::shared_ptr<MemoryBudget> budget;
+  HeadCheck head_check;
+};
+
 // HTTP/1.1 server that runs a handler for each request. Distributes connections over the workers of
 // the pool, which must be stopped before the server is destroyed.
 class HttpServer {
  public:
-  HttpServer(WorkerPool& pool, HttpLimits limits, HttpHandler handler);
+  HttpServer(WorkerPool& pool, HttpLimits limits, HttpHandler handler,
+             HttpServerOptions options = {});
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
