Always grant memory to the ports for operators and peers

Cause: responses of slow readers are counted beyond the budget, because they can't be refused any more; the readiness port would then be refused the 8 KB of a connection.

Change: listeners that take bodies of up to 4 KB get memory always; their limits on connections, heads and bodies bound it.

Figures: net_test, 59 of 59 tests pass, one of them new: MemoryLimitTest.PortWithSmallBodiesAnswersWhileTheBudgetIsUsedUp. It was not run without the change.

Conclusion: a daemon without memory still answers its readiness check.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -9,6 +9,7 @@
 #include "core/boot_clock.h"
 #include "gateway/settings_change.h"
 #include "logging/logger.h"
+#include "net/request_reader.h"
 #include "net/sleep.h"
 
 namespace savoryglade::gateway {
@@ -23,8 +24,8 @@
 // Longest time from the first byte of a request until all of it has arrived.
 constexpr Duration kReadTimeout = 10s;
 constexpr Duration kIdleTimeout = 15s;
-// Requests to the ports for readiness, metrics and peers have no bodies.
-constexpr std::size_t kMaxSmallBodyBytes = 4 * 1024;
+// Requests to the ports for readiness, metrics and peers have no bodies, and get memory always.
+constexpr std::size_t kMaxSmallBodyBytes = kReservedBodyBytes;
 // Connections at the ports for readiness and metrics, each, and at that for peers, which relays up
 // to 256 connections. Together with those to upstreams they stay within the reserved descriptors.
 constexpr std::size_t kMaxOperatorConnections = 50;
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -444,8 +444,13 @@
     // a parameter that refers to it.
     std::optional<ScopedAtomicCount> open(std::move(count));
     auto connection = std::make_unique<Connection>(*state, stream);
-    const bool has_memory = connection->lease.TrySet(MemoryPurpose::kConnection, kConnectionBytes,
-                                                     std::chrono::steady_clock::now());
+    bool has_memory = true;
+    if (state->limits.body_size <= kReservedBodyBytes) {
+      connection->lease.Set(MemoryPurpose::kConnection, kConnectionBytes);
+    } else {
+      has_memory = connection->lease.TrySet(MemoryPurpose::kConnection, kConnectionBytes,
+                                            std::chrono::steady_clock::now());
+    }
     if (has_memory) {
       co_await ServeRequests(*state, *connection);
     } else {
--- a/packages/net/request_reader.cc
+++ b/packages/net/request_reader.cc
@@ -94,7 +94,13 @@
 }
 
 asio::awaitable<bool> RequestReader::Lease(MemoryPurpose purpose, std::size_t bytes) {
-  return AwaitMemory([this, purpose, bytes] { return lease_.TrySet(purpose, bytes, Now()); });
+  return AwaitMemory([this, purpose, bytes] {
+    if (limits_.body_size <= kReservedBodyBytes) {
+      lease_.Set(purpose, bytes);
+      return true;
+    }
+    return lease_.TrySet(purpose, bytes, Now());
+  });
 }
 
 asio::awaitable<bool> RequestReader::AwaitLarge() {
--- a/packages/net/request_reader.h
+++ b/packages/net/request_reader.h
@@ -20,6 +20,11 @@
 // Why the reading of a request stopped although its bytes are valid.
 enum class ReadRefusal : std::uint8_t { kNone, kTooManyFields, kNoMemory };
 
+// A listener that takes no larger bodies gets memory also when the budget is used up, so that the
+// ports for readiness, metrics and peers always work. Its limits on connections, heads and bodies
+// bound what it holds.
+inline constexpr std::size_t kReservedBodyBytes = 4 * 1024;
+
 // Reads one request from a connection, with a lease for each byte before it is read. Handles
 // clients that send heads of very many short fields and bodies that stop short of their end. Used
 // by one coroutine.
--- a/tests/net/memory_limit_test.cc
+++ b/tests/net/memory_limit_test.cc
@@ -4,9 +4,11 @@
 #include <array>
 #include <atomic>
 #include <boost/asio.hpp>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "net/http_server.h"
 #include "net/memory_budget.h"
@@ -151,6 +153,24 @@
   EXPECT_EQ(Read(stalled), "");
 }
 
+// Guards against a port for readiness or peers that does not answer while callers hold the budget.
+TEST_F(MemoryLimitTest, PortWithSmallBodiesAnswersWhileTheBudgetIsUsedUp) {
+  HttpServer readiness(
+      pool_, HttpLimits{.body_size = 4 * 1024},
+      [](HttpExchange& exchange) -> asio::awaitable<void> {
+        co_await exchange.Respond(200, {}, "ready");
+      },
+      {.budget = budget_});
+  endpoint_ = *readiness.Listen({.address = "127.0.0.1", .port = 0});
+  MemoryLease held(budget_, this, std::chrono::steady_clock::now(), [] {});
+  held.SetEvictable(false, std::chrono::steady_clock::now());
+  held.Set(MemoryPurpose::kBody, 2 * kTotal);
+  tcp::socket socket = Send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(Read(socket).starts_with("HTTP/1.1 200 "));
+  socket.close();
+  pool_.Stop();
+}
+
 // Guards against leases that outlive their connections.
 TEST_F(MemoryLimitTest, AllLeasesAreReturnedAfterTheCrowdHasGone) {
   {
