Read pipelined requests while little of the responses is undelivered

Cause: hosts delay the acknowledgement of small responses by up to 40 ms, so that a caller that pipelines small requests waited for each.

Change: the next request is read while at most 4 KB are unacknowledged.

Conclusion: a caller that reads nothing still has no more requests read once the buffers of its connection are full of responses.

--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -51,6 +51,9 @@
 // closes the connection if it refuses. Smaller ones are read first, so that their connection stays
 // open.
 constexpr std::size_t kHeadCheckBytes = 64 * 1024;
+// Responses that a client need not have acknowledged for its next request to be read. Hosts delay
+// the acknowledgement of a few small ones by 40 ms.
+constexpr std::size_t kMaxUndeliveredBytes = 4 * 1024;
 // Interval at which a client that has sent its next request is checked for whether it has received
 // the last response.
 constexpr Duration kUnreadCheckInterval = 10ms;
@@ -91,12 +94,15 @@
   return std::string(value.substr(0, kMaxDigits));
 }
 
-// Returns true if the peer has not acknowledged all that was sent to it.
-bool HasUndeliveredBytes(tcp::socket& socket) {
+// Returns the number of bytes sent to the peer that it has not acknowledged.
+std::size_t UndeliveredBytes(tcp::socket& socket) {
   int unacknowledged = 0;
-  return ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
+  const bool known = ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+  return known ? static_cast<std::size_t>(std::max(unacknowledged, 0)) : 0;
 }
 
+bool HasUndeliveredBytes(tcp::socket& socket) { return UndeliveredBytes(socket) > 0; }
+
 }  // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
@@ -414,7 +420,8 @@
   static asio::awaitable<bool> AwaitDelivery(State& state, beast::tcp_stream& stream) {
     const TimePoint deadline = std::chrono::steady_clock::now() + state.limits.write_timeout;
     asio::steady_timer timer(stream.get_executor());
-    while (stream.socket().is_open() && HasUndeliveredBytes(stream.socket())) {
+    while (stream.socket().is_open() &&
+           UndeliveredBytes(stream.socket()) > kMaxUndeliveredBytes) {
       if (std::chrono::steady_clock::now() >= deadline) {
         co_return false;
       }
--- a/tests/net/memory_limit_test.cc
+++ b/tests/net/memory_limit_test.cc
@@ -155,12 +155,11 @@
 
 // Guards against a port for readiness or peers that does not answer while callers hold the budget.
 TEST_F(MemoryLimitTest, PortWithSmallBodiesAnswersWhileTheBudgetIsUsedUp) {
-  HttpServer readiness(
-      pool_, HttpLimits{.body_size = 4 * 1024},
-      [](HttpExchange& exchange) -> asio::awaitable<void> {
-        co_await exchange.Respond(200, {}, "ready");
-      },
-      {.budget = budget_});
+  HttpServer readiness(pool_, HttpLimits{.body_size = 4 * 1024},
+                       [](HttpExchange& exchange) -> asio::awaitable<void> {
+                         co_await exchange.Respond(200, {}, "ready");
+                       },
+                       {.budget = budget_});
   endpoint_ = *readiness.Listen({.address = "127.0.0.1", .port = 0});
   MemoryLease held(budget_, this, std::chrono::steady_clock::now(), [] {});
   held.SetEvictable(false, std::chrono::steady_clock::now());
