Keep ordinary callers' connections when a listener is full

Connections that wait for a further request are kept, a request that has arrived prevents the close, heads are checked from 128 KB on, leases up to 192 KB may use the reserve, and the time until units are available counts the refill.

--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -50,7 +50,7 @@
 // Bodies above this size, and those in chunks, are read only after a check of the head, which
 // closes the connection if it refuses. Smaller ones are read first, so that their connection stays
 // open.
-constexpr std::size_t kHeadCheckBytes = 64 * 1024;
+constexpr std::size_t kHeadCheckBytes = 128 * 1024;
 // Responses that a client need not have acknowledged for its next request to be read. Hosts delay
 // the acknowledgement of a few small ones by 40 ms.
 constexpr std::size_t kMaxUndeliveredBytes = 4 * 1024;
@@ -130,6 +130,7 @@
 
     void SetEvictable(bool evictable) {
       eviction->allowed = evictable;
+      eviction->is_idle = false;
       lease.SetEvictable(evictable, std::chrono::steady_clock::now());
     }
 
@@ -138,15 +139,23 @@
       lease.Set(MemoryPurpose::kBody, 0);
       lease.Set(MemoryPurpose::kHead, buffer.size());
       SetEvictable(true);
+      eviction->is_idle = true;
+      lease.OnIdle();
     }
 
     // Closes the connection later, unless its request is being handled by then.
     struct Eviction {
       beast::tcp_stream* stream = nullptr;
       bool allowed = true;
+      // Whether the connection waits for a request.
+      bool is_idle = false;
 
       void Close() const {
-        if (stream != nullptr && allowed) {
+        beast::error_code ignored;
+        // Closing it with a request unread would leave its caller in doubt whether that has run.
+        const bool has_request =
+            stream != nullptr && is_idle && stream->socket().available(ignored) > 0;
+        if (stream != nullptr && allowed && !has_request) {
           kLog.Info(
               "Closed a connection without progress, because memory or connections are short.");
           stream->close();
@@ -399,6 +408,7 @@
     stream.expires_never();
     connection.SetEvictable(false);
     if (!error) {
+      connection.lease.OnRequestRead();
       co_return std::nullopt;
     }
     if (reader.refusal() != ReadRefusal::kNone) {
--- a/packages/net/memory_budget.cc
+++ b/packages/net/memory_budget.cc
@@ -65,7 +65,8 @@
   const std::lock_guard lock(mutex_);
   MemoryLease* oldest = nullptr;
   for (MemoryLease* const lease : leases_) {
-    if (lease->listener_ == listener && lease->evictable_ && lease->evicting_bytes_ == 0 &&
+    if (lease->listener_ == listener && lease->evictable_ && !lease->awaits_further_request_ &&
+        lease->evicting_bytes_ == 0 &&
         now - lease->progress_at_ >= kMinStall &&
         (oldest == nullptr || lease->progress_at_ < oldest->progress_at_)) {
       oldest = lease;
@@ -208,6 +209,7 @@
   if (budget_) {
     const std::lock_guard lock(budget_->mutex_);
     evictable_ = evictable;
+    awaits_further_request_ = false;
     progress_at_ = now;
     if (!evictable) {
       budget_->Unmark(*this);
@@ -215,6 +217,20 @@
   }
 }
 
+void MemoryLease::OnRequestRead() {
+  if (budget_) {
+    const std::lock_guard lock(budget_->mutex_);
+    has_read_request_ = true;
+  }
+}
+
+void MemoryLease::OnIdle() {
+  if (budget_) {
+    const std::lock_guard lock(budget_->mutex_);
+    awaits_further_request_ = has_read_request_;
+  }
+}
+
 void ConfigureAllocator() {
   // The allocator would otherwise raise this threshold to the largest buffer that was freed, and
   // keep such buffers on its heap.
--- a/packages/net/memory_budget.h
+++ b/packages/net/memory_budget.h
@@ -52,7 +52,7 @@
 
 // Largest lease that may use the reserve. Holds a connection with a body of 72,000 bytes, the
 // largest that the clients of the deployments send, and its head.
-inline constexpr std::size_t kSmallLeaseBytes = 128 * 1024;
+inline constexpr std::size_t kSmallLeaseBytes = 192 * 1024;
 // Time without progress from which a connection may be closed for memory. A client on the slowest
 // link (10 Mbit/s) makes progress every few milliseconds, and a retransmission takes 0.2 to 0.4 s.
 inline constexpr Duration kMinStall = 500ms;
@@ -70,7 +70,8 @@
   MemoryBudget& operator=(const MemoryBudget&) = delete;
 
   // Closes the connection with the oldest progress among those of a listener, if there is one that
-  // has made none for kMinStall. The listener is only compared.
+  // has made none for kMinStall. Connections that wait for a further request are kept: their
+  // clients have behaved, and a request may be on its way. The listener is only compared.
   bool EvictOldest(const void* listener, TimePoint now);
   void CountRefusal(MemoryRefusal refusal);
 
@@ -127,6 +128,9 @@
   // A connection is not closed for memory while its request may have been passed on, or while it
   // waits for this process.
   void SetEvictable(bool evictable, TimePoint now);
+  // Records that a whole request was read, or that the connection waits for a further one.
+  void OnRequestRead();
+  void OnIdle();
 
  private:
   friend class MemoryBudget;
@@ -139,6 +143,9 @@
   std::size_t total_ = 0;
   TimePoint progress_at_;
   bool evictable_ = true;
+  bool has_read_request_ = false;
+  // Whether a request has been read, and no byte of a further one.
+  bool awaits_further_request_ = false;
   // What is counted as being returned, or zero.
   std::size_t evicting_bytes_ = 0;
 };
--- a/packages/scheduling/account_rate_limiter.cc
+++ b/packages/scheduling/account_rate_limiter.cc
@@ -226,7 +226,11 @@
     return Duration::zero();
   }
   const Bucket& bucket = found->second;
-  const double missing = std::min(units, bucket.burst) - ExpectedLevel(account, bucket, now);
+  // The level is that of the last refill.
+  const double refilled =
+      bucket.rate * ToSeconds(std::max(now - bucket.refilled_at, Duration::zero()));
+  const double missing =
+      std::min(units, bucket.burst) - ExpectedLevel(account, bucket, now) - refilled;
   return FromSeconds(std::max(missing, 0.0) / bucket.rate);
 }
 
--- a/tests/net/memory_budget_test.cc
+++ b/tests/net/memory_budget_test.cc
@@ -40,6 +40,21 @@
   EXPECT_FALSE(third->MayBeginLarge(kStart));
 }
 
+// Guards against a full listener that closes the kept connections of ordinary callers before those
+// that have never sent a whole request.
+TEST_F(MemoryBudgetTest, KeepsConnectionsThatWaitForAFurtherRequest) {
+  const auto kept = Open("kept");
+  kept->SetEvictable(false, kStart);
+  kept->OnRequestRead();
+  kept->SetEvictable(true, kStart);
+  kept->OnIdle();
+  EXPECT_FALSE(budget_->EvictOldest(this, kStart + 2 * kMinStall));
+  const auto silent = Open("silent", kStart + kMinStall / 2);
+  silent->OnIdle();
+  EXPECT_TRUE(budget_->EvictOldest(this, kStart + 2 * kMinStall));
+  EXPECT_EQ(evicted_, std::vector<std::string>{"silent"});
+}
+
 // Guards against a budget that stays full of clients that have stopped sending, and one that closes
 // those that go on, or whose requests may have been passed on.
 TEST_F(MemoryBudgetTest, ClosesWhatHoldsMostForLongestWithoutProgress) {
