Cover the delay of reports in large fleets by the allowances' tolerance

The tolerance by which accounts may exceed their allowance has to cover what the fleet takes before all daemons know of it. That was 700 ms at any size, while a report in a fleet with representatives takes three intervals, 0.6 s with 16 daemons in a group, and a request may wait 0.4 s before it runs. The delay now follows from the report interval, at least 700 ms.

--- a/packages/gateway/peer_report_transport.cc
+++ b/packages/gateway/peer_report_transport.cc
@@ -48,6 +48,13 @@
 constexpr Duration kStartupReadInterval = 2s;
 // Read interval of the rows after startup, as a multiple of the write interval.
 constexpr int kReadsPerRegistration = 2;
+// Intervals after which a report has reached all failure domains: a daemon's, the representative's
+// to the other domains, and theirs to their groups.
+constexpr int kGroupedReportIntervals = 3;
+// Longest time from the admission of a request until an upstream begins to run it, as long as it
+// may wait in the admission queue for an objective of one second.
+constexpr Duration kAdmissionToStart = 400ms;
+constexpr Duration kMinPropagationDelay = 700ms;
 // A source counts as silent after this many report intervals, or after the minimum timeout if that
 // is longer.
 constexpr int kSilenceDigestIntervals = 4;
@@ -225,6 +232,9 @@
   fleet_.rollouts.SetDaemonCount(daemons);
   const auto group = static_cast<int>(fleet_.groups.Group().size()) + 1;
   fleet_.digest_interval = std::max(kMinDigestInterval, kDigestIntervalPerPeer * group);
+  const int report_intervals = fleet_.groups.grouped() ? kGroupedReportIntervals : 1;
+  fleet_.rate_limiter.SetPropagationDelay(std::max(
+      kMinPropagationDelay, report_intervals * fleet_.digest_interval + kAdmissionToStart));
   const Duration silence = SilenceTimeout();
   fleet_.rate_limiter.SetPeerSilenceTimeout(silence);
   fleet_.load_balancer.SetReportLifetime(silence);
--- a/packages/net/memory_budget.cc
+++ b/packages/net/memory_budget.cc
@@ -66,8 +66,7 @@
   MemoryLease* oldest = nullptr;
   for (MemoryLease* const lease : leases_) {
     if (lease->listener_ == listener && lease->evictable_ && !lease->awaits_further_request_ &&
-        lease->evicting_bytes_ == 0 &&
-        now - lease->progress_at_ >= kMinStall &&
+        lease->evicting_bytes_ == 0 && now - lease->progress_at_ >= kMinStall &&
         (oldest == nullptr || lease->progress_at_ < oldest->progress_at_)) {
       oldest = lease;
     }
--- a/packages/scheduling/account_rate_limiter.cc
+++ b/packages/scheduling/account_rate_limiter.cc
@@ -59,6 +59,16 @@
   }
 }
 
+void AccountRateLimiter::SetPropagationDelay(Duration delay) {
+  if (options_.propagation_delay == delay) {
+    return;
+  }
+  options_.propagation_delay = delay;
+  for (auto& [account, bucket] : buckets_) {
+    ApplyPolicy(bucket);
+  }
+}
+
 void AccountRateLimiter::Configure(const std::vector<AccountPolicy>& accounts, TimePoint now) {
   std::map<AccountId, Bucket> buckets;
   for (const AccountPolicy& policy : accounts) {
--- a/packages/scheduling/account_rate_limiter.h
+++ b/packages/scheduling/account_rate_limiter.h
@@ -55,7 +55,7 @@
   double slack = 0;
   Duration window = 8s;
   // Time for which the fleet may take units at an account's rate before all daemons have received
-  // the usage.
+  // the usage, and between the admission of a request and its start.
   Duration propagation_delay = 700ms;
   // Time without a report after which a peer is charged an even part of each rate until it reports
   // again.
@@ -79,6 +79,8 @@
 
   // Sets the tolerance by which rates and bursts may be exceeded.
   void SetTolerance(double overshoot, double slack, Duration window);
+  // Sets the delay of reports after which all daemons have received the usage.
+  void SetPropagationDelay(Duration delay);
   // Sets the number of daemons that share the allowances.
   void SetDaemonCount(int daemons) { daemons_ = daemons; }
   // Sets the time without a report after which a source counts as silent.
--- a/tests/scheduling/account_rate_limiter_test.cc
+++ b/tests/scheduling/account_rate_limiter_test.cc
@@ -241,6 +241,19 @@
   EXPECT_FALSE(limiter.TryAcquire(kDrivers, 1, At(2s)));
 }
 
+// Guards against daemons of a large fleet that admit more than the tolerance allows before they
+// have heard of each other: their reports pass through representatives, and take longer than those
+// of a small one.
+TEST(AccountRateLimiterTest, LongerReportsLeaveLessOfTheToleranceToTheRate) {
+  AccountRateLimiter limiter({.overshoot = 0.1, .slack = 1000, .window = 8s});
+  limiter.Configure({{.name = kDrivers, .rate = 1000, .burst = 1000}}, At(0s));
+  const double short_delay_rate = limiter.StateOf(kDrivers, At(0s)).rate;
+  limiter.SetPropagationDelay(1s);
+  // The tolerance of 1,900 units covers the rate over one second; the rest is spread over 8 s.
+  EXPECT_NEAR(limiter.StateOf(kDrivers, At(0s)).rate, 1000 + 900.0 / 8, 1e-6);
+  EXPECT_GT(short_delay_rate, limiter.StateOf(kDrivers, At(0s)).rate);
+}
+
 TEST(AccountRateLimiterTest, TimeUntilAvailableReturnsTheRefillTime) {
   AccountRateLimiter limiter({});
   limiter.Configure(Policy(100, 100), At(0s));
