Report three paces of engines at a time

Eight paces in each report were 12 KB/s for a daemon with 12 peers in its group, by arithmetic; control work may use 8 KB/s. Three are 4.6 KB/s, and carry 15 changes a second where a daemon ends about 12 streams.

--- a/packages/gateway/report_exchange.cc
+++ b/packages/gateway/report_exchange.cc
@@ -20,7 +20,7 @@
 // Streams in one report, at 8 bytes each.
 constexpr std::size_t kMaxReportedStreams = 512;
 // Paces of engines in one report, at 16 bytes each; all take turns.
-constexpr std::size_t kMaxReportedPaces = 8;
+constexpr std::size_t kMaxReportedPaces = 3;
 
 const Logger kLog("peers");
 
