--- a/packages/rollout/rollout_plan.h
+++ b/packages/rollout/rollout_plan.h
@@ -41,7 +41,7 @@
   // Least weight of slow responses during the canary, whose upstreams are more loaded than the old
   // ones. With 1, 25 of 1,000 good versions were rolled back whose responses took 1.5 times as long
   // at the canary's load.
-  double min_slow_weight = 0.5;
+  double min_slow_weight = 0.35;
 };
 
 // State of the service that a plan is decided from.
