--- a/packages/rollout/rollout_plan.cc
+++ b/packages/rollout/rollout_plan.cc
@@ -243,10 +243,12 @@
 
 RolloutStep RolloutPlan::Decide(const PlanInput& input, TimePoint now) {
   UpdateDemand(input, now);
+  // Responses to requests of the canary still come in during the first step of the ramp.
+  const bool is_canary =
+      stage_ == RolloutStage::kCanary || (stage_ == RolloutStage::kRamp && ramp_index_ == 0);
   const double slow_weight =
-      stage_ == RolloutStage::kCanary
-          ? std::clamp(OldUse(input) / options_.canary_use, options_.min_slow_weight, 1.0)
-          : 1;
+      is_canary ? std::clamp(OldUse(input) / options_.canary_use, options_.min_slow_weight, 1.0)
+                : 1;
   evidence_.Update(input.counts, now, slow_weight);
   if (!IsFinal(stage_)) {
     Advance(input, now);
