--- a/tests/untrusted_clients/crowd.cc
+++ b/tests/untrusted_clients/crowd.cc
@@ -32,8 +32,12 @@
   for (int i = 0; i < clients; ++i) {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     // A connect that is under way is completed by the kernel.
-    ::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    clients_.push_back({.socket = socket});
+    if (::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0 ||
+        errno == EINPROGRESS) {
+      clients_.push_back({.socket = socket});
+    } else {
+      ::close(socket);
+    }
   }
 }
 
--- a/tests/untrusted_clients/untrusted_clients_test.cc
+++ b/tests/untrusted_clients/untrusted_clients_test.cc
@@ -66,7 +66,7 @@
   Target(std::string path, std::string key) : path_(std::move(path)), key_(std::move(key)) {}
 
   static std::string WriteFile(const std::string& name, const std::string& text) {
-    const std::string path =
+    std::string path =
         fmt::format("{}savoryglade_untrusted_{}_{}", testing::TempDir(), ::getpid(), name);
     std::ofstream(path) << text;
     return path;
