--- /dev/null
+++ b/review/rig-2/json.cc
@@ -0,0 +1,1 @@
+#include <boost/json/src.hpp>
