--- a/review/rig-2/workload.h
+++ b/review/rig-2/workload.h
@@ -20,11 +20,11 @@
 // Confirmations may run once for each attempt.
 struct Confirmations {
   std::mutex mutex;
-  // Attempts that a worker has begun and whose answer it has not written.
-  std::set<std::string> running;
+  // Attempts that a worker has begun.
+  std::set<std::string> begun;
   int answered = 0;
   int refused = 0;
-  // Attempts on a kept channel that ended without an answer while a sound worker ran them.
+  // Attempts on a kept channel that ended without an answer although a sound worker ran them.
   int lost = 0;
   std::atomic<bool> done{false};
 };
@@ -39,15 +39,10 @@
     const std::string attempt = request.Header("Attempt-Id");
     {
       const std::lock_guard lock(all.mutex);
-      all.running.insert(attempt);
+      all.begun.insert(attempt);
     }
     SleepMs(200);
-    const bool sent = channel.Send(Response(200, AnswerHeaders(request), "done"));
-    if (sent) {
-      const std::lock_guard lock(all.mutex);
-      all.running.erase(attempt);
-    }
-    return sent;
+    return channel.Send(Response(200, AnswerHeaders(request), "done"));
   });
 }
 
@@ -78,10 +73,10 @@
         RECORD("confirmation %s: answered %d", id.c_str(), answer.status);
       }
     } else {
-      const bool was_running = all.running.contains(id);
+      const bool has_begun = all.begun.contains(id);
       RECORD("confirmation %s: the channel ended without an answer (%s), kept=%d, at a worker=%d",
-             id.c_str(), answer.failure.c_str(), kept, was_running);
-      all.lost += kept && was_running ? 1 : 0;
+             id.c_str(), answer.failure.c_str(), kept, has_begun);
+      all.lost += kept && has_begun ? 1 : 0;
     }
     if (!answer.complete || answer.Header("Connection") == "close") {
       channel.reset();
