--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -1,4 +1,4 @@
-// All daemons are killed soon after the fleet has started, and clients take their streams up again.
+// All daemons are killed while two software versions serve, and clients take their streams up again.
 // See claim.txt.
 #include "workload.h"
 
@@ -104,7 +104,8 @@
                      ? channel.Send(Response(200, {{"Instance-Id", id}}, ""))
                      : Stream(channel, request);
         }));
-    store->Put("servers", id, Registration("glade", workers.back()->endpoint, "brescia", 64, "ready"));
+    store->Put("servers", id, Registration("glade", workers.back()->endpoint, "brescia", 64, "ready",
+                                           i % 2 == 0 ? "v2" : "v1"));
   }
   const char* zones[] = {"brescia", "bergamo", "verona", "mantova"};
   std::vector<std::unique_ptr<Daemon>> daemons;
@@ -119,8 +120,8 @@
       return 2;
     }
   }
-  // Traffic starts 10 s after the machines do.
-  SleepMs(10'000 - (NowMs() - started_at));
+  // Longer than a stream may live.
+  SleepMs(30'000 - (NowMs() - started_at));
   std::atomic<int> resumed{0};
   std::atomic<int> gone_on{0};
   std::atomic<int> new_streams{0};
